--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with baselines; each prints a table and writes its figures."""
--- /dev/null
+++ b/src/baobabthread/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Small protocol classes that the core and the shell rely on."""
--- /dev/null
+++ b/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrices: every fault at every step of a protocol."""
--- /dev/null
+++ b/tests/histories/__init__.py
@@ -0,0 +1,1 @@
+"""Concurrent runs whose histories are checked against sequential models."""
