--- a/src/baobabthread/core/configuration.py
+++ b/src/baobabthread/core/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import re
 import tomllib
 from collections.abc import Iterable, Mapping
@@ -297,7 +298,7 @@
 
 def _check_steps(field: str, rollout: Rollout) -> None:
     steps = rollout.steps
-    rising = all(a < b for a, b in zip(steps, steps[1:], strict=False))
+    rising = all(a < b for a, b in itertools.pairwise(steps))
     if not steps or not rising or steps[0] <= 0 or steps[-1] != 1.0:
         raise ConfigurationError(
             f"{steps} are not steps",
