--- a/src/baobabthread/core/configuration.py
+++ b/src/baobabthread/core/configuration.py
@@ -115,7 +115,7 @@
     service: str
     old: str
     new: str
-    steps: list[float] = [0.05, 0.25, 1.0]
+    steps: tuple[float, ...] = (0.05, 0.25, 1.0)
     hold_s: float = 30.0
     """How long each step stays before the next."""
 
