--- /dev/null
+++ b/src/baobabthread/adapters/commits.py
@@ -0,0 +1,103 @@
+"""Group commit: many records of one stream in one append."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Callable
+
+from baobabthread.core.messages import Append, Appended, AppendFailed, Stream
+from baobabthread.logs import log_event
+from baobabthread.ports.log import Log, LogError, NewRecord
+
+MAX_BATCH = 500
+MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 1.0
+GATHER_S = 0.002
+"""How long a batch waits for more records; the log takes few appends a second."""
+
+Feed = Callable[[Appended | AppendFailed], None]
+
+
+class GroupCommit:
+    """Append the records of one stream, one batch in flight at a time."""
+
+    __slots__ = ("_feed", "_gather_s", "_log", "_queue", "_stream", "_task", "appends")
+
+    def __init__(
+        self, *, stream: Stream, log: Log, feed: Feed, gather_s: float = GATHER_S
+    ) -> None:
+        self._stream = stream
+        self._log = log
+        self._feed = feed
+        self._gather_s = gather_s
+        self._queue: deque[Append] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self.appends = 0
+
+    @property
+    def waiting(self) -> int:
+        """Count the records that no append has taken yet."""
+        return len(self._queue)
+
+    def add(self, append: Append) -> None:
+        """Queue one record."""
+        self._queue.append(append)
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._drain())
+
+    async def _drain(self) -> None:
+        try:
+            while self._queue:
+                await asyncio.sleep(self._gather_s)
+                size = min(len(self._queue), MAX_BATCH)
+                await self._append([self._queue.popleft() for _ in range(size)])
+        finally:
+            self._task = None
+
+    async def _append(self, batch: list[Append]) -> None:
+        records = [NewRecord(id=append.id, body=append.body) for append in batch]
+        try:
+            first = await self._log.append(self._stream, records)
+        except LogError as error:
+            definite = getattr(error, "definite", False)
+            self._report_failure(batch, error, definite=definite)
+            # Without a pause a log that refuses at once would be asked thousands of
+            # times a second, and its outage would last longer.
+            pause = min(max(error.retry_after_s, MIN_PAUSE_S), MAX_PAUSE_S)
+            await asyncio.sleep(pause)
+            return
+        self.appends += 1
+        for position, append in enumerate(batch):
+            self._feed(
+                Appended(stream=self._stream, id=append.id, offset=first + position)
+            )
+
+    def _report_failure(
+        self, batch: list[Append], error: LogError, *, definite: bool
+    ) -> None:
+        log_event(
+            "append_failed",
+            level="warning",
+            stream=self._stream,
+            records=len(batch),
+            definite=definite,
+            reason=error.message,
+        )
+        for append in batch:
+            self._feed(
+                AppendFailed(stream=self._stream, id=append.id, definite=definite)
+            )
+
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until the queue is empty, at most so long."""
+        if self._task is not None:
+            await asyncio.wait([self._task], timeout=timeout_s)
+
+    async def close(self) -> None:
+        """Stop appending."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
--- a/src/baobabthread/core/events.py
+++ b/src/baobabthread/core/events.py
@@ -84,9 +84,9 @@
     request_id: str
     backend: str
     address: str
+    backend_request_id: str
     version: str | None
     call: str
-    attempt: int
     relay: bool
     """Stream to the caller at once; else hold the answer until it is accepted."""
     timeout_s: float
