--- /dev/null
+++ b/tests/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapters."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the standins."""
