--- /dev/null
+++ b/src/baobabthread/core/membership_messages.py
@@ -0,0 +1,155 @@
+"""Messages between entries about who is alive, and what they carry along."""
+
+from __future__ import annotations
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+
+class MemberState(enum.StrEnum):
+    """Order what is believed about an entry; on a tie the later one holds."""
+
+    ALIVE = "alive"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+RANK = {state: rank for rank, state in enumerate(MemberState)}
+
+
+class MemberInfo(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one entry as known at some moment."""
+
+    name: str
+    address: str
+    """IP number and port for callers."""
+    peer_address: str
+    """IP number and port for other entries."""
+    failure_domain: str
+    incarnation: str
+    """Name of this start, fresh each time."""
+    started_at: float
+    """Start in seconds; orders the incarnations of one name."""
+    counter: int = 0
+    """Raised by the entry itself to refute what others believe."""
+    state: MemberState = MemberState.ALIVE
+    leaving: bool = False
+    """Whether the entry itself said that it leaves."""
+    generation: int = 0
+    read_offset: int = 0
+    head_age_s: float = 0.0
+    """Age of its configuration when it sent this."""
+
+    @property
+    def order(self) -> Order:
+        """Give what decides which of two descriptions is newer."""
+        return Order(
+            started_at=self.started_at, counter=self.counter, rank=RANK[self.state]
+        )
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether new callers may be sent to it."""
+        return self.state is MemberState.ALIVE and not self.leaving
+
+
+class Order(msgspec.Struct, frozen=True, kw_only=True, order=True):
+    """Order descriptions of one entry: start, refutation, then state."""
+
+    started_at: float
+    counter: int
+    rank: int
+
+
+class GossipPayload(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one small value that an entry spreads to all; the newest one counts."""
+
+    topic: str
+    origin: str
+    """Who spreads it; use the incarnation, so that a restart begins anew."""
+    sequence: int
+    body: msgspec.Raw
+
+
+class Digest(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what every message carries along, bounded in size."""
+
+    sender: MemberInfo
+    updates: list[MemberInfo] = []
+    gossip: list[GossipPayload] = []
+
+
+class Probe(msgspec.Struct, frozen=True, kw_only=True, tag="membership.probe"):
+    """Ask an entry for a sign of life."""
+
+    sequence: int
+    digest: Digest
+
+
+class Acknowledge(
+    msgspec.Struct, frozen=True, kw_only=True, tag="membership.acknowledge"
+):
+    """Answer a probe, for oneself or for the entry that was probed for another."""
+
+    sequence: int
+    subject: str
+    """Name of the entry that is alive."""
+    digest: Digest
+
+
+class ProbeRequest(
+    msgspec.Struct, frozen=True, kw_only=True, tag="membership.probe_request"
+):
+    """Ask an entry to probe another one, which did not answer directly."""
+
+    sequence: int
+    subject: str
+    digest: Digest
+
+
+class Synchronise(
+    msgspec.Struct, frozen=True, kw_only=True, tag="membership.synchronise"
+):
+    """Offer to compare all members; also how an entry joins."""
+
+    checksum: int
+    """Equal where both know the same members in the same states."""
+    digest: Digest
+
+
+class Members(msgspec.Struct, frozen=True, kw_only=True, tag="membership.members"):
+    """Hold all members that the sender believes to be there."""
+
+    members: list[MemberInfo]
+    wants_reply: bool
+    digest: Digest
+
+
+class Announce(msgspec.Struct, frozen=True, kw_only=True, tag="membership.announce"):
+    """Tell at once that there is a new generation of the configuration."""
+
+    generation: int
+    digest: Digest
+
+
+MembershipMessage: TypeAlias = (
+    Probe | Acknowledge | ProbeRequest | Synchronise | Members | Announce
+)
+
+
+class FetchRecords(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask the shell to fetch configuration records that a peer has (an effect)."""
+
+    peer: str
+    after: int
+
+
+class Hint(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what the platform's lagging roster says about an entry."""
+
+    name: str
+    peer_address: str
+    leaving: bool
