--- a/src/baobabthread/standins/models.py
+++ b/src/baobabthread/standins/models.py
@@ -89,6 +89,10 @@
                 self._loads[name] = asyncio.create_task(self._load(name))
         self._on_change()
 
+    async def wait(self) -> None:
+        """Wait until no load is under way."""
+        await asyncio.gather(*self._loads.values())
+
     async def _load(self, version: str) -> None:
         if self.weights_url:
             await self._fetch(version)
--- a/src/baobabthread/standins/roster.py
+++ b/src/baobabthread/standins/roster.py
@@ -53,10 +53,11 @@
         **settings: Any,
     ) -> None:
         super().__init__(name=name, **settings)
-        self.instances = {item.name: item for item in instances or []}
+        self.instances: dict[str, Instance] = {}
         self._snapshots: deque[tuple[float, list[Instance]]] = deque(
-            [(float("-inf"), list(self.instances.values()))], maxlen=MAX_SNAPSHOTS
+            maxlen=MAX_SNAPSHOTS
         )
+        self.begin(instances or [])
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the routes of the list and of the instances' own entries."""
@@ -69,6 +70,12 @@
         """Return what the control page shows."""
         return {**super().describe(), "instances": list(self.instances.values())}
 
+    def begin(self, instances: list[Instance]) -> None:
+        """Set the list that shows from the start, without a lag."""
+        self.instances = {item.name: item for item in instances}
+        self._snapshots.clear()
+        self._snapshots.append((float("-inf"), instances))
+
     def put(self, instance: Instance) -> None:
         """Enter or replace one instance."""
         self.instances[instance.name] = instance
--- a/src/baobabthread/standins/server.py
+++ b/src/baobabthread/standins/server.py
@@ -142,11 +142,13 @@
         """Return what the control page shows."""
         return {"name": self.name, "kind": self.kind, "faults": self.faults}
 
+    def check_faults(self, values: dict[str, Any]) -> Any:
+        """Return the typed faults; those not named have their defaults."""
+        return msgspec.convert(values, FAULTS.get(self.kind))
+
     def set_faults(self, values: dict[str, Any]) -> None:
         """Replace all faults; those not named go back to their defaults."""
-        fresh: Any = FAULTS.get(self.kind)()
-        merged = {**msgspec.to_builtins(fresh), **values}
-        self.faults = msgspec.convert(merged, type(fresh))
+        self.faults = self.check_faults(values)
         self.on_faults()
 
     def on_faults(self) -> None:
