--- /dev/null
+++ b/src/baobabthread/core/cascade.py
@@ -0,0 +1,464 @@
+"""Rules that choose which versions answer a request and when to escalate."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from baobabthread.core.attempts import (
+    Attempt,
+    Rating,
+    Sampler,
+    VersionCost,
+    draw,
+)
+from baobabthread.core.calibration import BINS, Cell, CellKey, find_bin, fit_chances
+from baobabthread.core.escalation import (
+    Case,
+    Plan,
+    Solution,
+    Step,
+    describe_step,
+    find_plan,
+)
+from baobabthread.core.evidence import MixKey, SharedEvidence
+from baobabthread.core.registry import Registry
+
+RATING_SHARE = 0.1
+"""Share of the answers sent to the rating service once evidence is thick."""
+THIN_RATINGS = 10.0
+"""Ratings of a cell below which its answers are rated more often."""
+
+
+class CascadeRule(Protocol):
+    """Decide for one service at one entry; every method is deterministic."""
+
+    def plan(
+        self, *, key: str, call: str, versions: Sequence[str], now: float
+    ) -> list[str]:
+        """Return the versions to try in order, out of the allowed ones."""
+
+    def accept(
+        self,
+        *,
+        key: str,
+        call: str,
+        versions: Sequence[str],
+        version: str,
+        after: str,
+        signal: float | None,
+        is_last: bool,
+        remaining_s: float,
+        expected_next_s: float,
+        now: float,
+    ) -> bool:
+        """Tell whether to serve an answer instead of trying the next version.
+
+        `versions` are the allowed ones as given to `plan`.
+        """
+
+    def wants_rating(
+        self, attempt: Attempt, *, now: float, least_share: float = 0.0
+    ) -> bool:
+        """Count one attempt and tell whether to have it rated.
+
+        `least_share` raises the sampled share, as a detector that suspects the
+        version asks for.
+        """
+
+    def learn(self, rating: Rating, *, now: float) -> bool:
+        """Take in a rating and tell whether this entry had asked for it."""
+
+    def evidence(self) -> bytes:
+        """Return this entry's counts for its peers; empty when it keeps none."""
+
+    def merge(self, *, origin: str, evidence: bytes, now: float) -> None:
+        """Take in a peer's counts; `origin` names its incarnation."""
+
+    def reconfigure(self, *, costs: Sequence[VersionCost], target: float) -> None:
+        """Take over the cascade and target of a newly accepted text."""
+
+
+class RuleFactory(Protocol):
+    """Build a rule for one service."""
+
+    def __call__(
+        self, *, costs: Sequence[VersionCost], target: float, random: random.Random
+    ) -> CascadeRule:
+        """Return a rule; `costs` are in cascade order, cheapest first."""
+
+
+CASCADE_RULES: Registry[RuleFactory] = Registry(what="cascade rule")
+
+
+class FixedRule:
+    """Share what the rules without learning have in common."""
+
+    def __init__(
+        self, *, costs: Sequence[VersionCost], target: float, random: random.Random
+    ) -> None:
+        self._order = [each.name for each in costs]
+        self._sampler = Sampler()
+
+    def plan(
+        self, *, key: str, call: str, versions: Sequence[str], now: float
+    ) -> list[str]:
+        """Return all allowed versions."""
+        return list(versions)
+
+    def accept(
+        self,
+        *,
+        key: str,
+        call: str,
+        versions: Sequence[str],
+        version: str,
+        after: str,
+        signal: float | None,
+        is_last: bool,
+        remaining_s: float,
+        expected_next_s: float,
+        now: float,
+    ) -> bool:
+        """Accept every answer."""
+        return True
+
+    def wants_rating(
+        self, attempt: Attempt, *, now: float, least_share: float = 0.0
+    ) -> bool:
+        """Sample a fixed share of the answers; detectors need ratings too."""
+        return self._sampler.ask(attempt, share=max(RATING_SHARE, least_share))
+
+    def learn(self, rating: Rating, *, now: float) -> bool:
+        """Match a rating; nothing is learnt."""
+        return self._sampler.take(rating) is not None
+
+    def evidence(self) -> bytes:
+        """Return nothing to share."""
+        return b""
+
+    def merge(self, *, origin: str, evidence: bytes, now: float) -> None:
+        """Ignore what other rules may have shared."""
+
+    def reconfigure(self, *, costs: Sequence[VersionCost], target: float) -> None:
+        """Take over the order of the versions."""
+        self._order = [each.name for each in costs]
+
+
+@CASCADE_RULES.register("cheap")
+class CheapRule(FixedRule):
+    """Serve the cheapest allowed version's answer."""
+
+    def plan(
+        self, *, key: str, call: str, versions: Sequence[str], now: float
+    ) -> list[str]:
+        """Return the first allowed version."""
+        return list(versions[:1])
+
+
+@CASCADE_RULES.register("strong")
+class StrongRule(FixedRule):
+    """Serve the strongest allowed version's answer."""
+
+    def plan(
+        self, *, key: str, call: str, versions: Sequence[str], now: float
+    ) -> list[str]:
+        """Return the last allowed version."""
+        return list(versions[-1:])
+
+
+FIXED_THRESHOLD = 0.85
+
+
+@CASCADE_RULES.register("threshold")
+class ThresholdRule(FixedRule):
+    """Escalate when the engine's own signal is under a fixed threshold."""
+
+    threshold = FIXED_THRESHOLD
+
+    def accept(
+        self,
+        *,
+        key: str,
+        call: str,
+        versions: Sequence[str],
+        version: str,
+        after: str,
+        signal: float | None,
+        is_last: bool,
+        remaining_s: float,
+        expected_next_s: float,
+        now: float,
+    ) -> bool:
+        """Accept a signal over the threshold, or when nothing else can follow."""
+        if is_last or remaining_s <= expected_next_s:
+            return True
+        return signal is not None and signal >= self.threshold
+
+
+REPLAN_S = 2.0
+"""How long decisions stand before they are worked out again."""
+REPLAN_REQUESTS = 400
+"""Requests of this entry after which they are worked out sooner."""
+EXPLORED_SHARE = 0.01
+"""Share of the requests that start with a version which the plan leaves out."""
+THIN_EXPLORED_SHARE = 0.1
+"""The same while that version has few ratings."""
+FEW_RATINGS = 60.0
+PRIOR_CHANCE = 0.5
+LAST_PRIOR_CHANCE = 0.95
+"""Before any rating only the strongest version is trusted."""
+PRIOR_WEIGHT = 0.5
+"""Imagined ratings for each bin."""
+DEFAULT_TOKENS = 200.0
+MARGIN_ERRORS = 0.5
+"""Standard errors of the quality that the target is raised by."""
+GRACE_S = 60.0
+"""Age of the newest rating from which the margin widens."""
+MARGIN_PER_S = 0.01 / 600
+MAX_AGE_MARGIN = 0.5
+"""Bound on the margin for age, as a share of what the target leaves to 1."""
+
+
+class _Decision:
+    """Hold what was worked out for one kind of request."""
+
+    __slots__ = ("high", "low")
+
+    def __init__(self, *, low: Solution, high: Solution) -> None:
+        self.low = low
+        self.high = high
+
+
+@CASCADE_RULES.register("calibrated")
+class CalibratedRule:
+    """Meet the service's share of good answers at the least expected cost.
+
+    One price of a bad answer holds for all kinds of requests; it is set so that the
+    expected quality of the present mix just meets the target.
+    """
+
+    def __init__(
+        self, *, costs: Sequence[VersionCost], target: float, random: random.Random
+    ) -> None:
+        self._costs = {each.name: each.cost for each in costs}
+        self._target = target
+        self._sampler = Sampler()
+        self._evidence = SharedEvidence()
+        self._chances: dict[CellKey, list[float]] = {}
+        self._decisions: dict[MixKey, _Decision] = {}
+        self._high_share = 1.0
+        self._planned_s = -REPLAN_S
+        self._started_s: float | None = None
+        self._requests = 0
+        self.aim = target
+        """The quality aimed at: the target and its margin."""
+
+    def plan(
+        self, *, key: str, call: str, versions: Sequence[str], now: float
+    ) -> list[str]:
+        """Return the start of least expected cost and what follows it."""
+        kind = MixKey(call, tuple(versions))
+        self._evidence.count_request(kind)
+        self._requests += 1
+        self._replan_when_due(now)
+        solution = self._choose_solution(key, kind)
+        order = []
+        state = 0
+        while state < len(versions):
+            chosen = solution.following[state]
+            order.append(versions[chosen])
+            state = chosen + 1
+        return self._explore(key, call, versions, order)
+
+    def _explore(
+        self, key: str, call: str, versions: Sequence[str], order: list[str]
+    ) -> list[str]:
+        """Start some requests with a version that would get no ratings otherwise."""
+        skipped = [each for each in versions if each not in order]
+        if not skipped:
+            return order
+        number = draw("explore", key)
+        chosen = skipped[int(draw("explored version", key) * len(skipped))]
+        cell = self._evidence.totals.get(CellKey(call=call, version=chosen))
+        rated = sum(cell.rated) if cell is not None else 0.0
+        share = THIN_EXPLORED_SHARE if rated < FEW_RATINGS else EXPLORED_SHARE
+        if number >= share:
+            return order
+        place = versions.index(chosen)
+        return [chosen, *(each for each in order if versions.index(each) > place)]
+
+    def accept(
+        self,
+        *,
+        key: str,
+        call: str,
+        versions: Sequence[str],
+        version: str,
+        after: str,
+        signal: float | None,
+        is_last: bool,
+        remaining_s: float,
+        expected_next_s: float,
+        now: float,
+    ) -> bool:
+        """Accept when a better answer would cost more than it is worth."""
+        # Escalating past the deadline loses the answer at hand and brings no other:
+        # the caller sees a timeout. An answer in time is served, good or not.
+        if is_last or remaining_s <= expected_next_s:
+            return True
+        kind = MixKey(call, tuple(versions))
+        solution = self._choose_solution(key, kind)
+        chances = self._find_chances(CellKey(call=call, version=version, after=after))
+        needed = solution.needed[versions.index(version)]
+        return chances[find_bin(signal)] >= needed
+
+    def wants_rating(
+        self, attempt: Attempt, *, now: float, least_share: float = 0.0
+    ) -> bool:
+        """Count one attempt; sample it more often where ratings are few."""
+        cell_key = _key_of(attempt)
+        self._evidence.count_answer(
+            cell_key, bin_index=find_bin(attempt.signal), tokens=attempt.tokens
+        )
+        cell = self._evidence.totals.get(cell_key)
+        rated = sum(cell.rated) if cell is not None else 0.0
+        thin = THIN_RATINGS / (THIN_RATINGS + rated)
+        share = max(least_share, min(1.0, RATING_SHARE + thin))
+        return self._sampler.ask(attempt, share=share)
+
+    def learn(self, rating: Rating, *, now: float) -> bool:
+        """Count a rating in the bin of the answer that it is about."""
+        asked = self._sampler.take(rating)
+        if asked is None:
+            return False
+        self._evidence.count_rating(
+            _key_of(asked.attempt),
+            bin_index=find_bin(asked.attempt.signal),
+            good=rating.good,
+            now=now,
+        )
+        return True
+
+    def evidence(self) -> bytes:
+        """Return this entry's counts for its peers."""
+        return self._evidence.pack()
+
+    def merge(self, *, origin: str, evidence: bytes, now: float) -> None:
+        """Take in a peer's counts; the newest of each origin replaces the last.
+
+        Raises `msgspec.DecodeError` for bytes that are no evidence.
+        """
+        self._evidence.merge(origin=origin, evidence=evidence, now=now)
+
+    def reconfigure(self, *, costs: Sequence[VersionCost], target: float) -> None:
+        """Take over new costs and a new target; counts are kept."""
+        self._costs = {each.name: each.cost for each in costs}
+        self._target = target
+        self._planned_s = -REPLAN_S
+
+    def _choose_solution(self, key: str, kind: MixKey) -> Solution:
+        decision = self._decisions.get(kind)
+        if decision is None:
+            self._work_out([kind])
+            decision = self._decisions[kind]
+        high = draw("price", key) < self._high_share
+        return decision.high if high else decision.low
+
+    def _replan_when_due(self, now: float) -> None:
+        if self._started_s is None:
+            self._started_s = now
+        young = now - self._planned_s < REPLAN_S
+        if young and self._requests < REPLAN_REQUESTS:
+            return
+        self._planned_s = now
+        self._requests = 0
+        self._evidence.refresh(now=now)
+        self._chances.clear()
+        self._decisions.clear()
+        self.aim = min(1.0, self._target + self._find_margin(now))
+        self._work_out(list(self._evidence.add_mix()))
+
+    def _find_margin(self, now: float) -> float:
+        """Return how far to aim above the target, for thin and for old ratings."""
+        spread = self._target * (1 - self._target)
+        rated = sum(sum(cell.rated) for cell in self._evidence.totals.values())
+        thin = MARGIN_ERRORS * math.sqrt(spread / (rated + 1))
+        newest = self._evidence.last_rating_s
+        if newest is None:
+            newest = self._started_s if self._started_s is not None else now
+        # With the rating service out a version may turn worse unseen. The last
+        # calibration stays, and traffic drifts to stronger versions bit by bit: a
+        # jump would multiply the cost in an outage that changed nothing.
+        old = MARGIN_PER_S * max(0.0, now - newest - GRACE_S)
+        return thin + min(old, MAX_AGE_MARGIN * (1 - self._target))
+
+    def _work_out(self, kinds: Sequence[MixKey]) -> None:
+        """Find the decisions for some kinds of requests together."""
+        if not kinds:
+            return
+        weights = self._evidence.add_mix()
+        cases = [self._describe_case(kind, weights.get(kind, 1.0)) for kind in kinds]
+        plan: Plan = find_plan(cases, target=self.aim)
+        self._high_share = plan.high_share
+        for kind, low, high in zip(kinds, plan.low, plan.high, strict=True):
+            self._decisions[kind] = _Decision(low=low, high=high)
+
+    def _describe_case(self, kind: MixKey, weight: float) -> Case:
+        rows = []
+        for state in range(len(kind.versions)):
+            after = kind.versions[state - 1] if state else ""
+            rows.append(
+                [self._describe_step(kind, version, after) for version in kind.versions]
+            )
+        return Case(weight=weight, steps=rows)
+
+    def _describe_step(self, kind: MixKey, version: str, after: str) -> Step:
+        first = CellKey(call=kind.call, version=version)
+        key = CellKey(call=kind.call, version=version, after=after)
+        cell = self._evidence.totals.get(key, Cell())
+        base = self._evidence.totals.get(first, Cell())
+        tokens = cell.mean_tokens(default=base.mean_tokens(default=DEFAULT_TOKENS))
+        return describe_step(
+            cost=self._costs.get(version, 0.0) * tokens / 1000,
+            shares=_find_shares(cell, base),
+            chances=self._find_chances(key),
+        )
+
+    def _find_chances(self, key: CellKey) -> list[float]:
+        chances = self._chances.get(key)
+        if chances is None:
+            chances = self._chances[key] = self._fit(key)
+        return chances
+
+    def _fit(self, key: CellKey) -> list[float]:
+        cell = self._evidence.totals.get(key, Cell())
+        if key.after:
+            prior = self._find_chances(CellKey(call=key.call, version=key.version))
+        else:
+            last = next(reversed(self._costs), "")
+            chance = LAST_PRIOR_CHANCE if key.version == last else PRIOR_CHANCE
+            prior = [chance] * BINS
+        return fit_chances(cell, prior=prior, prior_weight=PRIOR_WEIGHT)
+
+
+def _key_of(attempt: Attempt) -> CellKey:
+    return CellKey(call=attempt.call, version=attempt.version, after=attempt.after)
+
+
+def _find_shares(cell: Cell, base: Cell) -> list[float]:
+    """Return how the answers spread over the bins; those of `base` when few."""
+    counts = [
+        own + BASE_WEIGHT * other / (sum(base.answers) or 1.0)
+        for own, other in zip(cell.answers, base.answers, strict=True)
+    ]
+    total = sum(counts)
+    if total <= 0:
+        return [1.0 / BINS] * BINS
+    return [count / total for count in counts]
+
+
+BASE_WEIGHT = 10.0
+"""Answers that the spread of a version's first attempts counts for."""
--- /dev/null
+++ b/src/baobabthread/core/evidence.py
@@ -0,0 +1,166 @@
+"""Counts of answers and ratings, shared by the entries through gossip."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from baobabthread.core.calibration import (
+    Cell,
+    CellCounts,
+    CellKey,
+    pack_cell,
+    unpack_cell,
+)
+
+MAX_CELLS = 4000
+MAX_ORIGINS = 1000
+MAX_REQUESTS = 2000.0
+"""Requests that one entry remembers for the mix before it halves them."""
+FORGET_ORIGIN_S = 3600.0
+"""An origin that has been silent for longer is left out: its entry is gone."""
+
+
+class MixKey(msgspec.Struct, frozen=True, array_like=True):
+    """Name one kind of request: its call and the versions allowed to it."""
+
+    call: str
+    versions: tuple[str, ...]
+
+
+class MixCount(msgspec.Struct, frozen=True, array_like=True):
+    """Hold how many requests of one kind an entry saw, on the wire."""
+
+    key: MixKey
+    requests: int
+
+
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
+    """Hold all that one entry counted for one service."""
+
+    sequence: int
+    cells: list[CellCounts]
+    mix: list[MixCount]
+    served: float
+    """Decayed weight of the rated answers that were served."""
+    surprise: float
+    """Decayed sum of weight times (rated good less the expected chance)."""
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Evidence)
+
+
+class _Origin:
+    __slots__ = ("cells", "evidence", "heard_s")
+
+    def __init__(self, evidence: Evidence, cells: dict[CellKey, Cell], now: float):
+        self.evidence = evidence
+        self.cells = cells
+        self.heard_s = now
+
+
+class SharedEvidence:
+    """Add up what this entry counted and what it heard from the others."""
+
+    def __init__(self) -> None:
+        self._own: dict[CellKey, Cell] = {}
+        self._mix: dict[MixKey, float] = {}
+        self._origins: dict[str, _Origin] = {}
+        self._totals: dict[CellKey, Cell] = {}
+        self._sequence = 0
+        self._served = 0.0
+        self._surprise = 0.0
+        self.last_rating_s: float | None = None
+
+    @property
+    def totals(self) -> Mapping[CellKey, Cell]:
+        """Give the counts of all entries, as of the last `refresh`."""
+        return self._totals
+
+    def count_request(self, key: MixKey) -> None:
+        """Count one request towards the mix."""
+        if key not in self._mix and len(self._mix) >= MAX_CELLS:
+            return
+        self._mix[key] = self._mix.get(key, 0.0) + 1
+        if sum(self._mix.values()) > MAX_REQUESTS:
+            halves = {key: count / 2 for key, count in self._mix.items()}
+            self._mix = {key: count for key, count in halves.items() if count > 0.1}
+
+    def count_answer(self, key: CellKey, *, bin_index: int, tokens: int) -> None:
+        """Count one answer of this entry."""
+        cell = self._find_own(key)
+        if cell is not None:
+            cell.add_answer(bin_index=bin_index, tokens=tokens)
+
+    def count_rating(
+        self, key: CellKey, *, bin_index: int, good: bool, now: float
+    ) -> None:
+        """Count one rating of an answer of this entry."""
+        self.last_rating_s = now
+        cell = self._find_own(key)
+        if cell is not None:
+            cell.add_rating(bin_index=bin_index, good=good)
+
+    def _find_own(self, key: CellKey) -> Cell | None:
+        cell = self._own.get(key)
+        if cell is None and len(self._own) < MAX_CELLS:
+            cell = self._own[key] = Cell()
+        return cell
+
+    def pack(self) -> bytes:
+        """Return this entry's counts for its peers."""
+        self._sequence += 1
+        cells = [pack_cell(key, cell) for key, cell in self._own.items()]
+        mix = [MixCount(key, round(count)) for key, count in self._mix.items()]
+        return _ENCODER.encode(
+            Evidence(self._sequence, cells, mix, self._served, self._surprise)
+        )
+
+    def merge(self, *, origin: str, evidence: bytes, now: float) -> bool:
+        """Take in a peer's counts and say whether they were news.
+
+        Raises `msgspec.DecodeError` for bytes that are no evidence.
+        """
+        received = _DECODER.decode(evidence)
+        known = self._origins.get(origin)
+        # Gossip arrives twice and out of order; counts decay, so a maximum would keep
+        # the past. Each origin numbers its counts and only a newer set replaces them.
+        if known is not None and received.sequence <= known.evidence.sequence:
+            return False
+        if known is None and len(self._origins) >= MAX_ORIGINS:
+            return False
+        cells = {
+            CellKey(call=each.call, version=each.version, after=each.after): (
+                unpack_cell(each)
+            )
+            for each in received.cells[:MAX_CELLS]
+        }
+        if known is None or _count_rated(cells) != _count_rated(known.cells):
+            self.last_rating_s = now
+        self._origins[origin] = _Origin(received, cells, now)
+        return True
+
+    def refresh(self, *, now: float) -> None:
+        """Add the counts of all entries up again."""
+        for name, origin in list(self._origins.items()):
+            if now - origin.heard_s > FORGET_ORIGIN_S:
+                del self._origins[name]
+        totals: dict[CellKey, Cell] = {}
+        for cells in (self._own, *(each.cells for each in self._origins.values())):
+            for key, cell in cells.items():
+                totals.setdefault(key, Cell()).add(cell)
+        self._totals = totals
+
+    def add_mix(self) -> dict[MixKey, float]:
+        """Return how many requests of each kind all entries saw lately."""
+        result = dict(self._mix)
+        for origin in self._origins.values():
+            for count in origin.evidence.mix:
+                result[count.key] = result.get(count.key, 0.0) + count.requests
+        return result
+
+
+def _count_rated(cells: Mapping[CellKey, Cell]) -> float:
+    return sum(sum(cell.rated) for cell in cells.values())
