--- /dev/null
+++ b/src/baobabthread/core/backends.py
@@ -0,0 +1,244 @@
+"""What an entry knows about each backend server: load, speed and health."""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+
+import msgspec
+import xxhash
+
+from baobabthread.core.limits import Outcome
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a backend server's own word on its load."""
+
+    running: int
+    waiting: int
+    capacity: int
+    versions: list[str] = []
+    tokens_per_s: float = 0.0
+
+
+class BalanceSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the bounds of balancing and ejection."""
+
+    report_lag_s: float = 1.0
+    """How old a load report is taken to be."""
+    report_life_s: float = 5.0
+    """Seconds after which a report no longer counts."""
+    speed_smoothing: float = 0.2
+    speed_half_life_s: float = 20.0
+    """Seconds in which what is known of a server's speed loses half of its weight."""
+    far_penalty: float = 0.05
+    """Part by which a far server's cost counts as higher."""
+    affinity_bound: float = 1.5
+    """Times the other choice's cost that a cached prefix is worth."""
+    eject_failures: int = 5
+    """Failures in a row that eject a server."""
+    eject_slowness: float = 8.0
+    """Times the usual time per token that ejects a server."""
+    eject_base_s: float = 2.0
+    eject_max_s: float = 30.0
+    eject_floor: float = 0.5
+    """Least part of a service's servers that stays in use."""
+    probe_patience_s: float = 10.0
+    """Seconds after which a server that nobody could probe starts again, slowly."""
+    slow_start_s: float = 10.0
+    leaving_hold_s: float = 15.0
+    """Seconds for which a lagging roster can't bring a leaving server back."""
+    sample: int = 16
+    """Servers looked at for one pick, whatever their number."""
+
+
+class Health(enum.StrEnum):
+    """Order the states of a backend server in the eyes of one entry."""
+
+    HEALTHY = "healthy"
+    EJECTED = "ejected"
+    PROBING = "probing"
+    STARTING = "starting"
+    """Back in use, with a part of its capacity that grows."""
+    LEAVING = "leaving"
+
+
+class Server:
+    """Hold what is known about one backend server."""
+
+    __slots__ = (
+        "_busy_at",
+        "_busy_average",
+        "_reported",
+        "_reported_at",
+        "capacity",
+        "ejections",
+        "failures",
+        "far",
+        "hash",
+        "health",
+        "in_flight",
+        "name",
+        "s_per_token",
+        "service",
+        "settings",
+        "since",
+        "speed_at",
+        "speed_weight",
+        "tokens",
+        "until",
+        "versions",
+    )
+
+    def __init__(
+        self, *, name: str, service: str, capacity: int, settings: BalanceSettings
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.capacity = capacity
+        self.settings = settings
+        self.far = False
+        self.hash = xxhash.xxh3_64_intdigest(name.encode())
+        self.versions: frozenset[str] = frozenset()
+        self.health = Health.HEALTHY
+        self.since = 0.0
+        self.until = 0.0
+        self.in_flight = 0
+        self.tokens = 0
+        self.failures = 0
+        self.ejections = 0
+        self.s_per_token = 0.0
+        self.speed_at = 0.0
+        self.speed_weight = 0.0
+        self._busy_average = 0.0
+        self._busy_at = 0.0
+        self._reported = 0.0
+        self._reported_at = -1e9
+
+    def count(self, change: int, tokens: int, now: float) -> None:
+        """Count a start or an end of one of this entry's own requests."""
+        self._average(now)
+        self.in_flight = max(0, self.in_flight + change)
+        self.tokens = max(0, self.tokens + change * tokens)
+
+    def observe(self, latency_s: float, tokens: int, now: float) -> None:
+        """Learn the time per token from a request that ended well."""
+        sample = latency_s / max(1, tokens)
+        step = self.settings.speed_smoothing
+        weight = self._speed_weight(now)
+        if weight < step:
+            step = 1.0
+        self.s_per_token += step * (sample - self.s_per_token)
+        self.speed_weight = weight + step * (1.0 - weight)
+        self.speed_at = now
+
+    def report(self, report: LoadReport, now: float) -> None:
+        """Keep what others have running there: the reported less this entry's own."""
+        self._average(now)
+        total = report.running + report.waiting
+        self._reported = max(0.0, total - self._busy_average)
+        self._reported_at = now
+
+    def load(self, now: float) -> float:
+        """Return the estimate of all requests there, others' by lagged report."""
+        if now - self._reported_at > self.settings.report_life_s:
+            return float(self.in_flight)
+        return self.in_flight + self._reported
+
+    def cost(self, now: float, usual: float) -> float:
+        """Return the expected time per token of one more request, to compare by.
+
+        Own measurements decide on speed. A report can only add load, so a server that
+        reports none gains no more than what its own speed bears out.
+        """
+        load = self.load(now) + 1.0
+        capacity = self.capacity * self.ramp(now)
+        queue = max(0.0, load - capacity) / capacity
+        weight = self._speed_weight(now)
+        speed = usual + weight * (self.s_per_token - usual)
+        cost = speed * (1.0 + 0.5 * load / capacity + 2.0 * queue)
+        return cost * (1.0 + self.settings.far_penalty) if self.far else cost
+
+    def ramp(self, now: float) -> float:
+        """Return the part of its capacity that a returning server may use."""
+        if self.health is not Health.STARTING:
+            return 1.0
+        age = (now - self.since) / self.settings.slow_start_s
+        return max(0.1, min(1.0, age))
+
+    def _speed_weight(self, now: float) -> float:
+        age = max(0.0, now - self.speed_at)
+        return self.speed_weight * math.exp2(-age / self.settings.speed_half_life_s)
+
+    def _average(self, now: float) -> None:
+        """Move the average of own requests, which lags as the reports do."""
+        elapsed = max(0.0, now - self._busy_at)
+        lag = self.settings.report_lag_s
+        step = elapsed / (elapsed + lag) if lag > 0.0 else 1.0
+        self._busy_average += step * (self.in_flight - self._busy_average)
+        self._busy_at = now
+
+
+class Ejector:
+    """Take failing servers out of use and bring them back with care."""
+
+    __slots__ = ("_rng", "_settings")
+
+    def __init__(self, *, rng: random.Random, settings: BalanceSettings) -> None:
+        self._rng = rng
+        self._settings = settings
+
+    def judge(
+        self, server: Server, outcome: Outcome, *, usual: float, now: float
+    ) -> bool:
+        """Take an outcome into account; return whether the server's health changed."""
+        if outcome is Outcome.CANCELLED or outcome is Outcome.BUSY:
+            return False
+        if server.health is Health.LEAVING:
+            return False
+        if outcome is not Outcome.OK:
+            return self._fail(server, now)
+        server.failures = 0
+        if server.health is Health.PROBING or server.health is Health.EJECTED:
+            return self._restore(server, usual, now)
+        if self._is_slow(server, usual):
+            return self._eject(server, now)
+        if server.health is Health.STARTING and server.ramp(now) >= 1.0:
+            server.health = Health.HEALTHY
+            server.ejections = 0
+            return True
+        return False
+
+    def _is_slow(self, server: Server, usual: float) -> bool:
+        slow = self._settings.eject_slowness
+        return 0.0 < usual * slow < server.s_per_token
+
+    def _fail(self, server: Server, now: float) -> bool:
+        server.failures += 1
+        if server.health is Health.PROBING:
+            return self._eject(server, now)
+        if server.health is Health.EJECTED:
+            return False
+        if server.failures >= self._settings.eject_failures:
+            return self._eject(server, now)
+        return False
+
+    def _eject(self, server: Server, now: float) -> bool:
+        # Failure: all entries eject a server at once, return together and knock it
+        # over again. The time out grows, and jitter spreads the entries' probes.
+        time_out = self._settings.eject_base_s * (1 << min(server.ejections, 16))
+        time_out = min(self._settings.eject_max_s, time_out)
+        server.ejections += 1
+        server.failures = 0
+        server.health = Health.EJECTED
+        server.since = now
+        server.until = now + time_out * (0.75 + 0.5 * self._rng.random())
+        return True
+
+    def _restore(self, server: Server, usual: float, now: float) -> bool:
+        if self._is_slow(server, usual):
+            return self._eject(server, now)
+        server.health = Health.STARTING
+        server.since = now
+        return True
--- /dev/null
+++ b/src/baobabthread/core/balance.py
@@ -0,0 +1,326 @@
+"""The choice of a backend server for each request."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Container, Iterator, Mapping
+from typing import Protocol
+
+from baobabthread.core.backends import (
+    BalanceSettings,
+    Ejector,
+    Health,
+    LoadReport,
+    Server,
+)
+from baobabthread.core.configuration import Configuration
+from baobabthread.core.limits import Outcome
+from baobabthread.core.pools import Pool
+from baobabthread.core.registry import Registry
+
+TRIES = 4
+"""Draws for a random server before the rest is searched."""
+DEFAULT = "affine"
+
+
+class View:
+    """Give a balancer what it may look at for one pick."""
+
+    __slots__ = ("exclude", "now", "pool", "prefix_key", "rng", "settings", "usual")
+
+    def __init__(
+        self,
+        *,
+        pool: Pool,
+        prefix_key: int | None,
+        exclude: Container[str],
+        now: float,
+        rng: random.Random,
+        usual: float,
+        settings: BalanceSettings,
+    ) -> None:
+        self.pool = pool
+        self.prefix_key = prefix_key
+        self.exclude = exclude
+        self.now = now
+        self.rng = rng
+        self.usual = usual
+        self.settings = settings
+
+    def draw(self) -> Server | None:
+        """Return a random server that is not excluded."""
+        usable = self.pool.usable
+        if not usable:
+            return None
+        for _ in range(TRIES):
+            server = usable[int(self.rng.random() * len(usable))]
+            if server.name not in self.exclude:
+                return server
+        return next((s for s in usable if s.name not in self.exclude), None)
+
+    def cost(self, server: Server) -> float:
+        """Return the expected cost of one more request at a server."""
+        return server.cost(self.now, self.usual)
+
+    def cheaper(self) -> Server | None:
+        """Return the better of two random servers."""
+        one, other = self.draw(), self.draw()
+        if one is None or other is None or one is other:
+            return one
+        return one if self.cost(one) <= self.cost(other) else other
+
+
+class Balancer(Protocol):
+    """Choose one server of a pool."""
+
+    def __call__(self, view: View) -> Server | None:
+        """Return the chosen server or nothing."""
+
+
+BALANCERS: Registry[Balancer] = Registry(what="balancer")
+
+
+@BALANCERS.register("affine")
+def pick_affine(view: View) -> Server | None:
+    """Keep a prefix at its server unless another one is much cheaper."""
+    other = view.cheaper()
+    if view.prefix_key is None or other is None:
+        return other
+    bound = view.cost(other) * view.settings.affinity_bound
+    for server in view.pool.preferred(view.prefix_key):
+        if server.name not in view.exclude and view.cost(server) <= bound:
+            return server
+    return other
+
+
+@BALANCERS.register("round-robin")
+def pick_next(view: View) -> Server | None:
+    """Take the servers in turn."""
+    usable = view.pool.usable
+    for _ in range(len(usable)):
+        view.pool.turn += 1
+        server = usable[view.pool.turn % len(usable)]
+        if server.name not in view.exclude:
+            return server
+    return None
+
+
+@BALANCERS.register("least-loaded")
+def pick_least_loaded(view: View) -> Server | None:
+    """Take the server with the least load by report and own requests."""
+    usable = view.pool.usable
+    if len(usable) > view.settings.sample:
+        usable = view.rng.sample(usable, view.settings.sample)
+    allowed = [s for s in usable if s.name not in view.exclude]
+    if not allowed:
+        return view.draw()
+    return min(allowed, key=lambda s: s.load(view.now) / s.capacity)
+
+
+@BALANCERS.register("two-choices")
+def pick_of_two(view: View) -> Server | None:
+    """Take the cheaper of two random servers."""
+    return view.cheaper()
+
+
+class BackendTable:
+    """Know the backend servers of all services and pick one for each request."""
+
+    __slots__ = (
+        "_balancers",
+        "_ejector",
+        "_failure_domain",
+        "_left_at",
+        "_pools",
+        "_rng",
+        "_servers",
+        "_settings",
+        "_usual",
+    )
+
+    def __init__(
+        self,
+        *,
+        failure_domain: str,
+        rng: random.Random,
+        settings: BalanceSettings | None = None,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._settings = settings or BalanceSettings()
+        self._ejector = Ejector(rng=rng, settings=self._settings)
+        self._servers: dict[str, Server] = {}
+        self._balancers: dict[str, Balancer] = {}
+        self._pools: dict[str, dict[str | None, Pool]] = {}
+        self._usual: dict[str, float] = {}
+        self._left_at: dict[str, float] = {}
+
+    def __iter__(self) -> Iterator[Server]:
+        return iter(self._servers.values())
+
+    def rebuild(self, configuration: Configuration, now: float) -> None:
+        """Take over a new configuration and keep what is known about each server."""
+        servers: dict[str, Server] = {}
+        for name, backend in configuration.backends.items():
+            server = self._servers.get(name)
+            if server is None or server.service != backend.service:
+                server = Server(
+                    name=name,
+                    service=backend.service,
+                    capacity=backend.capacity,
+                    settings=self._settings,
+                )
+                server.versions = frozenset(backend.versions)
+            if name in self._left_at:
+                server.health = Health.LEAVING
+            server.capacity = backend.capacity
+            server.far = backend.failure_domain != self._failure_domain
+            servers[name] = server
+        self._servers = servers
+        self._left_at = {n: at for n, at in self._left_at.items() if n in servers}
+        self._balancers = {
+            name: BALANCERS.get(service.balancer)
+            for name, service in configuration.services.items()
+        }
+        self._pools = {}
+
+    def pick(
+        self,
+        *,
+        service: str,
+        version: str | None,
+        prefix_key: int | None,
+        exclude: Container[str] = (),
+        now: float,
+        may_probe: bool = False,
+    ) -> str | None:
+        """Return the server for a request, or nothing when none is left.
+
+        `may_probe` lets an idempotent request try a server that was ejected.
+        """
+        pool = self._pool(service, version, now)
+        if may_probe and pool.probes:
+            for server in pool.probes:
+                # Failure: a server recovers and all that waits falls upon it. One
+                # probe at a time, then a slow start, from each entry.
+                if not server.in_flight and server.name not in exclude:
+                    return server.name
+        view = View(
+            pool=pool,
+            prefix_key=prefix_key,
+            exclude=exclude,
+            now=now,
+            rng=self._rng,
+            usual=self._usual.get(service, 1.0),
+            settings=self._settings,
+        )
+        balancer = self._balancers.get(service) or BALANCERS.get(DEFAULT)
+        chosen = balancer(view)
+        return chosen.name if chosen is not None else None
+
+    def capacity(self, service: str, version: str | None, now: float) -> int:
+        """Return how many requests the usable servers can run at once."""
+        return sum(s.capacity for s in self._pool(service, version, now).usable)
+
+    def started(self, name: str, tokens: int, now: float) -> None:
+        """Count a request that was sent to a server."""
+        server = self._servers.get(name)
+        if server is not None:
+            server.count(1, tokens, now)
+
+    def finished(
+        self, name: str, outcome: Outcome, latency_s: float, tokens: int, now: float
+    ) -> None:
+        """Count a request that ended at a server and learn from it."""
+        server = self._servers.get(name)
+        if server is None:
+            return
+        server.count(-1, tokens, now)
+        usual = self._usual.get(server.service, 0.0)
+        if outcome is Outcome.OK:
+            server.observe(latency_s, tokens, now)
+            usual = self._learn_usual(server.service, latency_s / max(1, tokens))
+        if self._ejector.judge(server, outcome, usual=usual, now=now):
+            self._pools.pop(server.service, None)
+
+    def report(self, name: str, report: LoadReport, now: float) -> None:
+        """Take in a server's own word on its load and versions."""
+        server = self._servers.get(name)
+        if server is None:
+            return
+        server.report(report, now)
+        versions = frozenset(report.versions)
+        if versions != server.versions:
+            server.versions = versions
+            self._pools.pop(server.service, None)
+
+    def leaving(self, name: str, now: float) -> None:
+        """Give a server no new work from now on."""
+        self._left_at[name] = now
+        server = self._servers.get(name)
+        if server is not None and server.health is not Health.LEAVING:
+            server.health = Health.LEAVING
+            server.since = now
+            self._pools.pop(server.service, None)
+
+    def returned(self, name: str, now: float) -> bool:
+        """Take a server back into use, slowly; return whether that was believed."""
+        left_at = self._left_at.get(name)
+        if left_at is None:
+            return True
+        # Failure: a server refuses as leaving, the roster still lists it as live, and
+        # work goes back to it. Word of life counts only once the roster's lag is over.
+        if now - left_at < self._settings.leaving_hold_s:
+            return False
+        del self._left_at[name]
+        server = self._servers.get(name)
+        if server is not None and server.health is Health.LEAVING:
+            server.health = Health.STARTING
+            server.since = now
+            self._pools.pop(server.service, None)
+        return True
+
+    def health(self) -> Mapping[str, Health]:
+        """Return the health of each server, for the state dump."""
+        return {name: server.health for name, server in self._servers.items()}
+
+    def _pool(self, service: str, version: str | None, now: float) -> Pool:
+        pools = self._pools.setdefault(service, {})
+        pool = pools.get(version)
+        if pool is not None and now < pool.changes_at:
+            return pool
+        servers = [
+            s
+            for s in self._servers.values()
+            if s.service == service and (version is None or version in s.versions)
+        ]
+        for server in servers:
+            self._advance(server, now)
+        pool = Pool(servers=servers, settings=self._settings)
+        pools[version] = pool
+        return pool
+
+    def _advance(self, server: Server, now: float) -> None:
+        """Move an ejected server on when its time has come."""
+        if server.until > now:
+            return
+        if server.health is Health.EJECTED:
+            server.health = Health.PROBING
+            server.until = now + self._settings.probe_patience_s
+        elif server.health is Health.PROBING:
+            # Failure: a service has no idempotent call, so no request may probe, and
+            # the server stays out for ever. After a while it starts again, slowly.
+            server.health = Health.STARTING
+            server.since = now
+
+    def _learn_usual(self, service: str, sample: float) -> float:
+        """Follow the median time per token of a service with small steps."""
+        usual = self._usual.get(service)
+        if usual is None:
+            self._usual[service] = sample
+            return sample
+        # A step of a fixed part, up or down, settles at the median, which a few slow
+        # or lying servers can't move as they move a mean.
+        usual *= 1.02 if sample > usual else 1.0 / 1.02
+        self._usual[service] = usual
+        return usual
--- /dev/null
+++ b/src/baobabthread/core/rates.py
@@ -0,0 +1,121 @@
+"""Rates measured from events and counters that other entries report."""
+
+from __future__ import annotations
+
+import msgspec
+
+WINDOW_S = 0.5
+SMOOTHING = 0.3
+MAX_ORIGINS = 1024
+
+
+class DrainRate:
+    """Measure how many tokens a second start while something waits."""
+
+    __slots__ = ("_began", "_tokens", "tokens_per_s")
+
+    def __init__(self) -> None:
+        self.tokens_per_s = 0.0
+        self._began: float | None = None
+        self._tokens = 0
+
+    def add(self, tokens: int, now: float, *, backlogged: bool) -> None:
+        """Count tokens that started; a window without backlog says nothing."""
+        if not backlogged:
+            self._began = None
+            return
+        if self._began is None:
+            self._began = now
+            self._tokens = 0
+            return
+        self._tokens += tokens
+        elapsed = now - self._began
+        if elapsed >= WINDOW_S:
+            rate = self._tokens / elapsed
+            known = self.tokens_per_s > 0.0
+            step = SMOOTHING if known else 1.0
+            self.tokens_per_s += step * (rate - self.tokens_per_s)
+            self._began = now
+            self._tokens = 0
+
+
+class AccountUsage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Tell what one account uses at one entry."""
+
+    started: int
+    """Tokens started so far; only grows, so that a lost digest is no loss."""
+    running: int
+    in_flight: int
+    """Tokens of the requests that run now."""
+
+
+class UsageDigest(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell peers what each recently active account uses here."""
+
+    sequence: int
+    """Rises with each digest of an entry, so that a late one is dropped."""
+    accounts: dict[str, AccountUsage]
+
+
+class _Origin:
+    __slots__ = ("accounts", "heard_at", "sequence")
+
+    def __init__(self) -> None:
+        self.accounts: dict[str, AccountUsage] = {}
+        self.heard_at = 0.0
+        self.sequence = 0
+
+
+class RemoteUsage:
+    """Keep the latest counters of each other entry incarnation."""
+
+    __slots__ = ("_origins", "_stale_after_s")
+
+    def __init__(self, *, stale_after_s: float) -> None:
+        self._stale_after_s = stale_after_s
+        self._origins: dict[str, _Origin] = {}
+
+    def merge(self, origin: str, digest: UsageDigest, now: float) -> dict[str, int]:
+        """Take in one entry's counters; return the tokens that are new by account."""
+        known = self._origins.get(origin)
+        first = known is None
+        if known is None:
+            self._drop_stale(now)
+            if len(self._origins) >= MAX_ORIGINS:
+                return {}
+            known = self._origins[origin] = _Origin()
+        # Failure: two digests change places on the way, the counters fall and rise
+        # again, and the same tokens count twice. A late digest is dropped whole.
+        if digest.sequence <= known.sequence:
+            return {}
+        grown: dict[str, int] = {}
+        for name, usage in digest.accounts.items():
+            before = known.accounts.get(name)
+            # Failure: an entry is heard for the first time and all that it ever
+            # started counts as new. The first word is only the base to count from.
+            base = before.started if before else (usage.started if first else 0)
+            if usage.started > base:
+                grown[name] = usage.started - base
+        known.accounts = digest.accounts
+        known.sequence = digest.sequence
+        known.heard_at = now
+        return grown
+
+    def running(self, account: str, now: float) -> int:
+        """Return how many requests of an account run at entries heard lately."""
+        total = 0
+        for origin in self._origins.values():
+            usage = origin.accounts.get(account)
+            if usage and now - origin.heard_at <= self._stale_after_s:
+                total += usage.running
+        return total
+
+    def _drop_stale(self, now: float) -> None:
+        limit = 10 * self._stale_after_s
+        stale = [
+            name
+            for name, origin in self._origins.items()
+            if now - origin.heard_at > limit
+        ]
+        for name in stale:
+            del self._origins[name]
