Add the ledger: one bill per request, copied to a peer, settled once

Bills open at a peer in another failure domain before dispatch, batched with one batch in flight per peer, and are appended under the bill's id; the fold counts the first record. A peer settles for an entry that stays dead. Not tested yet.

--- /dev/null
+++ b/src/baobabthread/core/ledger.py
@@ -0,0 +1,395 @@
+"""Bill each request exactly once, across crashes and outages of the log."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from baobabthread.core.billappends import BillAppends
+from baobabthread.core.billcopies import BillCopies, settle_open
+from baobabthread.core.billlinks import Bill, Link, Links
+from baobabthread.core.billtypes import (
+    BillOpened,
+    BillRecord,
+    BillRefused,
+    BillRequest,
+    BillsCopied,
+    BillsTaken,
+    CopyBills,
+    HandOverBills,
+    LedgerSettings,
+    OpenBill,
+    Peer,
+    Settlement,
+    name_bill,
+    problem_alone,
+    problem_full,
+)
+from baobabthread.core.messages import (
+    Appended,
+    AppendFailed,
+    Effects,
+    LogRead,
+    Send,
+    SendFailed,
+    Stream,
+)
+from baobabthread.errors import Problem
+
+MAX_ASKED = 2
+"""Peers that are asked to hold a copy before the entry goes on alone."""
+
+
+class Ledger:
+    """Open each bill at a peer, close it, append it, and settle for dead entries."""
+
+    def __init__(
+        self,
+        *,
+        incarnation: str,
+        failure_domain: str,
+        settings: LedgerSettings | None = None,
+        wall_offset_s: float = 0.0,
+    ) -> None:
+        """Take the unix time at monotonic zero."""
+        self._me = incarnation
+        self._settings = settings or LedgerSettings()
+        self._wall_offset_s = wall_offset_s
+        self._links = Links(me=incarnation, failure_domain=failure_domain)
+        self._copies = BillCopies(
+            me=incarnation,
+            max_copies=self._settings.max_copies,
+            settle_after_s=self._settings.settle_after_s,
+        )
+        self._bills: dict[str, Bill] = {}
+        self._uncopied: dict[str, Bill] = {}
+        self._appends = BillAppends(
+            max_appending=self._settings.max_appending,
+            retry_s=self._settings.append_retry_s,
+            timeout_s=self._settings.append_timeout_s,
+        )
+        self._batch = 0
+        self._giving: dict[int, tuple[HandOverBills, str, float]] = {}
+        self._leaving = False
+        self.degraded = 0
+        """Requests that ran while no peer held a copy of their bill."""
+
+    def __len__(self) -> int:
+        return len(self._bills)
+
+    def may_admit(self, now: float) -> Problem | None:
+        """Return why no new request may be admitted, or none."""
+        del now
+        if len(self._bills) < self._settings.max_unsettled:
+            return None
+        return problem_full()
+
+    def set_peers(self, peers: Sequence[Peer], now: float) -> Effects:
+        """Take the live entries besides this one; the others count as gone."""
+        self._copies.set_live({peer.name for peer in peers}, now)
+        effects: Effects = []
+        for link in self._links.set_peers([p for p in peers if not p.is_leaving]):
+            effects += self._move_copies(link, now)
+        return effects
+
+    def open(self, request: BillRequest, now: float) -> Effects:
+        """Open a bill; the request is dispatched on BillOpened."""
+        opened = OpenBill(
+            request_id=request.request_id,
+            bill_id=name_bill(
+                account=request.account, key=request.key, request_id=request.request_id
+            ),
+            account=request.account,
+            service=request.service,
+            estimate=request.estimate,
+            opened_s=now + self._wall_offset_s,
+        )
+        bill = Bill(opened=opened, waiting=True)
+        self._bills[bill.request_id] = bill
+        return self._place(bill, now)
+
+    def close(self, request_id: str, settlement: Settlement, now: float) -> Effects:
+        """Close a bill with its true cost and append it."""
+        bill = self._bills.get(request_id)
+        if bill is None or bill.record is not None:
+            return []
+        opened = bill.opened
+        bill.record = BillRecord(
+            request_id=opened.request_id,
+            bill_id=opened.bill_id,
+            account=opened.account,
+            service=opened.service,
+            outcome=settlement.outcome,
+            cost=settlement.cost,
+            tokens=settlement.tokens,
+            opened_s=opened.opened_s,
+            settled_by=self._me,
+            attempts=settlement.attempts,
+        )
+        link = self._links.get(bill.peer)
+        if link is not None:
+            link.closes.append(bill)
+            link.since = min(link.since, now)
+        return self._appends.start(bill, now)
+
+    def cancel(self, request_id: str, now: float) -> Effects:
+        """Drop the bill of a request that surely did not run."""
+        bill = self._bills.get(request_id)
+        if bill is None or bill.record is not None:
+            return []
+        self._drop(bill, now)
+        return []
+
+    def on_message(self, sender: str, message: msgspec.Struct, now: float) -> Effects:
+        """Take a message of billing from a peer; others give no effect."""
+        if isinstance(message, CopyBills):
+            return [Send(to=sender, message=self._copies.take(message))]
+        if isinstance(message, BillsCopied):
+            return self._on_copied(sender, message, now)
+        if isinstance(message, HandOverBills):
+            effects = self._adopt(message.bills, now)
+            return [*effects, Send(to=sender, message=BillsTaken(batch=message.batch))]
+        if isinstance(message, BillsTaken):
+            self._on_taken(message, now)
+        return []
+
+    def on_send_failed(self, failed: SendFailed, now: float) -> Effects:
+        """Ask another peer when a batch did not arrive or its reply was lost."""
+        message = failed.message
+        if isinstance(message, HandOverBills) and message.batch in self._giving:
+            return [self._give(message, now, besides=failed.to)]
+        link = self._links.get(failed.to)
+        if not isinstance(message, CopyBills) or link is None:
+            return []
+        if link.batch != message.batch:
+            return []
+        return self._on_link_failed(link, now)
+
+    def on_appended(self, appended: Appended, now: float) -> Effects:
+        """Settle the bill that the log acknowledged."""
+        if appended.stream is not Stream.BILLS:
+            return []
+        self._appends.note_success()
+        self._confirm(appended.id, now)
+        return self._appends.run(now)
+
+    def on_append_failed(self, failed: AppendFailed, now: float) -> Effects:
+        """Append again later under the same id; the fold counts it once."""
+        if failed.stream is Stream.BILLS:
+            self._appends.fail(failed.id, now)
+        return []
+
+    def on_log_read(self, read: LogRead, now: float) -> Effects:
+        """Settle the bills that the log shows; reading the stream is optional."""
+        if read.stream is Stream.BILLS:
+            for record in read.records:
+                self._confirm(record.id, now)
+        return []
+
+    def tick(self, now: float) -> Effects:
+        """Run timeouts, retries and settlements; call it every 20 to 100 ms."""
+        effects = self._check_timeouts(now)
+        effects += self._adopt(self._copies.take_due(now), now)
+        effects += self._appends.run(now)
+        effects += self._copy_uncopied(now)
+        for link in self._links.get_all():
+            if link.is_due(now, self._settings.linger_s):
+                effects.append(self._flush(link, now))
+        return effects
+
+    def hand_over(self, now: float) -> Effects:
+        """Give all unsettled bills to a peer; is_settled tells when it has them."""
+        self._leaving = True
+        self._adopt(self._copies.take_all_gone(), now)
+        records = [
+            bill.record or settle_open(bill.opened, settled_by=self._me)
+            for bill in self._bills.values()
+        ]
+        effects: Effects = []
+        size = self._settings.hand_over_size
+        for start in range(0, len(records), size):
+            self._batch += 1
+            message = HandOverBills(
+                owner=self._me, batch=self._batch, bills=records[start : start + size]
+            )
+            effects.append(self._give(message, now))
+        return [effect for effect in effects if effect is not None]
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether no bill depends on this entry any more."""
+        return not self._bills
+
+    def describe(self) -> dict[str, int]:
+        """Return counts for the state dump."""
+        return {
+            "unsettled": len(self._bills),
+            "closed": len(self._appends),
+            "copies": len(self._copies),
+            "degraded": self.degraded,
+        }
+
+    def _place(self, bill: Bill, now: float, besides: str | None = None) -> Effects:
+        """Ask the next peer to hold a copy, or go on without one."""
+        link = self._links.choose(now, besides=besides)
+        if link is None or bill.asked >= MAX_ASKED:
+            return self._go_alone(bill)
+        bill.asked += 1
+        bill.peer = link.name
+        link.opens.append(bill)
+        if link.batch:
+            return []
+        return [self._flush(link, now)]
+
+    def _go_alone(self, bill: Bill) -> Effects:
+        bill.peer = None
+        if not bill.waiting:
+            self._uncopied[bill.request_id] = bill
+            return []
+        bill.waiting = False
+        # With neither a peer nor the log within reach the bill would live in this
+        # process alone for as long as that lasts; its death would lose the bill.
+        if self._appends.is_down and len(self._links):
+            del self._bills[bill.request_id]
+            return [BillRefused(request_id=bill.request_id, problem=problem_alone())]
+        self.degraded += 1
+        self._uncopied[bill.request_id] = bill
+        return [BillOpened(request_id=bill.request_id, degraded=True)]
+
+    def _flush(self, link: Link, now: float) -> Send:
+        self._batch += 1
+        message = link.make_batch(owner=self._me, batch=self._batch, now=now)
+        return Send(to=link.name, message=message)
+
+    def _on_copied(self, sender: str, message: BillsCopied, now: float) -> Effects:
+        link = self._links.get(sender)
+        if link is None or link.batch != message.batch:
+            return []
+        opens, _, _ = link.take_in_flight()
+        effects: Effects = []
+        if message.full:
+            effects += self._on_full(link, opens, now)
+        else:
+            for bill in opens:
+                if bill.waiting:
+                    bill.waiting = False
+                    effects.append(BillOpened(request_id=bill.request_id))
+        if link.is_due(now, self._settings.linger_s):
+            effects.append(self._flush(link, now))
+        return effects
+
+    def _on_full(self, link: Link, opens: list[Bill], now: float) -> Effects:
+        link.avoid_until = now + self._settings.avoid_s
+        effects: Effects = []
+        for bill in opens:
+            if bill.is_settled:
+                continue
+            if bill.waiting and bill.asked >= MAX_ASKED:
+                self._bills.pop(bill.request_id, None)
+                problem = problem_full()
+                effects.append(BillRefused(request_id=bill.request_id, problem=problem))
+            else:
+                effects += self._place(bill, now, besides=link.name)
+        return effects
+
+    def _on_link_failed(self, link: Link, now: float) -> Effects:
+        """Ask another peer; the failed one may hold copies all the same."""
+        link.avoid_until = now + self._settings.avoid_s
+        opens, closes, drops = link.take_in_flight()
+        opens += link.opens
+        link.opens = []
+        link.closes += closes
+        link.drops += drops
+        # A copy that arrived although its reply was lost must not stay for good.
+        link.drops += [bill.request_id for bill in opens]
+        link.since = now
+        effects: Effects = []
+        for bill in opens:
+            if not bill.is_settled:
+                effects += self._place(bill, now, besides=link.name)
+        return effects
+
+    def _move_copies(self, gone: Link, now: float) -> Effects:
+        """Copy the bills that a gone peer held to another one."""
+        effects: Effects = []
+        for bill in list(self._bills.values()):
+            if bill.peer == gone.name:
+                bill.asked = 0
+                effects += self._place(bill, now, besides=gone.name)
+        return effects
+
+    def _copy_uncopied(self, now: float) -> Effects:
+        effects: Effects = []
+        link = self._links.choose(now)
+        if not self._uncopied or link is None or link.avoid_until > now:
+            return effects
+        bills, self._uncopied = self._uncopied, {}
+        for bill in bills.values():
+            bill.asked = 0
+            effects += self._place(bill, now)
+        return effects
+
+    def _confirm(self, bill_id: str, now: float) -> None:
+        for bill in self._appends.confirm(bill_id):
+            self._drop(bill, now)
+
+    def _drop(self, bill: Bill, now: float) -> None:
+        """Forget a settled bill here and at its peer."""
+        self._bills.pop(bill.request_id, None)
+        self._uncopied.pop(bill.request_id, None)
+        bill.waiting = False
+        bill.is_settled = True
+        link = self._links.get(bill.peer)
+        if link is not None:
+            link.drops.append(bill.request_id)
+            link.since = min(link.since, now)
+
+    def _check_timeouts(self, now: float) -> Effects:
+        effects: Effects = []
+        for link in list(self._links.get_all()):
+            late = now - link.sent_at > self._settings.open_timeout_s
+            if link.batch and late:
+                effects += self._on_link_failed(link, now)
+        for message, to, sent_at in list(self._giving.values()):
+            if now - sent_at > self._settings.append_timeout_s:
+                effects.append(self._give(message, now, besides=to))
+        return effects
+
+    def _adopt(self, records: list[BillRecord], now: float) -> Effects:
+        """Settle bills of an entry that is gone as if they were this entry's own."""
+        effects: Effects = []
+        for record in records:
+            opened = OpenBill(
+                request_id=f"{record.request_id}@{self._me}",
+                bill_id=record.bill_id,
+                account=record.account,
+                service=record.service,
+                estimate=record.cost,
+                opened_s=record.opened_s,
+            )
+            bill = Bill(opened=opened, waiting=False)
+            bill.record = msgspec.structs.replace(record, request_id=opened.request_id)
+            self._bills[bill.request_id] = bill
+            effects += self._place(bill, now)
+            effects += self._appends.start(bill, now)
+        return effects
+
+    def _give(
+        self, message: HandOverBills, now: float, besides: str | None = None
+    ) -> Send | None:
+        link = self._links.choose(now, besides=besides) or self._links.choose(now)
+        if link is None:
+            return None
+        self._giving[message.batch] = (message, link.name, now)
+        return Send(to=link.name, message=message)
+
+    def _on_taken(self, message: BillsTaken, now: float) -> None:
+        given = self._giving.pop(message.batch, None)
+        if given is None:
+            return
+        for record in given[0].bills:
+            bill = self._bills.get(record.request_id)
+            if bill is not None:
+                self._appends.confirm(bill.bill_id)
+                self._drop(bill, now)
