--- a/tests/failures/matrix.py
+++ b/tests/failures/matrix.py
@@ -104,6 +104,8 @@
         self.steps = 0
         self.notes: list[Any] = []
         """What a scenario records for its check."""
+        self.fault: Fault | None = None
+        """The fault at the effect that on_effect runs."""
         self._faults = faults or {}
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -226,6 +228,7 @@
             for copy in range(copies):
                 self._send(name, effect, fault, delay_s * (1 + 5 * copy))
         else:
+            self.fault = fault
             self.scenario.on_effect(self, name, effect)
 
     def _append(
