--- a/src/baobabthread/standins/batch.py
+++ b/src/baobabthread/standins/batch.py
@@ -19,6 +19,7 @@
         "cancelled",
         "changed",
         "done",
+        "own_id",
         "prefill",
         "priority",
         "produced",
@@ -35,8 +36,10 @@
         produced: int,
         total: int,
         prefill: float,
+        own_id: str = "",
     ) -> None:
         self.request_id = request_id
+        self.own_id = own_id
         self.priority = priority
         self.produced = produced
         self.total = total
--- a/src/baobabthread/standins/engine.py
+++ b/src/baobabthread/standins/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 from collections import deque
 from collections.abc import Iterable, Mapping
 from typing import Any, ClassVar
@@ -26,6 +27,8 @@
 RETRY_AFTER_S = 0.2
 MAX_SAMPLES = 4096
 SAMPLE_S = 0.01
+OWN_ID = re.compile(r"\bid=(\S+)")
+"""The caller's own id within a prompt, as the load tool writes it."""
 
 
 @FAULTS.register("engine")
@@ -87,6 +90,7 @@
         "_thawed",
         "batch",
         "cache",
+        "effects",
         "max_waiting",
         "models",
         "resumes",
@@ -116,6 +120,8 @@
         self.tokens_per_s = tokens_per_s
         self.max_waiting = max_waiting
         self.runs = RunCounts()
+        self.effects = RunCounts()
+        """Runs by the caller's own id, which is the same under any request id."""
         self.resumes = 0
         self.cache = PrefixCache(blocks=cache_blocks, rng=self.rng)
         self._jobs: dict[str, list[Job]] = {}
@@ -152,6 +158,7 @@
         router.add_post("/orders", self._order)
         router.add_get("/cache/events", self._cache_events)
         router.add_get("/runs/{request_id}", self._show_runs)
+        router.add_post("/control/effects", self.effects.show_many)
 
     def describe(self) -> dict[str, object]:
         """Return what the control page shows."""
@@ -195,12 +202,15 @@
         if refusal is not None:
             return refusal
         text = self.write(ask)
-        prefixes = hash_prefixes(ask.model, render_prompt(ask.messages))
+        prompt = render_prompt(ask.messages)
+        prefixes = hash_prefixes(ask.model, prompt)
+        own_id = OWN_ID.search(prompt)
         cached = self.cache.use(prefixes) * BLOCK_WORDS
         prompt_tokens = sum(len(str(item.content).split()) for item in ask.messages)
         cached = min(cached, prompt_tokens)
         job = Job(
             request_id=request_id,
+            own_id=own_id.group(1) if own_id else "",
             priority=ask.priority,
             produced=min(ask.resume_from, len(text.tokens)),
             total=len(text.tokens),
@@ -257,6 +267,8 @@
             self.resumes += 1
         else:
             self.runs.add(job.request_id)
+            if job.own_id:
+                self.effects.add(job.own_id)
 
     def _report(self) -> Report:
         batch = self.batch
--- a/src/baobabthread/standins/plain.py
+++ b/src/baobabthread/standins/plain.py
@@ -39,7 +39,7 @@
 class PlainServer(Server):
     """Answer calls and count how often each request ran."""
 
-    __slots__ = ("_last_id", "_thawed", "capacity", "running_calls", "runs")
+    __slots__ = ("_last_id", "_thawed", "capacity", "effects", "running_calls", "runs")
 
     kind: ClassVar[str] = "plain"
 
@@ -48,6 +48,8 @@
         self.capacity = capacity
         self.running_calls = 0
         self.runs = RunCounts()
+        self.effects = RunCounts()
+        """Runs by the caller's own id, which is the same under any request id."""
         self._last_id = "none"
         self._thawed = asyncio.Event()
         self._thawed.set()
@@ -56,6 +58,7 @@
         """Add the routes of calls and run counts."""
         router.add_post("/calls/{call}", self._call)
         router.add_get("/runs/{request_id}", self._show_runs)
+        router.add_post("/control/effects", self.effects.show_many)
 
     def describe(self) -> dict[str, object]:
         """Return what the control page shows."""
@@ -82,10 +85,14 @@
             return refuse("refused", status=503)
         if self.running_calls >= self.capacity:
             return refuse("busy", status=429, retry_after_s=RETRY_AFTER_S)
-        if not request_id or not _is_json(body):
+        own_id = _read_own_id(body)
+        if not request_id or own_id is None:
             return refuse("bad_request", status=400)
         self.running_calls += 1
         try:
+            self.runs.add(request_id)
+            if own_id:
+                self.effects.add(own_id)
             return await self._run(request, request_id, body)
         finally:
             self.running_calls -= 1
@@ -93,7 +100,6 @@
     async def _run(
         self, request: web.Request, request_id: str, body: bytes
     ) -> web.StreamResponse:
-        self.runs.add(request_id)
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / 1000)
         await self._thawed.wait()
@@ -128,9 +134,10 @@
     return response
 
 
-def _is_json(body: bytes) -> bool:
+def _read_own_id(body: bytes) -> str | None:
+    """Return the caller's own id, empty if there is none; None if it isn't JSON."""
     try:
-        msgspec.json.decode(body)
+        value = msgspec.json.decode(body)
     except msgspec.MsgspecError:
-        return False
-    return True
+        return None
+    return str(value.get("id", "")) if isinstance(value, dict) else ""
--- a/src/baobabthread/standins/runs.py
+++ b/src/baobabthread/standins/runs.py
@@ -2,9 +2,20 @@
 
 from __future__ import annotations
 
+import msgspec
+from aiohttp import web
+
+from baobabthread.standins.server import read_body, reply_json
+
 MAX_REQUESTS = 500_000
 
 
+class Ids(msgspec.Struct, frozen=True):
+    """Ask for the runs of callers' own ids."""
+
+    ids: list[str]
+
+
 class RunCounts:
     """Count runs by request id, bounded by dropping the oldest ids."""
 
@@ -29,6 +40,12 @@
         """Return how often a request ran."""
         return self._counts.get(request_id, 0)
 
+    async def show_many(self, request: web.Request) -> web.Response:
+        """Answer how often each of many requests ran."""
+        ids = (await read_body(request, Ids)).ids
+        counts = {name: self.get(name) for name in ids if self.get(name)}
+        return reply_json({"counts": counts})
+
     def describe(self) -> dict[str, object]:
         """Return the totals for the control page."""
         return {"runs": self.total, "ran_twice": self.repeated}
