Join the thin whole path: stand-ins, three entries, publish, streaming, warnings

Change: the core composes fold, membership, claims, ledger, queue, cascade and balancing behind one handle(event, now); the shell runs its effects; serve, standin, check, publish, show, state, bills and version on the command line.

--- a/src/baobabthread/adapters/channels.py
+++ b/src/baobabthread/adapters/channels.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 
+import msgspec
 from aiohttp import web
 
 from baobabthread.adapters.callers import render_error_event, render_problem
@@ -16,6 +17,43 @@
 }
 
 
+class _Content(msgspec.Struct):
+    content: str | None = None
+
+
+class _WholeChoice(msgspec.Struct):
+    message: _Content
+
+
+class _Whole(msgspec.Struct):
+    choices: list[_WholeChoice]
+
+
+class _DeltaChoice(msgspec.Struct):
+    delta: _Content
+
+
+class _Delta(msgspec.Struct):
+    choices: list[_DeltaChoice]
+
+
+_decode_whole = msgspec.json.Decoder(_Whole).decode
+_decode_delta = msgspec.json.Decoder(_Delta).decode
+DATA = b"data: "
+END_MARK = b"[DONE]"
+
+
+def _list_contents(raw: bytes) -> list[str]:
+    """Return the contents of the chunks in a server-sent event stream."""
+    contents: list[str] = []
+    for line in raw.split(b"\n"):
+        data = line.removeprefix(DATA)
+        if line.startswith(DATA) and data != END_MARK:
+            choices = _decode_delta(data).choices
+            contents.extend(choice.delta.content or "" for choice in choices)
+    return contents
+
+
 class CallerGoneError(ConnectionError):
     """Report that the caller closed its connection."""
 
@@ -94,6 +132,16 @@
         except ConnectionError:
             raise CallerGoneError from None
 
+    def extract_text(self) -> str:
+        """Return the text of the answer at hand, to have it rated."""
+        try:
+            if self.answer:
+                choices = _decode_whole(self.answer).choices
+                return "".join(choice.message.content or "" for choice in choices)
+            return "".join(_list_contents(b"".join(self.held)))
+        except msgspec.DecodeError:
+            return ""
+
     def _headers(self, base: dict[str, str]) -> dict[str, str]:
         headers = dict(base)
         headers["X-Request-Id"] = self.request_id
--- /dev/null
+++ b/src/baobabthread/adapters/operators.py
@@ -0,0 +1,164 @@
+"""The operators' HTTP interface: publish, look up, dump."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import msgspec
+from aiohttp import web
+
+from baobabthread.adapters.callers import hash_bearer, read_body, refuse
+from baobabthread.core.configuration import MAX_TEXT_BYTES, Configuration
+from baobabthread.core.events import PublishEnded
+from baobabthread.errors import Kind
+
+ADMIN_PREFIX = "/admin/"
+PUBLISH_PATH = "/admin/publish"
+MAX_PUBLISH_BYTES = 2 * MAX_TEXT_BYTES
+ROOT_OPERATOR = "root"
+ALL_SECTIONS = "*"
+
+
+class PublishBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Hold an operator's request to publish."""
+
+    id: str
+    section: str
+    base: int | None = None
+    """The generation that was edited; without it, the one in force here."""
+    text: str
+
+
+class OperatorKey(msgspec.Struct, frozen=True, kw_only=True):
+    """Name an operator who gave a known key."""
+
+    name: str
+    sections: tuple[str, ...]
+
+    def may_publish(self, section: str) -> bool:
+        """Tell whether the operator may publish this section."""
+        return ALL_SECTIONS in self.sections or section in self.sections
+
+
+class Administration(Protocol):
+    """Do what operators ask of an entry."""
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Give the configuration in force."""
+        ...
+
+    async def publish(self, body: PublishBody, operator: str) -> PublishEnded:
+        """Publish a text and return what became of it."""
+        ...
+
+    def dump_sections(self) -> Any:
+        """Return the sections in force."""
+        ...
+
+    def dump_generations(self) -> Any:
+        """Return the generation that each entry has in force."""
+        ...
+
+    async def dump_bills(self) -> Any:
+        """Return the folded billing stream."""
+        ...
+
+    def dump_rollouts(self) -> Any:
+        """Return the state of roll-outs and versions."""
+        ...
+
+    def dump_state(self) -> Any:
+        """Return the state of this process."""
+        ...
+
+
+Dump = Callable[[Administration], Awaitable[Any]]
+
+
+class OperatorServer:
+    """Answer operators' requests."""
+
+    __slots__ = ("_administration", "_dumps", "_root_key")
+
+    def __init__(self, *, administration: Administration, root_key_sha256: str) -> None:
+        self._administration = administration
+        self._root_key = root_key_sha256
+        self._dumps: dict[str, Dump] = {
+            "/admin/configuration": _wrap(lambda admin: admin.dump_sections()),
+            "/admin/generations": _wrap(lambda admin: admin.dump_generations()),
+            "/admin/bills": lambda admin: admin.dump_bills(),
+            "/admin/rollouts": _wrap(lambda admin: admin.dump_rollouts()),
+            "/state": _wrap(lambda admin: admin.dump_state()),
+        }
+
+    def serves(self, path: str) -> bool:
+        """Tell whether a path belongs to operators."""
+        return path.startswith(ADMIN_PREFIX) or path == "/state"
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request or raise a RequestError."""
+        operator = self._authenticate(hash_bearer(request))
+        if request.path == PUBLISH_PATH and request.method == "POST":
+            return await self._publish(request, operator)
+        dump = self._dumps.get(request.path)
+        if dump is None or request.method != "GET":
+            raise refuse(
+                Kind.NOT_FOUND,
+                f"no {request.method} {request.path}",
+                f"use POST {PUBLISH_PATH} or GET {', '.join(self._dumps)}",
+            )
+        return _render(await dump(self._administration))
+
+    def _authenticate(self, key_sha256: str) -> OperatorKey:
+        if self._root_key and hmac.compare_digest(self._root_key, key_sha256):
+            return OperatorKey(name=ROOT_OPERATOR, sections=(ALL_SECTIONS,))
+        configuration = self._administration.configuration
+        operators = configuration.operators if configuration is not None else {}
+        for name, operator in operators.items():
+            if hmac.compare_digest(operator.key_sha256, key_sha256):
+                return OperatorKey(name=name, sections=tuple(operator.sections))
+        raise refuse(
+            Kind.UNAUTHENTICATED,
+            "no operator has this key",
+            "send an operator's key as 'Authorization: Bearer KEY'",
+        )
+
+    async def _publish(
+        self, request: web.BaseRequest, operator: OperatorKey
+    ) -> web.StreamResponse:
+        raw = await read_body(request, limit=MAX_PUBLISH_BYTES)
+        try:
+            body = msgspec.json.decode(raw, type=PublishBody)
+        except msgspec.DecodeError as error:
+            raise refuse(
+                Kind.BAD_REQUEST,
+                f"not a publish request: {error}",
+                "send JSON with 'id', 'section', 'base' and 'text'",
+            ) from None
+        if not operator.may_publish(body.section):
+            raise refuse(
+                Kind.FORBIDDEN,
+                f"operator '{operator.name}' may not publish '{body.section[:80]}'",
+                f"publish one of: {', '.join(operator.sections) or 'none'}",
+            )
+        ended = await self._administration.publish(body, operator.name)
+        if ended.problem is not None:
+            return _render(ended.problem, status=ended.problem.status)
+        return _render({"id": ended.id, "generation": ended.generation})
+
+
+def _wrap(look_up: Callable[[Administration], Any]) -> Dump:
+    async def dump(administration: Administration) -> Any:
+        return look_up(administration)
+
+    return dump
+
+
+def _render(value: Any, *, status: int = 200) -> web.Response:
+    kind = "application/json" if status < 400 else "application/problem+json"
+    return web.Response(
+        status=status, body=msgspec.json.encode(value), content_type=kind
+    )
--- a/src/baobabthread/adapters/tails.py
+++ b/src/baobabthread/adapters/tails.py
@@ -18,7 +18,7 @@
 class Tail:
     """Read a stream onwards for as long as it runs."""
 
-    __slots__ = ("_after", "_feed", "_log", "_report", "_stream", "reachable")
+    __slots__ = ("_after", "_feed", "_log", "_now", "_report", "_stream", "reachable")
 
     def __init__(
         self,
@@ -28,18 +28,21 @@
         feed: Callable[[LogRead], None],
         after: Callable[[], int],
         report: Callable[[bool], None],
+        now: Callable[[], float],
     ) -> None:
         self._stream = stream
         self._log = log
         self._feed = feed
         self._after = after
         self._report = report
+        self._now = now
         self.reachable = False
 
     async def run(self) -> None:
         """Read until cancelled."""
         pause = MIN_PAUSE_S
         while True:
+            started_at = self._now()
             try:
                 page = await self._log.read(
                     self._stream, after=self._after(), limit=LIMIT, wait_s=WAIT_S
@@ -57,6 +60,7 @@
                     records=page.records,
                     head=page.head,
                     first=page.first,
+                    started_at=started_at,
                 )
             )
 
--- /dev/null
+++ b/src/baobabthread/administration.py
@@ -0,0 +1,135 @@
+"""What operators can ask of a running entry."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from baobabthread.adapters.operators import PublishBody
+from baobabthread.core.bills import BillFold
+from baobabthread.core.configuration import Configuration
+from baobabthread.core.events import PublishEnded, PublishRequested
+from baobabthread.core.messages import Stream
+
+if TYPE_CHECKING:
+    from baobabthread.entry import Entry
+
+READ_LIMIT = 1_000
+
+
+class EntryAdministration:
+    """Serve operators from the state of one entry."""
+
+    __slots__ = ("_entry",)
+
+    def __init__(self, *, entry: Entry) -> None:
+        self._entry = entry
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Give the configuration in force."""
+        return self._entry.core.control.configuration
+
+    async def publish(self, body: PublishBody, operator: str) -> PublishEnded:
+        """Publish a text and return what became of it."""
+        fold = self._entry.core.control.fold
+        base = body.base
+        if base is None:
+            base = fold.section_generation(body.section)
+        future = self._entry.expect_publish(body.id)
+        self._entry.feed(
+            PublishRequested(
+                id=body.id,
+                section=body.section,
+                base=base,
+                text=body.text,
+                operator=operator,
+            )
+        )
+        return await future
+
+    def dump_sections(self) -> Any:
+        """Return the sections in force."""
+        fold = self._entry.core.control.fold
+        return {
+            "generation": fold.generation,
+            "sections": [section for section in fold.sections.values() if section.text],
+        }
+
+    def dump_generations(self) -> Any:
+        """Return the generation that each entry has in force."""
+        control = self._entry.core.control
+        return {
+            "generation": control.fold.generation,
+            "entries": [
+                {
+                    "name": member.name,
+                    "incarnation": member.incarnation,
+                    "state": member.state,
+                    "leaving": member.leaving,
+                    "generation": member.generation,
+                }
+                for member in control.membership.members()
+            ],
+            "behind": control.membership.unconfirmed(control.fold.generation),
+        }
+
+    async def dump_bills(self) -> Any:
+        """Read the billing stream and return its fold."""
+        fold = BillFold()
+        after = 0
+        while True:
+            page = await self._entry.log.read(
+                Stream.BILLS, after=after, limit=READ_LIMIT, wait_s=0.0
+            )
+            for record in page.records:
+                fold.apply(record)
+            if not page.records:
+                break
+            after = page.records[-1].offset
+        return {
+            "accounts": {
+                name: {
+                    "bills": total.bills,
+                    "cost": round(total.cost, 6),
+                    "tokens": total.tokens,
+                    "unknown": total.unknown,
+                }
+                for name, total in sorted(fold.totals.items())
+            },
+            "repeats": fold.repeats,
+            "late": fold.late,
+        }
+
+    def dump_rollouts(self) -> Any:
+        """Return the state of roll-outs and versions."""
+        configuration = self._entry.core.directory.configuration
+        return {
+            "versions": {
+                name: {"service": row.service, "state": row.state}
+                for name, row in configuration.versions.items()
+            },
+        }
+
+    def dump_state(self) -> Any:
+        """Return the state of this process."""
+        entry = self._entry
+        core = entry.core
+        now = time.monotonic()
+        control = core.control
+        return {
+            "name": entry.settings.name,
+            "incarnation": entry.incarnation,
+            "leaving": entry.leaving,
+            "uptime_s": round(time.time() - entry.started_at, 1),
+            "generation": control.fold.generation,
+            "freshness": control.freshness.state(now),
+            "head_age_s": round(control.freshness.head_age(now), 2),
+            "members": control.membership.members(),
+            "open_requests": len(core.requests),
+            "claims": core.claims.describe(),
+            "ledger": core.ledger.describe(),
+            "backends": core.backends.health(),
+            "peer_bytes_sent": entry.outbox.bytes_sent,
+            "peer_messages_sent": entry.outbox.messages_sent,
+        }
--- /dev/null
+++ b/src/baobabthread/cli.py
@@ -0,0 +1,44 @@
+"""The command line of baobabthread."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+
+import cappa
+
+from baobabthread.commands.operate import Bills, Check, Publish, Show, State, Version
+from baobabthread.commands.run import Serve, Standin
+from baobabthread.errors import BaobabthreadError
+
+
+@cappa.command(
+    name="baobabthread",
+    help="Route requests to models and plain services, by version, at the lowest cost.",
+)
+@dataclass(kw_only=True, slots=True)
+class Baobabthread:
+    """Hold the chosen command."""
+
+    command: cappa.Subcommands[
+        Serve | Standin | Check | Publish | Show | State | Bills | Version
+    ]
+
+
+def run(arguments: list[str]) -> int:
+    """Run one command line and return its exit code."""
+    try:
+        parsed = cappa.parse(Baobabthread, argv=arguments, completion=False)
+        return parsed.command.run()
+    except cappa.Exit as stop:
+        return int(stop.code or 0)
+    except BaobabthreadError as error:
+        print(error.render(), file=sys.stderr)
+        return error.exit_code
+    except KeyboardInterrupt:
+        return 130
+
+
+def main() -> None:
+    """Run the command line of this process."""
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/src/baobabthread/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands: one class each, its fields are the options."""
--- /dev/null
+++ b/src/baobabthread/commands/run.py
@@ -0,0 +1,181 @@
+"""Commands that run something: an entry, stand-ins, load, the demo."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from baobabthread.commands.operate import read_text
+from baobabthread.commands.options import argument, option
+from baobabthread.core.configuration import merge_sections, parse_section
+from baobabthread.entry import run_entry
+from baobabthread.logs import configure_logs
+from baobabthread.settings import (
+    EntrySettings,
+    check_settings,
+    parse_address,
+    parse_addresses,
+    parse_session_keys,
+)
+
+LOG_HELP = "Least severe events to log: debug, info, warning or error."
+
+
+@cappa.command(help="Run one entry instance.")
+@dataclass(kw_only=True, slots=True)
+class Serve:
+    """Run an entry until SIGTERM; a second one stops it at once."""
+
+    name: Annotated[str, option("name", "Name of this entry, unique among all.")]
+    platform: Annotated[str, option("platform", "Base URL of the platform's services.")]
+    peer_secret: Annotated[str, option("peer-secret", "Secret shared by all entries.")]
+    session_keys: Annotated[
+        str,
+        option(
+            "session-keys",
+            "Keys that seal sessions, ID:SECRET,ID:SECRET, the sealing one first.",
+        ),
+    ]
+    listen: Annotated[
+        str, option("listen", "IP:PORT for callers.", default="127.0.0.1:8001")
+    ]
+    peer_listen: Annotated[
+        str, option("peer-listen", "IP:PORT for entries.", default="127.0.0.1:9001")
+    ]
+    failure_domain: Annotated[
+        str, option("failure-domain", "This entry's failure domain.", default="local")
+    ]
+    peers: Annotated[
+        str, option("peers", "Peer addresses to join by, IP:PORT,IP:PORT.", default="")
+    ]
+    operator_key_sha256: Annotated[
+        str,
+        option(
+            "operator-key-sha256",
+            "SHA-256 of the key that may publish every section.",
+            default="",
+        ),
+    ]
+    tls_cert: Annotated[
+        Path | None, option("tls-cert", "PEM certificate of this entry.", default=None)
+    ]
+    tls_key: Annotated[
+        Path | None, option("tls-key", "PEM key of the certificate.", default=None)
+    ]
+    tls_ca: Annotated[
+        Path | None, option("tls-ca", "PEM authority of the entries.", default=None)
+    ]
+    statsd: Annotated[
+        str, option("statsd", "IP:PORT that takes metrics; none if empty.", default="")
+    ]
+    log_level: Annotated[str, option("log-level", LOG_HELP, default="info")]
+    address_lifetime: Annotated[
+        float,
+        option("address-lifetime", "Seconds that callers keep addresses.", default=5.0),
+    ]
+    drain_limit: Annotated[
+        float,
+        option(
+            "drain-limit", "Most seconds of a graceful stop's drain.", default=120.0
+        ),
+    ]
+    freshness_bound: Annotated[
+        float,
+        option(
+            "freshness-bound",
+            "Seconds without the log that count as fresh.",
+            default=3.0,
+        ),
+    ]
+    max_body: Annotated[
+        int, option("max-body", "Largest request body in bytes.", default=4_000_000)
+    ]
+    seed: Annotated[int, option("seed", "Seed of choices; 0 draws one.", default=0)]
+
+    def run(self) -> int:
+        """Check the settings and serve."""
+        settings = self.build_settings()
+        configure_logs(settings.log_level)
+        return asyncio.run(run_entry(settings))
+
+    def build_settings(self) -> EntrySettings:
+        """Return the checked settings."""
+        statsd = parse_address(self.statsd, option="--statsd") if self.statsd else None
+        return check_settings(
+            EntrySettings(
+                name=self.name,
+                listen=parse_address(self.listen, option="--listen"),
+                peer_listen=parse_address(self.peer_listen, option="--peer-listen"),
+                failure_domain=self.failure_domain,
+                platform=self.platform,
+                peers=parse_addresses(self.peers, option="--peers"),
+                peer_secret=self.peer_secret,
+                session_keys=parse_session_keys(self.session_keys),
+                operator_key_sha256=self.operator_key_sha256,
+                tls_cert=self.tls_cert,
+                tls_key=self.tls_key,
+                tls_ca=self.tls_ca,
+                statsd=statsd,
+                log_level=self.log_level,
+                address_lifetime_s=self.address_lifetime,
+                drain_limit_s=self.drain_limit,
+                max_body_bytes=self.max_body,
+                freshness_bound_s=self.freshness_bound,
+                seed=self.seed,
+            )
+        )
+
+
+@cappa.command(help="Run stand-ins of the platform and of backend servers.")
+@dataclass(kw_only=True, slots=True)
+class Standin:
+    """Run stand-ins until SIGTERM."""
+
+    files: Annotated[
+        list[Path], argument("FILE", "Texts that name the backend servers to run.")
+    ]
+    listen: Annotated[
+        str, option("listen", "IP:PORT of the platform.", default="127.0.0.1:7000")
+    ]
+    seed: Annotated[int, option("seed", "Seed of all randomness.", default=1)]
+    log_level: Annotated[str, option("log-level", LOG_HELP, default="info")]
+
+    def run(self) -> int:
+        """Run until told to stop."""
+        from baobabthread.standins.fleet import run_fleet
+
+        configure_logs(self.log_level)
+        address = parse_address(self.listen, option="--listen")
+        sections = {path.stem: parse_section(read_text(path)) for path in self.files}
+        configuration = merge_sections(generation=1, sections=sections)
+
+        async def stand_in() -> None:
+            await run_fleet(
+                configuration=configuration,
+                host=address.host,
+                port=address.port,
+                seed=self.seed,
+                stop=expect_signal(),
+            )
+
+        asyncio.run(stand_in())
+        return 0
+
+
+def expect_signal(
+    numbers: Sequence[signal.Signals] = (signal.SIGTERM, signal.SIGINT),
+) -> asyncio.Event:
+    """Return an event that a signal to this process sets."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in numbers:
+        with contextlib.suppress(NotImplementedError):
+            loop.add_signal_handler(number, stop.set)
+    return stop
--- a/src/baobabthread/core/events.py
+++ b/src/baobabthread/core/events.py
@@ -120,6 +120,7 @@
 
     request_id: str
     to: str
+    incarnation: str
 
 
 class Replay(msgspec.Struct, frozen=True, kw_only=True):
@@ -138,6 +139,58 @@
     backend: str
 
 
+class SubmitRating(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask the shell to have the last attempt's answer rated."""
+
+    request_id: str
+    service: str
+    call: str
+    version: str
+    prompt: str
+
+
+class LoadReported(msgspec.Struct, frozen=True, kw_only=True):
+    """Report what a backend server says of its load."""
+
+    backend: str
+    running: int
+    waiting: int
+    capacity: int
+    versions: list[str]
+    tokens_per_s: float = 0.0
+
+
+class ListedInstance(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one instance of the platform's list."""
+
+    name: str
+    address: str
+    leaving: bool
+
+
+class RosterRead(msgspec.Struct, frozen=True, kw_only=True):
+    """Report the platform's list of instances."""
+
+    entries: list[ListedInstance]
+    backends: list[ListedInstance]
+
+
+class Rated(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the verdict on one answer."""
+
+    request_id: str
+    service: str
+    call: str
+    version: str
+    good: bool
+
+
+class RatingsRead(msgspec.Struct, frozen=True, kw_only=True):
+    """Report ratings of answers given some time ago."""
+
+    ratings: list[Rated]
+
+
 class PublishRequested(msgspec.Struct, frozen=True, kw_only=True):
     """Report an operator's new text for a section."""
 
--- a/src/baobabthread/core/messages.py
+++ b/src/baobabthread/core/messages.py
@@ -74,6 +74,8 @@
     head: int
     first: int = 0
     """The lowest offset that the log still holds."""
+    started_at: float = 0.0
+    """When the read was sent; the head may have moved since, in seconds."""
 
 
 class Received(msgspec.Struct, frozen=True, kw_only=True):
