Merge one changed section at its own cost, split membership

Ruled out: caching the parsed texts alone (that was the state before). Change: only the tables that a section can break are checked; every refusal is confirmed by the whole merge. The detector, contacts and updates of membership are modules of their own.

--- a/src/baobabthread/core/fold.py
+++ b/src/baobabthread/core/fold.py
@@ -5,13 +5,8 @@
 from collections import deque
 from collections.abc import Mapping
 
-from baobabthread.core.configuration import (
-    EMPTY,
-    Configuration,
-    SectionText,
-    merge_sections,
-    parse_section,
-)
+from baobabthread.core.configuration import Configuration, SectionText, parse_section
+from baobabthread.core.fold_merge import MergedSections, Proposal
 from baobabthread.core.fold_records import (
     Accepted,
     Conflict,
@@ -69,10 +64,10 @@
     """Compute the configuration from the log; equal logs give equal results."""
 
     __slots__ = (
-        "_configuration",
         "_decided",
         "_first",
-        "_parsed",
+        "_has_state",
+        "_merged",
         "_parts",
         "_pending",
         "_pending_bytes",
@@ -85,9 +80,9 @@
     )
 
     def __init__(self) -> None:
-        self._configuration: Configuration | None = None
+        self._has_state = False
+        self._merged = MergedSections()
         self._sections: dict[str, SectionState] = {}
-        self._parsed: dict[str, SectionText] = {}
         self._decided: dict[str, Decided] = {}
         self._read_offset = 0
         self._first = 0
@@ -122,12 +117,12 @@
     @property
     def configuration(self) -> Configuration | None:
         """Give the configuration; none before log, peer or checkpoint gave one."""
-        return self._configuration
+        return self._merged.configuration if self._has_state else None
 
     @property
     def generation(self) -> int:
         """Give the offset of the last accepted record, 0 when there is none."""
-        return self._configuration.generation if self._configuration else 0
+        return self._merged.configuration.generation
 
     @property
     def sections(self) -> Mapping[str, SectionState]:
@@ -148,8 +143,8 @@
         """Apply what a read of the stream returned, gaps by retention included."""
         if event.first > self._first:
             self._first = event.first
-        if self._configuration is None and event.head == 0:
-            self._configuration = EMPTY
+        if event.head == 0:
+            self._has_state = True
         return [self.apply(record) for record in event.records]
 
     def apply(self, record: LogRecord) -> Verdict:
@@ -162,16 +157,16 @@
             return verdict
         return self._wait(record)
 
-    def preview(self, publish: Publish) -> Decision | None:
-        """Return the decision that is already certain, without the log.
+    def preview(self, publish: Publish) -> Conflict | Invalid | None:
+        """Return the refusal that is already certain, without the log.
 
         A base above the known generation may be valid at a newer reader: nothing
         is returned and the log decides.
         """
         if publish.base > self.section_generation(publish.section):
             return None
-        decision, _ = self._decide(publish, generation=self._read_offset + 1)
-        return None if isinstance(decision, Accepted) else decision
+        outcome = self._examine(publish, generation=self._read_offset + 1)
+        return None if isinstance(outcome, Proposal) else outcome
 
     def snapshot(self) -> Snapshot:
         """Return the whole state, equal at every entry that read as far."""
@@ -206,8 +201,7 @@
     def _fold(self, record: LogRecord) -> Verdict:
         verdict = self._judge(record)
         self._read_offset = record.offset
-        if self._configuration is None:
-            self._configuration = EMPTY
+        self._has_state = True
         self._forget_repeats()
         self._keep_for_relay(record)
         return verdict
@@ -222,9 +216,7 @@
         if isinstance(body, Invalid):
             decision: Decision = body
         else:
-            decision, merged = self._decide(body, generation=record.offset)
-            if merged is not None:
-                self._accept(body, merged)
+            decision = self._decide(body, offset=record.offset)
         self._decided[record.id] = Decided(
             id=record.id, offset=record.offset, decision=decision
         )
@@ -237,29 +229,35 @@
         # offsets and is part of the state, so that all readers drop the same repeats.
         return record.id in self._decided
 
-    def _decide(
+    def _decide(self, publish: Publish, *, offset: int) -> Decision:
+        outcome = self._examine(publish, generation=offset)
+        if not isinstance(outcome, Proposal):
+            return outcome
+        self._merged.accept(outcome)
+        self._sections[publish.section] = SectionState(
+            name=publish.section,
+            generation=offset,
+            text=publish.text if outcome.parsed is not None else "",
+            operator=publish.operator,
+        )
+        return Accepted(generation=offset)
+
+    def _examine(
         self, publish: Publish, *, generation: int
-    ) -> tuple[Decision, tuple[SectionText | None, Configuration] | None]:
+    ) -> Proposal | Conflict | Invalid:
         if not self._base_holds(publish):
             current = self._sections.get(publish.section)
-            return (
-                Conflict(
-                    generation=current.generation if current else 0,
-                    operator=current.operator if current else "",
-                ),
-                None,
+            return Conflict(
+                generation=current.generation if current else 0,
+                operator=current.operator if current else "",
             )
         try:
             self._check_section(publish)
-            parsed = parse_section(publish.text) if publish.text.strip() else None
-            candidate = dict(self._parsed)
-            candidate.pop(publish.section, None)
-            if parsed is not None:
-                candidate[publish.section] = parsed
-            merged = merge_sections(generation=generation, sections=candidate)
+            return self._merged.propose(
+                publish.section, _parse(publish.text), generation=generation
+            )
         except _BROKEN as error:
-            return explain(error), None
-        return Accepted(generation=generation), (parsed, merged)
+            return explain(error)
 
     def _base_holds(self, publish: Publish) -> bool:
         # Two operators who edit the same generation at once would overwrite each other
@@ -281,22 +279,6 @@
                 remedy="publish under the name of a removed section",
             )
 
-    def _accept(
-        self, publish: Publish, merged: tuple[SectionText | None, Configuration]
-    ) -> None:
-        parsed, configuration = merged
-        self._sections[publish.section] = SectionState(
-            name=publish.section,
-            generation=configuration.generation,
-            text=publish.text if parsed is not None else "",
-            operator=publish.operator,
-        )
-        if parsed is None:
-            self._parsed.pop(publish.section, None)
-        else:
-            self._parsed[publish.section] = parsed
-        self._configuration = configuration
-
     def _forget_repeats(self) -> None:
         oldest = self._read_offset - REPEAT_WINDOW
         while self._decided:
@@ -361,7 +343,7 @@
     def _is_newer(self, snapshot: Snapshot) -> bool:
         # An old checkpoint or a late answer of a peer must never take an accepted
         # text back; the state only moves to a later offset of the same log.
-        if self._configuration is None:
+        if not self._has_state:
             return True
         return snapshot.read_offset > self._read_offset
 
@@ -372,33 +354,46 @@
 
     def _adopt(self, snapshot: Snapshot) -> bool:
         sections = dict(self._sections)
-        parsed = dict(self._parsed)
-        try:
-            for stated in snapshot.sections:
-                own = sections.get(stated.name)
-                if own is not None and self._keeps_own(own, stated):
-                    continue
+        for stated in snapshot.sections:
+            own = sections.get(stated.name)
+            if own is None or not self._keeps_own(own, stated):
                 sections[stated.name] = stated
-                parsed.pop(stated.name, None)
-                if stated.text.strip():
-                    parsed[stated.name] = parse_section(stated.text)
-            configuration = merge_sections(
-                generation=max(snapshot.generation, self.generation), sections=parsed
+        try:
+            self._merged.load(
+                self._parse_all(sections),
+                generation=max(snapshot.generation, self.generation),
             )
         except _BROKEN:
             return False
+        self._has_state = True
         self._sections = sections
-        self._parsed = parsed
-        self._configuration = configuration
         self._decided = {item.id: item for item in snapshot.decided}
         self._read_offset = snapshot.read_offset
         self._relay.clear()
         self._relay_bytes = 0
         return True
 
+    def _parse_all(
+        self, sections: Mapping[str, SectionState]
+    ) -> dict[str, SectionText]:
+        """Parse the sections in order of names, unchanged ones not again."""
+        result: dict[str, SectionText] = {}
+        for name in sorted(sections):
+            held = self._merged.sections.get(name)
+            unchanged = sections[name] is self._sections.get(name)
+            parsed = held if unchanged else _parse(sections[name].text)
+            if parsed is not None:
+                result[name] = parsed
+        return result
+
     def _apply_pending(self) -> None:
         while self._pending and self._pending[0].offset <= self._read_offset + 1:
             record = self._pending.popleft()
             self._pending_bytes -= record_size(record)
             if record.offset > self._read_offset:
                 self._fold(record)
+
+
+def _parse(text: str) -> SectionText | None:
+    """Parse a section; an empty text means that there is none."""
+    return parse_section(text) if text.strip() else None
--- a/src/baobabthread/core/membership_messages.py
+++ b/src/baobabthread/core/membership_messages.py
@@ -147,6 +147,35 @@
     after: int
 
 
+class MembershipSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Set the pace and the bounds of the protocol."""
+
+    period_s: float = 1.0
+    small_period_s: float = 0.4
+    """Period where there are few members, so that all are asked within seconds."""
+    stale_period_s: float = 0.2
+    """Period while this entry does not know that its configuration is the newest."""
+    small_size: int = 16
+    answer_s: float = 0.15
+    """Time after which an unanswered probe is tried through other entries."""
+    helpers: int = 3
+    suspicion_factor: float = 2.0
+    """Seconds of suspicion per power of two in the number of members."""
+    synchronise_s: float = 30.0
+    reconnect_s: float = 2.0
+    """Time between tries to reach seeds and silent entries."""
+    forget_s: float = 600.0
+    fetch_after_s: float = 0.2
+    """Time for the log to deliver what a peer has before the peer is asked."""
+    update_count: int = 6
+    gossip_bytes: int = 1_000
+    sync_gossip_bytes: int = 32_000
+    gossip_store_bytes: int = 2_000_000
+    spread_factor: int = 3
+    pause_s: float = 2.0
+    """Gap between two ticks after which this process counts as paused."""
+
+
 class Hint(msgspec.Struct, frozen=True, kw_only=True):
     """Hold what the platform's lagging roster says about an entry."""
 
--- a/src/baobabthread/core/membership_table.py
+++ b/src/baobabthread/core/membership_table.py
@@ -38,9 +38,13 @@
         """Return what is known of an entry."""
         return self._members.get(name)
 
-    def heard_at(self, name: str) -> float | None:
-        """Return when a message of the entry itself last came in."""
-        return self._heard_at.get(name)
+    def list_heard(self, *, since: float) -> list[str]:
+        """Return the entries of which a message came in from a time on."""
+        return [
+            name
+            for name, at in self._heard_at.items()
+            if at >= since and name in self._members
+        ]
 
     def note_heard(self, name: str, now: float) -> None:
         """Note a message of the entry itself."""
