Add the load and demo commands

Change: demo runs both example organisations on stand-ins and six entries, withdraws a version and stops an entry under load, and sets the folded bills against what callers were told.

--- a/src/baobabthread/cli.py
+++ b/src/baobabthread/cli.py
@@ -8,7 +8,7 @@
 import cappa
 
 from baobabthread.commands.operate import Bills, Check, Publish, Show, State, Version
-from baobabthread.commands.run import Serve, Standin
+from baobabthread.commands.run import Demo, Load, Serve, Standin
 from baobabthread.errors import BaobabthreadError
 
 
@@ -21,7 +21,7 @@
     """Hold the chosen command."""
 
     command: cappa.Subcommands[
-        Serve | Standin | Check | Publish | Show | State | Bills | Version
+        Serve | Standin | Check | Publish | Show | State | Bills | Load | Demo | Version
     ]
 
 
--- a/src/baobabthread/commands/run.py
+++ b/src/baobabthread/commands/run.py
@@ -5,17 +5,21 @@
 import asyncio
 import contextlib
 import signal
+import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import cappa
+import msgspec
 
 from baobabthread.commands.operate import read_text
 from baobabthread.commands.options import argument, option
 from baobabthread.core.configuration import merge_sections, parse_section
 from baobabthread.entry import run_entry
+from baobabthread.errors import UsageError
+from baobabthread.load_settings import LoadSettings, Work, parse_account
 from baobabthread.logs import configure_logs
 from baobabthread.settings import (
     EntrySettings,
@@ -179,3 +183,130 @@
         with contextlib.suppress(NotImplementedError):
             loop.add_signal_handler(number, stop.set)
     return stop
+
+
+@cappa.command(help="Drive callers against entries and print what they saw.")
+@dataclass(kw_only=True, slots=True)
+class Load:
+    """Drive load, in an open or a closed loop."""
+
+    entries: Annotated[str, option("entries", "Entries to ask: URL,URL.")]
+    accounts: Annotated[
+        str,
+        option("accounts", "Client accounts: NAME=KEY[=WEIGHT], by commas."),
+    ]
+    model: Annotated[
+        str, option("model", "Model service or version; none if empty.", default="")
+    ]
+    plain_service: Annotated[
+        str, option("plain-service", "Plain service; none if empty.", default="")
+    ]
+    plain_call: Annotated[
+        str, option("plain-call", "Its idempotent call.", default="status")
+    ]
+    keyed_call: Annotated[
+        str, option("keyed-call", "Its non-idempotent call, if any.", default="")
+    ]
+    rate: Annotated[
+        float,
+        option("rate", "Requests a second; 0 is a closed loop.", default=0.0),
+    ]
+    callers: Annotated[int, option("callers", "Callers side by side.", default=8)]
+    duration: Annotated[float, option("duration", "Seconds to ask.", default=10.0)]
+    deadline: Annotated[
+        float, option("deadline", "Seconds that each request may take.", default=30.0)
+    ]
+    backends: Annotated[
+        str,
+        option(
+            "backends",
+            "Addresses of backend stand-ins whose runs are counted, by commas.",
+            default="",
+        ),
+    ]
+    tls_ca: Annotated[
+        str, option("tls-ca", "PEM authority of entries behind TLS.", default="")
+    ]
+    json: Annotated[
+        Path | None, option("json", "Write the figures to this file.", default=None)
+    ]
+    seed: Annotated[int, option("seed", "Seed of all randomness.", default=1)]
+
+    def run(self) -> int:
+        """Run the load, print the table, and fail on what must never be."""
+        from baobabthread.load import render_report, run_load
+
+        report = asyncio.run(run_load(self.build_settings()))
+        print(render_report(report))
+        if self.json is not None:
+            self.json.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+        violations = report.list_violations()
+        for violation in violations:
+            print(f"FAILED: {violation}", file=sys.stderr)
+        return 1 if violations else 0
+
+    def build_settings(self) -> LoadSettings:
+        """Return the load tool's settings."""
+        shares: dict[Work, float] = {}
+        if self.model:
+            shares |= {Work.CHAT: 1.0, Work.STREAM: 1.0}
+        if self.plain_service:
+            shares[Work.PLAIN] = 1.0
+        if self.plain_service and self.keyed_call:
+            shares |= {Work.BOUND: 0.5, Work.FREE: 0.5}
+        if not shares:
+            raise UsageError(
+                "nothing to ask for", remedy="give --model, --plain-service or both"
+            )
+        return LoadSettings(
+            entries=_split_list(self.entries),
+            accounts=[parse_account(text) for text in _split_list(self.accounts)],
+            model=self.model,
+            plain_service=self.plain_service,
+            plain_call=self.plain_call,
+            keyed_call=self.keyed_call,
+            shares=shares,
+            rate_per_s=self.rate,
+            callers=self.callers,
+            duration_s=self.duration,
+            deadline_s=self.deadline,
+            backends=_split_list(self.backends),
+            ca_file=self.tls_ca,
+            seed=self.seed,
+        )
+
+
+def _split_list(text: str) -> list[str]:
+    return [part.strip() for part in text.split(",") if part.strip()]
+
+
+@cappa.command(help="Show the main job in one process, with stand-ins and load.")
+@dataclass(kw_only=True, slots=True)
+class Demo:
+    """Run the demo and fail on what must never be."""
+
+    duration: Annotated[float, option("duration", "Seconds of load.", default=12.0)]
+    rate: Annotated[
+        float, option("rate", "Requests a second of each organisation.", default=40.0)
+    ]
+    seed: Annotated[int, option("seed", "Seed of all randomness.", default=1)]
+    log_level: Annotated[str, option("log-level", LOG_HELP, default="warning")]
+
+    def run(self) -> int:
+        """Run it and print the table."""
+        from baobabthread.demo import DemoSettings, render_demo, run_demo
+
+        configure_logs(self.log_level)
+        report = asyncio.run(
+            run_demo(
+                DemoSettings(
+                    duration_s=self.duration, rate_per_s=self.rate, seed=self.seed
+                )
+            )
+        )
+        print(render_demo(report))
+        violations = report.list_violations()
+        for violation in violations:
+            print(f"FAILED: {violation}", file=sys.stderr)
+        print("failed" if violations else "ok")
+        return 1 if violations else 0
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -557,6 +557,11 @@
     async def _handle_peer(self, request: web.BaseRequest) -> web.StreamResponse:
         return await self._peer_server.handle(request)
 
+    @property
+    def open_requests(self) -> int:
+        """Count the callers that wait for an answer."""
+        return len(self._channels)
+
     async def leave(self) -> None:
         """Stop gracefully: out of addresses, serve on, drain, hand over."""
         self.leaving = True
