--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -222,6 +222,10 @@
         """Return how many requests the usable servers can run at once."""
         return sum(s.capacity for s in self._pool(service, version, now).usable)
 
+    def expected_s(self, service: str, tokens: int) -> float:
+        """Return the usual seconds for a request once started; 0 when unknown."""
+        return self._usual.get(service, 0.0) * tokens
+
     def started(self, name: str, tokens: int, now: float) -> None:
         """Count a request that was sent to a server."""
         server = self._servers.get(name)
