Decode the events of a stream that are read together in one go

Cause: checking each token's event one by one was the largest cost of a stream. Ruled out: not checking ids and indexes; a gap or a crossed token must not pass. Change: the usual run of token events is decoded as one list; anything irregular goes through the slow path, event by event. Moved to a module of its own.

--- a/src/baobabthread/adapters/engines.py
+++ b/src/baobabthread/adapters/engines.py
@@ -9,13 +9,17 @@
 import msgspec
 from yarl import URL
 
+from baobabthread.adapters.streamevents import (
+    FINISHED,
+    NO_USAGE,
+    Choice,
+    EventReader,
+)
 from baobabthread.ports.engine import (
     Answer,
     Broken,
     CacheEvents,
-    Chunk,
     Crossed,
-    End,
     LoadReport,
     Order,
     OrderDone,
@@ -31,38 +35,17 @@
 CONNECT_S = 1.0
 CONTROL_S = 2.0
 MAX_ANSWER_BYTES = 16_000_000
-MAX_EVENT_BYTES = 1_000_000
 MAX_URLS = 10_000
-FINISHED = ("stop", "length", "tool_calls", "content_filter")
-"""Reasons that end a whole answer; any other one, such as a cancel, cuts it."""
-
-EVENT_END = b"\n\n"
-END_MARK = b"data: [DONE]"
-DATA = b"data: "
-NO_USAGE = Usage()
-
 T = TypeVar("T")
 
 
-class _Choice(msgspec.Struct, gc=False):
-    finish_reason: str | None = None
-
-
 class _Whole(msgspec.Struct):
     request_id: str
-    choices: list[_Choice]
+    choices: list[Choice]
     usage: Usage = NO_USAGE
     signal: float = 0.0
 
 
-class _Event(msgspec.Struct):
-    request_id: str
-    index: int
-    choices: list[_Choice]
-    usage: Usage | None = None
-    signal: float | None = None
-
-
 class _PlainWhole(msgspec.Struct, gc=False):
     request_id: str
 
@@ -74,7 +57,6 @@
 
 
 _decode_whole = msgspec.json.Decoder(_Whole).decode
-_decode_event = msgspec.json.Decoder(_Event).decode
 _decode_plain = msgspec.json.Decoder(_PlainWhole).decode
 _decode_refusal = msgspec.json.Decoder(_Refusal).decode
 
@@ -160,7 +142,7 @@
     ) -> AsyncGenerator[StreamItem, None]:
         """Yield chunks, then exactly one item of another type."""
         url = self._url(address, "/v1/chat/completions")
-        events = _EventReader(request_id=request_id, following=resume_from)
+        events = EventReader(request_id=request_id, following=resume_from)
         try:
             async with self._post(
                 url, request_id=request_id, body=body, timeout_s=timeout_s
@@ -272,86 +254,6 @@
         return PlainAnswer(request_id=request_id, body=raw)
 
 
-class _EventReader:
-    """Check the events of one stream as their bytes come in."""
-
-    __slots__ = ("_buffer", "_last", "ended", "following", "request_id", "started")
-
-    def __init__(self, *, request_id: str, following: int) -> None:
-        self.request_id = request_id
-        self.following = following
-        """The index that the next token must have."""
-        self.started = False
-        self.ended = False
-        self._buffer = b""
-        self._last: tuple[_Event, bytes] | None = None
-
-    def feed(self, data: bytes) -> list[StreamItem]:
-        """Return what the bytes complete; tokens read together stay together."""
-        self.started = True
-        whole, mark, self._buffer = (self._buffer + data).rpartition(EVENT_END)
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            return [self._end(self._break("event too large"))]
-        if not mark:
-            return []
-        first = self.following
-        tokens: list[bytes] = []
-        end: StreamItem | None = None
-        for event in whole.split(EVENT_END):
-            end = self._take(event, tokens)
-            if end is not None:
-                break
-        items: list[StreamItem] = []
-        if tokens:
-            raw = EVENT_END.join(tokens) + EVENT_END
-            items.append(Chunk(index=first, count=len(tokens), raw=raw))
-        if end is not None:
-            items.append(self._end(end))
-        return items
-
-    def _take(self, raw: bytes, tokens: list[bytes]) -> StreamItem | None:
-        """Add a token's event to the list, or return what ends the stream."""
-        if raw == END_MARK:
-            return self._finish()
-        if not raw.startswith(DATA):
-            # Comments and other fields of an event stream carry no tokens.
-            return None
-        try:
-            event = _decode_event(raw[len(DATA) :])
-        except msgspec.MsgspecError:
-            return self._break("not an event")
-        if event.request_id != self.request_id:
-            return Crossed(expected=self.request_id, found=event.request_id)
-        if event.index != self.following or self._last is not None:
-            return self._break("a token is missing or repeated")
-        if event.choices and event.choices[0].finish_reason is not None:
-            self._last = (event, raw)
-            return None
-        tokens.append(raw)
-        self.following += 1
-        return None
-
-    def _finish(self) -> StreamItem:
-        if self._last is None:
-            return self._break("incomplete")
-        event, raw = self._last
-        reason = event.choices[0].finish_reason
-        if reason not in FINISHED:
-            return self._break(f"finished by {reason}")
-        return End(
-            signal=event.signal or 0.0,
-            usage=event.usage or NO_USAGE,
-            raw=raw + EVENT_END + END_MARK + EVENT_END,
-        )
-
-    def _break(self, reason: str) -> Broken:
-        return Broken(reason=reason, sent=True, first_byte=True)
-
-    def _end(self, item: StreamItem) -> StreamItem:
-        self.ended = True
-        return item
-
-
 async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
     """Return the body; one beyond the bound is an error before it fills memory."""
     length = response.content_length
