--- a/src/baobabthread/load.py
+++ b/src/baobabthread/load.py
@@ -104,6 +104,7 @@
             session=self._session,
             settings=self._settings,
             account=account,
+            name=f"{account.name}-{place}",
             rng=Random(f"{self._settings.seed}:caller:{place}"),
         )
 
--- a/src/baobabthread/load_addresses.py
+++ b/src/baobabthread/load_addresses.py
@@ -38,6 +38,7 @@
         "_entries",
         "_kept",
         "_kept_until",
+        "_query",
         "_rng",
         "_scheme",
         "_session",
@@ -45,9 +46,19 @@
     )
 
     def __init__(
-        self, *, session: aiohttp.ClientSession, entries: Sequence[str], rng: Random
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        entries: Sequence[str],
+        rng: Random,
+        caller: str = "",
+        failure_domain: str = "",
     ) -> None:
         self._session = session
+        # Callers on one host name themselves, so that they are spread as if apart.
+        self._query = {"caller": caller} if caller else {}
+        if failure_domain:
+            self._query["failure_domain"] = failure_domain
         self._entries = [url.rstrip("/") for url in entries]
         self._scheme = self._entries[0].partition("://")[0]
         self._rng = rng
@@ -95,7 +106,7 @@
         timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
         try:
             async with self._session.get(
-                f"{url}/v1/addresses", timeout=timeout
+                f"{url}/v1/addresses", params=self._query, timeout=timeout
             ) as response:
                 raw = await response.read()
                 if response.status != 200:
--- a/src/baobabthread/load_caller.py
+++ b/src/baobabthread/load_caller.py
@@ -105,13 +105,20 @@
         session: aiohttp.ClientSession,
         settings: LoadSettings,
         account: LoadAccount,
+        name: str,
         rng: Random,
     ) -> None:
         self.account = account
         self._session = session
         self._settings = settings
         self._rng = rng
-        self._book = AddressBook(session=session, entries=settings.entries, rng=rng)
+        self._book = AddressBook(
+            session=session,
+            entries=settings.entries,
+            rng=rng,
+            caller=name,
+            failure_domain=settings.failure_domain,
+        )
         self._token = ""
         self._in_session = 0
         self._use_session = rng.random() < settings.session_share
@@ -211,6 +218,8 @@
             headers["Idempotency-Key"] = key
         if self._settings.priority is not None:
             headers["Baobab-Priority"] = self._settings.priority.value
+        if request.is_chat and self._settings.model_call:
+            headers["Baobab-Call"] = self._settings.model_call
         if self._token and request.is_chat:
             headers["Baobab-Session"] = self._token
         return headers
--- a/src/baobabthread/load_settings.py
+++ b/src/baobabthread/load_settings.py
@@ -42,6 +42,8 @@
     accounts: list[LoadAccount]
     model: str = ""
     """Model service or version; empty asks plain services only."""
+    model_call: str = ""
+    """Kind of call of the model service."""
     plain_service: str = ""
     plain_call: str = "status"
     keyed_call: str = ""
@@ -76,6 +78,8 @@
     standin_answers: bool = False
     """Check each answer's text against the one that stand-in engines give."""
     seed: int = 0
+    run: str = ""
+    """Name of this run within the callers' own ids; empty takes the time."""
     progress: bool = True
     keep_records: bool = True
 
--- a/src/baobabthread/load_work.py
+++ b/src/baobabthread/load_work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from random import Random
 
 import msgspec
@@ -57,11 +58,13 @@
 class WorkSource:
     """Make up requests in the wanted shares, the same ones for the same seed."""
 
-    __slots__ = ("_count", "_rng", "_settings", "_shares", "_works")
+    __slots__ = ("_count", "_rng", "_run", "_settings", "_shares", "_works")
 
     def __init__(self, *, settings: LoadSettings) -> None:
         self._settings = settings
         self._rng = Random(f"{settings.seed}:work")
+        # Own ids of a second run would look like repeats of the first one's calls.
+        self._run = settings.run or f"{time.time_ns() // 1000:x}"
         self._works = list(settings.shares)
         self._shares = [settings.shares[work] for work in self._works]
         self._count = 0
@@ -69,7 +72,7 @@
     def make(self, account: LoadAccount) -> Request:
         """Return the next request of an account."""
         self._count += 1
-        own_id = f"{account.name}-{self._settings.seed}-{self._count}"
+        own_id = f"{account.name}-{self._run}-{self._count}"
         work = self._rng.choices(self._works, self._shares)[0]
         if work in (Work.CHAT, Work.STREAM):
             return self._make_chat(own_id, work, account)
@@ -78,7 +81,10 @@
     def _make_chat(self, own_id: str, work: Work, account: LoadAccount) -> Request:
         settings = self._settings
         words = " ".join(self._rng.choices(WORDS, k=settings.prompt_words))
-        content = f"{words} id={own_id}"
+        # Given, not hashed: the id, which each run changes, must not change it.
+        difficulty = f"difficulty={self._rng.random():.4f}"
+        call = f"call={settings.model_call} " if settings.model_call else ""
+        content = f"{words} {call}{difficulty} id={own_id}"
         body = _ChatBody(
             model=settings.model,
             messages=[_Message(content=content)],
--- a/src/baobabthread/standins/batch.py
+++ b/src/baobabthread/standins/batch.py
@@ -137,11 +137,15 @@
                 last = time.monotonic()
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
-            if not self.frozen:
-                self._credit += (now - last) * self.tokens_per_s
-                self._share()
+            self.advance(now - last)
             last = now
 
+    def advance(self, elapsed_s: float) -> None:
+        """Give the running jobs the tokens of so much time."""
+        if not self.frozen:
+            self._credit += elapsed_s * self.tokens_per_s
+            self._share()
+
     def _fill(self) -> None:
         while self.waiting and len(self.running) < self.capacity and not self.frozen:
             job = heapq.heappop(self.waiting)[2]
--- a/src/baobabthread/standins/log.py
+++ b/src/baobabthread/standins/log.py
@@ -138,17 +138,28 @@
             return refuse("outage", status=503, retry_after_s=1)
         if not self._take_token():
             return refuse("rate", status=429, retry_after_s=0.05)
-        if self.faults.delay_ms:
-            await asyncio.sleep(self.faults.delay_ms / 1000)
         if self.roll(self.faults.lose_requests):
             return drop_connection(request)
-        retention = self.faults.retention_records
-        first = self._stream(request).append(body.records, retention=retention)
-        self.appends += 1
+        first = await self._append_late(self._stream(request), body.records)
         if self.roll(self.faults.lose_replies):
             return drop_connection(request)
         return reply_json({"first": first, "count": len(body.records)})
 
+    async def _append_late(self, stream: StreamLog, records: list[NewRecord]) -> int:
+        """Append after the delay, also when the client has given up meanwhile."""
+        if self.faults.delay_ms:
+            pause = asyncio.create_task(asyncio.sleep(self.faults.delay_ms / 1000))
+            try:
+                await asyncio.shield(pause)
+            except asyncio.CancelledError:
+                pause.add_done_callback(lambda _: self._store(stream, records))
+                raise
+        return self._store(stream, records)
+
+    def _store(self, stream: StreamLog, records: list[NewRecord]) -> int:
+        self.appends += 1
+        return stream.append(records, retention=self.faults.retention_records)
+
     async def _read(self, request: web.Request) -> web.Response:
         try:
             after = max(0, int(request.query.get("after", "0")))
--- a/tests/adapters/test_platform.py
+++ b/tests/adapters/test_platform.py
@@ -87,7 +87,7 @@
         ({"outage": True}, AppendRefusedError, 0),
         ({"lose_replies": 1.0}, AppendUnknownError, 1),
         ({"lose_requests": 1.0}, AppendUnknownError, 0),
-        ({"delay_ms": 60_000}, AppendUnknownError, 0),
+        ({"delay_ms": 900}, AppendUnknownError, 1),
     ],
 )
 def test_append_failures_say_whether_the_record_can_be_there(
@@ -95,8 +95,9 @@
 ) -> None:
     """Tell a definite failure from an ambiguous one.
 
-    The log refuses, or it appends and the reply is lost, or neither arrives. The
-    caller sees a refusal only when the record is surely not in the log.
+    The log refuses, or it appends and the reply is lost, or neither arrives, or it
+    appends after the caller gave up. The caller sees a refusal only when the record
+    is surely not in the log.
     """
 
     async def case() -> None:
@@ -106,7 +107,8 @@
             with pytest.raises(error):
                 await client.append("bills", make_records("a"))
             server.set_faults({})
-            assert len((await log.read("bills", after=0)).records) == kept
+            page = await log.read("bills", after=0, wait_s=20.0 * kept)
+            assert len(page.records) == kept
 
     run(case())
 
