Prove the ledger by the fault matrix; mend two leaks of copies

The matrix found copies that stayed for good at a peer that woke from a pause, and copies whose batch came after its owner's death was reported. Both would have been settled long after. Now a new link starts with a reset, and an owner that is not known to live counts as gone.

--- a/src/baobabthread/core/billcopies.py
+++ b/src/baobabthread/core/billcopies.py
@@ -23,7 +23,7 @@
 class BillCopies:
     """Keep copies by owner; give up those of an owner that stays dead."""
 
-    __slots__ = ("_count", "_max_copies", "_me", "_owners", "_settle_after_s")
+    __slots__ = ("_count", "_live", "_max_copies", "_me", "_owners", "_settle_after_s")
 
     def __init__(self, *, me: str, max_copies: int, settle_after_s: float) -> None:
         self._me = me
@@ -31,15 +31,19 @@
         self._settle_after_s = settle_after_s
         self._owners: dict[str, _Owner] = {}
         self._count = 0
+        self._live: set[str] = set()
 
     def __len__(self) -> int:
         return self._count
 
-    def take(self, message: CopyBills) -> BillsCopied:
+    def take(self, message: CopyBills, now: float) -> BillsCopied:
         """Apply a batch and return its acknowledgement."""
         owner = self._owners.get(message.owner)
         if owner is None:
             owner = self._owners[message.owner] = _Owner()
+            # A batch may arrive after its owner's death was reported; without this
+            # its bills would wait for a report that does not come again.
+            owner.gone_at = None if message.owner in self._live else now
         # A batch that comes twice or late would bring back a copy that a newer one
         # dropped; long after, it would be settled as if its owner had left it open.
         if message.batch <= owner.last_batch:
@@ -47,6 +51,8 @@
         owner.last_batch = message.batch
         bills = owner.bills
         before = len(bills)
+        if message.reset:
+            bills.clear()
         for request_id in message.drops:
             bills.pop(request_id, None)
         for record in message.closes:
@@ -60,6 +66,7 @@
 
     def set_live(self, names: set[str], now: float) -> None:
         """Note which entries live; the owners besides them count as dead."""
+        self._live = names
         for name, owner in self._owners.items():
             if name in names:
                 owner.gone_at = None
--- a/src/baobabthread/core/billlinks.py
+++ b/src/baobabthread/core/billlinks.py
@@ -41,12 +41,14 @@
     """Collect what goes to one peer."""
 
     __slots__ = (
+        "_resetting",
         "avoid_until",
         "batch",
         "closes",
         "drops",
         "in_flight",
         "name",
+        "needs_reset",
         "opens",
         "sent_at",
         "since",
@@ -64,10 +66,19 @@
         self.since = math.inf
         """When the oldest waiting close or drop was added."""
         self.avoid_until = -math.inf
+        # The peer may hold copies from before it was lost sight of, whose drops
+        # went with the old link. They would stay, and be settled long after.
+        self.needs_reset = True
+        self._resetting = False
 
     def is_due(self, now: float, linger_s: float) -> bool:
         """Tell whether something waits that should be sent now."""
-        return not self.batch and (bool(self.opens) or self.since + linger_s <= now)
+        if self.batch:
+            return False
+        if self.opens:
+            return True
+        waits = self.needs_reset or self.since + linger_s <= now
+        return waits and self.avoid_until <= now
 
     def make_batch(self, *, owner: str, batch: int, now: float) -> CopyBills:
         """Move all that waits into one message."""
@@ -88,17 +99,35 @@
             opens=[bill.opened for bill in opens],
             closes=[bill.record for bill in closes if bill.record is not None],
             drops=self.drops,
+            reset=self.needs_reset,
         )
+        self._resetting = self.needs_reset
+        self.needs_reset = False
         self.opens, self.closes, self.drops = [], [], []
         self.batch = batch
         self.sent_at = now
         self.since = math.inf
         return message
 
+    def fail(self, now: float, avoid_s: float) -> list[Bill]:
+        """End the batch in flight and return the bills that another peer must copy."""
+        self.avoid_until = now + avoid_s
+        self.needs_reset = self.needs_reset or self._resetting
+        opens, closes, drops = self.take_in_flight()
+        opens += self.opens
+        self.opens = []
+        self.closes += closes
+        self.drops += drops
+        # A copy that arrived although its reply was lost must not stay for good.
+        self.drops += [bill.request_id for bill in opens]
+        self.since = now
+        return opens
+
     def take_in_flight(self) -> tuple[list[Bill], list[Bill], list[str]]:
         """End the batch in flight and return what it held."""
         taken, self.in_flight = self.in_flight, ([], [], [])
         self.batch = 0
+        self._resetting = False
         return taken
 
 
--- a/src/baobabthread/core/ledger.py
+++ b/src/baobabthread/core/ledger.py
@@ -144,7 +144,7 @@
     def on_message(self, sender: str, message: msgspec.Struct, now: float) -> Effects:
         """Take a message of billing from a peer; others give no effect."""
         if isinstance(message, CopyBills):
-            return [Send(to=sender, message=self._copies.take(message))]
+            return [Send(to=sender, message=self._copies.take(message, now))]
         if isinstance(message, BillsCopied):
             return self._on_copied(sender, message, now)
         if isinstance(message, HandOverBills):
@@ -295,15 +295,7 @@
 
     def _on_link_failed(self, link: Link, now: float) -> Effects:
         """Ask another peer; the failed one may hold copies all the same."""
-        link.avoid_until = now + self._settings.avoid_s
-        opens, closes, drops = link.take_in_flight()
-        opens += link.opens
-        link.opens = []
-        link.closes += closes
-        link.drops += drops
-        # A copy that arrived although its reply was lost must not stay for good.
-        link.drops += [bill.request_id for bill in opens]
-        link.since = now
+        opens = link.fail(now, self._settings.avoid_s)
         effects: Effects = []
         for bill in opens:
             if not bill.is_settled:
--- a/tests/failures/matrix.py
+++ b/tests/failures/matrix.py
@@ -61,8 +61,10 @@
 class Node(Protocol):
     """Drive one protocol instance: events in, effects out."""
 
-    streams: Sequence[Stream]
-    """Streams that it follows."""
+    @property
+    def streams(self) -> Sequence[Stream]:
+        """Name the streams that it follows."""
+        ...
 
     def handle(self, event: Any, now: float) -> Effects:
         """Take one event (those of core.messages, Tick, or the scenario's own)."""
@@ -87,6 +89,9 @@
     def on_race(self, world: World, name: str) -> None:
         """Let another operator or caller act at this moment."""
 
+    def on_strike(self, world: World, name: str, fault: Fault) -> None:
+        """Let the membership notice a pause or a partition of a node."""
+
     def check(self, world: World) -> list[str]:
         """Return what did not hold at the end."""
         raise NotImplementedError
@@ -196,13 +201,14 @@
             self.steps += 1
             if fault is not None:
                 self.struck_at = self.now
+                self.scenario.on_strike(self, name, fault)
             if fault is Fault.PAUSED:
                 self._pause(name, node, effects[position:])
                 return
             if fault is Fault.CRASH_BEFORE:
                 self.crash(name)
                 return
-            self._strike(name, fault)
+            self.strike(name, fault)
             self._execute(name, effect, fault)
             if fault is Fault.CRASH_AFTER:
                 self.crash(name)
@@ -218,7 +224,8 @@
 
         self.at(self.now + FAULT_S, wake)
 
-    def _strike(self, name: str, fault: Fault | None) -> None:
+    def strike(self, name: str, fault: Fault | None, for_s: float = FAULT_S) -> None:
+        """Start a lasting fault; a scenario may begin with one."""
         keys = {
             Fault.CUT_LOG: ("cut log", name),
             Fault.CUT_PEERS: ("cut peers", name),
@@ -227,7 +234,7 @@
             Fault.LOG_SLOW: ("log slow", ""),
         }
         if fault in keys:
-            self._until[keys[fault]] = self.now + FAULT_S
+            self._until[keys[fault]] = self.now + for_s
         if fault is Fault.OPERATOR_RACE:
             self.scenario.on_race(self, name)
 
--- a/tests/failures/test_claims_matrix.py
+++ b/tests/failures/test_claims_matrix.py
@@ -447,7 +447,7 @@
 
     def begin_now(self: Claims, request: ClaimRequest, now: float) -> Effects:
         effects = begin(self, request, now)
-        return effects + self.__dict__.pop("pending", [])
+        return [*effects, *self.__dict__.pop("pending", [])]
 
     patch.setattr(Claims, "_append_claim", dispatch)
     patch.setattr(Claims, "begin", begin_now)
