Wire roll-outs, detectors, leases, orders, sessions by name and gossip into the entry

Change: Conductors folds the stream of roll-outs, keeps one lease per model service, quarantines on alarms and orders engines; Choices picks versions by sessions, roll-out shares and quarantines; NamedSessions asks the owner; Sharing gossips use, ratings and evidence once a second. Quarantines are lifted by a version's own 'cleared' generation: the generation of a section would lift them with every edit of the section.

--- a/src/baobabthread/administration.py
+++ b/src/baobabthread/administration.py
@@ -109,6 +109,11 @@
                 name: {"service": row.service, "state": row.state}
                 for name, row in configuration.versions.items()
             },
+            "rollouts": self._entry.core.conductors.describe(time.monotonic()),
+            "barred": sorted(
+                f"{barred.version}/{barred.call or '*'}"
+                for barred in self._entry.core.conductors.list_barred()
+            ),
         }
 
     def dump_state(self) -> Any:
--- a/src/baobabthread/core/calibration.py
+++ b/src/baobabthread/core/calibration.py
@@ -128,21 +128,92 @@
     return cell
 
 
+class CurvePrior(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what is expected of a curve before there are ratings."""
+
+    offset: float
+    offset_spread: float
+    slope: float = 1.0
+    slope_spread: float = 0.7
+
+
+FIRST_PRIOR = CurvePrior(offset=-1.0, offset_spread=1.5)
+LAST_PRIOR = CurvePrior(offset=2.5, offset_spread=1.5, slope_spread=0.3)
+"""Before any rating only the strongest version is trusted."""
+AFTER_PRIOR = CurvePrior(offset=-0.7, offset_spread=0.7, slope_spread=0.3)
+"""A request that another version failed is harder than others of its signal."""
+CURVE_WEIGHT = 8.0
+"""Ratings of one bin that its point on the curve counts for."""
+NEWTON_STEPS = 8
+MOST_LOGIT = 8.0
+CENTRES = tuple(LOWEST_LOGIT + BIN_WIDTH * (i - 0.5) for i in range(SIGNAL_BINS))
+"""Log-odds in the middle of each bin of the signal."""
+
+
 def fit_chances(
-    cell: Cell, *, prior: Sequence[float], prior_weight: float
+    cell: Cell, *, prior: CurvePrior, base: Sequence[float] = ()
 ) -> list[float]:
     """Return the chance of a good answer for each bin, rising with the signal.
 
-    Each bin starts from `prior_weight` imagined ratings at the prior chance; bins
-    that then fall against the signal are pooled (pool adjacent violators).
+    A logistic curve with two parameters learns from few ratings; the bins' own ratings
+    bend it where they are many, and bins that then fall against the signal are pooled
+    (pool adjacent violators). The curve runs over the signal, or over the chances of
+    `base` when they are given.
     """
+    inputs = [_find_logit(chance) for chance in base[:SIGNAL_BINS]] or CENTRES
+    offset, slope = _fit_curve(cell, inputs, prior)
+    curve = [_find_chance(offset + slope * value) for value in inputs]
+    weights = [rated + CURVE_WEIGHT for rated in cell.rated]
     chances = [
-        (cell.good[index] + prior_weight * prior[index])
-        / (cell.rated[index] + prior_weight)
-        for index in range(BINS)
+        (good + CURVE_WEIGHT * expected) / weight
+        for good, expected, weight in zip(cell.good, curve, weights, strict=False)
+    ]
+    rated = sum(cell.rated)
+    mean = (sum(cell.good) + _find_chance(prior.offset)) / (rated + 1)
+    blind = (cell.good[-1] + CURVE_WEIGHT * mean) / weights[-1]
+    return [*_pool(chances, weights[:SIGNAL_BINS]), blind]
+
+
+def _find_chance(logit: float) -> float:
+    return 1 / (1 + math.exp(-max(-MOST_LOGIT, min(MOST_LOGIT, logit))))
+
+
+def _find_logit(chance: float) -> float:
+    bounded = max(1e-4, min(1 - 1e-4, chance))
+    return math.log(bounded / (1 - bounded))
+
+
+def _fit_curve(
+    cell: Cell, inputs: Sequence[float], prior: CurvePrior
+) -> tuple[float, float]:
+    """Return offset and slope of greatest posterior chance, by Newton's method."""
+    offset, slope = prior.offset, prior.slope
+    offset_weight = prior.offset_spread**-2
+    slope_weight = prior.slope_spread**-2
+    used = [
+        (value, rated, good)
+        for value, rated, good in zip(inputs, cell.rated, cell.good, strict=False)
+        if rated > 0
     ]
-    weights = [cell.rated[index] + prior_weight for index in range(SIGNAL_BINS)]
-    return [*_pool(chances[:SIGNAL_BINS], weights), chances[SIGNAL_BINS]]
+    for _ in range(NEWTON_STEPS if used else 0):
+        gradient_offset = (prior.offset - offset) * offset_weight
+        gradient_slope = (prior.slope - slope) * slope_weight
+        h_offset, h_cross, h_slope = offset_weight, 0.0, slope_weight
+        for value, rated, good in used:
+            chance = _find_chance(offset + slope * value)
+            error = good - rated * chance
+            gradient_offset += error
+            gradient_slope += error * value
+            weight = rated * chance * (1 - chance)
+            h_offset += weight
+            h_cross += weight * value
+            h_slope += weight * value * value
+        determinant = h_offset * h_slope - h_cross * h_cross
+        offset += (h_slope * gradient_offset - h_cross * gradient_slope) / determinant
+        slope += (h_offset * gradient_slope - h_cross * gradient_offset) / determinant
+        slope = max(0.0, min(slope, MOST_LOGIT))
+        offset = max(-MOST_LOGIT, min(offset, MOST_LOGIT))
+    return offset, slope
 
 
 def _pool(values: Sequence[float], weights: Sequence[float]) -> list[float]:
--- a/src/baobabthread/core/cascade.py
+++ b/src/baobabthread/core/cascade.py
@@ -14,15 +14,9 @@
     VersionCost,
     draw,
 )
-from baobabthread.core.calibration import BINS, Cell, CellKey, find_bin, fit_chances
-from baobabthread.core.escalation import (
-    Case,
-    Plan,
-    Solution,
-    Step,
-    describe_step,
-    find_plan,
-)
+from baobabthread.core.calibration import CellKey, find_bin
+from baobabthread.core.escalation import Plan, Solution, find_plan
+from baobabthread.core.estimates import Estimates
 from baobabthread.core.evidence import MixKey, SharedEvidence
 from baobabthread.core.registry import Registry
 
@@ -198,7 +192,7 @@
         return signal is not None and signal >= self.threshold
 
 
-REPLAN_S = 2.0
+REPLAN_S = 5.0
 """How long decisions stand before they are worked out again."""
 REPLAN_REQUESTS = 400
 """Requests of this entry after which they are worked out sooner."""
@@ -207,12 +201,6 @@
 THIN_EXPLORED_SHARE = 0.1
 """The same while that version has few ratings."""
 FEW_RATINGS = 60.0
-PRIOR_CHANCE = 0.5
-LAST_PRIOR_CHANCE = 0.95
-"""Before any rating only the strongest version is trusted."""
-PRIOR_WEIGHT = 0.5
-"""Imagined ratings for each bin."""
-DEFAULT_TOKENS = 200.0
 MARGIN_ERRORS = 0.5
 """Standard errors of the quality that the target is raised by."""
 GRACE_S = 60.0
@@ -243,11 +231,10 @@
     def __init__(
         self, *, costs: Sequence[VersionCost], target: float, random: random.Random
     ) -> None:
-        self._costs = {each.name: each.cost for each in costs}
         self._target = target
         self._sampler = Sampler()
         self._evidence = SharedEvidence()
-        self._chances: dict[CellKey, list[float]] = {}
+        self._estimates = Estimates(evidence=self._evidence, costs=costs)
         self._decisions: dict[MixKey, _Decision] = {}
         self._high_share = 1.0
         self._planned_s = -REPLAN_S
@@ -311,7 +298,9 @@
             return True
         kind = MixKey(call, tuple(versions))
         solution = self._choose_solution(key, kind)
-        chances = self._find_chances(CellKey(call=call, version=version, after=after))
+        chances = self._estimates.find_chances(
+            CellKey(call=call, version=version, after=after)
+        )
         needed = solution.needed[versions.index(version)]
         return chances[find_bin(signal)] >= needed
 
@@ -355,7 +344,7 @@
 
     def reconfigure(self, *, costs: Sequence[VersionCost], target: float) -> None:
         """Take over new costs and a new target; counts are kept."""
-        self._costs = {each.name: each.cost for each in costs}
+        self._estimates = Estimates(evidence=self._evidence, costs=costs)
         self._target = target
         self._planned_s = -REPLAN_S
 
@@ -376,7 +365,7 @@
         self._planned_s = now
         self._requests = 0
         self._evidence.refresh(now=now)
-        self._chances.clear()
+        self._estimates.clear()
         self._decisions.clear()
         self.aim = min(1.0, self._target + self._find_margin(now))
         self._work_out(list(self._evidence.add_mix()))
@@ -400,65 +389,15 @@
         if not kinds:
             return
         weights = self._evidence.add_mix()
-        cases = [self._describe_case(kind, weights.get(kind, 1.0)) for kind in kinds]
+        cases = [
+            self._estimates.describe_case(kind, weight=weights.get(kind, 1.0))
+            for kind in kinds
+        ]
         plan: Plan = find_plan(cases, target=self.aim)
         self._high_share = plan.high_share
         for kind, low, high in zip(kinds, plan.low, plan.high, strict=True):
             self._decisions[kind] = _Decision(low=low, high=high)
 
-    def _describe_case(self, kind: MixKey, weight: float) -> Case:
-        rows = []
-        for state in range(len(kind.versions)):
-            after = kind.versions[state - 1] if state else ""
-            rows.append(
-                [self._describe_step(kind, version, after) for version in kind.versions]
-            )
-        return Case(weight=weight, steps=rows)
-
-    def _describe_step(self, kind: MixKey, version: str, after: str) -> Step:
-        first = CellKey(call=kind.call, version=version)
-        key = CellKey(call=kind.call, version=version, after=after)
-        cell = self._evidence.totals.get(key, Cell())
-        base = self._evidence.totals.get(first, Cell())
-        tokens = cell.mean_tokens(default=base.mean_tokens(default=DEFAULT_TOKENS))
-        return describe_step(
-            cost=self._costs.get(version, 0.0) * tokens / 1000,
-            shares=_find_shares(cell, base),
-            chances=self._find_chances(key),
-        )
-
-    def _find_chances(self, key: CellKey) -> list[float]:
-        chances = self._chances.get(key)
-        if chances is None:
-            chances = self._chances[key] = self._fit(key)
-        return chances
-
-    def _fit(self, key: CellKey) -> list[float]:
-        cell = self._evidence.totals.get(key, Cell())
-        if key.after:
-            prior = self._find_chances(CellKey(call=key.call, version=key.version))
-        else:
-            last = next(reversed(self._costs), "")
-            chance = LAST_PRIOR_CHANCE if key.version == last else PRIOR_CHANCE
-            prior = [chance] * BINS
-        return fit_chances(cell, prior=prior, prior_weight=PRIOR_WEIGHT)
-
 
 def _key_of(attempt: Attempt) -> CellKey:
     return CellKey(call=attempt.call, version=attempt.version, after=attempt.after)
-
-
-def _find_shares(cell: Cell, base: Cell) -> list[float]:
-    """Return how the answers spread over the bins; those of `base` when few."""
-    counts = [
-        own + BASE_WEIGHT * other / (sum(base.answers) or 1.0)
-        for own, other in zip(cell.answers, base.answers, strict=True)
-    ]
-    total = sum(counts)
-    if total <= 0:
-        return [1.0 / BINS] * BINS
-    return [count / total for count in counts]
-
-
-BASE_WEIGHT = 10.0
-"""Answers that the spread of a version's first attempts counts for."""
--- a/src/baobabthread/core/choices.py
+++ b/src/baobabthread/core/choices.py
@@ -5,13 +5,16 @@
 import msgspec
 
 from baobabthread.core.attempts import Attempt, Rating
+from baobabthread.core.conductors import Conductors
 from baobabthread.core.directory import Directory
 from baobabthread.core.events import Answered, AttemptEnded, SubmitRating
 from baobabthread.core.messages import Effects
+from baobabthread.core.named import NamedSessions
+from baobabthread.core.quality import Observation
 from baobabthread.core.request import Request
+from baobabthread.core.selection import choose_versions
 from baobabthread.core.services import ServiceState
 from baobabthread.core.session_tokens import Pin, SessionKeyRing
-from baobabthread.core.sessions import Moved, NoVersion, resolve
 from baobabthread.errors import Kind, Problem, Ran
 
 SESSION_LIFETIME_S = 24 * 3600.0
@@ -27,41 +30,64 @@
 class Choices:
     """Plan the versions of a request and judge their answers."""
 
-    __slots__ = ("_keys", "_wall_offset_s", "quarantined")
+    __slots__ = ("_conductors", "_keys", "_named", "_wall_offset_s")
 
-    def __init__(self, *, keys: SessionKeyRing, wall_offset_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        keys: SessionKeyRing,
+        wall_offset_s: float,
+        conductors: Conductors,
+        named: NamedSessions,
+    ) -> None:
         """Take the unix time at monotonic zero."""
         self._keys = keys
         self._wall_offset_s = wall_offset_s
-        self.quarantined: frozenset[str] = frozenset()
+        self._conductors = conductors
+        self._named = named
 
     def choose(
         self, request: Request, directory: Directory, now: float
     ) -> Problem | None:
         """Plan the versions to try, or return why there is none."""
-        allowed = [
-            version
-            for version in directory.list_allowed(request.account, request.service.name)
-            if version not in self.quarantined
-        ]
+        service = request.service.name
+        call = request.arrived.call
+        allowed = directory.get_account(request.account).versions
         if request.keep_plan:
-            allowed = [each for each in request.versions if each in allowed]
-        if not allowed:
+            allowed = [request.arrived.service]
+        pin = self._find_pin(request, now)
+        versions = choose_versions(
+            self._conductors.get_selection(service),
+            call=call,
+            allowed=allowed,
+            key=request.arrived.session_name or request.id,
+            pinned=pin.version if pin is not None else None,
+        )
+        if not versions:
             return _explain_no_version(request)
-        pinned = self._open_session(request, now)
-        if pinned is not None:
-            return self._keep_session(request, directory, pinned, now)
-        cascade = request.service.service.cascade
-        versions = [each for each in allowed if each in cascade] or allowed
         request.versions = tuple(versions)
-        request.plan = request.service.rule.plan(
-            key=request.id,
-            call=request.arrived.call,
-            versions=request.versions,
-            now=now,
-        )
         request.position = 0
-        self._pin(request, directory, now)
+        if pin is not None and versions == [pin.version]:
+            request.plan = versions
+        else:
+            request.moved = pin is not None
+            request.plan = request.service.rule.plan(
+                key=request.id, call=call, versions=request.versions, now=now
+            )
+        request.pin = Pin(
+            account=request.account,
+            service=service,
+            version=request.plan[0],
+            generation=directory.configuration.generation,
+            expires_at=now + self._wall_offset_s + SESSION_LIFETIME_S,
+        )
+        return None
+
+    def _find_pin(self, request: Request, now: float) -> Pin | None:
+        if request.arrived.session:
+            return self._open_session(request, now)
+        if request.arrived.session_name:
+            return self._named.find(request, now + self._wall_offset_s)
         return None
 
     def _open_session(self, request: Request, now: float) -> Pin | None:
@@ -75,38 +101,6 @@
             return None
         return pin
 
-    def _keep_session(
-        self, request: Request, directory: Directory, pin: Pin, now: float
-    ) -> Problem | None:
-        cascade = request.service.service.cascade
-        decided = resolve(
-            configuration=directory.configuration,
-            account_name=request.account,
-            service=request.service.name,
-            session=request.arrived.session or "",
-            pinned=pin.version,
-            shares=dict.fromkeys(cascade, 1.0),
-            quarantined=self.quarantined,
-        )
-        if isinstance(decided, NoVersion):
-            return _explain_no_version(request)
-        request.moved = isinstance(decided, Moved)
-        request.versions = (decided.version,)
-        request.plan = [decided.version]
-        request.position = 0
-        request.keep_plan = True
-        self._pin(request, directory, now)
-        return None
-
-    def _pin(self, request: Request, directory: Directory, now: float) -> None:
-        request.pin = Pin(
-            account=request.account,
-            service=request.service.name,
-            version=request.plan[-1],
-            generation=directory.configuration.generation,
-            expires_at=now + self._wall_offset_s + SESSION_LIFETIME_S,
-        )
-
     def seal(self, request: Request) -> str | None:
         """Return the token that keeps the caller's session on its version."""
         pin = request.pin
@@ -145,6 +139,7 @@
             expected_next_s=expected_s,
             now=now,
         )
+        self._observe(request, ended, now)
         attempt = Attempt(
             key=request.id,
             call=request.arrived.call,
@@ -155,7 +150,10 @@
             served=accepted,
         )
         effects: Effects = []
-        if rule.wants_rating(attempt, now=now):
+        least_share = self._conductors.get_detector(request.service.name).rating_share(
+            version, request.arrived.call
+        )
+        if rule.wants_rating(attempt, now=now, least_share=least_share):
             effects.append(
                 SubmitRating(
                     request_id=request.id,
@@ -167,9 +165,43 @@
             )
         return Judgement(accepted=accepted, effects=effects)
 
+    def _observe(self, request: Request, ended: AttemptEnded, now: float) -> None:
+        assert request.version is not None
+        self._conductors.observe(
+            request.service.name,
+            Observation(
+                version=request.version,
+                call=request.arrived.call,
+                after=request.turned_down,
+                error=False,
+                latency_s=ended.first_token_s,
+            ),
+            now,
+        )
+
+    def observe_failure(self, request: Request, now: float) -> None:
+        """Count an attempt that brought no whole answer against its version."""
+        if request.version is None:
+            return
+        self._conductors.observe(
+            request.service.name,
+            Observation(
+                version=request.version,
+                call=request.arrived.call,
+                after=request.turned_down,
+                error=True,
+            ),
+            now,
+        )
+
     def learn(self, service: ServiceState, rating: Rating, now: float) -> None:
-        """Take in one rating."""
-        service.rule.learn(rating, now=now)
+        """Take in one rating; only the entry that asked for it counts it."""
+        if not service.rule.learn(rating, now=now):
+            return
+        observation = Observation(
+            version=rating.version, call=rating.call, good=rating.good
+        )
+        self._conductors.observe(service.name, observation, now)
 
 
 def _explain_no_version(request: Request) -> Problem:
--- /dev/null
+++ b/src/baobabthread/core/conductors.py
@@ -0,0 +1,460 @@
+"""Roll-outs, quarantines and orders of one entry, for all model services."""
+
+from __future__ import annotations
+
+import base64
+import random
+from collections import Counter
+
+import msgspec
+import xxhash
+
+from baobabthread.core.conducting import (
+    Advance,
+    Done,
+    RollBack,
+    Situation,
+    next_step,
+)
+from baobabthread.core.configuration import (
+    Configuration,
+    ServiceKind,
+    VersionState,
+)
+from baobabthread.core.events import LoadReported, Rated
+from baobabthread.core.leases import Lease
+from baobabthread.core.messages import Append, Effects, LogRead, Stream
+from baobabthread.core.orders import EngineReport, Orders, Target
+from baobabthread.core.quality import DETECTORS, Detector, Observation
+from baobabthread.core.rollout import (
+    Phase,
+    PlannedRollout,
+    Quarantined,
+    RolledBack,
+    RolloutDone,
+    RolloutFold,
+    RolloutRecord,
+    StepAdvanced,
+    encode_record,
+)
+from baobabthread.core.selection import Barred, Selection
+
+STEP_S = 0.5
+"""How often detectors and roll-outs are looked at."""
+REPEAT_S = 3.0
+"""How long a record may take to be read back before it is appended again."""
+READY_SHARE = 0.5
+"""Share of the old version's capacity that must have the new one loaded."""
+
+
+class _Conducted:
+    """Hold what this entry needs to conduct one service."""
+
+    __slots__ = ("detector", "detector_name", "lease", "name", "orders", "selection")
+
+    def __init__(
+        self, *, name: str, holder: str, detector: str, rng: random.Random
+    ) -> None:
+        self.name = name
+        self.detector_name = detector
+        self.detector: Detector = DETECTORS.get(detector)()
+        self.lease = Lease(holder=holder, service=name, random_source=rng)
+        self.orders = Orders()
+        self.selection = Selection(cascade=(), states={})
+
+
+class Conductors:
+    """Fold roll-outs, watch versions, and conduct the services whose lease is held."""
+
+    __slots__ = (
+        "_appended",
+        "_cleared",
+        "_compared",
+        "_configuration",
+        "_loaded",
+        "_me",
+        "_next_step",
+        "_rated",
+        "_rated_before",
+        "_rng",
+        "_sequence",
+        "_services",
+        "fold",
+    )
+
+    def __init__(self, *, incarnation: str, rng: random.Random) -> None:
+        self._me = incarnation
+        self._rng = rng
+        self._services: dict[str, _Conducted] = {}
+        self._configuration: Configuration | None = None
+        self._loaded: dict[str, frozenset[str]] = {}
+        self._rated: Counter[str] = Counter()
+        self._rated_before: dict[str, int] = {}
+        self._appended: dict[str, float] = {}
+        self._compared: set[str] = set()
+        self._cleared: dict[str, int] = {}
+        self._next_step = 0.0
+        self._sequence = 0
+        self.fold = RolloutFold()
+
+    def reconfigure(self, configuration: Configuration, now: float) -> None:
+        """Take over a newly accepted configuration."""
+        self._configuration = configuration
+        self.fold.configure(
+            rollouts=[
+                PlannedRollout(id=_identify(name, plan), plan=plan)
+                for name, plan in configuration.rollouts.items()
+            ],
+            published={
+                name: version.cleared
+                for name, version in configuration.versions.items()
+            },
+            now=now,
+        )
+        for name, service in configuration.services.items():
+            if service.kind is not ServiceKind.MODEL:
+                continue
+            known = self._services.get(name)
+            if known is None or known.detector_name != service.detector:
+                self._services[name] = _Conducted(
+                    name=name, holder=self._me, detector=service.detector, rng=self._rng
+                )
+        self._reset_detectors(configuration)
+        self._select_all()
+
+    def _reset_detectors(self, configuration: Configuration) -> None:
+        """Begin anew for roll-outs that are new and versions that were cleared."""
+        # Only for those: a reset forgets evidence, and one on each of thousands of
+        # publishes a day would never let an alarm ripen.
+        for planned in self.fold.unfinished():
+            if planned.id not in self._compared:
+                self._compared.add(planned.id)
+                detector = self._services[planned.plan.service].detector
+                detector.reset(planned.plan.new, old=planned.plan.old)
+        for name, version in configuration.versions.items():
+            known = self._services.get(version.service)
+            if known is not None and version.cleared != self._cleared.get(name, 0):
+                known.detector.reset(name)
+            self._cleared[name] = version.cleared
+
+    def get_selection(self, service: str) -> Selection:
+        """Return what `choose_versions` needs for a service."""
+        return self._services[service].selection
+
+    def get_detector(self, service: str) -> Detector:
+        """Return the detector of a service."""
+        return self._services[service].detector
+
+    def observe(self, service: str, observation: Observation, now: float) -> None:
+        """Take in an outcome seen here."""
+        conducted = self._services.get(service)
+        if conducted is not None:
+            conducted.detector.observe(observation, now=now)
+
+    def count_rating(self, rated: Rated) -> None:
+        """Count a rating of any entry's answer."""
+        self._rated[rated.version] += 1
+
+    def on_load(self, event: LoadReported, now: float) -> None:
+        """Take in an engine's report of what it has loaded."""
+        if self._configuration is None:
+            return
+        backend = self._configuration.backends.get(event.backend)
+        conducted = self._services.get(backend.service) if backend else None
+        if conducted is None:
+            return
+        self._loaded[event.backend] = frozenset(event.versions)
+        report = EngineReport(
+            backend=event.backend, loaded=event.versions, capacity=event.capacity
+        )
+        conducted.orders.on_report(report, now)
+
+    def on_order_refused(self, backend: str, fence: int) -> None:
+        """Note that an engine refused an order for its fencing number."""
+        configured = (
+            self._configuration.backends.get(backend) if (self._configuration) else None
+        )
+        if configured is not None and configured.service in self._services:
+            self._services[configured.service].orders.on_refused(backend, fence)
+
+    def on_log_read(self, read: LogRead, now: float) -> Effects:
+        """Fold the stream of roll-outs."""
+        changed = False
+        for record in read.records:
+            self._appended.pop(record.id, None)
+            before = self._describe_steps()
+            if self.fold.apply(record, now=now):
+                changed = True
+                self._note_steps(before)
+        effects: Effects = []
+        for conducted in self._services.values():
+            effects += conducted.lease.on_log_read(read, now)
+        if changed:
+            self._select_all()
+        return effects
+
+    def tick(self, now: float, *, in_force_everywhere: bool) -> Effects:
+        """Watch, quarantine, conduct and order."""
+        if now < self._next_step or self._configuration is None:
+            return []
+        self._next_step = now + STEP_S
+        effects: Effects = []
+        for conducted in self._services.values():
+            effects += self._watch(conducted, now)
+            effects += conducted.lease.tick(now)
+            if conducted.lease.is_held(now):
+                effects += self._conduct(conducted, now)
+                conducted.orders.set_target(
+                    self._find_target(conducted, in_force_everywhere)
+                )
+                effects += conducted.orders.plan(conducted.lease, now)
+        self._select_all()
+        return effects
+
+    def release(self, now: float) -> Effects:
+        """Give up all leases, since this entry stops."""
+        effects: Effects = []
+        for conducted in self._services.values():
+            effects += conducted.lease.release(now)
+        return effects
+
+    def list_barred(self) -> frozenset[Barred]:
+        """Return what the log and the detectors here bar."""
+        return self.fold.quarantined() | frozenset(
+            Barred(version=alarm.version, call=alarm.call)
+            for conducted in self._services.values()
+            for alarm in conducted.detector.alarms(0.0)
+        )
+
+    def _watch(self, conducted: _Conducted, now: float) -> Effects:
+        """Append a quarantine for each alarm that the log does not show yet."""
+        effects: Effects = []
+        known = self.fold.quarantined()
+        for alarm in conducted.detector.alarms(now):
+            barred = Barred(version=alarm.version, call=alarm.call)
+            if barred in known:
+                continue
+            assert self._configuration is not None
+            effects += self._append(
+                f"quarantine/{alarm.version}/{alarm.call or '*'}",
+                Quarantined(
+                    service=conducted.name,
+                    version=alarm.version,
+                    call=alarm.call,
+                    reason=f"{alarm.reason}: {alarm.evidence}",
+                    generation=self._configuration.generation,
+                ),
+                now,
+            )
+        return effects
+
+    def _conduct(self, conducted: _Conducted, now: float) -> Effects:
+        effects: Effects = []
+        for planned in self.fold.planned(conducted.name):
+            life = self.fold.life(planned.id)
+            if life is None or life.is_final:
+                continue
+            self.fold.mark_loading(planned.id, now=now)
+            situation = self._look(conducted, planned, now)
+            decision = next_step(planned, life, situation, now=now)
+            record = _record(planned, decision, conducted.lease.fence)
+            if record is not None:
+                what = f"{planned.id}/{type(record).__name__}/{life.step}"
+                effects += self._append(what, record, now)
+        return effects
+
+    def _look(
+        self, conducted: _Conducted, planned: PlannedRollout, now: float
+    ) -> Situation:
+        assert self._configuration is not None
+        plan = planned.plan
+        alarms = [
+            alarm
+            for alarm in conducted.detector.alarms(now)
+            if alarm.version == plan.new
+        ]
+        before = self._rated_before.get(planned.id, 0)
+        return Situation(
+            ready=self._is_ready(conducted.name, plan.new),
+            state=self._configuration.versions[plan.new].state,
+            barred=any(b.version == plan.new for b in self.fold.quarantined()),
+            alarm=f"{alarms[0].reason}: {alarms[0].evidence}" if alarms else None,
+            suspected=conducted.detector.traffic_factor(plan.new) < 1.0,
+            outcomes=self._rated[plan.new] - before,
+        )
+
+    def _is_ready(self, service: str, version: str) -> bool:
+        assert self._configuration is not None
+        backends = {
+            name: backend.capacity
+            for name, backend in self._configuration.backends.items()
+            if backend.service == service
+        }
+        loaded = sum(
+            capacity
+            for name, capacity in backends.items()
+            if version in self._loaded.get(name, ())
+        )
+        return loaded >= READY_SHARE * sum(backends.values()) > 0
+
+    def _find_target(self, conducted: _Conducted, everywhere: bool) -> Target:
+        """Return which versions each engine shall have."""
+        assert self._configuration is not None
+        versions = self._configuration.versions
+        added = [
+            planned.plan.new
+            for planned in self.fold.planned(conducted.name)
+            if not self._is_rolled_back(planned)
+        ]
+        desired = {}
+        for name, backend in self._configuration.backends.items():
+            if backend.service != conducted.name:
+                continue
+            wanted = dict.fromkeys([*backend.versions, *added])
+            desired[name] = [
+                version
+                for version in wanted
+                if versions[version].state is not VersionState.WITHDRAWN
+            ]
+        # The engines are the second barrier to a withdrawn version. Unloading it while
+        # an entry still sends to it would only turn its requests into refusals.
+        withdrawn = [
+            name
+            for name, version in versions.items()
+            if everywhere and version.state is VersionState.WITHDRAWN
+        ]
+        return Target(
+            generation=self._configuration.generation,
+            desired=desired,
+            withdrawn=withdrawn,
+        )
+
+    def _is_rolled_back(self, planned: PlannedRollout) -> bool:
+        life = self.fold.life(planned.id)
+        return life is not None and life.phase is Phase.ROLLED_BACK
+
+    def _append(self, what: str, record: RolloutRecord, now: float) -> Effects:
+        """Append a record once; again only when it was not read back for long."""
+        asked_at = self._appended.get(what)
+        if asked_at is not None and now - asked_at < REPEAT_S:
+            return []
+        self._appended[what] = now
+        self._sequence += 1
+        return [
+            Append(
+                stream=Stream.ROLLOUTS,
+                id=f"{self._me}:{self._sequence}:{what}",
+                body=encode_record(record),
+            )
+        ]
+
+    def _describe_steps(self) -> dict[str, int]:
+        lives = ((p.id, self.fold.life(p.id)) for p in self.fold.unfinished())
+        return {id_: life.step for id_, life in lives if life is not None}
+
+    def _note_steps(self, before: dict[str, int]) -> None:
+        """Count the ratings of a step from its beginning."""
+        for planned in self.fold.unfinished():
+            life = self.fold.life(planned.id)
+            if life is not None and before.get(planned.id) != life.step:
+                self._rated_before[planned.id] = self._rated[planned.plan.new]
+
+    def _select_all(self) -> None:
+        configuration = self._configuration
+        if configuration is None:
+            return
+        barred = self.list_barred()
+        for name, conducted in self._services.items():
+            service = configuration.services.get(name)
+            if service is None:
+                continue
+            plans = self.fold.planned(name)
+            factors = {
+                planned.plan.new: conducted.detector.traffic_factor(planned.plan.new)
+                for planned in plans
+            }
+            conducted.selection = Selection(
+                cascade=service.cascade,
+                states={
+                    version: row.state
+                    for version, row in configuration.versions.items()
+                    if row.service == name
+                },
+                splits=self.fold.splits(name, factors=factors),
+                barred=barred,
+            )
+
+    def describe(self, now: float) -> list[RolloutStatus]:
+        """Return the state of the roll-outs, for operators."""
+        result = []
+        for name, conducted in self._services.items():
+            for planned in self.fold.planned(name):
+                life = self.fold.life(planned.id)
+                result.append(
+                    RolloutStatus(
+                        rollout=planned.id,
+                        service=name,
+                        old=planned.plan.old,
+                        new=planned.plan.new,
+                        phase=life.phase if life else Phase.OFFERED,
+                        step=life.step if life else -1,
+                        share=self.fold.share(name, planned.plan.new),
+                        conductor=conducted.lease.holder,
+                        fence=conducted.lease.fence,
+                        held_here=conducted.lease.is_held(now),
+                    )
+                )
+        return result
+
+    def pack_evidence(self, service: str) -> str:
+        """Return the detector's counts as text that JSON can carry."""
+        return base64.b85encode(self._services[service].detector.evidence()).decode()
+
+    def merge_evidence(
+        self, service: str, *, origin: str, text: str, now: float
+    ) -> None:
+        """Take in the counts of a peer's detector."""
+        conducted = self._services.get(service)
+        if conducted is not None:
+            conducted.detector.merge(
+                origin=origin, evidence=base64.b85decode(text), now=now
+            )
+
+
+class RolloutStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a roll-out to operators."""
+
+    rollout: str
+    service: str
+    old: str
+    new: str
+    phase: Phase
+    step: int
+    share: float
+    conductor: str
+    fence: int
+    held_here: bool
+
+
+def _identify(name: str, plan: object) -> str:
+    """Name a roll-out by its text, alike at all entries however they learnt it."""
+    digest = xxhash.xxh3_64_hexdigest(msgspec.json.encode(plan))
+    return f"{name}@{digest[:8]}"
+
+
+def _record(
+    planned: PlannedRollout, decision: object, fence: int
+) -> RolloutRecord | None:
+    service = planned.plan.service
+    match decision:
+        case Advance(step=step):
+            return StepAdvanced(
+                rollout=planned.id, service=service, step=step, fence=fence
+            )
+        case Done():
+            return RolloutDone(rollout=planned.id, service=service, fence=fence)
+        case RollBack(reason=reason):
+            return RolledBack(
+                rollout=planned.id, service=service, fence=fence, reason=reason
+            )
+    return None
--- a/src/baobabthread/core/configuration.py
+++ b/src/baobabthread/core/configuration.py
@@ -82,6 +82,8 @@
     cost: float
     """Price of 1,000 generated tokens, in the operator's unit."""
     state: VersionState = VersionState.OFFERED
+    cleared: int = 0
+    """Quarantines recorded at generations below this one are lifted."""
 
 
 class Account(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -25,6 +25,7 @@
 )
 from baobabthread.core.choices import Choices
 from baobabthread.core.claims import Claims
+from baobabthread.core.conductors import Conductors
 from baobabthread.core.configuration import Configuration
 from baobabthread.core.control import (
     ConfigurationChanged,
@@ -37,6 +38,7 @@
     AttemptEnded,
     CallerGone,
     LoadReported,
+    OrderEnded,
     PublishRequested,
     RatingsRead,
     RequestArrived,
@@ -66,9 +68,12 @@
     SendFailed,
     Stream,
 )
+from baobabthread.core.named import NamedSessions
 from baobabthread.core.requests import Requests
 from baobabthread.core.services import ServiceState
 from baobabthread.core.session_tokens import SessionKeyRing
+from baobabthread.core.sessions import SessionGet, SessionIs, SessionPut
+from baobabthread.core.sharing import Sharing
 
 MEMBERSHIP_MESSAGES = (
     Probe,
@@ -80,10 +85,12 @@
 )
 CONTROL_MESSAGES = (FetchConfiguration, ConfigurationRelay)
 BILLING_MESSAGES = (CopyBills, BillsCopied, HandOverBills, BillsTaken)
+SESSION_MESSAGES = (SessionPut, SessionGet, SessionIs)
 PEER_MESSAGES: tuple[type[msgspec.Struct], ...] = (
     *MEMBERSHIP_MESSAGES,
     *CONTROL_MESSAGES,
     *BILLING_MESSAGES,
+    *SESSION_MESSAGES,
     HandOver,
 )
 
@@ -109,12 +116,16 @@
         "_members_seen",
         "_rng",
         "_services",
+        "_sharing",
+        "_wall_offset_s",
         "backends",
         "choices",
         "claims",
+        "conductors",
         "control",
         "directory",
         "ledger",
+        "named",
         "requests",
     )
 
@@ -147,9 +158,23 @@
         )
         self._members_seen = -1
         self.backends = BackendTable(failure_domain=me.failure_domain, rng=rng)
-        self.choices = Choices(keys=keys, wall_offset_s=settings.wall_offset_s)
+        self.conductors = Conductors(incarnation=me.incarnation, rng=rng)
+        self._wall_offset_s = settings.wall_offset_s
+        self.named = NamedSessions(me=me.name, serving=self.control.membership.alive)
+        self.choices = Choices(
+            keys=keys,
+            wall_offset_s=settings.wall_offset_s,
+            conductors=self.conductors,
+            named=self.named,
+        )
         self.directory = Directory()
         self._services: dict[str, ServiceState] = {}
+        self._sharing = Sharing(
+            me=me.incarnation,
+            membership=self.control.membership,
+            services=self._services,
+            conductors=self.conductors,
+        )
         self.requests = Requests(
             intake=Intake(services=self._services, may_serve=self.control.may_serve),
             services=self._services,
@@ -157,6 +182,8 @@
             claims=self.claims,
             choices=self.choices,
             ledger=self.ledger,
+            named=self.named,
+            wall_offset_s=settings.wall_offset_s,
             locate=self._locate_incarnation,
         )
         self._handlers: dict[type, Handler] = {
@@ -173,6 +200,7 @@
             LoadReported: self._report_load,
             RosterRead: self._read_roster,
             RatingsRead: self._read_ratings,
+            OrderEnded: self._note_order,
         }
 
     def handle(self, event: object, now: float) -> Effects:
@@ -203,6 +231,8 @@
         peers = [m.name for m in self.control.membership.alive() if m.name != me]
         effects = self.requests.absorb_claims(self.claims.hand_over(peers, now), now)
         effects += self.requests.absorb_bills(self.ledger.hand_over(now), now)
+        effects += self.named.hand_over()
+        effects += self.conductors.release(now)
         return effects
 
     def _tick(self, event: Tick, now: float) -> Effects:
@@ -212,6 +242,10 @@
         effects += self.requests.absorb_bills(self.ledger.tick(now), now)
         effects += self.requests.absorb_claims(self.claims.expire(now), now)
         effects += self.requests.expire(now)
+        control = self.control
+        everywhere = not control.membership.unconfirmed(control.fold.generation)
+        effects += self.conductors.tick(now, in_force_everywhere=everywhere)
+        self._sharing.tick(now)
         return effects
 
     def _note_members(self, now: float) -> Effects:
@@ -246,7 +280,7 @@
         if event.stream is Stream.BILLS:
             effects = self.ledger.on_log_read(event, now)
             return self.requests.absorb_bills(effects, now)
-        return []
+        return self.conductors.on_log_read(event, now)
 
     def _note_appended(self, event: Appended, now: float) -> Effects:
         if event.stream is Stream.CONFIGURATION:
@@ -276,6 +310,12 @@
         if isinstance(message, BILLING_MESSAGES):
             effects = self.ledger.on_message(event.sender, message, now)
             return self.requests.absorb_bills(effects, now)
+        if isinstance(message, SESSION_MESSAGES):
+            wall_s = now + self._wall_offset_s
+            effects = self.named.handle(event.sender, message, wall_s)
+            if isinstance(message, SessionIs):
+                effects += self.requests.continue_sessions(now)
+            return effects
         if isinstance(message, HandOver):
             effects = self.claims.on_hand_over(message, now)
             return self.requests.absorb_claims(effects, now)
@@ -299,6 +339,13 @@
             tokens_per_s=event.tokens_per_s,
         )
         self.backends.report(event.backend, report, now)
+        self.conductors.on_load(event, now)
+        return []
+
+    def _note_order(self, event: OrderEnded, now: float) -> Effects:
+        del now
+        if event.stale:
+            self.conductors.on_order_refused(event.backend, event.fence)
         return []
 
     def _read_roster(self, event: RosterRead, now: float) -> Effects:
@@ -316,6 +363,7 @@
 
     def _read_ratings(self, event: RatingsRead, now: float) -> Effects:
         for rated in event.ratings:
+            self.conductors.count_rating(rated)
             service = self._services.get(rated.service)
             if service is None:
                 continue
@@ -351,6 +399,7 @@
             else:
                 state.reconfigure(service, configuration, self._rng)
         self.backends.rebuild(configuration, now)
+        self.conductors.reconfigure(configuration, now)
         self.requests.reconfigure(self.directory)
         self._share_capacity()
 
--- a/src/baobabthread/core/events.py
+++ b/src/baobabthread/core/events.py
@@ -160,6 +160,15 @@
     tokens_per_s: float = 0.0
 
 
+class OrderEnded(msgspec.Struct, frozen=True, kw_only=True):
+    """Report how an order to an engine ended."""
+
+    backend: str
+    fence: int
+    stale: bool
+    """Whether the engine refused it for its fencing number."""
+
+
 class ListedInstance(msgspec.Struct, frozen=True, kw_only=True):
     """Hold one instance of the platform's list."""
 
--- a/src/baobabthread/core/evidence.py
+++ b/src/baobabthread/core/evidence.py
@@ -16,7 +16,7 @@
 
 MAX_CELLS = 4000
 MAX_ORIGINS = 1000
-MAX_REQUESTS = 2000.0
+MAX_REQUESTS = 300.0
 """Requests that one entry remembers for the mix before it halves them."""
 FORGET_ORIGIN_S = 3600.0
 """An origin that has been silent for longer is left out: its entry is gone."""
--- a/src/baobabthread/core/requests.py
+++ b/src/baobabthread/core/requests.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from baobabthread.core import claimtypes
 from baobabthread.core.balance import BackendTable
 from baobabthread.core.billtypes import (
@@ -37,6 +39,7 @@
 from baobabthread.core.ledger import Ledger
 from baobabthread.core.limits import Outcome
 from baobabthread.core.messages import Effects
+from baobabthread.core.named import NamedSessions
 from baobabthread.core.request import Phase, Request
 from baobabthread.core.retries import Attempt as FailedAttempt
 from baobabthread.core.services import ServiceState
@@ -58,8 +61,10 @@
         "_intake",
         "_ledger",
         "_locate",
+        "_named",
         "_open",
         "_services",
+        "_wall_offset_s",
         "closed",
     )
 
@@ -72,6 +77,8 @@
         claims: Claims,
         choices: Choices,
         ledger: Ledger,
+        named: NamedSessions,
+        wall_offset_s: float,
         locate: Callable[[str], str | None],
     ) -> None:
         """Take `locate`, which names the entry that runs an incarnation."""
@@ -81,6 +88,8 @@
         self._claims = claims
         self._choices = choices
         self._ledger = ledger
+        self._named = named
+        self._wall_offset_s = wall_offset_s
         self._locate = locate
         self._directory = Directory()
         self._open: dict[str, Request] = {}
@@ -106,7 +115,7 @@
         self._open[request.id] = request
         key = arrived.idempotency_key
         if request.call.idempotent or key is None:
-            return self._enqueue(request, now)
+            return self._begin_idempotent(request, now)
         request.phase = Phase.CLAIM
         claim = claimtypes.ClaimRequest(
             request_id=request.id,
@@ -117,6 +126,30 @@
         )
         return self.absorb_claims(self._claims.begin(claim, now), now)
 
+    def _begin_idempotent(self, request: Request, now: float) -> Effects:
+        arrived = request.arrived
+        if arrived.is_model and arrived.session_name and not arrived.session:
+            wall_s = now + self._wall_offset_s
+            effects = self._named.look_up(request, wall_s, now)
+            if effects:
+                request.phase = Phase.SESSION
+                return effects
+        return self._enqueue(request, now)
+
+    def continue_sessions(self, now: float) -> Effects:
+        """Go on with requests whose sessions are known, or that waited enough."""
+        effects: Effects = []
+        wall_s = now + self._wall_offset_s
+        due = set(self._named.take_due(now))
+        for id_ in [*due, *self._named.waiting]:
+            request = self._open.get(id_)
+            if request is None or request.phase is not Phase.SESSION:
+                self._named.stop_waiting(id_)
+            elif id_ in due or self._named.find(request, wall_s) is not None:
+                self._named.stop_waiting(id_)
+                effects += self._enqueue(request, now)
+        return effects
+
     def absorb_claims(self, effects: Effects, now: float) -> Effects:
         """Turn the effects of claims into the next steps of requests."""
         result: Effects = []
@@ -375,7 +408,18 @@
             session=self._choices.seal(request),
             moved=request.moved,
         )
-        return [deliver, *self._end(request, Outcome.OK, ended.latency_s, now)]
+        remembered: Effects = []
+        if request.pin is not None and request.version is not None:
+            remembered = self._named.remember(
+                request,
+                msgspec.structs.replace(request.pin, version=request.version),
+                now + self._wall_offset_s,
+            )
+        return [
+            deliver,
+            *remembered,
+            *self._end(request, Outcome.OK, ended.latency_s, now),
+        ]
 
     def key_answered(self, request_id: str, body: bytes, now: float) -> Effects:
         """Keep the answer of a non-idempotent request for its repeats."""
@@ -433,6 +477,7 @@
                 Cancel(request_id=request.id, backend=ended.backend),
                 *self._end_problem(request, _explain_broken(request, broken), now),
             ]
+        self._choices.observe_failure(request, now)
         request.excluded.add(ended.backend)
         request.resume_from = broken.delivered_tokens if request.is_last else 0
         failed = FailedAttempt(
@@ -460,7 +505,7 @@
 
     def expire(self, now: float) -> Effects:
         """Refuse at once what can no longer make its deadline."""
-        effects: Effects = []
+        effects = self.continue_sessions(now)
         for service in self._services.values():
             for waiting in service.queue.expire(now):
                 request = self._open[waiting.request_id]
--- /dev/null
+++ b/src/baobabthread/core/sharing.py
@@ -0,0 +1,155 @@
+"""What entries tell each other in passing: use, ratings, evidence on versions."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable
+
+import msgspec
+
+from baobabthread.core.conductors import Conductors
+from baobabthread.core.configuration import ServiceKind
+from baobabthread.core.fairness import UsageDigest
+from baobabthread.core.membership import Membership
+from baobabthread.core.membership_messages import GossipPayload
+from baobabthread.core.registry import Registry
+from baobabthread.core.services import ServiceState
+
+PERIOD_S = 1.0
+
+
+class Topic(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one kind of value that is shared for each service."""
+
+    name: str
+    model_only: bool
+    pack: Callable[[Sharing, ServiceState, float], object]
+    merge: Callable[[Sharing, ServiceState, GossipPayload, float], None]
+
+
+class Sharing:
+    """Publish this entry's values and merge those of others, once a second."""
+
+    __slots__ = (
+        "_me",
+        "_membership",
+        "_merged",
+        "_next",
+        "_packed",
+        "_sequence",
+        "_services",
+        "conductors",
+    )
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        membership: Membership,
+        services: dict[str, ServiceState],
+        conductors: Conductors,
+    ) -> None:
+        self._me = me
+        self._membership = membership
+        self._services = services
+        self.conductors = conductors
+        self._next = 0.0
+        self._sequence = 0
+        self._merged: dict[tuple[str, str], int] = {}
+        self._packed: dict[str, bytes] = {}
+
+    def tick(self, now: float) -> None:
+        """Publish and merge when it is time."""
+        if now < self._next:
+            return
+        self._next = now + PERIOD_S
+        for service in self._services.values():
+            for name in TOPICS:
+                topic = TOPICS.get(name)
+                is_model = service.service.kind is ServiceKind.MODEL
+                if topic.model_only and not is_model:
+                    continue
+                self._publish(topic, service, now)
+                self._merge(topic, service, now)
+
+    def _publish(self, topic: Topic, service: ServiceState, now: float) -> None:
+        body = msgspec.json.encode(topic.pack(self, service, now))
+        key = f"{topic.name}/{service.name}"
+        if self._packed.get(key) == body:
+            return
+        self._packed[key] = body
+        self._sequence += 1
+        self._membership.publish(
+            GossipPayload(
+                topic=key,
+                origin=self._me,
+                sequence=self._sequence,
+                body=msgspec.Raw(body),
+            )
+        )
+
+    def _merge(self, topic: Topic, service: ServiceState, now: float) -> None:
+        key = f"{topic.name}/{service.name}"
+        for payload in self._membership.gossip.topic(key):
+            seen = (key, payload.origin)
+            if payload.origin == self._me:
+                continue
+            if self._merged.get(seen, -1) >= payload.sequence:
+                continue
+            self._merged[seen] = payload.sequence
+            topic.merge(self, service, payload, now)
+
+
+TOPICS: Registry[Topic] = Registry(what="topic")
+
+
+def _pack_usage(sharing: Sharing, service: ServiceState, now: float) -> object:
+    return service.queue.usage(now)
+
+
+def _merge_usage(
+    sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+) -> None:
+    digest = msgspec.json.decode(payload.body, type=UsageDigest)
+    service.queue.merge(payload.origin, digest, now)
+
+
+def _pack_cascade(sharing: Sharing, service: ServiceState, now: float) -> object:
+    return base64.b85encode(service.rule.evidence()).decode()
+
+
+def _merge_cascade(
+    sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+) -> None:
+    evidence = base64.b85decode(msgspec.json.decode(payload.body, type=str))
+    if evidence:
+        service.rule.merge(origin=payload.origin, evidence=evidence, now=now)
+
+
+def _pack_detection(sharing: Sharing, service: ServiceState, now: float) -> object:
+    return sharing.conductors.pack_evidence(service.name)
+
+
+def _merge_detection(
+    sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+) -> None:
+    text = msgspec.json.decode(payload.body, type=str)
+    sharing.conductors.merge_evidence(
+        service.name, origin=payload.origin, text=text, now=now
+    )
+
+
+TOPICS.register("usage")(
+    Topic(name="usage", model_only=False, pack=_pack_usage, merge=_merge_usage)
+)
+TOPICS.register("cascade")(
+    Topic(name="cascade", model_only=True, pack=_pack_cascade, merge=_merge_cascade)
+)
+TOPICS.register("detection")(
+    Topic(
+        name="detection",
+        model_only=True,
+        pack=_pack_detection,
+        merge=_merge_detection,
+    )
+)
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -56,6 +56,7 @@
     Deliver,
     Dispatch,
     ForwardRequest,
+    OrderEnded,
     PublishEnded,
     Refuse,
     Replay,
@@ -72,9 +73,11 @@
     SendFailed,
     Stream,
 )
+from baobabthread.core.orders import OrderEngine
 from baobabthread.core.session_tokens import SessionKey, SessionKeyRing
 from baobabthread.errors import Kind, RequestError, UnavailableError
 from baobabthread.logs import log_event
+from baobabthread.ports.engine import Order, OrderStale
 from baobabthread.ports.ratings import RatedAnswer
 from baobabthread.ports.roster import Instance, Role
 from baobabthread.settings import EntrySettings
@@ -114,6 +117,7 @@
             SubmitRating: self._submit_rating,
             Cancel: self._cancel,
             PublishEnded: self._end_publish,
+            OrderEngine: self._order_engine,
             **dict.fromkeys(
                 (Dispatch, Deliver, Refuse, Replay, ForwardRequest), self._route
             ),
@@ -392,6 +396,32 @@
         if backend is not None:
             self._spawn(self._engine.cancel(backend.address, effect.request_id))
 
+    def _order_engine(self, effect: OrderEngine) -> None:
+        backend = self.core.directory.configuration.backends.get(effect.backend)
+        if backend is not None:
+            self._spawn(self._give_order(backend.address, effect))
+
+    async def _give_order(self, address: str, effect: OrderEngine) -> None:
+        outcome = await self._engine.order(
+            address,
+            Order(
+                fence=effect.fence,
+                desired=effect.desired,
+                generation=effect.generation,
+                conductor=self.incarnation,
+            ),
+            timeout_s=effect.timeout_s,
+        )
+        stale = isinstance(outcome, OrderStale)
+        log_event(
+            "engine_ordered",
+            backend=effect.backend,
+            fence=effect.fence,
+            desired=",".join(effect.desired),
+            outcome=type(outcome).__name__,
+        )
+        self.feed(OrderEnded(backend=effect.backend, fence=effect.fence, stale=stale))
+
     def _end_publish(self, effect: PublishEnded) -> None:
         future = self._publishing.pop(effect.id, None)
         if future is not None and not future.done():
