--- a/bench/_entries.py
+++ b/bench/_entries.py
@@ -193,10 +193,13 @@
             service=kind.service,
             version="v",
             prefix_key=arrival.prefix_key,
+            exclude=result.excluded,
             now=now,
             may_probe=kind.idempotent,
         )
-        assert name is not None
+        if name is None:
+            self._end(result, "failed", 1.0)
+            return
         tokens = int(kind.expected_work())
         result.server = name
         self.table.started(name, tokens, now)
@@ -253,6 +256,7 @@
             deadline=result.deadline,
             service_s=self._expect_s(kind),
         )
+        result.excluded.append(result.server or "")
         delay = lane.budget.may_retry(attempt, now)
         if delay is None:
             self._end(result, "failed", 1.0)
--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -57,6 +57,7 @@
         "ended_at",
         "entry",
         "estimate_s",
+        "excluded",
         "first_at",
         "job",
         "outcome",
@@ -75,6 +76,8 @@
         self.tries = tries
         """How often the caller sent it before."""
         self.attempts = 0
+        self.excluded: list[str] = []
+        """Servers that failed it."""
         self.cached_tokens = 0
         self.estimate_s = 0.0
         self.started_at = math.nan
--- a/bench/_servers.py
+++ b/bench/_servers.py
@@ -59,7 +59,8 @@
     """Prompt tokens that cost as much as one generated token."""
     cache_tokens: int = 0
     """Size of the prefix cache."""
-    max_waiting: int = 1000
+    max_waiting: int = 256
+    """Jobs beyond those running; more are refused as busy."""
 
     def tokens_per_s(self) -> float:
         """Return what a full server works off, in generated tokens a second."""
