Steer the aim by the quality of the answers served

Cause: thresholds picked on estimates favour the overestimated, so the quality came out under the target; under a shift most. Change: each entry counts its served answers, their expected chances and the surprise of rated ones (weighted by the sampled share); the aim is lowered by a surplus (at most 0.01) and raised by a deficit (at most 0.03).

--- a/src/baobabthread/core/attempts.py
+++ b/src/baobabthread/core/attempts.py
@@ -55,6 +55,8 @@
     attempt: Attempt
     share: float
     """The chance with which the rating was asked for."""
+    expected: float
+    """The chance of a good answer at that time."""
 
 
 class Sampler:
@@ -64,12 +66,12 @@
         self._capacity = capacity
         self._pending: OrderedDict[tuple[str, str], AskedRating] = OrderedDict()
 
-    def ask(self, attempt: Attempt, *, share: float) -> bool:
+    def ask(self, attempt: Attempt, *, share: float, expected: float = 0.0) -> bool:
         """Tell whether to have an answer rated, a `share` of them."""
         if draw(f"rate/{attempt.version}", attempt.key) >= share:
             return False
         self._pending[attempt.key, attempt.version] = AskedRating(
-            attempt=attempt, share=share
+            attempt=attempt, share=share, expected=expected
         )
         # Ratings may never come; without a bound an outage of the rating service
         # fills the memory. The oldest are the least likely to be answered.
--- a/src/baobabthread/core/cascade.py
+++ b/src/baobabthread/core/cascade.py
@@ -203,6 +203,13 @@
 FEW_RATINGS = 60.0
 MARGIN_ERRORS = 0.5
 """Standard errors of the quality that the target is raised by."""
+FEEDBACK = 1.0
+"""Share of a surplus or deficit of quality that the aim makes up for."""
+LEAST_SERVED = 500.0
+MOST_CREDIT = 0.01
+"""Bound on how far past quality above the target lowers the aim."""
+MOST_DEBT = 0.03
+"""Bound on how far past quality under the target raises the aim."""
 GRACE_S = 60.0
 """Age of the newest rating from which the margin widens."""
 MARGIN_PER_S = 0.01 / 600
@@ -316,7 +323,11 @@
         rated = sum(cell.rated) if cell is not None else 0.0
         thin = THIN_RATINGS / (THIN_RATINGS + rated)
         share = max(least_share, min(1.0, RATING_SHARE + thin))
-        return self._sampler.ask(attempt, share=share)
+        chances = self._estimates.find_chances(cell_key)
+        expected = chances[find_bin(attempt.signal)]
+        if attempt.served:
+            self._evidence.count_served(expected=expected)
+        return self._sampler.ask(attempt, share=share, expected=expected)
 
     def learn(self, rating: Rating, *, now: float) -> bool:
         """Count a rating in the bin of the answer that it is about."""
@@ -329,6 +340,10 @@
             good=rating.good,
             now=now,
         )
+        if asked.attempt.served:
+            self._evidence.count_surprise(
+                weight=1 / asked.share, difference=rating.good - asked.expected
+            )
         return True
 
     def evidence(self) -> bytes:
@@ -367,9 +382,18 @@
         self._evidence.refresh(now=now)
         self._estimates.clear()
         self._decisions.clear()
-        self.aim = min(1.0, self._target + self._find_margin(now))
+        aim = self._target + self._find_margin(now) - self._find_surplus()
+        self.aim = min(1.0, aim)
         self._work_out(list(self._evidence.add_mix()))
 
+    def _find_surplus(self) -> float:
+        """Return how much the answers of late were better than the target."""
+        served = self._evidence.add_served()
+        if served.answers < LEAST_SERVED:
+            return 0.0
+        surplus = served.quality - self._target
+        return max(-MOST_DEBT, min(surplus * FEEDBACK, MOST_CREDIT))
+
     def _find_margin(self, now: float) -> float:
         """Return how far to aim above the target, for thin and for old ratings."""
         spread = self._target * (1 - self._target)
--- a/src/baobabthread/core/evidence.py
+++ b/src/baobabthread/core/evidence.py
@@ -18,6 +18,8 @@
 MAX_ORIGINS = 1000
 MAX_REQUESTS = 300.0
 """Requests that one entry remembers for the mix before it halves them."""
+MAX_SERVED = 4000.0
+"""Served answers that one entry remembers before it halves them."""
 FORGET_ORIGIN_S = 3600.0
 """An origin that has been silent for longer is left out: its entry is gone."""
 
@@ -36,16 +38,45 @@
     requests: int
 
 
+class ServedCount(msgspec.Struct, frozen=True, array_like=True):
+    """Hold how good an entry's served answers were expected and found to be."""
+
+    answers: float = 0.0
+    expected: float = 0.0
+    """Sum of their chances of being good."""
+    weight: float = 0.0
+    """Answers that the rated ones among them stand for."""
+    surprise: float = 0.0
+    """Sum over those of weight times (good less the chance)."""
+
+    def add(self, other: ServedCount) -> ServedCount:
+        """Return the sum of both."""
+        return ServedCount(
+            self.answers + other.answers,
+            self.expected + other.expected,
+            self.weight + other.weight,
+            self.surprise + other.surprise,
+        )
+
+    def halve(self) -> ServedCount:
+        """Return half of each count."""
+        return ServedCount(
+            self.answers / 2, self.expected / 2, self.weight / 2, self.surprise / 2
+        )
+
+    @property
+    def quality(self) -> float:
+        """Give the share of good answers, as expected and corrected by ratings."""
+        return self.expected / self.answers + self.surprise / (self.weight + 1)
+
+
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
     """Hold all that one entry counted for one service."""
 
     sequence: int
     cells: list[CellCounts]
     mix: list[MixCount]
-    served: float
-    """Decayed weight of the rated answers that were served."""
-    surprise: float
-    """Decayed sum of weight times (rated good less the expected chance)."""
+    served: ServedCount
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -70,8 +101,7 @@
         self._origins: dict[str, _Origin] = {}
         self._totals: dict[CellKey, Cell] = {}
         self._sequence = 0
-        self._served = 0.0
-        self._surprise = 0.0
+        self._served = ServedCount()
         self.last_rating_s: float | None = None
 
     @property
@@ -103,6 +133,24 @@
         if cell is not None:
             cell.add_rating(bin_index=bin_index, good=good)
 
+    def count_served(self, *, expected: float) -> None:
+        """Count one answer that a caller gets, and its chance of being good."""
+        self._served = self._served.add(ServedCount(1.0, expected, 0.0, 0.0))
+        if self._served.answers > MAX_SERVED:
+            self._served = self._served.halve()
+
+    def count_surprise(self, *, weight: float, difference: float) -> None:
+        """Count a rating of a served answer that stands for `weight` answers."""
+        added = ServedCount(0.0, 0.0, weight, weight * difference)
+        self._served = self._served.add(added)
+
+    def add_served(self) -> ServedCount:
+        """Return the served answers of all entries."""
+        total = self._served
+        for origin in self._origins.values():
+            total = total.add(origin.evidence.served)
+        return total
+
     def _find_own(self, key: CellKey) -> Cell | None:
         cell = self._own.get(key)
         if cell is None and len(self._own) < MAX_CELLS:
@@ -114,9 +162,7 @@
         self._sequence += 1
         cells = [pack_cell(key, cell) for key, cell in self._own.items()]
         mix = [MixCount(key, round(count)) for key, count in self._mix.items()]
-        return _ENCODER.encode(
-            Evidence(self._sequence, cells, mix, self._served, self._surprise)
-        )
+        return _ENCODER.encode(Evidence(self._sequence, cells, mix, self._served))
 
     def merge(self, *, origin: str, evidence: bytes, now: float) -> bool:
         """Take in a peer's counts and say whether they were news.
