Acknowledge a hand-over of bills only when they have a second holder

The matrix showed bills lost when the taker died right after its acknowledgement and the giver had ended. A stopping entry now gives only closed bills, keeps what runs, and ends when its drops have arrived too. Run: no violation; the mutant that acknowledges early is killed.

--- a/src/baobabthread/core/billlinks.py
+++ b/src/baobabthread/core/billlinks.py
@@ -5,8 +5,18 @@
 import math
 import zlib
 from collections.abc import Sequence
+from typing import Protocol
 
 from baobabthread.core.billtypes import BillRecord, CopyBills, OpenBill, Peer
+from baobabthread.core.messages import Effects
+
+
+class SafetyCount(Protocol):
+    """Count bills that have a second holder."""
+
+    def note_safe(self) -> Effects:
+        """Count one bill."""
+        ...
 
 
 class Bill:
@@ -15,11 +25,13 @@
     __slots__ = (
         "asked",
         "bill_id",
+        "is_given",
         "is_settled",
         "opened",
         "peer",
         "record",
         "request_id",
+        "taking",
         "waiting",
     )
 
@@ -30,12 +42,21 @@
         self.record: BillRecord | None = None
         self.waiting = waiting
         """The request is held back until a peer has the copy."""
+        self.is_given = False
+        """It was handed to a peer for good; the acknowledgement may be missing."""
         self.is_settled = False
         """The log has it, or the request did not run: nothing is left to do."""
         self.peer: str | None = None
+        self.taking: SafetyCount | None = None
+        """Counts the bill when it has a second holder, if a giver waits for that."""
         self.asked = 0
         """How many peers were asked to hold the copy."""
 
+    def note_safe(self) -> Effects:
+        """Note that a peer or the log holds the bill besides this entry."""
+        taking, self.taking = self.taking, None
+        return taking.note_safe() if taking is not None else []
+
 
 class Link:
     """Collect what goes to one peer."""
@@ -71,6 +92,11 @@
         self.needs_reset = True
         self._resetting = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits to be sent or acknowledged."""
+        return not (self.batch or self.opens or self.drops)
+
     def is_due(self, now: float, linger_s: float) -> bool:
         """Tell whether something waits that should be sent now."""
         if self.batch:
--- a/src/baobabthread/core/ledger.py
+++ b/src/baobabthread/core/ledger.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from baobabthread.core.billappends import BillAppends
-from baobabthread.core.billcopies import BillCopies, settle_open
+from baobabthread.core.billcopies import BillCopies
+from baobabthread.core.billhandover import Gifts, Taking
 from baobabthread.core.billlinks import Bill, Link, Links
 from baobabthread.core.billtypes import (
     BillOpened,
@@ -70,7 +71,12 @@
             timeout_s=self._settings.append_timeout_s,
         )
         self._batch = 0
-        self._giving: dict[int, tuple[HandOverBills, str, float]] = {}
+        self._gifts = Gifts(
+            me=incarnation,
+            links=self._links,
+            size=self._settings.hand_over_size,
+            timeout_s=self._settings.append_timeout_s,
+        )
         self._leaving = False
         self.degraded = 0
         """Requests that ran while no peer held a copy of their bill."""
@@ -138,8 +144,7 @@
         bill = self._bills.get(request_id)
         if bill is None or bill.record is not None:
             return []
-        self._drop(bill, now)
-        return []
+        return self._drop(bill, now)
 
     def on_message(self, sender: str, message: msgspec.Struct, now: float) -> Effects:
         """Take a message of billing from a peer; others give no effect."""
@@ -148,17 +153,17 @@
         if isinstance(message, BillsCopied):
             return self._on_copied(sender, message, now)
         if isinstance(message, HandOverBills):
-            effects = self._adopt(message.bills, now)
-            return [*effects, Send(to=sender, message=BillsTaken(batch=message.batch))]
+            taking = Taking(sender=sender, batch=message.batch, left=len(message.bills))
+            return self._adopt(message.bills, now, taking)
         if isinstance(message, BillsTaken):
-            self._on_taken(message, now)
+            return self._on_taken(message, now)
         return []
 
     def on_send_failed(self, failed: SendFailed, now: float) -> Effects:
         """Ask another peer when a batch did not arrive or its reply was lost."""
         message = failed.message
-        if isinstance(message, HandOverBills) and message.batch in self._giving:
-            return [self._give(message, now, besides=failed.to)]
+        if isinstance(message, HandOverBills):
+            return self._gifts.retry(message.batch, now)
         link = self._links.get(failed.to)
         if not isinstance(message, CopyBills) or link is None:
             return []
@@ -171,8 +176,7 @@
         if appended.stream is not Stream.BILLS:
             return []
         self._appends.note_success()
-        self._confirm(appended.id, now)
-        return self._appends.run(now)
+        return self._confirm(appended.id, now) + self._appends.run(now)
 
     def on_append_failed(self, failed: AppendFailed, now: float) -> Effects:
         """Append again later under the same id; the fold counts it once."""
@@ -182,10 +186,11 @@
 
     def on_log_read(self, read: LogRead, now: float) -> Effects:
         """Settle the bills that the log shows; reading the stream is optional."""
+        effects: Effects = []
         if read.stream is Stream.BILLS:
             for record in read.records:
-                self._confirm(record.id, now)
-        return []
+                effects += self._confirm(record.id, now)
+        return effects
 
     def tick(self, now: float) -> Effects:
         """Run timeouts, retries and settlements; call it every 20 to 100 ms."""
@@ -193,33 +198,23 @@
         effects += self._adopt(self._copies.take_due(now), now)
         effects += self._appends.run(now)
         effects += self._copy_uncopied(now)
+        if self._leaving:
+            effects += self._gifts.give(self._bills.values(), now)
         for link in self._links.get_all():
             if link.is_due(now, self._settings.linger_s):
                 effects.append(self._flush(link, now))
         return effects
 
     def hand_over(self, now: float) -> Effects:
-        """Give all unsettled bills to a peer; is_settled tells when it has them."""
+        """Give closed bills to a peer from now on; is_settled tells when to end."""
         self._leaving = True
-        self._adopt(self._copies.take_all_gone(), now)
-        records = [
-            bill.record or settle_open(bill.opened, settled_by=self._me)
-            for bill in self._bills.values()
-        ]
-        effects: Effects = []
-        size = self._settings.hand_over_size
-        for start in range(0, len(records), size):
-            self._batch += 1
-            message = HandOverBills(
-                owner=self._me, batch=self._batch, bills=records[start : start + size]
-            )
-            effects.append(self._give(message, now))
-        return [effect for effect in effects if effect is not None]
+        effects = self._adopt(self._copies.take_all_gone(), now)
+        return effects + self._gifts.give(self._bills.values(), now)
 
     @property
     def is_settled(self) -> bool:
-        """Tell whether no bill depends on this entry any more."""
-        return not self._bills
+        """Tell whether no bill depends on this entry and no peer holds a copy."""
+        return not self._bills and all(link.is_idle for link in self._links.get_all())
 
     def describe(self) -> dict[str, int]:
         """Return counts for the state dump."""
@@ -246,7 +241,7 @@
         bill.peer = None
         if not bill.waiting:
             self._uncopied[bill.request_id] = bill
-            return []
+            return bill.note_safe()
         bill.waiting = False
         # With neither a peer nor the log within reach the bill would live in this
         # process alone for as long as that lasts; its death would lose the bill.
@@ -266,8 +261,10 @@
         link = self._links.get(sender)
         if link is None or link.batch != message.batch:
             return []
-        opens, _, _ = link.take_in_flight()
+        opens, closes, _ = link.take_in_flight()
         effects: Effects = []
+        for bill in closes:
+            effects += bill.note_safe()
         if message.full:
             effects += self._on_full(link, opens, now)
         else:
@@ -322,11 +319,13 @@
             effects += self._place(bill, now)
         return effects
 
-    def _confirm(self, bill_id: str, now: float) -> None:
+    def _confirm(self, bill_id: str, now: float) -> Effects:
+        effects: Effects = []
         for bill in self._appends.confirm(bill_id):
-            self._drop(bill, now)
+            effects += self._drop(bill, now)
+        return effects
 
-    def _drop(self, bill: Bill, now: float) -> None:
+    def _drop(self, bill: Bill, now: float) -> Effects:
         """Forget a settled bill here and at its peer."""
         self._bills.pop(bill.request_id, None)
         self._uncopied.pop(bill.request_id, None)
@@ -336,6 +335,7 @@
         if link is not None:
             link.drops.append(bill.request_id)
             link.since = min(link.since, now)
+        return bill.note_safe()
 
     def _check_timeouts(self, now: float) -> Effects:
         effects: Effects = []
@@ -343,12 +343,12 @@
             late = now - link.sent_at > self._settings.open_timeout_s
             if link.batch and late:
                 effects += self._on_link_failed(link, now)
-        for message, to, sent_at in list(self._giving.values()):
-            if now - sent_at > self._settings.append_timeout_s:
-                effects.append(self._give(message, now, besides=to))
+        effects += self._gifts.retry_late(now)
         return effects
 
-    def _adopt(self, records: list[BillRecord], now: float) -> Effects:
+    def _adopt(
+        self, records: list[BillRecord], now: float, taking: Taking | None = None
+    ) -> Effects:
         """Settle bills of an entry that is gone as if they were this entry's own."""
         effects: Effects = []
         for record in records:
@@ -361,27 +361,16 @@
                 opened_s=record.opened_s,
             )
             bill = Bill(opened=opened, waiting=False)
+            bill.taking = taking
             bill.record = msgspec.structs.replace(record, request_id=opened.request_id)
             self._bills[bill.request_id] = bill
             effects += self._place(bill, now)
             effects += self._appends.start(bill, now)
         return effects
 
-    def _give(
-        self, message: HandOverBills, now: float, besides: str | None = None
-    ) -> Send | None:
-        link = self._links.choose(now, besides=besides) or self._links.choose(now)
-        if link is None:
-            return None
-        self._giving[message.batch] = (message, link.name, now)
-        return Send(to=link.name, message=message)
-
-    def _on_taken(self, message: BillsTaken, now: float) -> None:
-        given = self._giving.pop(message.batch, None)
-        if given is None:
-            return
-        for record in given[0].bills:
-            bill = self._bills.get(record.request_id)
-            if bill is not None:
-                self._appends.confirm(bill.bill_id)
-                self._drop(bill, now)
+    def _on_taken(self, message: BillsTaken, now: float) -> Effects:
+        effects: Effects = []
+        for bill in self._gifts.take_acknowledged(message.batch):
+            self._appends.confirm(bill.bill_id)
+            effects += self._drop(bill, now)
+        return effects
--- a/tests/failures/test_ledger_matrix.py
+++ b/tests/failures/test_ledger_matrix.py
@@ -24,7 +24,9 @@
     BillRecord,
     BillRefused,
     BillRequest,
+    BillsTaken,
     CopyBills,
+    HandOverBills,
     LedgerSettings,
     Peer,
     Settlement,
@@ -37,6 +39,7 @@
     Effects,
     LogRecord,
     Received,
+    Send,
     SendFailed,
     Stream,
 )
@@ -299,6 +302,14 @@
             world.at(world.now + 0.1, lambda: self.end_when_settled(world))
 
 
+class StopInOutageScenario(StopScenario):
+    """Stop e1 while the log is down: its bills go to a peer that keeps them."""
+
+    def start(self, world: World) -> None:
+        super().start(world)
+        world.strike("e1.1", Fault.LOG_DOWN, for_s=OUTAGE_S)
+
+
 class CountingFold:
     """Fold the stream and note what each bill cost."""
 
@@ -330,7 +341,7 @@
 
 
 def check_stop() -> list[str]:
-    return run_matrix(StopScenario, pairs=0, stop_early=True).violations
+    return run_matrix(StopInOutageScenario, pairs=0, stop_early=True).violations
 
 
 @proof("ledger", Promise.BILLED)
@@ -347,8 +358,12 @@
 
 @proof("ledger handed over", Promise.BILLED, Promise.GRACEFUL)
 def prove_stop() -> ProofResult:
-    result = run_matrix(StopScenario, pairs=0)
-    return ProofResult(cells=result.cells, violations=result.violations)
+    calm = run_matrix(StopScenario, pairs=0)
+    outage = run_matrix(StopInOutageScenario, pairs=0)
+    return ProofResult(
+        cells=calm.cells + outage.cells,
+        violations=calm.violations + outage.violations,
+    )
 
 
 def test_no_fault_bills_each_request_once() -> None:
@@ -508,6 +523,21 @@
     patch.setattr(Ledger, "hand_over", give)
 
 
+@mutant(
+    "ledger: bills are taken before a copy", promise=Promise.GRACEFUL, check=check_stop
+)
+def acknowledge_early(patch: pytest.MonkeyPatch) -> None:
+    def acknowledge(self: Ledger, sender: str, message: Any, now: float) -> Effects:
+        effects = on_message(self, sender, message, now)
+        if isinstance(message, HandOverBills):
+            taken = BillsTaken(batch=message.batch)
+            effects.append(Send(to=sender, message=taken))
+        return effects
+
+    on_message = Ledger.on_message
+    patch.setattr(Ledger, "on_message", acknowledge)
+
+
 @mutant("ledger: the window forgets", promise=Promise.BILLED, check=check_window)
 def forget_window(patch: pytest.MonkeyPatch) -> None:
     remember = BillFold._remember
