--- a/tests/failures/test_claims_matrix.py
+++ b/tests/failures/test_claims_matrix.py
@@ -149,6 +149,7 @@
     """Race a free key, spread a bound key, repeat all after healing."""
 
     duration_s = 19.0
+    busy_until_s = 4.0
 
     def __init__(self) -> None:
         self.runs: dict[str, list[str]] = {}
--- a/tests/failures/test_ledger_matrix.py
+++ b/tests/failures/test_ledger_matrix.py
@@ -133,6 +133,7 @@
     """Bill a few requests at two of three entries, one of them repeated."""
 
     duration_s = 24.0
+    busy_until_s = 4.0
 
     def __init__(self) -> None:
         self.requests: dict[str, BillRequest] = {}
