Bound what the log stand-in keeps and read its pages in one walk

Cause: indexing a deque record by record is quadratic for long streams, and a stream without a retention grew for as long as the stand-in ran. Ruled out: lists; they make dropping the oldest records linear. Change: pages are sliced in one walk; 200,000 records are kept unless told otherwise.

--- a/src/baobabthread/standins/log.py
+++ b/src/baobabthread/standins/log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections import deque
 from typing import Any, ClassVar
 
@@ -35,7 +36,7 @@
     """Probability that an append is not done and the connection drops."""
     rate_per_s: float = 400.0
     """Appends (batches) a second over all streams; 0 sets no bound."""
-    retention_records: int = 0
+    retention_records: int = 200_000
     """Records kept per stream; 0 keeps all."""
 
 
@@ -96,8 +97,7 @@
     def read(self, *, after: int, limit: int) -> list[StoredRecord]:
         """Return records behind an offset, oldest first."""
         start = max(0, after + 1 - self.first)
-        stop = min(len(self.records), start + limit)
-        return [self.records[index] for index in range(start, stop)]
+        return list(itertools.islice(self.records, start, start + limit))
 
 
 class LogServer(Server):
--- a/src/baobabthread/standins/ratings.py
+++ b/src/baobabthread/standins/ratings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import bisect
+import itertools
 from collections import deque
 from typing import Any, ClassVar
 
@@ -82,9 +82,9 @@
         except ValueError:
             return refuse("bad_request", status=400)
         self._rate()
-        start = bisect.bisect_right(self.ratings, after, key=_sequence_of)
-        stop = min(len(self.ratings), start + MAX_PAGE)
-        page = [self.ratings[index] for index in range(start, stop)]
+        first = self._sequence - len(self.ratings) + 1
+        start = max(0, after + 1 - first)
+        page = list(itertools.islice(self.ratings, start, start + MAX_PAGE))
         following = page[-1].sequence if page else after
         return reply_json({"ratings": page, "next": following})
 
@@ -103,7 +103,3 @@
                     good=FLAWED_WORD not in answer.answer.split(),
                 )
             )
-
-
-def _sequence_of(rating: Rating) -> int:
-    return rating.sequence
