Estimate a wait by what really stands before a request

Cause: small accounts below their share were refused at 2x load. The estimate counted the request's own tokens and every other account as standing at the queue's virtual time, and the correction of estimates averaged ratios, so that it stood at its bound.

Change: sum what each of up to 32 other accounts may start first, add one request's turn; correct by the ratio of sums, by at most 2.

--- a/src/baobabthread/core/fairness.py
+++ b/src/baobabthread/core/fairness.py
@@ -15,6 +15,9 @@
 from baobabthread.core.rates import AccountUsage, DrainRate, RemoteUsage
 from baobabthread.core.rates import UsageDigest as UsageDigest
 
+MAX_LOOKED_AT = 32
+"""Accounts looked at to estimate a wait; of more, these stand for the rest."""
+
 
 class FairnessSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the bounds of a queue."""
@@ -206,13 +209,26 @@
         if rate <= 0.0 or not self._entries:
             return 0.0
         level = CLASS[waiting.priority]
-        total = sum(self._tokens[: level + 1])
         account = self._accounts.get(waiting.account)
-        own = waiting.tokens + (self._ahead(account, level) if account else 0.0)
-        weight = self._active_weight
-        if account is None or not account.backlogged:
-            weight += waiting.weight
-        return min(float(total), own * weight / waiting.weight) / rate
+        start = max(account.virtual, self._virtual) if account else self._virtual
+        own = sum(account.tokens[: level + 1]) if account else 0
+        start += own / waiting.weight
+        total = float(sum(self._tokens[: level + 1]))
+        turn = total / len(self._entries)
+        return min(total, own + turn + self._before(start, level, account)) / rate
+
+    def _before(self, start: float, level: int, own: Flow | None) -> float:
+        """Return the tokens that others start before a virtual time."""
+        heap = self._heaps[level]
+        looked_at = heap[:MAX_LOOKED_AT]
+        tokens = 0.0
+        for _, stamp, account in looked_at:
+            if account is own or stamp != account.stamps[level]:
+                continue
+            behind = (start - account.virtual) * account.weight
+            if behind > 0.0:
+                tokens += min(behind, sum(account.tokens[: level + 1]))
+        return tokens * len(heap) / max(1, len(looked_at))
 
     def retry_after(self, now: float, account: str | None = None) -> float:
         """Return the seconds after which what is queued now will have started."""
--- a/src/baobabthread/core/limits.py
+++ b/src/baobabthread/core/limits.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+MIN_ESTIMATE_S = 0.1
+
 
 class Outcome(enum.StrEnum):
     """Tell how an attempt at a backend server ended."""
@@ -221,17 +223,19 @@
     margin: float = 1.0
     """Times the estimated wait that must fit before the deadline."""
     smoothing: float = 0.05
-    max_correction: float = 4.0
+    max_correction: float = 2.0
 
 
 class Shedder:
     """Refuse at once what would wait past its deadline."""
 
-    __slots__ = ("_correction", "_settings")
+    __slots__ = ("_correction", "_estimated", "_settings", "_waited")
 
     def __init__(self, *, settings: SheddingSettings | None = None) -> None:
         self._settings = settings or SheddingSettings()
         self._correction = 1.0
+        self._estimated = 0.0
+        self._waited = 0.0
 
     @property
     def correction(self) -> float:
@@ -248,8 +252,13 @@
 
     def observe(self, *, estimated_s: float, waited_s: float) -> None:
         """Learn from a request that waited how far the estimates are off."""
-        if estimated_s < 0.01:
+        step = self._settings.smoothing
+        self._estimated += step * (estimated_s - self._estimated)
+        self._waited += step * (waited_s - self._waited)
+        if self._estimated < MIN_ESTIMATE_S:
             return
+        # The ratio of the sums, not the sum of the ratios: a short wait that was
+        # estimated as none would else outweigh all long ones.
         bound = self._settings.max_correction
-        ratio = min(bound, max(1.0 / bound, waited_s / estimated_s))
-        self._correction += self._settings.smoothing * (ratio - self._correction)
+        ratio = self._waited / self._estimated
+        self._correction = min(bound, max(1.0 / bound, ratio))
