Aim a full standard error above the target and spend no past surplus

Change: margin of one standard error instead of half, no credit for past surplus; sums over origins are kept up to date as their counts change; the aim has a module of its own; the bench reports the second half, full ratings and a plot.

--- a/bench/_answers.py
+++ b/bench/_answers.py
@@ -159,6 +159,18 @@
     return generator.standard_normal(shape)
 
 
+def take_later(workload: Workload) -> Workload:
+    """Return the second half of the requests."""
+    half = len(workload.call) // 2
+    return Workload(
+        call=workload.call[half:],
+        good=workload.good[half:],
+        signal=workload.signal[half:],
+        cost=workload.cost[half:],
+        tokens=workload.tokens[half:],
+    )
+
+
 def find_oracle_cost(workload: Workload, *, target: float) -> float:
     """Return the least cost of one answer each of which `target` are good.
 
@@ -208,7 +220,7 @@
         rows.append(
             [
                 _describe_known(good[reached, version], cost[reached, version])
-                for version in range(len(COSTS))
+                for version in range(state, len(COSTS))
             ]
         )
     return Case(weight=len(good) / total, steps=rows)
--- a/bench/cascade.py
+++ b/bench/cascade.py
@@ -6,6 +6,7 @@
 import random
 import statistics
 from collections.abc import Sequence
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -19,6 +20,7 @@
     draw_workload,
     find_oracle_cost,
     find_rating_oracle_cost,
+    take_later,
 )
 from bench.experiment import EXPERIMENTS, Options, Report, Table
 
@@ -28,7 +30,7 @@
 RATING_DELAY_S = 20.0
 """Mean of the exponential delay of a rating."""
 RATING_MISSING = 0.2
-GOSSIP_EVERY_S = 2.0
+GOSSIP_EVERY_S = 4.0
 GOSSIP_LAG_S = 1.0
 REMAINING_S = 30.0
 NEXT_S = 2.0
@@ -42,6 +44,8 @@
 
     name: str
     prefix: str
+    full_ratings: bool = False
+    """Every answer is rated, at once: what perfect ratings would bring."""
     ratings_out: bool = False
     """No rating arrives in the second half."""
     later_shares: Sequence[float] | None = None
@@ -52,6 +56,7 @@
     Scenario(name="ratings out for half", prefix="ratings_out_", ratings_out=True),
     Scenario(name="shift in the mix", prefix="shift_", later_shares=LATER_SHARES),
 )
+FULL = Scenario(name="full ratings", prefix="full_ratings_", full_ratings=True)
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,6 +66,7 @@
     late_quality: float
     """Quality of the second half."""
     cost: float
+    late_cost: float
     ratings: int
 
 
@@ -94,7 +100,7 @@
     def run(self) -> Outcome:
         """Answer every request and return what came of it."""
         good: list[bool] = []
-        cost = 0.0
+        costs: list[float] = []
         gossip_s = 0.0
         for request in range(len(self._workload.call)):
             now = request / REQUESTS_PER_S
@@ -104,12 +110,13 @@
             self._deliver(now)
             version, spent = self._answer(request, now)
             good.append(self._workload.good[request][version])
-            cost += spent
+            costs.append(spent)
         half = len(good) // 2
         return Outcome(
             quality=statistics.fmean(good),
             late_quality=statistics.fmean(good[half:]),
-            cost=cost,
+            cost=sum(costs),
+            late_cost=sum(costs[half:]),
             ratings=self._ratings,
         )
 
@@ -146,7 +153,8 @@
                 tokens=self._workload.tokens[request],
                 served=served,
             )
-            if rule.wants_rating(attempt, now=now):
+            least = 1.0 if self._scenario.full_ratings else 0.0
+            if rule.wants_rating(attempt, now=now, least_share=least):
                 self._rate(entry, request, attempt, now)
             if served:
                 break
@@ -154,9 +162,11 @@
         return version, spent
 
     def _rate(self, entry: int, request: int, attempt: Attempt, now: float) -> None:
-        if self._random.random() < RATING_MISSING:
-            return
-        at_s = now + self._random.expovariate(1 / RATING_DELAY_S)
+        at_s = now
+        if not self._scenario.full_ratings:
+            if self._random.random() < RATING_MISSING:
+                return
+            at_s += self._random.expovariate(1 / RATING_DELAY_S)
         if self._scenario.ratings_out and at_s > self._end_s / 2:
             return
         rating = Rating(
@@ -198,93 +208,128 @@
 class _Run(msgspec.Struct, frozen=True, kw_only=True):
     outcomes: dict[str, Outcome]
     oracle: float
+    late_oracle: float
     rating_oracle: float
 
 
-def _run_seed(scenario: Scenario, *, count: int, seed: int) -> _Run:
+def _run_seed(
+    scenario: Scenario, *, rules: Sequence[str], count: int, seed: int
+) -> _Run:
     workload = draw_workload(count=count, seed=seed, later_shares=scenario.later_shares)
     outcomes = {
         rule: Simulation(
             rule=rule, workload=workload, scenario=scenario, seed=seed
         ).run()
-        for rule in CASCADE_RULES
+        for rule in rules
     }
     return _Run(
         outcomes=outcomes,
         oracle=find_oracle_cost(workload, target=TARGET),
+        late_oracle=find_oracle_cost(take_later(workload), target=TARGET),
         rating_oracle=find_rating_oracle_cost(workload, target=TARGET),
     )
 
 
-def _summarise(scenario: Scenario, runs: Sequence[_Run]) -> dict[str, Any]:
-    def median(values: Sequence[float]) -> float:
-        return round(statistics.median(values), 4)
+def _name(scenario: Scenario, rule: str, column: str) -> str:
+    prefix = "" if rule == "calibrated" else f"{rule}_"
+    return f"{scenario.prefix}{prefix}{column}"
 
+
+def _summarise(scenario: Scenario, runs: Sequence[_Run]) -> dict[str, Any]:
     figures: dict[str, Any] = {}
-    for rule in CASCADE_RULES:
-        prefix = (
-            scenario.prefix if rule == "calibrated" else f"{scenario.prefix}{rule}_"
-        )
-        results = [run.outcomes[rule] for run in runs]
-        strong = [run.outcomes["strong"].cost for run in runs]
-        pairs = list(zip(results, runs, strict=True))
-        figures |= {
-            f"{prefix}quality": median([each.quality for each in results]),
-            f"{prefix}quality_least": round(min(each.quality for each in results), 4),
-            f"{prefix}late_quality": median([each.late_quality for each in results]),
-            f"{prefix}cost_vs_oracle": median(
-                [r.cost / run.oracle for r, run in pairs]
-            ),
-            f"{prefix}cost_vs_rating_oracle": median(
-                [r.cost / run.rating_oracle for r, run in pairs]
-            ),
-            f"{prefix}cost_vs_strong": median(
-                [r.cost / s for r, s in zip(results, strong, strict=True)]
-            ),
-            f"{prefix}rated_share": median(
-                [each.ratings for each in results],
-            ),
-        }
+    for rule in runs[0].outcomes:
+        found = [_measure(rule, run) for run in runs]
+        for column in COLUMNS:
+            values = [each[column] for each in found if column in each]
+            if values:
+                name = _name(scenario, rule, column)
+                figures[name] = round(statistics.median(values), 4)
+        least = min(each["quality"] for each in found)
+        figures[_name(scenario, rule, "quality_least")] = round(least, 4)
     return figures
 
 
+def _measure(rule: str, run: _Run) -> dict[str, float]:
+    outcome = run.outcomes[rule]
+    measured = {
+        "quality": outcome.quality,
+        "late_quality": outcome.late_quality,
+        "cost_vs_oracle": outcome.cost / run.oracle,
+        "late_cost_vs_oracle": outcome.late_cost / run.late_oracle,
+        "cost_vs_rating_oracle": outcome.cost / run.rating_oracle,
+    }
+    if "strong" in run.outcomes:
+        measured["cost_vs_strong"] = outcome.cost / run.outcomes["strong"].cost
+    return measured
+
+
+COLUMNS = (
+    "quality",
+    "late_quality",
+    "cost_vs_oracle",
+    "late_cost_vs_oracle",
+    "cost_vs_rating_oracle",
+    "cost_vs_strong",
+)
+SHOWN = ("quality", "quality_least", *COLUMNS[1:])
+
+
 @EXPERIMENTS.register("cascade")
 def run_cascade(options: Options) -> Report:
     """Compare the rules on the same requests, ratings late and partly missing."""
-    count = 30_000 if options.quick else 60_000
-    seeds = 2 if options.quick else 5
+    count = 20_000 if options.quick else 60_000
+    seeds = [
+        options.seed * 1000 + number for number in range(2 if options.quick else 5)
+    ]
     figures: dict[str, Any] = {"target": TARGET}
     tables = []
-    for scenario in SCENARIOS:
+    for scenario in (*SCENARIOS, FULL):
+        rules = ["calibrated"] if scenario.full_ratings else list(CASCADE_RULES)
         runs = [
-            _run_seed(scenario, count=count, seed=options.seed * 1000 + number)
-            for number in range(seeds)
+            _run_seed(scenario, rules=rules, count=count, seed=seed) for seed in seeds
         ]
         found = _summarise(scenario, runs)
         figures |= found
-        tables.append(_lay_out(scenario, found))
+        tables.append(_lay_out(scenario, rules, found))
+    if options.plot is not None:
+        _draw(options.plot, figures)
     return Report(figures=figures, tables=tables)
 
 
-COLUMNS = (
-    "quality",
-    "quality_least",
-    "late_quality",
-    "cost_vs_oracle",
-    "cost_vs_rating_oracle",
-    "cost_vs_strong",
-)
-
-
-def _lay_out(scenario: Scenario, figures: dict[str, Any]) -> Table:
-    rows = []
-    for rule in CASCADE_RULES:
-        prefix = (
-            scenario.prefix if rule == "calibrated" else f"{scenario.prefix}{rule}_"
-        )
-        rows.append([rule, *(figures[f"{prefix}{column}"] for column in COLUMNS)])
+def _lay_out(
+    scenario: Scenario, rules: Sequence[str], figures: dict[str, Any]
+) -> Table:
+    rows = [
+        [rule, *(figures.get(_name(scenario, rule, column), "") for column in SHOWN)]
+        for rule in rules
+    ]
     return Table(
         title=f"cascade, {scenario.name} (target {TARGET})",
-        columns=["rule", *COLUMNS],
+        columns=["rule", *SHOWN],
         rows=rows,
     )
+
+
+def _draw(path: Path, figures: dict[str, Any]) -> None:
+    """Draw quality against cost for each rule and scenario."""
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(7, 4.5))
+    axes = figure.subplots()
+    for scenario, marker in zip(SCENARIOS, "os^", strict=True):
+        for number, rule in enumerate(CASCADE_RULES):
+            axes.plot(
+                figures[_name(scenario, rule, "cost_vs_oracle")],
+                figures[_name(scenario, rule, "quality")],
+                marker=marker,
+                color=f"C{number}",
+                linestyle="none",
+                label=f"{rule}, {scenario.name}",
+            )
+    axes.axhline(TARGET, color="grey", linewidth=1)
+    axes.set_xscale("log")
+    axes.set_xlabel("cost, as a multiple of the oracle's")
+    axes.set_ylabel("share of good answers")
+    axes.legend(fontsize=6)
+    figure.tight_layout()
+    figure.savefig(path)
--- a/src/baobabthread/core/calibration.py
+++ b/src/baobabthread/core/calibration.py
@@ -83,10 +83,9 @@
 
     def add(self, other: Cell, *, sign: float = 1.0) -> None:
         """Add another cell's counts, or take them off with a sign of -1."""
-        for index in range(BINS):
-            self.answers[index] += sign * other.answers[index]
-            self.rated[index] += sign * other.rated[index]
-            self.good[index] += sign * other.good[index]
+        self.answers = _add(self.answers, other.answers, sign)
+        self.rated = _add(self.rated, other.rated, sign)
+        self.good = _add(self.good, other.good, sign)
         self.tokens += sign * other.tokens
 
     def mean_tokens(self, *, default: float) -> float:
@@ -95,6 +94,11 @@
         return self.tokens / answers if answers >= 1 else default
 
 
+def _add(counts: list[float], others: list[float], sign: float) -> list[float]:
+    pairs = zip(counts, others, strict=True)
+    return [count + sign * other for count, other in pairs]
+
+
 def pack_cell(key: CellKey, cell: Cell) -> CellCounts:
     """Return the compact form of a cell."""
     bins: list[int] = []
--- a/src/baobabthread/core/cascade.py
+++ b/src/baobabthread/core/cascade.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Sequence
 from typing import Protocol
 
+from baobabthread.core.aim import find_aim
 from baobabthread.core.attempts import (
     Attempt,
     Rating,
@@ -201,20 +201,6 @@
 THIN_EXPLORED_SHARE = 0.1
 """The same while that version has few ratings."""
 FEW_RATINGS = 60.0
-MARGIN_ERRORS = 0.5
-"""Standard errors of the quality that the target is raised by."""
-FEEDBACK = 1.0
-"""Share of a surplus or deficit of quality that the aim makes up for."""
-LEAST_SERVED = 500.0
-MOST_CREDIT = 0.01
-"""Bound on how far past quality above the target lowers the aim."""
-MOST_DEBT = 0.03
-"""Bound on how far past quality under the target raises the aim."""
-GRACE_S = 60.0
-"""Age of the newest rating from which the margin widens."""
-MARGIN_PER_S = 0.01 / 600
-MAX_AGE_MARGIN = 0.5
-"""Bound on the margin for age, as a share of what the target leaves to 1."""
 
 
 class _Decision:
@@ -245,7 +231,6 @@
         self._decisions: dict[MixKey, _Decision] = {}
         self._high_share = 1.0
         self._planned_s = -REPLAN_S
-        self._started_s: float | None = None
         self._requests = 0
         self.aim = target
         """The quality aimed at: the target and its margin."""
@@ -276,8 +261,7 @@
             return order
         number = draw("explore", key)
         chosen = skipped[int(draw("explored version", key) * len(skipped))]
-        cell = self._evidence.totals.get(CellKey(call=call, version=chosen))
-        rated = sum(cell.rated) if cell is not None else 0.0
+        rated = self._evidence.count_rated(CellKey(call=call, version=chosen))
         share = THIN_EXPLORED_SHARE if rated < FEW_RATINGS else EXPLORED_SHARE
         if number >= share:
             return order
@@ -319,8 +303,7 @@
         self._evidence.count_answer(
             cell_key, bin_index=find_bin(attempt.signal), tokens=attempt.tokens
         )
-        cell = self._evidence.totals.get(cell_key)
-        rated = sum(cell.rated) if cell is not None else 0.0
+        rated = self._evidence.count_rated(cell_key)
         thin = THIN_RATINGS / (THIN_RATINGS + rated)
         share = max(least_share, min(1.0, RATING_SHARE + thin))
         chances = self._estimates.find_chances(cell_key)
@@ -372,42 +355,17 @@
         return decision.high if high else decision.low
 
     def _replan_when_due(self, now: float) -> None:
-        if self._started_s is None:
-            self._started_s = now
         young = now - self._planned_s < REPLAN_S
         if young and self._requests < REPLAN_REQUESTS:
             return
         self._planned_s = now
         self._requests = 0
-        self._evidence.refresh(now=now)
+        self._evidence.forget_silent(now=now)
         self._estimates.clear()
         self._decisions.clear()
-        aim = self._target + self._find_margin(now) - self._find_surplus()
-        self.aim = min(1.0, aim)
+        self.aim = find_aim(self._evidence, target=self._target, now=now)
         self._work_out(list(self._evidence.add_mix()))
 
-    def _find_surplus(self) -> float:
-        """Return how much the answers of late were better than the target."""
-        served = self._evidence.add_served()
-        if served.answers < LEAST_SERVED:
-            return 0.0
-        surplus = served.quality - self._target
-        return max(-MOST_DEBT, min(surplus * FEEDBACK, MOST_CREDIT))
-
-    def _find_margin(self, now: float) -> float:
-        """Return how far to aim above the target, for thin and for old ratings."""
-        spread = self._target * (1 - self._target)
-        rated = sum(sum(cell.rated) for cell in self._evidence.totals.values())
-        thin = MARGIN_ERRORS * math.sqrt(spread / (rated + 1))
-        newest = self._evidence.last_rating_s
-        if newest is None:
-            newest = self._started_s if self._started_s is not None else now
-        # With the rating service out a version may turn worse unseen. The last
-        # calibration stays, and traffic drifts to stronger versions bit by bit: a
-        # jump would multiply the cost in an outage that changed nothing.
-        old = MARGIN_PER_S * max(0.0, now - newest - GRACE_S)
-        return thin + min(old, MAX_AGE_MARGIN * (1 - self._target))
-
     def _work_out(self, kinds: Sequence[MixKey]) -> None:
         """Find the decisions for some kinds of requests together."""
         if not kinds:
--- a/src/baobabthread/core/escalation.py
+++ b/src/baobabthread/core/escalation.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-LOWEST_PRICE = 1e-3
-HIGHEST_PRICE = 1e7
-BISECTIONS = 24
+LOWEST_PRICE = 1e-2
+HIGHEST_PRICE = 1e5
+BISECTIONS = 18
 
 
 class Step(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,7 +50,7 @@
     weight: float
     """Its share of the requests."""
     steps: Sequence[Sequence[Step]]
-    """`steps[i][j]` tries version j after version i - 1; row 0 starts."""
+    """`steps[i][j]` tries version i + j after version i - 1; row 0 starts."""
 
 
 class Solution(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,8 +72,7 @@
     costs = [0.0] * (count + 1)
     following = [0] * count
     for state in range(count - 1, -1, -1):
-        for version in range(state, count):
-            step = case.steps[state][version]
+        for version, step in enumerate(case.steps[state], start=state):
             after = version + 1
             needed = 1 - values[after] / price
             index = bisect_left(step.chances, needed)
--- a/src/baobabthread/core/estimates.py
+++ b/src/baobabthread/core/estimates.py
@@ -45,7 +45,7 @@
         return chances
 
     def _fit(self, key: CellKey) -> list[float]:
-        cell = self._evidence.totals.get(key, Cell())
+        cell = self._evidence.find_total(key)
         if key.after:
             base = self.find_chances(CellKey(call=key.call, version=key.version))
             return fit_chances(cell, prior=AFTER_PRIOR, base=base)
@@ -59,7 +59,7 @@
             after = kind.versions[state - 1] if state else ""
             row = [
                 self._describe_step(kind.call, version, after)
-                for version in kind.versions
+                for version in kind.versions[state:]
             ]
             rows.append(row)
         return Case(weight=weight, steps=rows)
@@ -67,8 +67,8 @@
     def _describe_step(self, call: str, version: str, after: str) -> Step:
         first = CellKey(call=call, version=version)
         key = CellKey(call=call, version=version, after=after)
-        cell = self._evidence.totals.get(key, Cell())
-        base = self._evidence.totals.get(first, Cell())
+        cell = self._evidence.find_total(key)
+        base = self._evidence.find_total(first)
         tokens = cell.mean_tokens(default=base.mean_tokens(default=DEFAULT_TOKENS))
         return describe_step(
             cost=self._costs.get(version, 0.0) * tokens / 1000,
--- a/src/baobabthread/core/evidence.py
+++ b/src/baobabthread/core/evidence.py
@@ -86,9 +86,9 @@
 class _Origin:
     __slots__ = ("cells", "evidence", "heard_s")
 
-    def __init__(self, evidence: Evidence, cells: dict[CellKey, Cell], now: float):
-        self.evidence = evidence
-        self.cells = cells
+    def __init__(self, *, now: float) -> None:
+        self.evidence = Evidence(0, [], [], ServedCount())
+        self.cells: dict[CellKey, CellCounts] = {}
         self.heard_s = now
 
 
@@ -99,15 +99,29 @@
         self._own: dict[CellKey, Cell] = {}
         self._mix: dict[MixKey, float] = {}
         self._origins: dict[str, _Origin] = {}
-        self._totals: dict[CellKey, Cell] = {}
+        self._heard: dict[CellKey, Cell] = {}
+        """Sums over all origins, kept up to date as their counts change."""
         self._sequence = 0
         self._served = ServedCount()
         self.last_rating_s: float | None = None
 
-    @property
-    def totals(self) -> Mapping[CellKey, Cell]:
-        """Give the counts of all entries, as of the last `refresh`."""
-        return self._totals
+    def find_total(self, key: CellKey) -> Cell:
+        """Return the counts of all entries for one cell."""
+        total = Cell()
+        for cells in (self._heard, self._own):
+            cell = cells.get(key)
+            if cell is not None:
+                total.add(cell)
+        return total
+
+    def count_rated(self, key: CellKey) -> float:
+        """Return how many ratings of one cell all entries remember."""
+        cells = (self._heard.get(key), self._own.get(key))
+        return sum(sum(cell.rated) for cell in cells if cell is not None)
+
+    def count_all_rated(self) -> float:
+        """Return how many ratings all entries remember."""
+        return _count_rated(self._heard) + _count_rated(self._own)
 
     def count_request(self, key: MixKey) -> None:
         """Count one request towards the mix."""
@@ -175,29 +189,40 @@
         # the past. Each origin numbers its counts and only a newer set replaces them.
         if known is not None and received.sequence <= known.evidence.sequence:
             return False
-        if known is None and len(self._origins) >= MAX_ORIGINS:
-            return False
-        cells = {
-            CellKey(call=each.call, version=each.version, after=each.after): (
-                unpack_cell(each)
-            )
-            for each in received.cells[:MAX_CELLS]
-        }
-        if known is None or _count_rated(cells) != _count_rated(known.cells):
+        if known is None:
+            if len(self._origins) >= MAX_ORIGINS:
+                return False
+            known = self._origins[origin] = _Origin(now=now)
+        if self._replace(known, received):
             self.last_rating_s = now
-        self._origins[origin] = _Origin(received, cells, now)
+        known.evidence = received
+        known.heard_s = now
         return True
 
-    def refresh(self, *, now: float) -> None:
-        """Add the counts of all entries up again."""
+    def _replace(self, origin: _Origin, received: Evidence) -> bool:
+        """Put an origin's counts in place and tell whether it has new ratings."""
+        rated = False
+        for counts in received.cells[:MAX_CELLS]:
+            key = CellKey(call=counts.call, version=counts.version, after=counts.after)
+            old = origin.cells.get(key)
+            if old == counts:
+                continue
+            total = self._heard.setdefault(key, Cell())
+            new_cell = unpack_cell(counts)
+            old_cell = unpack_cell(old) if old is not None else Cell()
+            total.add(new_cell)
+            total.add(old_cell, sign=-1.0)
+            rated = rated or new_cell.rated != old_cell.rated
+            origin.cells[key] = counts
+        return rated
+
+    def forget_silent(self, *, now: float) -> None:
+        """Drop the counts of origins whose entries are long gone."""
         for name, origin in list(self._origins.items()):
             if now - origin.heard_s > FORGET_ORIGIN_S:
+                for key, counts in origin.cells.items():
+                    self._heard[key].add(unpack_cell(counts), sign=-1.0)
                 del self._origins[name]
-        totals: dict[CellKey, Cell] = {}
-        for cells in (self._own, *(each.cells for each in self._origins.values())):
-            for key, cell in cells.items():
-                totals.setdefault(key, Cell()).add(cell)
-        self._totals = totals
 
     def add_mix(self) -> dict[MixKey, float]:
         """Return how many requests of each kind all entries saw lately."""
