--- a/tests/failures/mutants.py
+++ b/tests/failures/mutants.py
@@ -21,7 +21,7 @@
 
 
 class Promise(enum.StrEnum):
-    """Name what must always hold, in the order of the users' brief."""
+    """Name the ten promises in the order of the brief, and what stands behind them."""
 
     ALLOWED = "runs only on an allowed model and version"
     WITHDRAWN = "a withdrawn version receives no new request"
@@ -33,6 +33,7 @@
     LEAVING = "a leaving backend server receives no new work"
     GRACEFUL = "a planned stop cuts no request"
     CONFIGURATION = "an accepted configuration is in force and never reverts"
+    ORDERS = "(behind them: one conductor at a time orders the engines)"
 
 
 class ProofResult(msgspec.Struct, kw_only=True):
--- a/tests/failures/test_leases_matrix.py
+++ b/tests/failures/test_leases_matrix.py
@@ -218,13 +218,13 @@
     return run_matrix(ReleaseScenario, pairs=0, stop_early=True).violations
 
 
-@proof("leases", Promise.WITHDRAWN)
+@proof("leases", Promise.ORDERS)
 def prove_leases() -> ProofResult:
     result = run_matrix(LeaseScenario, pairs=PAIRS)
     return ProofResult(cells=result.cells, violations=result.violations)
 
 
-@proof("leases given up", Promise.WITHDRAWN)
+@proof("leases given up", Promise.ORDERS)
 def prove_release() -> ProofResult:
     result = run_matrix(ReleaseScenario, pairs=0)
     return ProofResult(cells=result.cells, violations=result.violations)
@@ -247,7 +247,7 @@
     assert prove_release().violations == []
 
 
-@mutant("leases: any claim is valid", promise=Promise.WITHDRAWN, check=check_leases)
+@mutant("leases: any claim is valid", promise=Promise.ORDERS, check=check_leases)
 def accept_any_claim(patch: pytest.MonkeyPatch) -> None:
     claim = LeaseFold._claim
 
@@ -258,7 +258,7 @@
     patch.setattr(LeaseFold, "_claim", accept)
 
 
-@mutant("leases: any renewal is valid", promise=Promise.WITHDRAWN, check=check_leases)
+@mutant("leases: any renewal is valid", promise=Promise.ORDERS, check=check_leases)
 def accept_any_renewal(patch: pytest.MonkeyPatch) -> None:
     def accept(self: LeaseFold, record: LogRecord, body: LeaseRenewal) -> bool:
         self.fence = body.fence
@@ -269,16 +269,14 @@
     patch.setattr(LeaseFold, "_renew", accept)
 
 
-@mutant(
-    "leases: the deadline is ignored", promise=Promise.WITHDRAWN, check=check_leases
-)
+@mutant("leases: the deadline is ignored", promise=Promise.ORDERS, check=check_leases)
 def ignore_deadline(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(Lease, "may_order", lambda self, now, timeout_s: self._is_mine())
 
 
 @mutant(
     "leases: the lease counts from the read",
-    promise=Promise.WITHDRAWN,
+    promise=Promise.ORDERS,
     check=check_leases,
 )
 def count_from_read(patch: pytest.MonkeyPatch) -> None:
@@ -293,7 +291,7 @@
 
 
 @mutant(
-    "leases: the successor does not wait", promise=Promise.WITHDRAWN, check=check_leases
+    "leases: the successor does not wait", promise=Promise.ORDERS, check=check_leases
 )
 def claim_at_once(patch: pytest.MonkeyPatch) -> None:
     def set_claim_time(self: Lease, now: float) -> None:
@@ -302,16 +300,14 @@
     patch.setattr(Lease, "_set_claim_time", set_claim_time)
 
 
-@mutant(
-    "leases: no check before the send", promise=Promise.WITHDRAWN, check=check_leases
-)
+@mutant("leases: no check before the send", promise=Promise.ORDERS, check=check_leases)
 def send_unchecked(patch: pytest.MonkeyPatch) -> None:
     patch.setitem(globals(), "checks_before_send", lambda node, order, now: True)
 
 
 @mutant(
     "leases: a holder orders after its release",
-    promise=Promise.WITHDRAWN,
+    promise=Promise.ORDERS,
     check=check_release,
 )
 def order_after_release(patch: pytest.MonkeyPatch) -> None:
