Judge queueing by the ratio of sums, cut at 1.5 times the least latency

Cause: a mean of latencies per token is noise from short answers, and a tolerance of 2 let limits drift to 16 per entry where 7 are the fair part, so that a queue stood at the servers, outside the fair one.

One entry queues 26 requests after a burst while others have room: that is the next to mend.

--- a/src/baobabthread/core/limits.py
+++ b/src/baobabthread/core/limits.py
@@ -32,7 +32,7 @@
     """Share of the reported capacity per live entry to start from."""
     span: float = 4.0
     """Most times the share of the capacity that one entry may use."""
-    tolerance: float = 2.0
+    tolerance: float = 1.5
     """Times the least latency that is taken as free of queueing."""
     decrease: float = 0.85
     increase: float = 1.0
@@ -53,11 +53,12 @@
     __slots__ = (
         "_base",
         "_cut_at",
+        "_latency",
         "_least",
         "_settings",
-        "_smoothed",
         "_window_at",
         "_window_least",
+        "_work",
         "limit",
         "running",
     )
@@ -68,7 +69,8 @@
         self.running = 0
         self._base: float | None = None
         self._least: float | None = None
-        self._smoothed = 0.0
+        self._latency = 0.0
+        self._work = 0.0
         self._window_at = 0.0
         self._window_least: float | None = None
         self._cut_at = 0.0
@@ -104,12 +106,14 @@
         if outcome is not Outcome.OK:
             self._cut(latency_s, now)
             return
-        sample = latency_s / max(per, 1e-9)
-        least = self._track_least(sample, now)
-        weight = min(1.0, 2.0 / max(1.0, self.limit))
-        start = self._smoothed or sample
-        self._smoothed = start + weight * (sample - start)
-        if self._smoothed > least * self._settings.tolerance:
+        # The ratio of the sums: a queue adds as much to a short answer as to a long
+        # one, and a mean of ratios would see it in the short ones only.
+        step = min(1.0, 2.0 / max(1.0, self.limit)) if self._work else 1.0
+        self._latency += step * (latency_s - self._latency)
+        self._work += step * (max(per, 1e-9) - self._work)
+        current = self._latency / self._work
+        least = self._track_least(current, now)
+        if current > least * self._settings.tolerance:
             self._cut(latency_s, now)
         elif was_full:
             self.limit = self._clamp(self.limit + self._settings.increase / self.limit)
