Register the configuration proofs, check progress after faults

Cause: the shared registries of proofs and mutants are there; the check of progress looked only at cells whose fault was over 5 s before the end, which no cell was. Ruled out: replacing all entries 1.4 s after the last text; with a log that takes 2.5 s for a read and an append and keeps 8 records nobody can restate in time. Change: progress counts from when each kind of fault is over; all entries are replaced at 9 s; proofs and mutants are registered; the size of the relay is passed in.

--- a/src/baobabthread/core/fold.py
+++ b/src/baobabthread/core/fold.py
@@ -26,7 +26,6 @@
     explain,
     join_parts,
     record_size,
-    split_snapshot,
 )
 from baobabthread.core.messages import LogRead, LogRecord
 from baobabthread.errors import ConfigurationError
@@ -74,12 +73,14 @@
         "_read_offset",
         "_relay",
         "_relay_bytes",
+        "_relay_records",
         "_sections",
         "checkpoint_offset",
         "restated_at",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, relay_records: int = RELAY_RECORDS) -> None:
+        self._relay_records = relay_records
         self._has_state = False
         self._merged = MergedSections()
         self._sections: dict[str, SectionState] = {}
@@ -194,10 +195,6 @@
             return Relay(records=[r for r in self._relay if r.offset > after])
         return Relay(snapshot=self.snapshot())
 
-    def restate(self) -> list[Restate]:
-        """Return the parts of a checkpoint of the state up to now."""
-        return split_snapshot(self.snapshot())
-
     def _fold(self, record: LogRecord) -> Verdict:
         verdict = self._judge(record)
         self._read_offset = record.offset
@@ -293,9 +290,13 @@
             self._relay_bytes = 0
         self._relay.append(record)
         self._relay_bytes += record_size(record)
-        while len(self._relay) > RELAY_RECORDS or self._relay_bytes > RELAY_BYTES:
+        while self._is_relay_full():
             self._relay_bytes -= record_size(self._relay.popleft())
 
+    def _is_relay_full(self) -> bool:
+        too_many = len(self._relay) > self._relay_records
+        return too_many or self._relay_bytes > RELAY_BYTES
+
     def _wait(self, record: LogRecord) -> Verdict:
         seen = self._pending[-1].offset if self._pending else 0
         if record.offset <= seen:
--- a/src/baobabthread/core/fold_checkpoint.py
+++ b/src/baobabthread/core/fold_checkpoint.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from baobabthread.core.fold import ConfigurationFold
+from baobabthread.core.fold_records import split_snapshot
 from baobabthread.core.messages import Append, Effects, LogRead, Stream
 
 
@@ -135,7 +136,7 @@
         self._due_at = now + self._rng.random() * spread
 
     def _write(self) -> Effects:
-        parts = self._fold.restate()
+        parts = split_snapshot(self._fold.snapshot())
         return [
             Append(
                 stream=Stream.CONFIGURATION,
--- a/tests/core/test_fold.py
+++ b/tests/core/test_fold.py
@@ -23,6 +23,7 @@
     Restate,
     Restated,
     Verdict,
+    split_snapshot,
 )
 from baobabthread.core.messages import AppendFailed, LogRead, LogRecord, Stream
 from baobabthread.errors import ConfigurationError
@@ -121,7 +122,7 @@
     """
     fold, log = ConfigurationFold(), Log()
     _apply(fold, log, _publish(TEAM_A))
-    parts = fold.restate()
+    parts = split_snapshot(fold.snapshot())
     _apply(fold, log, _publish(TEAM_A + "\n", base=1))
     for part in parts:
         assert _apply(fold, log, part) == Restated(read_offset=1)
@@ -145,7 +146,7 @@
     for name in "abc":
         text = write_team(name, versions=[f"{name}-1"]) + "#" * 200_000
         _apply(fold, log, _publish(text, section=name))
-    parts = fold.restate()
+    parts = split_snapshot(fold.snapshot())
     assert [part.part for part in parts] == [0, 1, 2]
     for part in reversed(parts):
         _apply(fold, log, part)
--- a/tests/failures/test_configuration_matrix.py
+++ b/tests/failures/test_configuration_matrix.py
@@ -14,7 +14,6 @@
 import msgspec
 import pytest
 
-from baobabthread.core import fold as fold_module
 from baobabthread.core.control import ConfigurationRelay, FetchConfiguration
 from baobabthread.core.fold import ConfigurationFold, Relay, SectionState, Snapshot
 from baobabthread.core.fold_checkpoint import CheckpointPlanner, CheckpointSettings
@@ -30,12 +29,30 @@
     Send,
     Stream,
 )
-from tests.failures.matrix import Scenario, Tick, World, run_matrix
+from tests.failures.matrix import (
+    FAULT_S,
+    OVERTAKEN_S,
+    Fault,
+    Scenario,
+    Tick,
+    World,
+    run_matrix,
+)
+from tests.failures.mutants import Promise, ProofResult, mutant, proof
 from tests.histories.configuration_model import Model, write_team
 
 RETAINED = 8
 BOUND_S = 3.0
-FETCH_S = 1.0
+FETCH_S = 1.2
+SETTLE_S = 4.0
+LASTING = (
+    Fault.PAUSED,
+    Fault.CUT_LOG,
+    Fault.CUT_PEERS,
+    Fault.CUT_BOTH,
+    Fault.LOG_DOWN,
+    Fault.LOG_SLOW,
+)
 PLANS = CheckpointSettings(
     every_records=4, margin_records=4, spread_s=1.0, urgent_spread_s=0.3, rest_s=0.6
 )
@@ -65,7 +82,7 @@
         self.streams = [Stream.CONFIGURATION] if follows else []
         self._world = world
         self._name = name
-        self.fold = ConfigurationFold()
+        self.fold = ConfigurationFold(relay_records=2)
         self.publisher = Publisher(fold=self.fold)
         self.freshness = Freshness(settings=FreshnessSettings(bound_s=BOUND_S))
         self.planner = CheckpointPlanner(
@@ -157,10 +174,11 @@
 class Publishing(Scenario):
     """Let operators publish on the same and on other sections; one entry has no log."""
 
-    duration_s = 14.0
+    duration_s = 16.0
 
     def __init__(self) -> None:
         self._starts = 0
+        self._quiet_at = 0.0
         self.heads: list[tuple[float, int]] = []
 
     def start(self, world: World) -> None:
@@ -183,6 +201,10 @@
             ),
         )
 
+    def on_strike(self, world: World, name: str, fault: Fault) -> None:
+        lasts_s = FAULT_S if fault in LASTING else OVERTAKEN_S
+        self._quiet_at = max(self._quiet_at, world.now + lasts_s)
+
     def on_race(self, world: World, name: str) -> None:
         others = [other for other in world.nodes if other != name]
         if others:
@@ -209,20 +231,19 @@
 
     def _check_progress(self, world: World, head: int) -> list[str]:
         """Expect every node to have caught up some seconds after the last fault."""
-        faults = [end for (what, _), end in world._until.items() if "read" not in what]
-        if world.now - max(faults, default=0.0) < 5 or world._paused:
+        if world.now - self._quiet_at < SETTLE_S:
             return []
         born: dict[str, float] = {}
         for note in world.notes:
             if isinstance(note, Observation):
                 born.setdefault(note.node, note.time)
-        settled = self._head_at(world.now - 3)
+        settled = self._head_at(world.now - SETTLE_S)
         return [
             f"{name} stands at {node.fold.read_offset} of {head}"
             for name, node in world.nodes.items()
             if isinstance(node, EntryNode)
             and node.fold.read_offset < settled
-            and world.now - born.get(name, world.now) > 4
+            and world.now - born.get(name, world.now) > SETTLE_S
         ]
 
     def _head_at(self, time_s: float) -> int:
@@ -248,11 +269,17 @@
 
 
 class Replacing(Publishing):
-    """Replace all entries at once: only the log is left, without its old records."""
+    """Replace all entries at once: only the log is left, without its old records.
+
+    It happens when a slow log has had the time to take in a checkpoint: records that
+    expire faster than that can't be kept by anybody.
+    """
+
+    duration_s = 20.0
 
     def start(self, world: World) -> None:
         super().start(world)
-        world.at(5.0, lambda: [world.crash(name) for name in list(world.nodes)])
+        world.at(9.0, lambda: [world.crash(name) for name in list(world.nodes)])
 
 
 def _check_told(told: Told, model: Model) -> list[str]:
@@ -269,53 +296,91 @@
     return [f"{told.id} was told {told.outcome}, accepted {accepted}"] if wrong else []
 
 
-@pytest.fixture(autouse=True)
-def keep_few_records(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Let peers relay snapshots as well as records."""
-    monkeypatch.setattr(fold_module, "RELAY_RECORDS", 2)
+@proof("configuration", Promise.CONFIGURATION, Promise.WITHDRAWN)
+def prove_configuration() -> ProofResult:
+    """Publish under every fault, then replace all entries under every fault."""
+    results = [run_matrix(Publishing, pairs=150), run_matrix(Replacing, pairs=50)]
+    return ProofResult(
+        cells=sum(result.cells for result in results),
+        violations=[text for result in results for text in result.violations],
+    )
 
 
-def test_hold_under_every_fault(capsys: pytest.CaptureFixture[str]) -> None:
-    results = [run_matrix(Publishing, pairs=150), run_matrix(Replacing, pairs=50)]
-    cells = sum(result.cells for result in results)
-    with capsys.disabled():
-        print(f"\nconfiguration agrees and never reverts: {cells} cells")
-    assert [text for result in results for text in result.violations] == []
-    assert cells > 800
+def test_hold_under_every_fault() -> None:
+    result = prove_configuration()
+    assert result.violations == []
+    assert result.cells > 1_000
+
+
+def _find_in_publishing() -> list[str]:
+    return run_matrix(Publishing, pairs=150, stop_early=True).violations
+
+
+def _find_in_replacing() -> list[str]:
+    return run_matrix(Replacing, pairs=150, stop_early=True).violations
 
 
 def _always(value: bool) -> Callable[..., bool]:
     return lambda *args, **kwargs: value
 
 
-def _say_not_appended(self: Publisher, attempt: Any, now: float) -> Any:
-    decision = self._fold.verdict_of(attempt.id)
-    return decision or (NotAppended() if now > attempt.deadline - 8 else None)
+@mutant(
+    "two winners for one base",
+    promise=Promise.CONFIGURATION,
+    check=_find_in_publishing,
+)
+def accept_any_base(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ConfigurationFold, "_base_holds", _always(True))
+
+
+@mutant(
+    "repeated records judged again",
+    promise=Promise.CONFIGURATION,
+    check=_find_in_publishing,
+)
+def judge_repeats(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ConfigurationFold, "_is_repeat", _always(False))
+
+
+@mutant(
+    "older states restored",
+    promise=Promise.CONFIGURATION,
+    check=_find_in_publishing,
+)
+def restore_older(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ConfigurationFold, "_is_newer", _always(True))
+    patch.setattr(ConfigurationFold, "_keeps_own", _always(False))
+
+
+@mutant(
+    "no checkpoints before records expire",
+    promise=Promise.CONFIGURATION,
+    check=_find_in_replacing,
+)
+def never_restate(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(CheckpointPlanner, "_is_due", _always(False))
 
 
-MUTANTS = [
-    ("two winners for one base", ConfigurationFold, "_base_holds", _always(True)),
-    ("repeats judged again", ConfigurationFold, "_is_repeat", _always(False)),
-    ("old states restored", ConfigurationFold, "_is_newer", _always(True)),
-    ("no checkpoints", CheckpointPlanner, "_is_due", _always(False)),
-    ("no bound of freshness", Freshness, "_is_within_bound", _always(True)),
-    ("a lost reply means not run", Publisher, "_outcome", _say_not_appended),
-]
+@mutant(
+    "no bound of freshness",
+    promise=Promise.WITHDRAWN,
+    check=_find_in_publishing,
+)
+def call_anything_fresh(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Freshness, "_is_within_bound", _always(True))
 
 
-@pytest.mark.parametrize(
-    ("owner", "name", "mutant"),
-    [mutant[1:] for mutant in MUTANTS],
-    ids=[mutant[0] for mutant in MUTANTS],
+@mutant(
+    "a lost reply taken for a refusal",
+    promise=Promise.CONFIGURATION,
+    check=_find_in_publishing,
 )
-def test_notice_a_missing_safeguard(
-    monkeypatch: pytest.MonkeyPatch, owner: type, name: str, mutant: Any
-) -> None:
-    monkeypatch.setattr(owner, name, mutant)
-    if name == "_is_newer":
-        monkeypatch.setattr(ConfigurationFold, "_keeps_own", _always(False))
-    scenario = Replacing if owner is CheckpointPlanner else Publishing
-    assert run_matrix(scenario, pairs=150, stop_early=True).violations
+def say_not_appended(patch: pytest.MonkeyPatch) -> None:
+    def decide(self: Publisher, attempt: Any, now: float) -> Any:
+        decision = self._fold.verdict_of(attempt.id)
+        return decision or (NotAppended() if now > attempt.deadline - 8 else None)
+
+    patch.setattr(Publisher, "_outcome", decide)
 
 
 def test_keep_the_maximum_whatever_a_checkpoint_says() -> None:
--- a/tests/histories/test_configuration_history.py
+++ b/tests/histories/test_configuration_history.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 import msgspec
 import pytest
@@ -24,7 +25,13 @@
 
 from baobabthread.core.fold import ConfigurationFold
 from baobabthread.core.fold_publisher import Publisher
-from baobabthread.core.fold_records import Accepted, Conflict, Invalid, Publish
+from baobabthread.core.fold_records import (
+    Accepted,
+    Conflict,
+    Invalid,
+    Publish,
+    split_snapshot,
+)
 from baobabthread.core.messages import (
     Append,
     AppendFailed,
@@ -32,6 +39,7 @@
     LogRecord,
     Stream,
 )
+from tests.failures.mutants import Promise, ProofResult, mutant, proof
 from tests.histories.configuration_model import Model, write_team
 
 ENTRIES = st.integers(0, 2)
@@ -136,7 +144,7 @@
         fold = self.folds[entry]
         if fold.configuration is None or fold.read_offset == 0:
             return
-        for part in fold.restate():
+        for part in split_snapshot(fold.snapshot()):
             offset = len(self.records) + 1
             body = msgspec.Raw(msgspec.json.encode(part))
             self.records.append(LogRecord(offset=offset, id=f"r{offset}", body=body))
@@ -194,17 +202,38 @@
 )
 
 
+def _find_violations() -> list[str]:
+    try:
+        run_state_machine_as_test(ConfigurationHistory, settings=HISTORY)
+    except AssertionError as error:
+        return [str(error) or "an entry differs from the replay of the log"]
+    return []
+
+
+@proof("histories of publishing", Promise.CONFIGURATION)
+def prove_histories() -> ProofResult:
+    """Replay histories of concurrent operators."""
+    return ProofResult(histories=HISTORY.max_examples, violations=_find_violations())
+
+
 def test_agree_in_every_history() -> None:
     run_state_machine_as_test(ConfigurationHistory, settings=HISTORY)
 
 
-@pytest.mark.parametrize(
-    ("name", "value"),
-    [("_base_holds", True), ("_is_repeat", False), ("_is_newer", True)],
-)
-def test_notice_a_missing_safeguard(
-    monkeypatch: pytest.MonkeyPatch, name: str, value: bool
-) -> None:
-    monkeypatch.setattr(ConfigurationFold, name, lambda *args, **kwargs: value)
-    with pytest.raises(AssertionError):
-        run_state_machine_as_test(ConfigurationHistory, settings=HISTORY)
+def _always(value: bool) -> Callable[..., bool]:
+    return lambda *args, **kwargs: value
+
+
+@mutant("any base wins", promise=Promise.CONFIGURATION, check=_find_violations)
+def accept_any_base(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ConfigurationFold, "_base_holds", _always(True))
+
+
+@mutant("repeats count again", promise=Promise.CONFIGURATION, check=_find_violations)
+def judge_repeats(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ConfigurationFold, "_is_repeat", _always(False))
+
+
+@mutant("peers revert a state", promise=Promise.CONFIGURATION, check=_find_violations)
+def restore_older(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ConfigurationFold, "_is_newer", _always(True))
