Share the capacity among entries by demand, borrow what others leave

Cause: after a burst one entry queued 26 requests while others had room; each limit adapted alone and stayed where chance had left it.

Change: digests tell what runs and waits; half of the capacity goes evenly, half by demand, and unused room is lent. AdaptiveLimit.share takes FairQueue.elsewhere and FairQueue.pressing after each merge; the limit may exceed its share by 1.25.

--- a/bench/_entries.py
+++ b/bench/_entries.py
@@ -132,9 +132,12 @@
 
     def hear(self, service: str, number: int, digest: UsageDigest) -> None:
         """Take in a peer's digest."""
-        queue = self._lanes[service].queue
-        if isinstance(queue, FairQueue):
-            queue.merge(f"entry-{number}", digest, self._events.now)
+        lane = self._lanes[service]
+        now = self._events.now
+        if isinstance(lane.queue, FairQueue):
+            lane.queue.merge(f"entry-{number}", digest, now)
+            lane.limit.share(lane.queue.elsewhere(now), lane.queue.pressing, now)
+            self._dispatch(lane)
 
     def poll(self) -> None:
         """Ask the servers for their load; the answers are old on arrival."""
--- a/src/baobabthread/core/fairness.py
+++ b/src/baobabthread/core/fairness.py
@@ -12,7 +12,7 @@
 
 from baobabthread.core.flows import BATCH, CLASS, INTERACTIVE, URGENT, Entry, Flow, Item
 from baobabthread.core.flows import Waiting as Waiting
-from baobabthread.core.rates import AccountUsage, DrainRate, RemoteUsage
+from baobabthread.core.rates import AccountUsage, DrainRate, Elsewhere, RemoteUsage
 from baobabthread.core.rates import UsageDigest as UsageDigest
 
 MAX_LOOKED_AT = 32
@@ -47,6 +47,7 @@
     __slots__ = (
         "_accounts",
         "_active_weight",
+        "_batch_count",
         "_batch_due",
         "_digests",
         "_drain",
@@ -75,6 +76,7 @@
         self._promotion: list[Item] = []
         self._tokens = [0, 0, 0]
         self._active_weight = 0.0
+        self._batch_count = 0
         self._batch_due = 0.0
         self._digests = 0
         self._virtual = 0.0
@@ -86,6 +88,11 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def pressing(self) -> int:
+        """Give the number of requests that wait, batch work left out."""
+        return len(self._entries) - self._batch_count
+
     def push(self, waiting: Waiting, now: float) -> Waiting | None:
         """Queue a request; return the one that is pushed out for it, if any."""
         pushed_out = None
@@ -193,7 +200,12 @@
                 in_flight=account.in_flight,
             )
         self._digests += 1
-        return UsageDigest(sequence=self._digests, accounts=accounts)
+        return UsageDigest(
+            sequence=self._digests,
+            accounts=accounts,
+            running=len(self._running),
+            waiting=self.pressing,
+        )
 
     def merge(self, origin: str, digest: UsageDigest, now: float) -> None:
         """Take in what accounts use at another entry incarnation."""
@@ -203,6 +215,10 @@
             if account is not None:
                 self._move(account, tokens / account.weight)
 
+    def elsewhere(self, now: float) -> Elsewhere:
+        """Return what runs and waits at the other entries."""
+        return self._remote.total(now)
+
     def estimate_wait(self, waiting: Waiting) -> float:
         """Return the seconds that a request would wait if it were pushed now."""
         rate = self._drain.tokens_per_s
@@ -265,6 +281,7 @@
         level = entry.level
         self._sequence += 1
         account.enter(entry, self._sequence)
+        self._batch_count += level == BATCH
         self._tokens[level] += entry.waiting.tokens
         if account.counts[level] == 1:
             self._rank_level(account, level)
@@ -275,6 +292,7 @@
     def _leave(self, entry: Entry) -> None:
         account = self._accounts[entry.waiting.account]
         account.leave(entry)
+        self._batch_count -= entry.level == BATCH
         self._tokens[entry.level] -= entry.waiting.tokens
         if not account.backlogged:
             self._active_weight -= account.weight
--- a/src/baobabthread/core/limits.py
+++ b/src/baobabthread/core/limits.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from baobabthread.core.rates import Elsewhere
+
 MIN_ESTIMATE_S = 0.1
 
 
@@ -30,8 +32,16 @@
     maximum: float = 1024.0
     slack: float = 1.2
     """Share of the reported capacity per live entry to start from."""
-    span: float = 4.0
-    """Most times the share of the capacity that one entry may use."""
+    span: float = 1.25
+    """Most times its share of the capacity that one entry may use of its own."""
+    even_part: float = 0.5
+    """Part of the capacity that entries share evenly; the rest goes by demand."""
+    share_step: float = 0.5
+    """Step towards a new share at each word of the peers."""
+    borrowing: float = 0.7
+    """Part of the capacity left unused by other entries that may be borrowed."""
+    borrow_life_s: float = 3.0
+    """Seconds for which the peers' word on their use counts."""
     tolerance: float = 1.5
     """Times the least latency that is taken as free of queueing."""
     decrease: float = 0.85
@@ -52,7 +62,11 @@
 
     __slots__ = (
         "_base",
+        "_borrowed",
+        "_borrowed_at",
+        "_capacity",
         "_cut_at",
+        "_even",
         "_latency",
         "_least",
         "_settings",
@@ -68,6 +82,10 @@
         self.limit = self._settings.initial
         self.running = 0
         self._base: float | None = None
+        self._capacity = 0.0
+        self._even = 0.0
+        self._borrowed = 0.0
+        self._borrowed_at = 0.0
         self._least: float | None = None
         self._latency = 0.0
         self._work = 0.0
@@ -77,19 +95,46 @@
 
     def set_capacity(self, capacity: int, entries: int) -> None:
         """Take over what all backend servers can run and how many entries share it."""
-        base = max(1.0, capacity * self._settings.slack / max(1, entries))
+        self._capacity = capacity * self._settings.slack
+        self._even = max(1.0, self._capacity / max(1, entries))
+        self._rebase(self._even)
+
+    def share(self, elsewhere: Elsewhere, waiting: int, now: float) -> None:
+        """Take a part of the capacity by demand, and borrow what others leave."""
+        if not self._capacity:
+            return
+        # Failure: callers come to one entry more than to others; it queues and sheds
+        # while others have room. A part of the capacity goes where requests wait. The
+        # even part stays, so that an entry that was idle can start at once.
+        own = self.running + waiting
+        total = own + elsewhere.running + elsewhere.waiting
+        even = self._settings.even_part
+        by_demand = self._capacity * own / total if total else self._even
+        wanted = even * self._even + (1.0 - even) * by_demand
+        step = self._settings.share_step
+        known = self._base or self._even
+        self._rebase(known + step * (wanted - known))
+        unused = self._capacity - elsewhere.running - self.limit
+        # All entries with a queue see the same room as unused: they divide it.
+        part = self._settings.borrowing / (1 + elsewhere.backlogged)
+        self._borrowed = max(0.0, unused * part)
+        self._borrowed_at = now
+
+    def _rebase(self, base: float) -> None:
+        """Scale the limit to a new share and keep what was learnt."""
         known = self._base
         self._base = base
-        if known is None:
-            self.limit = base
-        else:
-            # A change of capacity scales the limit and keeps what was learnt.
-            self.limit *= base / known
-        self.limit = self._clamp(self.limit)
+        self.limit = self._clamp(self.limit * base / known if known else base)
+
+    def allowed(self, now: float) -> float:
+        """Return how many requests may run, borrowed room included."""
+        if now - self._borrowed_at > self._settings.borrow_life_s:
+            return self.limit
+        return self.limit + self._borrowed
 
     def may_start(self, now: float) -> bool:
         """Tell whether one more request may start."""
-        return self.running < self.limit
+        return self.running < self.limit or self.running < self.allowed(now)
 
     def started(self) -> None:
         """Count a request that starts."""
--- a/src/baobabthread/core/rates.py
+++ b/src/baobabthread/core/rates.py
@@ -55,15 +55,29 @@
     sequence: int
     """Rises with each digest of an entry, so that a late one is dropped."""
     accounts: dict[str, AccountUsage]
+    running: int = 0
+    waiting: int = 0
+    """Requests that wait, batch work left out: it has time."""
+
+
+class Elsewhere(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell what runs and waits at the other entries heard lately."""
+
+    running: int
+    waiting: int
+    backlogged: int
+    """Entries at which something waits."""
 
 
 class _Origin:
-    __slots__ = ("accounts", "heard_at", "sequence")
+    __slots__ = ("accounts", "heard_at", "running", "sequence", "waiting")
 
     def __init__(self) -> None:
         self.accounts: dict[str, AccountUsage] = {}
         self.heard_at = 0.0
+        self.running = 0
         self.sequence = 0
+        self.waiting = 0
 
 
 class RemoteUsage:
@@ -98,6 +112,8 @@
                 grown[name] = usage.started - base
         known.accounts = digest.accounts
         known.sequence = digest.sequence
+        known.running = digest.running
+        known.waiting = digest.waiting
         known.heard_at = now
         return grown
 
@@ -110,6 +126,19 @@
                 total += usage.running
         return total
 
+    def total(self, now: float) -> Elsewhere:
+        """Return what runs and waits at entries heard lately."""
+        fresh = [
+            origin
+            for origin in self._origins.values()
+            if now - origin.heard_at <= self._stale_after_s
+        ]
+        return Elsewhere(
+            running=sum(origin.running for origin in fresh),
+            waiting=sum(origin.waiting for origin in fresh),
+            backlogged=sum(origin.waiting > 0 for origin in fresh),
+        )
+
     def _drop_stale(self, now: float) -> None:
         limit = 10 * self._stale_after_s
         stale = [
--- a/tests/core/test_limits.py
+++ b/tests/core/test_limits.py
@@ -9,6 +9,7 @@
     Outcome,
     Shedder,
 )
+from baobabthread.core.rates import Elsewhere
 
 
 def run_rounds(limit: AdaptiveLimit, *, servers: int, rounds: int, start: float = 0.0):
@@ -78,6 +79,38 @@
     assert limit.limit >= 1.0
 
 
+def make_shared(*, running: int) -> AdaptiveLimit:
+    limit = AdaptiveLimit(settings=LimitSettings(slack=1.2))
+    limit.set_capacity(40, 6)
+    for _ in range(running):
+        limit.started()
+    return limit
+
+
+def test_the_room_goes_where_requests_wait():
+    busy, quiet = make_shared(running=8), make_shared(running=2)
+    for second in range(10):
+        by_others = Elsewhere(running=30, waiting=10, backlogged=3)
+        busy.share(by_others, 30, float(second))
+        quiet.share(by_others, 0, float(second))
+    assert busy.allowed(10.0) > 2 * 8.0
+    assert 4.0 <= quiet.limit <= 8.0
+
+
+def test_room_that_others_leave_is_borrowed_until_they_fall_silent():
+    limit = make_shared(running=8)
+    limit.share(Elsewhere(running=0, waiting=0, backlogged=0), 20, 1.0)
+    assert limit.may_start(2.0)
+    assert limit.allowed(2.0) > 30.0
+    assert limit.allowed(20.0) == limit.limit < 30.0
+
+
+def test_without_a_known_capacity_nothing_is_shared():
+    limit = AdaptiveLimit(settings=LimitSettings(initial=16.0))
+    limit.share(Elsewhere(running=0, waiting=0, backlogged=0), 20, 1.0)
+    assert limit.allowed(1.0) == 16.0
+
+
 def count_admitted(limit: AccountLimit, *, tokens: int, start: float, seconds: float):
     admitted = 0
     steps = int(seconds * 100)
