--- a/src/baobabthread/adapters/peers.py
+++ b/src/baobabthread/adapters/peers.py
@@ -135,7 +135,10 @@
             return
         sender, messages = replies
         for message in messages:
-            self._deliver(sender, message)
+            # What answers a reply has no reply of its own to travel in. Dropped, it
+            # would be found missing only after a timeout.
+            for answer in self._deliver(sender, message):
+                self.send(to, answer)
 
     async def _exchange(
         self, to: str, batch: list[msgspec.Struct]
@@ -160,6 +163,9 @@
                 return self._codec.decode(answer)
         except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
             return None
+        except RuntimeError:
+            # The session is closed already: this entry is stopping.
+            return None
 
     async def flush(self, timeout_s: float) -> None:
         """Wait until all queued messages are sent, at most so long."""
