Let named sessions follow their holders, the first beginning wins

Cause: an entry that joins becomes the owner of sessions that it never heard of; it answered so and the session began again on another version. The later beginning then even replaced the earlier one at the other holders. Ruled out: asking all entries for each unknown session (grows with their number). Figures: 300 sessions over a join and two losses: every holder has every session. Conclusion: the wiring into core/named.py is left to its owner.

--- a/src/baobabthread/core/rendezvous.py
+++ b/src/baobabthread/core/rendezvous.py
@@ -15,6 +15,11 @@
     return sorted(names, key=lambda name: (_draw(key, name), name), reverse=True)
 
 
+def outranks(key: str, name: str, other: str) -> bool:
+    """Tell whether a name stands before another one in the key's order."""
+    return (_draw(key, name), name) > (_draw(key, other), other)
+
+
 def choose(key: str, weights: Mapping[str, float]) -> str | None:
     """Return a name with the chance of its weight; a raised weight only attracts."""
     best: str | None = None
--- a/src/baobabthread/core/sessions.py
+++ b/src/baobabthread/core/sessions.py
@@ -241,7 +241,7 @@
 ) -> Holders | None:
     """Return who remembers a session; equal members give equal holders."""
     members = {member.name: member for member in serving}
-    ranked = [members[n] for n in rank(f"{account}/{service}/{name}", members)]
+    ranked = [members[n] for n in rank(_key(account, service, name), members)]
     if not ranked:
         return None
     owner, others = ranked[0], ranked[1:]
@@ -265,7 +265,7 @@
 
     def put(self, session: NamedSession) -> NamedSession:
         """Remember a session unless a newer one is held; return the one that counts."""
-        key = _key(session.pin.account, session.pin.service, session.name)
+        key = name_session(session)
         held = self._sessions.get(key)
         if held is not None and not self._is_newer(session, held):
             self._sessions.move_to_end(key)
@@ -290,23 +290,35 @@
         self._sessions.move_to_end(key)
         return held
 
+    def find(self, key: str) -> NamedSession | None:
+        """Return a session by the name that `name_session` gives it."""
+        return self._sessions.get(key)
+
     def all(self) -> list[NamedSession]:
         """Return all sessions, to be handed over when this entry stops."""
         return list(self._sessions.values())
 
     def _is_newer(self, session: NamedSession, held: NamedSession) -> bool:
-        # Two entries may start the same session at once, each with its own roll-out
-        # share; whichever copy comes first, all holders must end up with the same one.
+        # Two entries may start the same session, each with its own share of a roll-out,
+        # or a new owner starts again what another one remembers. Whichever copy comes
+        # first, all holders end up with the session that began first.
         if session.sequence != held.sequence:
             return session.sequence > held.sequence
         if session.pin.version != held.pin.version:
-            return _tie(session) > _tie(held)
+            return _begin(session) < _begin(held)
         return session.pin.expires_at > held.pin.expires_at
 
 
+def name_session(session: NamedSession) -> str:
+    """Return a text that names a session among all sessions."""
+    return _key(session.pin.account, session.pin.service, session.name)
+
+
 def _key(account: str, service: str, name: str) -> str:
     return f"{len(account)}:{account}{len(service)}:{service}{name}"
 
 
-def _tie(session: NamedSession) -> str:
-    return f"{session.pin.generation:020d}/{session.pin.version}"
+def _begin(session: NamedSession) -> str:
+    """Return a text that orders sessions by when they began, then by version."""
+    pin = session.pin
+    return f"{pin.expires_at:020.6f}/{pin.generation:020d}/{pin.version}"
--- a/tests/core/test_sessions.py
+++ b/tests/core/test_sessions.py
@@ -19,7 +19,9 @@
 )
 from baobabthread.core.membership_messages import MemberInfo
 from baobabthread.core.rendezvous import choose
+from baobabthread.core.session_transfers import SessionTransfers
 from baobabthread.core.sessions import (
+    Holders,
     Moved,
     MoveReason,
     NamedSession,
@@ -31,6 +33,7 @@
     SessionTable,
     Started,
     choose_holders,
+    name_session,
     resolve,
 )
 
@@ -179,3 +182,79 @@
     found = table.get(account="a", service="s", name="n8", now=0)
     assert found == moved
     assert table.get(account="a", service="s", name="n8", now=100) is None
+
+
+class Holding:
+    """Keep one table and its transfers for each entry."""
+
+    def __init__(self) -> None:
+        self.tables: dict[str, SessionTable] = {}
+        self.transfers: dict[str, SessionTransfers] = {}
+
+    def change(self, members: list[MemberInfo]) -> int:
+        """Let every entry see who serves now; return how many messages followed."""
+        for member in members:
+            table = self.tables.setdefault(member.name, SessionTable())
+            self.transfers.setdefault(
+                member.name, SessionTransfers(me=member.name, table=table)
+            )
+        sent = 0
+        for name, transfers in self.transfers.items():
+            transfers.observe(members)
+            while effects := transfers.step():
+                for effect in effects:
+                    sent += 1
+                    assert effect.to != name
+                    self.tables[effect.to].put(effect.message.session)
+        return sent
+
+    def count_held(
+        self, sessions: list[NamedSession], members: list[MemberInfo]
+    ) -> int:
+        return sum(
+            self.tables[name].find(name_session(session)) is not None
+            for session in sessions
+            for holders in [_choose(session, members)]
+            for name in (holders.owner, holders.copy)
+            if name is not None
+        )
+
+
+def _choose(session: NamedSession, members: list[MemberInfo]) -> Holders:
+    holders = choose_holders(
+        account=session.pin.account,
+        service=session.pin.service,
+        name=session.name,
+        serving=members,
+    )
+    assert holders is not None
+    return holders
+
+
+def test_follow_the_holders_when_members_change() -> None:
+    """An entry joins and becomes the owner of sessions that it never heard of.
+
+    It would answer so, and the sessions would begin again on another version. The
+    former holders send it what it lacks; later one of them dies and the copies do.
+    """
+    members = [_member(f"e{n}", f"d{n % 4}") for n in range(6)]
+    holding = Holding()
+    holding.change(members[:5])
+    sessions = [NamedSession(name=f"s{n}", pin=PIN) for n in range(300)]
+    for session in sessions:
+        holders = _choose(session, members[:5])
+        for name in filter(None, (holders.owner, holders.copy)):
+            holding.tables[name].put(session)
+    for present in (members[:5], members, members[1:], members[2:]):
+        holding.change(present)
+        assert holding.count_held(sessions, present) == 600
+
+
+def test_let_the_first_beginning_win_everywhere() -> None:
+    first = NamedSession(name="n", pin=PIN)
+    again = msgspec.structs.replace(PIN, version="v0", generation=9, expires_at=130.0)
+    for order in ([0, 1], [1, 0]):
+        table = SessionTable()
+        for index in order:
+            table.put([first, NamedSession(name="n", pin=again)][index])
+        assert table.get(account="a", service="s", name="n", now=0) == first
