--- a/bench/_servers.py
+++ b/bench/_servers.py
@@ -4,6 +4,7 @@
 
 import heapq
 import math
+import random
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
@@ -61,6 +62,8 @@
     """Size of the prefix cache."""
     max_waiting: int = 256
     """Jobs beyond those running; more are refused as busy."""
+    cancels: bool = True
+    """Whether a job whose caller has gone is stopped; else its work goes on."""
 
     def tokens_per_s(self) -> float:
         """Return what a full server works off, in generated tokens a second."""
@@ -71,7 +74,7 @@
 MODEL = ServerSpec(
     capacity=8, step_s=0.02, step_s_per_request=0.001, cache_tokens=24_000
 )
-PLAIN = ServerSpec(capacity=8, step_s=0.001, step_s_per_request=0.0)
+PLAIN = ServerSpec(capacity=8, step_s=0.001, step_s_per_request=0.0, cancels=False)
 
 
 class Job:
@@ -120,6 +123,7 @@
         "_events",
         "_finishing",
         "_progress",
+        "_rng",
         "_running",
         "_sequence",
         "_spec",
@@ -127,6 +131,7 @@
         "_stamp",
         "_waiting",
         "_waiting_count",
+        "cut_share",
         "failing",
         "lies",
         "name",
@@ -137,10 +142,13 @@
         self.name = name
         self.lies = False
         self.failing = False
+        self.cut_share = 0.0
+        """Share of the answers that fail at their end, when the work is done."""
         self.worked = 0.0
         """Tokens' worth of work done, also for requests that were cancelled."""
         self._spec = spec
         self._events = events
+        self._rng = random.Random(name)
         self._speed = 1.0
         self._progress = 0.0
         self._advanced_at = 0.0
@@ -174,7 +182,9 @@
         self._admit()
 
     def cancel(self, job: Job) -> None:
-        """Stop a job whose caller has gone; its slot is free at once."""
+        """Stop a job whose caller has gone, if the server can; its slot is free."""
+        if not self._spec.cancels and job.state != "new":
+            return
         if job.state == "waiting":
             self._waiting_count -= 1
         elif job.state == "running":
@@ -249,5 +259,6 @@
         job = heapq.heappop(self._finishing)[2]
         job.state = "done"
         self._running -= 1
-        job.done(Outcome.OK)
+        cut = self._rng.random() < self.cut_share
+        job.done(Outcome.FAILED if cut else Outcome.OK)
         self._admit()
