Tell a returning peer which copies to keep, once all others are copied

A reset on return dropped every copy, also the only one of a bill that was still on its way to another peer; the owner's death would then have lost it. The peer now keeps what the owner names, after every running bill has a copy.

--- a/src/baobabthread/core/billcopies.py
+++ b/src/baobabthread/core/billcopies.py
@@ -51,8 +51,9 @@
         owner.last_batch = message.batch
         bills = owner.bills
         before = len(bills)
-        if message.reset:
-            bills.clear()
+        if message.keep is not None:
+            for request_id in bills.keys() - set(message.keep):
+                del bills[request_id]
         for request_id in message.drops:
             bills.pop(request_id, None)
         for record in message.closes:
--- a/src/baobabthread/core/billlinks.py
+++ b/src/baobabthread/core/billlinks.py
@@ -25,6 +25,7 @@
     __slots__ = (
         "asked",
         "bill_id",
+        "is_copied",
         "is_given",
         "is_settled",
         "opened",
@@ -42,6 +43,8 @@
         self.record: BillRecord | None = None
         self.waiting = waiting
         """The request is held back until a peer has the copy."""
+        self.is_copied = False
+        """Its peer has acknowledged the copy."""
         self.is_given = False
         """It was handed to a peer for good; the acknowledgement may be missing."""
         self.is_settled = False
@@ -54,6 +57,7 @@
 
     def note_safe(self) -> Effects:
         """Note that a peer or the log holds the bill besides this entry."""
+        self.is_copied = True
         taking, self.taking = self.taking, None
         return taking.note_safe() if taking is not None else []
 
@@ -103,10 +107,15 @@
             return False
         if self.opens:
             return True
-        waits = self.needs_reset or self.since + linger_s <= now
-        return waits and self.avoid_until <= now
+        return self.since + linger_s <= now and self.avoid_until <= now
 
-    def make_batch(self, *, owner: str, batch: int, now: float) -> CopyBills:
+    def is_reset_due(self, now: float) -> bool:
+        """Tell whether the peer should be told which copies to keep."""
+        return self.needs_reset and not self.batch and self.avoid_until <= now
+
+    def make_batch(
+        self, *, owner: str, batch: int, now: float, keep: list[str] | None = None
+    ) -> CopyBills:
         """Move all that waits into one message."""
         # What was settled meanwhile is only dropped; sent after its drop it would
         # stay at the peer for good.
@@ -125,10 +134,10 @@
             opens=[bill.opened for bill in opens],
             closes=[bill.record for bill in closes if bill.record is not None],
             drops=self.drops,
-            reset=self.needs_reset,
+            keep=keep,
         )
-        self._resetting = self.needs_reset
-        self.needs_reset = False
+        self._resetting = keep is not None
+        self.needs_reset = self.needs_reset and keep is None
         self.opens, self.closes, self.drops = [], [], []
         self.batch = batch
         self.sent_at = now
--- a/src/baobabthread/core/billtypes.py
+++ b/src/baobabthread/core/billtypes.py
@@ -82,8 +82,8 @@
     closes: list[BillRecord]
     drops: list[str]
     """Request ids."""
-    reset: bool = False
-    """Drop all older copies of this owner first."""
+    keep: list[str] | None = None
+    """Drop all copies of this owner besides these first; none drops nothing."""
 
 
 class BillsCopied(msgspec.Struct, frozen=True, kw_only=True, tag="bills_copied"):
--- a/src/baobabthread/core/ledger.py
+++ b/src/baobabthread/core/ledger.py
@@ -201,7 +201,12 @@
         if self._leaving:
             effects += self._gifts.give(self._bills.values(), now)
         for link in self._links.get_all():
-            if link.is_due(now, self._settings.linger_s):
+            if link.is_reset_due(now) and self._is_all_copied():
+                keep = [
+                    b.request_id for b in self._bills.values() if b.peer == link.name
+                ]
+                effects.append(self._flush(link, now, keep=keep))
+            elif link.is_due(now, self._settings.linger_s):
                 effects.append(self._flush(link, now))
         return effects
 
@@ -232,6 +237,7 @@
             return self._go_alone(bill)
         bill.asked += 1
         bill.peer = link.name
+        bill.is_copied = False
         link.opens.append(bill)
         if link.batch:
             return []
@@ -239,9 +245,10 @@
 
     def _go_alone(self, bill: Bill) -> Effects:
         bill.peer = None
+        bill.is_copied = False
         if not bill.waiting:
             self._uncopied[bill.request_id] = bill
-            return bill.note_safe()
+            return [] if len(self._links) else bill.note_safe()
         bill.waiting = False
         # With neither a peer nor the log within reach the bill would live in this
         # process alone for as long as that lasts; its death would lose the bill.
@@ -252,9 +259,15 @@
         self._uncopied[bill.request_id] = bill
         return [BillOpened(request_id=bill.request_id, degraded=True)]
 
-    def _flush(self, link: Link, now: float) -> Send:
+    def _is_all_copied(self) -> bool:
+        """Tell whether every bill that may run has its copy."""
+        # A peer that was lost sight of may hold the only copy of a bill that is on
+        # its way to another peer; dropping it before that one has it could lose it.
+        return all(bill.is_copied or bill.waiting for bill in self._bills.values())
+
+    def _flush(self, link: Link, now: float, keep: list[str] | None = None) -> Send:
         self._batch += 1
-        message = link.make_batch(owner=self._me, batch=self._batch, now=now)
+        message = link.make_batch(owner=self._me, batch=self._batch, now=now, keep=keep)
         return Send(to=link.name, message=message)
 
     def _on_copied(self, sender: str, message: BillsCopied, now: float) -> Effects:
@@ -269,6 +282,7 @@
             effects += self._on_full(link, opens, now)
         else:
             for bill in opens:
+                bill.is_copied = True
                 if bill.waiting:
                     bill.waiting = False
                     effects.append(BillOpened(request_id=bill.request_id))
@@ -364,7 +378,8 @@
             bill.taking = taking
             bill.record = msgspec.structs.replace(record, request_id=opened.request_id)
             self._bills[bill.request_id] = bill
-            effects += self._place(bill, now)
+            giver = taking.sender if taking is not None else None
+            effects += self._place(bill, now, besides=giver)
             effects += self._appends.start(bill, now)
         return effects
 
--- a/tests/failures/test_ledger_matrix.py
+++ b/tests/failures/test_ledger_matrix.py
@@ -493,8 +493,7 @@
     make_batch = Link.make_batch
 
     def make(self: Link, **named: Any) -> CopyBills:
-        self.needs_reset = False
-        return make_batch(self, **named)
+        return make_batch(self, **{**named, "keep": None})
 
     patch.setattr(Link, "make_batch", make)
 
