--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -6,6 +6,7 @@
 import contextlib
 import hashlib
 import os
+import random
 import signal
 import socket
 import sys
@@ -20,6 +21,8 @@
 STEP_S = 0.05
 STOP_S = 30.0
 OPERATOR_KEY = "bench-operator-key"
+PORTS = range(12_000, 32_000)
+"""Below the range from which the system takes ports of outgoing connections."""
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 UTIME, STIME = 11, 12
 """Places of both times behind the command's name in /proc/PID/stat."""
@@ -36,14 +39,18 @@
 
 def find_free_ports(count: int) -> list[int]:
     """Return ports that nothing listens at just now."""
+    # The program binds the port only later. One that the system may also give to an
+    # outgoing connection would be taken meanwhile on a busy machine.
     with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-            for _ in range(count)
-        ]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
+        found: list[int] = []
+        while len(found) < count:
+            port = random.SystemRandom().choice(PORTS)
+            each = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            stack.enter_context(each)
+            with contextlib.suppress(OSError):
+                each.bind(("127.0.0.1", port))
+                found.append(port)
+        return found
 
 
 class Process:
@@ -94,7 +101,9 @@
 class Processes:
     """Own all processes of one experiment and end them with it."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, logs: Path | None = None) -> None:
+        """Take the folder that keeps what the programs print, if any."""
+        self._logs = logs
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Processes:
@@ -111,13 +120,15 @@
         environment: Mapping[str, str] | None = None,
     ) -> Process:
         """Start a Python program."""
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *arguments,
-            env={**os.environ, **SHARED, **(environment or {})},
-            stdout=asyncio.subprocess.DEVNULL,
-            stderr=asyncio.subprocess.DEVNULL,
-        )
+        path = Path(os.devnull) if self._logs is None else self._logs / f"{name}.log"
+        with path.open("ab") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                env={**os.environ, **SHARED, **(environment or {})},
+                stdout=output,
+                stderr=asyncio.subprocess.STDOUT,
+            )
         started = Process(name=name, process=process)
         self._stack.push_async_callback(started.stop)
         return started
@@ -140,9 +151,10 @@
         peers: list[int],
         failure_domain: str,
         environment: Mapping[str, str] | None = None,
+        module: str = "baobabthread",
     ) -> Process:
         """Start an entry and wait until it listens."""
-        arguments = ["-m", "baobabthread", "serve", "--name", name]
+        arguments = ["-m", module, "serve", "--name", name]
         arguments += ["--listen", f"127.0.0.1:{port}"]
         arguments += ["--peer-listen", f"127.0.0.1:{peer_port}"]
         arguments += ["--platform", f"http://127.0.0.1:{platform_port}"]
