--- a/src/baobabthread/adapters/callers.py
+++ b/src/baobabthread/adapters/callers.py
@@ -18,6 +18,8 @@
 SERVICES_PREFIX = "/v1/services/"
 BODY_TIMEOUT_S = 20.0
 MAX_KEY_LENGTH = 200
+MAX_NAME_LENGTH = 200
+MAX_TOKEN_LENGTH = 2_048
 MAX_DEADLINE_S = 86_400.0
 MAX_MESSAGES = 2_000
 KEY = re.compile(r"[\x21-\x7e]{1,200}")
@@ -83,17 +85,21 @@
     return b"event: error\ndata: " + _encoder.encode(problem) + b"\n\n"
 
 
-async def read_body(request: web.BaseRequest, *, limit: int) -> bytes:
+async def read_body(
+    request: web.BaseRequest, *, limit: int, timeout_s: float = BODY_TIMEOUT_S
+) -> bytes:
     """Read a body of bounded size within a bounded time."""
     length = request.content_length
     if length is not None and length > limit:
         raise refuse(
             Kind.TOO_LARGE, f"the body is over {limit} bytes", "send a smaller body"
         )
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await _invite_body(request)
     try:
         # A caller that sends a byte a minute would hold its connection and buffer for
         # ever; the whole body has one bound, so that trickling does not renew it.
-        async with asyncio.timeout(BODY_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             body = bytearray()
             async for chunk in request.content.iter_any():
                 body += chunk
@@ -103,15 +109,28 @@
                         f"the body is over {limit} bytes",
                         "send a smaller body",
                     )
+    except web.RequestPayloadError as error:
+        raise refuse(
+            Kind.BAD_REQUEST,
+            f"the body can't be read ({type(error).__name__})",
+            "send the body whole, and compressed as Content-Encoding says",
+        ) from None
     except TimeoutError:
         raise refuse(
             Kind.BAD_REQUEST,
-            f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s",
+            f"the body did not arrive within {timeout_s:g} s",
             "send the body without pauses",
         ) from None
     return bytes(body)
 
 
+async def _invite_body(request: web.BaseRequest) -> None:
+    """Tell a caller that asked beforehand to send its body."""
+    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # Counted as output, the line would pass for the beginning of an answer.
+    request.writer.output_size = 0
+
+
 def hash_bearer(request: web.BaseRequest) -> str:
     """Return the SHA-256 of the bearer key or raise a 401."""
     header = request.headers.get("Authorization", "")
@@ -122,7 +141,7 @@
             "no bearer key",
             "send the client account's key as 'Authorization: Bearer KEY'",
         )
-    return hashlib.sha256(key.strip().encode()).hexdigest()
+    return hashlib.sha256(key.strip().encode(errors="surrogateescape")).hexdigest()
 
 
 def parse_chat(
@@ -150,7 +169,7 @@
     last = chat.messages[-1].content
     arrived = _arrival(request, body, request_id=request_id)
     arrived.service = chat.model
-    arrived.call = request.headers.get("Baobab-Call", "")
+    arrived.call = _parse_name(request, "Baobab-Call") or ""
     arrived.is_model = True
     arrived.stream = chat.stream
     arrived.max_tokens = chat.max_tokens
@@ -198,8 +217,8 @@
         deadline_s=_parse_deadline(headers.get("X-Deadline-Ms")),
         priority=_parse_priority(headers.get("Baobab-Priority")),
         idempotency_key=_parse_key(headers.get("Idempotency-Key")),
-        session=headers.get("Baobab-Session"),
-        session_name=headers.get("Baobab-Session-Name"),
+        session=_parse_token(headers.get("Baobab-Session")),
+        session_name=_parse_name(request, "Baobab-Session-Name"),
     )
 
 
@@ -242,6 +261,29 @@
     return text
 
 
+def _parse_name(request: web.BaseRequest, header: str) -> str | None:
+    # Bytes that aren't UTF-8 arrive as surrogates, which no message to a peer and no
+    # answer can carry: refused here, they can't break either.
+    text = request.headers.get(header)
+    if text and (len(text) > MAX_NAME_LENGTH or not text.isprintable()):
+        raise refuse(
+            Kind.BAD_REQUEST,
+            f"{header} is not a name",
+            f"send from 1 to {MAX_NAME_LENGTH} printable characters in UTF-8",
+        )
+    return text
+
+
+def _parse_token(text: str | None) -> str | None:
+    if text and (len(text) > MAX_TOKEN_LENGTH or not text.isascii()):
+        raise refuse(
+            Kind.BAD_REQUEST,
+            "Baobab-Session is not a session token",
+            "send the token as an earlier answer gave it, or leave it out",
+        )
+    return text
+
+
 def build_chat_body(
     body: bytes, *, version: str, priority: int, resume_from: int
 ) -> bytes:
--- a/src/baobabthread/adapters/channels.py
+++ b/src/baobabthread/adapters/channels.py
@@ -173,6 +173,8 @@
 
     async def finish_problem(self, problem: Problem) -> web.StreamResponse:
         """Answer with a problem, or end a started stream with a typed error event."""
+        if problem.request_id is None:
+            problem = msgspec.structs.replace(problem, request_id=self.request_id)
         if self._response is None:
             return render_problem(problem)
         try:
--- a/src/baobabthread/adapters/operators.py
+++ b/src/baobabthread/adapters/operators.py
@@ -4,7 +4,7 @@
 
 import hmac
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Annotated, Any, Protocol
 
 import msgspec
 from aiohttp import web
@@ -21,12 +21,18 @@
 ALL_SECTIONS = "*"
 
 
+PublishId = Annotated[str, msgspec.Meta(pattern=r"^[\x21-\x7e]{1,128}$")]
+SectionName = Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")
+]
+
+
 class PublishBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """Hold an operator's request to publish."""
 
-    id: str
-    section: str
-    base: int | None = None
+    id: PublishId
+    section: SectionName
+    base: Annotated[int, msgspec.Meta(ge=0)] | None = None
     """The generation that was edited; without it, the one in force here."""
     text: str
 
@@ -81,11 +87,12 @@
 class OperatorServer:
     """Answer operators' requests."""
 
-    __slots__ = ("_administration", "_dumps", "_root_key")
+    __slots__ = ("_administration", "_dumps", "_publishing", "_root_key")
 
     def __init__(self, *, administration: Administration, root_key_sha256: str) -> None:
         self._administration = administration
         self._root_key = root_key_sha256
+        self._publishing: set[str] = set()
         self._dumps: dict[str, Dump] = {
             "/admin/configuration": _wrap(lambda admin: admin.dump_sections()),
             "/admin/generations": _wrap(lambda admin: admin.dump_generations()),
@@ -144,11 +151,28 @@
                 f"operator '{operator.name}' may not publish '{body.section[:80]}'",
                 f"publish one of: {', '.join(operator.sections) or 'none'}",
             )
-        ended = await self._administration.publish(body, operator.name)
+        ended = await self._publish_once(body, operator)
         if ended.problem is not None:
             return _render(ended.problem, status=ended.problem.status)
         return _render({"id": ended.id, "generation": ended.generation})
 
+    async def _publish_once(
+        self, body: PublishBody, operator: OperatorKey
+    ) -> PublishEnded:
+        # One outcome comes back for an id: a second request under it would take the
+        # place of the first, which then waits for ever.
+        if body.id in self._publishing:
+            raise refuse(
+                Kind.CONFLICT,
+                f"id '{body.id}' is being published",
+                "wait for that answer, or publish under a fresh id",
+            )
+        self._publishing.add(body.id)
+        try:
+            return await self._administration.publish(body, operator.name)
+        finally:
+            self._publishing.discard(body.id)
+
 
 def _wrap(look_up: Callable[[Administration], Any]) -> Dump:
     async def dump(administration: Administration) -> Any:
--- a/src/baobabthread/cli.py
+++ b/src/baobabthread/cli.py
@@ -8,9 +8,16 @@
 import cappa
 
 from baobabthread.commands.operate import Bills, Check, Publish, Show, State, Version
+from baobabthread.commands.options import check_given
 from baobabthread.commands.run import Demo, Load, Serve, Standin
 from baobabthread.errors import BaobabthreadError
 
+ERROR_FORMAT = (
+    "{short_help}\n\nError: {message}\n"
+    "Remedy: give what '{prog} --help' allows, as a flag or BAOBABTHREAD_* variable"
+)
+INTERRUPTED = 130
+
 
 @cappa.command(
     name="baobabthread",
@@ -27,8 +34,12 @@
 
 def run(arguments: list[str]) -> int:
     """Run one command line and return its exit code."""
+    output = cappa.Output(error_format=ERROR_FORMAT)
     try:
-        parsed = cappa.parse(Baobabthread, argv=arguments, completion=False)
+        parsed = cappa.parse(
+            Baobabthread, argv=arguments, completion=False, output=output
+        )
+        check_given(parsed.command)
         return parsed.command.run()
     except cappa.Exit as stop:
         return int(stop.code or 0)
@@ -36,7 +47,7 @@
         print(error.render(), file=sys.stderr)
         return error.exit_code
     except KeyboardInterrupt:
-        return 130
+        return INTERRUPTED
 
 
 def main() -> None:
--- a/src/baobabthread/commands/run.py
+++ b/src/baobabthread/commands/run.py
@@ -101,6 +101,24 @@
     max_body: Annotated[
         int, option("max-body", "Largest request body in bytes.", default=4_000_000)
     ]
+    max_header: Annotated[
+        int,
+        option(
+            "max-header", "Largest line of a request's head in bytes.", default=16_384
+        ),
+    ]
+    body_timeout: Annotated[
+        float,
+        option("body-timeout", "Seconds in which a body must have come.", default=20.0),
+    ]
+    idle_timeout: Annotated[
+        float,
+        option(
+            "idle-timeout",
+            "Seconds in which a connection must bring its next request.",
+            default=30.0,
+        ),
+    ]
     seed: Annotated[int, option("seed", "Seed of choices; 0 draws one.", default=0)]
 
     def run(self) -> int:
@@ -131,6 +149,9 @@
                 address_lifetime_s=self.address_lifetime,
                 drain_limit_s=self.drain_limit,
                 max_body_bytes=self.max_body,
+                max_header_bytes=self.max_header,
+                body_timeout_s=self.body_timeout,
+                idle_timeout_s=self.idle_timeout,
                 freshness_bound_s=self.freshness_bound,
                 seed=self.seed,
             )
--- a/src/baobabthread/core/events.py
+++ b/src/baobabthread/core/events.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from baobabthread.core.configuration import Priority
+from baobabthread.core.keys import ClaimKey
 from baobabthread.core.messages import LogRecord
 from baobabthread.errors import Problem
 
@@ -106,6 +107,8 @@
     session: str | None
     moved: bool = False
     """Whether the session had to leave its version."""
+    claim: ClaimKey | None = None
+    """The key whose repeats are to get this answer."""
 
 
 class Refuse(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/baobabthread/core/requests.py
+++ b/src/baobabthread/core/requests.py
@@ -36,6 +36,7 @@
 from baobabthread.core.flows import Waiting
 from baobabthread.core.handover import Outcome as KeyOutcome
 from baobabthread.core.intake import Intake
+from baobabthread.core.keys import ClaimKey
 from baobabthread.core.ledger import Ledger
 from baobabthread.core.limits import Outcome
 from baobabthread.core.messages import Effects
@@ -407,6 +408,7 @@
             version=request.version,
             session=self._choices.seal(request),
             moved=request.moved,
+            claim=request.claim,
         )
         remembered: Effects = []
         if request.pin is not None and request.version is not None:
@@ -421,15 +423,10 @@
             *self._end(request, Outcome.OK, ended.latency_s, now),
         ]
 
-    def key_answered(self, request_id: str, body: bytes, now: float) -> Effects:
+    def key_answered(self, key: ClaimKey, body: bytes, now: float) -> Effects:
         """Keep the answer of a non-idempotent request for its repeats."""
-        request = self._open.get(request_id)
-        if request is None or request.claim is None:
-            return []
         outcome = KeyOutcome(ran=Ran.YES, body=body)
-        return self.absorb_claims(
-            self._claims.finished(request.claim, outcome, now), now
-        )
+        return self.absorb_claims(self._claims.finished(key, outcome, now), now)
 
     def _refused(
         self, request: Request, ended: AttemptEnded, refused: Refused, now: float
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import random
 import secrets
 import signal
@@ -26,6 +27,7 @@
 )
 from baobabthread.adapters.channels import CallerGoneError, Channel
 from baobabthread.adapters.commits import GroupCommit
+from baobabthread.adapters.connections import CallerServer
 from baobabthread.adapters.dispatches import Dispatcher
 from baobabthread.adapters.engines import EngineClient, PlainClient, open_session
 from baobabthread.adapters.metrics import open_metrics
@@ -84,11 +86,13 @@
 
 TICK_S = 0.05
 WAIT_STEP_S = 0.02
+COLLECT_AFTER = 20_000
+COLLECT_OLDER = 50
+COLLECT_OLDEST = 100
 FORWARD_TIMEOUT_S = 120.0
 HANDOVER_TIMEOUT_S = 5.0
 ADDRESSES_PATH = "/v1/addresses"
 HEALTH_PATH = "/healthz"
-MAX_HEADER_BYTES = 16_384
 
 Runner = Callable[[Any], None]
 
@@ -191,13 +195,12 @@
         cert = str(settings.tls_cert) if settings.tls_cert else None
         key = str(settings.tls_key) if settings.tls_key else None
         tls = build_server_tls(cert, key)
-        callers = web.Server(
-            self._handle_caller,
-            access_log=None,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
+        callers = CallerServer(
+            handler=self._handle_caller,
+            idle_timeout_s=settings.idle_timeout_s,
+            max_header_bytes=settings.max_header_bytes,
         )
-        peers = web.Server(self._handle_peer, access_log=None)
+        peers = CallerServer(handler=self._handle_peer)
         self.address = await self._serve(callers, settings.listen, tls)
         self.peer_address = await self._serve(peers, settings.peer_listen, tls)
 
@@ -444,6 +447,11 @@
         except RequestError as error:
             self.metrics.count(f"refused.{error.problem.kind}")
             return render_problem(error.problem)
+        except UnavailableError as error:
+            problem = refuse(
+                Kind.LOG_UNAVAILABLE, error.message, error.remedy, retry_after_s=1.0
+            ).problem
+            return render_problem(problem)
         except CallerGoneError:
             return web.Response(status=499)
 
@@ -454,10 +462,11 @@
                 return await self._handle_chat(request)
             if path.startswith(SERVICES_PREFIX):
                 return await self._handle_plain(request)
-        elif path == ADDRESSES_PATH:
-            return self._give_addresses(request)
-        elif path == HEALTH_PATH:
-            return self._tell_health()
+        elif request.method == "GET":
+            if path == ADDRESSES_PATH:
+                return self._give_addresses(request)
+            if path == HEALTH_PATH:
+                return self._tell_health()
         if self._operators.serves(path):
             return await self._operators.handle(request)
         raise refuse(
@@ -467,13 +476,20 @@
             f"GET {ADDRESSES_PATH}",
         )
 
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        return await read_body(
+            request,
+            limit=self.settings.max_body_bytes,
+            timeout_s=self.settings.body_timeout_s,
+        )
+
     async def _handle_chat(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await read_body(request, limit=self.settings.max_body_bytes)
+        body = await self._read_body(request)
         arrived = parse_chat(request, body, request_id=self._mint_request_id())
         return await self._serve_request(request, arrived)
 
     async def _handle_plain(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await read_body(request, limit=self.settings.max_body_bytes)
+        body = await self._read_body(request)
         arrived = parse_plain(request, body, request_id=self._mint_request_id())
         return await self._serve_request(request, arrived)
 
@@ -520,6 +536,7 @@
                 ended = await self._dispatcher.run(arrived, channel, effect)
                 self._note_attempt(arrived, channel, ended)
             elif isinstance(effect, Deliver):
+                self._keep_answer(effect, channel)
                 if arrived.stream:
                     return await channel.finish_stream()
                 return channel.finish_whole()
@@ -533,6 +550,16 @@
                 if response is not None:
                     return response
 
+    def _keep_answer(self, effect: Deliver, channel: Channel) -> None:
+        """Give the answer to the key's repeats, those that wait and those to come."""
+        if effect.claim is None:
+            return
+        effects = self.core.requests.key_answered(
+            effect.claim, channel.answer, time.monotonic()
+        )
+        for each in effects:
+            self.run_effect(each)
+
     def _note_attempt(
         self, arrived: RequestArrived, channel: Channel, ended: AttemptEnded
     ) -> None:
@@ -641,9 +668,20 @@
     return {name: headers[name] for name in kept if name in headers}
 
 
+def tune_collector() -> None:
+    """Let the cycle collector run seldom: requests leave few cycles behind.
+
+    At its defaults it walks all live objects many times a second under load.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER, COLLECT_OLDER, COLLECT_OLDEST)
+
+
 async def run_entry(settings: EntrySettings) -> int:
     """Run an entry until it is told to stop; return the exit code."""
     entry = Entry(settings=settings)
+    tune_collector()
     told = asyncio.Event()
     at_once = asyncio.Event()
 
--- a/src/baobabthread/errors.py
+++ b/src/baobabthread/errors.py
@@ -44,6 +44,7 @@
     BACKEND_FAILED = "backend_failed"
     BACKEND_REFUSED = "backend_refused"
     INCOMPLETE = "incomplete"
+    INTERNAL = "internal"
 
 
 STATUS: dict[Kind, int] = {
@@ -73,6 +74,7 @@
     Kind.BACKEND_FAILED: 502,
     Kind.BACKEND_REFUSED: 503,
     Kind.INCOMPLETE: 502,
+    Kind.INTERNAL: 500,
 }
 
 
--- a/src/baobabthread/settings.py
+++ b/src/baobabthread/settings.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import re
+import ssl
 from pathlib import Path
 
 import msgspec
@@ -11,7 +12,10 @@
 from baobabthread.errors import UsageError
 
 NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,30}")
+SHA256_HEX = re.compile(r"[0-9a-f]{64}")
+SECRET = re.compile(r"[\x21-\x7e]{16,}")
 MIN_SECRET_LENGTH = 16
+MAX_SECONDS = 86_400.0
 
 
 class Address(msgspec.Struct, frozen=True):
@@ -45,6 +49,11 @@
     address_lifetime_s: float = 5.0
     drain_limit_s: float = 120.0
     max_body_bytes: int = 4_000_000
+    max_header_bytes: int = 16_384
+    body_timeout_s: float = 20.0
+    """Within which a whole body must have come."""
+    idle_timeout_s: float = 30.0
+    """Within which a connection must bring its next whole request head."""
     freshness_bound_s: float = 3.0
     seed: int = 0
 
@@ -76,10 +85,16 @@
     keys: list[tuple[str, bytes]] = []
     for part in text.split(","):
         key_id, _, secret = part.strip().partition(":")
-        if not key_id or len(secret) < MIN_SECRET_LENGTH:
+        if not NAME.fullmatch(key_id) or len(secret.encode()) < MIN_SECRET_LENGTH:
             raise UsageError(
-                "--session-keys: each key needs an id and a secret",
-                remedy=f"write ID:SECRET with {MIN_SECRET_LENGTH} characters or more",
+                f"--session-keys: key '{key_id[:31]}' needs an id and a secret",
+                remedy="write ID:SECRET, the id of a-z, 0-9 and '-', the secret of "
+                f"{MIN_SECRET_LENGTH} characters or more",
+            )
+        if any(key_id == other for other, _ in keys):
+            raise UsageError(
+                f"--session-keys: two keys have the id '{key_id}'",
+                remedy="give each key an id of its own",
             )
         keys.append((key_id, secret.encode()))
     return tuple(keys)
@@ -87,36 +102,83 @@
 
 def check_settings(settings: EntrySettings) -> EntrySettings:
     """Return the settings or raise an error that names the remedy."""
-    if not NAME.fullmatch(settings.name):
+    _check_name("--name", settings.name)
+    _check_name("--failure-domain", settings.failure_domain)
+    _check_platform(settings.platform)
+    _check_secrets(settings)
+    _check_tls(settings)
+    _check_number("--address-lifetime", settings.address_lifetime_s, 0.1, MAX_SECONDS)
+    _check_number("--drain-limit", settings.drain_limit_s, 0.1, MAX_SECONDS)
+    _check_number("--freshness-bound", settings.freshness_bound_s, 0.1, MAX_SECONDS)
+    _check_number("--body-timeout", settings.body_timeout_s, 0.1, MAX_SECONDS)
+    _check_number("--idle-timeout", settings.idle_timeout_s, 0.1, MAX_SECONDS)
+    _check_number("--max-body", settings.max_body_bytes, 1_000, 100_000_000)
+    _check_number("--max-header", settings.max_header_bytes, 1_000, 1_000_000)
+    return settings
+
+
+def _check_name(option: str, value: str) -> None:
+    if not NAME.fullmatch(value):
         raise UsageError(
-            f"--name: '{settings.name}' is not a name",
+            f"{option}: '{value[:80]}' is not a name",
             remedy="use a-z, 0-9 and '-', 31 characters at most",
         )
-    if not NAME.fullmatch(settings.failure_domain):
+
+
+def _check_number(option: str, value: float, low: float, high: float) -> None:
+    if not low <= value <= high:
         raise UsageError(
-            f"--failure-domain: '{settings.failure_domain}' is not a name",
-            remedy="use a-z, 0-9 and '-', 31 characters at most",
+            f"{option}: {value} is out of range",
+            remedy=f"give a number from {low:g} to {high:g}",
         )
-    if not settings.platform.startswith(("http://", "https://")):
+
+
+def _check_platform(url: str) -> None:
+    if not url.startswith(("http://", "https://")):
         raise UsageError(
-            f"--platform: '{settings.platform}' is not a URL",
+            f"--platform: '{url}' is not a URL",
             remedy="give the platform's base URL, such as http://127.0.0.1:7000",
         )
-    if len(settings.peer_secret) < MIN_SECRET_LENGTH:
+
+
+def _check_secrets(settings: EntrySettings) -> None:
+    # It travels in a header: a space or another alphabet would differ after parsing.
+    if not SECRET.fullmatch(settings.peer_secret):
         raise UsageError(
-            "--peer-secret: too short",
+            "--peer-secret: too short, or not all visible ASCII characters",
             remedy=f"give {MIN_SECRET_LENGTH} characters or more, alike at all entries",
         )
+    hashed = settings.operator_key_sha256
+    if hashed and not SHA256_HEX.fullmatch(hashed):
+        raise UsageError(
+            "--operator-key-sha256: not a SHA-256 hash",
+            remedy="give the 64 lower-case hex digits of the key's SHA-256",
+        )
+
+
+def _check_tls(settings: EntrySettings) -> None:
     if (settings.tls_cert is None) != (settings.tls_key is None):
         raise UsageError(
             "--tls-cert and --tls-key go together", remedy="give both or neither"
         )
-    for path in (settings.tls_cert, settings.tls_key, settings.tls_ca):
+    files = {
+        "--tls-cert": settings.tls_cert,
+        "--tls-key": settings.tls_key,
+        "--tls-ca": settings.tls_ca,
+    }
+    for option, path in files.items():
         if path is not None and not path.is_file():
-            raise UsageError(f"no file '{path}'", remedy="give a readable PEM file")
-    if settings.address_lifetime_s <= 0 or settings.drain_limit_s <= 0:
+            raise UsageError(
+                f"{option}: no file '{path}'", remedy="give a readable PEM file"
+            )
+    try:
+        if settings.tls_cert is not None:
+            context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+            context.load_cert_chain(settings.tls_cert, settings.tls_key)
+        if settings.tls_ca is not None:
+            ssl.create_default_context(cafile=settings.tls_ca)
+    except (ssl.SSLError, OSError) as error:
         raise UsageError(
-            "--address-lifetime and --drain-limit must be above 0",
-            remedy="give seconds, such as 5",
-        )
-    return settings
+            f"--tls-cert, --tls-key, --tls-ca: {error.strerror or error}",
+            remedy="give a PEM certificate with its PEM key, and a PEM authority",
+        ) from None
