--- a/src/baobabthread/adapters/commits.py
+++ b/src/baobabthread/adapters/commits.py
@@ -14,8 +14,12 @@
 MAX_BATCH = 500
 MIN_PAUSE_S = 0.05
 MAX_PAUSE_S = 1.0
-GATHER_S = 0.002
-"""How long a batch waits for more records; the log takes few appends a second."""
+GATHER_S = {Stream.BILLS: 0.05, Stream.CLAIMS: 0.002}
+"""How long a batch waits for more records: the log takes few appends a second.
+
+A claim holds its caller up and waits little; a bill has its copy at a peer.
+"""
+DEFAULT_GATHER_S = 0.005
 
 Feed = Callable[[Appended | AppendFailed], None]
 
@@ -26,11 +30,13 @@
     __slots__ = ("_feed", "_gather_s", "_log", "_queue", "_stream", "_task", "appends")
 
     def __init__(
-        self, *, stream: Stream, log: Log, feed: Feed, gather_s: float = GATHER_S
+        self, *, stream: Stream, log: Log, feed: Feed, gather_s: float | None = None
     ) -> None:
         self._stream = stream
         self._log = log
         self._feed = feed
+        if gather_s is None:
+            gather_s = GATHER_S.get(stream, DEFAULT_GATHER_S)
         self._gather_s = gather_s
         self._queue: deque[Append] = deque()
         self._task: asyncio.Task[None] | None = None
--- a/src/baobabthread/adapters/peers.py
+++ b/src/baobabthread/adapters/peers.py
@@ -1,13 +1,13 @@
-"""Messages among entries: HTTP with JSON, batched per peer."""
+"""Messages among entries: HTTP with JSON, in batches over kept connections."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import hmac
 import ssl
 from collections import deque
 from collections.abc import Awaitable, Callable
+from types import GenericAlias
 from typing import Any
 
 import aiohttp
@@ -15,12 +15,17 @@
 from aiohttp import web
 
 from baobabthread.errors import UnavailableError
+from baobabthread.logs import log_event
 
 MESSAGES_PATH = "/peer/messages"
 REQUESTS_PATH = "/peer/requests"
 SEND_TIMEOUT_S = 1.0
 MAX_QUEUED = 20_000
 MAX_BATCH = 2_000
+MAX_FRAME_BYTES = 64_000_000
+IDLE_S = 15.0
+"""How long a connection without messages is kept."""
+FLUSH_STEP_S = 0.01
 
 Deliver = Callable[[str, msgspec.Struct], list[msgspec.Struct]]
 Fail = Callable[[str, msgspec.Struct], None]
@@ -33,8 +38,11 @@
     __slots__ = ("_decoder", "_encoder")
 
     def __init__(self, *, types: tuple[type[msgspec.Struct], ...]) -> None:
+        messages: Any = types[0]
+        for other in types[1:]:
+            messages = messages | other
         batch = msgspec.defstruct(
-            "Batch", [("sender", str), ("messages", list[_union(types)])]
+            "Batch", [("sender", str), ("messages", GenericAlias(list, (messages,)))]
         )
         self._decoder = msgspec.json.Decoder(batch)
         self._encoder = msgspec.json.Encoder()
@@ -49,27 +57,34 @@
         return batch.sender, batch.messages
 
 
-def _union(types: tuple[type[msgspec.Struct], ...]) -> Any:
-    union: Any = types[0]
-    for other in types[1:]:
-        union = union | other
-    return union
+class _Link:
+    """Hold the connection to one peer and what waits to be sent on it."""
+
+    __slots__ = ("queue", "task", "wake")
+
+    def __init__(self) -> None:
+        self.queue: deque[msgspec.Struct] = deque()
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
 
 
 class PeerOutbox:
-    """Send messages to peers, one batch at a time to each, in order."""
+    """Send messages to peers in order, over one kept connection to each.
+
+    A connection is a WebSocket that carries JSON arrays: a request and response for
+    each batch cost several times the CPU time of the batch itself.
+    """
 
     __slots__ = (
         "_codec",
         "_deliver",
         "_fail",
+        "_links",
         "_locate",
         "_me",
-        "_queues",
         "_scheme",
         "_secret",
         "_session",
-        "_tasks",
         "bytes_received",
         "bytes_sent",
         "messages_sent",
@@ -95,90 +110,122 @@
         self._locate = locate
         self._deliver = deliver
         self._fail = fail
-        self._queues: dict[str, deque[msgspec.Struct]] = {}
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._links: dict[str, _Link] = {}
         self.bytes_sent = 0
         self.bytes_received = 0
         self.messages_sent = 0
 
+    @property
+    def connections(self) -> int:
+        """Count the kept connections."""
+        return len(self._links)
+
     def send(self, to: str, message: msgspec.Struct) -> None:
-        """Queue one message; it leaves with the next batch."""
-        queue = self._queues.get(to)
-        if queue is None:
-            queue = self._queues[to] = deque()
+        """Queue one message; all of one turn of the loop leave together."""
+        link = self._links.get(to)
+        if link is None:
+            link = self._links[to] = _Link()
+            link.task = asyncio.get_running_loop().create_task(self._run(to, link))
         # A peer that hangs would let its queue grow until memory is gone: beyond the
         # bound a message fails as if the peer had not answered, which callers handle.
-        if len(queue) >= MAX_QUEUED:
+        if len(link.queue) >= MAX_QUEUED:
             self._fail(to, message)
             return
-        queue.append(message)
-        if to not in self._tasks:
-            task = asyncio.get_running_loop().create_task(self._drain(to, queue))
-            self._tasks[to] = task
+        link.queue.append(message)
+        link.wake.set()
 
-    async def _drain(self, to: str, queue: deque[msgspec.Struct]) -> None:
+    async def _run(self, to: str, link: _Link) -> None:
+        """Connect, send what waits, and give up on the first failure."""
         try:
-            while queue:
-                size = min(len(queue), MAX_BATCH)
-                batch = [queue.popleft() for _ in range(size)]
-                await self._post(to, batch)
-        finally:
-            self._tasks.pop(to, None)
-            if not queue:
-                self._queues.pop(to, None)
-
-    async def _post(self, to: str, batch: list[msgspec.Struct]) -> None:
-        replies = await self._exchange(to, batch)
-        if replies is None:
-            for message in batch:
-                self._fail(to, message)
+            socket = await self._connect(to)
+            if socket is None:
+                return
+            async with socket:
+                reader = asyncio.get_running_loop().create_task(self._read(to, socket))
+                try:
+                    await self._write(link, socket, reader)
+                finally:
+                    reader.cancel()
+        except (aiohttp.ClientError, TimeoutError, OSError, RuntimeError):
+            # Whether the last batch arrived is unknown; the protocols repeat what
+            # must arrive and take repeats, so that reporting a failure is safe.
             return
-        sender, messages = replies
-        for message in messages:
-            # What answers a reply has no reply of its own to travel in. Dropped, it
-            # would be found missing only after a timeout.
-            for answer in self._deliver(sender, message):
-                self.send(to, answer)
-
-    async def _exchange(
-        self, to: str, batch: list[msgspec.Struct]
-    ) -> tuple[str, list[msgspec.Struct]] | None:
+        finally:
+            self._end(to, link)
+
+    async def _connect(self, to: str) -> aiohttp.ClientWebSocketResponse | None:
         address = self._locate(to)
         if address is None:
             return None
-        body = self._codec.encode(self._me, batch)
-        self.bytes_sent += len(body)
-        self.messages_sent += len(batch)
-        try:
-            async with self._session.post(
+        async with asyncio.timeout(SEND_TIMEOUT_S):
+            return await self._session.ws_connect(
                 f"{self._scheme}://{address}{MESSAGES_PATH}",
-                data=body,
                 headers={"Authorization": f"Bearer {self._secret}"},
-                timeout=aiohttp.ClientTimeout(total=SEND_TIMEOUT_S),
-            ) as response:
-                answer = await response.read()
-                self.bytes_received += len(answer)
-                if response.status != 200:
-                    return None
-                return self._codec.decode(answer)
-        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
-            return None
-        except RuntimeError:
-            # The session is closed already: this entry is stopping.
-            return None
+                max_msg_size=MAX_FRAME_BYTES,
+            )
+
+    async def _write(
+        self,
+        link: _Link,
+        socket: aiohttp.ClientWebSocketResponse,
+        reader: asyncio.Task[None],
+    ) -> None:
+        while not reader.done():
+            link.wake.clear()
+            if not link.queue:
+                try:
+                    async with asyncio.timeout(IDLE_S):
+                        await link.wake.wait()
+                except TimeoutError:
+                    return
+                continue
+            size = min(len(link.queue), MAX_BATCH)
+            batch = [link.queue[place] for place in range(size)]
+            body = self._codec.encode(self._me, batch)
+            # A peer that is paused takes no bytes; without the bound its messages
+            # would neither leave nor fail for as long as it sleeps.
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                await socket.send_bytes(body)
+            for _ in range(size):
+                link.queue.popleft()
+            self.bytes_sent += len(body)
+            self.messages_sent += size
+
+    async def _read(self, to: str, socket: aiohttp.ClientWebSocketResponse) -> None:
+        """Take in what the peer answers, until it closes."""
+        async for frame in socket:
+            self.bytes_received += len(frame.data)
+            sender, messages = self._codec.decode(frame.data)
+            for message in messages:
+                # What answers an answer has no reply of its own to travel in. Dropped,
+                # it would be found missing only after a timeout.
+                for answer in self._deliver(sender, message):
+                    self.send(to, answer)
+        link = self._links.get(to)
+        if link is not None:
+            link.wake.set()
+
+    def _end(self, to: str, link: _Link) -> None:
+        if self._links.get(to) is link:
+            del self._links[to]
+        for message in link.queue:
+            self._fail(to, message)
 
     async def flush(self, timeout_s: float) -> None:
         """Wait until all queued messages are sent, at most so long."""
-        tasks = list(self._tasks.values())
-        if tasks:
-            await asyncio.wait(tasks, timeout=timeout_s)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        while any(link.queue for link in self._links.values()):
+            if loop.time() >= deadline:
+                return
+            await asyncio.sleep(FLUSH_STEP_S)
 
     async def close(self) -> None:
         """Stop sending."""
-        for task in list(self._tasks.values()):
+        tasks = [link.task for link in self._links.values() if link.task is not None]
+        for task in tasks:
             task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 class PeerServer:
@@ -210,16 +257,24 @@
             return await self._serve_forwarded(request)
         if request.path != MESSAGES_PATH:
             return web.Response(status=404, text="no such path\n")
-        try:
-            sender, messages = self._codec.decode(await request.read())
-        except msgspec.DecodeError as error:
-            return web.Response(status=400, text=f"not a batch: {error}\n")
-        replies: list[msgspec.Struct] = []
-        for message in messages:
-            replies.extend(self._deliver(sender, message))
-        return web.Response(
-            body=self._codec.encode(self._me, replies), content_type="application/json"
-        )
+        return await self._exchange(request)
+
+    async def _exchange(self, request: web.BaseRequest) -> web.StreamResponse:
+        socket = web.WebSocketResponse(max_msg_size=MAX_FRAME_BYTES, compress=False)
+        await socket.prepare(request)
+        async for frame in socket:
+            try:
+                sender, messages = self._codec.decode(frame.data)
+            except (msgspec.DecodeError, TypeError) as error:
+                log_event("peer_batch_broken", level="warning", reason=error)
+                await socket.close()
+                break
+            replies: list[msgspec.Struct] = []
+            for message in messages:
+                replies.extend(self._deliver(sender, message))
+            if replies:
+                await socket.send_bytes(self._codec.encode(self._me, replies))
+        return socket
 
 
 def build_server_tls(
