Split the way of a request into admissions, dispatching and endings

While splitting, four faults were found by reading: a version withdrawn after the plan was made still got escalations and retries; a request that waited while its entry was cut off was dispatched all the same; an account removed while its request waited raised KeyError; tokens_per_s of an account was never applied, nor the share of the capacity by demand. Change: Admissions (limits, queue, bill), Dispatching (attempts), Endings (answer, bill, room), Problems (texts); each attempt checks that its version is still in use, the start checks freshness again, account rates are charged and shared.

--- a/src/baobabthread/core/choices.py
+++ b/src/baobabthread/core/choices.py
@@ -10,12 +10,13 @@
 from baobabthread.core.events import Answered, AttemptEnded, SubmitRating
 from baobabthread.core.messages import Effects
 from baobabthread.core.named import NamedSessions
+from baobabthread.core.problems import explain_no_version
 from baobabthread.core.quality import Observation
 from baobabthread.core.request import Request
 from baobabthread.core.selection import choose_versions
 from baobabthread.core.services import ServiceState
 from baobabthread.core.session_tokens import Pin, SessionKeyRing
-from baobabthread.errors import Kind, Problem, Ran
+from baobabthread.errors import Problem
 
 SESSION_LIFETIME_S = 24 * 3600.0
 
@@ -64,7 +65,7 @@
             pinned=pin.version if pin is not None else None,
         )
         if not versions:
-            return _explain_no_version(request)
+            return explain_no_version(request)
         request.versions = tuple(versions)
         request.position = 0
         if pin is not None and versions == [pin.version]:
@@ -83,6 +84,18 @@
         )
         return None
 
+    def is_in_use(self, request: Request) -> bool:
+        """Tell whether the planned version may still get a request."""
+        if request.version is None:
+            return True
+        return choose_versions(
+            self._conductors.get_selection(request.service.name),
+            call=request.arrived.call,
+            allowed=[request.version],
+            key=request.id,
+            pinned=request.version,
+        ) == [request.version]
+
     def _find_pin(self, request: Request, now: float) -> Pin | None:
         if request.arrived.session:
             return self._open_session(request, now)
@@ -202,13 +215,3 @@
             version=rating.version, call=rating.call, good=rating.good
         )
         self._conductors.observe(service.name, observation, now)
-
-
-def _explain_no_version(request: Request) -> Problem:
-    return Problem(
-        kind=Kind.NO_VERSION,
-        detail=f"account '{request.account}' may use no version that is offered now",
-        remedy="ask the operator to allow or offer a version",
-        ran=Ran.NO,
-        request_id=request.id,
-    )
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -46,7 +46,6 @@
     Tick,
 )
 from baobabthread.core.handover import HandOver
-from baobabthread.core.intake import Intake
 from baobabthread.core.ledger import Ledger
 from baobabthread.core.membership_messages import (
     Acknowledge,
@@ -176,13 +175,13 @@
             conductors=self.conductors,
         )
         self.requests = Requests(
-            intake=Intake(services=self._services, may_serve=self.control.may_serve),
             services=self._services,
             backends=self.backends,
             claims=self.claims,
             choices=self.choices,
             ledger=self.ledger,
             named=self.named,
+            may_serve=self.control.may_serve,
             wall_offset_s=settings.wall_offset_s,
             locate=self._locate_incarnation,
         )
@@ -245,7 +244,9 @@
         control = self.control
         everywhere = not control.membership.unconfirmed(control.fold.generation)
         effects += self.conductors.tick(now, in_force_everywhere=everywhere)
-        self._sharing.tick(now)
+        if self._sharing.tick(now):
+            entries = len(self.control.membership.alive())
+            self.requests.share(max(1, entries), now)
         return effects
 
     def _note_members(self, now: float) -> Effects:
--- a/src/baobabthread/core/limits.py
+++ b/src/baobabthread/core/limits.py
@@ -223,6 +223,11 @@
         self._level = tokens_per_s * self._settings.burst_s
         self._updated_at = now
 
+    @property
+    def rate(self) -> float:
+        """Give the account's whole rate, in tokens a second."""
+        return self._rate
+
     @property
     def tokens_per_s(self) -> float:
         """Give this entry's part of the account's rate."""
--- a/src/baobabthread/core/sharing.py
+++ b/src/baobabthread/core/sharing.py
@@ -58,10 +58,10 @@
         self._merged: dict[tuple[str, str], int] = {}
         self._packed: dict[str, bytes] = {}
 
-    def tick(self, now: float) -> None:
-        """Publish and merge when it is time."""
+    def tick(self, now: float) -> bool:
+        """Publish and merge when it is time; tell whether it was."""
         if now < self._next:
-            return
+            return False
         self._next = now + PERIOD_S
         for service in self._services.values():
             for name in TOPICS:
@@ -71,6 +71,7 @@
                     continue
                 self._publish(topic, service, now)
                 self._merge(topic, service, now)
+        return True
 
     def _publish(self, topic: Topic, service: ServiceState, now: float) -> None:
         body = msgspec.json.encode(topic.pack(self, service, now))
