--- a/src/baobabthread/core/fairness.py
+++ b/src/baobabthread/core/fairness.py
@@ -12,12 +12,10 @@
 
 from baobabthread.core.flows import BATCH, CLASS, INTERACTIVE, URGENT, Entry, Flow, Item
 from baobabthread.core.flows import Waiting as Waiting
+from baobabthread.core.ranks import Ranks
 from baobabthread.core.rates import AccountUsage, DrainRate, Elsewhere, RemoteUsage
 from baobabthread.core.rates import UsageDigest as UsageDigest
 
-MAX_LOOKED_AT = 32
-"""Accounts looked at to estimate a wait; of more, these stand for the rest."""
-
 
 class FairnessSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the bounds of a queue."""
@@ -55,14 +53,12 @@
         "_drain",
         "_entries",
         "_expiry",
-        "_heaps",
         "_promotion",
+        "_ranks",
         "_remote",
         "_running",
         "_sequence",
         "_settings",
-        "_sizes",
-        "_stamp",
         "_tokens",
         "_virtual",
     )
@@ -72,8 +68,7 @@
         self._accounts: dict[str, Flow] = {}
         self._entries: dict[str, Entry] = {}
         self._running: dict[str, Waiting] = {}
-        self._heaps: list[list[tuple[float, int, Flow]]] = [[], [], []]
-        self._sizes: list[tuple[float, int, Flow]] = []
+        self._ranks = Ranks()
         self._expiry: list[Item] = []
         self._promotion: list[Item] = []
         self._tokens = [0, 0, 0]
@@ -83,7 +78,6 @@
         self._digests = 0
         self._virtual = 0.0
         self._sequence = 0
-        self._stamp = 0
         self._drain = DrainRate()
         self._remote = RemoteUsage(stale_after_s=self._settings.stale_after_s)
 
@@ -101,7 +95,7 @@
         account = self._account(waiting, now)
         level = CLASS[waiting.priority]
         if len(self._entries) >= self._settings.max_waiting:
-            victim = self._largest(account, waiting)
+            victim = self._ranks.largest(account, waiting.tokens)
             pushed_out = self._push_out(victim, level if victim is account else -1)
             if pushed_out is None:
                 return waiting
@@ -185,7 +179,7 @@
         state = self._accounts.get(account)
         if state is not None and state.held:
             state.held = False
-            self._rank(state)
+            self._ranks.renew(state)
 
     def running(self, account: str, now: float) -> int:
         """Return how many requests of an account run here and at other entries."""
@@ -240,20 +234,10 @@
         start += own / waiting.weight
         total = float(sum(self._tokens[: level + 1]))
         turn = total / len(self._entries)
-        return min(total, own + turn + self._before(start, level, account)) / rate
-
-    def _before(self, start: float, level: int, own: Flow | None) -> float:
-        """Return the tokens that others start before a virtual time."""
-        heap = self._heaps[level]
-        looked_at = heap[:MAX_LOOKED_AT]
-        tokens = 0.0
-        for _, stamp, account in looked_at:
-            if account is own or stamp != account.stamps[level]:
-                continue
-            behind = (start - account.virtual) * account.weight
-            if behind > 0.0:
-                tokens += min(behind, sum(account.tokens[: level + 1]))
-        return tokens * len(heap) / max(1, len(looked_at))
+        return (
+            min(total, own + turn + self._ranks.tokens_before(start, level, account))
+            / rate
+        )
 
     def retry_after(self, now: float, account: str | None = None) -> float:
         """Return the seconds after which what is queued now will have started."""
@@ -293,10 +277,8 @@
         self._batch_count += level == BATCH
         self._tokens[level] += entry.waiting.tokens
         if account.counts[level] == 1:
-            self._rank_level(account, level)
-        account.size_stamp = self._next_stamp()
-        size = (-account.queued_share(), account.size_stamp, account)
-        heapq.heappush(self._sizes, size)
+            self._ranks.enter(account, level)
+        self._ranks.resize(account)
 
     def _leave(self, entry: Entry) -> None:
         account = self._accounts[entry.waiting.account]
@@ -306,50 +288,21 @@
         if not account.backlogged:
             self._active_weight -= account.weight
 
-    def _rank(self, account: Flow) -> None:
-        for level, count in enumerate(account.counts):
-            if count:
-                self._rank_level(account, level)
-
-    def _rank_level(self, account: Flow, level: int) -> None:
-        if account.held:
-            return
-        stamp = account.stamps[level] = self._next_stamp()
-        heapq.heappush(self._heaps[level], (account.key(level), stamp, account))
-
-    def _next_stamp(self) -> int:
-        """Return a number that no other rank has, which also breaks ties."""
-        self._stamp += 1
-        return self._stamp
-
-    def _first(self, level: int) -> Flow | None:
-        """Return the account of a class that is furthest behind its share."""
-        heap = self._heaps[level]
-        while heap:
-            key, stamp, account = heap[0]
-            if stamp != account.stamps[level] or not account.counts[level]:
-                heapq.heappop(heap)
-            elif key != (current := account.key(level)):
-                heapq.heapreplace(heap, (current, stamp, account))
-            else:
-                return account
-        return None
-
     def _next(self) -> tuple[Flow | None, int]:
         """Choose the account and the class that are next in turn."""
-        urgent = self._first(URGENT)
+        urgent = self._ranks.first(URGENT)
         # Failure: an account marks all of its work urgent and everyone else waits.
         # What it sends ahead may exceed its share by the credit only; beyond it, its
         # urgent work takes its turn among the interactive. Other work of the account
         # doesn't count here, so that a large one's status checks stay urgent.
         if urgent and urgent.urgent <= self._virtual + self._settings.urgent_credit:
             return urgent, URGENT
-        batch = self._first(BATCH)
+        batch = self._ranks.first(BATCH)
         # Failure: interactive work never ends and summaries miss the morning. Batch
         # work earns a share of each token started before it, so it can't starve.
         if batch and self._batch_due >= batch.head(BATCH).waiting.tokens:
             return batch, BATCH
-        interactive = self._first(INTERACTIVE)
+        interactive = self._ranks.first(INTERACTIVE)
         chosen, level = interactive, INTERACTIVE
         if urgent and (not interactive or urgent.virtual <= interactive.virtual):
             chosen, level = urgent, URGENT
@@ -377,7 +330,7 @@
             moved = max(account.virtual, min(moved, ceiling))
         account.virtual = moved
         if difference < 0.0:
-            self._rank(account)
+            self._ranks.renew(account)
 
     def _promote(self, now: float) -> None:
         """Move batch work that would soon be too late among the interactive."""
@@ -394,21 +347,6 @@
             entry.level = INTERACTIVE
             self._enter(account, entry)
 
-    def _largest(self, own: Flow, waiting: Waiting) -> Flow:
-        """Return the account with the most queued per weight, the new one included."""
-        heap = self._sizes
-        own_share = own.queued_share() + waiting.tokens / own.weight
-        while heap:
-            key, stamp, account = heap[0]
-            share = account.queued_share()
-            if stamp != account.size_stamp or not share:
-                heapq.heappop(heap)
-            elif key != -share:
-                heapq.heapreplace(heap, (-share, stamp, account))
-            else:
-                return account if share > own_share else own
-        return own
-
     def _push_out(self, account: Flow, least: int) -> Waiting | None:
         """Take out the account's last request of its lowest class above `least`."""
         for level in (BATCH, INTERACTIVE, URGENT):
@@ -428,9 +366,7 @@
             self._expiry = _keep_queued(self._expiry)
         if len(self._promotion) > bound:
             self._promotion = _keep_queued(self._promotion)
-        if len(self._sizes) > bound + 2 * len(self._accounts):
-            self._sizes = [i for i in self._sizes if i[1] == i[2].size_stamp]
-            heapq.heapify(self._sizes)
+        self._ranks.compact(len(self._accounts))
 
 
 def _keep_queued(heap: list[Item]) -> list[Item]:
