Test a running entry; refuse a reused publish id

Cause: a text published under an id that the log already held was dropped by the fold, and the first record's verdict was given as its answer: "accepted", though the text was nowhere in force. A true repeat after a lost answer was told that it conflicts with itself. Ruled out: comparing record ids alone, which can't tell the two cases apart. Change: the same text under the same id gets its acceptance again, any other text a conflict that asks for a fresh id. Problems of a publish carry Retry-After.

--- a/src/baobabthread/adapters/operators.py
+++ b/src/baobabthread/adapters/operators.py
@@ -9,7 +9,12 @@
 import msgspec
 from aiohttp import web
 
-from baobabthread.adapters.callers import hash_bearer, read_body, refuse
+from baobabthread.adapters.callers import (
+    hash_bearer,
+    read_body,
+    refuse,
+    render_problem,
+)
 from baobabthread.core.configuration import MAX_TEXT_BYTES, Configuration
 from baobabthread.core.events import PublishEnded
 from baobabthread.errors import Kind
@@ -153,7 +158,7 @@
             )
         ended = await self._publish_once(body, operator)
         if ended.problem is not None:
-            return _render(ended.problem, status=ended.problem.status)
+            return render_problem(ended.problem)
         return _render({"id": ended.id, "generation": ended.generation})
 
     async def _publish_once(
@@ -181,8 +186,7 @@
     return dump
 
 
-def _render(value: Any, *, status: int = 200) -> web.Response:
-    kind = "application/json" if status < 400 else "application/problem+json"
+def _render(value: Any) -> web.Response:
     return web.Response(
-        status=status, body=msgspec.json.encode(value), content_type=kind
+        body=msgspec.json.encode(value), content_type="application/json"
     )
--- a/src/baobabthread/core/control.py
+++ b/src/baobabthread/core/control.py
@@ -137,6 +137,9 @@
 
     def publish(self, event: PublishRequested, now: float) -> Effects:
         """Start publishing a text."""
+        decided = self.fold.verdict_of(event.id)
+        if decided is not None:
+            return [self._end_repeat(event, decided)]
         publish = Publish(
             base=event.base,
             section=event.section,
@@ -154,6 +157,28 @@
             return started
         return [_end(event.id, started)]
 
+    def _end_repeat(
+        self, event: PublishRequested, decided: Accepted | Conflict | Invalid
+    ) -> PublishEnded:
+        """Answer a publish whose id is in the log already."""
+        section = self.fold.sections.get(event.section)
+        if (
+            isinstance(decided, Accepted)
+            and section is not None
+            and section.generation == decided.generation
+            and section.text == event.text
+        ):
+            return _end(event.id, decided)
+        # The fold drops a second record of an id. The verdict on the first one would
+        # pass for that on this text: "accepted", though the text is nowhere in force.
+        problem = Problem(
+            kind=Kind.CONFLICT,
+            detail=f"id '{event.id}' was published before",
+            remedy="look at 'show', then publish under a fresh id",
+            ran=Ran.NO,
+        )
+        return PublishEnded(id=event.id, problem=problem)
+
     def handle(self, sender: str, message: ControlMessage, now: float) -> Effects:
         """Serve or take in records that entries relay to each other."""
         if isinstance(message, FetchConfiguration):
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,454 @@
+"""Tests of a running entry against the stand-ins, as a caller sees it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.shell import (
+    STATUS,
+    TEXT,
+    Shell,
+    bind,
+    list_members,
+    mint,
+    run_case,
+)
+
+WITHDRAW = ("[versions.small-1]", '[versions.small-1]\nstate = "withdrawn"')
+
+
+def count_effects(shell: Shell) -> int:
+    plain = [shell.fleet.plain(name) for name in ("w1", "w2")]
+    return sum(server.runs.total for server in plain)
+
+
+def test_chat_is_answered_whole() -> None:
+    async def case(shell: Shell) -> None:
+        answer = await shell.chat()
+        assert answer.status == 200
+        assert answer.headers["Content-Type"] == "application/json"
+        assert answer.headers["X-Request-Id"] == answer.json["request_id"]
+        assert answer.headers["Baobab-Version"] == answer.json["model"]
+        assert answer.headers["Baobab-Session"]
+        assert answer.json["choices"][0]["finish_reason"] == "stop"
+        assert answer.json["usage"]["completion_tokens"] == 12
+
+    run_case(case)
+
+
+def test_chat_is_streamed_in_order_with_an_end_mark() -> None:
+    async def case(shell: Shell) -> None:
+        whole = await shell.chat(model="small-1")
+        answer = await shell.chat(model="small-1", stream=True)
+        assert answer.status == 200
+        assert answer.headers["Content-Type"].startswith("text/event-stream")
+        *chunks, last, mark = answer.chunks
+        assert mark == "[DONE]"
+        assert [chunk["index"] for chunk in chunks] == list(range(12))
+        assert last["choices"][0]["finish_reason"] == "stop"
+        assert last["usage"]["completion_tokens"] == 12
+        ids = {chunk["request_id"] for chunk in [*chunks, last]}
+        assert ids == {answer.headers["X-Request-Id"]}
+        text = "".join(chunk["choices"][0]["delta"]["content"] for chunk in chunks)
+        assert text == whole.json["choices"][0]["message"]["content"]
+
+    run_case(case)
+
+
+def test_cut_stream_is_resumed() -> None:
+    """A caller reads a stream while its engine drops the connection after 7 tokens.
+
+    The entry holds the tokens that came, asks an engine of the same version to go on
+    after them, and the caller sees one stream without a gap or a repeat.
+    """
+
+    async def case(shell: Shell) -> None:
+        whole = await shell.chat(model="small-1")
+        for name in ("b1", "b2"):
+            shell.fleet.engine(name).set_faults({"cut_after_tokens": 7})
+        answer = await shell.chat(model="small-1", stream=True)
+        *chunks, _, mark = answer.chunks
+        assert mark == "[DONE]"
+        assert [chunk["index"] for chunk in chunks] == list(range(12))
+        text = "".join(chunk["choices"][0]["delta"]["content"] for chunk in chunks)
+        assert text == whole.json["choices"][0]["message"]["content"]
+
+    run_case(case)
+
+
+def test_stream_that_stays_cut_ends_with_a_typed_event() -> None:
+    """A caller reads a stream while every engine drops the connection at once.
+
+    The entry resumes as often as the budget of retries allows. What it can't finish
+    must not look whole: the caller gets an error event or a problem, no end mark.
+    """
+
+    async def case(shell: Shell) -> None:
+        for name in ("b1", "b2"):
+            shell.fleet.engine(name).set_faults({"cut_after_tokens": 1})
+        answer = await shell.chat(model="small-1", stream=True)
+        assert b"[DONE]" not in answer.body
+        if answer.status == 200:
+            event, data = answer.body.rstrip(b"\n").rsplit(b"\n", 1)
+            assert event.endswith(b"event: error")
+            assert b'"remedy"' in data and b'"ran":"unknown"' in data
+        else:
+            assert answer.json["ran"] == "unknown"
+
+    run_case(case)
+
+
+def test_crossed_answer_is_not_delivered() -> None:
+    """A caller asks while all engines answer under another request's id.
+
+    The entry drops such an answer, since it may hold another account's text, retries
+    elsewhere, and says in the end that there is no whole answer.
+    """
+
+    async def case(shell: Shell) -> None:
+        await shell.chat(model="small-1", content="of another account")
+        for name in ("b1", "b2"):
+            shell.fleet.engine(name).set_faults({"crossed": 1.0})
+        for stream in (False, True):
+            answer = await shell.chat(model="small-1", stream=stream)
+            assert answer.status in {502, 503}
+            assert answer.json["kind"] in {"incomplete", "no_backend"}
+            assert b"choices" not in answer.body
+            assert answer.json["ran"] == "unknown"
+
+    run_case(case)
+
+
+def test_plain_call_is_answered() -> None:
+    async def case(shell: Shell) -> None:
+        answer = await shell.ask("POST", STATUS, body={"village": "Bagula"})
+        assert answer.status == 200
+        assert answer.json["result"]["echo"] == {"village": "Bagula"}
+        assert answer.json["request_id"] == answer.headers["X-Request-Id"]
+        assert "Baobab-Version" not in answer.headers
+
+    run_case(case)
+
+
+@pytest.mark.parametrize("bound", [True, False], ids=["bound", "free"])
+def test_repeat_of_a_key_gets_the_stored_answer(bound: bool) -> None:
+    """A caller repeats a dispatch whose answer it may not have seen.
+
+    The first one ran. Its repeat, after it and beside it, must not run again: both
+    get the answer that is stored under the key.
+    """
+
+    async def case(shell: Shell) -> None:
+        key = bind(shell.entries[0], "w1") if bound else mint("w1")
+        first, beside = await asyncio.gather(shell.dispatch(key), shell.dispatch(key))
+        after = await shell.dispatch(key)
+        assert [each.status for each in (first, beside, after)] == [200] * 3
+        assert first.body == beside.body == after.body
+        assert first.json["result"]["echo"] == {"village": "Bagula"}
+        assert count_effects(shell) == 1
+
+    run_case(case)
+
+
+@pytest.mark.parametrize("bound", [True, False], ids=["bound", "free"])
+def test_repeat_at_another_entry_runs_once(bound: bool) -> None:
+    """A caller repeats a dispatch at another entry, as after a lost connection.
+
+    The entry that did not run it asks or reads who holds the key. The caller gets the
+    stored answer, and the backend servers saw one run.
+    """
+
+    async def case(shell: Shell) -> None:
+        key = bind(shell.entries[0], "w1") if bound else mint("w1")
+        first = await shell.dispatch(key, entry=0)
+        again = await shell.dispatch(key, entry=1)
+        assert [first.status, again.status] == [200, 200]
+        assert first.body == again.body
+        assert count_effects(shell) == 1
+
+    run_case(case, entries=2)
+
+
+def test_key_with_another_body_is_refused() -> None:
+    async def case(shell: Shell) -> None:
+        key = bind(shell.entries[0], "w1")
+        await shell.dispatch(key)
+        answer = await shell.dispatch(key, body={"village": "Krishnaganj"})
+        assert answer.status == 422
+        assert answer.json["kind"] == "key_reused"
+        assert answer.json["ran"] == "no"
+        assert count_effects(shell) == 1
+
+    run_case(case)
+
+
+def test_expired_key_is_refused() -> None:
+    async def case(shell: Shell) -> None:
+        answer = await shell.dispatch(mint("w1", age_s=5_000))
+        assert answer.status == 422
+        assert answer.json["kind"] == "key_expired"
+        assert answer.json["ran"] == "unknown"
+        assert count_effects(shell) == 0
+
+    run_case(case)
+
+
+def test_refused_dispatch_may_run_under_its_key() -> None:
+    """A dispatch is refused by all backend servers, then repeated under its key.
+
+    They say that it was not run, and so does the entry. The key is free again, so
+    that the repeat runs once they take work.
+    """
+
+    async def case(shell: Shell) -> None:
+        for name in ("w1", "w2"):
+            shell.fleet.plain(name).set_faults({"refuse": True})
+        refused = await shell.dispatch(key := mint("w1"))
+        assert refused.status in {429, 503}
+        assert refused.json["ran"] == "no"
+        for name in ("w1", "w2"):
+            shell.fleet.plain(name).set_faults({})
+        assert count_effects(shell) == 0
+        async with asyncio.timeout(20):
+            while (answer := await shell.dispatch(key)).status != 200:
+                assert answer.json["ran"] == "no"
+                await asyncio.sleep(0.1)
+        assert count_effects(shell) == 1
+
+    run_case(case)
+
+
+def test_lost_reply_of_a_dispatch_is_not_run_again() -> None:
+    """A backend server runs a dispatch and its reply is lost.
+
+    The caller is told that nobody knows whether it ran; a repeat under the same key
+    gets that answer again and runs nothing.
+    """
+
+    async def case(shell: Shell) -> None:
+        for name in ("w1", "w2"):
+            shell.fleet.plain(name).set_faults({"lose_replies": 1.0})
+        key = bind(shell.entries[0], "w1")
+        first = await shell.dispatch(key)
+        again = await shell.dispatch(key)
+        assert [first.status, again.status] == [502, 502]
+        assert first.json["ran"] == again.json["ran"] == "unknown"
+        assert count_effects(shell) == 1
+
+    run_case(case)
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_session_token_keeps_its_version(stream: bool) -> None:
+    async def case(shell: Shell) -> None:
+        first = await shell.chat(model="small-1")
+        token = {"Baobab-Session": first.headers["Baobab-Session"]}
+        for number in range(4):
+            answer = await shell.chat(
+                headers=token, entry=number % 2, stream=stream, content=f"day {number}"
+            )
+            assert answer.headers["Baobab-Version"] == "small-1"
+            assert "Baobab-Session-Moved" not in answer.headers
+
+    run_case(case, entries=2)
+
+
+def test_named_session_keeps_its_version_at_all_entries() -> None:
+    async def case(shell: Shell) -> None:
+        for number in range(6):
+            headers = {"Baobab-Session-Name": f"caller-{number}"}
+            first = await shell.chat(model="small-1", headers=headers, entry=0)
+            assert first.headers["Baobab-Version"] == "small-1"
+            for entry in (1, 0, 1):
+                answer = await shell.chat(headers=headers, entry=entry)
+                assert answer.headers["Baobab-Version"] == "small-1"
+
+    run_case(case, entries=2)
+
+
+def test_session_of_another_account_is_not_taken() -> None:
+    async def case(shell: Shell) -> None:
+        first = await shell.chat(model="large-1")
+        token = {"Baobab-Session": first.headers["Baobab-Session"]}
+        answer = await shell.chat(key="KEY-OF-digha", headers=token)
+        assert answer.status == 200
+        assert answer.headers["Baobab-Version"] == "small-1"
+
+    run_case(case)
+
+
+def test_withdrawn_version_gets_no_request() -> None:
+    """A session stays on a version that the operator withdraws.
+
+    Once the withdrawal is in force the session moves and its answer says so; a
+    request that names the version is refused without having run.
+    """
+
+    async def case(shell: Shell) -> None:
+        first = await shell.chat(model="small-1")
+        token = {"Baobab-Session": first.headers["Baobab-Session"]}
+        base = shell.entries[0].core.control.fold.generation
+        await shell.publish(shell.text.replace(*WITHDRAW), base=base)
+        moved = await shell.chat(headers=token)
+        assert moved.status == 200
+        assert moved.headers["Baobab-Version"] != "small-1"
+        assert moved.headers["Baobab-Session-Moved"] == "true"
+        kept = await shell.chat(
+            headers={"Baobab-Session": moved.headers["Baobab-Session"]}
+        )
+        assert kept.headers["Baobab-Version"] == moved.headers["Baobab-Version"]
+        assert "Baobab-Session-Moved" not in kept.headers
+        refused = await shell.chat(model="small-1")
+        assert refused.status == 403
+        assert refused.json["kind"] == "no_version"
+        assert refused.json["ran"] == "no"
+
+    run_case(case)
+
+
+REFUSED: list[tuple[str, dict[str, Any], int, str]] = [
+    ("version", {"model": "large-1", "key": "KEY-OF-digha"}, 403, "no_version"),
+    ("model", {"model": "nothing"}, 404, "unknown_model"),
+    ("plain service as model", {"model": "warnings"}, 404, "unknown_model"),
+    ("key", {"key": "KEY-OF-nobody"}, 401, "unauthenticated"),
+    ("call", {"headers": {"Baobab-Call": "sing"}}, 404, "unknown_call"),
+    ("deadline 0", {"headers": {"X-Deadline-Ms": "0"}}, 400, "bad_request"),
+    ("past deadline", {"headers": {"X-Deadline-Ms": "-5"}}, 400, "bad_request"),
+]
+
+
+@pytest.mark.parametrize("options, status, kind", [r[1:] for r in REFUSED])
+def test_chat_is_refused(options: dict[str, Any], status: int, kind: str) -> None:
+    async def case(shell: Shell) -> None:
+        answer = await shell.chat(**options)
+        assert answer.status == status
+        assert answer.headers["Content-Type"] == "application/problem+json"
+        assert answer.json["kind"] == kind
+        assert answer.json["ran"] == "no"
+        assert answer.json["remedy"]
+
+    run_case(case)
+
+
+@pytest.mark.parametrize(
+    "path, key, status, kind",
+    [
+        (STATUS, "KEY-OF-digha", 403, "forbidden"),
+        ("/v1/services/archive/list", "KEY-OF-nadia", 403, "forbidden"),
+        ("/v1/services/nothing/list", "KEY-OF-nadia", 404, "unknown_service"),
+        ("/v1/services/bulletins/draft", "KEY-OF-nadia", 404, "unknown_service"),
+        ("/v1/services/warnings/sing", "KEY-OF-nadia", 404, "unknown_call"),
+    ],
+)
+def test_plain_call_is_refused(path: str, key: str, status: int, kind: str) -> None:
+    async def case(shell: Shell) -> None:
+        answer = await shell.ask("POST", path, body={}, key=key)
+        assert (answer.status, answer.json["kind"]) == (status, kind)
+        assert answer.json["ran"] == "no"
+
+    run_case(case)
+
+
+def test_deadline_ends_a_request_at_a_frozen_server() -> None:
+    """A caller gives half a second while all backend servers hang.
+
+    The entry can't know whether the request runs there: at the deadline it says so.
+    """
+
+    async def case(shell: Shell) -> None:
+        for name in ("w1", "w2"):
+            shell.fleet.plain(name).set_faults({"freeze": True})
+        headers = {"X-Deadline-Ms": "500"}
+        answer = await shell.ask("POST", STATUS, body={}, headers=headers)
+        for name in ("w1", "w2"):
+            shell.fleet.plain(name).set_faults({})
+        assert answer.status in {502, 504}
+        assert answer.json["ran"] == "unknown"
+
+    run_case(case)
+
+
+def test_addresses_name_all_entries() -> None:
+    async def case(shell: Shell) -> None:
+        answer = await shell.ask("GET", "/v1/addresses?caller=c1", key="")
+        assert answer.status == 200
+        assert list_members(answer.json["addresses"]) == ["e1", "e2"]
+        assert answer.json["lifetime_s"] == 0.1
+        rows = {row["name"]: row for row in answer.json["addresses"]}
+        for entry in shell.entries:
+            row = rows[entry.settings.name]
+            assert row["address"] == entry.address
+            assert row["incarnation"] == entry.incarnation
+            assert row["failure_domain"] == entry.settings.failure_domain
+
+    run_case(case, entries=2)
+
+
+def test_leaving_entry_is_out_of_addresses_and_serves_on() -> None:
+    """An entry is told to stop while a caller still holds its address.
+
+    It disappears from what the others answer, reports that it leaves, serves those
+    who come all the same, and ends once nothing is left open.
+    """
+
+    async def case(shell: Shell) -> None:
+        leaving = asyncio.ensure_future(shell.entries[1].leave())
+        await asyncio.sleep(0)
+        health = await shell.ask("GET", "/healthz", entry=1)
+        assert (health.status, health.body) == (503, b"leaving\n")
+        answer = await shell.chat(entry=1)
+        assert answer.status == 200
+        await leaving
+        assert shell.entries[1].open_requests == 0
+        rows = (await shell.ask("GET", "/v1/addresses")).json["addresses"]
+        assert list_members(rows) == ["e1"]
+
+    run_case(case, entries=2)
+
+
+def test_health_tells_whether_it_is_configured() -> None:
+    async def case(shell: Shell) -> None:
+        health = await shell.ask("GET", "/healthz", key="")
+        assert (health.status, health.body) == (200, b"ok\n")
+
+    run_case(case)
+
+
+def test_caller_that_leaves_frees_its_request() -> None:
+    """A caller closes its connection in the middle of a stream.
+
+    The entry notices at its next write, cancels the request at the engine and counts
+    it as open no more; another caller is answered meanwhile.
+    """
+
+    async def case(shell: Shell) -> None:
+        for name in ("b1", "b2"):
+            shell.fleet.engine(name).set_faults({"speed": 0.002})
+        entry = shell.entries[0]
+        host, _, port = entry.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = (
+            b'{"model":"small-1","stream":true,"max_tokens":500,'
+            b'"messages":[{"role":"user","content":"storm"}]}'
+        )
+        writer.write(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+            b"Authorization: Bearer KEY-OF-nadia\r\n"
+            b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+        )
+        await reader.readuntil(b"data: ")
+        assert entry.open_requests == 1
+        writer.transport.abort()
+        await shell.wait_until(lambda: entry.open_requests == 0)
+        await shell.wait_until(lambda: len(entry.core.requests) == 0)
+        answer = await shell.ask("POST", STATUS, body={})
+        assert answer.status == 200
+
+    run_case(case)
+
+
+def test_text_of_these_tests_has_what_they_change() -> None:
+    assert TEXT.count(WITHDRAW[0]) == 1
