Make a pick cheaper; tell an account's rate at other entries

Change: the cost of a server is one function and is not counted twice; a prefix's servers are ranked by one multiplication each. FairQueue.tokens_per_s_elsewhere.

--- a/src/baobabthread/core/backends.py
+++ b/src/baobabthread/core/backends.py
@@ -11,6 +11,7 @@
 
 from baobabthread.core.limits import Outcome
 
+MIN_LATENCY_S = 1e-6
 UNKNOWN_LATENCY_S = 10.0
 """Taken for a server that has not answered yet, so that its report counts."""
 
@@ -136,7 +137,7 @@
         """Learn the time per token from a request that ended well."""
         sample = latency_s / max(1, tokens)
         step = self.settings.speed_smoothing
-        self._latency += step * (latency_s - self._latency)
+        self._latency += step * (max(latency_s, MIN_LATENCY_S) - self._latency)
         weight = self._speed_weight(now)
         if weight < step:
             step = 1.0
@@ -159,7 +160,7 @@
         # Failure: requests take far less time than a report, all entries send to the
         # server that was idle a second ago, and it queues beside idle ones. A report
         # counts less the more requests have come and gone since.
-        turnovers = (age + self.settings.report_lag_s) / max(self._latency, 1e-6)
+        turnovers = (age + self.settings.report_lag_s) / self._latency
         trust = math.exp2(-turnovers * self.settings.report_decay)
         return self.in_flight + self._reported * trust
 
@@ -169,15 +170,25 @@
         Own measurements decide on speed. A report can only add load, so a server that
         reports none gains no more than what its own speed bears out.
         """
-        load = self.load(now) + 1.0
-        capacity = self.capacity * self.ramp(now)
-        queue = max(0.0, load - capacity) / capacity
-        cost = self.speed(now, usual) * (1.0 + 0.5 * load / capacity + 2.0 * queue)
-        return cost * (1.0 + self.settings.far_penalty) if self.far else cost
+        # One function on the path of each request: calls cost more than the sums.
+        settings = self.settings
+        load = self.in_flight + 1.0
+        age = now - self._reported_at
+        if self._reported and age <= settings.report_life_s:
+            turnovers = (age + settings.report_lag_s) / self._latency
+            load += self._reported * math.exp2(-turnovers * settings.report_decay)
+        capacity: float = self.capacity
+        if self.health is Health.STARTING:
+            capacity *= self.ramp(now)
+        cost = self.speed(now, usual) * (1.0 + 0.5 * load / capacity)
+        if load > capacity:
+            cost += self.speed(now, usual) * 2.0 * (load - capacity) / capacity
+        return cost * (1.0 + settings.far_penalty) if self.far else cost
 
     def speed(self, now: float, usual: float) -> float:
         """Return its time per token; what was learnt long ago counts less."""
-        weight = self._speed_weight(now)
+        age = (now - self.speed_at) / self.settings.speed_half_life_s
+        weight = self.speed_weight * math.exp2(-age)
         return usual + weight * (self.s_per_token - usual)
 
     def ramp(self, now: float) -> float:
--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -26,7 +26,16 @@
 class View:
     """Give a balancer what it may look at for one pick."""
 
-    __slots__ = ("exclude", "now", "pool", "prefix_key", "rng", "settings", "usual")
+    __slots__ = (
+        "exclude",
+        "least",
+        "now",
+        "pool",
+        "prefix_key",
+        "rng",
+        "settings",
+        "usual",
+    )
 
     def __init__(
         self,
@@ -46,6 +55,8 @@
         self.rng = rng
         self.usual = usual
         self.settings = settings
+        self.least = 0.0
+        """The cost of the server that `cheaper` returned."""
 
     def draw(self) -> Server | None:
         """Return a random server that is not excluded."""
@@ -65,9 +76,16 @@
     def cheaper(self) -> Server | None:
         """Return the better of two random servers."""
         one, other = self.draw(), self.draw()
-        if one is None or other is None or one is other:
+        if one is None or other is None:
+            return one
+        self.least = self.cost(one)
+        if one is other:
             return one
-        return one if self.cost(one) <= self.cost(other) else other
+        cost = self.cost(other)
+        if self.least <= cost:
+            return one
+        self.least = cost
+        return other
 
 
 class Balancer(Protocol):
@@ -86,13 +104,16 @@
     other = view.cheaper()
     if view.prefix_key is None or other is None:
         return other
-    bound = view.cost(other) * view.settings.affinity_bound
+    bound = view.least * view.settings.affinity_bound
     for server in view.pool.preferred(view.prefix_key):
         if server.name in view.exclude:
             continue
         # A cached prefix outweighs some load, which passes, but no slow server.
-        slowness = max(1.0, server.speed(view.now, view.usual) / view.usual)
-        if view.cost(server) * slowness <= bound:
+        cost = view.cost(server)
+        if cost > bound:
+            continue
+        slowness = server.speed(view.now, view.usual) / view.usual
+        if slowness <= 1.0 or cost * slowness <= bound:
             return server
     return other
 
--- a/src/baobabthread/core/fairness.py
+++ b/src/baobabthread/core/fairness.py
@@ -187,6 +187,10 @@
         here = state.running if state is not None else 0
         return here + self._remote.running(account, now)
 
+    def tokens_per_s_elsewhere(self, account: str, now: float) -> float:
+        """Return the rate at which an account starts tokens at other entries."""
+        return self._remote.tokens_per_s(account, now)
+
     def usage(self, now: float) -> UsageDigest:
         """Return the digest for peers and forget accounts that are long idle."""
         accounts = {}
--- a/src/baobabthread/core/pools.py
+++ b/src/baobabthread/core/pools.py
@@ -43,9 +43,7 @@
             return found
         if len(self._preferred) >= MAX_CACHED_KEYS:
             self._preferred.clear()
-        group = self._group(prefix_key)
-        ranked = sorted(group, key=lambda s: _mix(s.hash ^ prefix_key), reverse=True)
-        found = tuple(ranked[:PREFERRED])
+        found = _rank(self._group(prefix_key), prefix_key)
         self._preferred[prefix_key] = found
         return found
 
@@ -59,6 +57,17 @@
         return []
 
 
+def _rank(group: list[Server], prefix_key: int) -> tuple[Server, ...]:
+    """Return the first servers of a group in a prefix's own order."""
+    weights = [(s.hash ^ prefix_key) * MIX & MASK for s in group]
+    found = []
+    for _ in range(min(PREFERRED, len(group))):
+        index = weights.index(max(weights))
+        weights[index] = -1
+        found.append(group[index])
+    return tuple(found)
+
+
 def _mix(value: int) -> int:
     """Spread a 64-bit value over all bits."""
     value = (value ^ (value >> 32)) * MIX & MASK
--- a/src/baobabthread/core/rates.py
+++ b/src/baobabthread/core/rates.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 WINDOW_S = 0.5
 SMOOTHING = 0.3
 MAX_ORIGINS = 1024
+MAX_ACCOUNTS = 20_000
+SPENT_MEMORY_S = 5.0
+"""Time over which the rate of an account elsewhere is taken."""
 PROMPT_TOKENS_PER_TOKEN = 40
 """Prompt tokens that cost an engine about as much as one generated token."""
 
@@ -101,14 +106,26 @@
         self.waiting = 0
 
 
+class _Spent:
+    __slots__ = ("at", "tokens")
+
+    def __init__(self) -> None:
+        self.tokens = 0.0
+        self.at = 0.0
+
+    def fade(self, now: float) -> float:
+        return self.tokens * math.exp((self.at - now) / SPENT_MEMORY_S)
+
+
 class RemoteUsage:
     """Keep the latest counters of each other entry incarnation."""
 
-    __slots__ = ("_origins", "_stale_after_s")
+    __slots__ = ("_origins", "_spent", "_stale_after_s")
 
     def __init__(self, *, stale_after_s: float) -> None:
         self._stale_after_s = stale_after_s
         self._origins: dict[str, _Origin] = {}
+        self._spent: dict[str, _Spent] = {}
 
     def merge(self, origin: str, digest: UsageDigest, now: float) -> list[Growth]:
         """Take in one entry's counters; return what is new in them."""
@@ -126,6 +143,8 @@
         # Failure: an entry is heard for the first time and all that it ever started
         # counts as new. The first word is only the base to count from.
         grown = [] if first else _compare(known.accounts, digest.accounts)
+        for growth in grown:
+            self._spend(growth, now)
         known.accounts = digest.accounts
         known.sequence = digest.sequence
         known.running = digest.running
@@ -142,6 +161,20 @@
                 total += usage.running
         return total
 
+    def tokens_per_s(self, account: str, now: float) -> float:
+        """Return the rate at which an account starts tokens elsewhere."""
+        spent = self._spent.get(account)
+        return spent.fade(now) / SPENT_MEMORY_S if spent is not None else 0.0
+
+    def _spend(self, growth: Growth, now: float) -> None:
+        spent = self._spent.get(growth.account)
+        if spent is None:
+            if len(self._spent) >= MAX_ACCOUNTS:
+                self._spent.clear()
+            spent = self._spent[growth.account] = _Spent()
+        spent.tokens = spent.fade(now) + growth.tokens
+        spent.at = now
+
     def total(self, now: float) -> Elsewhere:
         """Return what runs and waits at entries heard lately."""
         fresh = [
--- a/tests/core/test_fairness.py
+++ b/tests/core/test_fairness.py
@@ -213,6 +213,17 @@
     assert tokens == {"a": 1_000, "b": 1_000}
 
 
+def test_the_rate_of_an_account_elsewhere_is_measured_and_fades():
+    here, there = make_queue(), make_queue()
+    fill(there, "a", 1_000)
+    for second in range(40):
+        take(there, 5)
+        here.merge("there", there.usage(second), float(second))
+    assert here.tokens_per_s_elsewhere("a", 39.5) == pytest.approx(500.0, rel=0.1)
+    assert here.tokens_per_s_elsewhere("a", 80.0) < 1.0
+    assert here.tokens_per_s_elsewhere("b", 39.5) == 0.0
+
+
 def test_running_elsewhere_ages_out():
     here, there = make_queue(stale_after_s=5.0), make_queue()
     fill(there, "a", 3)
