Test bad input from callers, by tables and by generated requests

Cause: bad heads, bodies, keys and deadlines had no tests at a running entry. Ruled out: aiohttp's ten seconds of lingering after a refused body, which let a caller that never ends its body hold its connection that much longer. Change: tables of broken requests, slow heads and slow bodies with small bounds, 250 generated requests; a refused body is read for 2 s at most. Conclusion: each gets a typed 4xx, and a good request beside it its answer.

--- a/src/baobabthread/adapters/connections.py
+++ b/src/baobabthread/adapters/connections.py
@@ -15,6 +15,8 @@
 IDLE_TIMEOUT_S = 30.0
 MAX_HEADER_BYTES = 16_384
 MAX_HEADERS = 128
+LINGER_S = 2.0
+"""How long the rest of a refused body is read, so that its caller sees the answer."""
 MAX_DETAIL = 200
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -67,6 +69,7 @@
             "max_line_size": max_header_bytes,
             "max_field_size": max_header_bytes,
             "max_headers": MAX_HEADERS,
+            "lingering_time": LINGER_S,
         }
         super().__init__(handler)
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,414 @@
+"""Tests of bad input from callers: a clear answer, and nobody else disturbed."""
+
+from __future__ import annotations
+
+import asyncio
+import gzip
+import json
+import string
+from collections.abc import Coroutine, Iterator
+from typing import Any, TypeVar
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.shell import CHAT, DISPATCH, LIMIT_S, STATUS, Shell, open_shell, run_case
+
+T = TypeVar("T")
+
+KEY = b"Authorization: Bearer KEY-OF-nadia\r\n"
+REQUEST = b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n" + KEY
+MESSAGES = [{"role": "user", "content": "storm"}]
+CHAT_BODY = {"model": "small-1", "messages": MESSAGES, "max_tokens": 4}
+
+
+async def send(shell: Shell, data: bytes) -> bytes:
+    """Send raw bytes and return all that comes until the entry closes."""
+    host, _, port = shell.entries[0].address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        async with asyncio.timeout(LIMIT_S):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+def read_problem(raw: bytes) -> tuple[int, Any]:
+    head, _, body = raw.partition(b"\r\n\r\n")
+    assert b"application/problem+json" in head
+    return int(head.split(b" ", 2)[1]), json.loads(body)
+
+
+class Host:
+    """Keep one shell and its loop over many examples."""
+
+    def __init__(self, runner: asyncio.Runner, shell: Shell) -> None:
+        self.runner = runner
+        self.shell = shell
+
+    def run(self, work: Coroutine[Any, Any, T]) -> T:
+        return self.runner.run(work)
+
+
+@pytest.fixture(scope="module")
+def host() -> Iterator[Host]:
+    with asyncio.Runner() as runner:
+        opened = open_shell()
+        shell = runner.run(opened.__aenter__())
+        yield Host(runner, shell)
+        runner.run(opened.__aexit__(None, None, None))
+
+
+BODIES: list[tuple[bytes, str]] = [
+    (b"", "chat request"),
+    (b"{", "chat request"),
+    (b"[]", "chat request"),
+    (b"\xff\xfe", "chat request"),
+    (b'{"model": "small-1"}', "messages"),
+    (b'{"messages": []}', "model"),
+    (b'{"model": 5, "messages": []}', "model"),
+    (b'{"model": "small-1", "messages": []}', "0 messages"),
+    (b'{"model": "small-1", "messages": [{"content": "x"}]}', "role"),
+    (b'{"model": "small-1", "messages": "x"}', "messages"),
+    (b'{"model": "\\ud800", "messages": [{"role": "user"}]}', "chat request"),
+    (
+        b'{"model":"small-1","messages":[{"role":"user"}],"max_tokens":-1}',
+        "max_tokens",
+    ),
+    (
+        b'{"model":"small-1","messages":[{"role":"user"}],"max_tokens":"x"}',
+        "max_tokens",
+    ),
+    (b'{"model":"small-1","messages":[{"role":"user"}],"stream":3}', "stream"),
+    (b'{"a":' * 3_000 + b"1" + b"}" * 3_000, "chat request"),
+]
+
+
+@pytest.mark.parametrize("body, named", BODIES, ids=range(len(BODIES)))
+def test_broken_chat_body_is_refused(host: Host, body: bytes, named: str) -> None:
+    answer = host.run(host.shell.ask("POST", CHAT, raw=body))
+    assert answer.status == 400
+    assert answer.json["kind"] == "bad_request"
+    assert named in answer.json["detail"]
+    assert answer.json["remedy"]
+    assert answer.json["ran"] == "no"
+
+
+HEADERS: list[tuple[dict[str, str], str]] = [
+    ({"X-Deadline-Ms": "0"}, "X-Deadline-Ms"),
+    ({"X-Deadline-Ms": "-1"}, "X-Deadline-Ms"),
+    ({"X-Deadline-Ms": "1e3"}, "X-Deadline-Ms"),
+    ({"X-Deadline-Ms": "9" * 5_000}, "X-Deadline-Ms"),
+    ({"X-Deadline-Ms": str(10**12)}, "X-Deadline-Ms"),
+    ({"X-Deadline-Ms": "soon"}, "X-Deadline-Ms"),
+    ({"Baobab-Priority": "first"}, "Baobab-Priority"),
+    ({"Idempotency-Key": "a b"}, "Idempotency-Key"),
+    ({"Idempotency-Key": ""}, "Idempotency-Key"),
+    ({"Idempotency-Key": "x" * 201}, "Idempotency-Key"),
+    ({"Baobab-Session": "\u0995"}, "Baobab-Session"),
+    ({"Baobab-Session": "x" * 3_000}, "Baobab-Session"),
+    ({"Baobab-Session-Name": "x" * 201}, "Baobab-Session-Name"),
+    ({"Baobab-Session-Name": "a\tb"}, "Baobab-Session-Name"),
+    ({"Baobab-Session-Name": "\udcff"}, "Baobab-Session-Name"),
+    ({"Baobab-Call": "\udcff"}, "Baobab-Call"),
+    ({"Baobab-Call": "x" * 201}, "Baobab-Call"),
+]
+
+
+@pytest.mark.parametrize("headers, named", HEADERS)
+def test_bad_header_is_named(host: Host, headers: dict[str, str], named: str) -> None:
+    lines = b"".join(
+        f"{name}: {value}\r\n".encode(errors="surrogateescape")
+        for name, value in headers.items()
+    )
+    body = json.dumps(CHAT_BODY).encode()
+    head = REQUEST + lines + b"Connection: close\r\nContent-Length: %d\r\n\r\n"
+    raw = host.run(send(host.shell, head % len(body) + body))
+    status, problem = read_problem(raw)
+    assert (status, problem["kind"]) == (400, "bad_request")
+    assert named in problem["detail"]
+    assert problem["remedy"]
+
+
+@pytest.mark.parametrize("value", ["", "Bearer", "Basic x", "Bearer \udcff", "KEY"])
+def test_bad_key_is_refused(host: Host, value: str) -> None:
+    body = json.dumps(CHAT_BODY).encode()
+    line = f"Authorization: {value}\r\n".encode(errors="surrogateescape")
+    head = (
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n%b"
+        b"Connection: close\r\nContent-Length: %d\r\n\r\n"
+    )
+    status, problem = read_problem(
+        host.run(send(host.shell, head % (line, len(body)) + body))
+    )
+    assert (status, problem["kind"]) == (401, "unauthenticated")
+    assert "key" in problem["remedy"]
+
+
+@pytest.mark.parametrize(
+    "method, path",
+    [
+        ("GET", CHAT),
+        ("PUT", CHAT),
+        ("DELETE", "/v1/addresses"),
+        ("POST", "/v1/addresses"),
+        ("POST", "/healthz"),
+        ("GET", "/"),
+        ("GET", "/v2/nothing"),
+        ("POST", "/v1/services/"),
+        ("POST", "/v1/services/warnings"),
+        ("POST", "/v1/services/warnings/receipts/more"),
+        ("GET", STATUS),
+        ("GET", "/%ff%00%0a"),
+    ],
+)
+def test_wrong_path_or_method_is_refused(host: Host, method: str, path: str) -> None:
+    answer = host.run(host.shell.ask(method, path))
+    assert answer.status == 404
+    assert answer.json["kind"] == "not_found"
+    assert "/v1/" in answer.json["remedy"]
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\x00\x01\x02\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"GET\r\n\r\n",
+        b"BREW / HTTP/1.1\r\nHost: e\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: -1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: e\r\nBad\x00Name: x\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: e\r\nX: a\x00b\r\n\r\n",
+        b"GET /" + b"a" * 20_000 + b" HTTP/1.1\r\nHost: e\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: e\r\nX: " + b"a" * 20_000 + b"\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: e\r\n" + b"X: a\r\n" * 500 + b"\r\n",
+    ],
+    ids=range(11),
+)
+def test_broken_head_is_refused(host: Host, raw: bytes) -> None:
+    status, problem = read_problem(host.run(send(host.shell, raw)))
+    assert (status, problem["kind"]) == (400, "bad_request")
+    assert problem["remedy"]
+    assert problem["ran"] == "no"
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_oversize_body_is_refused(is_chunked: bool) -> None:
+    """A caller sends more than the bound, with its length told or not.
+
+    Told, it is refused before it is read; in chunks, as soon as the bound is passed.
+    A good request beside it is answered.
+    """
+
+    async def case(shell: Shell) -> None:
+        body = b"x" * 90_000
+        rest = b"Content-Length: 90000\r\n\r\n" + body
+        if is_chunked:
+            size = b"Transfer-Encoding: chunked\r\n\r\n15f90\r\n"
+            rest = size + body + b"\r\n0\r\n\r\n"
+        head = REQUEST + b"Connection: close\r\n"
+        raw, served = await asyncio.gather(send(shell, head + rest), shell.chat())
+        status, problem = read_problem(raw)
+        assert (status, problem["kind"]) == (413, "too_large")
+        assert "1000 bytes" in problem["detail"]
+        assert served.status == 200
+
+    run_case(case, max_body_bytes=1_000)
+
+
+def test_expected_body_is_invited_or_refused(host: Host) -> None:
+    async def expect(length: int, body: bytes) -> bytes:
+        head = (
+            b"Connection: close\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n"
+        )
+        return await send(host.shell, REQUEST + head % length + body)
+
+    body = json.dumps(CHAT_BODY).encode()
+    invited = host.run(expect(len(body), body))
+    assert invited.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK")
+    refused = host.run(expect(50_000_000, b""))
+    assert refused.startswith(b"HTTP/1.1 413")
+
+
+@pytest.mark.parametrize("body", [b"not gzip", gzip.compress(b"{")[:12]])
+def test_broken_compression_is_refused(host: Host, body: bytes) -> None:
+    head = b"Connection: close\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n"
+    raw = host.run(send(host.shell, REQUEST + head % len(body) + body))
+    status, problem = read_problem(raw)
+    assert (status, problem["kind"]) == (400, "bad_request")
+
+
+def test_compressed_body_is_bounded_when_unpacked() -> None:
+    async def case(shell: Shell) -> None:
+        body = gzip.compress(b"x" * 5_000_000)
+        head = b"Connection: close\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n"
+        raw = await send(shell, REQUEST + head % len(body) + b"\r\n" + body)
+        assert read_problem(raw)[0] == 413
+
+    run_case(case, max_body_bytes=10_000)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [b"", b"POST /v1/chat/com", REQUEST, REQUEST + b"X-More: "],
+    ids=["nothing", "line", "headers", "header"],
+)
+def test_head_that_never_ends_is_cut_off(sent: bytes) -> None:
+    """A caller opens a connection and never completes a request's head.
+
+    The entry closes it at its bound, without an answer as nothing was asked. A good
+    request beside it is answered.
+    """
+
+    async def case(shell: Shell) -> None:
+        raw, served = await asyncio.gather(send(shell, sent), shell.chat())
+        assert raw == b""
+        assert served.status == 200
+
+    run_case(case, idle_timeout_s=0.3)
+
+
+def test_second_head_that_never_ends_is_cut_off() -> None:
+    async def case(shell: Shell) -> None:
+        raw = await send(shell, b"GET /healthz HTTP/1.1\r\nHost: e\r\n\r\nGET /he")
+        assert raw.startswith(b"HTTP/1.1 200 OK")
+        assert raw.endswith(b"ok\n")
+
+    run_case(case, idle_timeout_s=0.3)
+
+
+def test_trickled_head_does_not_renew_its_bound() -> None:
+    """A caller sends its head a byte at a time, faster than the bound.
+
+    Each byte shows life, but the whole head must come within the bound: the entry
+    closes the connection while the caller still sends.
+    """
+
+    async def case(shell: Shell) -> None:
+        host, _, port = shell.entries[0].address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        async with asyncio.timeout(LIMIT_S):
+            writer.write(REQUEST + b"X-More: ")
+            while not reader.at_eof():
+                writer.write(b"x")
+                await asyncio.sleep(0.02)
+        writer.close()
+
+    run_case(case, idle_timeout_s=0.3)
+
+
+def test_body_that_never_ends_is_refused() -> None:
+    """A caller sends a byte of its body now and then and never ends it.
+
+    The entry answers at its bound for whole bodies and closes the connection; a good
+    request beside it is answered.
+    """
+
+    async def case(shell: Shell) -> None:
+        head = REQUEST + b"Connection: close\r\nContent-Length: 500\r\n\r\n{"
+        raw, served = await asyncio.gather(send(shell, head), shell.chat())
+        status, problem = read_problem(raw)
+        assert (status, problem["kind"]) == (400, "bad_request")
+        assert "0.3 s" in problem["detail"]
+        assert served.status == 200
+
+    run_case(case, body_timeout_s=0.3)
+
+
+def test_caller_that_leaves_in_its_body_is_forgotten(host: Host) -> None:
+    async def leave() -> None:
+        address, _, port = host.shell.entries[0].address.rpartition(":")
+        _, writer = await asyncio.open_connection(address, int(port))
+        writer.write(REQUEST + b"Content-Length: 500\r\n\r\n{")
+        await writer.drain()
+        writer.transport.abort()
+        await asyncio.sleep(0)
+
+    host.run(leave())
+    assert host.run(host.shell.chat()).status == 200
+    assert host.shell.entries[0].open_requests == 0
+
+
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+chat_bodies = st.fixed_dictionaries(
+    {
+        "model": st.sampled_from(["small-1", "bulletins", "warnings"]) | json_values,
+        "messages": st.lists(
+            st.fixed_dictionaries(
+                {"role": st.just("user") | json_values},
+                optional={"content": json_values},
+            ),
+            max_size=3,
+        )
+        | json_values,
+    },
+    optional={
+        "stream": st.booleans() | json_values,
+        "max_tokens": st.integers(0, 8) | json_values,
+        "priority": json_values,
+        "resume_from": json_values,
+        "user": json_values,
+    },
+).map(lambda value: json.dumps(value).encode())
+bodies = st.one_of(st.binary(max_size=60), chat_bodies, json_values.map(json.dumps))
+visible = st.text(string.ascii_letters + string.digits + "/~.- ", max_size=30)
+headers = st.fixed_dictionaries(
+    {},
+    optional={
+        "X-Deadline-Ms": st.integers(-5, 3_000).map(str) | visible,
+        "Baobab-Priority": st.sampled_from(["urgent", "batch"]) | visible,
+        "Baobab-Call": st.sampled_from(["draft", "sing"]) | visible,
+        "Baobab-Session": visible,
+        "Baobab-Session-Name": visible,
+        "Idempotency-Key": visible,
+        "Content-Type": visible,
+    },
+)
+paths = st.sampled_from([CHAT, STATUS, DISPATCH, "/v1/services/archive/list"]) | (
+    visible.map(lambda text: f"/v1/services/{text.strip('/ ') or 'x'}/x")
+)
+keys = st.sampled_from(["KEY-OF-nadia", "KEY-OF-digha", "nobody"])
+
+
+@settings(
+    derandomize=True,
+    max_examples=250,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.too_slow],
+)
+@given(path=paths, body=bodies, given_headers=headers, key=keys)
+def test_any_request_gets_an_answer_or_a_typed_problem(
+    host: Host, path: str, body: bytes | str, given_headers: dict[str, str], key: str
+) -> None:
+    raw = body.encode() if isinstance(body, str) else body
+    answer = host.run(
+        host.shell.ask("POST", path, raw=raw, headers=given_headers, key=key)
+    )
+    if answer.status == 200:
+        return
+    assert answer.headers["Content-Type"] == "application/problem+json"
+    problem = answer.json
+    assert problem["kind"] != "internal", problem
+    assert problem["remedy"]
+    assert problem["ran"] in {"no", "yes", "unknown"}
+    assert answer.status < 500 or problem["ran"]
+
+
+def test_good_request_is_served_after_all_of_these(host: Host) -> None:
+    assert host.run(host.shell.chat()).status == 200
+    assert host.shell.entries[0].open_requests == 0
+    assert not len(host.shell.entries[0].core.requests)
