Let no configuration text raise anything but its own error

Cause: generated texts raised a bare ValueError: a whole number of thousands of digits, a port of thousands of digits, a port with a digit such as a superscript two. Names of calls were not checked at all. Ruled out: a larger limit on digits, which only moves the place of failure. Change: each is a ConfigurationError with field and remedy; a call's name has the form of all names. Conclusion: parse_section and merge_sections raise ConfigurationError only.

--- a/src/baobabthread/core/configuration.py
+++ b/src/baobabthread/core/configuration.py
@@ -16,6 +16,8 @@
 MAX_TEXT_BYTES = 1_000_000
 MAX_NAMES = 20_000
 NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+HOST = re.compile(r"[0-9A-Za-z.:\[\]-]{1,255}")
+PORT = re.compile(r"[0-9]{1,5}")
 SHA256_HEX = re.compile(r"[0-9a-f]{64}")
 
 
@@ -175,7 +177,8 @@
         )
     try:
         table = tomllib.loads(text)
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
+    except (ValueError, RecursionError) as error:
+        # Not only TOMLDecodeError: a number of thousands of digits is a ValueError.
         raise ConfigurationError(
             f"not valid TOML ({error})", field="text", remedy="mend the syntax there"
         ) from None
@@ -243,15 +246,11 @@
                 f"more than {MAX_NAMES} names", field=table, remedy="remove some"
             )
         for name in rows:
-            if not NAME.fullmatch(name):
-                raise ConfigurationError(
-                    "not a name",
-                    field=f"{table}.{name[:80]}",
-                    remedy="use a-z, 0-9, '.', '_' and '-', 63 characters at most",
-                )
+            _check_name(f"{table}.{name[:80]}", name)
     for name, service in section.services.items():
         _check_range(f"services.{name}.quality_target", service.quality_target, 0, 1)
         for call_name, call in service.calls.items():
+            _check_name(f"services.{name}.calls.{call_name[:80]}", call_name)
             field = f"services.{name}.calls.{call_name}.deadline_s"
             _check_range(field, call.deadline_s, 0.001, 86_400)
     for name, version in section.versions.items():
@@ -270,6 +269,15 @@
         _check_steps(f"rollouts.{name}", rollout)
 
 
+def _check_name(field: str, name: str) -> None:
+    if not NAME.fullmatch(name):
+        raise ConfigurationError(
+            "not a name",
+            field=field,
+            remedy="use a-z, 0-9, '.', '_' and '-', 63 characters at most",
+        )
+
+
 def _check_range(field: str, value: float, low: float, high: float) -> None:
     if not low <= value <= high:
         raise ConfigurationError(
@@ -290,7 +298,8 @@
 
 def _check_address(field: str, value: str) -> None:
     host, _, port = value.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    known = HOST.fullmatch(host) and PORT.fullmatch(port)
+    if not known or not 0 < int(port) < 65536:
         raise ConfigurationError(
             f"'{value[:80]}' is not an address",
             field=field,
