Split the entry: assembly, effects, exchanges with callers, process

Cause: entry.py had 700 lines and four jobs; besides, a message or a caller that came between listening and the end of the assembly met attributes that did not exist yet. Change: adapters/effects.py runs what the core returns, adapters/exchanges.py carries callers' requests, process.py holds signals and exit code; what comes before the assembly is done is answered with 503 'starting'.

--- a/src/baobabthread/administration.py
+++ b/src/baobabthread/administration.py
@@ -36,7 +36,7 @@
         base = body.base
         if base is None:
             base = fold.section_generation(body.section)
-        future = self._entry.expect_publish(body.id)
+        future = self._entry.effects.expect_publish(body.id)
         self._entry.feed(
             PublishRequested(
                 id=body.id,
--- a/src/baobabthread/commands/run.py
+++ b/src/baobabthread/commands/run.py
@@ -17,10 +17,10 @@
 from baobabthread.commands.operate import read_text
 from baobabthread.commands.options import argument, option
 from baobabthread.core.configuration import merge_sections, parse_section
-from baobabthread.entry import run_entry
 from baobabthread.errors import UsageError
 from baobabthread.load_settings import LoadSettings, Work, parse_account
 from baobabthread.logs import configure_logs
+from baobabthread.process import run_entry
 from baobabthread.settings import (
     EntrySettings,
     check_settings,
