--- a/src/baobabthread/adapters/exchanges.py
+++ b/src/baobabthread/adapters/exchanges.py
@@ -25,6 +25,7 @@
 from baobabthread.adapters.metrics import Metrics
 from baobabthread.adapters.operators import OperatorServer
 from baobabthread.adapters.peers import REQUESTS_PATH
+from baobabthread.core.addresses import Departure, DepartureState
 from baobabthread.core.entry import EntryCore
 from baobabthread.core.events import (
     AttemptEnded,
@@ -61,7 +62,8 @@
         "_sequence",
         "_settings",
         "channels",
-        "leaving",
+        "closing",
+        "departure",
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         feed: Callable[[object], None],
         run_effect: Callable[[object], None],
         locate: Callable[[str], str | None],
+        departure: Departure,
     ) -> None:
         """Take `locate`, which gives the address of a peer."""
         self._core = core
@@ -93,7 +96,9 @@
         self._locate = locate
         self._sequence = 0
         self.channels: dict[str, Channel] = {}
-        self.leaving = False
+        self.departure = departure
+        self.closing = False
+        """Whether the addresses given out have lapsed, so that new requests go away."""
 
     def route(self, effect: Any) -> None:
         """Hand a request its next step."""
@@ -169,14 +174,25 @@
 
     def _tell_health(self) -> web.StreamResponse:
         configured = self._core.control.configuration is not None
-        if self.leaving or not configured:
-            text = "leaving\n" if self.leaving else "not configured\n"
-            return web.Response(status=503, text=text)
+        state = self.departure.state
+        if state is not DepartureState.SERVING:
+            return web.Response(status=503, text=f"{state}\n")
+        if not configured:
+            return web.Response(status=503, text="not configured\n")
         return web.Response(text="ok\n")
 
     async def _serve_request(
         self, request: web.BaseRequest, arrived: RequestArrived
     ) -> web.StreamResponse:
+        if self.closing:
+            # A caller that keeps its connection would hold the drain up for ever; it
+            # had the lifetime of its addresses to learn of others.
+            raise refuse(
+                Kind.LEAVING,
+                "this entry is stopping",
+                "ask another address of your last answer",
+                retry_after_s=0.0,
+            )
         channel = Channel(request=request, request_id=arrived.request_id)
         self.channels[arrived.request_id] = channel
         started = time.monotonic()
@@ -274,6 +290,8 @@
         arrived.forwarded = True
         try:
             return await self._serve_request(request, arrived)
+        except RequestError as error:
+            return render_problem(error.problem)
         except CallerGoneError:
             return web.Response(status=499)
 
--- a/src/baobabthread/adapters/tails.py
+++ b/src/baobabthread/adapters/tails.py
@@ -41,11 +41,12 @@
     async def run(self) -> None:
         """Read until cancelled."""
         pause = MIN_PAUSE_S
+        wait_s = 0.0
         while True:
             started_at = self._now()
             try:
                 page = await self._log.read(
-                    self._stream, after=self._after(), limit=LIMIT, wait_s=WAIT_S
+                    self._stream, after=self._after(), limit=LIMIT, wait_s=wait_s
                 )
             except LogError as error:
                 self._note(False, error.message)
@@ -53,6 +54,7 @@
                 pause = min(pause * 2, MAX_PAUSE_S)
                 continue
             pause = MIN_PAUSE_S
+            wait_s = WAIT_S
             self._note(True, "")
             self._feed(
                 LogRead(
--- a/src/baobabthread/administration.py
+++ b/src/baobabthread/administration.py
@@ -125,7 +125,8 @@
         return {
             "name": entry.settings.name,
             "incarnation": entry.incarnation,
-            "leaving": entry.leaving,
+            "life": entry.departure.state,
+            "caught_up": core.conductors.caught_up,
             "uptime_s": round(time.time() - entry.started_at, 1),
             "generation": control.fold.generation,
             "freshness": control.freshness.state(now),
--- a/src/baobabthread/core/conductors.py
+++ b/src/baobabthread/core/conductors.py
@@ -43,6 +43,8 @@
 """How often detectors and roll-outs are looked at."""
 REPEAT_S = 3.0
 """How long a record may take to be read back before it is appended again."""
+RESTATE_S = 600.0
+"""How often a conductor restates what its service has come to, in seconds."""
 READY_SHARE = 0.5
 """Share of the old version's capacity that must have the new one loaded."""
 
@@ -50,7 +52,15 @@
 class _Conducted:
     """Hold what this entry needs to conduct one service."""
 
-    __slots__ = ("detector", "detector_name", "lease", "name", "orders", "selection")
+    __slots__ = (
+        "detector",
+        "detector_name",
+        "lease",
+        "name",
+        "orders",
+        "restate_at",
+        "selection",
+    )
 
     def __init__(
         self, *, name: str, holder: str, detector: str, rng: random.Random
@@ -61,6 +71,7 @@
         self.lease = Lease(holder=holder, service=name, random_source=rng)
         self.orders = Orders()
         self.selection = Selection(cascade=(), states={})
+        self.restate_at = 0.0
 
 
 class Conductors:
@@ -79,6 +90,7 @@
         "_rng",
         "_sequence",
         "_services",
+        "caught_up",
         "fold",
     )
 
@@ -96,6 +108,8 @@
         self._next_step = 0.0
         self._sequence = 0
         self.fold = RolloutFold()
+        self.caught_up = False
+        """Whether the stream was read up to its head once since the start."""
 
     def reconfigure(self, configuration: Configuration, now: float) -> None:
         """Take over a newly accepted configuration."""
@@ -186,6 +200,10 @@
             if self.fold.apply(record, now=now):
                 changed = True
                 self._note_steps(before)
+        # Until then a quarantine may stand in what was not read yet, and a fresh entry
+        # would send callers to a version that all others have left.
+        last = read.records[-1].offset if read.records else read.head
+        self.caught_up = self.caught_up or last >= read.head
         effects: Effects = []
         for conducted in self._services.values():
             effects += conducted.lease.on_log_read(read, now)
@@ -208,6 +226,7 @@
                     self._find_target(conducted, in_force_everywhere)
                 )
                 effects += conducted.orders.plan(conducted.lease, now)
+                effects += self._restate(conducted, now)
         self._select_all()
         return effects
 
@@ -263,6 +282,20 @@
                 effects += self._append(what, record, now)
         return effects
 
+    def _restate(self, conducted: _Conducted, now: float) -> Effects:
+        """Append again what stands, before the log forgets it."""
+        # A quarantine whose record has expired would be unknown to every entry that
+        # starts afterwards; the version would get traffic again, entry by entry.
+        if now < conducted.restate_at:
+            return []
+        conducted.restate_at = now + RESTATE_S
+        records = self.fold.restate(conducted.name, fence=conducted.lease.fence)
+        effects: Effects = []
+        for number, record in enumerate(records):
+            what = f"restate/{conducted.name}/{conducted.lease.fence}/{now}/{number}"
+            effects += self._append(what, record, now)
+        return effects
+
     def _look(
         self, conducted: _Conducted, planned: PlannedRollout, now: float
     ) -> Situation:
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -182,6 +182,7 @@
             ledger=self.ledger,
             named=self.named,
             may_serve=self.control.may_serve,
+            is_caught_up=lambda: self.conductors.caught_up,
             wall_offset_s=settings.wall_offset_s,
             locate=self._locate_incarnation,
         )
--- a/src/baobabthread/core/intake.py
+++ b/src/baobabthread/core/intake.py
@@ -24,13 +24,19 @@
 class Intake:
     """Turn what arrived into a request of a known account, service and call."""
 
-    __slots__ = ("_may_serve", "_services", "directory")
+    __slots__ = ("_is_caught_up", "_may_serve", "_services", "directory")
 
     def __init__(
-        self, *, services: dict[str, ServiceState], may_serve: MayServe
+        self,
+        *,
+        services: dict[str, ServiceState],
+        may_serve: MayServe,
+        is_caught_up: Callable[[], bool],
     ) -> None:
+        """Take `is_caught_up`, which tells whether quarantines are known here."""
         self._services = services
         self._may_serve = may_serve
+        self._is_caught_up = is_caught_up
         self.directory = Directory()
 
     def admit(self, arrived: RequestArrived, now: float) -> Request | Problem:
@@ -137,6 +143,14 @@
             request.body_hash = hashlib.sha256(arrived.body).hexdigest()
         if not arrived.is_model:
             return request
+        if not self._is_caught_up():
+            return _refuse(
+                arrived,
+                Kind.NOT_CONFIGURED,
+                "this entry has not yet read which versions are quarantined",
+                "use another address, or come back",
+                retry_after_s=CONFIGURE_RETRY_S,
+            )
         request.versions = self.directory.list_allowed(account, state.name)
         if arrived.prefix:
             request.prefix_key = xxhash.xxh3_64_intdigest(arrived.prefix.encode())
--- a/src/baobabthread/core/requests.py
+++ b/src/baobabthread/core/requests.py
@@ -60,11 +60,14 @@
         ledger: Ledger,
         named: NamedSessions,
         may_serve: MayServe,
+        is_caught_up: Callable[[], bool],
         wall_offset_s: float,
         locate: Callable[[str], str | None],
     ) -> None:
         """Take `locate`, which names the entry that runs an incarnation."""
-        self._intake = Intake(services=services, may_serve=may_serve)
+        self._intake = Intake(
+            services=services, may_serve=may_serve, is_caught_up=is_caught_up
+        )
         self._services = services
         self._claims = claims
         self._ledger = ledger
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -38,6 +38,7 @@
 )
 from baobabthread.adapters.tails import Tail
 from baobabthread.administration import EntryAdministration
+from baobabthread.core.addresses import AddressSettings, Departure, DepartureState
 from baobabthread.core.configuration import ServiceKind
 from baobabthread.core.entry import PEER_MESSAGES, CoreSettings, EntryCore
 from baobabthread.core.events import (
@@ -72,6 +73,9 @@
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._offsets: dict[Stream, int] = {}
+        self.departure = Departure(
+            settings=AddressSettings(lifetime_s=settings.address_lifetime_s)
+        )
         self.exchanges: Exchanges | None = None
         self._peer_server: PeerServer | None = None
         self.started_at = time.time()
@@ -117,6 +121,7 @@
         )
         await self._connect_peers()
         self._start_loops()
+        self.departure.open()
         log_event(
             "entry_started",
             name=settings.name,
@@ -224,6 +229,7 @@
             feed=self.feed,
             run_effect=self.effects.run,
             locate=self.effects.locate,
+            departure=self.departure,
         )
         self._peer_server = PeerServer(
             me=self.incarnation,
@@ -325,7 +331,7 @@
     @property
     def leaving(self) -> bool:
         """Tell whether this entry is on its way out."""
-        return self.exchanges is not None and self.exchanges.leaving
+        return self.departure.state is DepartureState.LEAVING
 
     @property
     def open_requests(self) -> int:
@@ -334,9 +340,8 @@
 
     async def leave(self) -> None:
         """Stop gracefully: out of addresses, serve on, drain, hand over."""
-        if self.exchanges is not None:
-            self.exchanges.leaving = True
         settings = self.settings
+        self.departure.leave(time.monotonic())
         log_event("entry_leaving", name=settings.name, open=len(self._get_channels()))
         for effect in self.core.leave(time.monotonic()):
             self.effects.run(effect)
@@ -345,11 +350,14 @@
                 await self._roster.remove(settings.name)
         # Callers keep an answer that names this entry for its lifetime; closing the
         # port earlier would refuse connections that were promised.
-        await asyncio.sleep(settings.address_lifetime_s + 1.0)
+        await asyncio.sleep(self.departure.closes_at() - time.monotonic())
+        if self.exchanges is not None:
+            self.exchanges.closing = True
         await self._drain(settings.drain_limit_s)
         for effect in self.core.hand_over(time.monotonic()):
             self.effects.run(effect)
         await self._settle(HANDOVER_TIMEOUT_S)
+        self.departure.stop()
         log_event("entry_stopped", name=settings.name, open=len(self._get_channels()))
 
     async def _drain(self, limit_s: float) -> None:
