--- a/src/baobabthread/commands/operate.py
+++ b/src/baobabthread/commands/operate.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import secrets
+import ssl
 import sys
 import time
 from dataclasses import dataclass
@@ -27,6 +28,7 @@
 WAIT_STEP_S = 0.1
 URL_HELP = "An entry's address, such as http://127.0.0.1:8001."
 KEY_HELP = "The operator's key."
+CA_HELP = "PEM authority of an entry behind TLS."
 
 
 class RefusedError(BaobabthreadError):
@@ -49,33 +51,61 @@
         ) from None
 
 
-def ask(
-    method: str, url: str, path: str, *, key: str, body: dict[str, Any] | None = None
-) -> Any:
-    """Ask an entry and return its JSON answer."""
-    return asyncio.run(_ask(method, url.rstrip("/") + path, key=key, body=body))
+@dataclass(kw_only=True, slots=True)
+class Connection:
+    """Reach one entry as an operator."""
 
+    url: str
+    key: str
+    tls_ca: Path | None = None
 
-async def _ask(method: str, url: str, *, key: str, body: dict[str, Any] | None) -> Any:
-    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-    headers = {"Authorization": f"Bearer {key}"}
-    try:
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.request(method, url, json=body, headers=headers) as response,
-        ):
-            answer = await response.json(content_type=None)
-    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-        raise UnavailableError(
-            f"no answer from {url}: {error or type(error).__name__}",
-            remedy="check the address, or ask another entry",
-        ) from None
-    if response.status >= 400:
-        raise RefusedError(
-            f"{answer.get('kind')}: {answer.get('detail')}",
-            remedy=str(answer.get("remedy")),
-        )
-    return answer
+    def ask(self, method: str, path: str, body: dict[str, Any] | None = None) -> Any:
+        """Ask the entry and return its JSON answer."""
+        if not self.url.startswith(("http://", "https://")):
+            raise UsageError(
+                f"'{self.url}' is not a URL",
+                remedy="give an entry's address, such as http://127.0.0.1:8001",
+            )
+        return asyncio.run(self._ask(method, self.url.rstrip("/") + path, body))
+
+    def _trust(self) -> ssl.SSLContext | bool:
+        if self.tls_ca is None:
+            return True
+        try:
+            return ssl.create_default_context(cafile=self.tls_ca)
+        except (ssl.SSLError, OSError) as error:
+            raise UsageError(
+                f"--tls-ca: can't use '{self.tls_ca}': {error.strerror or error}",
+                remedy="give a readable PEM file",
+            ) from None
+
+    async def _ask(self, method: str, url: str, body: dict[str, Any] | None) -> Any:
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        headers = {"Authorization": f"Bearer {self.key}"}
+        trusted = self._trust()
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(
+                    method, url, json=body, headers=headers, ssl=trusted
+                ) as response,
+            ):
+                answer = await response.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise UnavailableError(
+                f"no answer from {url}: {str(error) or type(error).__name__}",
+                remedy="check the address, or ask another entry",
+            ) from None
+        if not isinstance(answer, dict):
+            raise UnavailableError(
+                f"{url} is not an entry", remedy="give the address of an entry"
+            )
+        if response.status >= 400:
+            raise RefusedError(
+                f"{answer.get('kind')}: {answer.get('detail')}",
+                remedy=str(answer.get("remedy")),
+            )
+        return answer
 
 
 def show_json(value: Any) -> None:
@@ -123,6 +153,7 @@
     wait_limit: Annotated[
         float, option("wait-limit", "Give up waiting after this many s.", default=30.0)
     ] = 30.0
+    tls_ca: Annotated[Path | None, option("tls-ca", CA_HELP, default=None)] = None
 
     def run(self) -> int:
         """Publish and report the generation."""
@@ -135,19 +166,19 @@
         }
         if self.base is not None:
             body["base"] = self.base
-        answer = ask("POST", self.entry, "/admin/publish", key=self.key, body=body)
-        generation = answer["generation"]
+        entry = Connection(url=self.entry, key=self.key, tls_ca=self.tls_ca)
+        generation = entry.ask("POST", "/admin/publish", body)["generation"]
         print(f"accepted: generation {generation}")
-        return self._wait(generation) if self.wait else 0
+        return self._wait(entry, generation) if self.wait else 0
 
-    def _wait(self, generation: int) -> int:
+    def _wait(self, entry: Connection, generation: int) -> int:
         deadline = time.monotonic() + self.wait_limit
         while True:
-            status = ask("GET", self.entry, "/admin/generations", key=self.key)
+            status = entry.ask("GET", "/admin/generations")
             behind = [
-                entry["name"]
-                for entry in status["entries"]
-                if entry["generation"] < generation and entry["state"] != "dead"
+                row["name"]
+                for row in status["entries"]
+                if row["generation"] < generation and row["state"] != "dead"
             ]
             if not behind:
                 print(f"in force: at {len(status['entries'])} entries")
@@ -168,10 +199,12 @@
     section: Annotated[
         str, option("section", "Print only this section's text.", default="")
     ] = ""
+    tls_ca: Annotated[Path | None, option("tls-ca", CA_HELP, default=None)] = None
 
     def run(self) -> int:
         """Print the sections."""
-        answer = ask("GET", self.entry, "/admin/configuration", key=self.key)
+        entry = Connection(url=self.entry, key=self.key, tls_ca=self.tls_ca)
+        answer = entry.ask("GET", "/admin/configuration")
         if not self.section:
             show_json(answer)
             return 0
@@ -192,10 +225,12 @@
 
     url: Annotated[str, argument("URL", URL_HELP)]
     key: Annotated[str, option("operator-key", KEY_HELP)]
+    tls_ca: Annotated[Path | None, option("tls-ca", CA_HELP, default=None)] = None
 
     def run(self) -> int:
         """Print the dump."""
-        show_json(ask("GET", self.url, "/state", key=self.key))
+        entry = Connection(url=self.url, key=self.key, tls_ca=self.tls_ca)
+        show_json(entry.ask("GET", "/state"))
         return 0
 
 
@@ -206,10 +241,12 @@
 
     entry: Annotated[str, option("entry", URL_HELP)]
     key: Annotated[str, option("operator-key", KEY_HELP)]
+    tls_ca: Annotated[Path | None, option("tls-ca", CA_HELP, default=None)] = None
 
     def run(self) -> int:
         """Print the bills."""
-        show_json(ask("GET", self.entry, "/admin/bills", key=self.key))
+        entry = Connection(url=self.entry, key=self.key, tls_ca=self.tls_ca)
+        show_json(entry.ask("GET", "/admin/bills"))
         return 0
 
 
--- a/src/baobabthread/settings.py
+++ b/src/baobabthread/settings.py
@@ -25,7 +25,8 @@
     port: int
 
     def __str__(self) -> str:
-        return f"{self.host}:{self.port}"
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/shell.py
+++ b/tests/shell.py
@@ -6,6 +6,7 @@
 import contextlib
 import hashlib
 import json
+import threading
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from typing import Any, TypeVar
@@ -276,3 +277,35 @@
 
 def list_members(rows: Sequence[Any]) -> list[str]:
     return sorted(row["name"] for row in rows)
+
+
+class ShellThread:
+    """Keep a shell on a thread of its own, for what blocks, such as commands."""
+
+    def __init__(self, **options: Any) -> None:
+        self._options = options
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._opened: Any = None
+        self.shell: Any = None
+
+    def run(self, work: Coroutine[Any, Any, T]) -> T:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(LIMIT_S)
+
+    def __enter__(self) -> ShellThread:
+        self._thread.start()
+        self._opened = open_shell(**self._options)
+        self.shell = self.run(self._opened.__aenter__())
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.run(self._opened.__aexit__(None, None, None))
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(LIMIT_S)
+        self._loop.close()
+
+    @property
+    def url(self) -> str:
+        """Return the first entry's base URL."""
+        entry = self.shell.entries[0]
+        return f"{'https' if entry.settings.tls_cert else 'http'}://{entry.address}"
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,116 @@
+"""Tests of TLS to callers and between entries."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from baobabthread import cli
+from tests.shell import ROOT_KEY, Shell, ShellThread, list_members, mint, run_case
+
+FILES = Path(__file__).parent / "tls"
+CA = FILES / "ca.pem"
+TLS = {"tls_cert": FILES / "cert.pem", "tls_key": FILES / "key.pem", "tls_ca": CA}
+
+
+def trust(shell: Shell) -> None:
+    shell.ssl = ssl.create_default_context(cafile=CA)
+
+
+def test_callers_are_answered_over_tls() -> None:
+    async def case(shell: Shell) -> None:
+        trust(shell)
+        whole = await shell.chat()
+        streamed = await shell.chat(stream=True)
+        assert (whole.status, streamed.status) == (200, 200)
+        assert streamed.chunks[-1] == "[DONE]"
+        assert (await shell.ask("GET", "/v1/addresses")).status == 200
+
+    run_case(case, **TLS)
+
+
+def test_plain_connection_to_a_tls_entry_gets_no_answer() -> None:
+    async def case(shell: Shell) -> None:
+        address = shell.entries[0].address
+        async with aiohttp.ClientSession() as session:
+            with pytest.raises(aiohttp.ClientError):
+                await session.get(f"http://{address}/healthz")
+        trust(shell)
+        assert (await shell.chat()).status == 200
+
+    run_case(case, **TLS)
+
+
+def test_entry_is_not_trusted_without_its_authority() -> None:
+    async def case(shell: Shell) -> None:
+        with pytest.raises(aiohttp.ClientConnectorCertificateError):
+            await shell.ask("GET", "/healthz")
+
+    run_case(case, **TLS)
+
+
+def test_entries_join_over_tls() -> None:
+    """Two entries with certificates of one authority join each other.
+
+    Their messages and forwarded requests go over TLS: a dispatch under a key that the
+    other entry holds is answered, and a text is in force at both.
+    """
+
+    async def case(shell: Shell) -> None:
+        trust(shell)
+        generations = {entry.core.control.fold.generation for entry in shell.entries}
+        assert len(generations) == 1
+        key = f"{shell.entries[0].incarnation}/{mint('w1')}"
+        answers = [await shell.dispatch(key, entry=number) for number in (1, 0)]
+        assert [answer.status for answer in answers] == [200, 200]
+        assert answers[0].body == answers[1].body
+        rows = (await shell.ask("GET", "/v1/addresses", entry=1)).json["addresses"]
+        assert list_members(rows) == ["e1", "e2"]
+        assert shell.entries[1].outbox.bytes_received > 0
+
+    run_case(case, entries=2, **TLS)
+
+
+def test_entry_without_the_authority_does_not_join() -> None:
+    """An entry without the authority's file is told to join one behind TLS.
+
+    It can't check the other's certificate and sends it nothing; each serves its
+    callers on.
+    """
+
+    async def case(shell: Shell) -> None:
+        trust(shell)
+        lonely = await shell.start_entry(tls_ca=None)
+        await shell.wait_until(lambda: lonely.core.control.fold.generation > 0)
+        for _ in range(20):
+            await asyncio.sleep(0.02)
+            assert lonely.outbox.bytes_received == 0
+        answers = [await shell.chat(entry=number) for number in range(2)]
+        assert [answer.status for answer in answers] == [200, 200]
+
+    run_case(case, **TLS)
+
+
+def test_commands_reach_an_entry_over_tls(capsys: pytest.CaptureFixture[str]) -> None:
+    with ShellThread(settings=TLS) as thread:
+        arguments = ["state", thread.url, "--operator-key", ROOT_KEY]
+        assert cli.run([*arguments, "--tls-ca", str(CA)]) == 0
+        assert '"name": "e1"' in capsys.readouterr().out
+        assert cli.run(arguments) == 3
+        assert "no answer" in capsys.readouterr().err
+
+
+def test_broken_authority_of_a_command_is_told(
+    capsys: pytest.CaptureFixture[str], tmp_path: Path
+) -> None:
+    path = tmp_path / "ca.pem"
+    path.write_text("nothing")
+    code = cli.run(
+        ["state", "https://127.0.0.1:1", "--operator-key=k", f"--tls-ca={path}"]
+    )
+    assert code == 2
+    assert "--tls-ca" in capsys.readouterr().err
