--- a/src/baobabthread/core/quality.py
+++ b/src/baobabthread/core/quality.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
+from baobabthread.core.latency import SlowGauge
 from baobabthread.core.registry import Registry
+from baobabthread.core.selection import Damped
 from baobabthread.core.tallies import Concern, Tallies, Tally, TallyKey
 from baobabthread.core.wealth import LEAST_REFERENCE, Reference, Wealth
 
@@ -68,6 +70,9 @@
     def traffic_factor(self, version: str) -> float:
         """Return what to multiply the version's share of a roll-out by."""
 
+    def damped(self) -> list[Damped]:
+        """Return the suspected versions that shall get fewer requests."""
+
 
 class DetectorFactory(Protocol):
     """Build a detector for one service."""
@@ -84,33 +89,6 @@
     Concern.LATENCY: 0.1,
 }
 """How much higher than usual the rate of bad outcomes may be."""
-SLOW_FACTOR = 2.5
-"""An answer is slow when it takes so many times the usual."""
-LATENCY_MEMORY = 500.0
-
-
-class SlowGauge:
-    """Tell slow answers from usual ones, by a running mean of each call."""
-
-    __slots__ = ("_usual",)
-
-    def __init__(self) -> None:
-        self._usual: dict[tuple[str, str], tuple[float, float]] = {}
-
-    def judge(self, version: str, call: str, latency_s: float) -> bool:
-        """Return whether an answer was slow, and count it towards the usual."""
-        mean, seen = self._usual.get((version, call), (latency_s, 0.0))
-        slow = latency_s > SLOW_FACTOR * mean
-        seen = min(seen + 1, LATENCY_MEMORY)
-        # One stuck answer would lift the mean so far that the next ones pass as usual.
-        bounded = min(latency_s, SLOW_FACTOR * mean)
-        self._usual[version, call] = (mean + (bounded - mean) / seen, seen)
-        return slow
-
-    def forget(self, version: str) -> None:
-        """Drop what is usual for a version."""
-        kept = {key: usual for key, usual in self._usual.items() if key[0] != version}
-        self._usual = kept
 
 
 class CountingDetector:
@@ -176,6 +154,10 @@
         """Return 1, or 0 after an alarm."""
         return 0.0 if version in self._latched else 1.0
 
+    def damped(self) -> list[Damped]:
+        """Return nothing: only an alarm takes requests away."""
+        return []
+
     def _weigh(self, tally: Tally) -> None:
         raise NotImplementedError
 
@@ -220,17 +202,26 @@
 
 FALSE_ALARMS = 0.01
 """Chance of a false alarm within the horizon, over all trials of the service."""
-HORIZON = 2000.0
+CALL_ERRORS = 1.0
+"""Standard errors by which the reference of one call is raised."""
+WHOLE_ERRORS = 0.7
+"""The same for all calls together, whose errors partly cancel out."""
+HORIZON = 250.0
 """Outcomes of one trial for which the chance holds."""
-SUSPICIOUS = 20.0
-"""Stakes won from which a version's answers are rated more often."""
-VERY_SUSPICIOUS = 200.0
-"""Stakes won from which all its answers are rated."""
-HALVED = 2000.0
-"""Stakes won from which its share of a roll-out is halved."""
+SUSPICIOUS = 1.0
+"""Suspicion from which a version's answers are rated more often."""
+VERY_SUSPICIOUS = 3.0
+"""Suspicion from which all its answers are rated and its reference stands still."""
+HALVED = 20.0
+"""Suspicion from which its share of a roll-out is halved."""
 RAISED_SHARE = 0.5
-COMMON_CAUSE = 20.0
-"""Stakes won by another version that make a failure common to both."""
+KEPT = 0.25
+"""Share of its requests that a very suspicious version still gets."""
+NEARLY_SURE = 12.0
+"""Suspicion from which it gets still less, since few more ratings are needed."""
+LEAST_KEPT = 0.1
+COMMON_CAUSE = 1.0
+"""Suspicion of another version that makes a failure common to both."""
 
 
 @DETECTORS.register("betting")
@@ -257,22 +248,22 @@
         own = _Trial(key.version, key.call, key.concern)
         whole = _Trial(key.version, None, key.concern)
         if reference.seen >= LEAST_REFERENCE:
-            rate = reference.find_rate(tolerance=TOLERANCES[key.concern])
+            tolerance = TOLERANCES[key.concern]
             for trial in (own, whole):
+                errors = CALL_ERRORS if trial is own else WHOLE_ERRORS
+                rate = reference.find_rate(tolerance=tolerance, errors=errors)
                 wealth = self._wealth.setdefault(trial, Wealth())
                 wealth.bet(seen=tally.seen, bad=tally.bad, rate=rate, stake=1.0)
-                self._judge(trial)
+                self._judge(trial, wealth.value)
         # A version under suspicion must not teach that its bad answers are usual.
-        if self._find_gain(own) < VERY_SUSPICIOUS:
+        if self._find_suspicion(own) < VERY_SUSPICIOUS:
             reference.add(seen=tally.seen, bad=tally.bad)
 
-    def _find_gain(self, trial: _Trial) -> float:
-        """Return how many stakes a bet has won."""
+    def _find_suspicion(self, trial: _Trial) -> float:
         wealth = self._wealth.get(trial)
-        return wealth.value if wealth is not None else 0.0
+        return wealth.suspicion if wealth is not None else 0.0
 
-    def _judge(self, trial: _Trial) -> None:
-        gain = self._find_gain(trial)
+    def _judge(self, trial: _Trial, gain: float) -> None:
         needed = max(1, len(self._wealth)) * HORIZON / FALSE_ALARMS
         if gain < needed or self._has_common_cause(trial):
             return
@@ -292,34 +283,49 @@
         ]
         if not others:
             return True
-        return any(self._find_gain(each) >= COMMON_CAUSE for each in others)
+        return any(self._find_suspicion(each) >= COMMON_CAUSE for each in others)
 
     def rating_share(self, version: str, call: str) -> float:
         """Return more than the usual share when the version is suspected."""
-        gain = max(
-            self._find_gain(_Trial(version, call, Concern.QUALITY)),
-            self._find_gain(_Trial(version, None, Concern.QUALITY)),
+        suspicion = max(
+            self._find_suspicion(_Trial(version, call, Concern.QUALITY)),
+            self._find_suspicion(_Trial(version, None, Concern.QUALITY)),
         )
-        if gain >= VERY_SUSPICIOUS:
+        if suspicion >= VERY_SUSPICIOUS:
             return 1.0
-        return RAISED_SHARE if gain >= SUSPICIOUS else RATING_SHARE
+        return RAISED_SHARE if suspicion >= SUSPICIOUS else RATING_SHARE
 
     def traffic_factor(self, version: str) -> float:
         """Return a half when the version is strongly suspected, 0 after an alarm."""
         if version in self._latched:
             return 0.0
-        gains = (
-            self._find_gain(trial)
-            for trial in self._wealth
-            if trial.version == version and trial.call is None
+        suspicions = (
+            wealth.suspicion
+            for trial, wealth in self._wealth.items()
+            if trial.version == version
         )
-        return 0.5 if max(gains, default=0.0) >= HALVED else 1.0
+        return 0.5 if max(suspicions, default=0.0) >= HALVED else 1.0
+
+    def damped(self) -> list[Damped]:
+        """Return what is suspected so far that fewer callers should meet it."""
+        return [
+            Damped(
+                version=trial.version,
+                call=trial.call,
+                kept=LEAST_KEPT if wealth.suspicion >= NEARLY_SURE else KEPT,
+            )
+            for trial, wealth in self._wealth.items()
+            if wealth.suspicion >= VERY_SUSPICIOUS and not self._has_common_cause(trial)
+        ]
 
 
-WINDOW = 150
+WINDOW = 50
 """Newest outcomes that the window holds."""
-RISE = 0.12
+RISE = 0.193
 """Rise of the rate of bad outcomes over its reference that alarms."""
+CALL_WINDOW = 30
+CALL_RISE = 0.296
+"""The same for each call alone."""
 
 
 class _Window:
@@ -347,10 +353,21 @@
 class WindowDetector(CountingDetector):
     """Compare the rate over a fixed window with the usual one: the baseline."""
 
-    def __init__(self, *, size: int = WINDOW, rise: float = RISE) -> None:
+    def __init__(
+        self,
+        *,
+        size: int = WINDOW,
+        rise: float = RISE,
+        call_size: int = CALL_WINDOW,
+        call_rise: float = CALL_RISE,
+        rating_share: float = RATING_SHARE,
+    ) -> None:
         super().__init__()
+        self._rating_share = rating_share
         self._size = size
         self._rise = rise
+        self._call_size = call_size
+        self._call_rise = call_rise
         self._windows: dict[_Trial, _Window] = {}
 
     def reset(self, version: str, *, old: str | None = None) -> None:
@@ -359,22 +376,27 @@
         for trial in [each for each in self._windows if each.version == version]:
             del self._windows[trial]
 
+    def rating_share(self, version: str, call: str) -> float:
+        """Return a fixed share."""
+        return self._rating_share
+
     def _weigh(self, tally: Tally) -> None:
         key = tally.key
         reference = self._find_reference(key)
         if reference.seen >= LEAST_REFERENCE:
-            rate = reference.find_rate(tolerance=0.0)
+            rate = reference.find_rate(tolerance=0.0, errors=CALL_ERRORS)
             for call in (key.call, None):
                 trial = _Trial(key.version, call, key.concern)
+                size = self._size if call is None else self._call_size
                 window = self._windows.setdefault(trial, _Window())
-                window.add(seen=tally.seen, bad=tally.bad, rate=rate, size=self._size)
-                self._judge(trial, window)
+                window.add(seen=tally.seen, bad=tally.bad, rate=rate, size=size)
+                self._judge(trial, window, size)
         reference.add(seen=tally.seen, bad=tally.bad)
 
-    def _judge(self, trial: _Trial, window: _Window) -> None:
-        if window.seen < self._size:
+    def _judge(self, trial: _Trial, window: _Window, size: int) -> None:
+        if window.seen < size:
             return
         rise = (window.bad - window.usual) / window.seen
-        if rise >= self._rise:
+        if rise >= (self._rise if trial.call is None else self._call_rise):
             evidence = f"{window.bad} of the last {window.seen} were bad"
             self._latch(trial.version, trial.call, trial.concern, evidence)
--- a/src/baobabthread/core/selection.py
+++ b/src/baobabthread/core/selection.py
@@ -27,6 +27,15 @@
     call: str | None = None
 
 
+class Damped(msgspec.Struct, frozen=True, kw_only=True):
+    """Name a suspected version that gets only a share of its requests."""
+
+    version: str
+    call: str | None = None
+    kept: float
+    """The share that it still gets while another version can answer."""
+
+
 class Selection(msgspec.Struct, frozen=True, kw_only=True):
     """Hold what is the same for all requests of a service until a change."""
 
@@ -37,6 +46,7 @@
     splits: Sequence[Split] = ()
     """Roll-outs in the order of their publication."""
     barred: Collection[Barred] = frozenset()
+    damped: Sequence[Damped] = ()
 
 
 def choose_versions(
@@ -60,9 +70,23 @@
         chosen = _follow_splits(selection, version, call, allowed, key)
         if chosen is not None and chosen not in result:
             result.append(chosen)
+    if selection.damped and len(result) > 1:
+        result = _damp(selection.damped, result, call, key)
     return result or _fall_back(selection, call, allowed)
 
 
+def _damp(
+    damped: Sequence[Damped], versions: list[str], call: str, key: str
+) -> list[str]:
+    """Leave suspected versions out of most requests, but never all versions."""
+    left_out = {
+        each.version
+        for each in damped
+        if each.call in (None, call) and draw(f"damp/{each.version}", key) >= each.kept
+    }
+    return [version for version in versions if version not in left_out] or versions
+
+
 def _follow_splits(
     selection: Selection,
     version: str,
--- a/src/baobabthread/core/wealth.py
+++ b/src/baobabthread/core/wealth.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from operator import truediv
 
 MAX_REFERENCE = 2000.0
 """Outcomes that a reference remembers before it halves them."""
@@ -13,12 +14,17 @@
 """Outcomes before which there is nothing to compare with."""
 PRIOR_BAD = 1.0
 PRIOR_SEEN = 12.0
-ERRORS_ALLOWED = 1.0
-"""Standard errors by which the reference is raised."""
 HIGHEST_RATE = 0.9
-LIFTS = (0.06, 0.12, 0.25, 0.5)
+LIFTS = (0.06, 0.12, 0.25, 0.45)
 """Rates that are bet on, as shares of the way from the reference to 1."""
+WEIGHTS = (0.02, 0.08, 0.4, 0.5)
+"""Shares of the stake; an error of the reference looks like a slight rise, so little is
+staked on those."""
+QUIET_BETS = (600.0, 150.0, 40.0, 15.0)
+"""What each bet seldom exceeds while the rate is the usual one; those on a slight rise
+wander more."""
 MOST = 1e30
+MOST_AT_ONCE = 100
 
 
 class Reference:
@@ -50,12 +56,15 @@
             self._seen /= 2
             self._bad /= 2
 
-    def find_rate(self, *, tolerance: float) -> float:
-        """Return the highest rate that still counts as usual."""
+    def find_rate(self, *, tolerance: float, errors: float) -> float:
+        """Return the highest rate that still counts as usual.
+
+        That is the estimate, raised by the tolerance and so many standard errors.
+        """
         seen = self._seen + PRIOR_SEEN
         rate = (self._bad + PRIOR_BAD) / seen
         spread = math.sqrt(rate * (1 - rate) / seen)
-        return min(HIGHEST_RATE, rate + tolerance + ERRORS_ALLOWED * spread)
+        return min(HIGHEST_RATE, rate + tolerance + errors * spread)
 
     def copy(self, *, most: float) -> Reference:
         """Return a reference that rests on at most so many of the same outcomes."""
@@ -72,21 +81,26 @@
     reaches 1 within them is at most n times the stake.
     """
 
-    __slots__ = ("_bets",)
+    __slots__ = ("_bets", "suspicion")
 
     def __init__(self) -> None:
         self._bets = [0.0] * len(LIFTS)
+        self.suspicion = 0.0
+        """The highest bet as a multiple of what it seldom exceeds."""
 
     @property
     def value(self) -> float:
-        """Give the wealth, the mean of all bets."""
-        return sum(self._bets) / len(self._bets)
+        """Give the wealth in all bets."""
+        pairs = zip(self._bets, WEIGHTS, strict=True)
+        return sum(bet * weight for bet, weight in pairs)
 
     def bet(self, *, seen: int, bad: int, rate: float, stake: float) -> None:
         """Take in outcomes whose usual rate of bad ones is at most `rate`."""
         for index, lift in enumerate(LIFTS):
-            higher = rate + lift * (1 - rate)
-            growth = bad * math.log(higher / rate)
-            growth += (seen - bad) * math.log((1 - higher) / (1 - rate))
+            # Likelihood ratios of the rate `rate + lift * (1 - rate)` to `rate`.
+            when_bad = 1 + lift * (1 - rate) / rate
+            when_good = 1 - lift
             staked = self._bets[index] + stake * seen
-            self._bets[index] = min(MOST, staked * math.exp(min(growth, 60.0)))
+            growth = when_bad ** min(bad, MOST_AT_ONCE) * when_good ** (seen - bad)
+            self._bets[index] = min(MOST, staked * growth)
+        self.suspicion = max(map(truediv, self._bets, QUIET_BETS))
