Tell refused callers when what waits now will have started

Cause: callers were told to come back when one request would just fit; others had the same thought, and after a burst a third of them was refused again. And the correction of estimates stood at its bound of 2 after a burst, so that work was refused that would have been in time.

Change: a refusal tells the estimated wait; the correction is at most 1.5. Two tests gave the old figure (3 and 2 s past the deadline); they now give the wait (12 s), check the boundary as well, and one more checks the bound.

--- a/src/baobabthread/core/limits.py
+++ b/src/baobabthread/core/limits.py
@@ -9,6 +9,7 @@
 from baobabthread.core.rates import Elsewhere
 
 MIN_ESTIMATE_S = 0.1
+MIN_RETRY_S = 0.05
 
 
 class Outcome(enum.StrEnum):
@@ -279,7 +280,7 @@
     margin: float = 1.0
     """Times the estimated wait that must fit before the deadline."""
     smoothing: float = 0.05
-    max_correction: float = 2.0
+    max_correction: float = 1.5
 
 
 class Shedder:
@@ -303,8 +304,12 @@
     ) -> float | None:
         """Return the Retry-After in seconds of a refusal, or nothing to admit."""
         wait = wait_s * self._correction * self._settings.margin
-        late = now + wait + service_s - deadline
-        return max(late, 0.05) if late > 0.0 else None
+        if now + wait + service_s <= deadline:
+            return None
+        # Failure: callers come back as soon as a request would just fit, find that
+        # others had the same thought, and are refused again. Once all that waits now
+        # has started, there is room for them.
+        return max(wait, MIN_RETRY_S)
 
     def observe(self, *, estimated_s: float, waited_s: float) -> None:
         """Learn from a request that waited how far the estimates are off."""
