Bound the bytes of a message, and let gossip reach all at 400 entries

Cause: with 1 KB of gossip a message 53 % of the values had reached all of 400 entries within 10 s (one value each in 30 s); in small clusters the short period made the bound on bytes a message no bound on bytes a second; after many joins the changes were passed on 18 times by each. Ruled out: passing each value on less often (no change, the bytes are the limit). Change: 2 KB for changes and gossip together, in proportion to the period; a change is passed on four times per power of ten in members. The test of the bound asserted a setting; it now asserts bytes both ways with headers, under full gossip. Conclusion: within 14 KB/s; more gossip needs sums on the way.

--- a/src/baobabthread/core/membership.py
+++ b/src/baobabthread/core/membership.py
@@ -35,6 +35,8 @@
 __all__ = ["Membership", "MembershipSettings"]
 
 FIRST_SYNCHRONISE_S = 0.5
+UPDATE_BYTES = 280
+"""About what a description of an entry takes in JSON."""
 
 
 class Membership:
@@ -304,10 +306,11 @@
         return [self._list_members(name, now, wants_reply=False)]
 
     def _list_members(self, to: str, now: float, *, wants_reply: bool) -> Send:
-        digest = msgspec.structs.replace(
-            self._make_digest(to, now),
-            gossip=self.gossip.sample(limit_bytes=self._settings.sync_gossip_bytes),
-        )
+        digest = self._make_digest(to, now)
+        if wants_reply:
+            limit = self._settings.sync_gossip_bytes
+            sample = self.gossip.sample(limit_bytes=limit)
+            digest = msgspec.structs.replace(digest, gossip=sample)
         message = Members(
             members=self._present(), wants_reply=wants_reply, digest=digest
         )
@@ -330,19 +333,22 @@
             self._me, head_age_s=self._freshness.head_age(now)
         )
         repeats = self._repeats()
+        limit = self._settings.update_count
+        updates = self._updates.choose(to=to, limit=limit, repeats=repeats)
+        room = self._measure_room(now) - UPDATE_BYTES * len(updates)
+        gossip = self.gossip.choose(limit_bytes=room, repeats=repeats)
+        return Digest(sender=self._me, updates=updates, gossip=gossip)
+
+    def _measure_room(self, now: float) -> int:
+        """Return the bytes for updates and gossip, equal for each second."""
         settings = self._settings
-        return Digest(
-            sender=self._me,
-            updates=self._updates.choose(
-                to=to, limit=settings.update_count, repeats=repeats
-            ),
-            gossip=self.gossip.choose(
-                limit_bytes=settings.gossip_bytes, repeats=repeats
-            ),
-        )
+        share = self._detector.choose_period(now) / settings.period_s
+        return int(settings.gossip_bytes * share)
 
     def _repeats(self) -> int:
-        return self._settings.spread_factor * math.ceil(math.log2(len(self.table) + 2))
+        """Return how often this entry passes one change on, enough to reach all."""
+        digits = math.ceil(math.log10(len(self.table) + 2))
+        return self._settings.spread_factor * digits
 
     def _take_digest(self, digest: Digest, now: float) -> None:
         sender = digest.sender
--- a/src/baobabthread/core/membership_detector.py
+++ b/src/baobabthread/core/membership_detector.py
@@ -78,7 +78,7 @@
         effects = self._ask_helpers(now)
         if now < self._next_period:
             return effects
-        self._next_period = now + self._period(now)
+        self._next_period = now + self.choose_period(now)
         self._judge_question(now)
         self._bury(now)
         return effects + self._probe_next(now)
@@ -138,7 +138,8 @@
         """Return how long a suspect may take to refute."""
         return self._settings.suspicion_factor * math.log2(len(self._table) + 2)
 
-    def _period(self, now: float) -> float:
+    def choose_period(self, now: float) -> float:
+        """Return the time between two probes, in seconds."""
         # Whoever no longer knows that it is fresh must soon tell an outage of the log
         # from being cut off itself: it asks more entries until it knows.
         if self._freshness.head_age(now) > self._freshness.bound_s / 2:
--- a/src/baobabthread/core/membership_messages.py
+++ b/src/baobabthread/core/membership_messages.py
@@ -168,10 +168,13 @@
     fetch_after_s: float = 0.2
     """Time for the log to deliver what a peer has before the peer is asked."""
     update_count: int = 6
-    gossip_bytes: int = 1_000
-    sync_gossip_bytes: int = 32_000
+    gossip_bytes: int = 2_000
+    """Gossip and updates in a message where the period is `period_s`; less where it is
+    shorter."""
+    sync_gossip_bytes: int = 16_000
     gossip_store_bytes: int = 2_000_000
-    spread_factor: int = 3
+    spread_factor: int = 4
+    """Times that a change is passed on, per power of ten in the number of members."""
     pause_s: float = 2.0
     """Gap between two ticks after which this process counts as paused."""
 
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -11,7 +11,7 @@
 import pytest
 
 from baobabthread.core.freshness import Freshness, FreshnessSettings, FreshnessState
-from baobabthread.core.membership import Membership, MembershipSettings
+from baobabthread.core.membership import Membership
 from baobabthread.core.membership_gossip import GossipStore, measure
 from baobabthread.core.membership_messages import (
     FetchRecords,
@@ -23,6 +23,7 @@
 
 DELAY_S = 0.001
 START_S = 10.0
+HEADER_BYTES = 250
 
 
 class Net:
@@ -36,6 +37,7 @@
         self.stopped: set[str] = set()
         self.fetches: list[FetchRecords] = []
         self.bytes = 0
+        self.messages = 0
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         for index in range(size):
@@ -84,6 +86,7 @@
         return sorted(member.name for member in self.members[name].alive())
 
     def _send(self, name: str, send: Send) -> None:
+        self.messages += 1
         self.bytes += len(msgspec.json.encode(send.message))
         to = self.members[name].peer_address(send.to).partition(":")[0]
         if to not in self.members or to in self.stopped:
@@ -246,7 +249,14 @@
 @pytest.mark.parametrize("size", [6, 60])
 def test_keep_the_traffic_of_an_entry_bounded(size: int) -> None:
     net = _joined(size, seconds=12.0)
-    net.bytes = 0
+    for name, member in net.members.items():
+        for index in range(40):
+            body = msgspec.Raw(b'"' + b"x" * 200 + b'"')
+            payload = GossipPayload(
+                topic=f"{index}", origin=name, sequence=1, body=body
+            )
+            member.publish(payload)
+    net.bytes = net.messages = 0
     net.run(20.0)
-    assert net.bytes / size / 20 < 14_000
-    assert MembershipSettings().gossip_bytes <= 1_000
+    headers = net.messages * HEADER_BYTES
+    assert 2 * (net.bytes + headers) / size / 20 < 14_000
