Answer those that wait for a key at their own deadlines

Cause: a repeat that joined a running dispatch, and a dispatch whose claim the log delayed, were answered when the run or the log was done, far beyond the time that their callers gave: 2.0 s and 2.5 s at a deadline of 0.3 s. Ruled out: giving up the claim itself at the deadline, as its append may be in the log already; the late claim is taken back when it is read. Change: each tick refuses those past their deadlines, as unknown for a repeat that joined and as not run for a claim; a claim whose request is gone frees its key, where it would have let every repeat wait for a run that never began.

--- a/src/baobabthread/core/requests.py
+++ b/src/baobabthread/core/requests.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from baobabthread.core import claimtypes
 from baobabthread.core.admissions import Admissions
 from baobabthread.core.balance import BackendTable
 from baobabthread.core.billtypes import BillOpened, BillRefused
 from baobabthread.core.choices import Choices
+from baobabthread.core.claimproblems import problem_slow_claim
 from baobabthread.core.claims import Claims
 from baobabthread.core.directory import Directory
 from baobabthread.core.dispatching import Dispatching
@@ -27,7 +30,7 @@
 from baobabthread.core.ledger import Ledger
 from baobabthread.core.messages import Effects
 from baobabthread.core.named import NamedSessions
-from baobabthread.core.problems import explain_gone
+from baobabthread.core.problems import explain_deadline, explain_gone
 from baobabthread.core.request import Phase, Request
 from baobabthread.core.services import ServiceState
 from baobabthread.errors import Problem, Ran
@@ -38,10 +41,12 @@
 
     __slots__ = (
         "_admissions",
+        "_claiming",
         "_claims",
         "_dispatching",
         "_endings",
         "_intake",
+        "_joined",
         "_ledger",
         "_locate",
         "_named",
@@ -75,6 +80,9 @@
         self._wall_offset_s = wall_offset_s
         self._locate = locate
         self._open: dict[str, Request] = {}
+        self._claiming: dict[str, Request] = {}
+        """Those that wait for a claim or for the running request of their key."""
+        self._joined: set[str] = set()
         self._endings = Endings(claims=claims, ledger=ledger, open_requests=self._open)
         self._admissions = Admissions(
             endings=self._endings, ledger=ledger, open_requests=self._open
@@ -119,6 +127,7 @@
         if request.call.idempotent or key is None:
             return self._begin_idempotent(request, now)
         request.phase = Phase.CLAIM
+        self._claiming[request.id] = request
         claim = claimtypes.ClaimRequest(
             request_id=request.id,
             account=request.account,
@@ -164,12 +173,13 @@
             case claimtypes.Dispatch(request_id=id_, key=key):
                 request = self._open.get(id_)
                 if request is None:
-                    return []
+                    return self._drop_claim(key, now)
                 request.claim = key
                 return self._enqueue(request, now)
             case claimtypes.Forward(request_id=id_, incarnation=incarnation):
                 return self._forward(id_, incarnation, now)
-            case claimtypes.Join():
+            case claimtypes.Join(request_id=id_):
+                self._joined.add(id_)
                 return []
             case claimtypes.Replay(request_id=id_, outcome=outcome):
                 return self._replay(id_, outcome)
@@ -177,6 +187,30 @@
                 return self._refuse_waiting(id_, problem)
         return [effect]
 
+    def _drop_claim(self, key: ClaimKey, now: float) -> Effects:
+        """Free a key whose request was answered before it was claimed."""
+        # Left as dispatched, the key would make each repeat wait for a run that never
+        # began. Nothing was sent, so a repeat may run.
+        outcome = KeyOutcome(ran=Ran.NO, problem=problem_slow_claim())
+        return self.absorb_claims(self._claims.finished(key, outcome, now), now)
+
+    def _expire_claims(self, now: float) -> Effects:
+        """Refuse at their deadlines those that wait for a claim or another run."""
+        effects: Effects = []
+        for id_, request in list(self._claiming.items()):
+            waits = request.phase is Phase.CLAIM and id_ in self._open
+            if waits and now < request.deadline_at:
+                continue
+            del self._claiming[id_]
+            has_joined = id_ in self._joined
+            self._joined.discard(id_)
+            if waits:
+                problem = explain_deadline(request, now)
+                if has_joined:
+                    problem = msgspec.structs.replace(problem, ran=Ran.UNKNOWN)
+                effects += self._refuse_waiting(id_, problem)
+        return effects
+
     def _forward(self, request_id: str, incarnation: str, now: float) -> Effects:
         request = self._open.get(request_id)
         if request is None:
@@ -186,6 +220,8 @@
         # entries whose lists of members differ: one hop is the most.
         if owner is None or request.arrived.forwarded:
             return self.forward_failed(request_id, incarnation, now)
+        # Its deadline is watched by the connection to the owner from here on.
+        self._claiming.pop(request_id, None)
         return [
             ForwardRequest(request_id=request_id, to=owner, incarnation=incarnation)
         ]
@@ -291,7 +327,7 @@
 
     def expire(self, now: float) -> Effects:
         """Refuse at once what can no longer make its deadline."""
-        effects = self.continue_sessions(now)
+        effects = self.continue_sessions(now) + self._expire_claims(now)
         for service in self._services.values():
             expired = self._admissions.expire(service, now)
             expired += self._admissions.pump(service, now)
