--- a/src/baobabthread/core/claims.py
+++ b/src/baobabthread/core/claims.py
@@ -10,7 +10,7 @@
 
 from baobabthread.core.answers import AnswerStore
 from baobabthread.core.claimentry import Entry, State
-from baobabthread.core.claimfold import ClaimFold, ClaimRecord
+from baobabthread.core.claimfold import ClaimFold, ClaimRecord, Holder
 from baobabthread.core.claimproblems import (
     problem_leaving,
     problem_log_down,
@@ -253,7 +253,8 @@
         if holder is not None:
             if holder.body_hash != request.body_hash:
                 return [refuse_reused(request)]
-            return [self._pass_on(key, request, holder.owner)]
+            passed_on = self._pass_on(key, request, holder.owner)
+            return [passed_on, *self._free_key(key, holder, parsed, now)]
         if self._closed:
             return [Refuse(request_id=request.request_id, problem=problem_leaving())]
         if now < self._log_down_until:
@@ -262,6 +263,18 @@
         entry = self._add(key, request, parsed.minted_s)
         return [self._append_claim(entry, now)]
 
+    def _free_key(
+        self, key: ClaimKey, holder: Holder, parsed: ParsedKey, now: float
+    ) -> Effects:
+        """Release the claim of a stopped owner that never ran the key."""
+        # The owner gave the claim up, but it may have ended before its own release
+        # reached the log; the key would stay claimed by nobody until it expires.
+        if not self._gone.has_never_run(key, holder.owner, parsed.minted_s):
+            return []
+        if self._releases.is_pending(holder.claim_id):
+            return []
+        return [self._append_release(key, holder.claim_id, parsed.minted_s, now)]
+
     def _append_claim(self, entry: Entry, now: float) -> Append:
         self._sequence += 1
         claim_id = f"{self._me}:{self._sequence}"
@@ -333,14 +346,18 @@
     def _release(self, entry: Entry, now: float) -> Effects:
         if entry.claim_id is None:
             return []
-        append = self._releases.start(
-            claim_id=entry.claim_id,
-            key=entry.key,
-            minted_s=entry.minted_s or 0,
+        return [self._append_release(entry.key, entry.claim_id, entry.minted_s, now)]
+
+    def _append_release(
+        self, key: ClaimKey, claim_id: str, minted_s: int | None, now: float
+    ) -> Append:
+        return self._releases.start(
+            claim_id=claim_id,
+            key=key,
+            minted_s=minted_s or 0,
             wall_s=self._get_wall(now),
             now=now,
         )
-        return [append]
 
     def _refuse_all(self, entry: Entry, problem: Problem) -> Effects:
         ids = [entry.request.request_id, *entry.waiting]
--- a/src/baobabthread/core/goneowners.py
+++ b/src/baobabthread/core/goneowners.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 
 from baobabthread.core.claimproblems import (
+    problem_slow_claim,
     refuse_expired,
     refuse_gone,
     refuse_reused,
@@ -51,6 +52,11 @@
         if minted_s is not None and minted_s <= self._handed.get_floor(owner):
             return refuse_expired(request)
         handed = self._handed.get_key(owner, key)
+        if handed is None and parsed is not None and parsed.incarnation is None:
+            # A free key that the owner gave up is free again once its release is
+            # in the log, so another entry may run it: the same key must be repeated.
+            problem = problem_slow_claim()
+            return Refuse(request_id=request.request_id, problem=problem)
         if handed is None:
             # The incarnation closed before it gave the whole table away, so what
             # is not in the table was not dispatched and never will be.
@@ -60,3 +66,11 @@
         if handed.outcome is None:
             return refuse_gone(request, Ran.UNKNOWN)
         return Replay(request_id=request.request_id, outcome=handed.outcome)
+
+    def has_never_run(self, key: ClaimKey, owner: str, minted_s: int | None) -> bool:
+        """Tell whether a gone owner surely never dispatched a key."""
+        if not self._handed.is_whole(owner):
+            return False
+        if minted_s is not None and minted_s <= self._handed.get_floor(owner):
+            return False
+        return self._handed.get_key(owner, key) is None
--- a/src/baobabthread/core/releases.py
+++ b/src/baobabthread/core/releases.py
@@ -36,12 +36,16 @@
         )
         append = Append(
             stream=Stream.CLAIMS,
-            id=f"{claim_id}:release",
+            id=name_release(claim_id),
             body=_ENCODER.encode(record),
         )
         self._pending[append.id] = (now, append)
         return append
 
+    def is_pending(self, claim_id: str) -> bool:
+        """Tell whether the release of a claim is on its way."""
+        return name_release(claim_id) in self._pending
+
     def on_read(self, record: LogRecord) -> None:
         """Drop a release that the log shows."""
         self._pending.pop(record.id, None)
@@ -54,3 +58,8 @@
                 self._pending[id_] = (now, append)
                 effects.append(append)
         return effects
+
+
+def name_release(claim_id: str) -> str:
+    """Return the record id of a claim's release, the same whoever appends it."""
+    return f"{claim_id}:release"
