Strike an entry while it leaves

Cause: the matrix had no planned stop among its membership runs. Ruled out: nothing. Change: a scenario in which one of three leaves, serves on and is gone; one mutant. Conclusion: it is out of the others' addresses within 1.5 s and never counts as lost.

--- a/tests/failures/test_membership_matrix.py
+++ b/tests/failures/test_membership_matrix.py
@@ -53,11 +53,18 @@
 SLACK_S = 0.5
 STRIKE_FROM_S = 1.5
 STRIKE_UNTIL_S = 3.5
+LEAVE_S = 2.0
+GONE_S = 10.0
+TOLD_S = 1.5
 ISOLATING = (Fault.PAUSED, Fault.CUT_BOTH, Fault.CUT_PEERS)
 CUTS = (Fault.CUT_BOTH, Fault.CUT_PEERS)
 CRASHES = (Fault.CRASH_BEFORE, Fault.CRASH_AFTER)
 
 
+class Leave(msgspec.Struct, frozen=True):
+    """Tell a node to leave."""
+
+
 class MemberNode:
     """Run the control of one entry over the world's log and network."""
 
@@ -83,6 +90,8 @@
     def handle(self, event: Any, now: float) -> Effects:
         control = self.control
         match event:
+            case Leave():
+                return _keep(control.membership.leave(now))
             case Tick():
                 if self._reading is None:
                     self._reading = now
@@ -213,17 +222,47 @@
         records.append(record)
 
 
-def _list_steps() -> range:
+class Leaving(Watching):
+    """Let one of the three leave, serve on for a while and be gone."""
+
+    is_planned = False
+
+    def start(self, world: World) -> None:
+        super().start(world)
+        world.at(LEAVE_S, lambda: world.deliver("e3", Leave()))
+        world.at(GONE_S, lambda: world.crash("e3"))
+
+    def on_crash(self, world: World, name: str) -> None:
+        if world.now < GONE_S:
+            super().on_crash(world, name)
+        self.failed.add(name)
+        self.is_planned = self.is_planned or (name == "e3" and world.now >= GONE_S)
+
+    def check(self, world: World) -> list[str]:
+        for name, control in self._list_controls(world):
+            if self.is_planned and "e3" in control.membership.lost():
+                self.found.append(f"{name} takes the one that left for lost")
+        return super().check(world)
+
+    def _watch(self, world: World) -> None:
+        super()._watch(world)
+        if not LEAVE_S + TOLD_S < world.now < GONE_S or self.failed:
+            return
+        for name, control in self._list_controls(world):
+            if "e3" in [m.name for m in control.membership.alive()]:
+                self.found.append(f"{name} lists one that left at {world.now:.1f}")
+
+
+def _list_steps(scenario: Watching, start_s: float, end_s: float) -> range:
     """Return the effects in a time when all three have met."""
-    scenario = Watching()
     World(scenario=scenario).run()
-    steps = scenario.steps_until
-    return range(steps[STRIKE_FROM_S], steps[STRIKE_UNTIL_S])
+    return range(scenario.steps_until[start_s], scenario.steps_until[end_s])
 
 
 def _list_cells(faults: Iterable[Fault], *, pairs: int) -> list[dict[int, Fault]]:
     """Return each fault at each effect, and a fixed sample of pairs."""
-    singles = list(product(_list_steps(), faults))
+    steps = _list_steps(Watching(), STRIKE_FROM_S, STRIKE_UNTIL_S)
+    singles = list(product(steps, faults))
     cells = [{step: fault} for step, fault in singles]
     both = [
         {one: first, two: second}
@@ -244,6 +283,39 @@
     return result
 
 
+def _run_leaving(*, stop_early: bool) -> ProofResult:
+    result = ProofResult()
+    for step in _list_steps(Leaving(), LEAVE_S, LEAVE_S + 0.6):
+        for fault in Fault:
+            result.cells += 1
+            found = run_cell(Leaving, {step: fault})
+            result.violations = result.violations + found
+            if found and stop_early:
+                return result
+    return result
+
+
+@proof("an entry that leaves", Promise.GRACEFUL)
+def prove_leaving() -> ProofResult:
+    """Strike while one of three entries leaves."""
+    return _run_leaving(stop_early=False)
+
+
+def test_leave_under_every_fault() -> None:
+    result = prove_leaving()
+    assert result.violations == []
+    assert result.cells > 100
+
+
+@mutant(
+    "a leaving entry tells nobody",
+    promise=Promise.GRACEFUL,
+    check=lambda: _run_leaving(stop_early=True).violations,
+)
+def leave_silently(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Membership, "leave", lambda self, now: [])
+
+
 def test_hold_under_every_fault() -> None:
     result = prove_membership()
     assert result.violations == []
