Log what callers must mend; refuse a peer secret of any bytes

Cause: refusals for bad keys, bodies and names left no trace in the log; a peer secret with bytes that aren't UTF-8 ended in an internal error, not 401. Ruled out: logging every refusal, since those for load come in thousands. Change: one event for each refusal whose cause the caller must mend, without the key; such bytes compare as any other wrong secret. Conclusion: tests hold both, and that a forged line in a model's name stays within its event.

--- a/src/baobabthread/adapters/callers.py
+++ b/src/baobabthread/adapters/callers.py
@@ -13,6 +13,7 @@
 from baobabthread.core.configuration import Priority
 from baobabthread.core.events import RequestArrived
 from baobabthread.errors import Kind, Problem, Ran, RequestError
+from baobabthread.logs import log_event
 
 CHAT_PATH = "/v1/chat/completions"
 SERVICES_PREFIX = "/v1/services/"
@@ -22,6 +23,20 @@
 MAX_TOKEN_LENGTH = 2_048
 MAX_DEADLINE_S = 86_400.0
 MAX_MESSAGES = 2_000
+FAULTS_OF_CALLERS = {
+    Kind.BAD_REQUEST,
+    Kind.UNAUTHENTICATED,
+    Kind.FORBIDDEN,
+    Kind.UNKNOWN_SERVICE,
+    Kind.UNKNOWN_CALL,
+    Kind.UNKNOWN_MODEL,
+    Kind.NOT_FOUND,
+    Kind.TOO_LARGE,
+    Kind.KEY_REUSED,
+    Kind.KEY_EXPIRED,
+    Kind.NO_VERSION,
+}
+"""What callers must mend; refusals for load or faults here show in the metrics."""
 KEY = re.compile(r"[\x21-\x7e]{1,200}")
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -67,6 +82,13 @@
 
 def render_problem(problem: Problem) -> web.Response:
     """Turn a problem into an HTTP response."""
+    if problem.kind in FAULTS_OF_CALLERS:
+        log_event(
+            "request_refused",
+            kind=problem.kind,
+            request=problem.request_id,
+            detail=problem.detail,
+        )
     headers = {}
     if problem.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, round(problem.retry_after_s)))
--- a/src/baobabthread/adapters/peers.py
+++ b/src/baobabthread/adapters/peers.py
@@ -250,7 +250,8 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request of a peer."""
-        given = request.headers.get("Authorization", "").encode()
+        header = request.headers.get("Authorization", "")
+        given = header.encode(errors="surrogateescape")
         if not hmac.compare_digest(given, self._secret):
             return web.Response(status=401, text="peer secret differs\n")
         if request.path == REQUESTS_PATH:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -13,6 +13,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from baobabthread.logs import configure_logs
 from tests.shell import CHAT, DISPATCH, LIMIT_S, STATUS, Shell, open_shell, run_case
 
 T = TypeVar("T")
@@ -408,6 +409,30 @@
     assert answer.status < 500 or problem["ran"]
 
 
+@pytest.mark.parametrize(
+    "options, kind",
+    [
+        ({"key": "KEY-OF-nobody"}, "unauthenticated"),
+        ({"model": "nothing\nevent=forged"}, "unknown_model"),
+        ({"model": "large-1", "key": "KEY-OF-digha"}, "no_version"),
+    ],
+)
+def test_refused_caller_is_logged(
+    host: Host,
+    caplog: pytest.LogCaptureFixture,
+    options: dict[str, Any],
+    kind: str,
+) -> None:
+    configure_logs("info")
+    answer = host.run(host.shell.chat(**options))
+    lines = [line for line in caplog.messages if f"kind={kind}" in line]
+    assert len(lines) == 1
+    assert lines[0].startswith("event=request_refused ")
+    assert answer.headers["X-Request-Id"] in lines[0]
+    assert "KEY-OF" not in lines[0]
+    assert "\n" not in lines[0]
+
+
 def test_good_request_is_served_after_all_of_these(host: Host) -> None:
     assert host.run(host.shell.chat()).status == 200
     assert host.shell.entries[0].open_requests == 0
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -95,6 +95,23 @@
     run_case(case, **TLS)
 
 
+@pytest.mark.parametrize("value", [b"", b"Bearer wrong", b"Bearer \xff\xfe"])
+def test_peer_with_another_secret_is_refused(value: bytes) -> None:
+    async def case(shell: Shell) -> None:
+        host, _, port = shell.entries[0].peer_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /peer/messages HTTP/1.1\r\nHost: e\r\nConnection: close\r\n"
+            b"Authorization: " + value + b"\r\nContent-Length: 2\r\n\r\n{}"
+        )
+        raw = await reader.read()
+        writer.close()
+        assert raw.startswith(b"HTTP/1.1 401")
+        assert (await shell.chat()).status == 200
+
+    run_case(case)
+
+
 def test_commands_reach_an_entry_over_tls(capsys: pytest.CaptureFixture[str]) -> None:
     with ShellThread(settings=TLS) as thread:
         arguments = ["state", thread.url, "--operator-key", ROOT_KEY]
