--- a/src/baobabthread/core/orders.py
+++ b/src/baobabthread/core/orders.py
@@ -71,6 +71,11 @@
         self.ordered: tuple[int, int, frozenset[str]] | None = None
         self.ordered_at = -math.inf
 
+    def get_pending(self) -> frozenset[str]:
+        """Return what loads, or was ordered and may load before the next report."""
+        ordered = self.ordered[2] if self.ordered is not None else frozenset()
+        return (self.loading | ordered) - self.loaded
+
 
 class Orders:
     """Plan the orders of one service's conductor."""
@@ -109,15 +114,16 @@
     def plan(self, lease: Lease, now: float) -> list[OrderEngine]:
         """Return the orders that are due; none without the lease."""
         orders = []
-        loading = sum(len(e.loading) for e in self._engines.values())
+        loading = sum(len(e.get_pending()) for e in self._engines.values())
         capacity = self._sum_capacity(now)
         for backend, wanted in sorted(self._target.desired.items()):
             engine = self._engines.get(backend)
             if engine is None or not self._is_fresh(engine, now):
                 continue
             kept = self._choose_kept(engine, frozenset(wanted), capacity)
-            added = self._choose_added(engine, wanted, loading)
-            loading += len(added)
+            others = loading - len(engine.get_pending())
+            added = self._choose_added(engine, wanted, others)
+            loading = others + len((kept | added) - engine.loaded)
             order = self._make_order(backend, engine, kept | added, lease, now)
             if order is not None:
                 orders.append(order)
@@ -168,11 +174,11 @@
         return True
 
     def _choose_added(
-        self, engine: _Engine, wanted: list[str], loading: int
+        self, engine: _Engine, wanted: list[str], others: int
     ) -> frozenset[str]:
         """Choose versions to load within the bound on loads at once."""
         missing = [v for v in wanted if v not in engine.loaded | engine.loading]
-        room = max(0, self._settings.max_loading - loading)
+        room = max(0, self._settings.max_loading - others - len(engine.loading))
         return frozenset(missing[:room])
 
     def _make_order(
--- a/tests/failures/test_leases_matrix.py
+++ b/tests/failures/test_leases_matrix.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
@@ -24,7 +25,11 @@
     LogRecord,
     Stream,
 )
-from baobabthread.core.orders import OrderEngine
+from baobabthread.core.orders import OrderEngine, Orders
+from tests.core.test_orders import ORDER_EXAMPLES
+from tests.core.test_orders import (
+    test_orders_converge_and_never_starve_a_version as run_order_histories,
+)
 from tests.failures.matrix import Fault, Scenario, Tick, World, run_matrix
 from tests.failures.mutants import Promise, ProofResult, mutant, proof
 
@@ -320,3 +325,42 @@
         return effects
 
     patch.setattr(Lease, "release", keep_deadline)
+
+
+def check_orders() -> list[str]:
+    try:
+        run_order_histories()
+    except AssertionError as error:
+        return [str(error)]
+    return []
+
+
+@proof("histories of orders", Promise.ORDERS)
+def prove_orders() -> ProofResult:
+    return ProofResult(histories=ORDER_EXAMPLES, violations=check_orders())
+
+
+@mutant("orders: unload at once", promise=Promise.ORDERS, check=check_orders)
+def unload_at_once(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Orders, "_may_unload", lambda self, engine, version, capacity: True)
+
+
+@mutant("orders: load all at once", promise=Promise.ORDERS, check=check_orders)
+def load_at_once(patch: pytest.MonkeyPatch) -> None:
+    def choose(self: Orders, engine: Any, wanted: list[str], others: int) -> Any:
+        return frozenset(wanted) - engine.loaded
+
+    patch.setattr(Orders, "_choose_added", choose)
+
+
+@mutant("orders: nothing is repeated", promise=Promise.ORDERS, check=check_orders)
+def never_repeat(patch: pytest.MonkeyPatch) -> None:
+    plan = Orders.plan
+
+    def plan_once(self: Orders, lease: Lease, now: float) -> list[OrderEngine]:
+        orders = plan(self, lease, now)
+        for engine in self._engines.values():
+            engine.ordered_at = math.inf if engine.ordered else engine.ordered_at
+        return orders
+
+    patch.setattr(Orders, "plan", plan_once)
