Bound what an account can have in hand or be ahead

Accounts with batch work waiting fell 20,000 tokens behind the queue's virtual time and went ahead of the others with all of it, and large accounts stood up to 38,000 ahead at some entries, where their requests all expired.

Change: 1,000 tokens per weight in hand and 5,000 ahead, at most. An account that other entries serve stays behind all the same, since their words keep it at the bound.

--- a/src/baobabthread/core/fairness.py
+++ b/src/baobabthread/core/fairness.py
@@ -29,9 +29,9 @@
     """Most seconds before its last chance at which batch work becomes interactive."""
     batch_margin: float = 0.1
     """The same as a part of the time that the batch work had at first."""
-    max_lead: float = 200_000.0
+    max_lead: float = 5_000.0
     """Most tokens per unit of weight that an account can be ahead of its share."""
-    max_lag: float = 20_000.0
+    max_lag: float = 1_000.0
     """Most tokens per unit of weight that an account can have in hand."""
     forget_after_s: float = 60.0
     """Seconds after which an idle account is forgotten."""
--- a/tests/core/test_fairness.py
+++ b/tests/core/test_fairness.py
@@ -71,6 +71,29 @@
     assert tokens["late"] == pytest.approx(tokens["busy"], rel=0.05)
 
 
+def test_waiting_batch_work_saves_up_no_claim_for_interactive_work():
+    queue = make_queue(max_lag=1_000.0, batch_share=0.0)
+    fill(queue, "hoarder", 5, priority=Priority.BATCH, deadline=1e6)
+    fill(queue, "busy", 1_000)
+    take(queue, 500)
+    fill(queue, "hoarder", 200)
+    fill(queue, "busy", 200)
+    tokens = take(queue, 100)
+    assert tokens["hoarder"] - tokens["busy"] <= 1_000 + 200
+
+
+def test_an_account_far_ahead_is_served_again_within_the_lead():
+    here, there = make_queue(max_lead=5_000.0), make_queue()
+    fill(there, "spread", 1_000)
+    here.merge("there", there.usage(0.0), 0.0)
+    fill(here, "spread", 10)
+    fill(here, "local", 1_000)
+    take(there, 1_000)
+    here.merge("there", there.usage(1.0), 1.0)
+    assert take(here, 48, now=1.0) == {"local": 4_800}
+    assert take(here, 24, now=1.0)["spread"] == 1_000
+
+
 def test_urgent_work_goes_first():
     queue = make_queue()
     fill(queue, "a", 10)
