Settle the bills of silent owners before a graceful stop

Cause: an entry that stopped took over the copies only of owners known to be dead, which takes about 6 s. Ruled out: taking all copies; a live owner has moved its own by then, and an estimate would stand in the log before its true cost. Change: hand_over also takes the copies of owners that are suspected. Should one live and bill as well, the fold counts the first. Test: fails on the old code, passes now; the ledger's matrix stays green. Two kills within the time to notice and settle, the owner first and then the holder, still lose the copies.

--- a/src/baobabthread/core/billcopies.py
+++ b/src/baobabthread/core/billcopies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from baobabthread.core.billtypes import (
     BillOutcome,
     BillRecord,
@@ -82,15 +84,15 @@
         limit = now - self._settle_after_s
         return self._take(limit)
 
-    def take_all_gone(self) -> list[BillRecord]:
-        """Remove and return the bills of all owners that are reported dead."""
-        return self._take(float("inf"))
+    def take_all_gone(self, silent: Collection[str] = ()) -> list[BillRecord]:
+        """Remove and return the bills of all owners that are dead or silent."""
+        return self._take(float("inf"), silent)
 
-    def _take(self, limit: float) -> list[BillRecord]:
+    def _take(self, limit: float, silent: Collection[str] = ()) -> list[BillRecord]:
         due = [
             name
             for name, owner in self._owners.items()
-            if owner.gone_at is not None and owner.gone_at <= limit
+            if name in silent or (owner.gone_at is not None and owner.gone_at <= limit)
         ]
         records: list[BillRecord] = []
         for name in due:
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -230,7 +230,13 @@
         me = self.control.membership.me.name
         peers = [m.name for m in self.control.membership.alive() if m.name != me]
         effects = self.requests.absorb_claims(self.claims.hand_over(peers, now), now)
-        effects += self.requests.absorb_bills(self.ledger.hand_over(now), now)
+        silent = {
+            member.incarnation
+            for member in self.control.membership.members()
+            if member.state is MemberState.SUSPECT
+        }
+        bills = self.ledger.hand_over(now, silent=silent)
+        effects += self.requests.absorb_bills(bills, now)
         effects += self.named.hand_over()
         effects += self.conductors.release(now)
         return effects
--- a/src/baobabthread/core/ledger.py
+++ b/src/baobabthread/core/ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import msgspec
 
@@ -210,10 +210,16 @@
                 effects.append(self._flush(link, now))
         return effects
 
-    def hand_over(self, now: float) -> Effects:
-        """Give closed bills to a peer from now on; is_settled tells when to end."""
+    def hand_over(self, now: float, *, silent: Collection[str] = ()) -> Effects:
+        """Give closed bills to a peer from now on; is_settled tells when to end.
+
+        `silent` names owners that may be dead: they answer nobody just now.
+        """
         self._leaving = True
-        effects = self._adopt(self._copies.take_all_gone(), now)
+        # A live owner has moved its copies when it heard of the stop. One that was
+        # killed right before never will, and before its death is sure this entry is
+        # gone: its bills would be lost. Should it live, the fold counts one of both.
+        effects = self._adopt(self._copies.take_all_gone(silent), now)
         return effects + self._gifts.give(self._bills.values(), now)
 
     @property
--- /dev/null
+++ b/tests/core/test_silent_owners.py
@@ -0,0 +1,61 @@
+"""Test what an entry does for others that answer nobody, and when they are back."""
+
+from __future__ import annotations
+
+import msgspec
+
+from baobabthread.core.billtypes import (
+    BillOutcome,
+    BillRecord,
+    CopyBills,
+    OpenBill,
+    Peer,
+)
+from baobabthread.core.ledger import Ledger
+from baobabthread.core.messages import Append, Effects
+
+OWNER = Peer(name="e1", failure_domain="south")
+OTHER = Peer(name="e3", failure_domain="south")
+
+
+def hold_copy() -> Ledger:
+    """Return the ledger of an entry that holds a copy of an open bill of e1."""
+    ledger = Ledger(incarnation="e2", failure_domain="north")
+    ledger.set_peers([OWNER, OTHER], 0.0)
+    opened = OpenBill(
+        request_id="r1",
+        bill_id="a/request/r1",
+        account="a",
+        service="s",
+        estimate=5.0,
+        opened_s=1.0,
+    )
+    copy = CopyBills(owner="e1", batch=1, opens=[opened], closes=[], drops=[])
+    ledger.on_message("e1", copy, 1.0)
+    return ledger
+
+
+def list_bills(effects: Effects) -> list[BillRecord]:
+    return [
+        msgspec.json.decode(e.body, type=BillRecord)
+        for e in effects
+        if isinstance(e, Append)
+    ]
+
+
+def test_stopping_entry_settles_for_a_silent_owner() -> None:
+    """Stop an entry whose peer was killed a moment before.
+
+    The caller of e1 has its answer, and e1 is killed before it appended the bill. The
+    only copy is at e2, which stops gracefully while e1 is only suspected. Nobody else
+    will ever know of that bill, so e2 must append it before it ends.
+    """
+    ledger = hold_copy()
+    [bill] = list_bills(ledger.hand_over(3.0, silent={"e1"}))
+    assert (bill.bill_id, bill.outcome) == ("a/request/r1", BillOutcome.UNKNOWN)
+    assert not ledger.is_settled
+
+
+def test_stopping_entry_leaves_a_live_owner_its_bills() -> None:
+    ledger = hold_copy()
+    assert list_bills(ledger.hand_over(3.0)) == []
