Ask an owner for its keys again once it is back

Cause: an incarnation once held dead counted as gone for good. After a cut between entries had healed, a repeat of its finished warning through another entry was answered 'may have run' for ever, though its owner held the answer. Ruled out: a danger in passing on; only the owner dispatches its bound keys, and one that can't be reached is answered for as before. Change: claims forget that an incarnation is gone when membership shows it again.

--- a/src/baobabthread/core/claims.py
+++ b/src/baobabthread/core/claims.py
@@ -158,6 +158,13 @@
         """Note that an incarnation is dead or has stopped."""
         self._gone.mark(incarnation)
 
+    def mark_returned(self, incarnation: str) -> None:
+        """Note that an incarnation held dead has answered again."""
+        # It was only cut off or paused, and may still dispatch its keys: answering
+        # for it would keep "unknown" for good where its owner can tell. Passing on
+        # is safe, because nobody but the owner dispatches.
+        self._gone.unmark(incarnation)
+
     def expire(self, now: float) -> Effects:
         """Give up slow claims, repeat releases, forget what has expired."""
         effects: Effects = []
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -269,6 +269,7 @@
             if member.state is MemberState.DEAD:
                 self.claims.mark_gone(member.incarnation)
                 continue
+            self.claims.mark_returned(member.incarnation)
             peers.append(
                 Peer(
                     name=member.incarnation,
--- a/src/baobabthread/core/goneowners.py
+++ b/src/baobabthread/core/goneowners.py
@@ -33,6 +33,10 @@
         if len(self._gone) > MAX_GONE:
             self._gone.popitem(last=False)
 
+    def unmark(self, incarnation: str) -> None:
+        """Note that an incarnation held dead has answered again."""
+        self._gone.pop(incarnation, None)
+
     def take(self, message: HandOver) -> None:
         """Take a part of a stopped incarnation's table."""
         self._handed.take(message)
--- a/tests/core/test_silent_owners.py
+++ b/tests/core/test_silent_owners.py
@@ -11,6 +11,8 @@
     OpenBill,
     Peer,
 )
+from baobabthread.core.claims import Claims
+from baobabthread.core.claimtypes import ClaimRequest, Forward, Refuse
 from baobabthread.core.ledger import Ledger
 from baobabthread.core.messages import Append, Effects
 
@@ -59,3 +61,22 @@
 def test_stopping_entry_leaves_a_live_owner_its_bills() -> None:
     ledger = hold_copy()
     assert list_bills(ledger.hand_over(3.0)) == []
+
+
+def test_keys_of_a_returned_owner_are_passed_on_again() -> None:
+    """Cut an owner off until it is held dead, and let it return.
+
+    A volunteer repeats a warning under a key that is bound to e1. While e1 is held dead
+    the answer is that it may have run. Once e1 has answered again it is asked, because
+    it knows what became of the warning.
+    """
+    claims = Claims(incarnation="e2.1")
+    request = ClaimRequest(
+        request_id="r1", account="a", key="e1.1/warning-1", body_hash="h"
+    )
+    claims.mark_gone("e1.1")
+    [refusal] = claims.begin(request, 1.0)
+    assert isinstance(refusal, Refuse)
+    claims.mark_returned("e1.1")
+    [forward] = claims.begin(request, 2.0)
+    assert forward == Forward(request_id="r1", incarnation="e1.1")
