--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Runs of real processes over real sockets, under load and faults."""
