--- a/src/baobabthread/core/fold.py
+++ b/src/baobabthread/core/fold.py
@@ -30,24 +30,6 @@
 from baobabthread.core.messages import LogRead, LogRecord
 from baobabthread.errors import ConfigurationError
 
-__all__ = [
-    "Accepted",
-    "ConfigurationFold",
-    "Conflict",
-    "Decided",
-    "Decision",
-    "Duplicate",
-    "Invalid",
-    "Pending",
-    "Publish",
-    "Relay",
-    "Restate",
-    "Restated",
-    "SectionState",
-    "Snapshot",
-    "Verdict",
-]
-
 MAX_SECTIONS = 4_096
 MAX_SECTION_NAME = 128
 REPEAT_WINDOW = 512
--- a/tests/failures/test_configuration_matrix.py
+++ b/tests/failures/test_configuration_matrix.py
@@ -15,10 +15,16 @@
 import pytest
 
 from baobabthread.core.control import ConfigurationRelay, FetchConfiguration
-from baobabthread.core.fold import ConfigurationFold, Relay, SectionState, Snapshot
+from baobabthread.core.fold import ConfigurationFold
 from baobabthread.core.fold_checkpoint import CheckpointPlanner, CheckpointSettings
 from baobabthread.core.fold_publisher import NotAppended, Publisher, Unknown
-from baobabthread.core.fold_records import Accepted, Publish
+from baobabthread.core.fold_records import (
+    Accepted,
+    Publish,
+    Relay,
+    SectionState,
+    Snapshot,
+)
 from baobabthread.core.freshness import Freshness, FreshnessSettings, FreshnessState
 from baobabthread.core.messages import (
     AppendFailed,
