--- a/tests/core/__init__.py
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions that need no I/O."""
