--- a/bench/_entries.py
+++ b/bench/_entries.py
@@ -44,9 +44,9 @@
     __slots__ = ("budget", "limit", "queue", "shedder")
 
     def __init__(self, *, policy: Policy, rng: random.Random) -> None:
-        self.queue: FairQueue | FirstComeQueue = (
-            FairQueue(settings=policy.fairness) if policy.fair else FirstComeQueue()
-        )
+        self.queue: FairQueue | FirstComeQueue = FairQueue(settings=policy.fairness)
+        if not policy.fair:
+            self.queue = FirstComeQueue(most=policy.first_come_most)
         self.limit = AdaptiveLimit(settings=policy.limit)
         self.shedder = Shedder()
         settings = None if policy.budget else NO_BUDGET
--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -36,6 +36,8 @@
     limited: bool = True
     shedding: bool = True
     budget: bool = True
+    first_come_most: int = 1 << 30
+    """Requests that wait at one entry when the queue is first come, first served."""
     balancer: str = "affine"
     caller_retries: int = 0
     delay_s: float = DELAY_S
@@ -118,13 +120,16 @@
 class FirstComeQueue:
     """Serve in the order of arrival: the baseline of fair queueing."""
 
-    __slots__ = ("_waiting",)
+    __slots__ = ("_most", "_waiting")
 
-    def __init__(self) -> None:
+    def __init__(self, *, most: int) -> None:
+        self._most = most
         self._waiting: OrderedDict[str, Waiting] = OrderedDict()
 
     def push(self, waiting: Waiting, now: float) -> Waiting | None:
-        """Queue a request."""
+        """Queue a request, or return it when the queue is full."""
+        if len(self._waiting) >= self._most:
+            return waiting
         self._waiting[waiting.request_id] = waiting
         return None
 
--- a/bench/fairness.py
+++ b/bench/fairness.py
@@ -23,7 +23,15 @@
     "fair": Policy(),
     "fair, no gossip": Policy(gossip=False),
     "first come": Policy(fair=False, shedding=False),
+    "first come, 16": Policy(fair=False, shedding=False, first_come_most=16),
 }
+PREFIXES = {
+    "fair": "",
+    "fair, no gossip": "local_",
+    "first come": "fcfs_",
+    "first come, 16": "bounded_fcfs_",
+}
+"""How the figures of each variant begin; 16 requests wait at each entry at most."""
 MAX_RATIO = 1.1
 INTERACTIVE = ("draft", "translation")
 
@@ -84,7 +92,6 @@
 
 def _measure_waits(length: Length, seed: int, figures: dict[str, Any]) -> Table:
     rows = []
-    names = {"fair": "", "fair, no gossip": "local_", "first come": "fcfs_"}
     for name, policy in VARIANTS.items():
         traffic = Traffic(service="model", load=2.0, shares=default_shares())
         _, results = run_traffic(policy, traffic, seconds=length.model_s, seed=seed)
@@ -92,7 +99,7 @@
         work = _of_kinds(measured, INTERACTIVE)
         small, large = _of(work, SMALL), _of(work, LARGE)
         batch = _of_kinds(measured, ["summary"])
-        prefix = names[name]
+        prefix = PREFIXES[name]
         figures[f"{prefix}ratio"] = _p95(small) / _p95(large)
         figures[f"{prefix}ratio_served"] = _p95_served(small) / _p95_served(large)
         figures[f"{prefix}small_p95_s"] = _p95(small)
@@ -234,8 +241,8 @@
     from matplotlib import pyplot
 
     figure, axes = pyplot.subplots(figsize=(7, 4))
-    labels = ["fair", "fair, no gossip", "first come"]
-    prefixes = ["", "local_", "fcfs_"]
+    labels = list(PREFIXES)
+    prefixes = list(PREFIXES.values())
     positions = range(len(labels))
     for shift, group in ((-0.2, "small"), (0.2, "large")):
         heights = [figures[f"{prefix}{group}_p95_s"] for prefix in prefixes]
