Keep the mix of prices with each decision; plan the frequent kinds only

Cause: the first request of a new kind (a call with an account's versions) was worked out alone and its share of the higher price then held for all kinds until the next planning; thousands of kinds would have been planned at once, holding up the loop; a peer's counts of a wrong length raised an error that the caller does not expect. Change: the share stands in the decision; 40 kinds are planned together, others on demand; counts of a wrong length are cut.

--- a/src/baobabthread/core/calibration.py
+++ b/src/baobabthread/core/calibration.py
@@ -124,7 +124,9 @@
     cell = Cell()
     cell.tokens = float(counts.tokens)
     values = iter(counts.bins)
-    for index, answers, rated, good in zip(values, values, values, values, strict=True):
+    for index, answers, rated, good in zip(
+        values, values, values, values, strict=False
+    ):
         if 0 <= index < BINS:
             cell.answers[index] = answers / SCALE
             cell.rated[index] = rated / SCALE
--- a/src/baobabthread/core/cascade.py
+++ b/src/baobabthread/core/cascade.py
@@ -196,6 +196,8 @@
 """How long decisions stand before they are worked out again."""
 REPLAN_REQUESTS = 400
 """Requests of this entry after which they are worked out sooner."""
+MAX_KINDS = 40
+"""Kinds of requests that are planned together, the most frequent ones."""
 EXPLORED_SHARE = 0.01
 """Share of the requests that start with a version which the plan leaves out."""
 THIN_EXPLORED_SHARE = 0.1
@@ -206,11 +208,12 @@
 class _Decision:
     """Hold what was worked out for one kind of request."""
 
-    __slots__ = ("high", "low")
+    __slots__ = ("high", "high_share", "low")
 
-    def __init__(self, *, low: Solution, high: Solution) -> None:
+    def __init__(self, *, low: Solution, high: Solution, high_share: float) -> None:
         self.low = low
         self.high = high
+        self.high_share = high_share
 
 
 @CASCADE_RULES.register("calibrated")
@@ -229,7 +232,6 @@
         self._evidence = SharedEvidence()
         self._estimates = Estimates(evidence=self._evidence, costs=costs)
         self._decisions: dict[MixKey, _Decision] = {}
-        self._high_share = 1.0
         self._planned_s = -REPLAN_S
         self._requests = 0
         self.aim = target
@@ -351,7 +353,7 @@
         if decision is None:
             self._work_out([kind])
             decision = self._decisions[kind]
-        high = draw("price", key) < self._high_share
+        high = draw("price", key) < decision.high_share
         return decision.high if high else decision.low
 
     def _replan_when_due(self, now: float) -> None:
@@ -364,7 +366,11 @@
         self._estimates.clear()
         self._decisions.clear()
         self.aim = find_aim(self._evidence, target=self._target, now=now)
-        self._work_out(list(self._evidence.add_mix()))
+        mix = self._evidence.add_mix()
+        # Many accounts with unlike versions make many kinds; working all of them out
+        # at once would hold up every request. The rare ones are done when one comes.
+        kinds = sorted(mix, key=lambda kind: -mix[kind])[:MAX_KINDS]
+        self._work_out(kinds)
 
     def _work_out(self, kinds: Sequence[MixKey]) -> None:
         """Find the decisions for some kinds of requests together."""
@@ -376,9 +382,10 @@
             for kind in kinds
         ]
         plan: Plan = find_plan(cases, target=self.aim)
-        self._high_share = plan.high_share
         for kind, low, high in zip(kinds, plan.low, plan.high, strict=True):
-            self._decisions[kind] = _Decision(low=low, high=high)
+            self._decisions[kind] = _Decision(
+                low=low, high=high, high_share=plan.high_share
+            )
 
 
 def _key_of(attempt: Attempt) -> CellKey:
--- a/src/baobabthread/core/rollout.py
+++ b/src/baobabthread/core/rollout.py
@@ -150,7 +150,7 @@
     """Hold a published roll-out under an id that a later one doesn't share."""
 
     id: str
-    """Its name and the generation that published it, such as `spring@12`."""
+    """Its name and a mark of its plan, such as `spring@1f3c09ab`."""
     plan: Rollout
 
 
