--- a/src/baobabthread/core/evidence.py
+++ b/src/baobabthread/core/evidence.py
@@ -98,6 +98,8 @@
     def __init__(self) -> None:
         self._own: dict[CellKey, Cell] = {}
         self._mix: dict[MixKey, float] = {}
+        self._requests = 0.0
+        """Sum over the mix."""
         self._origins: dict[str, _Origin] = {}
         self._heard: dict[CellKey, Cell] = {}
         """Sums over all origins, kept up to date as their counts change."""
@@ -128,9 +130,11 @@
         if key not in self._mix and len(self._mix) >= MAX_CELLS:
             return
         self._mix[key] = self._mix.get(key, 0.0) + 1
-        if sum(self._mix.values()) > MAX_REQUESTS:
+        self._requests += 1
+        if self._requests > MAX_REQUESTS:
             halves = {key: count / 2 for key, count in self._mix.items()}
             self._mix = {key: count for key, count in halves.items() if count > 0.1}
+            self._requests = sum(self._mix.values())
 
     def count_answer(self, key: CellKey, *, bin_index: int, tokens: int) -> None:
         """Count one answer of this entry."""
