Transfer named sessions to their holders when members change

Cause: an entry that joins becomes the owner of sessions it never heard of; they would begin anew on another version. A stopping entry gave all its sessions to one other entry, which need not be a holder. Change: SessionTransfers is wired into the tick, a look-up asks owner and copy, a stopping entry sends each session to those who will hold it.

--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -248,6 +248,7 @@
         effects += self.requests.absorb_bills(self.ledger.tick(now), now)
         effects += self.requests.absorb_claims(self.claims.expire(now), now)
         effects += self.requests.expire(now)
+        effects += self.named.tick()
         control = self.control
         everywhere = not control.membership.unconfirmed(control.fold.generation)
         effects += self.conductors.tick(now, in_force_everywhere=everywhere)
@@ -278,6 +279,7 @@
                 )
             )
         self._share_capacity()
+        self.named.note_members()
         return self.requests.absorb_bills(self.ledger.set_peers(peers, now), now)
 
     def _read_log(self, event: LogRead, now: float) -> Effects:
--- a/src/baobabthread/core/named.py
+++ b/src/baobabthread/core/named.py
@@ -8,6 +8,7 @@
 from baobabthread.core.messages import Effects, Send
 from baobabthread.core.request import Request
 from baobabthread.core.session_tokens import Pin
+from baobabthread.core.session_transfers import SessionTransfers
 from baobabthread.core.sessions import (
     Holders,
     NamedSession,
@@ -27,13 +28,14 @@
 class NamedSessions:
     """Remember named sessions here, and ask or tell the entries that hold them."""
 
-    __slots__ = ("_me", "_serving", "_table", "_waiting")
+    __slots__ = ("_me", "_serving", "_table", "_transfers", "_waiting")
 
     def __init__(self, *, me: str, serving: Callable[[], Iterable[MemberInfo]]) -> None:
         """Take `serving`, which gives the entries that serve now."""
         self._me = me
         self._serving = serving
         self._table = SessionTable()
+        self._transfers = SessionTransfers(me=me, table=self._table)
         self._waiting: dict[str, float] = {}
 
     def __len__(self) -> int:
@@ -53,8 +55,8 @@
         """Ask who remembers the session; no effect means that nobody else does."""
         if self.find(request, wall_s) is not None:
             return []
-        holders = self._find_holders(request)
-        if holders is None or holders.owner == self._me:
+        others = self._list_other_holders(request)
+        if not others:
             return []
         self._waiting[request.id] = now + LOOK_UP_S
         question = SessionGet(
@@ -62,7 +64,7 @@
             service=request.service.name,
             name=request.arrived.session_name or "",
         )
-        return [Send(to=holders.owner, message=question)]
+        return [Send(to=name, message=question) for name in others]
 
     def take_due(self, now: float) -> list[str]:
         """Return the requests that have waited long enough for an owner."""
@@ -94,12 +96,17 @@
             return []
         sequence = held.sequence + 1 if held is not None else 0
         session = self._table.put(NamedSession(name=name, pin=pin, sequence=sequence))
-        holders = self._find_holders(request)
-        if holders is None:
-            return []
-        names = {holders.owner, holders.copy} - {self._me, None}
         message = SessionPut(session=session)
-        return [Send(to=name, message=message) for name in sorted(filter(None, names))]
+        others = self._list_other_holders(request)
+        return [Send(to=name, message=message) for name in others]
+
+    def note_members(self) -> None:
+        """Follow a change of who serves."""
+        self._transfers.observe(self._serving())
+
+    def tick(self) -> Effects:
+        """Send sessions to holders that lack them, some at a time."""
+        return self._transfers.step()
 
     def handle(self, sender: str, message: SessionMessage, wall_s: float) -> Effects:
         """Take in or answer what peers say about sessions."""
@@ -119,19 +126,31 @@
         return []
 
     def hand_over(self) -> Effects:
-        """Give all sessions to another entry, since this one stops."""
-        others = [m.name for m in self._serving() if m.name != self._me]
-        if not others:
-            return []
-        return [
-            Send(to=others[0], message=SessionPut(session=session))
-            for session in self._table.all()
-        ]
-
-    def _find_holders(self, request: Request) -> Holders | None:
-        return choose_holders(
+        """Give each session to those who hold it once this entry is gone."""
+        others = [member for member in self._serving() if member.name != self._me]
+        effects: Effects = []
+        for session in self._table.all():
+            holders = choose_holders(
+                account=session.pin.account,
+                service=session.pin.service,
+                name=session.name,
+                serving=others,
+            )
+            message = SessionPut(session=session)
+            effects += [Send(to=name, message=message) for name in _list(holders)]
+        return effects
+
+    def _list_other_holders(self, request: Request) -> list[str]:
+        holders = choose_holders(
             account=request.account,
             service=request.service.name,
             name=request.arrived.session_name or "",
             serving=self._serving(),
         )
+        return [name for name in _list(holders) if name != self._me]
+
+
+def _list(holders: Holders | None) -> list[str]:
+    if holders is None:
+        return []
+    return [holders.owner] if holders.copy is None else [holders.owner, holders.copy]
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -57,6 +57,7 @@
 
 TICK_S = 0.05
 WAIT_STEP_S = 0.02
+SHUTDOWN_S = 1.0
 FORWARD_TIMEOUT_S = 120.0
 HANDOVER_TIMEOUT_S = 5.0
 ADDRESSES_PATH = "/v1/addresses"
@@ -171,7 +172,7 @@
         self.peer_address = await self._serve(peers, settings.peer_listen, tls)
 
     async def _serve(self, server: web.Server, address: Any, tls: Any) -> str:
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
         site = web.TCPSite(
@@ -179,7 +180,6 @@
             address.host,
             address.port,
             ssl_context=tls,
-            shutdown_timeout=1.0,
             reuse_address=True,
         )
         try:
