Keep a caller's own resume_from from the engine

Cause: the field went through to the engine, which left out the beginning of the answer; the rest was delivered as the whole. Ruled out: refusing the field, since the usual model API ignores unknown ones. Change: the entry drops it and sets its own when it resumes. Conclusion: such a request gets the same answer as one without the field, whole and streamed; the tests failed before the change.

--- a/src/baobabthread/adapters/callers.py
+++ b/src/baobabthread/adapters/callers.py
@@ -313,6 +313,9 @@
     fields = _decode_object(body)
     fields["model"] = msgspec.Raw(_encoder.encode(version))
     fields["priority"] = msgspec.Raw(b"%d" % priority)
+    # Only the entry resumes: a caller's own field would have the engine leave out the
+    # beginning, and the rest would pass for the whole answer.
+    fields.pop("resume_from", None)
     if resume_from:
         fields["resume_from"] = msgspec.Raw(b"%d" % resume_from)
     return _encoder.encode(fields)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -409,6 +409,23 @@
     assert answer.status < 500 or problem["ran"]
 
 
+@pytest.mark.parametrize("stream", [False, True])
+def test_caller_cannot_resume_at_the_engine(host: Host, stream: bool) -> None:
+    body = {**CHAT_BODY, "stream": stream, "resume_from": 2, "priority": 0}
+    asked = host.run(host.shell.ask("POST", CHAT, body=body))
+    body.pop("resume_from")
+    plain = host.run(host.shell.ask("POST", CHAT, body=body))
+    assert (asked.status, plain.status) == (200, 200)
+    if stream:
+        contents = [
+            [chunk["choices"] for chunk in answer.chunks[:-1]]
+            for answer in (asked, plain)
+        ]
+    else:
+        contents = [answer.json["choices"] for answer in (asked, plain)]
+    assert contents[0] == contents[1]
+
+
 @pytest.mark.parametrize(
     "options, kind",
     [
