--- a/tests/shell.py
+++ b/tests/shell.py
@@ -32,6 +32,9 @@
 DISPATCH = "/v1/services/warnings/dispatch"
 STATUS = "/v1/services/warnings/receipts"
 
+HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+REQUEST = HEAD + b"Authorization: Bearer KEY-OF-nadia\r\n"
+
 
 def hash_key(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
@@ -309,3 +312,21 @@
         """Return the first entry's base URL."""
         entry = self.shell.entries[0]
         return f"{'https' if entry.settings.tls_cert else 'http'}://{entry.address}"
+
+
+async def send(shell: Shell, data: bytes) -> bytes:
+    """Send raw bytes and return all that comes until the entry closes."""
+    host, _, port = shell.entries[0].address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        async with asyncio.timeout(LIMIT_S):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+def read_problem(raw: bytes) -> tuple[int, Any]:
+    head, _, body = raw.partition(b"\r\n\r\n")
+    assert b"application/problem+json" in head
+    return int(head.split(b" ", 2)[1]), json.loads(body)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -14,34 +14,24 @@
 from hypothesis import strategies as st
 
 from baobabthread.logs import configure_logs
-from tests.shell import CHAT, DISPATCH, LIMIT_S, STATUS, Shell, open_shell, run_case
+from tests.shell import (
+    CHAT,
+    DISPATCH,
+    REQUEST,
+    STATUS,
+    Shell,
+    open_shell,
+    read_problem,
+    run_case,
+    send,
+)
 
 T = TypeVar("T")
 
-KEY = b"Authorization: Bearer KEY-OF-nadia\r\n"
-REQUEST = b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n" + KEY
 MESSAGES = [{"role": "user", "content": "storm"}]
 CHAT_BODY = {"model": "small-1", "messages": MESSAGES, "max_tokens": 4}
 
 
-async def send(shell: Shell, data: bytes) -> bytes:
-    """Send raw bytes and return all that comes until the entry closes."""
-    host, _, port = shell.entries[0].address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    try:
-        writer.write(data)
-        async with asyncio.timeout(LIMIT_S):
-            return await reader.read()
-    finally:
-        writer.close()
-
-
-def read_problem(raw: bytes) -> tuple[int, Any]:
-    head, _, body = raw.partition(b"\r\n\r\n")
-    assert b"application/problem+json" in head
-    return int(head.split(b" ", 2)[1]), json.loads(body)
-
-
 class Host:
     """Keep one shell and its loop over many examples."""
 
@@ -172,30 +162,6 @@
     assert "/v1/" in answer.json["remedy"]
 
 
-@pytest.mark.parametrize(
-    "raw",
-    [
-        b"\x00\x01\x02\r\n\r\n",
-        b"GET / HTTP/9.9\r\n\r\n",
-        b"GET\r\n\r\n",
-        b"BREW / HTTP/1.1\r\nHost: e\r\n\r\n",
-        b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: -1\r\n\r\n",
-        b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-        b"GET / HTTP/1.1\r\nHost: e\r\nBad\x00Name: x\r\n\r\n",
-        b"GET / HTTP/1.1\r\nHost: e\r\nX: a\x00b\r\n\r\n",
-        b"GET /" + b"a" * 20_000 + b" HTTP/1.1\r\nHost: e\r\n\r\n",
-        b"GET / HTTP/1.1\r\nHost: e\r\nX: " + b"a" * 20_000 + b"\r\n\r\n",
-        b"GET / HTTP/1.1\r\nHost: e\r\n" + b"X: a\r\n" * 500 + b"\r\n",
-    ],
-    ids=range(11),
-)
-def test_broken_head_is_refused(host: Host, raw: bytes) -> None:
-    status, problem = read_problem(host.run(send(host.shell, raw)))
-    assert (status, problem["kind"]) == (400, "bad_request")
-    assert problem["remedy"]
-    assert problem["ran"] == "no"
-
-
 @pytest.mark.parametrize("is_chunked", [False, True])
 def test_oversize_body_is_refused(is_chunked: bool) -> None:
     """A caller sends more than the bound, with its length told or not.
@@ -252,55 +218,6 @@
     run_case(case, max_body_bytes=10_000)
 
 
-@pytest.mark.parametrize(
-    "sent",
-    [b"", b"POST /v1/chat/com", REQUEST, REQUEST + b"X-More: "],
-    ids=["nothing", "line", "headers", "header"],
-)
-def test_head_that_never_ends_is_cut_off(sent: bytes) -> None:
-    """A caller opens a connection and never completes a request's head.
-
-    The entry closes it at its bound, without an answer as nothing was asked. A good
-    request beside it is answered.
-    """
-
-    async def case(shell: Shell) -> None:
-        raw, served = await asyncio.gather(send(shell, sent), shell.chat())
-        assert raw == b""
-        assert served.status == 200
-
-    run_case(case, idle_timeout_s=0.3)
-
-
-def test_second_head_that_never_ends_is_cut_off() -> None:
-    async def case(shell: Shell) -> None:
-        raw = await send(shell, b"GET /healthz HTTP/1.1\r\nHost: e\r\n\r\nGET /he")
-        assert raw.startswith(b"HTTP/1.1 200 OK")
-        assert raw.endswith(b"ok\n")
-
-    run_case(case, idle_timeout_s=0.3)
-
-
-def test_trickled_head_does_not_renew_its_bound() -> None:
-    """A caller sends its head a byte at a time, faster than the bound.
-
-    Each byte shows life, but the whole head must come within the bound: the entry
-    closes the connection while the caller still sends.
-    """
-
-    async def case(shell: Shell) -> None:
-        host, _, port = shell.entries[0].address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        async with asyncio.timeout(LIMIT_S):
-            writer.write(REQUEST + b"X-More: ")
-            while not reader.at_eof():
-                writer.write(b"x")
-                await asyncio.sleep(0.02)
-        writer.close()
-
-    run_case(case, idle_timeout_s=0.3)
-
-
 def test_body_that_never_ends_is_refused() -> None:
     """A caller sends a byte of its body now and then and never ends it.
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,4 +1,4 @@
-"""Tests of TLS to callers and between entries."""
+"""Tests of connections: broken and slow heads, TLS."""
 
 from __future__ import annotations
 
@@ -10,13 +10,97 @@
 import pytest
 
 from baobabthread import cli
-from tests.shell import ROOT_KEY, Shell, ShellThread, list_members, mint, run_case
+from tests.shell import (
+    LIMIT_S,
+    REQUEST,
+    ROOT_KEY,
+    Shell,
+    ShellThread,
+    list_members,
+    mint,
+    read_problem,
+    run_case,
+    send,
+)
 
 FILES = Path(__file__).parent / "tls"
 CA = FILES / "ca.pem"
 TLS = {"tls_cert": FILES / "cert.pem", "tls_key": FILES / "key.pem", "tls_ca": CA}
 
 
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"\x00\x01\x02\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"GET\r\n\r\n",
+        b"BREW / HTTP/1.1\r\nHost: e\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: -1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: e\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: e\r\nBad\x00Name: x\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: e\r\nX: a\x00b\r\n\r\n",
+        b"GET /" + b"a" * 20_000 + b" HTTP/1.1\r\nHost: e\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: e\r\nX: " + b"a" * 20_000 + b"\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: e\r\n" + b"X: a\r\n" * 500 + b"\r\n",
+    ],
+    ids=range(11),
+)
+def test_broken_head_is_refused(raw: bytes) -> None:
+    status, problem = read_problem(run_case(lambda shell: send(shell, raw)))
+    assert (status, problem["kind"]) == (400, "bad_request")
+    assert problem["remedy"]
+    assert problem["ran"] == "no"
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [b"", b"POST /v1/chat/com", REQUEST, REQUEST + b"X-More: "],
+    ids=["nothing", "line", "headers", "header"],
+)
+def test_head_that_never_ends_is_cut_off(sent: bytes) -> None:
+    """A caller opens a connection and never completes a request's head.
+
+    The entry closes it at its bound, without an answer as nothing was asked. A good
+    request beside it is answered.
+    """
+
+    async def case(shell: Shell) -> None:
+        raw, served = await asyncio.gather(send(shell, sent), shell.chat())
+        assert raw == b""
+        assert served.status == 200
+
+    run_case(case, idle_timeout_s=0.3)
+
+
+def test_second_head_that_never_ends_is_cut_off() -> None:
+    async def case(shell: Shell) -> None:
+        raw = await send(shell, b"GET /healthz HTTP/1.1\r\nHost: e\r\n\r\nGET /he")
+        assert raw.startswith(b"HTTP/1.1 200 OK")
+        assert raw.endswith(b"ok\n")
+
+    run_case(case, idle_timeout_s=0.3)
+
+
+def test_trickled_head_does_not_renew_its_bound() -> None:
+    """A caller sends its head a byte at a time, faster than the bound.
+
+    Each byte shows life, but the whole head must come within the bound: the entry
+    closes the connection while the caller still sends.
+    """
+
+    async def case(shell: Shell) -> None:
+        host, _, port = shell.entries[0].address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        async with asyncio.timeout(LIMIT_S):
+            writer.write(REQUEST + b"X-More: ")
+            while not reader.at_eof():
+                writer.write(b"x")
+                await asyncio.sleep(0.02)
+        writer.close()
+
+    run_case(case, idle_timeout_s=0.3)
+
+
 def trust(shell: Shell) -> None:
     shell.ssl = ssl.create_default_context(cafile=CA)
 
