--- a/src/baobabthread/adapters/effects.py
+++ b/src/baobabthread/adapters/effects.py
@@ -165,6 +165,12 @@
             self._spawn(self._give_order(backend.address, effect))
 
     async def _give_order(self, address: str, effect: OrderEngine) -> None:
+        if not self._core.conductors.may_order(effect, time.monotonic()):
+            log_event("order_dropped", backend=effect.backend, fence=effect.fence)
+            self.feed(
+                OrderEnded(backend=effect.backend, fence=effect.fence, stale=False)
+            )
+            return
         outcome = await self._engine.order(
             address,
             Order(
--- a/src/baobabthread/core/choices.py
+++ b/src/baobabthread/core/choices.py
@@ -10,7 +10,7 @@
 from baobabthread.core.events import Answered, AttemptEnded, SubmitRating
 from baobabthread.core.messages import Effects
 from baobabthread.core.named import NamedSessions
-from baobabthread.core.problems import explain_no_version
+from baobabthread.core.problems import explain_no_account, explain_no_version
 from baobabthread.core.quality import Observation
 from baobabthread.core.request import Request
 from baobabthread.core.selection import choose_versions
@@ -53,8 +53,13 @@
         """Plan the versions to try, or return why there is none."""
         service = request.service.name
         call = request.arrived.call
-        allowed = directory.get_account(request.account).versions
+        account = directory.configuration.accounts.get(request.account)
+        if account is None or service not in account.services:
+            return explain_no_account(request)
+        allowed = account.versions
         if request.keep_plan:
+            if allowed and request.arrived.service not in allowed:
+                return explain_no_version(request)
             allowed = [request.arrived.service]
         pin = self._find_pin(request, now)
         versions = choose_versions(
@@ -84,10 +89,15 @@
         )
         return None
 
-    def is_in_use(self, request: Request) -> bool:
-        """Tell whether the planned version may still get a request."""
+    def is_in_use(self, request: Request, directory: Directory) -> bool:
+        """Tell whether the planned version may still get this account's request."""
         if request.version is None:
             return True
+        account = directory.configuration.accounts.get(request.account)
+        if account is None or request.service.name not in account.services:
+            return False
+        if account.versions and request.version not in account.versions:
+            return False
         return choose_versions(
             self._conductors.get_selection(request.service.name),
             call=request.arrived.call,
--- a/src/baobabthread/core/conductors.py
+++ b/src/baobabthread/core/conductors.py
@@ -21,10 +21,10 @@
     ServiceKind,
     VersionState,
 )
-from baobabthread.core.events import LoadReported, Rated
+from baobabthread.core.events import LoadReported, OrderEnded, Rated
 from baobabthread.core.leases import Lease
 from baobabthread.core.messages import Append, Effects, LogRead, Stream
-from baobabthread.core.orders import EngineReport, Orders, Target
+from baobabthread.core.orders import EngineReport, OrderEngine, Orders, Target
 from baobabthread.core.quality import DETECTORS, Detector, Observation
 from baobabthread.core.rollout import (
     Phase,
@@ -57,6 +57,7 @@
         "detector_name",
         "lease",
         "name",
+        "open_orders",
         "orders",
         "restate_at",
         "selection",
@@ -72,6 +73,7 @@
         self.orders = Orders()
         self.selection = Selection(cascade=(), states={})
         self.restate_at = 0.0
+        self.open_orders = 0
 
 
 class Conductors:
@@ -183,13 +185,29 @@
         )
         conducted.orders.on_report(report, now)
 
-    def on_order_refused(self, backend: str, fence: int) -> None:
-        """Note that an engine refused an order for its fencing number."""
-        configured = (
-            self._configuration.backends.get(backend) if (self._configuration) else None
-        )
-        if configured is not None and configured.service in self._services:
-            self._services[configured.service].orders.on_refused(backend, fence)
+    def may_order(self, order: OrderEngine, now: float) -> bool:
+        """Tell whether an order that was planned may still be sent."""
+        # The plan may be old by the time it is written to the engine: a process that
+        # was paused in between would order beside its successor.
+        conducted = self._find_conducted(order.backend)
+        if conducted is None or conducted.lease.fence != order.fence:
+            return False
+        return conducted.lease.may_order(now, order.timeout_s)
+
+    def on_order_ended(self, ended: OrderEnded) -> None:
+        """Note how an order ended."""
+        conducted = self._find_conducted(ended.backend)
+        if conducted is None:
+            return
+        conducted.open_orders = max(0, conducted.open_orders - 1)
+        if ended.stale:
+            conducted.orders.on_refused(ended.backend, ended.fence)
+
+    def _find_conducted(self, backend: str) -> _Conducted | None:
+        if self._configuration is None:
+            return None
+        configured = self._configuration.backends.get(backend)
+        return self._services.get(configured.service) if configured else None
 
     def on_log_read(self, read: LogRead, now: float) -> Effects:
         """Fold the stream of roll-outs."""
@@ -225,16 +243,21 @@
                 conducted.orders.set_target(
                     self._find_target(conducted, in_force_everywhere)
                 )
-                effects += conducted.orders.plan(conducted.lease, now)
+                orders = conducted.orders.plan(conducted.lease, now)
+                conducted.open_orders += len(orders)
+                effects += orders
                 effects += self._restate(conducted, now)
         self._select_all()
         return effects
 
     def release(self, now: float) -> Effects:
-        """Give up all leases, since this entry stops."""
+        """Give up the leases, since this entry stops."""
         effects: Effects = []
         for conducted in self._services.values():
-            effects += conducted.lease.release(now)
+            # A successor claims at once and would order beside an order that is still
+            # under way; such a lease is left to lapse.
+            if not conducted.open_orders:
+                effects += conducted.lease.release(now)
         return effects
 
     def list_barred(self) -> frozenset[Barred]:
--- a/src/baobabthread/core/dispatching.py
+++ b/src/baobabthread/core/dispatching.py
@@ -94,7 +94,7 @@
         # A version withdrawn since the plan was made gets no new attempt. Only a
         # stream that the caller holds a part of goes on: another version would not
         # continue its text.
-        if request.resume_from or self._choices.is_in_use(request):
+        if request.resume_from or self._choices.is_in_use(request, self.directory):
             return self._attempt(request, now, delay_s)
         return self._choose(request, now)
 
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -355,8 +355,7 @@
 
     def _note_order(self, event: OrderEnded, now: float) -> Effects:
         del now
-        if event.stale:
-            self.conductors.on_order_refused(event.backend, event.fence)
+        self.conductors.on_order_ended(event)
         return []
 
     def _read_roster(self, event: RosterRead, now: float) -> Effects:
--- a/src/baobabthread/core/problems.py
+++ b/src/baobabthread/core/problems.py
@@ -53,7 +53,7 @@
         kind=Kind.FORBIDDEN,
         detail=f"account '{request.account}' may not use '{request.service.name}' now",
         remedy="ask the operator to add the service to the account",
-        ran=Ran.NO,
+        ran=_tell_ran(request),
         request_id=request.id,
     )
 
