Bound how many engines an entry asks for their load in one round

Cause: an idle entry among two used 1.6 percent of a core (15 s); one request for a load report for each engine and second is a part that grows with the number of engines, and at 6,900 would take more than a core. Change: 16 engines a round, in turn. Conclusion: the cost is bounded; with many engines reports are older, and entries go by their own requests meanwhile.

--- a/src/baobabthread/adapters/pollers.py
+++ b/src/baobabthread/adapters/pollers.py
@@ -21,6 +21,12 @@
 PERIOD_S = 1.0
 LOAD_TIMEOUT_S = 1.0
 MAX_ANSWERS_WAITING = 1_000
+MAX_ASKED = 16
+"""Engines asked in one round; more are asked in turn.
+
+Each report costs a request. Without a bound the cost at every entry would grow with the
+number of engines; between reports an entry goes by its own requests at each of them.
+"""
 
 Feed = Callable[[object], None]
 
@@ -76,7 +82,7 @@
 class LoadPoller:
     """Ask model engines for their load reports."""
 
-    __slots__ = ("_addresses", "_engine", "_feed")
+    __slots__ = ("_addresses", "_engine", "_feed", "_next")
 
     def __init__(
         self,
@@ -89,10 +95,15 @@
         self._engine = engine
         self._feed = feed
         self._addresses = addresses
+        self._next = 0
 
     async def poll(self) -> None:
-        """Ask each engine once, all at the same time."""
+        """Ask the engines whose turn it is, all at the same time."""
         pairs = self._addresses()
+        if len(pairs) > MAX_ASKED:
+            start = self._next % len(pairs)
+            self._next = start + MAX_ASKED
+            pairs = [*pairs[start:], *pairs[:start]][:MAX_ASKED]
         await asyncio.gather(*(self._ask(name, at) for name, at in pairs))
 
     async def _ask(self, name: str, address: str) -> None:
