--- a/src/baobabthread/core/quality.py
+++ b/src/baobabthread/core/quality.py
@@ -206,7 +206,7 @@
 """Standard errors by which the reference of one call is raised."""
 WHOLE_ERRORS = 0.7
 """The same for all calls together, whose errors partly cancel out."""
-HORIZON = 250.0
+HORIZON = 800.0
 """Outcomes of one trial for which the chance holds."""
 SUSPICIOUS = 1.0
 """Suspicion from which a version's answers are rated more often."""
