--- a/bench/control.py
+++ b/bench/control.py
@@ -18,7 +18,9 @@
 
 import msgspec
 
+from baobabthread.adapters.pollers import MAX_ASKED
 from baobabthread.core.entry import EntryCore
+from baobabthread.process import tune_collector
 from bench._control_parts import measure_claims, measure_list, measure_ratings
 from bench._control_site import Site
 from bench._control_sockets import SocketCosts, measure_sockets
@@ -208,6 +210,7 @@
     site.conducts = True
     conducting = measure_core(site, LETTER, options)
     rated = REQUESTS_PER_S * RATED_SHARE
+    polls = min(LETTER.backends, MAX_ASKED)
     parts = [
         ["ticks", cost.cpu_pct.get("tick", 0.0), 0.0],
         [
@@ -235,8 +238,8 @@
         ["load reports, core", cost.cpu_pct.get("load reports", 0.0), 0.0],
         [
             "load reports, sockets",
-            LETTER.backends * sockets.poll_us / 1e4,
-            LETTER.backends * sockets.poll_bytes / 1000,
+            polls * sockets.poll_us / 1e4,
+            polls * sockets.poll_bytes / 1000,
         ],
         [
             "list of instances",
@@ -245,6 +248,7 @@
         ],
         ["ratings of all entries", rated * rating_us / 1e4, rated * rating_bytes / 1e3],
     ]
+    figures["load_report_age_s"] = LETTER.backends / polls
     figures["cpu_pct_at_400"] = sum(part[1] for part in parts)
     figures["kb_s_at_400"] = sum(part[2] for part in parts)
     figures["cpu_pct_at_400_entries_alone"] = sum(part[1] for part in parts[:3])
@@ -281,6 +285,8 @@
         "budget_mb": BUDGET_MB,
         "size": msgspec.to_builtins(LETTER),
     }
+    # As in an entry's own process: else whole collections fall on some part.
+    tune_collector()
     sockets = asyncio.run(measure_sockets(500 if options.quick else 3_000))
     figures["message_kept_us"] = sockets.kept_us
     figures["message_fresh_us"] = sockets.fresh_us
