Charge work in one unit, share account rates by their use, shed by expected time

Cause: the review of the wiring: limits and the queue were charged prompt plus completion tokens while estimates counted otherwise, so that long answers looked like slow servers; an account at one entry got an even part of its rate; service time was taken as 0 when shedding; long requests probed ejected servers. Change: weigh_tokens everywhere, AccountLimit.correct at the end, rates by what digests say of other entries, expected_s in queue and shedder, probes by short requests only. Seen: 275 tests of the core and the request matrix pass; a 6 s demo ends with zeros where zeros belong.

--- a/src/baobabthread/core/admissions.py
+++ b/src/baobabthread/core/admissions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from baobabthread.core.balance import BackendTable
 from baobabthread.core.billtypes import BillRequest
 from baobabthread.core.configuration import Account
 from baobabthread.core.directory import Directory
@@ -23,23 +24,45 @@
 class Admissions:
     """Queue requests and start them for as long as there is room."""
 
-    __slots__ = ("_endings", "_entries", "_ledger", "_limits", "_open", "directory")
+    __slots__ = (
+        "_backends",
+        "_endings",
+        "_entries",
+        "_ledger",
+        "_limits",
+        "_open",
+        "_services",
+        "directory",
+    )
 
     def __init__(
-        self, *, endings: Endings, ledger: Ledger, open_requests: dict[str, Request]
+        self,
+        *,
+        endings: Endings,
+        ledger: Ledger,
+        limits: dict[str, AccountLimit],
+        backends: BackendTable,
+        services: dict[str, ServiceState],
+        open_requests: dict[str, Request],
     ) -> None:
         self._endings = endings
         self._ledger = ledger
         self._open = open_requests
-        self._limits: dict[str, AccountLimit] = {}
+        self._limits = limits
+        self._backends = backends
+        self._services = services
         self._entries = 1
         self.directory = Directory()
 
     def share(self, entries: int, now: float) -> None:
-        """Divide the accounts' rates among the live entries."""
+        """Divide the accounts' rates among the live entries, by their use of them."""
         self._entries = entries
-        for limit in self._limits.values():
-            limit.share(limit.rate * (entries - 1) / entries, entries, now)
+        for account, limit in self._limits.items():
+            elsewhere = sum(
+                service.queue.tokens_per_s_elsewhere(account, now)
+                for service in self._services.values()
+            )
+            limit.share(elsewhere, entries, now)
 
     def enqueue(self, request: Request, now: float) -> Effects:
         """Queue a request, or refuse it at once when it would be late anyway."""
@@ -59,11 +82,12 @@
             tokens=request.tokens,
             deadline=request.deadline_at,
             arrived=now,
+            service_s=self._backends.expected_s(service.name, request.tokens),
         )
         request.estimated_wait_s = service.queue.estimate_wait(waiting)
         late_s = service.shedder.refuse_for(
             wait_s=request.estimated_wait_s,
-            service_s=0.0,
+            service_s=waiting.service_s,
             deadline=request.deadline_at,
             now=now,
         )
@@ -80,7 +104,6 @@
         if limit is None:
             limit = AccountLimit(tokens_per_s=account.tokens_per_s, now=now)
             self._limits[request.account] = limit
-            self.share(self._entries, now)
         limit.set_rate(account.tokens_per_s)
         return limit.admit(request.tokens, now)
 
--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -258,13 +258,23 @@
             server.count(1, tokens, now)
 
     def finished(
-        self, name: str, outcome: Outcome, latency_s: float, tokens: int, now: float
+        self,
+        name: str,
+        outcome: Outcome,
+        latency_s: float,
+        tokens: int,
+        now: float,
+        *,
+        expected: int | None = None,
     ) -> None:
-        """Count a request that ended at a server and learn from it."""
+        """Count a request that ended at a server and learn from it.
+
+        `expected` are the tokens that `started` was told, if they were others.
+        """
         server = self._servers.get(name)
         if server is None:
             return
-        server.count(-1, tokens, now)
+        server.count(-1, tokens if expected is None else expected, now)
         usual = self._usual.get(server.service, 0.0)
         if outcome is Outcome.OK:
             server.observe(latency_s, tokens, now)
--- a/src/baobabthread/core/dispatching.py
+++ b/src/baobabthread/core/dispatching.py
@@ -31,6 +31,7 @@
     explain_no_backend,
     explain_refused,
 )
+from baobabthread.core.rates import weigh_tokens
 from baobabthread.core.request import Phase, Request
 from baobabthread.core.retries import Attempt as FailedAttempt
 from baobabthread.errors import Ran
@@ -38,6 +39,8 @@
 ENGINE_PRIORITY = {Priority.URGENT: 1, Priority.INTERACTIVE: 4, Priority.BATCH: 8}
 LEAVING = "leaving"
 CALLER_GONE = "caller_gone"
+PROBE_TOKENS = 300
+"""Most tokens of a request that may try a server which was ejected."""
 
 
 class Dispatching:
@@ -136,9 +139,14 @@
             prefix_key=request.prefix_key,
             exclude=request.excluded,
             now=now,
-            may_probe=request.call.idempotent and request.attempts == 0,
+            may_probe=self._may_probe(request),
         )
 
+    def _may_probe(self, request: Request) -> bool:
+        # A long request at a server that is still bad would wait all its time there.
+        short = request.tokens <= PROBE_TOKENS
+        return short and request.call.idempotent and request.attempts == 0
+
     def attempt_ended(
         self, request: Request, ended: AttemptEnded, now: float
     ) -> Effects:
@@ -155,9 +163,20 @@
     def _answered(
         self, request: Request, ended: AttemptEnded, answer: Answered, now: float
     ) -> Effects:
+        work = weigh_tokens(
+            prompt=answer.prompt_tokens,
+            cached=answer.cached_tokens,
+            completion=answer.completion_tokens,
+        )
         self._backends.finished(
-            ended.backend, Outcome.OK, ended.latency_s, request.tokens, now
+            ended.backend,
+            Outcome.OK,
+            ended.latency_s,
+            work,
+            now,
+            expected=request.tokens,
         )
+        request.work += work
         request.dispatched = True
         self._count_tokens(request, ended, answer)
         judgement = self._choices.judge(request, answer, ended, now)
@@ -181,7 +200,7 @@
             call=request.arrived.call,
             version=request.version,
             latency_s=ended.latency_s,
-            tokens=tokens,
+            tokens=answer.completion_tokens,
         )
 
     def _charge(self, request: Request, generated: int, tokens: int) -> None:
--- a/src/baobabthread/core/endings.py
+++ b/src/baobabthread/core/endings.py
@@ -7,7 +7,7 @@
 from baobabthread.core.events import Refuse
 from baobabthread.core.handover import Outcome as KeyOutcome
 from baobabthread.core.ledger import Ledger
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits import AccountLimit, Outcome
 from baobabthread.core.messages import Effects
 from baobabthread.core.request import Phase, Request
 from baobabthread.core.services import ServiceState
@@ -19,13 +19,19 @@
 class Endings:
     """End each open request once and remember which services have room again."""
 
-    __slots__ = ("_claims", "_freed", "_ledger", "_open")
+    __slots__ = ("_claims", "_freed", "_ledger", "_limits", "_open")
 
     def __init__(
-        self, *, claims: Claims, ledger: Ledger, open_requests: dict[str, Request]
+        self,
+        *,
+        claims: Claims,
+        ledger: Ledger,
+        limits: dict[str, AccountLimit],
+        open_requests: dict[str, Request],
     ) -> None:
         self._claims = claims
         self._ledger = ledger
+        self._limits = limits
         self._open = open_requests
         self._freed: dict[str, ServiceState] = {}
 
@@ -58,7 +64,10 @@
             service.queue.remove(request.id)
         if phase not in STARTED:
             return []
-        tokens = max(1, request.prompt_tokens + request.completion_tokens)
+        tokens = max(1, request.work)
+        limit = self._limits.get(request.account)
+        if limit is not None:
+            limit.correct(tokens - request.tokens)
         service.queue.finished(request.id, tokens, now)
         service.queue.release(request.account)
         service.limit.finished(latency_s, outcome, now, per=float(tokens))
--- a/src/baobabthread/core/intake.py
+++ b/src/baobabthread/core/intake.py
@@ -10,6 +10,7 @@
 from baobabthread.core.configuration import Call, OnStale, ServiceKind
 from baobabthread.core.directory import Directory
 from baobabthread.core.events import RequestArrived
+from baobabthread.core.rates import weigh_tokens
 from baobabthread.core.request import Request
 from baobabthread.core.services import ServiceState
 from baobabthread.errors import Kind, Problem, Ran
@@ -175,7 +176,7 @@
     expected = state.expect_tokens(arrived.call)
     if arrived.max_tokens:
         expected = min(expected, arrived.max_tokens)
-    return max(1, prompt + expected)
+    return weigh_tokens(prompt=prompt, cached=0, completion=expected)
 
 
 def _name_bill(request: Request) -> str:
--- a/src/baobabthread/core/request.py
+++ b/src/baobabthread/core/request.py
@@ -61,6 +61,7 @@
         "tokens",
         "turned_down",
         "versions",
+        "work",
     )
 
     def __init__(
@@ -107,6 +108,8 @@
         self.cost = 0.0
         self.prompt_tokens = 0
         self.completion_tokens = 0
+        self.work = 0
+        """What all its attempts took, in generated tokens."""
         self.estimated_wait_s = 0.0
 
     @property
--- a/src/baobabthread/core/requests.py
+++ b/src/baobabthread/core/requests.py
@@ -28,6 +28,7 @@
 from baobabthread.core.intake import Intake, MayServe
 from baobabthread.core.keys import ClaimKey
 from baobabthread.core.ledger import Ledger
+from baobabthread.core.limits import AccountLimit
 from baobabthread.core.messages import Effects
 from baobabthread.core.named import NamedSessions
 from baobabthread.core.problems import explain_deadline, explain_gone
@@ -83,9 +84,17 @@
         self._claiming: dict[str, Request] = {}
         """Those that wait for a claim or for the running request of their key."""
         self._joined: set[str] = set()
-        self._endings = Endings(claims=claims, ledger=ledger, open_requests=self._open)
+        limits: dict[str, AccountLimit] = {}
+        self._endings = Endings(
+            claims=claims, ledger=ledger, limits=limits, open_requests=self._open
+        )
         self._admissions = Admissions(
-            endings=self._endings, ledger=ledger, open_requests=self._open
+            endings=self._endings,
+            ledger=ledger,
+            limits=limits,
+            backends=backends,
+            services=services,
+            open_requests=self._open,
         )
         self._dispatching = Dispatching(
             backends=backends,
