Give held answers their session token again

Cause: when the request path was split, the token was made only for attempts that stream through; an accepted held answer left without Baobab-Session, and its caller could not keep its version. Found by reading. Change: the token of the delivery is used, and made once for each version of a request. Test: seen to fail with KeyError on both kinds of answer, passes.

--- a/src/baobabthread/adapters/exchanges.py
+++ b/src/baobabthread/adapters/exchanges.py
@@ -218,6 +218,7 @@
                 self._note_attempt(arrived, channel, ended)
             elif isinstance(effect, Deliver):
                 self._keep_answer(effect, channel)
+                channel.session = effect.session
                 if arrived.stream:
                     return await channel.finish_stream()
                 return channel.finish_whole()
--- a/src/baobabthread/core/choices.py
+++ b/src/baobabthread/core/choices.py
@@ -80,6 +80,7 @@
             request.plan = request.service.rule.plan(
                 key=request.id, call=call, versions=request.versions, now=now
             )
+        request.sealed = None
         request.pin = Pin(
             account=request.account,
             service=service,
@@ -130,6 +131,8 @@
         version = request.version
         if pin is None or version is None:
             return None
+        if request.sealed is not None and request.sealed_for == version:
+            return request.sealed
         if pin.version != version:
             pin = Pin(
                 account=pin.account,
@@ -138,7 +141,9 @@
                 generation=pin.generation,
                 expires_at=pin.expires_at,
             )
-        return self._keys.seal(pin)
+        request.sealed = self._keys.seal(pin)
+        request.sealed_for = version
+        return request.sealed
 
     def judge(
         self, request: Request, answer: Answered, ended: AttemptEnded, now: float
--- a/src/baobabthread/core/request.py
+++ b/src/baobabthread/core/request.py
@@ -56,6 +56,8 @@
         "priority",
         "prompt_tokens",
         "resume_from",
+        "sealed",
+        "sealed_for",
         "service",
         "started_at",
         "tokens",
@@ -96,6 +98,9 @@
         self.keep_plan = False
         """Whether a session or the caller chose its version."""
         self.pin: Pin | None = None
+        self.sealed: str | None = None
+        """The session's token for the version `sealed_for`; making one costs."""
+        self.sealed_for = ""
         self.moved = False
         self.turned_down = ""
         self.prefix_key: int | None = None
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -126,6 +126,22 @@
     run_case(case)
 
 
+@pytest.mark.parametrize("stream", [False, True])
+def test_held_answer_carries_its_session(stream: bool) -> None:
+    """The caller of a cascade finds no token and can't keep its version.
+
+    The cheap version's answer is held until it is accepted. The token was made only
+    when an answer streams through at once, so accepted held answers left without it.
+    """
+
+    async def case(shell: Shell) -> None:
+        answer = await shell.chat(stream=stream, content="difficulty=0.01 short")
+        assert answer.headers["Baobab-Version"] == "small-1"
+        assert answer.headers["Baobab-Session"]
+
+    run_case(case)
+
+
 @pytest.mark.parametrize("stream", [False, True])
 def test_session_token_keeps_its_version(stream: bool) -> None:
     async def case(shell: Shell) -> None:
