Make the process tests kill their mutants

Cause: two mutants survived on a scratch copy: a lease without its deadline, since the woken conductor read of its successor first; a stop that neither waits nor drains, since the server itself waits for open connections and peers settle the bills. Change: the conductor wakes cut from the log (entries may have a relay to the platform each) and hears a text that needs orders from its peers; the walk stops an entry while a warning runs there, and wants one attempt each and no bill settled by estimate.

--- a/bench/_cluster.py
+++ b/bench/_cluster.py
@@ -26,6 +26,7 @@
     publish,
     wait_in_force,
 )
+from bench._wire import Wire
 
 SECTIONS = ("association", "kalbaishakhi")
 DOMAINS = ("didube", "saburtalo", "vake", "isani")
@@ -62,20 +63,27 @@
         entries: int = ENTRIES,
         environment: Mapping[str, str] | None = None,
         module: str = "baobabthread",
+        has_wires: bool = False,
     ) -> None:
-        """Take a folder for texts and logs, and the module that runs an entry."""
+        """Take a folder for texts and logs, and the module that runs an entry.
+
+        With wires each entry reaches the platform through a relay that can be cut.
+        """
         self._folder = folder
         self._count = entries
         self._environment = dict(environment or {})
         self._module = module
+        self._has_wires = has_wires
         self._stack = contextlib.AsyncExitStack()
         self._started = 0
         self.texts: dict[str, str] = {}
         self.backends: dict[str, str] = {}
         self.entries: dict[str, Entry] = {}
+        self.wires: dict[str, Wire] = {}
 
     async def __aenter__(self) -> Cluster:
         async with contextlib.AsyncExitStack() as stack:
+            self._stack = stack
             self.processes = await stack.enter_async_context(
                 Processes(logs=self._folder)
             )
@@ -116,6 +124,10 @@
         domain = DOMAINS[(int(name.removeprefix("e")) - 1) % len(DOMAINS)]
         known = [entry.peer_port for entry in self.entries.values()]
         peer = peer_port or ports[1]
+        if self._has_wires:
+            wire = Wire(port=self.platform_port)
+            self.wires[name] = await self._stack.enter_async_context(wire)
+            platform_port = wire.port
         process = await self.processes.start_entry(
             name,
             port=ports[0],
--- a/tests/processes/test_pause.py
+++ b/tests/processes/test_pause.py
@@ -37,17 +37,16 @@
 def test_paused_conductor_gives_no_old_orders(tmp_path: Path) -> None:
     """Stop the conductor's process past its lease, then let it go on.
 
-    A volunteer's warning reaches the conductor just before the pause. Meanwhile a
-    version is withdrawn: a successor waits until the lease has surely lapsed, claims it
-    with a higher fencing number and orders the engines to unload. The old conductor
-    wakes with its orders out of date: no engine takes one from it, also those that
-    don't check. The warning is answered or refused as not run, and its repeat answered:
-    it ran once however often it was sent.
+    A volunteer's warning reaches the conductor in the pause. Meanwhile a version is
+    withdrawn; a successor waits out the lease, claims it with a higher fencing number
+    and orders the engines to unload. The old conductor wakes, cut from the log, and
+    hears a new text from its peers only: it takes itself for the conductor, yet no
+    engine, checking or not, takes an order from it. The warning runs once.
     """
 
     async def run() -> None:
         async with (
-            open_cluster(tmp_path) as cluster,
+            open_cluster(tmp_path, has_wires=True) as cluster,
             open_load(cluster, rate_per_s=25.0, deadline_s=60.0) as load,
         ):
             await load.wait_answers(20)
@@ -81,11 +80,13 @@
             assert repeat.ran == "unknown"
             before = await _list_orders(cluster)
 
+            cluster.wires[paused.name].cut()
             paused.process.send(signal.SIGCONT)
             answer = await warning
             # What it knows is out of date, so it may refuse before it has caught up.
             assert answer.status == 200 or answer.ran == "no", answer
             await wait_for(lambda: _is_back(cluster, paused, others))
+            text = text.replace(f'"{WITHDRAWN}"]', f'"{WITHDRAWN}", "{ADDED}"]')
             text += NEW_VERSION
             again = await publish(
                 cluster, others[0], record_id="p2", section=SECTION, text=text
@@ -97,9 +98,12 @@
                 return bool(generation >= again.body["generation"])
 
             await wait_for(is_in_force)
+            await wait_for(lambda: _is_ordered(cluster))
             answer = await warn(cluster, paused, own_id="warning-1", key=key)
             assert answer.status == 200, answer
             await load.wait_answers(40)
+            cluster.wires[paused.name].heal()
+            await load.wait_answers(40)
             evidence, timed = await load.finish(settles=False)
             _check_orders(before, await _list_orders(cluster), lease.holder)
             assert await count_warned(cluster, "warning-1") == 1
@@ -159,6 +163,12 @@
     )
 
 
+async def _is_ordered(cluster: Cluster) -> bool:
+    """Tell whether some engine was ordered to load the added version."""
+    orders = await _list_orders(cluster)
+    return any(given and ADDED in given[-1]["desired"] for given in orders.values())
+
+
 async def _is_back(cluster: Cluster, paused: Entry, others: list[Entry]) -> bool:
     states = [await find_states(cluster, entry) for entry in others]
     return all(each.get(paused.name) == "alive" for each in states)
--- a/tests/processes/test_walk.py
+++ b/tests/processes/test_walk.py
@@ -11,8 +11,15 @@
 from bench._cluster import Cluster, Entry
 from bench._processes import OPERATOR_KEY
 
+from baobabthread.core.billtypes import BillOutcome
 from baobabthread.load_caller import Result
-from tests.processes.support import open_cluster, open_load
+from tests.processes.support import (
+    count_warned,
+    open_cluster,
+    open_load,
+    wait_for,
+    warn,
+)
 
 SECTION = "association"
 END = "data: [DONE]"
@@ -23,15 +30,18 @@
 
     An operator publishes a text and waits until it is in force everywhere. A caller
     streams a draft to its end mark. The operator looks at an entry's state and stops it
-    with SIGTERM under load: it is out of the addresses at once, serves those who still
-    hold its address, and exits 0. No caller sees a cut, lost or unknown answer.
+    with SIGTERM while a warning runs there: it is out of the addresses at once, serves
+    those who still hold its address, bills all at true cost and exits 0. No caller sees
+    a cut, lost or unknown answer, or a shut door.
     """
 
     async def run() -> None:
         async with (
             open_cluster(tmp_path, entries=3) as cluster,
-            open_load(cluster) as load,
+            open_load(cluster, rate_per_s=12.0) as load,
         ):
+            # Longer than a server waits for its open connections when it just ends.
+            await cluster.slow_backends(speed=0.02, delay_ms=1_600.0)
             first, second, third = cluster.entries.values()
             text = cluster.texts[SECTION].replace("weight = 4", "weight = 5", 1)
             (tmp_path / f"{SECTION}.toml").write_text(text)
@@ -51,16 +61,31 @@
                 await _command("state", third.url, "--operator-key", OPERATOR_KEY)
             )
             assert (state["name"], state["freshness"]) == (third.name, "fresh")
+            key = f"{state['incarnation']}/warning-1"
+            warning = asyncio.ensure_future(
+                warn(cluster, third, own_id="warning-1", key=key)
+            )
+
+            async def was_dispatched() -> bool:
+                return await count_warned(cluster, "warning-1") == 1
+
+            await wait_for(was_dispatched)
             third.process.send(signal.SIGTERM)
             assert await third.process.wait() == 0
+            assert (await warning).status == 200
             del cluster.entries[third.name]
             await load.wait_answers(40)
             evidence, timed = await load.finish()
-            results = {each.record.result for each in timed}
-            assert results == {Result.ANSWERED}
+            others = [t for t in timed if t.record.result is not Result.ANSWERED]
+            assert others == []
+            # A second attempt would mean that an address given to a caller was shut.
+            assert {each.record.attempts for each in timed} == {1}
             counts = evidence.count([each.record for each in timed])
             assert counts.list_violations() == []
             assert evidence.count_run_without_bill() == 0
+            # A peer that had to settle for the stopped entry could only estimate.
+            outcomes = {bill.outcome for bill in evidence.bills}
+            assert outcomes == {BillOutcome.ANSWERED}
 
     asyncio.run(run())
 
