--- a/src/baobabthread/core/conductors.py
+++ b/src/baobabthread/core/conductors.py
@@ -438,6 +438,7 @@
                 },
                 splits=self.fold.splits(name, factors=factors),
                 barred=barred,
+                damped=conducted.detector.damped(),
             )
 
     def describe(self, now: float) -> list[RolloutStatus]:
--- a/src/baobabthread/core/sharing.py
+++ b/src/baobabthread/core/sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -98,7 +99,10 @@
             if self._merged.get(seen, -1) >= payload.sequence:
                 continue
             self._merged[seen] = payload.sequence
-            topic.merge(self, service, payload, now)
+            # An entry of another program version may send what can't be read here. Its
+            # value is left out; raising would stop all that this tick still has to do.
+            with contextlib.suppress(msgspec.MsgspecError, ValueError):
+                topic.merge(self, service, payload, now)
 
 
 TOPICS: Registry[Topic] = Registry(what="topic")
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -308,7 +308,13 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            self.feed(Tick())
+            try:
+                self.feed(Tick())
+            except Exception as error:
+                # One fault in one tick would stop heartbeats, leases and bills for
+                # good, in a process that still listens: peers and callers would wait
+                # on it. The next tick may do better, and the log tells of this one.
+                log_event("tick_failed", level="error", reason=repr(error))
             await asyncio.sleep(TICK_S)
 
     def feed(self, event: object) -> None:
