--- a/bench/_control_parts.py
+++ b/bench/_control_parts.py
@@ -2,18 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
+from collections.abc import Sequence
 
 import msgspec
 
+from baobabthread.adapters.commits import GroupCommit
 from baobabthread.core.claimfold import ClaimRecord
 from baobabthread.core.events import Rated, RatingsRead
-from baobabthread.core.messages import LogRead, LogRecord, Stream
+from baobabthread.core.messages import (
+    Append,
+    Appended,
+    AppendFailed,
+    LogRead,
+    LogRecord,
+    Stream,
+)
+from baobabthread.ports.log import LogPage, NewRecord
 from baobabthread.ports.roster import Instance, Role
 from bench._control_site import Site
 from bench._control_texts import CALLS, Size, name_service, name_version
 
 RECORDS = 500
+APPEND_S = 0.005
+"""How long the log takes for an append."""
 
 
 def measure_ratings(site: Site) -> tuple[float, float]:
@@ -91,3 +104,40 @@
     started = time.process_time()
     msgspec.json.decode(body, type=list[Instance])
     return (time.process_time() - started) * 1000, float(len(body))
+
+
+class SilentLog:
+    """Take appends and keep nothing."""
+
+    async def append(self, stream: str, records: Sequence[NewRecord]) -> int:
+        """Take a batch after the time that a log needs."""
+        del stream, records
+        await asyncio.sleep(APPEND_S)
+        return 1
+
+    async def read(
+        self, stream: str, *, after: int, limit: int = 1_000, wait_s: float = 0.0
+    ) -> LogPage:
+        """Return nothing."""
+        del stream, after, limit, wait_s
+        return LogPage(records=[], head=0, first=1)
+
+
+async def count_appends(rate: float, seconds: float) -> float:
+    """Return appends a second of one entry that ends so many requests a second."""
+    commit = GroupCommit(stream=Stream.BILLS, log=SilentLog(), feed=_ignore)
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    added = 0
+    while (passed := loop.time() - started) < seconds:
+        while added < passed * rate:
+            added += 1
+            commit.add(Append(stream=Stream.BILLS, id=f"bill-{added}", body=b"{}"))
+        await asyncio.sleep(0.002)
+    await commit.flush(1.0)
+    await commit.close()
+    return commit.appends / seconds
+
+
+def _ignore(event: Appended | AppendFailed) -> None:
+    del event
--- a/bench/control.py
+++ b/bench/control.py
@@ -21,7 +21,13 @@
 from baobabthread.adapters.pollers import MAX_ASKED
 from baobabthread.core.entry import EntryCore
 from baobabthread.process import tune_collector
-from bench._control_parts import measure_claims, measure_list, measure_ratings
+from bench import _control_tokens as _control_tokens
+from bench._control_parts import (
+    count_appends,
+    measure_claims,
+    measure_list,
+    measure_ratings,
+)
 from bench._control_site import Site
 from bench._control_sockets import SocketCosts, measure_sockets
 from bench._control_texts import Size
@@ -35,6 +41,9 @@
 REQUESTS_PER_S = 15_000
 RATED_SHARE = 0.1
 """Share of answers that are rated when there are ratings enough."""
+RATES = (1.0, 5.0, 37.5, 300.0, 1_875.0)
+"""Requests a second of one entry: 37.5 is the letter's 15,000 among 400."""
+APPENDS_S = 1.5
 CHANGES = 5
 QUICK_S, LONG_S = 5.0, 30.0
 """Virtual seconds of each run."""
@@ -196,6 +205,20 @@
     )
 
 
+def sweep_appends(figures: dict[str, Any]) -> Table:
+    """Count the appends of bills of one entry by its rate of requests."""
+    rows = []
+    for rate in RATES:
+        appends = asyncio.run(count_appends(rate, APPENDS_S))
+        figures[f"appends_s_at_{rate:g}"] = appends
+        rows.append([rate, appends, rate / appends if appends else math.nan])
+    return Table(
+        title="Appends of one entry's bills, the log taking 5 ms",
+        columns=["requests/s", "appends/s", "bills in one"],
+        rows=rows,
+    )
+
+
 def add_up(
     options: Options, sockets: SocketCosts, figures: dict[str, Any]
 ) -> list[Table]:
@@ -293,5 +316,6 @@
     figures["load_poll_us"] = sockets.poll_us
     tables = sweep(options, figures)
     tables += add_up(options, sockets, figures)
+    tables.append(sweep_appends(figures))
     tables.append(sweep_memory(options, figures))
     return Report(figures=figures, tables=tables)
