Pin what the pinned packages need in turn

Cause: requirements name exact versions of what the project uses, but what those need could change from one set-up to the next. Change: constraints.txt holds all of them; set-up and binary use it.

--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 
 .PHONY: demo test lint binary binary-check proofs docs-check clean
 
-$(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
+$(VENV)/.ready: constraints.txt requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -r requirements-dev.txt
+	$(BIN)/pip install --quiet --constraint constraints.txt -r requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $@
 
@@ -30,7 +30,7 @@
 	mkdir -p dist
 	$(BIN)/shiv --compressed --reproducible --python '/usr/bin/env python3.11' \
 		--console-script baobabthread --output-file dist/baobabthread \
-		--quiet --no-build-isolation -r requirements.txt .
+		--quiet --no-build-isolation --constraint constraints.txt -r requirements.txt .
 
 binary-check: binary
 	$(BIN)/python -m pytest tests/test_binary.py
