--- a/bench/_control_site.py
+++ b/bench/_control_site.py
@@ -29,13 +29,11 @@
     Tick,
 )
 from baobabthread.core.fold_records import Publish
-from baobabthread.core.membership_gossip import measure
 from baobabthread.core.membership_messages import (
     Acknowledge,
     Digest,
     GossipPayload,
     MemberInfo,
-    MembershipSettings,
     Probe,
     Synchronise,
 )
@@ -50,6 +48,7 @@
 )
 from baobabthread.core.session_tokens import SessionKey, SessionKeyRing
 from baobabthread.core.sharing import TOPICS
+from bench._control_members import Members, describe_member
 from bench._control_texts import (
     CALLS,
     CAPACITY,
@@ -75,11 +74,8 @@
 """Before the measurement: each link to a peer is told once which copies to keep."""
 VARIANTS = 4
 """How often what members tell grows in the course of a run."""
-VARIANT_S = 1.5
 HEARD_AT_ONCE = 16
 """Members whose values are merged at once before the measurement."""
-DRAWS = 12
-"""Values that are tried for the gossip of one message."""
 
 
 class Usage(msgspec.Struct, kw_only=True):
@@ -94,19 +90,6 @@
     """Messages sent and received."""
 
 
-def describe_member(number: int) -> MemberInfo:
-    """Return the description of a member."""
-    host = f"10.200.{number // 250}.{number % 250 + 1}"
-    return MemberInfo(
-        name=f"entry-{number}",
-        address=f"{host}:8001",
-        peer_address=f"{host}:9001",
-        failure_domain=f"domain-{number % 8}",
-        incarnation=f"entry-{number}-1a237f2f{number:09x}",
-        started_at=1_796_000_000.0 + number,
-    )
-
-
 def build_core(seed: int) -> EntryCore:
     """Return the subject's core."""
     return EntryCore(
@@ -140,8 +123,7 @@
         self._begun = math.inf
         self.core = build_core(seed)
         self.usage = Usage(cpu_s=defaultdict(float))
-        self._payloads: list[list[GossipPayload]] = []
-        """What a member tells, as it grows."""
+        self._members = Members(size=size, rng=self._rng)
         self._publish_all()
         for _ in range(VARIANTS):
             self._warm()
@@ -257,35 +239,12 @@
         for name in TOPICS:
             for service in services:
                 told += gossip.topic(f"{name}/{service}")
-        self._payloads.append(told)
-
-    @property
-    def payload_bytes(self) -> float:
-        """Give the mean size of a value that a member tells."""
-        sizes = [measure(payload) for payload in self._payloads[-1]]
-        return sum(sizes) / max(1, len(sizes))
-
-    @property
-    def largest_payload(self) -> int:
-        """Give the size of the largest value that a member tells."""
-        return max(measure(payload) for payload in self._payloads[-1])
-
-    @property
-    def room(self) -> float:
-        """Give the bytes of gossip that one message may carry."""
-        settings = MembershipSettings()
-        small = self._size.members <= settings.small_size
-        share = settings.small_period_s / settings.period_s if small else 1.0
-        return settings.gossip_bytes * share
+        self._members.told.append(told)
 
     def _join(self) -> None:
         table = self.core.control.membership.table
-        for number in range(1, self._size.members):
-            info = msgspec.structs.replace(
-                describe_member(number),
-                generation=self._offset,
-                read_offset=self._offset,
-            )
+        self._members.offset = self._offset
+        for info in self._members.describe_all():
             table.merge(info, self.now)
             table.note_heard(info.name, self.now)
 
@@ -294,12 +253,17 @@
         gossip = self.core.control.membership.gossip
         for number in range(1, self._size.members):
             origin = describe_member(number).incarnation
-            for payload in self._payloads[0]:
+            for payload in self._members.told[0]:
                 gossip.put(msgspec.structs.replace(payload, origin=origin, sequence=0))
             if number % HEARD_AT_ONCE == 0:
                 self.now += 1.0
                 self._run(self.core.handle(Tick(), self.now))
 
+    @property
+    def members(self) -> Members:
+        """Give the members that the core meets."""
+        return self._members
+
     def run(self, seconds: float) -> Usage:
         """Run for some virtual seconds and return what control cost."""
         self._advance(SETTLE_S)
@@ -309,9 +273,7 @@
         return self.usage
 
     def _advance(self, seconds: float) -> None:
-        settings = MembershipSettings()
-        small = self._size.members <= settings.small_size
-        period = settings.small_period_s if small else settings.period_s
+        period = self._members.period_s
         next_probe, next_read = self.now + period, self.now
         end = self.now + seconds
         while self.now < end:
@@ -371,35 +333,12 @@
             self.core.handle(event, self.now)
 
     def _probe(self) -> None:
-        probe = Probe(sequence=1, digest=self._make_digest(self._choose_member()))
+        member = self._members.choose()
+        probe = Probe(sequence=1, digest=self._make_digest(member))
         self._deliver(probe.digest.sender.incarnation, probe)
 
-    def _choose_member(self) -> MemberInfo:
-        number = self._rng.randrange(1, self._size.members)
-        return describe_member(number)
-
     def _make_digest(self, sender: MemberInfo) -> Digest:
-        """Return a digest whose gossip is as full as the protocol lets it be."""
-        room: float = self.room
-        gossip: list[GossipPayload] = []
-        for _ in range(DRAWS):
-            payload = self._draw_payload()
-            if measure(payload) <= room:
-                room -= measure(payload)
-                gossip.append(payload)
-        sender = msgspec.structs.replace(
-            sender, generation=self._offset, read_offset=self._offset, head_age_s=0.5
-        )
-        return Digest(sender=sender, gossip=gossip)
-
-    def _draw_payload(self) -> GossipPayload:
-        passed = max(0.0, self.now - self._begun)
-        variant = min(VARIANTS - 1, int(passed / VARIANT_S))
-        payload = self._rng.choice(self._payloads[variant])
-        origin = describe_member(self._rng.randrange(1, self._size.members))
-        return msgspec.structs.replace(
-            payload, origin=origin.incarnation, sequence=1 + variant
-        )
+        return self._members.make_digest(sender, self.now - self._begun)
 
     def _deliver(self, sender: str, message: msgspec.Struct) -> None:
         """Give the core a message as its bytes and send what it answers."""
--- a/bench/_control_sockets.py
+++ b/bench/_control_sockets.py
@@ -15,7 +15,7 @@
 from baobabthread.adapters.peers import PeerCodec, PeerOutbox, PeerServer
 from baobabthread.core.entry import PEER_MESSAGES
 from baobabthread.core.membership_messages import Acknowledge, Digest, Probe
-from bench._control_site import describe_member
+from bench._control_members import describe_member
 
 SECRET = "bench-peer-secret-0123"
 PADDING = "x" * 1_700
--- a/bench/control.py
+++ b/bench/control.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from baobabthread.adapters.pollers import MAX_ASKED
+from baobabthread.core.configuration import ServiceKind
 from baobabthread.core.entry import EntryCore
 from baobabthread.process import tune_collector
 from bench import _control_tokens as _control_tokens
@@ -99,8 +100,8 @@
         cpu_pct={part: spent / seconds * 100 for part, spent in usage.cpu_s.items()},
         kb_s=(usage.sent + usage.received) / seconds / 1000,
         messages_s=usage.messages / seconds,
-        largest_payload=site.largest_payload,
-        room=site.room,
+        largest_payload=site.members.largest_payload,
+        room=site.members.room,
     )
 
 
@@ -129,8 +130,8 @@
     return (before - after) / MB
 
 
-def weigh(core: EntryCore) -> float:
-    """Return the megabytes of all objects that a core holds.
+def weigh(core: object) -> float:
+    """Return the megabytes of all objects that an object holds.
 
     Tracing the allocations of a large core takes a minute; this takes a second.
     """
@@ -186,6 +187,20 @@
     return tables
 
 
+def weigh_parts(core: EntryCore) -> dict[str, float]:
+    """Return the megabytes of the largest parts, which share little."""
+    services = core._services.values()
+    models = [s.name for s in services if s.service.kind is ServiceKind.MODEL]
+    return {
+        "detectors": sum(weigh(core.conductors.get_detector(m)) for m in models),
+        "cascade rules": sum(weigh(service.rule) for service in services),
+        "queues": sum(weigh(service.queue) for service in services),
+        "fold of the configuration": weigh(core.control.fold),
+        "backend servers": weigh(core.backends),
+        "gossip": weigh(core.control.membership.gossip),
+    }
+
+
 def sweep_memory(options: Options, figures: dict[str, Any]) -> Table:
     """Weigh the core along two dimensions, and trace it where that is quick."""
     rows = []
@@ -200,6 +215,8 @@
         figures[f"kb_per_{name[:-1]}"] = fit(points)[0] * 1000
     traced = math.nan if options.quick else trace_memory(LETTER, options)
     rows.append(["the letter's size", figures["mb_at_400"], traced])
+    parts = figures["mb_parts_at_400"].items()
+    rows += [[f"of it {part}", mb, math.nan] for part, mb in parts]
     return Table(
         title="Memory of the core", columns=["size", "MB", "MB traced"], rows=rows
     )
@@ -230,6 +247,7 @@
     claim_us, claim_bytes = measure_claims(site)
     list_ms, list_bytes = measure_list(LETTER)
     figures["mb_at_400"] = weigh(site.core)
+    figures["mb_parts_at_400"] = weigh_parts(site.core)
     site.conducts = True
     conducting = measure_core(site, LETTER, options)
     rated = REQUESTS_PER_S * RATED_SHARE
