Append the closed bills of a dead owner at once

Ruled out: settling open bills earlier (an owner that is only slow would be billed by estimate). Change: copies that are closed have their true cost and are appended as soon as the owner counts as dead. Conclusion: what remains is an open bill whose owner and holder die within 30 s.

--- a/src/baobabthread/core/billcopies.py
+++ b/src/baobabthread/core/billcopies.py
@@ -82,7 +82,22 @@
         # true cost; the bound makes a settlement by estimate rare. If both settle,
         # the fold counts the first.
         limit = now - self._settle_after_s
-        return self._take(limit)
+        return self._take(limit) + self._take_closed()
+
+    def _take_closed(self) -> list[BillRecord]:
+        """Remove and return the closed bills of owners that are dead."""
+        # Their cost is true, so nothing is gained by waiting; and should this entry
+        # die as well before the bound, they would be lost with it.
+        records: list[BillRecord] = []
+        for owner in self._owners.values():
+            if owner.gone_at is None:
+                continue
+            closed = [b for b in owner.bills.values() if isinstance(b, BillRecord)]
+            for bill in closed:
+                del owner.bills[bill.request_id]
+            self._count -= len(closed)
+            records += closed
+        return records
 
     def take_all_gone(self, silent: Collection[str] = ()) -> list[BillRecord]:
         """Remove and return the bills of all owners that are dead or silent."""
--- a/tests/core/test_silent_owners.py
+++ b/tests/core/test_silent_owners.py
@@ -14,7 +14,7 @@
 from baobabthread.core.claims import Claims
 from baobabthread.core.claimtypes import ClaimRequest, Forward, Refuse
 from baobabthread.core.ledger import Ledger
-from baobabthread.core.messages import Append, Effects
+from baobabthread.core.messages import Append, Appended, Effects, Stream
 
 OWNER = Peer(name="e1", failure_domain="south")
 OTHER = Peer(name="e3", failure_domain="south")
@@ -80,3 +80,31 @@
     claims.mark_returned("e1.1")
     [forward] = claims.begin(request, 2.0)
     assert forward == Forward(request_id="r1", incarnation="e1.1")
+
+
+def test_closed_bill_of_a_dead_owner_is_appended_at_once() -> None:
+    """Kill an entry, and a few seconds later the one that holds its copies.
+
+    The caller of e1 has its answer and the bill is closed, with its true cost, but e1
+    dies before its append. The holder e2 waited 30 s before it settled anything for
+    e1; it died within them, and with it the last that was known of the bill.
+    """
+    ledger = hold_copy()
+    closed = BillRecord(
+        request_id="r1",
+        bill_id="a/request/r1",
+        account="a",
+        service="s",
+        outcome=BillOutcome.ANSWERED,
+        cost=2.0,
+        tokens=20,
+        opened_s=1.0,
+        settled_by="e1",
+    )
+    copy = CopyBills(owner="e1", batch=2, opens=[], closes=[closed], drops=[])
+    ledger.on_message("e1", copy, 2.0)
+    ledger.set_peers([OTHER], 5.0)
+    [bill] = list_bills(ledger.tick(5.1))
+    assert (bill.bill_id, bill.cost) == ("a/request/r1", 2.0)
+    ledger.on_appended(Appended(stream=Stream.BILLS, id=bill.bill_id, offset=1), 5.2)
+    assert list_bills(ledger.tick(36.0)) == []
