--- a/src/baobabthread/adapters/exchanges.py
+++ b/src/baobabthread/adapters/exchanges.py
@@ -298,5 +298,5 @@
 
 
 def _keep_headers(headers: Any) -> dict[str, str]:
-    kept = ("Retry-After", "X-Request-Id")
+    kept = ("Retry-After", "X-Request-Id", "Baobab-Version", "Baobab-Session")
     return {name: headers[name] for name in kept if name in headers}
--- a/src/baobabthread/adapters/peers.py
+++ b/src/baobabthread/adapters/peers.py
@@ -231,7 +231,7 @@
 class PeerServer:
     """Receive batches and forwarded requests from peers."""
 
-    __slots__ = ("_codec", "_deliver", "_me", "_secret", "_serve_forwarded")
+    __slots__ = ("_codec", "_deliver", "_me", "_secret", "_serve_forwarded", "_sockets")
 
     def __init__(
         self,
@@ -247,6 +247,12 @@
         self._secret = f"Bearer {secret}".encode()
         self._deliver = deliver
         self._serve_forwarded = serve_forwarded
+        self._sockets: set[web.WebSocketResponse] = set()
+
+    async def close(self) -> None:
+        """Close what peers keep open; else the end of the process waits for it."""
+        sockets = list(self._sockets)
+        await asyncio.gather(*(s.close() for s in sockets), return_exceptions=True)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request of a peer."""
@@ -263,6 +269,14 @@
     async def _exchange(self, request: web.BaseRequest) -> web.StreamResponse:
         socket = web.WebSocketResponse(max_msg_size=MAX_FRAME_BYTES, compress=False)
         await socket.prepare(request)
+        self._sockets.add(socket)
+        try:
+            await self._take_frames(socket)
+        finally:
+            self._sockets.discard(socket)
+        return socket
+
+    async def _take_frames(self, socket: web.WebSocketResponse) -> None:
         async for frame in socket:
             try:
                 sender, messages = self._codec.decode(frame.data)
@@ -275,7 +289,6 @@
                 replies.extend(self._deliver(sender, message))
             if replies:
                 await socket.send_bytes(self._codec.encode(self._me, replies))
-        return socket
 
 
 def build_server_tls(
--- a/src/baobabthread/cli.py
+++ b/src/baobabthread/cli.py
@@ -46,6 +46,10 @@
     except BaobabthreadError as error:
         print(error.render(), file=sys.stderr)
         return error.exit_code
+    except BrokenPipeError:
+        # The reader of the output, such as `head`, has seen enough.
+        sys.stderr.close()
+        return 0
     except KeyboardInterrupt:
         return INTERRUPTED
 
--- a/src/baobabthread/core/choices.py
+++ b/src/baobabthread/core/choices.py
@@ -6,12 +6,12 @@
 
 from baobabthread.core.attempts import Attempt, Rating
 from baobabthread.core.conductors import Conductors
+from baobabthread.core.detectors import Observation
 from baobabthread.core.directory import Directory
 from baobabthread.core.events import Answered, AttemptEnded, SubmitRating
 from baobabthread.core.messages import Effects
 from baobabthread.core.named import NamedSessions
 from baobabthread.core.problems import explain_no_account, explain_no_version
-from baobabthread.core.quality import Observation
 from baobabthread.core.request import Request
 from baobabthread.core.selection import choose_versions
 from baobabthread.core.services import ServiceState
--- a/src/baobabthread/core/membership_messages.py
+++ b/src/baobabthread/core/membership_messages.py
@@ -168,7 +168,7 @@
     fetch_after_s: float = 0.2
     """Time for the log to deliver what a peer has before the peer is asked."""
     update_count: int = 6
-    gossip_bytes: int = 2_000
+    gossip_bytes: int = 1_600
     """Gossip and updates in a message where the period is `period_s`; less where it is
     shorter."""
     sync_gossip_bytes: int = 16_000
--- a/src/baobabthread/core/sharing.py
+++ b/src/baobabthread/core/sharing.py
@@ -24,6 +24,8 @@
 
     name: str
     model_only: bool
+    period_s: float
+    """How often a new value is spread; large values less often."""
     pack: Callable[[Sharing, ServiceState, float], object]
     merge: Callable[[Sharing, ServiceState, GossipPayload, float], None]
 
@@ -32,6 +34,7 @@
     """Publish this entry's values and merge those of others, once a second."""
 
     __slots__ = (
+        "_due",
         "_me",
         "_membership",
         "_merged",
@@ -58,6 +61,7 @@
         self._sequence = 0
         self._merged: dict[tuple[str, str], int] = {}
         self._packed: dict[str, bytes] = {}
+        self._due: dict[str, float] = {}
 
     def tick(self, now: float) -> bool:
         """Publish and merge when it is time; tell whether it was."""
@@ -75,8 +79,11 @@
         return True
 
     def _publish(self, topic: Topic, service: ServiceState, now: float) -> None:
-        body = msgspec.json.encode(topic.pack(self, service, now))
         key = f"{topic.name}/{service.name}"
+        if now < self._due.get(key, 0.0):
+            return
+        self._due[key] = now + topic.period_s
+        body = msgspec.json.encode(topic.pack(self, service, now))
         if self._packed.get(key) == body:
             return
         self._packed[key] = body
@@ -145,15 +152,28 @@
 
 
 TOPICS.register("usage")(
-    Topic(name="usage", model_only=False, pack=_pack_usage, merge=_merge_usage)
+    Topic(
+        name="usage",
+        model_only=False,
+        period_s=1.0,
+        pack=_pack_usage,
+        merge=_merge_usage,
+    )
 )
 TOPICS.register("cascade")(
-    Topic(name="cascade", model_only=True, pack=_pack_cascade, merge=_merge_cascade)
+    Topic(
+        name="cascade",
+        model_only=True,
+        period_s=10.0,
+        pack=_pack_cascade,
+        merge=_merge_cascade,
+    )
 )
 TOPICS.register("detection")(
     Topic(
         name="detection",
         model_only=True,
+        period_s=3.0,
         pack=_pack_detection,
         merge=_merge_detection,
     )
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -238,6 +238,7 @@
             deliver=self.effects.receive,
             serve_forwarded=exchanges.serve_forwarded,
         )
+        self._stack.push_async_callback(self._peer_server.close)
         self.effects.outbox = self.outbox
         self.effects.exchanges = exchanges
         self.exchanges = exchanges
--- a/src/baobabthread/logs.py
+++ b/src/baobabthread/logs.py
@@ -55,6 +55,8 @@
     absl_logging.use_absl_handler()
     absl_logging.set_verbosity(LEVELS[level])
     absl_logging.get_absl_handler().setFormatter(LineFormatter())
+    # It writes two lines of prose for each change of a life cycle, no event.
+    logging.getLogger("transitions").setLevel(logging.WARNING)
 
 
 def log_event(event: str, /, *, level: str = "info", **fields: object) -> None:
