Hand the cascade rules an answer at hand as one value

Cause: a signature of ten parameters stood four times and was called three times over. Change: attempts.Offer carries them.

--- a/bench/cascade.py
+++ b/bench/cascade.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from baobabthread.core.attempts import Attempt, Rating
+from baobabthread.core.attempts import Attempt, Offer, Rating
 from baobabthread.core.cascade import CASCADE_RULES, CascadeRule
 from bench._answers import (
     CALLS,
@@ -133,16 +133,17 @@
             signal = self._workload.signal[request][version]
             spent += self._workload.cost[request][version]
             served = rule.accept(
-                key=key,
-                call=call,
-                versions=NAMES,
-                version=name,
-                after=after,
-                signal=signal,
-                is_last=place == len(order) - 1,
-                remaining_s=REMAINING_S,
-                expected_next_s=NEXT_S,
-                now=now,
+                Offer(
+                    key=key,
+                    call=call,
+                    versions=NAMES,
+                    version=name,
+                    after=after,
+                    signal=signal,
+                    is_last=place == len(order) - 1,
+                    remaining_s=REMAINING_S,
+                    expected_next_s=NEXT_S,
+                )
             )
             attempt = Attempt(
                 key=key,
--- a/src/baobabthread/core/attempts.py
+++ b/src/baobabthread/core/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Sequence
 
 import msgspec
 import xxhash
@@ -35,6 +36,31 @@
     """Whether the caller gets this answer."""
 
 
+class Offer(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe an answer at hand, and whether another version could still follow."""
+
+    key: str
+    """The request's id."""
+    call: str
+    versions: Sequence[str]
+    """The allowed versions, as they were given to the plan."""
+    version: str
+    after: str = ""
+    """The version turned down just before; empty for the first attempt."""
+    signal: float | None
+    """The engine's confidence, 0 to 1."""
+    is_last: bool
+    remaining_s: float
+    """Time to the deadline."""
+    expected_next_s: float
+    """Usual time of the version that would follow."""
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether no other answer can follow in time."""
+        return self.is_last or self.remaining_s <= self.expected_next_s
+
+
 class Rating(msgspec.Struct, frozen=True, kw_only=True):
     """Report whether one answer was good."""
 
--- a/src/baobabthread/core/cascade.py
+++ b/src/baobabthread/core/cascade.py
@@ -9,6 +9,7 @@
 from baobabthread.core.aim import find_aim
 from baobabthread.core.attempts import (
     Attempt,
+    Offer,
     Rating,
     Sampler,
     VersionCost,
@@ -34,24 +35,8 @@
     ) -> list[str]:
         """Return the versions to try in order, out of the allowed ones."""
 
-    def accept(
-        self,
-        *,
-        key: str,
-        call: str,
-        versions: Sequence[str],
-        version: str,
-        after: str,
-        signal: float | None,
-        is_last: bool,
-        remaining_s: float,
-        expected_next_s: float,
-        now: float,
-    ) -> bool:
-        """Tell whether to serve an answer instead of trying the next version.
-
-        `versions` are the allowed ones as given to `plan`.
-        """
+    def accept(self, offer: Offer) -> bool:
+        """Tell whether to serve an answer instead of trying the next version."""
 
     def wants_rating(
         self, attempt: Attempt, *, now: float, least_share: float = 0.0
@@ -102,20 +87,7 @@
         """Return all allowed versions."""
         return list(versions)
 
-    def accept(
-        self,
-        *,
-        key: str,
-        call: str,
-        versions: Sequence[str],
-        version: str,
-        after: str,
-        signal: float | None,
-        is_last: bool,
-        remaining_s: float,
-        expected_next_s: float,
-        now: float,
-    ) -> bool:
+    def accept(self, offer: Offer) -> bool:
         """Accept every answer."""
         return True
 
@@ -172,24 +144,11 @@
 
     threshold = FIXED_THRESHOLD
 
-    def accept(
-        self,
-        *,
-        key: str,
-        call: str,
-        versions: Sequence[str],
-        version: str,
-        after: str,
-        signal: float | None,
-        is_last: bool,
-        remaining_s: float,
-        expected_next_s: float,
-        now: float,
-    ) -> bool:
+    def accept(self, offer: Offer) -> bool:
         """Accept a signal over the threshold, or when nothing else can follow."""
-        if is_last or remaining_s <= expected_next_s:
+        if offer.is_final:
             return True
-        return signal is not None and signal >= self.threshold
+        return offer.signal is not None and offer.signal >= self.threshold
 
 
 REPLAN_S = 5.0
@@ -270,32 +229,19 @@
         place = versions.index(chosen)
         return [chosen, *(each for each in order if versions.index(each) > place)]
 
-    def accept(
-        self,
-        *,
-        key: str,
-        call: str,
-        versions: Sequence[str],
-        version: str,
-        after: str,
-        signal: float | None,
-        is_last: bool,
-        remaining_s: float,
-        expected_next_s: float,
-        now: float,
-    ) -> bool:
+    def accept(self, offer: Offer) -> bool:
         """Accept when a better answer would cost more than it is worth."""
         # Escalating past the deadline loses the answer at hand and brings no other:
         # the caller sees a timeout. An answer in time is served, good or not.
-        if is_last or remaining_s <= expected_next_s:
+        if offer.is_final:
             return True
-        kind = MixKey(call, tuple(versions))
-        solution = self._choose_solution(key, kind)
+        kind = MixKey(offer.call, tuple(offer.versions))
+        solution = self._choose_solution(offer.key, kind)
         chances = self._estimates.find_chances(
-            CellKey(call=call, version=version, after=after)
+            CellKey(call=offer.call, version=offer.version, after=offer.after)
         )
-        needed = solution.needed[versions.index(version)]
-        return chances[find_bin(signal)] >= needed
+        needed = solution.needed[offer.versions.index(offer.version)]
+        return chances[find_bin(offer.signal)] >= needed
 
     def wants_rating(
         self, attempt: Attempt, *, now: float, least_share: float = 0.0
--- a/src/baobabthread/core/choices.py
+++ b/src/baobabthread/core/choices.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from baobabthread.core.attempts import Attempt, Rating
+from baobabthread.core.attempts import Attempt, Offer, Rating
 from baobabthread.core.conductors import Conductors
 from baobabthread.core.detectors import Observation
 from baobabthread.core.directory import Directory
@@ -164,16 +164,17 @@
         following = None if request.is_last else request.plan[request.position + 1]
         expected_s = request.service.expect_latency(following) if following else 0.0
         accepted = rule.accept(
-            key=request.id,
-            call=request.arrived.call,
-            versions=request.versions,
-            version=version,
-            after=request.turned_down,
-            signal=answer.signal,
-            is_last=request.is_last,
-            remaining_s=request.deadline_at - now,
-            expected_next_s=expected_s,
-            now=now,
+            Offer(
+                key=request.id,
+                call=request.arrived.call,
+                versions=request.versions,
+                version=version,
+                after=request.turned_down,
+                signal=answer.signal,
+                is_last=request.is_last,
+                remaining_s=request.deadline_at - now,
+                expected_next_s=expected_s,
+            )
         )
         self._observe(request, ended, now)
         attempt = Attempt(
--- a/tests/core/test_cascade.py
+++ b/tests/core/test_cascade.py
@@ -8,7 +8,13 @@
 import pytest
 
 from baobabthread.core.aim import GRACE_S, find_aim
-from baobabthread.core.attempts import Attempt, Rating, Sampler, VersionCost
+from baobabthread.core.attempts import (
+    Attempt,
+    Offer,
+    Rating,
+    Sampler,
+    VersionCost,
+)
 from baobabthread.core.cascade import CASCADE_RULES, CascadeRule
 from baobabthread.core.evidence import SharedEvidence
 from baobabthread.errors import UsageError
@@ -32,16 +38,17 @@
     now: float = 0.0,
 ) -> bool:
     return rule.accept(
-        key=key,
-        call="draft",
-        versions=NAMES,
-        version=version,
-        after="",
-        signal=signal,
-        is_last=is_last,
-        remaining_s=remaining_s,
-        expected_next_s=2.0,
-        now=now,
+        Offer(
+            key=key,
+            call="draft",
+            versions=NAMES,
+            version=version,
+            after="",
+            signal=signal,
+            is_last=is_last,
+            remaining_s=remaining_s,
+            expected_next_s=2.0,
+        )
     )
 
 
