--- a/bench/_control_site.py
+++ b/bench/_control_site.py
@@ -14,7 +14,7 @@
 from baobabthread.adapters.peers import PeerCodec
 from baobabthread.adapters.pollers import MAX_ASKED
 from baobabthread.core.billtypes import BillsCopied, CopyBills
-from baobabthread.core.entry import PEER_MESSAGES, CoreSettings, EntryCore
+from baobabthread.core.entry import CoreSettings, EntryCore
 from baobabthread.core.events import (
     Answered,
     AttemptEnded,
@@ -46,6 +46,7 @@
     Send,
     Stream,
 )
+from baobabthread.core.peermessages import PEER_MESSAGES
 from baobabthread.core.session_tokens import SessionKey, SessionKeyRing
 from baobabthread.core.sharing import TOPICS
 from bench._control_members import Members, describe_member
--- a/bench/_control_sockets.py
+++ b/bench/_control_sockets.py
@@ -13,8 +13,8 @@
 
 from baobabthread.adapters.engines import EngineClient
 from baobabthread.adapters.peers import PeerCodec, PeerOutbox, PeerServer
-from baobabthread.core.entry import PEER_MESSAGES
 from baobabthread.core.membership_messages import Acknowledge, Digest, Probe
+from baobabthread.core.peermessages import PEER_MESSAGES
 from bench._control_members import describe_member
 
 SECRET = "bench-peer-secret-0123"
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -17,10 +17,6 @@
 from baobabthread.core.backends import LoadReport
 from baobabthread.core.balance import BackendTable
 from baobabthread.core.billtypes import (
-    BillsCopied,
-    BillsTaken,
-    CopyBills,
-    HandOverBills,
     Peer,
 )
 from baobabthread.core.choices import Choices
@@ -29,9 +25,7 @@
 from baobabthread.core.configuration import Configuration
 from baobabthread.core.control import (
     ConfigurationChanged,
-    ConfigurationRelay,
     Control,
-    FetchConfiguration,
 )
 from baobabthread.core.directory import Directory
 from baobabthread.core.events import (
@@ -48,15 +42,9 @@
 from baobabthread.core.handover import HandOver
 from baobabthread.core.ledger import Ledger
 from baobabthread.core.membership_messages import (
-    Acknowledge,
-    Announce,
     Hint,
     MemberInfo,
-    Members,
     MemberState,
-    Probe,
-    ProbeRequest,
-    Synchronise,
 )
 from baobabthread.core.messages import (
     Appended,
@@ -68,31 +56,18 @@
     Stream,
 )
 from baobabthread.core.named import NamedSessions
+from baobabthread.core.peermessages import (
+    BILLING_MESSAGES,
+    CONTROL_MESSAGES,
+    MEMBERSHIP_MESSAGES,
+    SESSION_MESSAGES,
+)
 from baobabthread.core.requests import Requests
 from baobabthread.core.services import ServiceState
 from baobabthread.core.session_tokens import SessionKeyRing
-from baobabthread.core.sessions import SessionGet, SessionIs, SessionPut
+from baobabthread.core.sessions import SessionIs
 from baobabthread.core.sharing import Sharing
 
-MEMBERSHIP_MESSAGES = (
-    Probe,
-    Acknowledge,
-    ProbeRequest,
-    Synchronise,
-    Members,
-    Announce,
-)
-CONTROL_MESSAGES = (FetchConfiguration, ConfigurationRelay)
-BILLING_MESSAGES = (CopyBills, BillsCopied, HandOverBills, BillsTaken)
-SESSION_MESSAGES = (SessionPut, SessionGet, SessionIs)
-PEER_MESSAGES: tuple[type[msgspec.Struct], ...] = (
-    *MEMBERSHIP_MESSAGES,
-    *CONTROL_MESSAGES,
-    *BILLING_MESSAGES,
-    *SESSION_MESSAGES,
-    HandOver,
-)
-
 
 class CoreSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Hold what the decisions of an entry depend on."""
--- /dev/null
+++ b/src/baobabthread/core/peermessages.py
@@ -0,0 +1,42 @@
+"""All messages that entries send each other, by the protocol that takes them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from baobabthread.core.billtypes import (
+    BillsCopied,
+    BillsTaken,
+    CopyBills,
+    HandOverBills,
+)
+from baobabthread.core.control import ConfigurationRelay, FetchConfiguration
+from baobabthread.core.handover import HandOver
+from baobabthread.core.membership_messages import (
+    Acknowledge,
+    Announce,
+    Members,
+    Probe,
+    ProbeRequest,
+    Synchronise,
+)
+from baobabthread.core.sessions import SessionGet, SessionIs, SessionPut
+
+MEMBERSHIP_MESSAGES = (
+    Probe,
+    Acknowledge,
+    ProbeRequest,
+    Synchronise,
+    Members,
+    Announce,
+)
+CONTROL_MESSAGES = (FetchConfiguration, ConfigurationRelay)
+BILLING_MESSAGES = (CopyBills, BillsCopied, HandOverBills, BillsTaken)
+SESSION_MESSAGES = (SessionPut, SessionGet, SessionIs)
+PEER_MESSAGES: tuple[type[msgspec.Struct], ...] = (
+    *MEMBERSHIP_MESSAGES,
+    *CONTROL_MESSAGES,
+    *BILLING_MESSAGES,
+    *SESSION_MESSAGES,
+    HandOver,
+)
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -40,7 +40,7 @@
 from baobabthread.administration import EntryAdministration
 from baobabthread.core.addresses import AddressSettings, Departure, DepartureState
 from baobabthread.core.configuration import ServiceKind
-from baobabthread.core.entry import PEER_MESSAGES, CoreSettings, EntryCore
+from baobabthread.core.entry import CoreSettings, EntryCore
 from baobabthread.core.events import (
     Tick,
 )
@@ -49,6 +49,7 @@
     LogRead,
     Stream,
 )
+from baobabthread.core.peermessages import PEER_MESSAGES
 from baobabthread.core.session_tokens import SessionKey, SessionKeyRing
 from baobabthread.errors import UnavailableError
 from baobabthread.logs import log_event
