Tell other entries of a backend server that was seen to leave

Ruled out: passing on what others say, which would hold a server out for as long as any two entries live. Change: servers that refused as leaving within the last 10 s are gossiped by the entry that met the refusal; the others hold them out as if the roster had said so. The memory of merged gossip is bounded.

--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -148,6 +148,10 @@
     return view.cheaper()
 
 
+WITNESS_S = 10.0
+"""How long an entry tells others of a server that leaves; less than they hold it."""
+
+
 class BackendTable:
     """Know the backend servers of all services and pick one for each request."""
 
@@ -161,6 +165,7 @@
         "_servers",
         "_settings",
         "_usual",
+        "_witnessed",
     )
 
     def __init__(
@@ -179,6 +184,7 @@
         self._pools: dict[str, dict[str | None, Pool]] = {}
         self._usual: dict[str, float] = {}
         self._left_at: dict[str, float] = {}
+        self._witnessed: dict[str, float] = {}
 
     def __iter__(self) -> Iterator[Server]:
         return iter(self._servers.values())
@@ -293,6 +299,25 @@
             server.versions = versions
             self._pools.pop(server.service, None)
 
+    def refused_as_leaving(self, name: str, now: float) -> None:
+        """Take a server's own word that it leaves, to be told to the other entries."""
+        self._witnessed[name] = now
+        self.leaving(name, now)
+
+    def witnessed(self, service: str, now: float) -> list[str]:
+        """Return the servers of a service that lately told this entry that they leave.
+
+        Only what was seen here: entries that passed on each other's word would hold a
+        server out for as long as any two of them live.
+        """
+        recent = now - WITNESS_S
+        self._witnessed = {n: at for n, at in self._witnessed.items() if at > recent}
+        return sorted(
+            name
+            for name in self._witnessed
+            if name in self._servers and self._servers[name].service == service
+        )
+
     def leaving(self, name: str, now: float) -> None:
         """Give a server no new work from now on."""
         self._left_at[name] = now
--- a/src/baobabthread/core/dispatching.py
+++ b/src/baobabthread/core/dispatching.py
@@ -241,7 +241,7 @@
             ended.backend, outcome, ended.latency_s, request.tokens, now
         )
         if refused.kind == LEAVING:
-            self._backends.leaving(ended.backend, now)
+            self._backends.refused_as_leaving(ended.backend, now)
         request.excluded.add(ended.backend)
         delay_s = self._ask_retry(request, Ran.NO, sent=True, now=now)
         if delay_s is not None:
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -148,6 +148,7 @@
             membership=self.control.membership,
             services=self._services,
             conductors=self.conductors,
+            backends=self.backends,
         )
         self.requests = Requests(
             services=self._services,
--- a/src/baobabthread/core/sharing.py
+++ b/src/baobabthread/core/sharing.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from baobabthread.core.balance import BackendTable
 from baobabthread.core.conductors import Conductors
 from baobabthread.core.configuration import ServiceKind
 from baobabthread.core.fairness import UsageDigest
@@ -17,6 +18,7 @@
 from baobabthread.core.services import ServiceState
 
 PERIOD_S = 1.0
+MAX_MERGED = 20_000
 
 
 class Topic(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,6 +44,7 @@
         "_packed",
         "_sequence",
         "_services",
+        "backends",
         "conductors",
     )
 
@@ -52,11 +55,13 @@
         membership: Membership,
         services: dict[str, ServiceState],
         conductors: Conductors,
+        backends: BackendTable,
     ) -> None:
         self._me = me
         self._membership = membership
         self._services = services
         self.conductors = conductors
+        self.backends = backends
         self._next = 0.0
         self._sequence = 0
         self._merged: dict[tuple[str, str], int] = {}
@@ -105,6 +110,10 @@
                 continue
             if self._merged.get(seen, -1) >= payload.sequence:
                 continue
+            if len(self._merged) > MAX_MERGED:
+                # Entries that were replaced are named here for ever; taking a value in
+                # a second time changes nothing.
+                self._merged.clear()
             self._merged[seen] = payload.sequence
             # An entry of another program version may send what can't be read here. Its
             # value is left out; raising would stop all that this tick still has to do.
@@ -151,6 +160,26 @@
     )
 
 
+def _pack_leaving(sharing: Sharing, service: ServiceState, now: float) -> object:
+    return sharing.backends.witnessed(service.name, now)
+
+
+def _merge_leaving(
+    sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+) -> None:
+    for name in msgspec.json.decode(payload.body, type=list[str]):
+        sharing.backends.leaving(name, now)
+
+
+TOPICS.register("leaving")(
+    Topic(
+        name="leaving",
+        model_only=False,
+        period_s=0.5,
+        pack=_pack_leaving,
+        merge=_merge_leaving,
+    )
+)
 TOPICS.register("usage")(
     Topic(
         name="usage",
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from baobabthread.core.backends import Health
 from tests.shell import (
     STATUS,
     TEXT,
@@ -353,3 +354,28 @@
 
 def test_text_of_these_tests_has_what_they_change() -> None:
     assert TEXT.count(WITHDRAW[0]) == 1
+
+
+def test_peer_tells_of_a_leaving_backend_server() -> None:
+    """A caller of the second entry is not sent to a server that the first saw leave.
+
+    The server refuses as leaving before the platform's list says anything. Only the
+    entry that met the refusal knows; it tells the others in passing, so that each does
+    not have to meet a refusal of its own.
+    """
+
+    async def case(shell: Shell) -> None:
+        shell.fleet.engine("b1").set_faults({"leaving": True})
+        first, second = shell.entries
+        for number in range(40):
+            answer = await shell.chat(content=f"day {number}", entry=0)
+            assert answer.status == 200
+            if first.core.backends.health()["b1"] is Health.LEAVING:
+                break
+        assert first.core.backends.health()["b1"] is Health.LEAVING
+        await shell.wait_until(
+            lambda: second.core.backends.health()["b1"] is Health.LEAVING
+        )
+        assert second.core.backends.witnessed("bulletins", second.now()) == []
+
+    run_case(case, entries=2)
