--- a/src/baobabthread/core/quality.py
+++ b/src/baobabthread/core/quality.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 from collections import deque
 from collections.abc import Mapping
 
@@ -28,7 +29,7 @@
 """How much higher than usual the rate of bad outcomes may be."""
 
 
-class CountingDetector:
+class CountingDetector(abc.ABC):
     """Share what the detectors have in common: counts, references and latches."""
 
     def __init__(self) -> None:
@@ -116,8 +117,9 @@
         """Return nothing: only an alarm takes requests away."""
         return []
 
+    @abc.abstractmethod
     def _weigh(self, tally: Tally) -> None:
-        raise NotImplementedError
+        """Judge what was counted."""
 
     def _find_reference(self, key: TallyKey) -> Reference:
         reference = self._references.get(key)
--- a/src/baobabthread/core/sharing.py
+++ b/src/baobabthread/core/sharing.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import abc
 import base64
 import contextlib
-from collections.abc import Callable
+from typing import ClassVar
 
 import msgspec
 
@@ -21,15 +22,25 @@
 MAX_MERGED = 20_000
 
 
-class Topic(msgspec.Struct, frozen=True, kw_only=True):
+class Topic(abc.ABC):
     """Describe one kind of value that is shared for each service."""
 
-    name: str
-    model_only: bool
-    period_s: float
+    name: ClassVar[str]
+    model_only: ClassVar[bool] = False
+    period_s: ClassVar[float]
     """How often a new value is spread; large values less often."""
-    pack: Callable[[Sharing, ServiceState, float], object]
-    merge: Callable[[Sharing, ServiceState, GossipPayload, float], None]
+
+    @staticmethod
+    @abc.abstractmethod
+    def pack(sharing: Sharing, service: ServiceState, now: float) -> object:
+        """Return this entry's value."""
+
+    @staticmethod
+    @abc.abstractmethod
+    def merge(
+        sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+    ) -> None:
+        """Take in another entry's value."""
 
 
 class Sharing:
@@ -83,7 +94,7 @@
                 self._merge(topic, service, now)
         return True
 
-    def _publish(self, topic: Topic, service: ServiceState, now: float) -> None:
+    def _publish(self, topic: type[Topic], service: ServiceState, now: float) -> None:
         key = f"{topic.name}/{service.name}"
         if now < self._due.get(key, 0.0):
             return
@@ -102,7 +113,7 @@
             )
         )
 
-    def _merge(self, topic: Topic, service: ServiceState, now: float) -> None:
+    def _merge(self, topic: type[Topic], service: ServiceState, now: float) -> None:
         key = f"{topic.name}/{service.name}"
         for payload in self._membership.gossip.topic(key):
             seen = (key, payload.origin)
@@ -121,89 +132,93 @@
                 topic.merge(self, service, payload, now)
 
 
-TOPICS: Registry[Topic] = Registry(what="topic")
+TOPICS: Registry[type[Topic]] = Registry(what="topic")
 
 
-def _pack_usage(sharing: Sharing, service: ServiceState, now: float) -> object:
-    return service.queue.usage(now)
+@TOPICS.register("usage")
+class Usage(Topic):
+    """Share what each client account uses."""
 
+    name = "usage"
+    period_s = 1.0
 
-def _merge_usage(
-    sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
-) -> None:
-    digest = msgspec.json.decode(payload.body, type=UsageDigest)
-    service.queue.merge(payload.origin, digest, now)
+    @staticmethod
+    def pack(sharing: Sharing, service: ServiceState, now: float) -> object:
+        """Return this entry's value."""
+        return service.queue.usage(now)
 
+    @staticmethod
+    def merge(
+        sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+    ) -> None:
+        """Take in another entry's value."""
+        digest = msgspec.json.decode(payload.body, type=UsageDigest)
+        service.queue.merge(payload.origin, digest, now)
 
-def _pack_cascade(sharing: Sharing, service: ServiceState, now: float) -> object:
-    return base64.b64encode(service.rule.evidence()).decode()
 
+@TOPICS.register("cascade")
+class Cascade(Topic):
+    """Share the counts that the cascade is calibrated by."""
 
-def _merge_cascade(
-    sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
-) -> None:
-    evidence = base64.b64decode(msgspec.json.decode(payload.body, type=str))
-    if evidence:
-        service.rule.merge(origin=payload.origin, evidence=evidence, now=now)
+    name = "cascade"
+    model_only = True
+    period_s = 10.0
 
+    @staticmethod
+    def pack(sharing: Sharing, service: ServiceState, now: float) -> object:
+        """Return this entry's value."""
+        return base64.b64encode(service.rule.evidence()).decode()
 
-def _pack_detection(sharing: Sharing, service: ServiceState, now: float) -> object:
-    return sharing.conductors.pack_evidence(service.name)
+    @staticmethod
+    def merge(
+        sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+    ) -> None:
+        """Take in another entry's value."""
+        evidence = base64.b64decode(msgspec.json.decode(payload.body, type=str))
+        if evidence:
+            service.rule.merge(origin=payload.origin, evidence=evidence, now=now)
 
 
-def _merge_detection(
-    sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
-) -> None:
-    text = msgspec.json.decode(payload.body, type=str)
-    sharing.conductors.merge_evidence(
-        service.name, origin=payload.origin, text=text, now=now
-    )
+@TOPICS.register("detection")
+class Detection(Topic):
+    """Share the counts that detectors bet on."""
 
+    name = "detection"
+    model_only = True
+    period_s = 3.0
 
-def _pack_leaving(sharing: Sharing, service: ServiceState, now: float) -> object:
-    return sharing.backends.witnessed(service.name, now)
+    @staticmethod
+    def pack(sharing: Sharing, service: ServiceState, now: float) -> object:
+        """Return this entry's value."""
+        return sharing.conductors.pack_evidence(service.name)
 
+    @staticmethod
+    def merge(
+        sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+    ) -> None:
+        """Take in another entry's value."""
+        text = msgspec.json.decode(payload.body, type=str)
+        sharing.conductors.merge_evidence(
+            service.name, origin=payload.origin, text=text, now=now
+        )
 
-def _merge_leaving(
-    sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
-) -> None:
-    for name in msgspec.json.decode(payload.body, type=list[str]):
-        sharing.backends.leaving(name, now)
 
+@TOPICS.register("leaving")
+class Leaving(Topic):
+    """Share which backend servers were seen to leave."""
 
-TOPICS.register("leaving")(
-    Topic(
-        name="leaving",
-        model_only=False,
-        period_s=0.5,
-        pack=_pack_leaving,
-        merge=_merge_leaving,
-    )
-)
-TOPICS.register("usage")(
-    Topic(
-        name="usage",
-        model_only=False,
-        period_s=1.0,
-        pack=_pack_usage,
-        merge=_merge_usage,
-    )
-)
-TOPICS.register("cascade")(
-    Topic(
-        name="cascade",
-        model_only=True,
-        period_s=10.0,
-        pack=_pack_cascade,
-        merge=_merge_cascade,
-    )
-)
-TOPICS.register("detection")(
-    Topic(
-        name="detection",
-        model_only=True,
-        period_s=3.0,
-        pack=_pack_detection,
-        merge=_merge_detection,
-    )
-)
+    name = "leaving"
+    period_s = 0.5
+
+    @staticmethod
+    def pack(sharing: Sharing, service: ServiceState, now: float) -> object:
+        """Return this entry's value."""
+        return sharing.backends.witnessed(service.name, now)
+
+    @staticmethod
+    def merge(
+        sharing: Sharing, service: ServiceState, payload: GossipPayload, now: float
+    ) -> None:
+        """Take in another entry's value."""
+        for name in msgspec.json.decode(payload.body, type=list[str]):
+            sharing.backends.leaving(name, now)
