--- a/bench/_control_site.py
+++ b/bench/_control_site.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from baobabthread.adapters.peers import PeerCodec
+from baobabthread.adapters.codec import PeerCodec
 from baobabthread.adapters.pollers import MAX_ASKED
 from baobabthread.core.billtypes import BillsCopied, CopyBills
 from baobabthread.core.entry import CoreSettings, EntryCore
--- a/bench/_control_sockets.py
+++ b/bench/_control_sockets.py
@@ -12,7 +12,8 @@
 from aiohttp import web
 
 from baobabthread.adapters.engines import EngineClient
-from baobabthread.adapters.peers import PeerCodec, PeerOutbox, PeerServer
+from baobabthread.adapters.codec import PeerCodec
+from baobabthread.adapters.peers import PeerOutbox, PeerServer
 from baobabthread.core.membership_messages import Acknowledge, Digest, Probe
 from baobabthread.core.peermessages import PEER_MESSAGES
 from bench._control_members import describe_member
--- a/src/baobabthread/core/retries.py
+++ b/src/baobabthread/core/retries.py
@@ -76,6 +76,10 @@
             return None
         return delay if self._spend(now) else None
 
+    def try_spend(self, now: float) -> bool:
+        """Take a repeat out of the budget; return whether there was one."""
+        return self._spend(now)
+
     def may_hedge(self, *, idempotent: bool, now: float) -> bool:
         """Tell whether a second attempt may run beside the first; off by default."""
         return self._settings.hedging and idempotent and self._spend(now)
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -17,13 +17,13 @@
 from baobabthread.adapters.commits import GroupCommit
 from baobabthread.adapters.connections import CallerServer
 from baobabthread.adapters.dispatches import Dispatcher
+from baobabthread.adapters.codec import PeerCodec
 from baobabthread.adapters.effects import EffectRunner
 from baobabthread.adapters.engines import EngineClient, PlainClient, open_session
 from baobabthread.adapters.exchanges import Exchanges
 from baobabthread.adapters.metrics import open_metrics
 from baobabthread.adapters.operators import OperatorServer
 from baobabthread.adapters.peers import (
-    PeerCodec,
     PeerOutbox,
     PeerServer,
     build_client_tls,
--- /dev/null
+++ b/src/baobabthread/instance/__init__.py
@@ -0,0 +1,1 @@
+"""The process of one instance: its connections, feeds, listeners and life."""
--- /dev/null
+++ b/src/baobabthread/instance/attempts.py
@@ -0,0 +1,191 @@
+"""One attempt at one backend server: what is sent, and what the answer proves."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import msgspec
+
+from baobabthread.core.limits import Outcome
+from baobabthread.instance.backends import BackendLink
+from baobabthread.instance.clock import now
+from baobabthread.instance.connections import (
+    BrokenError,
+    Connection,
+    NotSentError,
+    Response,
+)
+from baobabthread.instance.flight import Flight
+from baobabthread.instance.wire import AnswerMarks, BackendCall, WireFormat
+
+LEAST_PATIENCE_S = 0.35
+"""Silence after which an attempt that may be repeated is given up, at least."""
+PATIENCE_FACTOR = 4.0
+"""Times the usual time to the first part that is waited for it."""
+MAX_PATIENCE_S = 1.5
+
+T = TypeVar("T")
+
+
+class RefusedError(Exception):
+    """Report that a backend server states that it did not run the request."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"refused with {status}")
+        self.status = status
+
+
+class SilentError(BrokenError):
+    """Report a backend server that gave no sign of life; the request may have run."""
+
+
+class Head(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the head of an answer that belongs to this request."""
+
+    response: Response
+    marks: AnswerMarks
+    latency_s: float
+
+    @property
+    def status(self) -> int:
+        """Give the HTTP status."""
+        return self.response.status
+
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the backend server says that it succeeded."""
+        return 200 <= self.status < 300
+
+    @property
+    def is_failure(self) -> bool:
+        """Tell whether the backend server itself failed."""
+        return self.status >= 500
+
+
+class Attempt:
+    """Hold what is open while one backend server works on a request."""
+
+    __slots__ = ("_connection", "_response", "flight", "link", "patience_s", "sent_at")
+
+    def __init__(self, *, flight: Flight, link: BackendLink, usual_s: float) -> None:
+        self.flight = flight
+        self.link = link
+        self.sent_at = now()
+        self.patience_s = min(
+            MAX_PATIENCE_S, max(LEAST_PATIENCE_S, PATIENCE_FACTOR * usual_s)
+        )
+        self._connection: Connection | None = None
+        self._response: Response | None = None
+
+    async def open(self, wire: WireFormat) -> Head:
+        """Send the request and return the head of its answer.
+
+        Raises `NotSentError` and `RefusedError` where it surely didn't run, otherwise
+        `BrokenError`, or `TimeoutError` at the deadline.
+        """
+        flight = self.flight
+        request = flight.request
+        call = BackendCall(
+            backend=self.link.record.id,
+            time_left_s=flight.deadline - now(),
+            account=flight.account.name if flight.account is not None else None,
+            priority=flight.rank,
+            model=flight.model_name,
+            last_event=flight.last_event,
+        )
+        head = wire.encode_request(
+            request.method, request.target, request.headers, call, len(request.body)
+        )
+        try:
+            self._connection = await self.link.pool.send(head, request.body)
+        except NotSentError:
+            self.link.suspect()
+            raise
+        self.sent_at = now()
+        response = await self._watch(self.link.pool.receive(self._connection))
+        self._response = response
+        marks = wire.read_marks(response.status, response.headers)
+        self._check(marks, response.status)
+        return Head(response=response, marks=marks, latency_s=now() - self.sent_at)
+
+    async def read_some(self) -> bytes:
+        """Return the next bytes of the body; none at its end."""
+        assert self._response is not None
+        return await self._watch(self._response.read_some())
+
+    async def read_whole(self, limit: int) -> bytes:
+        """Return the whole body and give the connection back."""
+        assert self._response is not None
+        body = await self._watch(self._response.read(limit))
+        self.finish()
+        return body
+
+    def finish(self) -> None:
+        """Give the connection back after the whole body was read."""
+        assert self._response is not None
+        self._response.finish()
+        self._connection = None
+
+    def abort(self) -> None:
+        """Close the connection if it is open, so that the backend server stops."""
+        if self._connection is not None:
+            self.link.pool.discard(self._connection)
+            self._connection = None
+
+    def _check(self, marks: AnswerMarks, status: int) -> None:
+        own_id = self.flight.request.envelope.request_id
+        if marks.request_id is not None and marks.request_id != own_id:
+            # A second or late answer to somebody else's request.
+            raise BrokenError("answer to another request")
+        if marks.not_run:
+            raise RefusedError(status)
+        if marks.encoded:
+            raise BrokenError("answer with an encoding that nobody asked for")
+        if 200 <= status < 300 and not (marks.signed and marks.request_id):
+            raise BrokenError("success without a signature")
+
+    async def _watch(self, work: Coroutine[Any, Any, T]) -> T:
+        """Wait for a part of the answer until the deadline.
+
+        A backend server that gave no sign of life for a while, on any connection, is
+        given up where the request may be repeated: it is dark, not slow.
+        """
+        task = asyncio.ensure_future(work)
+        try:
+            began = now()
+            while True:
+                left = self.flight.deadline - now()
+                if left <= 0.0:
+                    raise TimeoutError
+                await asyncio.wait({task}, timeout=min(left, self._next_look()))
+                if task.done():
+                    return task.result()
+                quiet_since = max(began, self.link.heard_at)
+                if self._may_give_up and now() - quiet_since >= self.patience_s:
+                    self.link.suspect()
+                    raise SilentError("no sign of life")
+        finally:
+            if not task.done():
+                task.cancel()
+
+    @property
+    def _may_give_up(self) -> bool:
+        return self.flight.route.may_repeat
+
+    def _next_look(self) -> float:
+        return self.patience_s / 2 if self._may_give_up else MAX_PATIENCE_S
+
+
+def judge(error: BaseException | None) -> Outcome:
+    """Return what an attempt's end says about its backend server."""
+    if error is None:
+        return Outcome.OK
+    if isinstance(error, RefusedError):
+        return Outcome.BUSY
+    if isinstance(error, asyncio.CancelledError):
+        return Outcome.CANCELLED
+    if isinstance(error, TimeoutError):
+        return Outcome.TIMEOUT
+    return Outcome.FAILED
--- /dev/null
+++ b/src/baobabthread/instance/backends.py
@@ -0,0 +1,183 @@
+"""Connections to the backend servers, and which of them fell silent."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Container
+
+import msgspec
+import xxhash
+
+from baobabthread.core.backends import BalanceSettings
+from baobabthread.core.balance import BackendTable
+from baobabthread.core.configuration import (
+    EMPTY,
+    Backend,
+    Configuration,
+    Service,
+    ServiceKind,
+)
+from baobabthread.core.limits import Outcome
+from baobabthread.instance.clock import now
+from baobabthread.instance.connections import ConnectionPool
+from baobabthread.routing.configuration import BackendRecord
+from baobabthread.routing.knowledge import Knowledge
+
+CONNECT_S = 0.4
+"""Longest time for a connection: a few milliseconds are usual, and a lost first packet
+is sent again after a second, which another backend server can do without."""
+SUSPECT_S = 2.0
+"""Time for which a backend server that gave no sign of life gets no new work while
+others have room."""
+FAR_PENALTY = 0.15
+"""Part by which a backend server in another failure domain counts as slower."""
+
+
+class BackendLink:
+    """Hold one backend server's record, connections and last sign of life."""
+
+    __slots__ = ("heard_at", "pool", "record", "suspect_until")
+
+    def __init__(self, *, record: BackendRecord) -> None:
+        self.record = record
+        self.heard_at = -1e9
+        self.suspect_until = -1e9
+        self.pool = ConnectionPool(
+            address=record.address, connect_s=CONNECT_S, on_bytes=self._note_bytes
+        )
+
+    def suspect(self) -> None:
+        """Note that it gave no sign of life when it should have."""
+        self.suspect_until = now() + SUSPECT_S
+
+    def _note_bytes(self) -> None:
+        self.heard_at = now()
+        self.suspect_until = -1e9
+
+
+class Backends:
+    """Choose among the backend servers that are known and reach them."""
+
+    __slots__ = ("_knowledge", "_links", "_seen", "table")
+
+    def __init__(
+        self, *, knowledge: Knowledge, failure_domain: str, rng: random.Random
+    ) -> None:
+        self._knowledge = knowledge
+        self._links: dict[str, BackendLink] = {}
+        self._seen = -1
+        self.table = BackendTable(
+            failure_domain=failure_domain,
+            rng=rng,
+            settings=BalanceSettings(far_penalty=FAR_PENALTY),
+        )
+
+    def refresh(self) -> None:
+        """Take over the records that changed."""
+        if self._seen == self._knowledge.changes:
+            return
+        self._seen = self._knowledge.changes
+        records = self._knowledge.backends
+        for id in [id for id in self._links if id not in records]:
+            self._links.pop(id).pool.close()
+        for id, record in records.items():
+            link = self._links.get(id)
+            if link is None:
+                self._links[id] = BackendLink(record=record)
+            else:
+                link.record = record
+        self.table.rebuild(_translate(records), now())
+
+    def pick(
+        self,
+        service: str,
+        *,
+        version: str | None,
+        prefix_key: int | None,
+        exclude: Container[str],
+        may_probe: bool,
+    ) -> BackendLink | None:
+        """Return the backend server for an attempt, or nothing when none is left."""
+        moment = now()
+        suspects = {
+            id for id, link in self._links.items() if moment < link.suspect_until
+        }
+        for out in (_Either(exclude, suspects), exclude):
+            name = self.table.pick(
+                service=service,
+                version=version,
+                prefix_key=prefix_key,
+                exclude=out,
+                now=moment,
+                may_probe=may_probe,
+            )
+            # The table returns an excluded one when it has nothing else.
+            if name is not None and name not in out:
+                return self._links.get(name)
+        return None
+
+    def versions(self, service: str) -> dict[str, int]:
+        """Return how many backend servers of a service run each version."""
+        found: dict[str, int] = {}
+        for record in self._knowledge.backends.values():
+            if record.service == service and not record.leaving:
+                found[record.version] = found.get(record.version, 0) + 1
+        return found
+
+    def capacity(self, service: str) -> int:
+        """Return how many requests the usable servers of a service run at once."""
+        return self.table.capacity(service, None, now())
+
+    def finished(
+        self, link: BackendLink, outcome: Outcome, latency_s: float, work: int
+    ) -> None:
+        """Count an attempt that ended, and learn from it."""
+        self.table.finished(link.record.id, outcome, latency_s, work, now())
+
+    def prune(self) -> None:
+        """Close connections that were idle for too long."""
+        for link in self._links.values():
+            link.pool.prune()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for link in self._links.values():
+            link.pool.close()
+
+    def opened(self) -> int:
+        """Return how many connections were opened so far."""
+        return sum(link.pool.opened for link in self._links.values())
+
+
+class _Either:
+    __slots__ = ("_one", "_other")
+
+    def __init__(self, one: Container[str], other: Container[str]) -> None:
+        self._one = one
+        self._other = other
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._one or name in self._other
+
+
+def hash_prefix(part: str) -> int:
+    """Return the number by which a prompt's part is kept at one backend server."""
+    return xxhash.xxh3_64_intdigest(part.encode(errors="surrogatepass"))
+
+
+def _translate(records: dict[str, BackendRecord]) -> Configuration:
+    usable = [record for record in records.values() if not record.leaving]
+    return msgspec.structs.replace(
+        EMPTY,
+        services={record.service: Service(kind=ServiceKind.MODEL) for record in usable},
+        backends={
+            record.id: Backend(
+                service=record.service,
+                address=record.address,
+                failure_domain=record.failure_domain,
+                capacity=record.capacity,
+                versions=[record.version],
+            )
+            for record in usable
+        },
+    )
--- /dev/null
+++ b/src/baobabthread/instance/conducting.py
@@ -0,0 +1,206 @@
+"""Leading the roll-outs: one instance writes how far each has come."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from baobabthread.core.rendezvous import rank
+from baobabthread.errors import BaobabthreadError
+from baobabthread.instance.backends import Backends
+from baobabthread.instance.clock import now
+from baobabthread.instance.forwarder import Forwarder
+from baobabthread.instance.peers import PeerLink
+from baobabthread.instance.store import Conflict, RecordFormat, Store, StoreError
+from baobabthread.logs import log_event
+from baobabthread.routing.configuration import RolloutState, RolloutStatus
+from baobabthread.routing.knowledge import Knowledge
+from baobabthread.routing.trial import Evidence
+from baobabthread.routing.versions import Progress, VersionPlan, judge_rollout
+
+PERIOD_S = 0.25
+WRITE_S = 0.8
+"""Longest time for a call to the store."""
+
+
+class Conducting:
+    """Take part in the roll-outs, and lead those that fall to this instance."""
+
+    def __init__(
+        self,
+        *,
+        knowledge: Knowledge,
+        backends: Backends,
+        forwarder: Forwarder,
+        peers: PeerLink,
+        store: Store,
+        formats: RecordFormat,
+    ) -> None:
+        self._knowledge = knowledge
+        self._backends = backends
+        self._forwarder = forwarder
+        self._peers = peers
+        self._store = store
+        self._formats = formats
+        self._written: dict[str, RolloutStatus] = {}
+        self._is_recalled = False
+        self._sharing: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Move the roll-outs on until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except StoreError as error:
+                log_event("status_not_written", level="warning", error=str(error))
+            await asyncio.sleep(PERIOD_S)
+
+    async def _step(self) -> None:
+        moment = now()
+        if self._knowledge.orders and not self._is_recalled:
+            await self._recall()
+        for name, order in list(self._knowledge.orders.items()):
+            plan = self._forwarder.service(name).plan
+            plan.take_order(order, moment)
+            self._listen(plan)
+            usable = order.target in self._backends.versions(name)
+            plan.note_target(usable=usable, now=moment)
+            self._tell(plan)
+            if plan.is_running and self._leads(name):
+                await self._lead(plan)
+
+    async def _recall(self) -> None:
+        """Take over what was written before this instance started."""
+        page = await self._store.newest(self._formats.status_topic, WRITE_S)
+        self._is_recalled = True
+        for record in page.records:
+            try:
+                status = self._formats.decode_status(record)
+            except (msgspec.MsgspecError, BaobabthreadError) as error:
+                log_event("status_unreadable", key=record.key, error=str(error))
+                continue
+            if status is None or status.service not in self._knowledge.orders:
+                continue
+            plan = self._forwarder.service(status.service).plan
+            plan.take_order(self._knowledge.orders[status.service], now())
+            self._adopt(plan, status, "store")
+
+    def _listen(self, plan: VersionPlan) -> None:
+        moment = now()
+        for payload in self._peers.heard(f"rollout/{plan.service}"):
+            progress = msgspec.json.decode(payload.body, type=Progress)
+            plan.take_progress(progress, moment)
+        for payload in self._peers.heard(f"evidence/{plan.service}"):
+            evidence = msgspec.json.decode(payload.body, type=Evidence)
+            plan.trial.merge(payload.origin, evidence)
+        for payload in self._peers.heard(f"status/{plan.service}"):
+            status = msgspec.json.decode(payload.body, type=RolloutStatus)
+            self._adopt(plan, status, payload.origin)
+
+    def _adopt(self, plan: VersionPlan, status: RolloutStatus, source: str) -> None:
+        before = plan.state
+        plan.take_status(status, now())
+        if plan.state is not before:
+            log_event(
+                "rollout_status_heard",
+                service=plan.service,
+                target=status.target,
+                state=plan.state,
+                source=source,
+            )
+
+    def _tell(self, plan: VersionPlan) -> None:
+        progress = plan.progress(now())
+        if progress is None:
+            return
+        before = self._sharing.get(plan.service)
+        if before != progress.share:
+            self._sharing[plan.service] = progress.share
+            log_event(
+                "rollout_share_changed",
+                service=plan.service,
+                share=progress.share,
+                elapsed_s=progress.elapsed_s,
+                seen=plan.trial.seen,
+                alarm=plan.trial.alarm or "",
+            )
+        self._peers.publish(f"rollout/{plan.service}", progress)
+        self._peers.publish(f"evidence/{plan.service}", plan.trial.evidence())
+
+    def _leads(self, service: str) -> bool:
+        """Tell whether this instance is the one that writes a service's status.
+
+        Two that both believe it do no harm: the store takes a record only from the one
+        that has read what the other wrote.
+        """
+        if not self._knowledge.is_fresh(now()):
+            return False
+        membership = self._peers.membership
+        names = [member.name for member in membership.alive()]
+        return bool(names) and rank(service, names)[0] == membership.me.name
+
+    async def _lead(self, plan: VersionPlan) -> None:
+        order = plan.order
+        assert order is not None
+        moment = now()
+        words = [
+            msgspec.json.decode(payload.body, type=Progress)
+            for payload in self._peers.heard(f"rollout/{plan.service}")
+        ]
+        others = len(self._peers.membership.alive()) - 1
+        state = judge_rollout(plan, words, others, moment)
+        written = self._written.get(plan.service)
+        if (
+            written is not None
+            and written.number == order.number
+            and written.state is state
+        ):
+            return
+        status = RolloutStatus(
+            service=plan.service,
+            target=order.target,
+            state=state,
+            number=order.number,
+            elapsed_s=plan.elapsed(moment),
+        )
+        await self._write(plan, status)
+
+    async def _write(self, plan: VersionPlan, status: RolloutStatus) -> None:
+        page = await self._store.newest(self._formats.status_topic, WRITE_S)
+        for record in page.records:
+            found = self._formats.decode_status(record)
+            if found is None or found.service != status.service:
+                continue
+            if (
+                found.number == status.number
+                and found.state is not RolloutState.RUNNING
+            ):
+                # Another conductor, or an append of this one whose answer was lost,
+                # has ended it: what is written stays.
+                self._end(plan, found)
+                return
+            if found.number == status.number and found.state is status.state:
+                self._written[plan.service] = found
+                return
+        append = self._formats.encode_status(status, page.end)
+        outcome = await self._store.append(append, WRITE_S)
+        if isinstance(outcome, Conflict):
+            log_event("status_conflict", service=status.service, state=status.state)
+            return
+        self._end(plan, status)
+
+    def _end(self, plan: VersionPlan, status: RolloutStatus) -> None:
+        self._written[plan.service] = status
+        log_event(
+            "rollout_status_written",
+            service=plan.service,
+            target=status.target,
+            state=status.state,
+            elapsed_s=round(status.elapsed_s, 2),
+            seen=plan.trial.seen,
+            alarm=plan.trial.alarm or "",
+        )
+        if status.state is not RolloutState.RUNNING:
+            plan.take_status(status, now())
+            self._peers.publish(f"status/{plan.service}", status)
--- /dev/null
+++ b/src/baobabthread/instance/feeds.py
@@ -0,0 +1,246 @@
+"""Following the store: operators' records and backend servers' records."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from baobabthread.errors import BaobabthreadError
+from baobabthread.instance.clock import now
+from baobabthread.instance.metrics import Metrics
+from baobabthread.instance.store import (
+    Record,
+    RecordFormat,
+    Store,
+    StoreError,
+    Trimmed,
+)
+from baobabthread.logs import log_event
+from baobabthread.routing.configuration import RoutingConfiguration
+from baobabthread.routing.knowledge import Knowledge
+
+OPERATORS_WAIT_S = 1.0
+"""How long the store holds a read that finds nothing new: a change is heard at once,
+and what is known is never older than this while the store answers."""
+BACKENDS_POLL_S = 0.5
+"""Pause between reads of the backend servers' records: their pings alone would end a
+held read ten times a second, and each call has its price."""
+ANSWER_S = 0.8
+"""Time for an answer beside the time that the store was told to wait."""
+QUICK_ANSWER_S = 0.5
+"""The same after a call that failed, when an answer is urgent."""
+LEAST_PAUSE_S = 0.1
+MOST_PAUSE_S = 0.5
+"""Pause between calls that fail: many instances that ask a store that is just back
+must not take it down again, and none may be late by more than this."""
+
+AskPeer = Callable[[], Awaitable[None]]
+
+
+class Feed:
+    """Read one topic to its end again and again."""
+
+    def __init__(
+        self,
+        *,
+        topic: str,
+        store: Store,
+        knowledge: Knowledge,
+        metrics: Metrics,
+        rng: random.Random,
+        ask_peer: AskPeer,
+    ) -> None:
+        self._topic = topic
+        self._store = store
+        self._knowledge = knowledge
+        self._metrics = metrics
+        self._rng = rng
+        self._ask_peer = ask_peer
+        self._next: int | None = None
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                await self._step()
+                self._note_success()
+                await self._rest()
+            except StoreError as error:
+                self._note_failure(error)
+                await self._ask_peer()
+                await asyncio.sleep(self._choose_pause())
+
+    async def _step(self) -> None:
+        if self._next is None:
+            await self._load()
+        else:
+            await self._follow(self._next)
+
+    async def _load(self) -> None:
+        asked_at = now()
+        page = await self._store.newest(self._topic, self._answer_s)
+        self._take_page(page.records)
+        self._next = page.end
+        self._note_read(page.end, asked_at)
+
+    async def _follow(self, start: int) -> None:
+        asked_at = now()
+        wait_s = 0.0 if self._failures else self._wait_s
+        tail = await self._store.read(
+            self._topic, start, wait_s=wait_s, timeout_s=wait_s + self._answer_s
+        )
+        if isinstance(tail, Trimmed):
+            log_event("store_history_gone", topic=self._topic, start=start)
+            self._next = None
+            await self._load()
+            return
+        for record in tail.records:
+            self._take_guarded(record)
+        self._next = tail.next
+        if tail.next >= tail.end:
+            self._note_read(tail.end, asked_at)
+
+    def _take_page(self, records: list[Record]) -> None:
+        for record in records:
+            self._take_guarded(record)
+
+    def _take_guarded(self, record: Record) -> None:
+        try:
+            self._take(record)
+        except (msgspec.MsgspecError, BaobabthreadError) as error:
+            # One record that can't be understood must not stop those behind it; what
+            # was known before stays in force.
+            log_event(
+                "record_unreadable",
+                level="error",
+                topic=self._topic,
+                key=record.key,
+                offset=record.offset,
+                error=str(error),
+            )
+
+    def _take(self, record: Record) -> None:
+        raise NotImplementedError
+
+    def _note_read(self, end: int, asked_at: float) -> None:
+        raise NotImplementedError
+
+    async def _rest(self) -> None:
+        """Wait before the next read."""
+
+    @property
+    def _wait_s(self) -> float:
+        return 0.0
+
+    @property
+    def _answer_s(self) -> float:
+        return QUICK_ANSWER_S if self._failures else ANSWER_S
+
+    def _note_success(self) -> None:
+        self._metrics.store_calls.labels(topic=self._topic, outcome="ok").inc()
+        if self._failures:
+            log_event("store_regained", topic=self._topic, failures=self._failures)
+        self._failures = 0
+
+    def _note_failure(self, error: StoreError) -> None:
+        self._metrics.store_calls.labels(topic=self._topic, outcome="failed").inc()
+        if not self._failures:
+            log_event(
+                "store_lost", level="warning", topic=self._topic, error=str(error)
+            )
+        self._failures += 1
+
+    def _choose_pause(self) -> float:
+        ceiling = min(MOST_PAUSE_S, LEAST_PAUSE_S * 2.0 ** min(8, self._failures))
+        return ceiling * (0.5 + 0.5 * self._rng.random())
+
+
+class OperatorsFeed(Feed):
+    """Follow configurations and orders."""
+
+    def __init__(self, *, formats: RecordFormat, **common: object) -> None:
+        super().__init__(topic=formats.operators_topic, **common)  # type: ignore[arg-type]
+        self._formats = formats
+
+    @property
+    def _wait_s(self) -> float:
+        return OPERATORS_WAIT_S
+
+    def _take(self, record: Record) -> None:
+        if not record.value:
+            return
+        found = self._formats.decode_operators(record)
+        if found is None:
+            return
+        if isinstance(found, RoutingConfiguration):
+            news = self._knowledge.take_configuration(found)
+            log_event(
+                "configuration_read",
+                version=found.version,
+                offset=record.offset,
+                news=news,
+                source="store",
+            )
+        elif self._knowledge.take_order(found):
+            log_event(
+                "rollout_ordered",
+                service=found.service,
+                target=found.target,
+                number=found.number,
+                limit_s=found.time_limit_s,
+            )
+
+    def _note_read(self, end: int, asked_at: float) -> None:
+        self._knowledge.note_operators_read(end=end, asked_at=asked_at)
+
+
+class BackendsFeed(Feed):
+    """Follow which backend servers live, leave and are gone."""
+
+    def __init__(self, *, formats: RecordFormat, **common: object) -> None:
+        super().__init__(topic=formats.backends_topic, **common)  # type: ignore[arg-type]
+        self._formats = formats
+
+    async def _rest(self) -> None:
+        await asyncio.sleep(BACKENDS_POLL_S * (0.8 + 0.4 * self._rng.random()))
+
+    def _take_page(self, records: list[Record]) -> None:
+        found = []
+        for record in records:
+            if not record.value:
+                continue
+            try:
+                found.append(self._formats.decode_backend(record))
+            except msgspec.MsgspecError as error:
+                log_event(
+                    "record_unreadable",
+                    level="error",
+                    topic=self._topic,
+                    key=record.key,
+                    offset=record.offset,
+                    error=str(error),
+                )
+        self._knowledge.replace_backends(found, now())
+
+    def _take(self, record: Record) -> None:
+        if not record.value:
+            self._knowledge.drop_backend(record.key, now())
+            log_event("backend_gone", backend=record.key, offset=record.offset)
+            return
+        backend = self._formats.decode_backend(record)
+        if self._knowledge.take_backend(backend):
+            log_event(
+                "backend_changed",
+                backend=backend.id,
+                service=backend.service,
+                version=backend.version,
+                leaving=backend.leaving,
+                offset=record.offset,
+            )
+
+    def _note_read(self, end: int, asked_at: float) -> None:
+        self._knowledge.note_backends_read(end=end, asked_at=asked_at, now=now())
--- /dev/null
+++ b/src/baobabthread/instance/flight.py
@@ -0,0 +1,133 @@
+"""One caller's request while it is handled, and the port to its caller."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+
+from baobabthread.instance.wire import RawHeaders
+from baobabthread.routing.configuration import Account, Route
+from baobabthread.routing.table import Envelope
+
+
+class Reply(Protocol):
+    """Answer one caller."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether the caller has the head of an answer."""
+
+    async def refuse(self, status: int, kind: str, retry_after_s: float | None) -> None:
+        """End with an answer of this side's own."""
+
+    async def answer(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+    ) -> None:
+        """Pass on a whole answer."""
+
+    async def begin(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        """Pass on the head of a stream."""
+
+    async def write(self, data: bytes) -> None:
+        """Pass on whole events."""
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+
+    def abort(self) -> None:
+        """Close the connection so that nothing looks complete."""
+
+
+class CallerRequest(msgspec.Struct, kw_only=True):
+    """Hold a request as it was read."""
+
+    method: str
+    target: str
+    """Path and query as they came."""
+    host: str
+    headers: RawHeaders
+    body: bytes
+    envelope: Envelope
+    arrived_at: float
+
+    @property
+    def path(self) -> str:
+        """Give the path without the query."""
+        return self.target.partition("?")[0]
+
+
+class Flight:
+    """Hold what was decided about a request so far."""
+
+    __slots__ = (
+        "account",
+        "attempts",
+        "deadline",
+        "excluded",
+        "last_event",
+        "model",
+        "on_new",
+        "reason",
+        "reply",
+        "request",
+        "route",
+        "runs",
+        "service",
+        "session",
+        "started_at",
+        "trail",
+        "work",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: CallerRequest,
+        reply: Reply,
+        route: Route,
+        account: Account | None,
+        service: str,
+        deadline: float,
+    ) -> None:
+        self.request = request
+        self.reply = reply
+        self.route = route
+        self.account = account
+        self.service = service
+        self.deadline = deadline
+        self.session = request.envelope.session or request.envelope.request_id
+        self.started_at = request.arrived_at
+        self.attempts = 0
+        """Backend servers that it was offered to."""
+        self.runs = 0
+        """Attempts of which it isn't known that they did not run."""
+        self.excluded: set[str] = set()
+        self.model: int | None = None
+        """Index of the model to ask; None where the caller or nobody chooses."""
+        self.on_new: bool | None = None
+        """Whether it goes to the new version of a roll-out."""
+        self.last_event = request.envelope.last_event
+        """The last event that the caller has."""
+        self.work = 1
+        self.reason = ""
+        self.trail: list[str] = []
+        """Backend servers and how each attempt ended, for the log."""
+
+    @property
+    def model_name(self) -> str | None:
+        """Give the name of the model to ask."""
+        return None if self.model is None else self.route.models[self.model]
+
+    @property
+    def rank(self) -> int:
+        """Give the rank of the request, 0 first."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def prompt_key(self) -> str | None:
+        """Give the part of the prompt that should stay at one backend server."""
+        return self.request.envelope.session if self.route.has_prompts else None
--- /dev/null
+++ b/src/baobabthread/instance/front.py
@@ -0,0 +1,189 @@
+"""The callers' listener: read whole requests, pass on answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+from multidict import CIMultiDict
+
+from baobabthread.instance.clock import now
+from baobabthread.instance.flight import CallerRequest, Reply
+from baobabthread.instance.wire import WireFormat
+from baobabthread.logs import log_event
+
+MAX_LINE_BYTES = 65_536
+KEEP_ALIVE_S = 75.0
+"""How long an idle connection of a caller is kept: longer than operators let callers
+keep one, so that it is always the caller who ends it."""
+LINGER_S = 1.0
+
+Handle = Callable[[CallerRequest, Reply], Awaitable[None]]
+
+
+class HttpReply:
+    """Answer one caller over HTTP."""
+
+    __slots__ = ("_is_leaving", "_request", "response")
+
+    def __init__(
+        self, *, request: web.BaseRequest, is_leaving: Callable[[], bool]
+    ) -> None:
+        self._request = request
+        self._is_leaving = is_leaving
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether the caller has the head of an answer."""
+        return self.response is not None and self.response.prepared
+
+    async def refuse(self, status: int, kind: str, retry_after_s: float | None) -> None:
+        """Make an answer of this side's own."""
+        headers = CIMultiDict({"Content-Type": "application/problem+json"})
+        if retry_after_s is not None:
+            headers["Retry-After"] = f"{retry_after_s:.2f}"
+        body = f'{{"kind":"{kind}"}}'.encode()
+        self.response = web.Response(status=status, headers=headers, body=body)
+        self._mark_leaving(self.response)
+
+    async def answer(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes
+    ) -> None:
+        """Make a whole answer."""
+        response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
+        self._mark_leaving(response)
+        self.response = response
+
+    async def begin(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        """Pass on the head of a stream."""
+        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        self._mark_leaving(response)
+        self.response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        """Pass on whole events."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """Close the connection so that nothing looks complete."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    def _mark_leaving(self, response: web.StreamResponse) -> None:
+        # A caller that keeps its connection to an instance that stops would lose the
+        # request that it sends just before the end.
+        if self._is_leaving():
+            response.force_close()
+
+
+class Front:
+    """Turn HTTP requests into requests that can be decided on."""
+
+    __slots__ = ("_handle", "_is_leaving", "_limit", "_wire")
+
+    def __init__(
+        self,
+        *,
+        handle: Handle,
+        wire: WireFormat,
+        is_leaving: Callable[[], bool],
+        body_limit: Callable[[], int],
+    ) -> None:
+        self._handle = handle
+        self._wire = wire
+        self._is_leaving = is_leaving
+        self._limit = body_limit
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one HTTP request."""
+        reply = HttpReply(request=request, is_leaving=self._is_leaving)
+        arrived_at = now()
+        body = await self._read_body(request, reply)
+        if body is not None:
+            message = request._message
+            await self._handle(
+                CallerRequest(
+                    method=message.method,
+                    target=message.path,
+                    host=request.headers.get("Host", ""),
+                    headers=message.raw_headers,
+                    body=body,
+                    envelope=self._wire.read_envelope(request.headers),
+                    arrived_at=arrived_at,
+                ),
+                reply,
+            )
+        assert reply.response is not None
+        return reply.response
+
+    async def _read_body(
+        self, request: web.BaseRequest, reply: HttpReply
+    ) -> bytes | None:
+        limit = self._limit()
+        chunks = []
+        size = 0
+        try:
+            async for chunk in request.content.iter_any():
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > limit:
+                    await reply.refuse(413, "too_large", None)
+                    assert reply.response is not None
+                    reply.response.force_close()
+                    return None
+        except web.RequestPayloadError as error:
+            log_event("body_unreadable", error=str(error))
+            await reply.refuse(400, "bad_request", None)
+            assert reply.response is not None
+            reply.response.force_close()
+            return None
+        return b"".join(chunks)
+
+
+def make_server(
+    serve: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+) -> web.Server:
+    """Return a server that stops handling a request when its caller leaves."""
+    loop = asyncio.get_running_loop()
+
+    def make_request(
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        return web.BaseRequest(message, payload, protocol, writer, task, loop)
+
+    return web.Server(
+        serve,
+        request_factory=make_request,
+        handler_cancellation=True,
+        access_log=None,
+        keepalive_timeout=KEEP_ALIVE_S,
+        lingering_time=LINGER_S,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
+        auto_decompress=False,
+    )
+
+
+async def listen(server: web.Server, address: str) -> asyncio.Server:
+    """Open a listener at an address of the form IP:PORT."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(server, host, int(port), backlog=512)
--- /dev/null
+++ b/src/baobabthread/instance/lines.py
@@ -0,0 +1,84 @@
+"""Log lines on standard output that never block the loop and are bounded in number."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import sys
+from collections import deque
+
+from absl import flags
+from absl import logging as absl_logging
+
+from baobabthread.logs import LineFormatter, log_event
+
+MAX_BUFFERED = 2000
+"""Lines held while standard output can't take them."""
+FLUSH_S = 0.25
+MAX_WRITE_BYTES = 65_536
+
+
+class BufferedHandler(logging.Handler):
+    """Hold lines back and write as much as standard output takes at once."""
+
+    def __init__(self, *, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._partial = b""
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a line; count it as dropped when too many wait."""
+        if len(self._lines) >= MAX_BUFFERED:
+            self.dropped += 1
+            return
+        self._lines.append(self.format(record).encode("utf-8", "replace") + b"\n")
+
+    def flush(self) -> None:
+        """Write what standard output takes without blocking."""
+        # A reader that stops reading must not stop the requests: what doesn't fit
+        # waits, and beyond the bound it is dropped and counted.
+        while self._lines or self._partial:
+            data = self._partial
+            while self._lines and len(data) < MAX_WRITE_BYTES:
+                data += self._lines.popleft()
+            try:
+                written = os.write(self._descriptor, data)
+            except BlockingIOError:
+                self._partial = data
+                return
+            except OSError:
+                self._partial = b""
+                self._lines.clear()
+                return
+            self._partial = data[written:]
+
+
+async def run_flusher(handler: BufferedHandler) -> None:
+    """Write buffered lines from time to time, and say how many were dropped."""
+    while True:
+        await asyncio.sleep(FLUSH_S)
+        handler.flush()
+        if handler.dropped:
+            dropped, handler.dropped = handler.dropped, 0
+            log_event("log_lines_dropped", level="warning", count=dropped)
+
+
+def configure_lines() -> BufferedHandler:
+    """Send all events to standard output through a buffer."""
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS.mark_as_parsed()
+    absl_logging.set_verbosity(absl_logging.INFO)
+    handler = BufferedHandler(descriptor=sys.stdout.fileno())
+    handler.setFormatter(LineFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.INFO)
+    logger = absl_logging.get_absl_logger()
+    logger.handlers[:] = []
+    logger.propagate = True
+    logging.getLogger("aiohttp").setLevel(logging.ERROR)
+    return handler
--- /dev/null
+++ b/src/baobabthread/instance/metrics.py
@@ -0,0 +1,74 @@
+"""Counters and latency histograms in the usual text exposition."""
+
+from __future__ import annotations
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 25.0)
+
+
+class Metrics:
+    """Hold what one instance counts."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry(auto_describe=False)
+        self._answers = Counter(
+            "baobabthread_answers",
+            "Answers of backend servers that were passed on",
+            ["route", "status"],
+            registry=self.registry,
+        )
+        self.turned_away = Counter(
+            "baobabthread_turned_away",
+            "Requests that ended without an answer of a backend server",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.repeats = Counter(
+            "baobabthread_repeats",
+            "Attempts beyond the first of a request",
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            "baobabthread_store_calls",
+            "Calls to the store",
+            ["topic", "outcome"],
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "baobabthread_in_flight",
+            "Requests that are being handled",
+            registry=self.registry,
+        )
+        self.knowledge_age = Gauge(
+            "baobabthread_knowledge_age_seconds",
+            "Age of what is known of the operators' configuration",
+            registry=self.registry,
+        )
+        self.members = Gauge(
+            "baobabthread_members",
+            "Instances that are believed to serve, this one included",
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            "baobabthread_answer_seconds",
+            "Time from a request's arrival to the end of its answer",
+            ["route"],
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def answered(self, route: str, status: int, elapsed_s: float) -> None:
+        """Count an answer."""
+        self._answers.labels(route=route, status=str(status)).inc()
+        self.latency.labels(route=route).observe(elapsed_s)
+
+    def render(self) -> bytes:
+        """Return all figures as text."""
+        return bytes(generate_latest(self.registry))
--- /dev/null
+++ b/src/baobabthread/instance/peers.py
@@ -0,0 +1,256 @@
+"""Other instances: who serves, what they know, and small values that they share."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterator
+
+import msgspec
+
+from baobabthread.adapters.codec import PeerCodec
+from baobabthread.core.membership import Membership
+from baobabthread.core.membership_messages import (
+    FetchRecords,
+    GossipPayload,
+    MemberInfo,
+    MembershipSettings,
+)
+from baobabthread.core.messages import Effects, Send
+from baobabthread.core.peermessages import MEMBERSHIP_MESSAGES
+from baobabthread.instance.clock import now
+from baobabthread.instance.connections import (
+    BrokenError,
+    ConnectionPool,
+    NotSentError,
+    encode_head,
+)
+from baobabthread.instance.settings import InstanceSettings
+from baobabthread.logs import log_event
+from baobabthread.routing.knowledge import Knowledge, Snapshot
+
+KNOWLEDGE_PATH = "/peer/knowledge"
+TICK_S = 0.05
+MAX_DATAGRAM_BYTES = 60_000
+FETCH_S = 0.6
+"""Longest time for a peer's answer; another one is asked after it."""
+FETCH_PAUSE_S = 0.3
+"""Least time between two questions to peers."""
+STALE_S = 1.2
+"""Age of what is known from which a peer is asked: the store was silent longer than
+one read takes."""
+MAX_SNAPSHOT_BYTES = 32_000_000
+SETTINGS = MembershipSettings(
+    small_period_s=0.2,
+    suspicion_factor=0.5,
+    gossip_bytes=8_000,
+    forget_s=60.0,
+)
+"""With six members each one is probed about once a second; a dead one leaves the
+addresses within about a second, before most callers have met it twice."""
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Exchange membership messages with other instances by datagrams."""
+
+    def __init__(
+        self,
+        *,
+        settings: InstanceSettings,
+        incarnation: str,
+        started_at: float,
+        knowledge: Knowledge,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._knowledge = knowledge
+        self._rng = rng
+        self._codec = PeerCodec(types=MEMBERSHIP_MESSAGES)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._pools: dict[str, ConnectionPool] = {}
+        self._fetching: asyncio.Task[None] | None = None
+        self._fetched_at = -1e9
+        self._members_seen = -1
+        self._sequence = 0
+        self._last: dict[str, bytes] = {}
+        self.incarnation = incarnation
+        self.membership = Membership(
+            me=MemberInfo(
+                name=settings.name,
+                address=settings.callers_address,
+                peer_address=settings.gossip_address,
+                failure_domain=settings.failure_domain,
+                incarnation=incarnation,
+                started_at=started_at,
+            ),
+            seeds=tuple(self._list_seeds()),
+            rng=rng,
+            freshness=knowledge.freshness,
+            settings=SETTINGS,
+        )
+
+    # -- datagrams --
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in a peer's messages."""
+        try:
+            sender, messages = self._codec.decode(data)
+        except msgspec.MsgspecError as error:
+            log_event("datagram_unreadable", peer=addr[0], error=str(error))
+            return
+        for message in messages:
+            self._run(self.membership.handle(sender, message, now()))  # type: ignore[arg-type]
+
+    def error_received(self, exc: Exception) -> None:
+        """Pass over an unreachable port: the probes find out who is gone."""
+
+    async def run(self) -> None:
+        """Probe and judge until cancelled."""
+        while True:
+            knowledge = self._knowledge
+            table = knowledge.table
+            self.membership.report(
+                generation=table.configuration.version if table is not None else 0,
+                read_offset=knowledge.operators_end,
+            )
+            self._run(self.membership.tick(now()))
+            self._note_members()
+            await asyncio.sleep(TICK_S)
+
+    def leave(self) -> None:
+        """Tell the others that this instance takes no new callers."""
+        self._run(self.membership.leave(now()))
+
+    def close(self) -> None:
+        """Close the socket and what is idle."""
+        if self._transport is not None:
+            self._transport.close()
+        for pool in self._pools.values():
+            pool.close()
+
+    def _run(self, effects: Effects) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._send(effect)
+            elif isinstance(effect, FetchRecords):
+                self.fetch(effect.peer)
+
+    def _send(self, effect: Send) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = self._codec.encode(self.membership.me.name, [effect.message])
+        if len(data) > MAX_DATAGRAM_BYTES:
+            log_event("datagram_too_large", level="error", bytes=len(data))
+            return
+        host, _, port = self.membership.peer_address(effect.to).rpartition(":")
+        self._transport.sendto(data, (host, int(port)))
+
+    def _list_seeds(self) -> Iterator[str]:
+        for seed in self._settings.seeds:
+            yield f"{seed.rpartition(':')[0]}:{self._settings.gossip_port}"
+
+    def _note_members(self) -> None:
+        if self._members_seen == self.membership.version:
+            return
+        self._members_seen = self.membership.version
+        log_event(
+            "members_changed",
+            serving=",".join(sorted(m.name for m in self.membership.alive())),
+            known=len(self.membership.members()),
+        )
+
+    # -- what peers know --
+
+    async def ask_any(self) -> None:
+        """Ask some peer for what it knows when the store was silent for a while."""
+        moment = now()
+        age = max(
+            self._knowledge.operators_age(moment), self._knowledge.backends_age(moment)
+        )
+        if age < STALE_S or moment - self._fetched_at < FETCH_PAUSE_S:
+            return
+        me = self.membership.me.name
+        peers = [m.name for m in self.membership.alive() if m.name != me]
+        if not peers:
+            peers = [seed for seed in self._list_seeds() if not self._is_me(seed)]
+        if peers:
+            self.fetch(self._rng.choice(peers))
+
+    def fetch(self, peer: str) -> None:
+        """Ask one peer for what it knows, one question at a time."""
+        if self._fetching is not None and not self._fetching.done():
+            return
+        self._fetched_at = now()
+        self._fetching = asyncio.ensure_future(self._fetch(peer))
+
+    async def _fetch(self, peer: str) -> None:
+        host = self.membership.peer_address(peer).rpartition(":")[0]
+        address = f"{host}:{self._settings.control_port}"
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = ConnectionPool(address=address, connect_s=FETCH_S)
+            self._pools[address] = pool
+        asked_at = now()
+        try:
+            async with asyncio.timeout(FETCH_S):
+                body = await _get(pool, address)
+            snapshot = msgspec.json.decode(body, type=Snapshot)
+        except (NotSentError, BrokenError, TimeoutError, msgspec.MsgspecError) as error:
+            log_event("peer_unreachable", peer=peer, error=str(error) or "timeout")
+            return
+        before = self._knowledge.changes
+        self._knowledge.merge(snapshot, asked_at=asked_at, now=now())
+        log_event(
+            "peer_asked",
+            peer=peer,
+            news=self._knowledge.changes != before,
+            operators_age_ms=round(min(snapshot.operators_age_s, 1e6) * 1000),
+            backends_age_ms=round(min(snapshot.backends_age_s, 1e6) * 1000),
+        )
+
+    def _is_me(self, address: str) -> bool:
+        return address == self._settings.gossip_address
+
+    # -- small values that spread --
+
+    def publish(self, topic: str, value: msgspec.Struct) -> None:
+        """Spread a value of this instance unless it did so last time."""
+        body = msgspec.json.encode(value)
+        if self._last.get(topic) == body:
+            return
+        self._last[topic] = body
+        self._sequence += 1
+        self.membership.publish(
+            GossipPayload(
+                topic=topic,
+                origin=self.incarnation,
+                sequence=self._sequence,
+                body=msgspec.Raw(body),
+            )
+        )
+
+    def heard(self, topic: str) -> Iterator[GossipPayload]:
+        """Return the newest value of each other instance."""
+        for payload in self.membership.gossip.topic(topic):
+            if payload.origin != self.incarnation:
+                yield payload
+
+
+async def _get(pool: ConnectionPool, address: str) -> bytes:
+    head = encode_head("GET", KNOWLEDGE_PATH, [("Host", address)])
+    connection = await pool.send(head, b"")
+    try:
+        response = await pool.receive(connection)
+        body = await response.read(MAX_SNAPSHOT_BYTES)
+    except BaseException:
+        pool.discard(connection)
+        raise
+    response.finish()
+    if response.status != 200:
+        raise BrokenError(f"status {response.status}")
+    return body
--- /dev/null
+++ b/src/baobabthread/instance/process.py
@@ -0,0 +1,298 @@
+"""The life of one instance: start, serve, leave, end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+import signal
+import uuid
+from collections.abc import Callable, Coroutine
+from contextlib import AsyncExitStack
+from typing import Any, Protocol
+
+import msgspec
+from aiohttp import web
+
+from baobabthread.instance.backends import Backends
+from baobabthread.instance.clock import now
+from baobabthread.instance.conducting import Conducting
+from baobabthread.instance.feeds import BackendsFeed, OperatorsFeed
+from baobabthread.instance.forwarder import Forwarder
+from baobabthread.instance.front import Front, listen, make_server
+from baobabthread.instance.lines import configure_lines, run_flusher
+from baobabthread.instance.metrics import Metrics
+from baobabthread.instance.peers import KNOWLEDGE_PATH, PeerLink
+from baobabthread.instance.records import FlightLog
+from baobabthread.instance.settings import InstanceSettings
+from baobabthread.instance.store import RecordFormat, Store
+from baobabthread.instance.wire import WireFormat
+from baobabthread.logs import log_event
+from baobabthread.routing.configuration import RequestLimits
+from baobabthread.routing.directory import Directory, list_addresses
+from baobabthread.routing.knowledge import Knowledge
+
+TICK_S = 0.1
+PRUNE_S = 1.0
+ACCEPT_S = 6.5
+"""Time after the signal to stop in which new connections are still taken: some callers
+keep addresses three times as long as they were told."""
+END_MARGIN_S = 0.4
+"""Time kept from the end of the grace for closing."""
+COLLECT_AFTER = 20_000
+"""Objects after which the cycle collector looks for cycles; requests leave few."""
+
+
+class Interface(Protocol):
+    """Answer questions about this instance and the others."""
+
+    async def serve_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Tell whether this instance takes callers."""
+
+    async def serve_directory(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Tell which addresses a caller may connect to."""
+
+
+MakeInterface = Callable[
+    [Callable[[], bool], Callable[[str | None], Directory]], Interface
+]
+
+
+class Outside(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the adapters through which an instance meets the outside."""
+
+    store: Any
+    """A `Store`."""
+    formats: Any
+    """A `RecordFormat`."""
+    wire: Any
+    """A `WireFormat`."""
+    make_interface: Any
+    """A `MakeInterface`."""
+    metrics_address: str | None = None
+    metrics_path: str = "/metrics"
+
+
+class Instance:
+    """Compose the parts of one instance and run them."""
+
+    def __init__(self, *, settings: InstanceSettings, outside: Outside) -> None:
+        self._settings = settings
+        self._outside = outside
+        self._store: Store = outside.store
+        self._formats: RecordFormat = outside.formats
+        self._wire: WireFormat = outside.wire
+        rng = random.Random()
+        self._rng = rng
+        self.metrics = Metrics()
+        self.knowledge = Knowledge(bounds=settings.bounds)
+        self.backends = Backends(
+            knowledge=self.knowledge,
+            failure_domain=settings.failure_domain,
+            rng=rng,
+        )
+        self.peers = PeerLink(
+            settings=settings,
+            incarnation=uuid.uuid4().hex[:12],
+            started_at=now(),
+            knowledge=self.knowledge,
+            rng=rng,
+        )
+        self.forwarder = Forwarder(
+            knowledge=self.knowledge,
+            backends=self.backends,
+            wire=self._wire,
+            bounds=settings.bounds,
+            rng=rng,
+            log=FlightLog(knowledge=self.knowledge, metrics=self.metrics),
+        )
+        self.conducting = Conducting(
+            knowledge=self.knowledge,
+            backends=self.backends,
+            forwarder=self.forwarder,
+            peers=self.peers,
+            store=self._store,
+            formats=self._formats,
+        )
+        self._leaving_since: float | None = None
+        self._shared: tuple[int, int] | None = None
+
+    # -- what others may ask --
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether this instance was told to stop."""
+        return self._leaving_since is not None
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return (
+            not self.is_leaving
+            and self.knowledge.table is not None
+            and self.knowledge.is_fresh(now())
+        )
+
+    def find_addresses(self, failure_domain: str | None) -> Directory:
+        """Return which instances a caller may connect to."""
+        membership = self.peers.membership
+        return list_addresses(
+            me=membership.me,
+            serving=membership.alive(),
+            i_am_ready=self.is_ready,
+            failure_domain=failure_domain,
+            max_lifetime_s=self._settings.bounds.max_lifetime_s,
+        )
+
+    async def serve_peer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Tell a peer what this instance knows."""
+        if request.path != KNOWLEDGE_PATH:
+            return web.Response(status=404)
+        body = msgspec.json.encode(self.knowledge.snapshot(now()))
+        return web.Response(body=body, content_type="application/json")
+
+    async def serve_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Give the figures as text."""
+        if request.path != self._outside.metrics_path:
+            return web.Response(status=404)
+        self.metrics.in_flight.set(self.forwarder.in_flight)
+        self.metrics.knowledge_age.set(self.knowledge.operators_age(now()))
+        self.metrics.members.set(len(self.peers.membership.alive()))
+        return web.Response(body=self.metrics.render(), content_type="text/plain")
+
+    # -- life --
+
+    async def run(self) -> int:
+        """Serve until told to stop and until nothing is in flight; return 0."""
+        told = asyncio.Event()
+        self._handle_signals(told)
+        async with AsyncExitStack() as stack:
+            handler = configure_lines()
+            stack.callback(handler.flush)
+            stack.callback(self.backends.close)
+            servers = await self._open(stack)
+            for work in self._list_work(run_flusher(handler)):
+                task = asyncio.ensure_future(work)
+                task.add_done_callback(_note_end)
+                stack.callback(task.cancel)
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(COLLECT_AFTER, 50, 100)
+            log_event(
+                "instance_started",
+                name=self._settings.name,
+                incarnation=self.peers.incarnation,
+                failure_domain=self._settings.failure_domain,
+                callers=self._settings.callers_address,
+                store=self._settings.store_address,
+            )
+            await told.wait()
+            await self._leave(servers)
+            log_event("instance_stopped", in_flight=self.forwarder.in_flight)
+        return 0
+
+    async def _open(self, stack: AsyncExitStack) -> asyncio.Server:
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self.peers, local_addr=(settings.ip, settings.gossip_port)
+        )
+        stack.callback(self.peers.close)
+        interface = self._outside.make_interface(
+            lambda: self.is_ready, self.find_addresses
+        )
+        front = Front(
+            handle=self.forwarder.handle,
+            wire=self._wire,
+            is_leaving=lambda: self.is_leaving,
+            body_limit=self._limit_body,
+        )
+        callers = await self._listen(stack, front.serve, settings.callers_address)
+        await self._listen(stack, self.serve_peer, settings.control_address)
+        await self._listen(stack, interface.serve_readiness, settings.readiness_address)
+        await self._listen(stack, interface.serve_directory, settings.directory_address)
+        if self._outside.metrics_address is not None:
+            await self._listen(stack, self.serve_metrics, self._outside.metrics_address)
+        return callers
+
+    async def _listen(
+        self, stack: AsyncExitStack, serve: Any, address: str
+    ) -> asyncio.Server:
+        server = await listen(make_server(serve), address)
+        stack.callback(server.close)
+        return server
+
+    def _limit_body(self) -> int:
+        table = self.knowledge.table
+        limits = table.configuration.limits if table is not None else RequestLimits()
+        return limits.max_body_bytes
+
+    def _list_work(self, *more: Coroutine[Any, Any, None]) -> list[Any]:
+        common: dict[str, Any] = {
+            "store": self._store,
+            "formats": self._formats,
+            "knowledge": self.knowledge,
+            "metrics": self.metrics,
+            "rng": self._rng,
+            "ask_peer": self.peers.ask_any,
+        }
+        return [
+            OperatorsFeed(**common).run(),
+            BackendsFeed(**common).run(),
+            self.peers.run(),
+            self.conducting.run(),
+            self._tick(),
+            self._prune(),
+            *more,
+        ]
+
+    async def _tick(self) -> None:
+        while True:
+            self.knowledge.expire(now())
+            self.backends.refresh()
+            sharing = (
+                len(self.peers.membership.alive()),
+                self.knowledge.changes,
+            )
+            if sharing != self._shared:
+                self._shared = sharing
+                self.forwarder.share(sharing[0])
+            self.forwarder.tick()
+            await asyncio.sleep(TICK_S)
+
+    async def _prune(self) -> None:
+        while True:
+            await asyncio.sleep(PRUNE_S)
+            self.backends.prune()
+
+    def _handle_signals(self, told: asyncio.Event) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, told.set)
+        # Without a handler the signal ends the process, with all that it serves.
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        log_event("settings_changed", effect="read again at the next start")
+
+    async def _leave(self, callers: asyncio.Server) -> None:
+        """Serve on while callers may still hold the address, then end."""
+        began = now()
+        self._leaving_since = began
+        self.peers.leave()
+        log_event("instance_leaving", in_flight=self.forwarder.in_flight)
+        end = began + self._settings.bounds.grace_s - END_MARGIN_S
+        accept_until = min(began + ACCEPT_S, end - 0.5)
+        while now() < accept_until:
+            await asyncio.sleep(0.1)
+        callers.close()
+        while self.forwarder.in_flight and now() < end:
+            await asyncio.sleep(0.05)
+
+
+def _note_end(task: asyncio.Task[None]) -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        log_event("task_failed", level="error", task=repr(task), error=repr(error))
--- /dev/null
+++ b/src/baobabthread/instance/records.py
@@ -0,0 +1,131 @@
+"""What is logged and counted of each request, within a bound."""
+
+from __future__ import annotations
+
+from baobabthread.instance.clock import now
+from baobabthread.instance.flight import CallerRequest, Flight
+from baobabthread.instance.metrics import Metrics
+from baobabthread.logs import log_event, write_event
+from baobabthread.routing.configuration import BackendRecord
+from baobabthread.routing.knowledge import Knowledge
+
+FAILURES_PER_S = 20.0
+"""Lines a second on requests that were refused or failed: enough to find each of a
+quiet hour, few enough that a storm of them costs no noticeable processor time."""
+SUCCESSES_PER_S = 2.0
+"""Lines a second on requests that went well, as a sample."""
+BURST_S = 5.0
+
+
+class LineBudget:
+    """Bound how many lines of one kind are written."""
+
+    __slots__ = ("_at", "_level", "_rate", "passed_over")
+
+    def __init__(self, *, per_s: float) -> None:
+        self._rate = per_s
+        self._level = per_s * BURST_S
+        self._at = now()
+        self.passed_over = 0
+
+    def take(self) -> bool:
+        """Tell whether one more line may be written."""
+        moment = now()
+        level = self._level + (moment - self._at) * self._rate
+        self._level = min(self._rate * BURST_S, level)
+        self._at = moment
+        if self._level < 1.0:
+            self.passed_over += 1
+            return False
+        self._level -= 1.0
+        return True
+
+
+class FlightLog:
+    """Write a line for the end of a request, with what decided it."""
+
+    __slots__ = ("_failures", "_knowledge", "_metrics", "_successes")
+
+    def __init__(self, *, knowledge: Knowledge, metrics: Metrics) -> None:
+        self._knowledge = knowledge
+        self._metrics = metrics
+        self._failures = LineBudget(per_s=FAILURES_PER_S)
+        self._successes = LineBudget(per_s=SUCCESSES_PER_S)
+
+    def answered(self, flight: Flight, backend: BackendRecord, status: int) -> None:
+        """Note an answer that was passed on."""
+        elapsed_s = now() - flight.started_at
+        self._metrics.answered(flight.route.name, status, elapsed_s)
+        if flight.attempts > 1:
+            self._metrics.repeats.inc(flight.attempts - 1)
+        unusual = status >= 400 or flight.attempts > 1
+        lines = self._failures if unusual else self._successes
+        if lines.take():
+            self._write("request_answered", flight, status, backend)
+
+    def failed(self, flight: Flight, kind: str, status: int) -> None:
+        """Note a request that ended with a refusal or failure of this side's own."""
+        self._metrics.turned_away.labels(kind=kind).inc()
+        if self._failures.take():
+            self._write("request_failed", flight, status, None, kind=kind)
+
+    def turned_away(self, request: CallerRequest, kind: str, status: int) -> None:
+        """Note a request that never came as far as a route or an account."""
+        self._metrics.turned_away.labels(kind=kind).inc()
+        if self._failures.take():
+            fields = {
+                "request": request.envelope.request_id,
+                "kind": kind,
+                "status": status,
+                "host": request.host,
+                "path": request.path,
+            }
+            write_event("request_turned_away", fields | self._describe_knowledge())
+
+    def caller_gone(self, flight: Flight) -> None:
+        """Note a caller that left before its answer was whole."""
+        self._metrics.turned_away.labels(kind="caller_gone").inc()
+        if self._failures.take():
+            self._write("caller_gone", flight, 0, None)
+
+    def crashed(self, flight: Flight, error: BaseException) -> None:
+        """Note an error of this program's own."""
+        log_event(
+            "request_crashed",
+            level="error",
+            request=flight.request.envelope.request_id,
+            error=repr(error),
+        )
+
+    def _write(
+        self,
+        event: str,
+        flight: Flight,
+        status: int,
+        backend: BackendRecord | None,
+        **fields: object,
+    ) -> None:
+        moment = now()
+        described: dict[str, object] = {
+            "request": flight.request.envelope.request_id,
+            "status": status,
+            "route": flight.route.name,
+            "service": flight.service,
+            "account": flight.account.name if flight.account is not None else "",
+            "backend": backend.id if backend is not None else "",
+            "version": backend.version if backend is not None else "",
+            "model": flight.model_name or "",
+            "attempts": flight.attempts,
+            "runs": flight.runs,
+            "trail": ",".join(flight.trail),
+            "took_ms": round((moment - flight.started_at) * 1000),
+            "left_ms": round((flight.deadline - moment) * 1000),
+        }
+        write_event(event, described | fields | self._describe_knowledge())
+
+    def _describe_knowledge(self) -> dict[str, object]:
+        table = self._knowledge.table
+        return {
+            "configuration": table.configuration.version if table is not None else 0,
+            "age_ms": round(min(self._knowledge.operators_age(now()), 1e6) * 1000),
+        }
--- /dev/null
+++ b/src/baobabthread/instance/settings.py
@@ -0,0 +1,38 @@
+"""What one instance needs to know before it starts."""
+
+from __future__ import annotations
+
+import msgspec
+
+from baobabthread.routing.bounds import RoutingBounds
+
+
+class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the addresses, the name and the bounds of one instance."""
+
+    name: str
+    failure_domain: str
+    region: str
+    ip: str
+    callers_address: str
+    readiness_address: str
+    directory_address: str
+    control_address: str
+    """Where other instances fetch what this one knows."""
+    gossip_port: int
+    """UDP port, the same at all instances."""
+    seeds: tuple[str, ...]
+    """Control addresses of other instances."""
+    store_address: str
+    memory_mb: int = 300
+    bounds: RoutingBounds = RoutingBounds()
+
+    @property
+    def gossip_address(self) -> str:
+        """Give the address at which other instances reach this one."""
+        return f"{self.ip}:{self.gossip_port}"
+
+    @property
+    def control_port(self) -> int:
+        """Give the control port, the same at all instances."""
+        return int(self.control_address.rpartition(":")[2])
--- a/src/baobabthread/logs.py
+++ b/src/baobabthread/logs.py
@@ -5,6 +5,7 @@
 import datetime
 import json
 import logging
+from collections.abc import Mapping
 
 from absl import flags
 from absl import logging as absl_logging
@@ -61,6 +62,13 @@
 
 def log_event(event: str, /, *, level: str = "info", **fields: object) -> None:
     """Write one event."""
+    write_event(event, fields, level=level)
+
+
+def write_event(
+    event: str, fields: Mapping[str, object], *, level: str = "info"
+) -> None:
+    """Write one event whose fields come from several places."""
     if absl_logging.get_verbosity() < LEVELS[level]:
         return
     pairs = [f"{EVENT}{event}"]
--- /dev/null
+++ b/src/baobabthread/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/src/baobabthread/platform/records.py
@@ -0,0 +1,275 @@
+"""The records that operators and backend servers keep in the platform's store."""
+
+from __future__ import annotations
+
+import msgspec
+
+from baobabthread.errors import ConfigurationError
+from baobabthread.instance.store import Append, Record
+from baobabthread.routing.configuration import (
+    Account,
+    BackendRecord,
+    ModelCost,
+    Repeatability,
+    RequestLimits,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+    Route,
+    RoutingConfiguration,
+    ServicePlan,
+    Target,
+)
+
+CONFIGURATION_KEY = "config"
+ROLLOUT_PREFIX = "rollout/"
+DRAINING = "draining"
+MS = 1000.0
+
+_KINDS = {
+    "idempotent": Repeatability.IDEMPOTENT,
+    "streaming": Repeatability.STREAM,
+}
+_REMEDY = "publish a configuration in the form that the platform's pages give"
+
+
+class _Split(msgspec.Struct, frozen=True, kw_only=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, frozen=True, kw_only=True):
+    name: str = ""
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    priority: int = 5
+    max_attempts: int = 1
+    sizes: list[str] = []
+    """Names of models, smallest first."""
+    service: str | None = None
+    backends: list[_Split] = []
+    """Services, not backend servers."""
+    public: bool = False
+    sticky: bool = False
+    """Whether requests name the parts of their prompt."""
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Model(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    cost: float = 0.0
+
+
+class _Engine(msgspec.Struct, frozen=True, kw_only=True):
+    slots: int = 0
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, kw_only=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] = []
+
+
+class _Server(msgspec.Struct, frozen=True, kw_only=True):
+    service: str
+    address: str
+    zone: str = ""
+    version: str = ""
+    slots: int = 1
+    """Requests that it runs at once."""
+    state: str = "ready"
+
+
+class _Order(msgspec.Struct, frozen=True, kw_only=True):
+    service: str
+    target: str
+    """A version."""
+    deadline_s: float
+    """Time limit of the whole move, from the order."""
+
+
+class _Status(msgspec.Struct, frozen=True, kw_only=True):
+    service: str
+    target: str
+    state: RolloutState
+    number: int = 0
+    elapsed_s: float = 0.0
+
+
+class PlatformRecords:
+    """Name the platform's topics and decode what stands in them."""
+
+    __slots__ = ()
+
+    operators_topic = "keyed.op"
+    backends_topic = "keyed.servers"
+    status_topic = "keyed.status"
+
+    def decode_operators(
+        self, record: Record
+    ) -> RoutingConfiguration | RolloutOrder | None:
+        """Decode what operators wrote; nothing for keys of no interest."""
+        if record.key == CONFIGURATION_KEY:
+            return decode_configuration(record.value)
+        if record.key.startswith(ROLLOUT_PREFIX):
+            return decode_order(record.offset, record.value)
+        return None
+
+    def decode_backend(self, record: Record) -> BackendRecord:
+        """Decode the record of one start of a backend server."""
+        return decode_backend(record.key, record.value)
+
+    def decode_status(self, record: Record) -> RolloutStatus | None:
+        """Decode how far a roll-out has come."""
+        if not record.key.startswith(ROLLOUT_PREFIX):
+            return None
+        return decode_status(record.value)
+
+    def encode_status(self, status: RolloutStatus, expected_end: int) -> Append:
+        """Return the record that says how far a roll-out has come."""
+        return Append(
+            topic=self.status_topic,
+            key=f"{ROLLOUT_PREFIX}{status.service}",
+            value=encode_status(status),
+            expected_end=expected_end,
+        )
+
+
+def decode_configuration(value: bytes) -> RoutingConfiguration:
+    """Decode a configuration.
+
+    Raises `ConfigurationError` where it can't be understood.
+    """
+    try:
+        found = msgspec.json.decode(value, type=_Configuration)
+    except msgspec.MsgspecError as error:
+        raise ConfigurationError(
+            str(error), field=CONFIGURATION_KEY, remedy=_REMEDY
+        ) from error
+    return RoutingConfiguration(
+        version=found.version,
+        routes=tuple(_translate_route(route) for route in found.routes),
+        services=tuple(_translate_service(service) for service in found.services),
+        limits=RequestLimits(
+            max_header_bytes=found.limits.max_header_bytes,
+            max_body_bytes=found.limits.max_body_bytes,
+            idle_timeout_s=found.limits.idle_timeout_ms / MS,
+        ),
+        accounts=tuple(
+            Account(name=t.name, keys=tuple(t.api_keys), priority=t.priority)
+            for t in found.tenants
+        ),
+    )
+
+
+def _translate_route(route: _Route) -> Route:
+    targets = tuple(
+        Target(service=split.service, weight=split.weight) for split in route.backends
+    )
+    if not targets and route.service is not None:
+        targets = (Target(service=route.service),)
+    return Route(
+        name=route.name or f"{route.host}{route.path_prefix}",
+        host=route.host,
+        path_prefix=route.path_prefix,
+        # A kind that this side doesn't know must not run twice.
+        repeatability=_KINDS.get(route.kind, Repeatability.NON_IDEMPOTENT),
+        targets=targets,
+        timeout_s=route.timeout_ms / MS,
+        objective_s=(route.slo_ms or route.timeout_ms) / MS,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        models=tuple(route.sizes),
+        public=route.public,
+        has_prompts=route.sticky,
+        resumable=route.resumable,
+        pause_s=route.gap_target_ms / MS,
+    )
+
+
+def _translate_service(service: _Service) -> ServicePlan:
+    engine = service.engine or _Engine()
+    return ServicePlan(
+        name=service.name,
+        max_connections=service.max_conns,
+        capacity=engine.slots,
+        models=tuple(ModelCost(name=m.name, cost=m.cost) for m in engine.models),
+    )
+
+
+def decode_backend(id: str, value: bytes) -> BackendRecord:
+    """Decode the record of one start of a backend server.
+
+    Raises `msgspec.MsgspecError` where it can't be understood.
+    """
+    found = msgspec.json.decode(value, type=_Server)
+    return BackendRecord(
+        id=id,
+        service=found.service,
+        address=found.address,
+        failure_domain=found.zone,
+        version=found.version,
+        capacity=max(1, found.slots),
+        leaving=found.state == DRAINING,
+    )
+
+
+def decode_order(number: int, value: bytes) -> RolloutOrder:
+    """Decode an order to move a service to another version."""
+    found = msgspec.json.decode(value, type=_Order)
+    return RolloutOrder(
+        number=number,
+        service=found.service,
+        target=found.target,
+        time_limit_s=found.deadline_s,
+    )
+
+
+def encode_status(status: RolloutStatus) -> bytes:
+    """Encode how far a roll-out has come."""
+    return msgspec.json.encode(
+        _Status(
+            service=status.service,
+            target=status.target,
+            state=status.state,
+            number=status.number,
+            elapsed_s=round(status.elapsed_s, 2),
+        )
+    )
+
+
+def decode_status(value: bytes) -> RolloutStatus:
+    """Decode how far a roll-out has come."""
+    found = msgspec.json.decode(value, type=_Status)
+    return RolloutStatus(
+        service=found.service,
+        target=found.target,
+        state=found.state,
+        number=found.number,
+        elapsed_s=found.elapsed_s,
+    )
--- /dev/null
+++ b/src/baobabthread/platform/settings.py
@@ -0,0 +1,120 @@
+"""The settings file that the platform fills in at each start."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from baobabthread.errors import UsageError
+from baobabthread.instance.settings import InstanceSettings
+from baobabthread.routing.bounds import RoutingBounds
+
+PATH_VARIABLE = "BAOBABTHREAD_SETTINGS"
+MS = 1000.0
+
+
+class _Listen(msgspec.Struct, frozen=True, kw_only=True):
+    front: str
+    ready: str
+    directory: str
+    control: str
+
+
+class _Provider(msgspec.Struct, frozen=True, kw_only=True):
+    address: str
+    """The store's address."""
+
+
+class _Limits(msgspec.Struct, frozen=True, kw_only=True):
+    memory_mb: int = 300
+    max_fds: int = 4096
+
+
+class _Guarantees(msgspec.Struct, frozen=True, kw_only=True):
+    contact_ms: float = 3000
+    grace_s: float = 8
+    revoke_ms: float = 5000
+    strict_revoke: bool = True
+    retry_budget_ratio: float = 0.1
+    retry_budget_extra: float = 10
+    expose_share: float = 0.1
+    session_s: float = 5
+    ttl_max_s: float = 5
+
+
+class _File(msgspec.Struct, frozen=True, kw_only=True):
+    node_name: str
+    """Name of the machine, not of a process."""
+    ip: str
+    zone: str
+    """The failure domain."""
+    region: str = ""
+    listen: _Listen
+    internal_ports: list[int]
+    """First and last port that is free for traffic between instances."""
+    seeds: list[str] = []
+    """Control addresses of other instances; they may be gone."""
+    limits: _Limits = _Limits()
+    guarantees: _Guarantees = _Guarantees()
+    provider: _Provider
+
+
+def read_settings(path: str) -> InstanceSettings:
+    """Read and check the settings file.
+
+    Raises `UsageError` that names the file and the field.
+    """
+    try:
+        text = Path(path).read_bytes()
+    except OSError as error:
+        raise UsageError(
+            f"can't read the settings file {path}: {error.strerror}",
+            remedy=f"let {PATH_VARIABLE} hold the path of a readable file",
+        ) from error
+    return parse_settings(text, path)
+
+
+def parse_settings(text: bytes, path: str) -> InstanceSettings:
+    """Decode the settings file's text; unknown fields are passed over."""
+    try:
+        file = msgspec.json.decode(text, type=_File)
+    except msgspec.MsgspecError as error:
+        raise UsageError(
+            f"settings file {path}: {error}",
+            remedy="compare it with deploy/settings.json and docs/OPERATIONS.md",
+        ) from error
+    if not file.internal_ports:
+        raise UsageError(
+            f"settings file {path}: `internal_ports` is empty",
+            remedy="name the first and the last port between instances",
+        )
+    return _translate(file)
+
+
+def _translate(file: _File) -> InstanceSettings:
+    bounds = file.guarantees
+    return InstanceSettings(
+        name=file.node_name,
+        failure_domain=file.zone,
+        region=file.region,
+        ip=file.ip,
+        callers_address=file.listen.front,
+        readiness_address=file.listen.ready,
+        directory_address=file.listen.directory,
+        control_address=file.listen.control,
+        gossip_port=file.internal_ports[0],
+        seeds=tuple(file.seeds),
+        store_address=file.provider.address,
+        memory_mb=file.limits.memory_mb,
+        bounds=RoutingBounds(
+            revocation_s=bounds.revoke_ms / MS,
+            retry_ratio=bounds.retry_budget_ratio,
+            retry_extra=bounds.retry_budget_extra,
+            exposure_share=bounds.expose_share,
+            session_s=bounds.session_s,
+            grace_s=bounds.grace_s,
+            max_lifetime_s=bounds.ttl_max_s,
+            contact_s=bounds.contact_ms / MS,
+        ),
+    )
--- /dev/null
+++ b/src/baobabthread/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests whose bodies are opaque: routes, versions, models, limits."""
--- /dev/null
+++ b/src/baobabthread/routing/knowledge.py
@@ -0,0 +1,195 @@
+"""What an instance knows of the operators' will and of the backend servers.
+
+Knowledge has an age. It comes from the store or from a peer, never goes back, and
+requests with a key are refused once it is too old to rule out that the key was taken
+away.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from baobabthread.core.freshness import Freshness, FreshnessSettings
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.configuration import (
+    BackendRecord,
+    RolloutOrder,
+    RoutingConfiguration,
+)
+from baobabthread.routing.table import RoutingTable
+
+REVOCATION_MARGIN_S = 0.5
+"""Time kept from the bound on keys for clocks that drift and reads that are stamped
+late."""
+RETURN_S = 2.2
+"""Time after the store is back in which entries that lapsed meanwhile return."""
+UNSTABLE_S = 1.5
+"""Gap between two reads of the backend servers' records after which the store counts
+as having been away."""
+
+
+class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold all that one instance knows, for another one that can't read the store."""
+
+    operators_end: int
+    """Where the operators' log was read to."""
+    operators_age_s: float
+    """Time since the read that showed nothing newer was sent."""
+    configuration: RoutingConfiguration | None
+    orders: list[RolloutOrder]
+    backends_end: int
+    backends_age_s: float
+    backends: list[BackendRecord]
+
+
+class Knowledge:
+    """Hold the newest configuration, orders and backend servers, and their age."""
+
+    __slots__ = (
+        "_backends_at",
+        "_bounds",
+        "_held",
+        "_unstable_until",
+        "backends",
+        "backends_end",
+        "changes",
+        "freshness",
+        "operators_end",
+        "orders",
+        "table",
+    )
+
+    def __init__(self, *, bounds: RoutingBounds) -> None:
+        self._bounds = bounds
+        age = max(bounds.revocation_s * 0.5, bounds.revocation_s - REVOCATION_MARGIN_S)
+        self.freshness = Freshness(settings=FreshnessSettings(bound_s=age))
+        self.table: RoutingTable | None = None
+        self.orders: dict[str, RolloutOrder] = {}
+        self.backends: dict[str, BackendRecord] = {}
+        self.operators_end = 0
+        self.backends_end = 0
+        self.changes = 0
+        """Rises whenever anything but ages has changed."""
+        self._backends_at = -1e9
+        self._held: dict[str, float] = {}
+        self._unstable_until = 0.0
+
+    # -- operators --
+
+    def take_configuration(self, configuration: RoutingConfiguration) -> bool:
+        """Take over a configuration unless it is older; return whether it is newer."""
+        # A late answer or a peer that is behind must not bring a dropped route or a
+        # key back that was already taken away here.
+        if self.table and configuration.version <= self.table.configuration.version:
+            return False
+        self.table = RoutingTable(configuration=configuration)
+        self.changes += 1
+        return True
+
+    def take_order(self, order: RolloutOrder) -> bool:
+        """Take over an order unless it is older; return whether it is newer."""
+        known = self.orders.get(order.service)
+        if known is not None and order.number <= known.number:
+            return False
+        self.orders[order.service] = order
+        self.changes += 1
+        return True
+
+    def note_operators_read(self, *, end: int, asked_at: float) -> None:
+        """Note that everything up to an offset was read by a question sent then."""
+        self.operators_end = max(self.operators_end, end)
+        self.freshness.fold_to(end)
+        self.freshness.read_head(head=end, started_at=asked_at)
+
+    # -- backend servers --
+
+    def note_backends_read(self, *, end: int, asked_at: float, now: float) -> None:
+        """Note that the backend servers' records were read up to an offset."""
+        if asked_at - self._backends_at > UNSTABLE_S:
+            self._unstable_until = now + RETURN_S
+        self.backends_end = max(self.backends_end, end)
+        self._backends_at = max(self._backends_at, asked_at)
+
+    def take_backend(self, record: BackendRecord) -> bool:
+        """Take over a backend server's record; return whether it changes anything."""
+        self._held.pop(record.id, None)
+        known = self.backends.get(record.id)
+        if known == record:
+            return False
+        if known is not None and known.leaving and not record.leaving:
+            # Records of a peer may be older than what was read here: a backend server
+            # that said it leaves never comes back under the same id.
+            return False
+        self.backends[record.id] = record
+        self.changes += 1
+        return True
+
+    def drop_backend(self, id: str, now: float) -> None:
+        """Note that a backend server's record is gone."""
+        if id not in self.backends:
+            return
+        if now < self._unstable_until:
+            # Records lapse while the store is away. Dropping them would leave live
+            # servers without work, so they get the time to return.
+            self._held.setdefault(id, self._unstable_until)
+            return
+        del self.backends[id]
+        self.changes += 1
+
+    def replace_backends(self, records: list[BackendRecord], now: float) -> None:
+        """Take over a full list; what it lacks is gone."""
+        listed = {record.id for record in records}
+        for id in [id for id in self.backends if id not in listed]:
+            self.drop_backend(id, now)
+        for record in records:
+            self.take_backend(record)
+
+    def expire(self, now: float) -> None:
+        """Drop records that did not return in time."""
+        for id in [id for id, until in self._held.items() if now >= until]:
+            del self._held[id]
+            if self.backends.pop(id, None) is not None:
+                self.changes += 1
+
+    # -- ages --
+
+    def operators_age(self, now: float) -> float:
+        """Return the age in seconds of what is known of the operators' will."""
+        return self.freshness.head_age(now)
+
+    def backends_age(self, now: float) -> float:
+        """Return the age in seconds of the list of backend servers."""
+        return now - self._backends_at
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether a key that is known now can't have been taken away too long."""
+        return self.operators_age(now) <= self.freshness.bound_s
+
+    def snapshot(self, now: float) -> Snapshot:
+        """Return everything for a peer."""
+        table = self.table
+        return Snapshot(
+            operators_end=self.operators_end,
+            operators_age_s=self.operators_age(now),
+            configuration=table.configuration if table is not None else None,
+            orders=list(self.orders.values()),
+            backends_end=self.backends_end,
+            backends_age_s=self.backends_age(now),
+            backends=list(self.backends.values()),
+        )
+
+    def merge(self, snapshot: Snapshot, *, asked_at: float, now: float) -> None:
+        """Take over what a peer knows better; the question was sent at `asked_at`."""
+        if snapshot.configuration is not None:
+            self.take_configuration(snapshot.configuration)
+            for order in snapshot.orders:
+                self.take_order(order)
+            self.note_operators_read(
+                end=snapshot.operators_end,
+                asked_at=asked_at - snapshot.operators_age_s,
+            )
+        read_at = asked_at - snapshot.backends_age_s
+        if snapshot.backends_end >= self.backends_end and read_at > self._backends_at:
+            self.replace_backends(snapshot.backends, now)
+            self.backends_end = snapshot.backends_end
+            self._backends_at = read_at
--- /dev/null
+++ b/src/baobabthread/routing/models.py
@@ -0,0 +1,83 @@
+"""Which model answers a request, and whether its answer is good enough to pass on."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from baobabthread.core.registry import Registry
+
+SURE = 0.75
+"""Confidence of the smallest model from which its answer is passed on."""
+UNSURE = 0.50
+"""Confidence of the smallest model below which only the largest one will do."""
+MIDDLE_SURE = 0.60
+"""The same of a model in between, below which the largest one follows."""
+
+
+class ModelQuestion(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe an answer whose first part is at hand and not yet passed on."""
+
+    count: int
+    """Number of models that may answer, smallest first."""
+    index: int
+    """The model that made this answer."""
+    confidence: float | None
+    """The model's own opinion of it, 0 to 1."""
+
+
+class ModelChoice(Protocol):
+    """Choose the model to begin with and the one to go on with."""
+
+    def begin(self, count: int) -> int:
+        """Return the index of the first model to ask."""
+
+    def escalate(self, question: ModelQuestion) -> int | None:
+        """Return the index of a larger model to ask instead, or nothing to accept."""
+
+
+MODEL_CHOICES: Registry[ModelChoice] = Registry(what="model choice")
+
+
+class Largest:
+    """Ask the largest model at once; the baseline that is never wrong."""
+
+    __slots__ = ()
+
+    def begin(self, count: int) -> int:
+        """Return the last one."""
+        return count - 1
+
+    def escalate(self, question: ModelQuestion) -> int | None:
+        """Accept."""
+        return None
+
+
+class Staged:
+    """Ask the smallest model first and go on by what it says of its own answer.
+
+    An answer that is dropped at its head costs the reading of the prompt by a small
+    model, a fraction of what the largest one costs for the whole answer.
+    """
+
+    __slots__ = ()
+
+    def begin(self, count: int) -> int:
+        """Return the first one."""
+        return 0
+
+    def escalate(self, question: ModelQuestion) -> int | None:
+        """Return the largest one after a poor answer, the next after a middling one."""
+        last = question.count - 1
+        if question.index >= last or question.confidence is None:
+            return None
+        if question.index > 0:
+            return last if question.confidence < MIDDLE_SURE else None
+        if question.confidence < UNSURE:
+            return last
+        return 1 if question.confidence < SURE else None
+
+
+MODEL_CHOICES.register("largest")(Largest())
+MODEL_CHOICES.register("staged")(Staged())
--- /dev/null
+++ b/src/baobabthread/routing/versions.py
@@ -0,0 +1,271 @@
+"""Which version of a service a request goes to while traffic moves between versions.
+
+The share of the new version is a function of the time since the order and of shared
+evidence, so that instances agree on it without talk. A session's place in that share
+is a hash of its name: it moves at most once, and never back while the share grows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from baobabthread.core.attempts import draw
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.configuration import (
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
+from baobabthread.routing.trial import Trial
+
+SETTLE_S = 1.0
+"""Time after an order in which instances tell each other of the sessions in use."""
+TRIAL_PART = 0.55
+"""Part of the bound on exposure that the new version gets while it is on trial."""
+HALF = 0.5
+"""Part of the time limit before which no session in use may be moved."""
+LEAST_TRIAL_S = 2.5
+"""Shortest trial before sessions are moved to the new version."""
+STEPS = ((0.0, 0.35), (1.0, 0.7), (2.0, 1.0))
+"""Seconds since the end of the trial, and the share from then on: a version that fails
+under load only shows it before it has all of the traffic."""
+SUSPICION_PART = 0.75
+"""Part of the time limit until which a suspected version stays on trial."""
+SESSION_MARGIN_S = 1.0
+"""Time on top of a session's pause for what instances hear late from each other."""
+MAX_SESSIONS = 4096
+NEVER_S = 1e9
+MAX_SHARED = 128
+"""Sessions that one instance tells the others of, a few bytes each."""
+
+
+class Progress(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell the other instances how far a roll-out has come at this one."""
+
+    service: str
+    number: int
+    elapsed_s: float
+    share: float
+    old_running: int
+    """Requests that still run on the old version."""
+    alarm: str | None = None
+    sessions: dict[str, float] = {}
+    """Sessions in use on the old version whose turn would have come, and the seconds
+    since their last request."""
+
+
+class VersionPlan:
+    """Choose between the versions of one service."""
+
+    __slots__ = (
+        "_bounds",
+        "_heard",
+        "_old_running",
+        "_ready_at",
+        "_seen",
+        "_started_at",
+        "_trial_end",
+        "order",
+        "service",
+        "state",
+        "trial",
+    )
+
+    def __init__(self, *, service: str, bounds: RoutingBounds) -> None:
+        self.service = service
+        self._bounds = bounds
+        self.order: RolloutOrder | None = None
+        self.state = RolloutState.SUCCEEDED
+        self.trial = Trial(number=-1)
+        self._started_at = 0.0
+        self._ready_at: float | None = None
+        self._trial_end: float | None = None
+        self._old_running = 0
+        self._seen: dict[str, float] = {}
+        self._heard: dict[str, float] = {}
+
+    def take_order(self, order: RolloutOrder, now: float) -> bool:
+        """Begin with an order; return whether it is news."""
+        if self.order is not None and order.number <= self.order.number:
+            return False
+        self.order = order
+        self.state = RolloutState.RUNNING
+        self.trial = Trial(number=order.number)
+        self._started_at = now
+        self._ready_at = None
+        self._trial_end = None
+        return True
+
+    def take_status(self, status: RolloutStatus, now: float) -> None:
+        """Take over what the store or the conductor says of the present order."""
+        if self.order is None or status.target != self.order.target:
+            return
+        if status.number not in (0, self.order.number):
+            return
+        if self.state is RolloutState.RUNNING:
+            self.state = status.state
+            # A restarted instance begins to count at its start; the record knows more.
+            self._started_at = min(self._started_at, now - status.elapsed_s)
+
+    def take_progress(self, progress: Progress, now: float) -> None:
+        """Take in how far another instance is."""
+        if self.order is None or progress.number != self.order.number:
+            return
+        self._started_at = min(self._started_at, now - progress.elapsed_s)
+        if progress.alarm is not None and self.trial.alarm is None:
+            self.trial.alarm = progress.alarm
+        for session, age_s in progress.sessions.items():
+            last = max(self._heard.get(session, 0.0), now - age_s)
+            self._heard[session] = last
+
+    def note_target(self, *, usable: bool, now: float) -> None:
+        """Note whether backend servers of the new version may take work."""
+        if usable and self._ready_at is None:
+            self._ready_at = now
+        elif not usable:
+            self._ready_at = None
+            self._trial_end = None
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether a roll-out is under way."""
+        return self.order is not None and self.state is RolloutState.RUNNING
+
+    def elapsed(self, now: float) -> float:
+        """Return the seconds since the order."""
+        return max(0.0, now - self._started_at)
+
+    def share(self, now: float) -> float:
+        """Return the part of the sessions that goes to the new version."""
+        order = self.order
+        if order is None or self.state is RolloutState.REVERTED:
+            return 0.0
+        if self.state is RolloutState.SUCCEEDED:
+            return 1.0
+        if self.trial.alarm is not None or self._ready_at is None:
+            return 0.0
+        if self.elapsed(now) < SETTLE_S:
+            return 0.0
+        if not self._is_trial_over(now):
+            return self._trial_share
+        assert self._trial_end is not None
+        since = now - self._trial_end
+        return max(share for after, share in STEPS if since >= after)
+
+    @property
+    def _trial_share(self) -> float:
+        return self._bounds.exposure_share * TRIAL_PART
+
+    def _is_trial_over(self, now: float) -> bool:
+        if self._trial_end is not None:
+            return True
+        assert self.order is not None and self._ready_at is not None
+        elapsed = self.elapsed(now)
+        limit = self.order.time_limit_s
+        if elapsed < limit * HALF or now - self._ready_at < LEAST_TRIAL_S:
+            return False
+        if self.trial.is_suspicious and elapsed < limit * SUSPICION_PART:
+            return False
+        self._trial_end = now
+        return True
+
+    def choose(self, session: str, now: float) -> bool:
+        """Return whether a request of a session goes to the new version."""
+        share = self.share(now)
+        if share >= 1.0:
+            return True
+        if share <= 0.0 or not self._is_in(session, share):
+            return False
+        if self._trial_end is not None:
+            return True
+        # A session in use stays where it is for the first half: a caller that goes on
+        # with a conversation would get another version in the middle of it.
+        return not self._is_pinned(session, now)
+
+    def started_old(self, session: str, now: float) -> None:
+        """Count a request of a session that goes to the old version."""
+        self._old_running += 1
+        self._note_old(session, now)
+
+    def ended_old(self, session: str, now: float) -> None:
+        """Count the end of a request on the old version."""
+        self._old_running = max(0, self._old_running - 1)
+        self._note_old(session, now)
+
+    def progress(self, now: float) -> Progress | None:
+        """Return what to tell the others, while a roll-out is under way."""
+        if self.order is None or self.state is not RolloutState.RUNNING:
+            return None
+        return Progress(
+            service=self.service,
+            number=self.order.number,
+            elapsed_s=round(self.elapsed(now), 2),
+            share=self.share(now),
+            old_running=self._old_running,
+            alarm=self.trial.alarm,
+            sessions=self._list_pinned(now) if self._trial_end is None else {},
+        )
+
+    def _is_in(self, session: str, share: float) -> bool:
+        assert self.order is not None
+        return draw(f"{self.service}/{self.order.number}", session) < share
+
+    def _note_old(self, session: str, now: float) -> None:
+        self._seen[session] = now
+        if len(self._seen) > MAX_SESSIONS:
+            self._forget(now)
+
+    def _is_pinned(self, session: str, now: float) -> bool:
+        last = max(
+            self._seen.get(session, -NEVER_S), self._heard.get(session, -NEVER_S)
+        )
+        return now - last < self._pause_s
+
+    @property
+    def _pause_s(self) -> float:
+        return self._bounds.session_s + SESSION_MARGIN_S
+
+    def _list_pinned(self, now: float) -> dict[str, float]:
+        """Return the sessions seen here; what was only heard isn't passed on."""
+        self._forget(now)
+        mine = [each for each in self._seen if self._is_in(each, self._trial_share)]
+        return {each: round(now - self._seen[each], 2) for each in mine[-MAX_SHARED:]}
+
+    def _forget(self, now: float) -> None:
+        recent = now - self._pause_s
+        self._seen = {s: at for s, at in self._seen.items() if at > recent}
+        self._heard = {s: at for s, at in self._heard.items() if at > recent}
+
+
+def judge_rollout(
+    plan: VersionPlan, others: Iterable[Progress], members: int, now: float
+) -> RolloutState:
+    """Return what the conductor writes of a roll-out now.
+
+    `others` are the other instances' latest words, `members` their number.
+    """
+    if plan.order is None or plan.state is not RolloutState.RUNNING:
+        return plan.state
+    if plan.trial.alarm is not None:
+        return RolloutState.REVERTED
+    own = plan.progress(now)
+    assert own is not None
+    words = [p for p in others if p.number == plan.order.number]
+    if any(word.alarm is not None for word in words):
+        return RolloutState.REVERTED
+    if own.share < 1.0:
+        return RolloutState.RUNNING
+    # The old version is stopped at once when this is written: whoever still runs
+    # something there would see it cut.
+    moved = [w for w in words if w.share >= 1.0 and w.old_running == 0]
+    if own.old_running == 0 and len(moved) >= members:
+        return RolloutState.SUCCEEDED
+    late = plan.elapsed(now) >= plan.order.time_limit_s * LATEST_PART
+    return RolloutState.SUCCEEDED if late else RolloutState.RUNNING
+
+
+LATEST_PART = 0.88
+"""Part of the time limit after which the move is ended though some requests run on:
+their streams can be resumed, a missed limit can't be made good."""
--- a/tests/adapters/test_peers.py
+++ b/tests/adapters/test_peers.py
@@ -10,7 +10,8 @@
 import msgspec
 from aiohttp import web
 
-from baobabthread.adapters.peers import PeerCodec, PeerOutbox, PeerServer
+from baobabthread.adapters.codec import PeerCodec
+from baobabthread.adapters.peers import PeerOutbox, PeerServer
 
 SECRET = "peer-secret-peer-secret"
 
