Count an attempt's run once, wait for an engine by its prompt's size

Cause: an attempt that broke off after its head counted as two runs, so streams that may be resumed were cut; 0.35 s of silence gave up engines that were reading a prompt.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -20,11 +20,17 @@
 from baobabthread.instance.flight import Flight
 from baobabthread.instance.wire import AnswerMarks, BackendCall, WireFormat
 
-LEAST_PATIENCE_S = 0.35
-"""Silence after which an attempt that may be repeated is given up, at least."""
-PATIENCE_FACTOR = 4.0
+PLAIN_PATIENCE_S = 0.4
+"""Silence after which an attempt at a plain service that may be repeated is given up:
+several times what its work usually takes."""
+ENGINE_PATIENCE_S = 1.0
+"""The same for the first part of an engine's answer, which waits for prompts to be
+read; a dark engine found after it still lets the answer come in time."""
+EVENT_PATIENCE_S = 0.7
+"""Silence within a stream; an engine that runs makes a token every few milliseconds."""
+PATIENCE_FACTOR = 5.0
 """Times the usual time to the first part that is waited for it."""
-MAX_PATIENCE_S = 1.5
+MAX_PATIENCE_S = 3.0
 
 T = TypeVar("T")
 
@@ -69,12 +75,15 @@
 
     __slots__ = ("_connection", "_response", "flight", "link", "patience_s", "sent_at")
 
-    def __init__(self, *, flight: Flight, link: BackendLink, usual_s: float) -> None:
+    def __init__(
+        self, *, flight: Flight, link: BackendLink, usual_first_s: float
+    ) -> None:
         self.flight = flight
         self.link = link
         self.sent_at = now()
+        least = ENGINE_PATIENCE_S if flight.route.is_stream else PLAIN_PATIENCE_S
         self.patience_s = min(
-            MAX_PATIENCE_S, max(LEAST_PATIENCE_S, PATIENCE_FACTOR * usual_s)
+            MAX_PATIENCE_S, max(least, PATIENCE_FACTOR * usual_first_s)
         )
         self._connection: Connection | None = None
         self._response: Response | None = None
@@ -104,10 +113,13 @@
             self.link.suspect()
             raise
         self.sent_at = now()
+        flight.runs += 1
         response = await self._watch(self.link.pool.receive(self._connection))
         self._response = response
         marks = wire.read_marks(response.status, response.headers)
         self._check(marks, response.status)
+        if flight.route.is_stream:
+            self.patience_s = EVENT_PATIENCE_S
         return Head(response=response, marks=marks, latency_s=now() - self.sent_at)
 
     async def read_some(self) -> bytes:
@@ -140,6 +152,7 @@
             # A second or late answer to somebody else's request.
             raise BrokenError("answer to another request")
         if marks.not_run:
+            self.flight.runs -= 1
             raise RefusedError(status)
         if marks.encoded:
             raise BrokenError("answer with an encoding that nobody asked for")
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -250,9 +250,7 @@
             tokens=flight.work,
             deadline=flight.deadline,
             arrived=moment,
-            service_s=max(
-                LEAST_LEFT_S, self._pace.first_s(flight.service, flight.model_name)
-            ),
+            service_s=max(LEAST_LEFT_S, self._expect_first(flight)),
         )
         state.budget.count_request(moment)
         admission = state.queue.offer(waiting, moment, self._rng.random())
@@ -277,12 +275,19 @@
             return False
         return True
 
+    def _expect_first(self, flight: Flight) -> float:
+        """Return about the seconds until the first part of an answer."""
+        prompt = flight.request.envelope.prompt_tokens
+        return self._pace.first_s(flight.service, flight.model_name, prompt)
+
     def _estimate_work(self, flight: Flight) -> int:
         """Return about how many milliseconds a backend server works on it."""
+        envelope = flight.request.envelope
         whole_s = self._pace.whole_s(
             flight.service,
             flight.model_name,
-            flight.request.envelope.expected_tokens,
+            prompt=envelope.prompt_tokens,
+            tokens=envelope.expected_tokens,
         )
         return max(1, int(whole_s * 1000))
 
@@ -348,8 +353,9 @@
         self, flight: Flight, state: ServiceState, link: BackendLink
     ) -> None:
         """Try one backend server; raise `_Again` when another one is to be tried."""
-        usual_s = self._pace.first_s(flight.service, flight.model_name)
-        attempt = Attempt(flight=flight, link=link, usual_s=usual_s)
+        attempt = Attempt(
+            flight=flight, link=link, usual_first_s=self._expect_first(flight)
+        )
         old = state.plan.order is not None and not flight.on_new
         flight.work = self._estimate_work(flight)
         self._backends.table.started(link.record.id, flight.work, now())
@@ -359,7 +365,6 @@
         outcome = Outcome.CANCELLED
         try:
             head = await attempt.open(self._wire)
-            flight.runs += 1
             await self._take_answer(flight, state, attempt, head)
             outcome = Outcome.FAILED if head.is_failure else Outcome.OK
         except _Again as again:
@@ -387,11 +392,9 @@
         flight.excluded.add(link.record.id)
         surely_not_run = isinstance(error, NotSentError | RefusedError)
         if isinstance(error, TimeoutError):
-            flight.runs += 1
             await self._time_out(flight)
             return
         if not surely_not_run:
-            flight.runs += 1
             if not flight.route.may_repeat or not self._may_run_again(flight):
                 await self._give_up(flight, "backend_failed")
                 return
@@ -432,6 +435,7 @@
             self._pace.observe(
                 flight.service,
                 flight.model_name,
+                prompt=0,
                 first_s=now() - attempt.sent_at,
                 rest_s=0.0,
                 tokens=1,
@@ -486,7 +490,8 @@
         expected_s = self._pace.whole_s(
             flight.service,
             flight.route.models[larger],
-            flight.request.envelope.expected_tokens,
+            prompt=flight.request.envelope.prompt_tokens,
+            tokens=flight.request.envelope.expected_tokens,
         )
         if now() + expected_s > flight.deadline or not self._spend(flight, state):
             return
@@ -515,6 +520,7 @@
         self._pace.observe(
             flight.service,
             flight.model_name,
+            prompt=flight.request.envelope.prompt_tokens,
             first_s=head.latency_s,
             rest_s=now() - first_at,
             tokens=flight.request.envelope.expected_tokens,
--- a/src/baobabthread/routing/pace.py
+++ b/src/baobabthread/routing/pace.py
@@ -6,9 +6,10 @@
 
 STEP = 0.05
 """Part by which the usual time follows each answer."""
-FIRST_S = 0.05
-"""Time to the first part that is assumed before any answer: of the order of a short
-prompt at an idle engine."""
+BASE_TOKENS = 2000
+"""Tokens that the start of any answer takes as long as, beside those of its prompt."""
+PROMPT_TOKEN_S = 0.00005
+"""Time for each of them that is assumed before any answer."""
 TOKEN_S = 0.005
 """Time for each token that is assumed before any answer."""
 CLIP = 4.0
@@ -16,7 +17,7 @@
 
 
 class _Usual(msgspec.Struct):
-    first_s: float = FIRST_S
+    prompt_token_s: float = PROMPT_TOKEN_S
     token_s: float = TOKEN_S
     seen: int = 0
 
@@ -37,6 +38,7 @@
         service: str,
         model: str | None,
         *,
+        prompt: int,
         first_s: float,
         rest_s: float,
         tokens: int,
@@ -45,16 +47,20 @@
         usual = self._usual.setdefault((service, model), _Usual())
         usual.seen += 1
         step = max(STEP, 1.0 / usual.seen)
+        sample = first_s / (BASE_TOKENS + prompt)
         if usual.seen > 1 / STEP:
-            first_s = min(first_s, CLIP * usual.first_s)
-        usual.first_s += step * (first_s - usual.first_s)
+            sample = min(sample, CLIP * usual.prompt_token_s)
+        usual.prompt_token_s += step * (sample - usual.prompt_token_s)
         usual.token_s += step * (rest_s / max(1, tokens) - usual.token_s)
 
-    def first_s(self, service: str, model: str | None) -> float:
-        """Return the usual seconds to the first part."""
-        return self._usual.get((service, model), _UNKNOWN).first_s
+    def first_s(self, service: str, model: str | None, prompt: int) -> float:
+        """Return the usual seconds to the first part, for a prompt of so many tokens."""
+        usual = self._usual.get((service, model), _UNKNOWN)
+        return usual.prompt_token_s * (BASE_TOKENS + prompt)
 
-    def whole_s(self, service: str, model: str | None, tokens: int) -> float:
+    def whole_s(
+        self, service: str, model: str | None, *, prompt: int, tokens: int
+    ) -> float:
         """Return the usual seconds to the end of an answer."""
         usual = self._usual.get((service, model), _UNKNOWN)
-        return usual.first_s + usual.token_s * tokens
+        return self.first_s(service, model, prompt) + usual.token_s * tokens
