Refuse what a stopping instance can't end, give up lost answers, announce sessions in use

Cause: streams begun late after the signal to stop were cut at the end of the grace; an answer lost by a live engine was waited for until the deadline; a session's request reached another instance before word of its last one.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -28,6 +28,9 @@
 read; a dark engine found after it still lets the answer come in time."""
 EVENT_PATIENCE_S = 0.7
 """Silence within a stream; an engine that runs makes a token every few milliseconds."""
+LOST_FACTOR = 2.0
+"""Times the patience after which an answer counts as lost though the backend server
+gives signs of life to others."""
 PATIENCE_FACTOR = 5.0
 """Times the usual time to the first part that is waited for it."""
 MAX_PATIENCE_S = 3.0
@@ -175,10 +178,13 @@
                 await asyncio.wait({task}, timeout=min(left, self._next_look()))
                 if task.done():
                     return task.result()
-                quiet_since = max(began, self.link.heard_at)
-                if self._may_give_up and now() - quiet_since >= self.patience_s:
+                if not self._may_give_up:
+                    continue
+                if now() - max(began, self.link.heard_at) >= self.patience_s:
                     self.link.suspect()
                     raise SilentError("no sign of life")
+                if now() - began >= self.patience_s * LOST_FACTOR:
+                    raise SilentError("answer lost")
         finally:
             if not task.done():
                 task.cancel()
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 
 import msgspec
@@ -41,6 +42,12 @@
 """Time left below which no attempt is worth its place at a backend server."""
 SOON_S = 0.5
 """Time after which a caller may come back to an instance that is not yet ready."""
+LEAVING_RETRY_S = 0.05
+"""Time after which a caller may go to another instance: at once."""
+LEAVING_FACTOR = 3.0
+"""Times the usual length of an answer that must be left: estimates of length are often
+far off, and a stream that is cut at the end is worse than one that begins elsewhere."""
+LEAVING_MARGIN_S = 0.5
 LOW_BALANCE = 2.0
 """Repeats left below which answers must be good at once: none could follow."""
 
@@ -104,6 +111,9 @@
         self._turns: dict[str, asyncio.Future[None]] = {}
         self._sequence = 0
         self._entries = 1
+        self._idle: asyncio.Event | None = None
+        self._refuses_from = 0.0
+        self._ends_at: float | None = None
         self.in_flight = 0
 
     # -- what changes around it --
@@ -156,6 +166,8 @@
             await self._serve(found)
         finally:
             self.in_flight -= 1
+            if not self.in_flight and self._idle is not None:
+                self._idle.set()
 
     def _admit(self, request: CallerRequest, reply: Reply) -> Flight | _Verdict:
         table = self._knowledge.table
@@ -185,8 +197,38 @@
             deadline=request.arrived_at + limit,
         )
         self._begin_model(flight)
+        if not self._can_end_before(flight):
+            return _Verdict(status=503, kind="leaving", retry_after_s=LEAVING_RETRY_S)
         return flight
 
+    def _can_end_before(self, flight: Flight) -> bool:
+        """Tell whether an answer would be whole before this instance ends."""
+        if self._ends_at is None or now() < self._refuses_from:
+            return True
+        envelope = flight.request.envelope
+        models = flight.route.models
+        whole_s = self._pace.whole_s(
+            flight.service,
+            models[-1] if flight.model is not None else None,
+            prompt=envelope.prompt_tokens,
+            tokens=envelope.expected_tokens,
+        )
+        return now() + LEAVING_FACTOR * whole_s + LEAVING_MARGIN_S < self._ends_at
+
+    async def wait_idle(self, seconds: float) -> None:
+        """Wait until nothing is in flight, at most so long."""
+        if not self.in_flight:
+            return
+        self._idle = asyncio.Event()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._idle.wait()
+
+    def leave(self, *, refuses_from: float, ends_at: float) -> None:
+        """Take only what will be answered in time from now on."""
+        self._refuses_from = refuses_from
+        self._ends_at = ends_at
+
     def _authenticate(
         self, table: RoutingTable, route: Route, request: CallerRequest, fresh: bool
     ) -> Account | _Verdict | None:
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -122,6 +122,10 @@
             self._note_members()
             await asyncio.sleep(TICK_S)
 
+    def announce(self) -> None:
+        """Send the newest values to the others at once."""
+        self._run(self.membership.announce(self.membership.me.generation, now()))
+
     def leave(self) -> None:
         """Tell the others that this instance takes no new callers."""
         self._run(self.membership.leave(now()))
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -37,6 +37,9 @@
 ACCEPT_S = 6.5
 """Time after the signal to stop in which new connections are still taken: some callers
 keep addresses three times as long as they were told."""
+SERVE_ALL_S = 2.5
+"""Time after the signal in which everything is still taken: callers hear of other
+addresses within the lifetime that they were told."""
 END_MARGIN_S = 0.4
 """Time kept from the end of the grace for closing."""
 COLLECT_AFTER = 20_000
@@ -283,11 +286,10 @@
         log_event("instance_leaving", in_flight=self.forwarder.in_flight)
         end = began + self._settings.bounds.grace_s - END_MARGIN_S
         accept_until = min(began + ACCEPT_S, end - 0.5)
-        while now() < accept_until:
-            await asyncio.sleep(0.1)
+        self.forwarder.leave(refuses_from=began + SERVE_ALL_S, ends_at=end)
+        await asyncio.sleep(accept_until - now())
         callers.close()
-        while self.forwarder.in_flight and now() < end:
-            await asyncio.sleep(0.05)
+        await self.forwarder.wait_idle(end - now())
 
 
 def _note_end(task: asyncio.Task[None]) -> None:
--- a/src/baobabthread/routing/pace.py
+++ b/src/baobabthread/routing/pace.py
@@ -54,7 +54,7 @@
         usual.token_s += step * (rest_s / max(1, tokens) - usual.token_s)
 
     def first_s(self, service: str, model: str | None, prompt: int) -> float:
-        """Return the usual seconds to the first part, for a prompt of so many tokens."""
+        """Return the usual seconds to the first part of an answer to a prompt."""
         usual = self._usual.get((service, model), _UNKNOWN)
         return usual.prompt_token_s * (BASE_TOKENS + prompt)
 
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -67,6 +67,7 @@
         "_seen",
         "_started_at",
         "_trial_end",
+        "has_news",
         "order",
         "service",
         "state",
@@ -83,6 +84,8 @@
         self._ready_at: float | None = None
         self._trial_end: float | None = None
         self._old_running = 0
+        self.has_news = False
+        """Whether a session was seen that the others should hear of at once."""
         self._seen: dict[str, float] = {}
         self._heard: dict[str, float] = {}
 
@@ -133,6 +136,11 @@
         """Tell whether a roll-out is under way."""
         return self.order is not None and self.state is RolloutState.RUNNING
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Tell whether only sessions out of use may go to the new version."""
+        return self.is_running and self._trial_end is None
+
     def elapsed(self, now: float) -> float:
         """Return the seconds since the order."""
         return max(0.0, now - self._started_at)
@@ -188,6 +196,10 @@
         """Count a request of a session that goes to the old version."""
         self._old_running += 1
         self._note_old(session, now)
+        # Another instance that hasn't heard of this request would move the session's
+        # next one, which may come in the same second, to the new version.
+        if self.is_on_trial and self._is_in(session, self._trial_share):
+            self.has_news = True
 
     def ended_old(self, session: str, now: float) -> None:
         """Count the end of a request on the old version."""
