Let membership join: keep the datagram transport

Cause: the socket's transport isn't of the class that the check expected, so no datagram was ever sent; each instance saw itself alone, took a sole conductor's place and a sole part of the budgets, and its directory listed only itself.

--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -14,10 +14,10 @@
 from aiohttp import web
 
 from baobabthread.adapters.channels import Channel
+from baobabthread.adapters.codec import PeerCodec
 from baobabthread.adapters.commits import GroupCommit
 from baobabthread.adapters.connections import CallerServer
 from baobabthread.adapters.dispatches import Dispatcher
-from baobabthread.adapters.codec import PeerCodec
 from baobabthread.adapters.effects import EffectRunner
 from baobabthread.adapters.engines import EngineClient, PlainClient, open_session
 from baobabthread.adapters.exchanges import Exchanges
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -436,10 +436,10 @@
         if isinstance(error, TimeoutError):
             await self._time_out(flight)
             return
-        if not surely_not_run:
-            if not flight.route.may_repeat or not self._may_run_again(flight):
-                await self._give_up(flight, "backend_failed")
-                return
+        may_repeat = flight.route.may_repeat and self._may_run_again(flight)
+        if not surely_not_run and not may_repeat:
+            await self._give_up(flight, "backend_failed")
+            return
         if flight.attempts >= MAX_OFFERS:
             await self._give_up(flight, "backends_refused")
             return
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Iterator
+from typing import cast
 
 import msgspec
 
@@ -93,8 +94,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the socket."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in a peer's messages."""
