Name sessions by their own field, keep prompts by the last part that is shared

Cause: the last part of a prompt belongs to one request alone, so neither sessions nor caches could be kept by it.

--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -130,4 +130,4 @@
     @property
     def prompt_key(self) -> str | None:
         """Give the part of the prompt that should stay at one backend server."""
-        return self.request.envelope.session if self.route.has_prompts else None
+        return self.request.envelope.shared_part if self.route.has_prompts else None
--- a/src/baobabthread/platform/headers.py
+++ b/src/baobabthread/platform/headers.py
@@ -21,6 +21,7 @@
 PRIORITY = "X-Request-Priority"
 CONFIDENCE = "X-Confidence"
 LAST_EVENT = "Last-Event-Id"
+SESSION = "Session"
 KEY = "Authorization"
 KEY_SCHEME = "token "
 MISDIRECTED = 421
@@ -75,6 +76,7 @@
             expected_tokens=int(_read_number(headers.get(LENGTH_HINT)) or 0),
             prompt_parts=_read_parts(headers.get(PROMPT_PARTS)),
             last_event=headers.get(LAST_EVENT),
+            session=headers.get(SESSION),
         )
 
     def encode_request(
--- a/src/baobabthread/routing/table.py
+++ b/src/baobabthread/routing/table.py
@@ -79,10 +79,16 @@
     last_event: str | None = None
     """The last event that the caller has of an earlier stream."""
 
+    session: str | None = None
+    """Name of the conversation; its requests should keep their version."""
+
     @property
-    def session(self) -> str | None:
-        """Give the last part of the prompt, which a session's requests share."""
-        return self.prompt_parts[-1].id if self.prompt_parts else None
+    def shared_part(self) -> str | None:
+        """Give the last part of the prompt that other requests have too.
+
+        The very last one is this request's own, so that no cache can hold it.
+        """
+        return self.prompt_parts[-2].id if len(self.prompt_parts) > 1 else None
 
 
 class PromptPart(msgspec.Struct, frozen=True, kw_only=True):
