Send requests where their first part would be ready first

Cause: servers were compared by how many requests run there; prompts are read one after the other, so a few long ones behind a kept prefix made everybody late. Change: a balancer by pending work before the first part, delays met of late, and the reading that a kept prefix saves.

--- a/src/baobabthread/core/backends.py
+++ b/src/baobabthread/core/backends.py
@@ -41,6 +41,14 @@
     speed_smoothing: float = 0.2
     speed_half_life_s: float = 20.0
     """Seconds in which what is known of a server's speed loses half of its weight."""
+    delay_half_life_s: float = 0.5
+    """Seconds in which a delay that was met loses half of its weight: a queue of
+    prompts is read in a second or so."""
+    word_life_s: float = 1.0
+    """Seconds for which other entries' word on their pending work counts."""
+    far_wait_s: float = 0.01
+    """Seconds of waiting that a server in the own failure domain is worth: bytes between
+    domains have a price."""
     far_penalty: float = 0.05
     """Part by which a far server's cost counts as higher."""
     affinity_bound: float = 2.0
@@ -83,6 +91,8 @@
         "_reported",
         "_reported_at",
         "capacity",
+        "delay_at",
+        "delay_s",
         "ejections",
         "failures",
         "far",
@@ -90,6 +100,9 @@
         "health",
         "in_flight",
         "name",
+        "pending",
+        "pending_elsewhere",
+        "pending_elsewhere_at",
         "s_per_token",
         "service",
         "settings",
@@ -116,6 +129,14 @@
         self.until = 0.0
         self.in_flight = 0
         self.tokens = 0
+        self.pending = 0.0
+        """Seconds of work of this entry's own requests before their first parts."""
+        self.pending_elsewhere = 0.0
+        """The same at other entries, by their word."""
+        self.pending_elsewhere_at = -1e9
+        self.delay_s = 0.0
+        """How much longer than usual first parts took of late."""
+        self.delay_at = 0.0
         self.failures = 0
         self.ejections = 0
         self.s_per_token = 0.0
@@ -145,6 +166,24 @@
         self.speed_weight = weight + step * (1.0 - weight)
         self.speed_at = now
 
+    def observe_delay(self, delay_s: float, now: float) -> None:
+        """Learn how long a request waited before its first part."""
+        half = 0.5 * (self.delay(now) + max(0.0, delay_s))
+        self.delay_s = half
+        self.delay_at = now
+
+    def delay(self, now: float) -> float:
+        """Return about how long a request would wait now, by those before it."""
+        age = max(0.0, now - self.delay_at)
+        return self.delay_s * math.exp2(-age / self.settings.delay_half_life_s)
+
+    def wait(self, now: float) -> float:
+        """Return the seconds after which a new request's own work would begin."""
+        pending = self.pending
+        if now - self.pending_elsewhere_at < self.settings.word_life_s:
+            pending += self.pending_elsewhere
+        return max(pending, self.delay(now))
+
     def report(self, report: LoadReport, now: float) -> None:
         """Keep what others have running there: the reported less this entry's own."""
         self._average(now)
--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import random
-from collections.abc import Container, Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 from typing import Protocol
 
 from baobabthread.core.backends import (
@@ -34,6 +35,7 @@
         "prefix_key",
         "rng",
         "settings",
+        "shared_s",
         "usual",
     )
 
@@ -47,7 +49,10 @@
         rng: random.Random,
         usual: float,
         settings: BalanceSettings,
+        shared_s: float = 0.0,
     ) -> None:
+        self.shared_s = shared_s
+        """Seconds of work that a server saves which has the prefix in its cache."""
         self.pool = pool
         self.prefix_key = prefix_key
         self.exclude = exclude
@@ -148,6 +153,54 @@
     return view.cheaper()
 
 
+@BALANCERS.register("earliest")
+def pick_earliest(view: View) -> Server | None:
+    """Take the server at which the request's first part would be ready first.
+
+    Prompts are read one after the other, so a request waits for the work before it,
+    not for the number of requests: one long prompt outweighs many that run.
+    """
+    home = view.pool.preferred(view.prefix_key)[:1] if view.prefix_key else ()
+    best: Server | None = None
+    best_s = math.inf
+    for server in _sample(view, home):
+        if server.name in view.exclude:
+            continue
+        ready_s = _estimate_ready(view, server, is_home=server in home)
+        if ready_s < best_s:
+            best, best_s = server, ready_s
+    return best
+
+
+def _sample(view: View, home: tuple[Server, ...]) -> Iterable[Server]:
+    usable = view.pool.usable
+    if len(usable) <= view.settings.sample:
+        # A random start, so that entries that see the same don't all choose the first.
+        turn = int(view.rng.random() * len(usable)) if usable else 0
+        return [*usable[turn:], *usable[:turn]]
+    return [*home, *view.rng.sample(usable, view.settings.sample)]
+
+
+def _estimate_ready(view: View, server: Server, *, is_home: bool) -> float:
+    now = view.now
+    ready = server.wait(now)
+    if not is_home:
+        ready += view.shared_s
+    if server.far:
+        ready += view.settings.far_wait_s
+    crowd = (server.in_flight + 1) / (server.capacity * max(0.1, server.ramp(now)))
+    slowness = max(1.0, server.speed(now, view.usual) / view.usual)
+    # Beyond its places requests queue for whole answers; below them each one that runs
+    # slows the others a little.
+    queue = max(0.0, crowd - 1.0) * QUEUE_S
+    return (ready + RUN_S * (1.0 + crowd)) * slowness + queue
+
+
+RUN_S = 0.05
+"""Seconds that any request takes at an idle server, by which its slowness and its
+crowding weigh against the wait."""
+QUEUE_S = 1.0
+"""Seconds of waiting for each time that a server's places are taken once more."""
 WITNESS_S = 10.0
 """How long an entry tells others of a server that leaves; less than they hold it."""
 
@@ -224,10 +277,11 @@
         exclude: Container[str] = (),
         now: float,
         may_probe: bool = False,
+        shared_s: float = 0.0,
     ) -> str | None:
         """Return the server for a request, or nothing when none is left.
 
-        `may_probe` lets an idempotent request try a server that was ejected.
+        `shared_s` is the work that a cached prefix saves. `may_probe` lets an idempotent request try a server that was ejected.
         """
         pool = self._pool(service, version, now)
         if may_probe and pool.probes:
@@ -244,6 +298,7 @@
             rng=self._rng,
             usual=self._usual.get(service, 1.0),
             settings=self._settings,
+            shared_s=shared_s,
         )
         balancer = self._balancers.get(service) or BALANCERS.get(DEFAULT)
         chosen = balancer(view)
@@ -263,6 +318,33 @@
         if server is not None:
             server.count(1, tokens, now)
 
+    def expect(self, name: str, seconds: float) -> None:
+        """Count work that a server has to do before a request's first part."""
+        server = self._servers.get(name)
+        if server is not None:
+            server.pending += seconds
+
+    def began(
+        self, name: str, seconds: float, now: float, *, delay_s: float | None
+    ) -> None:
+        """Take back what `expect` counted; `delay_s` is what a first part waited."""
+        server = self._servers.get(name)
+        if server is None:
+            return
+        server.pending = max(0.0, server.pending - seconds)
+        if delay_s is not None:
+            server.observe_delay(delay_s, now)
+
+    def pending(self) -> dict[str, float]:
+        """Return the work that this entry has pending at each server, in seconds."""
+        return {s.name: s.pending for s in self if s.pending > 0.0}
+
+    def hear_pending(self, elsewhere: Mapping[str, float], now: float) -> None:
+        """Take in the work that other entries have pending, in seconds."""
+        for server in self:
+            server.pending_elsewhere = elsewhere.get(server.name, 0.0)
+            server.pending_elsewhere_at = now
+
     def finished(
         self,
         name: str,
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -29,6 +29,7 @@
 SUSPECT_S = 2.0
 """Time for which a backend server that gave no sign of life gets no new work while
 others have room."""
+BALANCER = "earliest"
 FAR_PENALTY = 0.15
 """Part by which a backend server in another failure domain counts as slower."""
 
@@ -96,6 +97,7 @@
         prefix_key: int | None,
         exclude: Container[str],
         may_probe: bool,
+        shared_s: float,
     ) -> BackendLink | None:
         """Return the backend server for an attempt, or nothing when none is left."""
         moment = now()
@@ -110,6 +112,7 @@
                 exclude=out,
                 now=moment,
                 may_probe=may_probe,
+                shared_s=shared_s,
             )
             # The table returns an excluded one when it has nothing else.
             if name is not None and name not in out:
@@ -169,7 +172,10 @@
     usable = [record for record in records.values() if not record.leaving]
     return msgspec.structs.replace(
         EMPTY,
-        services={record.service: Service(kind=ServiceKind.MODEL) for record in usable},
+        services={
+            record.service: Service(kind=ServiceKind.MODEL, balancer=BALANCER)
+            for record in usable
+        },
         backends={
             record.id: Backend(
                 service=record.service,
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -373,6 +373,9 @@
             prefix_key=hash_prefix(key) if key is not None else None,
             exclude=flight.excluded,
             may_probe=may_probe,
+            shared_s=self._pace.shared_s(
+                flight.service, flight.model_name, flight.request.envelope.shared_tokens
+            ),
         )
 
     def _choose_version(self, flight: Flight, plan: VersionPlan) -> str | None:
@@ -398,15 +401,29 @@
         attempt = Attempt(
             flight=flight, link=link, usual_first_s=self._expect_first(flight)
         )
+        work_s = self._pace.unhindered_s(
+            flight.service, flight.model_name, flight.request.envelope.prompt_tokens
+        )
+        if not flight.route.is_stream:
+            work_s = 0.0
         old = state.plan.order is not None and not flight.on_new
         flight.work = self._estimate_work(flight)
-        self._backends.table.started(link.record.id, flight.work, now())
+        table = self._backends.table
+        name = link.record.id
+        table.started(name, flight.work, now())
+        table.expect(name, work_s)
+        delay_s: float | None = None
+        has_begun = False
         flight.attempts += 1
         if old:
             state.plan.started_old(flight.session, now())
         outcome = Outcome.CANCELLED
         try:
             head = await attempt.open(self._wire)
+            if flight.route.is_stream:
+                delay_s = head.latency_s - work_s
+            table.began(name, work_s, now(), delay_s=delay_s)
+            has_begun = True
             await self._take_answer(flight, state, attempt, head)
             outcome = Outcome.FAILED if head.is_failure else Outcome.OK
         except _Again as again:
--- a/src/baobabthread/routing/pace.py
+++ b/src/baobabthread/routing/pace.py
@@ -10,6 +10,10 @@
 """Tokens that the start of any answer takes as long as, beside those of its prompt."""
 PROMPT_TOKEN_S = 0.00005
 """Time for each of them that is assumed before any answer."""
+UNHINDERED_PART = 0.25
+"""Part of the answers that nothing hinders: their time is taken for the work itself."""
+QUANTILE_STEP = 0.1
+"""Step by which the time of unhindered answers follows each answer."""
 TOKEN_S = 0.005
 """Time for each token that is assumed before any answer."""
 CLIP = 4.0
@@ -18,6 +22,7 @@
 
 class _Usual(msgspec.Struct):
     prompt_token_s: float = PROMPT_TOKEN_S
+    unhindered_s: float = PROMPT_TOKEN_S
     token_s: float = TOKEN_S
     seen: int = 0
 
@@ -48,6 +53,10 @@
         usual.seen += 1
         step = max(STEP, 1.0 / usual.seen)
         sample = first_s / (BASE_TOKENS + prompt)
+        if sample > usual.unhindered_s:
+            usual.unhindered_s *= 1.0 + QUANTILE_STEP * UNHINDERED_PART
+        else:
+            usual.unhindered_s *= 1.0 - QUANTILE_STEP * (1.0 - UNHINDERED_PART)
         if usual.seen > 1 / STEP:
             sample = min(sample, CLIP * usual.prompt_token_s)
         usual.prompt_token_s += step * (sample - usual.prompt_token_s)
@@ -58,6 +67,16 @@
         usual = self._usual.get((service, model), _UNKNOWN)
         return usual.prompt_token_s * (BASE_TOKENS + prompt)
 
+    def unhindered_s(self, service: str, model: str | None, prompt: int) -> float:
+        """Return the seconds to the first part where nothing else is in the way."""
+        usual = self._usual.get((service, model), _UNKNOWN)
+        return usual.unhindered_s * (BASE_TOKENS + prompt)
+
+    def shared_s(self, service: str, model: str | None, tokens: int) -> float:
+        """Return the seconds that reading so many tokens of a prompt takes."""
+        usual = self._usual.get((service, model), _UNKNOWN)
+        return usual.unhindered_s * tokens
+
     def whole_s(
         self, service: str, model: str | None, *, prompt: int, tokens: int
     ) -> float:
--- a/src/baobabthread/routing/table.py
+++ b/src/baobabthread/routing/table.py
@@ -90,6 +90,11 @@
         """
         return self.prompt_parts[-2].id if len(self.prompt_parts) > 1 else None
 
+    @property
+    def shared_tokens(self) -> int:
+        """Give the tokens of the prompt that a cache may hold."""
+        return sum(part.tokens for part in self.prompt_parts[:-1])
+
 
 class PromptPart(msgspec.Struct, frozen=True, kw_only=True):
     """Name one part of a prompt; requests that share it share its cache."""
