Let few instances read the store and the others ask them

Change: two readers (more in large groups) follow the store, the others ask them for ages by question and answer and fetch what changed; without an answer they read it.

--- a/src/baobabthread/core/backends.py
+++ b/src/baobabthread/core/backends.py
@@ -47,8 +47,8 @@
     word_life_s: float = 1.0
     """Seconds for which other entries' word on their pending work counts."""
     far_wait_s: float = 0.01
-    """Seconds of waiting that a server in the own failure domain is worth: bytes between
-    domains have a price."""
+    """Seconds of waiting that a server in the own failure domain is worth, as bytes
+    between domains have a price."""
     far_penalty: float = 0.05
     """Part by which a far server's cost counts as higher."""
     affinity_bound: float = 2.0
--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -281,7 +281,8 @@
     ) -> str | None:
         """Return the server for a request, or nothing when none is left.
 
-        `shared_s` is the work that a cached prefix saves. `may_probe` lets an idempotent request try a server that was ejected.
+        `shared_s` is the work that a cached prefix saves. `may_probe` lets an
+        idempotent request try a server that was ejected.
         """
         pool = self._pool(service, version, now)
         if may_probe and pool.probes:
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -131,11 +131,11 @@
         """Return how many requests the usable servers of a service run at once."""
         return self.table.capacity(service, None, now())
 
-    def finished(
-        self, link: BackendLink, outcome: Outcome, latency_s: float, work: int
-    ) -> None:
-        """Count an attempt that ended, and learn from it."""
-        self.table.finished(link.record.id, outcome, latency_s, work, now())
+    def occupy(self, link: BackendLink, *, work: int, first_s: float) -> Occupancy:
+        """Count an attempt that starts; its first part takes so long by itself."""
+        return Occupancy(
+            table=self.table, name=link.record.id, work=work, first_s=first_s
+        )
 
     def prune(self) -> None:
         """Close connections that were idle for too long."""
@@ -152,6 +152,38 @@
         return sum(link.pool.opened for link in self._links.values())
 
 
+class Occupancy:
+    """Hold what one attempt takes of a backend server until it ends."""
+
+    __slots__ = ("_first_s", "_has_begun", "_name", "_table", "_work")
+
+    def __init__(
+        self, *, table: BackendTable, name: str, work: int, first_s: float
+    ) -> None:
+        self._table = table
+        self._name = name
+        self._work = work
+        self._first_s = first_s
+        self._has_begun = False
+        table.started(name, work, now())
+        table.expect(name, first_s)
+
+    def begin(self, latency_s: float) -> None:
+        """Note that the first part came after so long."""
+        delay_s = latency_s - self._first_s if self._first_s else None
+        self._take_back(delay_s)
+
+    def end(self, outcome: Outcome, latency_s: float) -> None:
+        """Note how the attempt ended, and learn from it."""
+        if not self._has_begun:
+            self._take_back(None)
+        self._table.finished(self._name, outcome, latency_s, self._work, now())
+
+    def _take_back(self, delay_s: float | None) -> None:
+        self._has_begun = True
+        self._table.began(self._name, self._first_s, now(), delay_s=delay_s)
+
+
 class _Either:
     __slots__ = ("_one", "_other")
 
--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -11,6 +11,7 @@
 from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.clock import now
 from baobabthread.instance.metrics import Metrics
+from baobabthread.instance.relaying import Relay
 from baobabthread.instance.store import (
     Record,
     RecordFormat,
@@ -32,6 +33,8 @@
 """Time for an answer beside the time that the store was told to wait."""
 QUICK_ANSWER_S = 0.5
 """The same after a call that failed, when an answer is urgent."""
+LOOK_S = 0.1
+"""Pause between looks at whether a peer's word still suffices."""
 LEAST_PAUSE_S = 0.1
 MOST_PAUSE_S = 0.5
 """Pause between calls that fail: many instances that ask a store that is just back
@@ -52,6 +55,7 @@
         metrics: Metrics,
         rng: random.Random,
         ask_peer: AskPeer,
+        relay: Relay,
     ) -> None:
         self._topic = topic
         self._store = store
@@ -59,12 +63,16 @@
         self._metrics = metrics
         self._rng = rng
         self._ask_peer = ask_peer
+        self._relay = relay
         self._next: int | None = None
         self._failures = 0
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
+            if not self._must_read:
+                await asyncio.sleep(LOOK_S)
+                continue
             try:
                 await self._step()
                 self._note_success()
@@ -78,7 +86,8 @@
         if self._next is None:
             await self._load()
         else:
-            await self._follow(self._next)
+            # A peer may have told what came since the last own read.
+            await self._follow(max(self._next, self._known_end))
 
     async def _load(self) -> None:
         asked_at = now()
@@ -123,6 +132,14 @@
                 error=str(error),
             )
 
+    @property
+    def _must_read(self) -> bool:
+        raise NotImplementedError
+
+    @property
+    def _known_end(self) -> int:
+        raise NotImplementedError
+
     def _take(self, record: Record) -> None:
         raise NotImplementedError
 
@@ -166,9 +183,18 @@
         super().__init__(topic=formats.operators_topic, **common)  # type: ignore[arg-type]
         self._formats = formats
 
+    @property
+    def _must_read(self) -> bool:
+        return self._next is None or self._relay.needs_operators()
+
+    @property
+    def _known_end(self) -> int:
+        return self._knowledge.operators_end
+
     @property
     def _wait_s(self) -> float:
-        return OPERATORS_WAIT_S
+        # An instance that reads only until its reader answers again needs the age now.
+        return OPERATORS_WAIT_S if self._relay.is_reader else 0.0
 
     def _take(self, record: Record) -> None:
         if not record.value:
@@ -205,6 +231,14 @@
         super().__init__(topic=formats.backends_topic, **common)  # type: ignore[arg-type]
         self._formats = formats
 
+    @property
+    def _must_read(self) -> bool:
+        return self._next is None or self._relay.needs_backends()
+
+    @property
+    def _known_end(self) -> int:
+        return self._knowledge.backends_end
+
     async def _rest(self) -> None:
         await asyncio.sleep(BACKENDS_POLL_S * (0.8 + 0.4 * self._rng.random()))
 
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -322,6 +322,13 @@
         prompt = flight.request.envelope.prompt_tokens
         return self._pace.first_s(flight.service, flight.model_name, prompt)
 
+    def _estimate_reading(self, flight: Flight) -> float:
+        """Return the seconds that an engine reads the prompt; 0 at a plain service."""
+        if not flight.route.is_stream:
+            return 0.0
+        prompt = flight.request.envelope.prompt_tokens
+        return self._pace.unhindered_s(flight.service, flight.model_name, prompt)
+
     def _estimate_work(self, flight: Flight) -> int:
         """Return about how many milliseconds a backend server works on it."""
         envelope = flight.request.envelope
@@ -401,29 +408,18 @@
         attempt = Attempt(
             flight=flight, link=link, usual_first_s=self._expect_first(flight)
         )
-        work_s = self._pace.unhindered_s(
-            flight.service, flight.model_name, flight.request.envelope.prompt_tokens
-        )
-        if not flight.route.is_stream:
-            work_s = 0.0
         old = state.plan.order is not None and not flight.on_new
         flight.work = self._estimate_work(flight)
-        table = self._backends.table
-        name = link.record.id
-        table.started(name, flight.work, now())
-        table.expect(name, work_s)
-        delay_s: float | None = None
-        has_begun = False
+        occupancy = self._backends.occupy(
+            link, work=flight.work, first_s=self._estimate_reading(flight)
+        )
         flight.attempts += 1
         if old:
             state.plan.started_old(flight.session, now())
         outcome = Outcome.CANCELLED
         try:
             head = await attempt.open(self._wire)
-            if flight.route.is_stream:
-                delay_s = head.latency_s - work_s
-            table.began(name, work_s, now(), delay_s=delay_s)
-            has_begun = True
+            occupancy.begin(head.latency_s)
             await self._take_answer(flight, state, attempt, head)
             outcome = Outcome.FAILED if head.is_failure else Outcome.OK
         except _Again as again:
@@ -436,7 +432,7 @@
             await self._recover(flight, state, link, error)
         finally:
             attempt.abort()
-            self._backends.finished(link, outcome, now() - attempt.sent_at, flight.work)
+            occupancy.end(outcome, now() - attempt.sent_at)
             if old:
                 state.plan.ended_old(flight.session, now())
 
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -26,11 +26,19 @@
     NotSentError,
     encode_head,
 )
+from baobabthread.instance.relaying import (
+    RELAY_MESSAGES,
+    AskKnowledge,
+    KnowledgeIs,
+    Relay,
+)
 from baobabthread.instance.settings import InstanceSettings
 from baobabthread.logs import log_event
 from baobabthread.routing.knowledge import Knowledge, Snapshot
 
 KNOWLEDGE_PATH = "/peer/knowledge"
+KNOWN_END = "known_end"
+"""Query field: how far the one who asks has read the operators' records."""
 TICK_S = 0.05
 MAX_DATAGRAM_BYTES = 60_000
 FETCH_S = 0.6
@@ -46,6 +54,7 @@
     suspicion_factor=0.5,
     gossip_bytes=8_000,
     forget_s=60.0,
+    fetch_after_s=0.0,
 )
 """With six members each one is probed about once a second; a dead one leaves the
 addresses within about a second, before most callers have met it twice."""
@@ -66,7 +75,10 @@
         self._settings = settings
         self._knowledge = knowledge
         self._rng = rng
-        self._codec = PeerCodec(types=MEMBERSHIP_MESSAGES)
+        self._codec = PeerCodec(types=(*MEMBERSHIP_MESSAGES, *RELAY_MESSAGES))
+        self.relay = Relay(
+            me=settings.name, knowledge=knowledge, tell=self._tell, fetch=self.fetch
+        )
         self._transport: asyncio.DatagramTransport | None = None
         self._pools: dict[str, ConnectionPool] = {}
         self._fetching: asyncio.Task[None] | None = None
@@ -104,7 +116,12 @@
             log_event("datagram_unreadable", peer=addr[0], error=str(error))
             return
         for message in messages:
-            self._run(self.membership.handle(sender, message, now()))  # type: ignore[arg-type]
+            if isinstance(message, AskKnowledge):
+                self.relay.answer(sender, message)
+            elif isinstance(message, KnowledgeIs):
+                self.relay.take(sender, message)
+            else:
+                self._run(self.membership.handle(sender, message, now()))  # type: ignore[arg-type]
 
     def error_received(self, exc: Exception) -> None:
         """Pass over an unreachable port: the probes find out who is gone."""
@@ -120,6 +137,7 @@
             )
             self._run(self.membership.tick(now()))
             self._note_members()
+            self.relay.tick()
             await asyncio.sleep(TICK_S)
 
     def announce(self) -> None:
@@ -144,6 +162,9 @@
             elif isinstance(effect, FetchRecords):
                 self.fetch(effect.peer)
 
+    def _tell(self, to: str, message: msgspec.Struct) -> None:
+        self._send(Send(to=to, message=message))
+
     def _send(self, effect: Send) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -162,6 +183,7 @@
         if self._members_seen == self.membership.version:
             return
         self._members_seen = self.membership.version
+        self.relay.set_members([m.name for m in self.membership.alive()])
         log_event(
             "members_changed",
             serving=",".join(sorted(m.name for m in self.membership.alive())),
@@ -202,7 +224,7 @@
         asked_at = now()
         try:
             async with asyncio.timeout(FETCH_S):
-                body = await _get(pool, address)
+                body = await _get(pool, address, self._knowledge.operators_end)
             snapshot = msgspec.json.decode(body, type=Snapshot)
         except (NotSentError, BrokenError, TimeoutError, msgspec.MsgspecError) as error:
             log_event("peer_unreachable", peer=peer, error=str(error) or "timeout")
@@ -245,8 +267,9 @@
                 yield payload
 
 
-async def _get(pool: ConnectionPool, address: str) -> bytes:
-    head = encode_head("GET", KNOWLEDGE_PATH, [("Host", address)])
+async def _get(pool: ConnectionPool, address: str, known_end: int) -> bytes:
+    target = f"{KNOWLEDGE_PATH}?{KNOWN_END}={known_end}"
+    head = encode_head("GET", target, [("Host", address)])
     connection = await pool.send(head, b"")
     try:
         response = await pool.receive(connection)
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -22,7 +22,7 @@
 from baobabthread.instance.front import Front, listen, make_server
 from baobabthread.instance.lines import configure_lines, run_flusher
 from baobabthread.instance.metrics import Metrics
-from baobabthread.instance.peers import KNOWLEDGE_PATH, PeerLink
+from baobabthread.instance.peers import KNOWLEDGE_PATH, KNOWN_END, PeerLink
 from baobabthread.instance.records import FlightLog
 from baobabthread.instance.settings import InstanceSettings
 from baobabthread.instance.store import RecordFormat, Store
@@ -151,7 +151,11 @@
         """Tell a peer what this instance knows."""
         if request.path != KNOWLEDGE_PATH:
             return web.Response(status=404)
-        body = msgspec.json.encode(self.knowledge.snapshot(now()))
+        known = request.query.get(KNOWN_END, "0")
+        snapshot = self.knowledge.snapshot(
+            now(), known_end=int(known) if known.isdigit() else 0
+        )
+        body = msgspec.json.encode(snapshot)
         return web.Response(body=body, content_type="application/json")
 
     async def serve_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -238,6 +242,7 @@
             "metrics": self.metrics,
             "rng": self._rng,
             "ask_peer": self.peers.ask_any,
+            "relay": self.peers.relay,
         }
         return [
             OperatorsFeed(**common).run(),
--- /dev/null
+++ b/src/baobabthread/instance/relaying.py
@@ -0,0 +1,187 @@
+"""Knowledge passed on among instances, so that few of them read the store.
+
+A few readers follow the store. Every other instance asks its reader a few times a
+second how old its knowledge is and whether it has changed, and fetches what changed.
+An instance that gets no answer reads the store itself, so that a dead reader costs a
+second and no rule.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from baobabthread.core.rendezvous import rank
+from baobabthread.instance.clock import now
+from baobabthread.routing.knowledge import Knowledge
+
+SMALL = 16
+"""Members up to which two readers serve all."""
+MEMBERS_PER_READER = 12
+"""Members for each reader beyond that: a reader answers some sixty questions a second,
+well below a hundredth of a core."""
+ASK_PERIOD_S = 0.4
+PATIENCE_S = 0.25
+"""Time after which a question counts as unanswered, and the next reader is asked."""
+OPERATORS_LIMIT_S = 2.6
+"""Age of the operators' records from which an instance reads the store itself: a reader
+that holds its reads for a second is up to two seconds behind."""
+BACKENDS_LIMIT_S = 1.3
+"""The same for the backend servers' records: a leaving one must be out within two."""
+SUBSCRIBED_S = 2.0
+"""Time for which a reader tells an instance of changes without being asked."""
+
+
+class AskKnowledge(msgspec.Struct, frozen=True, kw_only=True, tag="knowledge.ask"):
+    """Ask a reader how old its knowledge is."""
+
+    sequence: int
+
+
+class KnowledgeIs(msgspec.Struct, frozen=True, kw_only=True, tag="knowledge.is"):
+    """Tell how old the sender's knowledge is, and where it last changed."""
+
+    sequence: int
+    """The question; 0 where there was none, so that the ages prove nothing."""
+    operators_end: int
+    operators_age_s: float
+    backends_end: int
+    backends_changed_at: int
+    """Offset up to which reading last changed anything."""
+    backends_age_s: float
+
+
+RELAY_MESSAGES = (AskKnowledge, KnowledgeIs)
+
+Tell = Callable[[str, msgspec.Struct], None]
+"""Send a message to a member."""
+Fetch = Callable[[str], None]
+"""Fetch what a member knows."""
+
+
+class Relay:
+    """Decide who reads the store, and keep the others up to date."""
+
+    __slots__ = (
+        "_alive",
+        "_asked",
+        "_asked_at",
+        "_fetch",
+        "_knowledge",
+        "_me",
+        "_misses",
+        "_sequence",
+        "_subscribers",
+        "_tell",
+        "_told",
+    )
+
+    def __init__(
+        self, *, me: str, knowledge: Knowledge, tell: Tell, fetch: Fetch
+    ) -> None:
+        self._me = me
+        self._knowledge = knowledge
+        self._tell = tell
+        self._fetch = fetch
+        self._alive: list[str] = [me]
+        self._asked: dict[int, float] = {}
+        self._asked_at = -1e9
+        self._misses = 0
+        self._sequence = 0
+        self._subscribers: dict[str, float] = {}
+        self._told = (0, 0)
+
+    def set_members(self, names: list[str]) -> None:
+        """Note which instances serve, this one included."""
+        self._alive = names or [self._me]
+
+    @property
+    def is_reader(self) -> bool:
+        """Tell whether this instance follows the store for others."""
+        return self._me in self._readers()
+
+    def needs_operators(self) -> bool:
+        """Tell whether this instance has to read the operators' records itself."""
+        age = self._knowledge.operators_age(now())
+        return self.is_reader or age > OPERATORS_LIMIT_S
+
+    def needs_backends(self) -> bool:
+        """Tell whether this instance has to read the backend servers' records."""
+        age = self._knowledge.backends_age(now())
+        return self.is_reader or age > BACKENDS_LIMIT_S
+
+    def tick(self) -> None:
+        """Ask a reader, or tell subscribers of changes, as is due."""
+        moment = now()
+        self._tell_changes(moment)
+        if self.is_reader or moment - self._asked_at < ASK_PERIOD_S:
+            return
+        self._asked_at = moment
+        overdue = [s for s, at in self._asked.items() if moment - at > PATIENCE_S]
+        for sequence in overdue:
+            del self._asked[sequence]
+            self._misses += 1
+        self._sequence += 1
+        self._asked[self._sequence] = moment
+        self._tell(self._choose_reader(), AskKnowledge(sequence=self._sequence))
+
+    def answer(self, sender: str, question: AskKnowledge) -> None:
+        """Answer a question and remember who asked."""
+        self._subscribers[sender] = now()
+        self._tell(sender, self._describe(question.sequence))
+
+    def take(self, sender: str, word: KnowledgeIs) -> None:
+        """Take in what a reader knows."""
+        knowledge = self._knowledge
+        asked_at = self._asked.pop(word.sequence, None)
+        if asked_at is not None:
+            self._misses = 0
+            knowledge.freshness.hear(
+                head_age_s=word.operators_age_s,
+                read_offset=word.operators_end,
+                asked_at=asked_at,
+            )
+        behind = word.backends_changed_at > knowledge.backends_end
+        if word.operators_end > knowledge.operators_end or behind:
+            self._fetch(sender)
+        elif asked_at is not None:
+            knowledge.confirm_backends(
+                end=word.backends_end, read_at=asked_at - word.backends_age_s
+            )
+
+    def _readers(self) -> list[str]:
+        count = 2
+        if len(self._alive) > SMALL:
+            count = math.ceil(len(self._alive) / MEMBERS_PER_READER)
+        return rank("readers", self._alive)[:count]
+
+    def _choose_reader(self) -> str:
+        readers = rank(self._me, self._readers())
+        return readers[self._misses % len(readers)]
+
+    def _tell_changes(self, moment: float) -> None:
+        knowledge = self._knowledge
+        state = (knowledge.operators_end, knowledge.backends_changed_at)
+        if state == self._told:
+            return
+        self._told = state
+        recent = moment - SUBSCRIBED_S
+        self._subscribers = {n: t for n, t in self._subscribers.items() if t > recent}
+        if not self.is_reader:
+            return
+        for name in self._subscribers:
+            self._tell(name, self._describe(0))
+
+    def _describe(self, sequence: int) -> KnowledgeIs:
+        knowledge = self._knowledge
+        moment = now()
+        return KnowledgeIs(
+            sequence=sequence,
+            operators_end=knowledge.operators_end,
+            operators_age_s=knowledge.operators_age(moment),
+            backends_end=knowledge.backends_end,
+            backends_changed_at=knowledge.backends_changed_at,
+            backends_age_s=knowledge.backends_age(moment),
+        )
--- a/src/baobabthread/routing/knowledge.py
+++ b/src/baobabthread/routing/knowledge.py
@@ -36,6 +36,7 @@
     operators_age_s: float
     """Time since the read that showed nothing newer was sent."""
     configuration: RoutingConfiguration | None
+    """Left out where the one who asks has read as far."""
     orders: list[RolloutOrder]
     backends_end: int
     backends_age_s: float
@@ -48,9 +49,11 @@
     __slots__ = (
         "_backends_at",
         "_bounds",
+        "_changes_read",
         "_held",
         "_unstable_until",
         "backends",
+        "backends_changed_at",
         "backends_end",
         "changes",
         "freshness",
@@ -68,6 +71,9 @@
         self.backends: dict[str, BackendRecord] = {}
         self.operators_end = 0
         self.backends_end = 0
+        self.backends_changed_at = 0
+        """Offset up to which reading last changed anything."""
+        self._changes_read = 0
         self.changes = 0
         """Rises whenever anything but ages has changed."""
         self._backends_at = -1e9
@@ -109,6 +115,14 @@
             self._unstable_until = now + RETURN_S
         self.backends_end = max(self.backends_end, end)
         self._backends_at = max(self._backends_at, asked_at)
+        if self.changes != self._changes_read:
+            self._changes_read = self.changes
+            self.backends_changed_at = self.backends_end
+
+    def confirm_backends(self, *, end: int, read_at: float) -> None:
+        """Note a reader's word that nothing has changed up to an offset."""
+        self.backends_end = max(self.backends_end, end)
+        self._backends_at = max(self._backends_at, read_at)
 
     def take_backend(self, record: BackendRecord) -> bool:
         """Take over a backend server's record; return whether it changes anything."""
@@ -165,14 +179,15 @@
         """Tell whether a key that is known now can't have been taken away too long."""
         return self.operators_age(now) <= self.freshness.bound_s
 
-    def snapshot(self, now: float) -> Snapshot:
-        """Return everything for a peer."""
+    def snapshot(self, now: float, *, known_end: int = 0) -> Snapshot:
+        """Return everything for a peer that has read so far itself."""
         table = self.table
+        news = table is not None and known_end < self.operators_end
         return Snapshot(
             operators_end=self.operators_end,
             operators_age_s=self.operators_age(now),
-            configuration=table.configuration if table is not None else None,
-            orders=list(self.orders.values()),
+            configuration=table.configuration if table and news else None,
+            orders=list(self.orders.values()) if news else [],
             backends_end=self.backends_end,
             backends_age_s=self.backends_age(now),
             backends=list(self.backends.values()),
@@ -180,16 +195,21 @@
 
     def merge(self, snapshot: Snapshot, *, asked_at: float, now: float) -> None:
         """Take over what a peer knows better; the question was sent at `asked_at`."""
+        has_news = snapshot.configuration is not None
         if snapshot.configuration is not None:
             self.take_configuration(snapshot.configuration)
             for order in snapshot.orders:
                 self.take_order(order)
+        if has_news or snapshot.operators_end <= self.operators_end:
             self.note_operators_read(
                 end=snapshot.operators_end,
                 asked_at=asked_at - snapshot.operators_age_s,
             )
         read_at = asked_at - snapshot.backends_age_s
-        if snapshot.backends_end >= self.backends_end and read_at > self._backends_at:
-            self.replace_backends(snapshot.backends, now)
-            self.backends_end = snapshot.backends_end
-            self._backends_at = read_at
+        if snapshot.backends_end < self.backends_end:
+            return
+        before = self.changes
+        self.replace_backends(snapshot.backends, now)
+        self.confirm_backends(end=snapshot.backends_end, read_at=read_at)
+        if self.changes != before:
+            self.backends_changed_at = self.backends_end
