Find a lost reader before a change is due

Cause: the age bound of the operators' records, 2.6 s, lay beyond the 2 s in which a change must be in force; whose reader was cut off applied it too late (CONFIG). Change: readers hold reads for half a second, the others read themselves from 1.5 s.

--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -23,9 +23,9 @@
 from baobabthread.routing.configuration import RoutingConfiguration
 from baobabthread.routing.knowledge import Knowledge
 
-OPERATORS_WAIT_S = 1.0
+OPERATORS_WAIT_S = 0.5
 """How long the store holds a read that finds nothing new: a change is heard at once,
-and what is known is never older than this while the store answers."""
+and what a reader knows is never older than twice this while the store answers."""
 BACKENDS_POLL_S = 0.5
 """Pause between reads of the backend servers' records: their pings alone would end a
 held read ten times a second, and each call has its price."""
--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -25,11 +25,12 @@
 ASK_PERIOD_S = 0.4
 PATIENCE_S = 0.25
 """Time after which a question counts as unanswered, and the next reader is asked."""
-OPERATORS_LIMIT_S = 2.6
-"""Age of the operators' records from which an instance reads the store itself: a reader
-that holds its reads for a second is up to two seconds behind."""
+OPERATORS_LIMIT_S = 1.5
+"""Age of the operators' records from which an instance reads the store itself. A reader
+that is well is a second behind at most and is asked each 0.4 s; one that was cut off at
+the moment of a change is found out by this age, with time left to apply the change."""
 BACKENDS_LIMIT_S = 1.3
-"""The same for the backend servers' records: a leaving one must be out within two."""
+"""The same for the backend servers' records."""
 SUBSCRIBED_S = 2.0
 """Time for which a reader tells an instance of changes without being asked."""
 
