Give up a silent attempt only when another one may follow

Change: patience ends an attempt only together with a repeat from the budget; an answer counts as lost when four later requests of its engine were answered.

--- a/bench/_control_sockets.py
+++ b/bench/_control_sockets.py
@@ -11,8 +11,8 @@
 import msgspec
 from aiohttp import web
 
-from baobabthread.adapters.engines import EngineClient
 from baobabthread.adapters.codec import PeerCodec
+from baobabthread.adapters.engines import EngineClient
 from baobabthread.adapters.peers import PeerOutbox, PeerServer
 from baobabthread.core.membership_messages import Acknowledge, Digest, Probe
 from baobabthread.core.peermessages import PEER_MESSAGES
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 import msgspec
@@ -28,9 +28,9 @@
 read; a dark engine found after it still lets the answer come in time."""
 EVENT_PATIENCE_S = 0.7
 """Silence within a stream; an engine that runs makes a token every few milliseconds."""
-LOST_FACTOR = 2.0
-"""Times the patience after which an answer counts as lost though the backend server
-gives signs of life to others."""
+LOST_EVENTS_S = 1.6
+"""Silence within a stream after which it counts as lost though its engine goes on with
+others; one that was put back for lack of memory is read in again sooner."""
 PATIENCE_FACTOR = 5.0
 """Times the usual time to the first part that is waited for it."""
 MAX_PATIENCE_S = 3.0
@@ -47,7 +47,10 @@
 
 
 class SilentError(BrokenError):
-    """Report a backend server that gave no sign of life; the request may have run."""
+    """Report an attempt that was given up; the request may have run.
+
+    It is only given up for another one, which is already taken out of the budget.
+    """
 
 
 class Head(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,11 +79,25 @@
 class Attempt:
     """Hold what is open while one backend server works on a request."""
 
-    __slots__ = ("_connection", "_response", "flight", "link", "patience_s", "sent_at")
+    __slots__ = (
+        "_connection",
+        "_may_give_up",
+        "_response",
+        "flight",
+        "link",
+        "patience_s",
+        "sent_at",
+    )
 
     def __init__(
-        self, *, flight: Flight, link: BackendLink, usual_first_s: float
+        self,
+        *,
+        flight: Flight,
+        link: BackendLink,
+        usual_first_s: float,
+        may_give_up: Callable[[], bool],
     ) -> None:
+        self._may_give_up = may_give_up
         self.flight = flight
         self.link = link
         self.sent_at = now()
@@ -121,6 +138,7 @@
         self._response = response
         marks = wire.read_marks(response.status, response.headers)
         self._check(marks, response.status)
+        self.link.note_answer(self.sent_at)
         if flight.route.is_stream:
             self.patience_s = EVENT_PATIENCE_S
         return Head(response=response, marks=marks, latency_s=now() - self.sent_at)
@@ -178,23 +196,30 @@
                 await asyncio.wait({task}, timeout=min(left, self._next_look()))
                 if task.done():
                     return task.result()
-                if not self._may_give_up:
-                    continue
-                if now() - max(began, self.link.heard_at) >= self.patience_s:
-                    self.link.suspect()
-                    raise SilentError("no sign of life")
-                if now() - began >= self.patience_s * LOST_FACTOR:
-                    raise SilentError("answer lost")
+                reason = self._find_reason(began)
+                if reason is not None and self._may_give_up():
+                    raise SilentError(reason)
         finally:
             if not task.done():
                 task.cancel()
 
-    @property
-    def _may_give_up(self) -> bool:
-        return self.flight.route.may_repeat
+    def _find_reason(self, began: float) -> str | None:
+        """Return why the answer will hardly come, or nothing."""
+        moment = now()
+        if moment - max(began, self.link.heard_at) >= self.patience_s:
+            self.link.suspect()
+            return "no sign of life"
+        waited_s = moment - began
+        if self._response is not None:
+            return "events lost" if waited_s >= LOST_EVENTS_S else None
+        # An engine under load lets everybody wait; one whose later requests are
+        # answered has lost this one's answer.
+        if waited_s >= self.patience_s and self.link.was_overtaken(self.sent_at):
+            return "answer lost"
+        return None
 
     def _next_look(self) -> float:
-        return self.patience_s / 2 if self._may_give_up else MAX_PATIENCE_S
+        return self.patience_s / 2
 
 
 def judge(error: BaseException | None) -> Outcome:
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Container
 
 import msgspec
@@ -26,6 +27,8 @@
 CONNECT_S = 0.4
 """Longest time for a connection: a few milliseconds are usual, and a lost first packet
 is sent again after a second, which another backend server can do without."""
+OVERTAKERS = 4
+"""Answers to later requests after which an earlier one's answer counts as lost."""
 SUSPECT_S = 2.0
 """Time for which a backend server that gave no sign of life gets no new work while
 others have room."""
@@ -37,12 +40,13 @@
 class BackendLink:
     """Hold one backend server's record, connections and last sign of life."""
 
-    __slots__ = ("heard_at", "pool", "record", "suspect_until")
+    __slots__ = ("_answered", "heard_at", "pool", "record", "suspect_until")
 
     def __init__(self, *, record: BackendRecord) -> None:
         self.record = record
         self.heard_at = -1e9
         self.suspect_until = -1e9
+        self._answered: deque[float] = deque(maxlen=OVERTAKERS)
         self.pool = ConnectionPool(
             address=record.address, connect_s=CONNECT_S, on_bytes=self._note_bytes
         )
@@ -51,6 +55,15 @@
         """Note that it gave no sign of life when it should have."""
         self.suspect_until = now() + SUSPECT_S
 
+    def note_answer(self, sent_at: float) -> None:
+        """Note that a request that was sent then is answered."""
+        self._answered.append(sent_at)
+
+    def was_overtaken(self, sent_at: float) -> bool:
+        """Tell whether only requests that were sent later were answered of late."""
+        answered = self._answered
+        return len(answered) == OVERTAKERS and min(answered) > sent_at
+
     def _note_bytes(self) -> None:
         self.heard_at = now()
         self.suspect_until = -1e9
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -15,6 +15,7 @@
     Attempt,
     Head,
     RefusedError,
+    SilentError,
     judge,
 )
 from baobabthread.instance.backends import BackendLink, Backends, hash_prefix
@@ -406,7 +407,10 @@
     ) -> None:
         """Try one backend server; raise `_Again` when another one is to be tried."""
         attempt = Attempt(
-            flight=flight, link=link, usual_first_s=self._expect_first(flight)
+            flight=flight,
+            link=link,
+            usual_first_s=self._expect_first(flight),
+            may_give_up=lambda: self._may_give_up(flight, state),
         )
         old = state.plan.order is not None and not flight.on_new
         flight.work = self._estimate_work(flight)
@@ -457,16 +461,29 @@
             await self._give_up(flight, "backends_refused")
             return
         # What never left for a backend server is no repeat.
-        if not isinstance(error, NotSentError) and not self._spend(flight, state):
+        is_paid = isinstance(error, NotSentError | SilentError)
+        if not is_paid and not self._spend(state):
             await self._give_up(flight, "retry_budget")
             return
         raise _Again(judge(error))
 
+    def _may_give_up(self, flight: Flight, state: ServiceState) -> bool:
+        """Take a repeat for an attempt that is silent; without one it is waited for.
+
+        Giving up without another try would turn a slow answer into none, and under load
+        every answer is slow.
+        """
+        return (
+            flight.route.may_repeat
+            and self._may_run_again(flight)
+            and flight.attempts < MAX_OFFERS
+            and self._spend(state)
+        )
+
     def _may_run_again(self, flight: Flight) -> bool:
         return flight.runs < flight.route.max_attempts
 
-    def _spend(self, flight: Flight, state: ServiceState) -> bool:
-        del flight
+    def _spend(self, state: ServiceState) -> bool:
         return state.budget.try_spend(now())
 
     # -- answers --
@@ -504,7 +521,7 @@
         body = await attempt.read_whole(MAX_ANSWER_BYTES)
         flight.trail.append(f"{attempt.link.record.id}:status {head.status}")
         again = flight.route.may_repeat and self._may_run_again(flight)
-        if again and self._spend(flight, state):
+        if again and self._spend(state):
             flight.excluded.add(attempt.link.record.id)
             raise _Again(Outcome.FAILED)
         await self._pass_on(flight, attempt, head, body)
@@ -548,7 +565,7 @@
             prompt=flight.request.envelope.prompt_tokens,
             tokens=flight.request.envelope.expected_tokens,
         )
-        if now() + expected_s > flight.deadline or not self._spend(flight, state):
+        if now() + expected_s > flight.deadline or not self._spend(state):
             return
         flight.trail.append(f"{attempt.link.record.id}:unsure")
         flight.model = larger
