--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -160,13 +160,13 @@
     Prompts are read one after the other, so a request waits for the work before it,
     not for the number of requests: one long prompt outweighs many that run.
     """
-    home = view.pool.preferred(view.prefix_key)[:1] if view.prefix_key else ()
+    home = view.pool.preferred(view.prefix_key) if view.prefix_key else ()
     best: Server | None = None
     best_s = math.inf
     for server in _sample(view, home):
         if server.name in view.exclude:
             continue
-        ready_s = _estimate_ready(view, server, is_home=server in home)
+        ready_s = _estimate_ready(view, server) + _estimate_reading(view, server, home)
         if ready_s < best_s:
             best, best_s = server, ready_s
     return best
@@ -181,11 +181,19 @@
     return [*home, *view.rng.sample(usable, view.settings.sample)]
 
 
-def _estimate_ready(view: View, server: Server, *, is_home: bool) -> float:
+def _estimate_reading(view: View, server: Server, home: tuple[Server, ...]) -> float:
+    """Return what reading a prefix costs at a server that may not have it."""
+    if home and server is home[0]:
+        return 0.0
+    # What is read again also holds up all others there: near saturation that is the
+    # larger part, and spilling for a short wait makes the queue that it flees from.
+    cost = view.shared_s * READING_WEIGHT
+    return cost * SPILL_PART if server in home else cost
+
+
+def _estimate_ready(view: View, server: Server) -> float:
     now = view.now
     ready = server.wait(now)
-    if not is_home:
-        ready += view.shared_s
     if server.far:
         ready += view.settings.far_wait_s
     crowd = (server.in_flight + 1) / (server.capacity * max(0.1, server.ramp(now)))
@@ -196,6 +204,10 @@
     return (ready + RUN_S * (1.0 + crowd)) * slowness + queue
 
 
+READING_WEIGHT = 2.0
+"""Seconds of waiting that a second of reading a prefix again is worth."""
+SPILL_PART = 0.6
+"""Part of that at the server to which a prefix spills, where it often is as well."""
 RUN_S = 0.05
 """Seconds that any request takes at an idle server, by which its slowness and its
 crowding weigh against the wait."""
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -228,8 +228,8 @@
         return Outcome.OK
     if isinstance(error, RefusedError):
         return Outcome.BUSY
-    if isinstance(error, asyncio.CancelledError):
+    if isinstance(error, asyncio.CancelledError | TimeoutError):
+        # Whoever runs out of time may have queued behind others: servers that were
+        # ejected for it would leave their load to the rest, which then fail as well.
         return Outcome.CANCELLED
-    if isinstance(error, TimeoutError):
-        return Outcome.TIMEOUT
     return Outcome.FAILED
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -33,8 +33,10 @@
 """Time for which a backend server that gave no sign of life gets no new work while
 others have room."""
 BALANCER = "earliest"
-FAR_PENALTY = 0.15
-"""Part by which a backend server in another failure domain counts as slower."""
+NEVER_SLOW = 1e6
+"""Slowness never ejects a server: under load the time of an answer says more of those
+before it than of the server, and ejecting the busy ones loads the others more. The
+balancer sends a slow one less."""
 
 
 class BackendLink:
@@ -83,7 +85,7 @@
         self.table = BackendTable(
             failure_domain=failure_domain,
             rng=rng,
-            settings=BalanceSettings(far_penalty=FAR_PENALTY),
+            settings=BalanceSettings(eject_slowness=NEVER_SLOW),
         )
 
     def refresh(self) -> None:
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -327,8 +327,9 @@
         """Return the seconds that an engine reads the prompt; 0 at a plain service."""
         if not flight.route.is_stream:
             return 0.0
-        prompt = flight.request.envelope.prompt_tokens
-        return self._pace.unhindered_s(flight.service, flight.model_name, prompt)
+        envelope = flight.request.envelope
+        fresh = envelope.prompt_tokens - envelope.shared_tokens
+        return self._pace.unhindered_s(flight.service, flight.model_name, max(0, fresh))
 
     def _estimate_work(self, flight: Flight) -> int:
         """Return about how many milliseconds a backend server works on it."""
@@ -508,6 +509,7 @@
                 flight.service,
                 flight.model_name,
                 prompt=0,
+                shared=0,
                 first_s=now() - attempt.sent_at,
                 rest_s=0.0,
                 tokens=1,
@@ -593,6 +595,7 @@
             flight.service,
             flight.model_name,
             prompt=flight.request.envelope.prompt_tokens,
+            shared=flight.request.envelope.shared_tokens,
             first_s=head.latency_s,
             rest_s=now() - first_at,
             tokens=flight.request.envelope.expected_tokens,
--- a/src/baobabthread/routing/pace.py
+++ b/src/baobabthread/routing/pace.py
@@ -44,6 +44,7 @@
         model: str | None,
         *,
         prompt: int,
+        shared: int,
         first_s: float,
         rest_s: float,
         tokens: int,
@@ -53,7 +54,9 @@
         usual.seen += 1
         step = max(STEP, 1.0 / usual.seen)
         sample = first_s / (BASE_TOKENS + prompt)
-        if sample > usual.unhindered_s:
+        # Most shared parts are kept, so that only the rest of a prompt is read.
+        fresh = first_s / (BASE_TOKENS + max(0, prompt - shared))
+        if fresh > usual.unhindered_s:
             usual.unhindered_s *= 1.0 + QUANTILE_STEP * UNHINDERED_PART
         else:
             usual.unhindered_s *= 1.0 - QUANTILE_STEP * (1.0 - UNHINDERED_PART)
