Begin with the smallest model while repeats are left, measured by the most there can be

Cause: with 61 instances each one's part of the budget is below the fixed bound of two repeats, so all of them asked the largest model first: 1,003 of 1,381 answers came from it and the engines were overloaded.

--- a/src/baobabthread/core/retries.py
+++ b/src/baobabthread/core/retries.py
@@ -61,6 +61,11 @@
         """Give the number of retries that could be granted now."""
         return self._balance
 
+    @property
+    def most(self) -> float:
+        """Give the number of retries that can be saved up."""
+        return self._settings.max_balance
+
     def count_request(self, now: float) -> None:
         """Earn a share of a retry by a first attempt."""
         self._earn(self._settings.ratio, now)
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -51,6 +51,9 @@
 LEAVING_MARGIN_S = 0.5
 LOW_BALANCE = 2.0
 """Repeats left below which answers must be good at once: none could follow."""
+LOW_PART = 0.45
+"""The same as a part of the most that can be left: among many instances the budget of
+each is small, and asking the largest model every time would overload the engines."""
 
 
 class ServiceState:
@@ -197,6 +200,7 @@
             service=self._choose_service(route, request),
             deadline=request.arrived_at + limit,
         )
+        self.service(flight.service).budget.count_request(now())
         self._begin_model(flight)
         if not self._can_end_before(flight):
             return _Verdict(status=503, kind="leaving", retry_after_s=LEAVING_RETRY_S)
@@ -254,7 +258,8 @@
         models = flight.route.models
         if not models or flight.request.envelope.model != UNNAMED_MODEL:
             return
-        if self.service(flight.service).budget.balance < LOW_BALANCE:
+        budget = self.service(flight.service).budget
+        if budget.balance < min(LOW_BALANCE, LOW_PART * budget.most):
             flight.model = len(models) - 1
         else:
             flight.model = self._models.begin(len(models))
@@ -295,7 +300,6 @@
             arrived=moment,
             service_s=max(LEAST_LEFT_S, self._expect_first(flight)),
         )
-        state.budget.count_request(moment)
         admission = state.queue.offer(waiting, moment, self._rng.random())
         if not admission.admitted:
             await self._refuse(flight, 503, "overloaded", admission.retry_after_s)
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -118,6 +118,7 @@
             formats=self._formats,
         )
         self._leaving_since: float | None = None
+        self._callers: asyncio.Server | None = None
         self._shared: tuple[int, int] | None = None
 
     # -- what others may ask --
@@ -176,29 +177,44 @@
         async with AsyncExitStack() as stack:
             handler = configure_lines()
             stack.callback(handler.flush)
-            stack.callback(self.backends.close)
-            servers = await self._open(stack)
-            for work in self._list_work(run_flusher(handler)):
-                task = asyncio.ensure_future(work)
-                task.add_done_callback(_note_end)
-                stack.callback(task.cancel)
-            gc.collect()
-            gc.freeze()
-            gc.set_threshold(COLLECT_AFTER, 50, 100)
-            log_event(
-                "instance_started",
-                name=self._settings.name,
-                incarnation=self.peers.incarnation,
-                failure_domain=self._settings.failure_domain,
-                callers=self._settings.callers_address,
-                store=self._settings.store_address,
-            )
+            _start_task(stack, run_flusher(handler))
+            await self.start(stack)
+            _tune_collector()
             await told.wait()
-            await self._leave(servers)
-            log_event("instance_stopped", in_flight=self.forwarder.in_flight)
+            await self.leave()
         return 0
 
-    async def _open(self, stack: AsyncExitStack) -> asyncio.Server:
+    async def start(self, stack: AsyncExitStack) -> None:
+        """Open the listeners and begin to follow the store; the stack ends it all."""
+        stack.callback(self.backends.close)
+        await self._open(stack)
+        for work in self._list_work():
+            _start_task(stack, work)
+        log_event(
+            "instance_started",
+            name=self._settings.name,
+            incarnation=self.peers.incarnation,
+            failure_domain=self._settings.failure_domain,
+            callers=self._settings.callers_address,
+            store=self._settings.store_address,
+        )
+
+    async def leave(self) -> None:
+        """Serve on while callers may still hold the address, then end."""
+        began = now()
+        self._leaving_since = began
+        self.peers.leave()
+        log_event("instance_leaving", in_flight=self.forwarder.in_flight)
+        end = began + self._settings.bounds.grace_s - END_MARGIN_S
+        accept_until = min(began + ACCEPT_S, end - 0.5)
+        self.forwarder.leave(refuses_from=began + SERVE_ALL_S, ends_at=end)
+        await asyncio.sleep(accept_until - now())
+        if self._callers is not None:
+            self._callers.close()
+        await self.forwarder.wait_idle(end - now())
+        log_event("instance_stopped", in_flight=self.forwarder.in_flight)
+
+    async def _open(self, stack: AsyncExitStack) -> None:
         settings = self._settings
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
@@ -214,13 +230,12 @@
             is_leaving=lambda: self.is_leaving,
             body_limit=self._limit_body,
         )
-        callers = await self._listen(stack, front.serve, settings.callers_address)
+        self._callers = await self._listen(stack, front.serve, settings.callers_address)
         await self._listen(stack, self.serve_peer, settings.control_address)
         await self._listen(stack, interface.serve_readiness, settings.readiness_address)
         await self._listen(stack, interface.serve_directory, settings.directory_address)
         if self._outside.metrics_address is not None:
             await self._listen(stack, self.serve_metrics, self._outside.metrics_address)
-        return callers
 
     async def _listen(
         self, stack: AsyncExitStack, serve: Any, address: str
@@ -234,7 +249,7 @@
         limits = table.configuration.limits if table is not None else RequestLimits()
         return limits.max_body_bytes
 
-    def _list_work(self, *more: Coroutine[Any, Any, None]) -> list[Any]:
+    def _list_work(self) -> list[Coroutine[Any, Any, None]]:
         common: dict[str, Any] = {
             "store": self._store,
             "formats": self._formats,
@@ -251,7 +266,6 @@
             self.conducting.run(),
             self._tick(),
             self._prune(),
-            *more,
         ]
 
     async def _tick(self) -> None:
@@ -283,18 +297,17 @@
     def _reload(self) -> None:
         log_event("settings_changed", effect="read again at the next start")
 
-    async def _leave(self, callers: asyncio.Server) -> None:
-        """Serve on while callers may still hold the address, then end."""
-        began = now()
-        self._leaving_since = began
-        self.peers.leave()
-        log_event("instance_leaving", in_flight=self.forwarder.in_flight)
-        end = began + self._settings.bounds.grace_s - END_MARGIN_S
-        accept_until = min(began + ACCEPT_S, end - 0.5)
-        self.forwarder.leave(refuses_from=began + SERVE_ALL_S, ends_at=end)
-        await asyncio.sleep(accept_until - now())
-        callers.close()
-        await self.forwarder.wait_idle(end - now())
+
+def _start_task(stack: AsyncExitStack, work: Coroutine[Any, Any, None]) -> None:
+    task = asyncio.ensure_future(work)
+    task.add_done_callback(_note_end)
+    stack.callback(task.cancel)
+
+
+def _tune_collector() -> None:
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER, 50, 100)
 
 
 def _note_end(task: asyncio.Task[None]) -> None:
--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -19,9 +19,9 @@
 
 SMALL = 16
 """Members up to which two readers serve all."""
-MEMBERS_PER_READER = 12
-"""Members for each reader beyond that: a reader answers some sixty questions a second,
-well below a hundredth of a core."""
+MEMBERS_PER_READER = 20
+"""Members for each reader beyond that: each call to the store has its price, and a
+reader then answers some fifty small questions a second."""
 ASK_PERIOD_S = 0.4
 PATIENCE_S = 0.25
 """Time after which a question counts as unanswered, and the next reader is asked."""
