--- a/src/baobabthread/core/backends.py
+++ b/src/baobabthread/core/backends.py
@@ -15,6 +15,9 @@
 UNKNOWN_LATENCY_S = 10.0
 """Taken for a server that has not answered yet, so that its report counts."""
 
+LEAST_DELAY_S = 0.001
+"""Delay below which servers count as alike: the rest of an old one would otherwise send
+all requests to the other servers."""
 ENOUGH_WEIGHT = 0.6
 """Weight of five answers, before which no server passes for slow."""
 
@@ -175,7 +178,8 @@
     def delay(self, now: float) -> float:
         """Return about how long a request would wait now, by those before it."""
         age = max(0.0, now - self.delay_at)
-        return self.delay_s * math.exp2(-age / self.settings.delay_half_life_s)
+        delay = self.delay_s * math.exp2(-age / self.settings.delay_half_life_s)
+        return delay if delay >= LEAST_DELAY_S else 0.0
 
     def wait(self, now: float) -> float:
         """Return the seconds after which a new request's own work would begin."""
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -366,7 +366,7 @@
             if flight.deadline - now() < LEAST_LEFT_S:
                 await self._time_out(flight)
                 return
-            link = self._pick(flight, state)
+            link = self._pick(flight, state, flight.excluded)
             if link is None:
                 await self._give_up(flight, "no_backend")
                 return
@@ -376,7 +376,9 @@
             except _Again:
                 continue
 
-    def _pick(self, flight: Flight, state: ServiceState) -> BackendLink | None:
+    def _pick(
+        self, flight: Flight, state: ServiceState, excluded: set[str]
+    ) -> BackendLink | None:
         version = self._choose_version(flight, state.plan)
         key = flight.prompt_key
         may_probe = flight.route.may_repeat and flight.attempts == 0
@@ -384,7 +386,7 @@
             flight.service,
             version=version,
             prefix_key=hash_prefix(key) if key is not None else None,
-            exclude=flight.excluded,
+            exclude=excluded,
             may_probe=may_probe,
             shared_s=self._pace.shared_s(
                 flight.service, flight.model_name, flight.request.envelope.shared_tokens
@@ -415,7 +417,7 @@
             flight=flight,
             link=link,
             usual_first_s=self._expect_first(flight),
-            may_give_up=lambda: self._may_give_up(flight, state),
+            may_give_up=lambda: self._may_give_up(flight, state, link),
         )
         old = state.plan.order is not None and not flight.on_new
         flight.work = self._estimate_work(flight)
@@ -472,18 +474,20 @@
             return
         raise _Again(judge(error))
 
-    def _may_give_up(self, flight: Flight, state: ServiceState) -> bool:
+    def _may_give_up(
+        self, flight: Flight, state: ServiceState, link: BackendLink
+    ) -> bool:
         """Take a repeat for an attempt that is silent; without one it is waited for.
 
         Giving up without another try would turn a slow answer into none, and under load
         every answer is slow.
         """
-        return (
-            flight.route.may_repeat
-            and self._may_run_again(flight)
-            and flight.attempts < MAX_OFFERS
-            and self._spend(state)
-        )
+        if not flight.route.may_repeat or not self._may_run_again(flight):
+            return False
+        if flight.attempts >= MAX_OFFERS:
+            return False
+        others = flight.excluded | {link.record.id}
+        return self._pick(flight, state, others) is not None and self._spend(state)
 
     def _may_run_again(self, flight: Flight) -> bool:
         return flight.runs < flight.route.max_attempts
--- a/src/baobabthread/routing/queues.py
+++ b/src/baobabthread/routing/queues.py
@@ -88,8 +88,8 @@
         self._queue.finished(request_id, tokens, now)
 
     def _retry(self, now: float, spread: float) -> float:
-        wait = self._queue.retry_after(now) * (1.0 + RETRY_SPREAD * spread)
-        return min(MAX_RETRY_S, max(LEAST_RETRY_S, wait))
+        wait = min(MAX_RETRY_S, max(LEAST_RETRY_S, self._queue.retry_after(now)))
+        return wait * (1.0 + RETRY_SPREAD * spread)
 
 
 def classify(rank: int) -> Priority:
--- a/src/baobabthread/routing/trial.py
+++ b/src/baobabthread/routing/trial.py
@@ -24,6 +24,10 @@
 each answer, a good version reaches it once in about 1,500 answers at most."""
 
 
+WHOLE = ""
+"""Stands for all calls together."""
+
+
 class Concern(enum.StrEnum):
     """Name what can be bad about a version."""
 
@@ -128,11 +132,8 @@
     @property
     def seen(self) -> int:
         """Give how many answers of the new version were seen by all."""
-        return sum(
-            tally.seen
-            for key, tally in self._total.items()
-            if key.on_trial and key.concern is Concern.ERRORS
-        )
+        whole = self._total.get(_Key(True, WHOLE, Concern.ERRORS))
+        return whole.seen if whole is not None else 0
 
     @property
     def is_suspicious(self) -> bool:
@@ -159,7 +160,7 @@
         self._weigh(key, seen=1, bad=int(bad))
 
     def _weigh(self, key: _Key, *, seen: int, bad: int) -> None:
-        whole = _Key(key.on_trial, "", key.concern)
+        whole = _Key(key.on_trial, WHOLE, key.concern)
         for each in (key, whole):
             total = self._total.setdefault(each, _Tally())
             total.seen += seen
--- /dev/null
+++ b/tests/core/test_earliest.py
@@ -0,0 +1,118 @@
+"""Tests of where work goes on heavy days: the balancer by expected first part.
+
+Pattern: long prompts (some 9,000 tokens, of which 6,300 are shared) beside short ones,
+in clumps, over a handful of engines that read prompts one after the other. Grounds:
+the prompts of the installations' sheets.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from baobabthread.core.backends import BalanceSettings, LoadReport
+from baobabthread.core.balance import BackendTable
+from baobabthread.core.configuration import (
+    EMPTY,
+    Backend,
+    Configuration,
+    Service,
+    ServiceKind,
+)
+from baobabthread.core.limits import Outcome
+
+
+def make_table(count: int = 5, *, far: int = 0, seed: int = 1) -> BackendTable:
+    table = BackendTable(
+        failure_domain="a", rng=random.Random(seed), settings=BalanceSettings()
+    )
+    configuration: Configuration = msgspec.structs.replace(
+        EMPTY,
+        services={"s": Service(kind=ServiceKind.MODEL, balancer="earliest")},
+        backends={
+            f"b{number}": Backend(
+                service="s",
+                address="-",
+                failure_domain="b" if number < far else "a",
+                capacity=64,
+                versions=["v1"],
+            )
+            for number in range(count)
+        },
+    )
+    table.rebuild(configuration, 0.0)
+    return table
+
+
+def pick(table: BackendTable, key: int | None = None, now: float = 1.0, **more: float):
+    return table.pick(service="s", version="v1", prefix_key=key, now=now, **more)
+
+
+def test_prefer_the_server_with_less_work_before_the_first_part() -> None:
+    table = make_table(2)
+    table.expect("b0", 0.4)
+    assert {pick(table) for _ in range(10)} == {"b1"}
+    table.began("b0", 0.4, 1.0, delay_s=None)
+    assert {pick(table) for _ in range(30)} == {"b0", "b1"}
+
+
+def test_keep_a_prompt_where_it_was_read_until_the_wait_outweighs_it() -> None:
+    """Reading the shared part again takes 0.1 s, and holds up all others as well."""
+    table = make_table(5)
+    home = pick(table, 77, shared_s=0.1)
+    assert home is not None
+    assert {pick(table, 77, shared_s=0.1) for _ in range(10)} == {home}
+    table.expect(home, 0.05)
+    assert {pick(table, 77, shared_s=0.1) for _ in range(10)} == {home}
+    table.expect(home, 1.0)
+    assert home not in {pick(table, 77, shared_s=0.1) for _ in range(10)}
+
+
+def test_spill_a_prompt_to_one_other_server_first() -> None:
+    table = make_table(5)
+    home = pick(table, 77, shared_s=0.1)
+    assert home is not None
+    table.expect(home, 1.0)
+    assert len({pick(table, 77, shared_s=0.1) for _ in range(20)}) == 1
+
+
+def test_avoid_a_server_whose_answers_waited_of_late() -> None:
+    table = make_table(2)
+    table.began("b0", 0.0, 1.0, delay_s=1.0)
+    assert {pick(table, now=1.0) for _ in range(10)} == {"b1"}
+    assert "b0" in {pick(table, now=9.0) for _ in range(50)}
+
+
+def test_prefer_the_own_failure_domain_on_a_tie() -> None:
+    table = make_table(4, far=2)
+    assert {pick(table) for _ in range(20)} <= {"b2", "b3"}
+
+
+def test_spread_a_clump_of_long_prompts_over_all_engines() -> None:
+    table = make_table(5)
+    found = []
+    for _ in range(5):
+        name = pick(table)
+        assert name is not None
+        table.expect(name, 0.3)
+        found.append(name)
+    assert len(set(found)) == 5
+
+
+def test_send_less_to_a_slow_server() -> None:
+    table = make_table(3)
+    for _ in range(40):
+        for name, latency_s in (("b0", 0.5), ("b1", 0.1), ("b2", 0.1)):
+            table.started(name, 100, 1.0)
+            table.finished(name, Outcome.OK, latency_s, 100, 1.0)
+    assert "b0" not in {pick(table) for _ in range(20)}
+
+
+def test_count_the_work_that_others_have_pending() -> None:
+    table = make_table(2)
+    table.hear_pending({"b0": 0.5}, 1.0)
+    assert {pick(table, now=1.1) for _ in range(10)} == {"b1"}
+    assert "b0" in {pick(table, now=5.0) for _ in range(50)}
+    assert table.pending() == {}
+    table.report("b0", LoadReport(running=1, waiting=0, capacity=64), 1.0)
--- /dev/null
+++ b/tests/instance/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package of this name."""
--- /dev/null
+++ b/tests/instance/test_relaying.py
@@ -0,0 +1,150 @@
+"""Tests of who reads the store and what the others learn from them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from baobabthread.instance import relaying
+from baobabthread.instance.relaying import AskKnowledge, KnowledgeIs, Relay
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.configuration import BackendRecord
+from baobabthread.routing.knowledge import Knowledge
+
+NAMES = ["i1", "i2", "i3", "i4", "i5", "i6"]
+
+
+class Clock:
+    """Stand still until a test moves it on."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def __call__(self) -> float:
+        return self.time
+
+
+class Member:
+    """Hold one instance's relay and what it sent and fetched."""
+
+    def __init__(self, name: str, names: list[str]) -> None:
+        self.knowledge = Knowledge(bounds=RoutingBounds())
+        self.sent: list[tuple[str, Any]] = []
+        self.fetched: list[str] = []
+        self.relay = Relay(
+            me=name,
+            knowledge=self.knowledge,
+            tell=self._tell,
+            fetch=self.fetched.append,
+        )
+        self.relay.set_members(names)
+
+    def _tell(self, to: str, message: msgspec.Struct) -> None:
+        self.sent.append((to, message))
+
+    def read(self, end: int, at: float) -> None:
+        """Note that this instance read both topics itself."""
+        self.knowledge.note_operators_read(end=end, asked_at=at)
+        self.knowledge.note_backends_read(end=end, asked_at=at, now=at)
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr(relaying, "now", clock)
+    return clock
+
+
+def make_members(count: int = 6) -> tuple[list[Member], list[Member]]:
+    """Return the readers and the others."""
+    names = [f"i{number}" for number in range(count)]
+    members = [Member(name, names) for name in names]
+    readers = [m for m in members if m.relay.is_reader]
+    return readers, [m for m in members if not m.relay.is_reader]
+
+
+@pytest.mark.parametrize(("count", "readers"), [(1, 1), (6, 2), (16, 2), (61, 4)])
+def test_let_few_read(clock: Clock, count: int, readers: int) -> None:
+    assert len(make_members(count)[0]) == readers
+
+
+def test_confirm_what_is_known_by_question_and_answer(clock: Clock) -> None:
+    readers, others = make_members()
+    reader, member = readers[0], others[0]
+    reader.read(5, clock.time)
+    member.read(5, clock.time - 3)
+    member.relay.tick()
+    ((_, question),) = member.sent
+    clock.time += 0.2
+    reader.relay.answer("member", question)
+    ((_, word),) = reader.sent
+    clock.time += 0.3
+    member.relay.take("reader", word)
+    # Counted from the question: the answer may have waited in a paused process.
+    assert member.knowledge.operators_age(clock.time) == pytest.approx(0.7)
+    assert not member.relay.needs_operators()
+
+
+def test_take_no_age_from_a_word_that_nobody_asked_for(clock: Clock) -> None:
+    """A reader's word lies in the socket of a suspended machine for four seconds.
+
+    Its ages look fresh when it is read at last; a key taken away meanwhile would be
+    honoured.
+    """
+    _, others = make_members()
+    member = others[0]
+    member.read(5, clock.time - 10)
+    word = KnowledgeIs(
+        sequence=0,
+        operators_end=5,
+        operators_age_s=0.1,
+        backends_end=5,
+        backends_changed_at=5,
+        backends_age_s=0.1,
+    )
+    member.relay.take("reader", word)
+    assert member.knowledge.operators_age(clock.time) == 10.0
+
+
+def test_fetch_what_changed(clock: Clock) -> None:
+    readers, others = make_members()
+    reader, member = readers[0], others[0]
+    member.read(5, clock.time)
+    reader.read(5, clock.time)
+    reader.relay.answer("member", AskKnowledge(sequence=1))
+    reader.relay.tick()
+    reader.sent.clear()
+    reader.knowledge.take_backend(
+        BackendRecord(
+            id="b1",
+            service="s",
+            address="-",
+            failure_domain="a",
+            version="v1",
+            capacity=1,
+        )
+    )
+    reader.read(6, clock.time)
+    reader.relay.tick()
+    ((to, word),) = reader.sent
+    assert to == "member"
+    member.relay.take("reader", word)
+    assert member.fetched == ["reader"]
+
+
+def test_read_the_store_when_the_reader_is_silent(clock: Clock) -> None:
+    """The reader is cut off right before a change that is due in two seconds."""
+    _, others = make_members()
+    member = others[0]
+    member.read(5, clock.time)
+    asked = set()
+    for _ in range(40):
+        clock.time += 0.05
+        member.relay.tick()
+        if member.relay.needs_operators():
+            break
+    asked = {to for to, _ in member.sent}
+    assert clock.time < 101.7
+    assert len(asked) == 2
--- /dev/null
+++ b/tests/platform/fakes.py
@@ -0,0 +1,439 @@
+"""Stand-ins of the platform's store, backend servers and callers, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+import re
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+OPERATORS = "keyed.op"
+BACKENDS = "keyed.servers"
+STATUS = "keyed.status"
+HOST = "api.example"
+KEY = "key-of-metro"
+SIGNATURE = "signed-by-the-backend"
+
+
+class FakeStore:
+    """Keep topics in memory and answer as the platform's store does."""
+
+    def __init__(self) -> None:
+        self.topics: dict[str, list[tuple[str, bytes]]] = {}
+        self.first: dict[str, int] = {}
+        self.fault = ""
+        """One of busy, silent, lost; empty for none."""
+        self.calls: list[str] = []
+        self._grown = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> FakeStore:
+        """Listen at a free port."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(web.Server(self._serve), "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    def close(self) -> None:
+        """Stop listening."""
+        assert self._server is not None
+        self._server.close()
+
+    def put(self, topic: str, key: str, value: object) -> int:
+        """Append a record as an operator or a backend server would."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        records = self.topics.setdefault(topic, [])
+        records.append((key, raw))
+        self._grown.set()
+        self._grown = asyncio.Event()
+        return len(records) - 1
+
+    def newest(self, topic: str) -> dict[str, tuple[bytes, int]]:
+        """Return the newest value of each key, and its offset."""
+        found: dict[str, tuple[bytes, int]] = {}
+        for offset, (key, value) in enumerate(self.topics.get(topic, [])):
+            found[key] = (value, offset)
+        return {key: item for key, item in found.items() if item[0]}
+
+    def status(self, service: str) -> dict[str, Any]:
+        """Return what was written of a service's roll-out."""
+        value, _ = self.newest(STATUS).get(f"rollout/{service}", (b"{}", 0))
+        return dict(json.loads(value))
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.calls.append(f"{request.method} {request.path}")
+        if self.fault == "silent":
+            await asyncio.sleep(30)
+        if self.fault == "busy":
+            return web.Response(status=503)
+        query = request.query
+        if request.path == "/-/log-newest":
+            return self._answer_newest(query["topic"])
+        if request.path == "/-/log-read":
+            return await self._answer_read(query)
+        return await self._answer_append(query, await request.read())
+
+    def _answer_newest(self, topic: str) -> web.Response:
+        items = [
+            {"key": k, "value": base64.b64encode(v).decode(), "offset": offset}
+            for k, (v, offset) in self.newest(topic).items()
+        ]
+        end = len(self.topics.get(topic, []))
+        return web.json_response({"items": items, "has_more": False, "end_offset": end})
+
+    async def _answer_read(self, query: Any) -> web.Response:
+        topic, start = query["topic"], int(query["from"])
+        if start < self.first.get(topic, 0):
+            return web.json_response({"first_offset": self.first[topic]}, status=410)
+        wait_s = int(query.get("wait_ms", 0)) / 1000
+        if wait_s and start >= len(self.topics.get(topic, [])):
+            grown = self._grown
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(grown.wait(), wait_s)
+        records = self.topics.get(topic, [])
+        body = struct.pack(">QQ", len(records), self.first.get(topic, 0))
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += struct.pack(">I", len(content)) + content
+        return web.Response(body=body)
+
+    async def _answer_append(self, query: Any, body: bytes) -> web.StreamResponse:
+        topic = query["topic"]
+        end = len(self.topics.get(topic, []))
+        if "at" in query and int(query["at"]) != end:
+            return web.json_response({"end_offset": end}, status=412)
+        (length,) = struct.unpack_from(">I", body)
+        content = body[4 : 4 + length]
+        cut = 1 + content[0]
+        self.put(topic, content[1:cut].decode(), content[cut:])
+        if self.fault == "lost":
+            await asyncio.sleep(30)
+        return web.json_response({"offset": end, "end_offset": end + 1})
+
+
+class Seen:
+    """Hold one request as a backend server saw it."""
+
+    def __init__(self, method: str, target: str, headers: dict[str, str]) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = b""
+        self.cut = False
+        """Whether the caller closed its connection while the answer was made."""
+
+
+Behaviour = Callable[["FakeBackend", Seen, asyncio.StreamWriter], Awaitable[None]]
+BEHAVIOURS: dict[str, Behaviour] = {}
+
+
+def behaves(name: str) -> Callable[[Behaviour], Behaviour]:
+    """Enter a way to answer under a name."""
+
+    def enter(behaviour: Behaviour) -> Behaviour:
+        BEHAVIOURS[name] = behaviour
+        return behaviour
+
+    return enter
+
+
+class FakeBackend:
+    """Answer requests on real sockets, well or in one of many bad ways."""
+
+    def __init__(self, id: str, *, service: str = "plain", version: str = "v1") -> None:
+        self.id = id
+        self.service = service
+        self.version = version
+        self.behaviour = "answer"
+        self.confidence: dict[str, int] = {}
+        """By model; 100 where it is missing."""
+        self.events = 3
+        self.pause_s = 0.0
+        self.seen: list[Seen] = []
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    @property
+    def record(self) -> dict[str, object]:
+        """Give its record in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "version": self.version,
+            "slots": 8,
+            "state": "ready",
+            "seq": 1,
+        }
+
+    async def start(self) -> FakeBackend:
+        """Listen at a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    def close(self) -> None:
+        """Stop listening."""
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                seen = await _read_request(reader)
+                self.seen.append(seen)
+                work = asyncio.ensure_future(
+                    BEHAVIOURS[self.behaviour](self, seen, writer)
+                )
+                while not work.done():
+                    await asyncio.wait({work}, timeout=0.02)
+                    if reader.at_eof() and not work.done():
+                        seen.cut = True
+                        work.cancel()
+                        return
+                work.result()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            return
+        finally:
+            writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Seen:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *fields = head.strip().split("\r\n")
+    method, target, _ = line.split(" ")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (field.partition(":") for field in fields)
+    }
+    seen = Seen(method, target, headers)
+    seen.body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return seen
+
+
+def render_head(seen: Seen, status: int, **more: str) -> bytes:
+    """Return the head of an answer that belongs to a request."""
+    fields = {"X-Attempt-Id": seen.headers.get("x-attempt-id", "")}
+    if status < 300 or status >= 500:
+        fields["X-Response-Signature"] = SIGNATURE
+    fields |= {name.replace("_", "-"): value for name, value in more.items()}
+    lines = [f"HTTP/1.1 {status} X"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+@behaves("answer")
+async def answer(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Answer whole; as events where a model is asked."""
+    await asyncio.sleep(backend.pause_s)
+    if "x-model" in seen.headers:
+        await stream(backend, seen, writer)
+        return
+    body = f"answer of {backend.id}".encode()
+    writer.write(render_head(seen, 200, Content_Length=str(len(body))) + body)
+
+
+async def stream(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter, *, cut: int = -1
+) -> None:
+    """Send events after the last one that the caller has; break off within one."""
+    model = seen.headers["x-model"]
+    confidence = str(backend.confidence.get(model, 100))
+    writer.write(
+        render_head(
+            seen,
+            200,
+            Content_Type="text/event-stream",
+            Transfer_Encoding="chunked",
+            X_Confidence=confidence,
+        )
+    )
+    start = int(seen.headers.get("last-event-id", "0"))
+    for number in range(start + 1, backend.events + 1):
+        event = f"id: {number}\ndata: {model} piece {number}\n\n".encode()
+        if number == cut:
+            writer.write(_chunk(event[:10]))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+            return
+        writer.write(_chunk(event))
+        await writer.drain()
+        await asyncio.sleep(backend.pause_s)
+    writer.write(b"0\r\n\r\n")
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+@behaves("stream_cut")
+async def cut_stream(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Break off within the second event."""
+    await stream(backend, seen, writer, cut=2)
+
+
+@behaves("fail")
+async def fail(backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Run the request and fail."""
+    body = b"own failure"
+    writer.write(render_head(seen, 500, Content_Length=str(len(body))) + body)
+
+
+@behaves("shed")
+async def shed(backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Refuse without running it."""
+    writer.write(render_head(seen, 503, X_Not_Executed="1", Content_Length="0"))
+
+
+@behaves("mute")
+async def stay_mute(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Run it and never answer."""
+    await asyncio.sleep(30)
+
+
+@behaves("cut")
+async def cut(backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Break off in the middle of the body."""
+    writer.write(render_head(seen, 200, Content_Length="100") + b"half")
+    await writer.drain()
+    writer.transport.abort()
+
+
+@behaves("unframed_reset")
+async def reset_unframed(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Send a body without a length and reset the connection instead of closing it."""
+    writer.write(render_head(seen, 200) + b"half of a body")
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(1, 13, struct.pack("ii", 1, 0))  # SO_LINGER: close resets
+    writer.transport.abort()
+
+
+@behaves("unframed")
+async def answer_unframed(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Send a whole body that ends with its connection."""
+    writer.write(render_head(seen, 200) + b"whole body")
+    await writer.drain()
+    writer.close()
+
+
+@behaves("extra")
+async def answer_twice(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Send another answer behind a whole one."""
+    await answer(backend, seen, writer)
+    writer.write(render_head(seen, 200, Content_Length="5") + b"stray")
+
+
+@behaves("other_id")
+async def answer_other(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Send the answer of another request."""
+    other = Seen("GET", "/", {"x-attempt-id": "of-somebody-else"})
+    writer.write(render_head(other, 200, Content_Length="5") + b"other")
+
+
+@behaves("unsigned")
+async def answer_unsigned(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Claim success without a signature."""
+    id = seen.headers["x-attempt-id"]
+    writer.write(
+        f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok".encode()
+    )
+
+
+class Answer:
+    """Hold an answer as a caller saw it."""
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = True
+
+    @property
+    def event_ids(self) -> list[int]:
+        """Give the ids of the whole events."""
+        return [int(n) for n in re.findall(rb"id: (\d+)\ndata: [^\n]+\n\n", self.body)]
+
+
+async def call(
+    address: str,
+    path: str,
+    *,
+    method: str = "GET",
+    body: bytes = b"",
+    host: str = HOST,
+    key: str | None = KEY,
+    **fields: str,
+) -> Answer:
+    """Send one request on a connection of its own and read the answer."""
+    ip, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    headers = {"Host": host, "X-Attempt-Id": "a1", "X-Timeout-Ms": "5000"}
+    if key is not None:
+        headers["Authorization"] = f"Token {key}"
+    headers |= {name.replace("_", "-"): value for name, value in fields.items()}
+    if body:
+        headers["Content-Length"] = str(len(body))
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer; `whole` tells whether it came to its end."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *rows = head.strip().split("\r\n")
+    headers = {
+        name.lower(): value.strip()
+        for name, _, value in (row.partition(":") for row in rows)
+    }
+    found = Answer(int(line.split(" ")[1]), headers, b"")
+    try:
+        if headers.get("transfer-encoding") == "chunked":
+            await _read_chunks(reader, found)
+        else:
+            length = int(headers.get("content-length", "0"))
+            found.body = await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        found.whole = False
+    return found
+
+
+async def _read_chunks(reader: asyncio.StreamReader, found: Answer) -> None:
+    while True:
+        size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+        data = await reader.readexactly(size + 2)
+        if not size:
+            return
+        found.body += data[:-2]
--- /dev/null
+++ b/tests/platform/site.py
@@ -0,0 +1,202 @@
+"""A small installation in one process: a store, backend servers, instances."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator, Coroutine
+from typing import Any
+
+from baobabthread.instance.process import Instance, Outside
+from baobabthread.instance.settings import InstanceSettings
+from baobabthread.platform.headers import PlatformWire
+from baobabthread.platform.interface import PlatformInterface
+from baobabthread.platform.records import PlatformRecords
+from baobabthread.platform.settings import parse_settings
+from baobabthread.platform.store import PlatformStore
+from tests.platform.fakes import (
+    BACKENDS,
+    HOST,
+    KEY,
+    OPERATORS,
+    Answer,
+    FakeBackend,
+    FakeStore,
+    call,
+)
+
+MODELS = ["small", "middle", "large"]
+READY_S = 5.0
+
+
+def run(case: Coroutine[Any, Any, None]) -> None:
+    """Run one case within a time that tells a hang from a slow machine."""
+    asyncio.run(asyncio.wait_for(case, 40))
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free ports."""
+    found = []
+    with contextlib.ExitStack() as stack:
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("127.0.0.1", 0))
+            found.append(sock.getsockname()[1])
+    return found
+
+
+def route(prefix: str, kind: str, **more: object) -> dict[str, object]:
+    """Return a route as the operators write it."""
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 2000,
+        "slo_ms": 500,
+        "priority": 1,
+        "service": "plain",
+        "max_attempts": 3,
+        **more,
+    }
+
+
+def make_configuration(version: int = 1, **more: object) -> dict[str, object]:
+    """Return a configuration as the operators write it."""
+    engine = {"service": "engine", "sticky": True, "sizes": MODELS}
+    return {
+        "version": version,
+        "routes": [
+            route("/safe/", "idempotent"),
+            route("/unsafe/", "non_idempotent", max_attempts=1),
+            route("/open/", "idempotent", public=True),
+            route("/stream/", "streaming", resumable=True, **engine),
+            route("/once/", "streaming", **engine),
+        ],
+        "services": [
+            {"name": "plain", "health_path": "/health", "max_conns": 96},
+            {"name": "engine", "health_path": "/health", "max_conns": 96},
+        ],
+        "limits": {"max_body_bytes": 10_000, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "metro", "api_keys": [KEY], "priority": None}],
+        **more,
+    }
+
+
+class Site:
+    """Hold the parts of an installation and find them by name."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self.store = store
+        self.instances: list[Instance] = []
+        self.settings: list[InstanceSettings] = []
+        self.backends: list[FakeBackend] = []
+        self.stacks: list[contextlib.AsyncExitStack] = []
+        ports = find_ports(1)
+        self.gossip_port = ports[0]
+
+    def configure(self, version: int = 1, **more: object) -> None:
+        """Publish a configuration."""
+        self.store.put(OPERATORS, "config", make_configuration(version, **more))
+
+    async def add_backend(self, id: str, **settings: Any) -> FakeBackend:
+        """Start a backend server and enter it into the store."""
+        backend = await FakeBackend(id, **settings).start()
+        self.backends.append(backend)
+        self.store.put(BACKENDS, id, backend.record)
+        return backend
+
+    async def add_instance(self, name: str = "i1", *, ip: str = "127.0.0.1") -> int:
+        """Start an instance; return its index."""
+        ports = find_ports(4)
+        text = {
+            "node_name": name,
+            "ip": ip,
+            "zone": "a",
+            "listen": {
+                "front": f"{ip}:{ports[0]}",
+                "ready": f"{ip}:{ports[1]}",
+                "directory": f"{ip}:{ports[2]}",
+                "control": f"{ip}:{self.control_port(ports[3])}",
+            },
+            "internal_ports": [self.gossip_port, self.gossip_port],
+            "seeds": [s.control_address for s in self.settings],
+            "provider": {"address": self.store.address},
+            "guarantees": {"revoke_ms": 2000, "grace_s": 3},
+        }
+        settings = parse_settings(json.dumps(text).encode(), "test")
+        outside = Outside(
+            store=PlatformStore(address=settings.store_address, connect_s=0.3),
+            formats=PlatformRecords(),
+            wire=PlatformWire(),
+            make_interface=lambda is_ready, find: PlatformInterface(
+                is_ready=is_ready, find_addresses=find
+            ),
+        )
+        instance = Instance(settings=settings, outside=outside)
+        stack = contextlib.AsyncExitStack()
+        await instance.start(stack)
+        self.instances.append(instance)
+        self.settings.append(settings)
+        self.stacks.append(stack)
+        return len(self.instances) - 1
+
+    def control_port(self, fresh: int) -> int:
+        """Return the control port, which is the same at all instances."""
+        return self.settings[0].control_port if self.settings else fresh
+
+    async def wait_ready(self, index: int = 0) -> None:
+        """Wait until an instance serves and knows all backend servers."""
+        knowledge = self.instances[index].knowledge
+        await wait_for(
+            lambda: (
+                self.instances[index].is_ready
+                and len(knowledge.backends) >= len(self.backends)
+            )
+        )
+        await asyncio.sleep(0.15)
+
+    async def call(self, path: str, *, index: int = 0, **more: Any) -> Answer:
+        """Send a request to an instance."""
+        return await call(self.settings[index].callers_address, path, **more)
+
+    async def ask_model(self, path: str = "/stream/x", **more: Any) -> Answer:
+        """Send a request that a model answers with events."""
+        fields = {
+            "X_Model": "*",
+            "X_Token_Usage": "100,20",
+            "X_Prompt_Prefix": "aa:50,bb:30,cc:20",
+            "X_Length_Hint": "10",
+        }
+        return await self.call(path, method="POST", body=b"{}", **(fields | more))
+
+
+async def wait_for(condition: Any, seconds: float = READY_S) -> None:
+    """Wait until something holds; fail when it doesn't in time."""
+    for _ in range(int(seconds / 0.02)):
+        if condition():
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError("it did not come to hold in time")
+
+
+@contextlib.asynccontextmanager
+async def open_site(*backends: FakeBackend | str) -> AsyncIterator[Site]:
+    """Open an installation with one instance that is ready."""
+    site = Site(await FakeStore().start())
+    try:
+        site.configure()
+        for each in backends:
+            service = "engine" if str(each).startswith("e") else "plain"
+            await site.add_backend(str(each), service=service)
+        await site.add_instance()
+        await site.wait_ready()
+        yield site
+    finally:
+        for stack in site.stacks:
+            await stack.aclose()
+        for backend in site.backends:
+            backend.close()
+        site.store.close()
--- /dev/null
+++ b/tests/platform/test_instances.py
@@ -0,0 +1,208 @@
+"""Several instances: membership, knowledge from peers, stops, roll-outs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from tests.platform.fakes import OPERATORS, call
+from tests.platform.site import Site, open_site, run, wait_for
+
+
+async def resolve(site: Site, index: int = 0) -> list[str]:
+    """Return the addresses that an instance tells callers."""
+    address = site.settings[index].directory_address
+    answer = await call(address, "/-/resolve?name=api.example&zone=a")
+    found: dict[str, Any] = json.loads(answer.body)
+    assert 0 < found["ttl_s"] <= 5
+    return list(found["addresses"])
+
+
+async def is_ready(site: Site, index: int = 0) -> bool:
+    answer = await call(site.settings[index].readiness_address, "/-/readiness")
+    return answer.status == 200
+
+
+def test_list_all_instances_that_serve() -> None:
+    async def case() -> None:
+        async with open_site("p1") as site:
+            await site.add_instance("i2", ip="127.0.0.2")
+            await site.wait_ready(1)
+            both = {s.callers_address for s in site.settings}
+            for index in (0, 1):
+                for _ in range(100):
+                    if set(await resolve(site, index)) == both:
+                        break
+                    await asyncio.sleep(0.05)
+                assert set(await resolve(site, index)) == both
+
+    run(case())
+
+
+def test_learn_everything_from_a_peer_while_the_store_is_away() -> None:
+    """An instance starts while the store refuses all calls.
+
+    It knows nothing of its own. A peer tells it the configuration, the backend servers
+    and how old that is, and it serves while that is fresh.
+    """
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            site.store.fault = "busy"
+            index = await site.add_instance("i2", ip="127.0.0.2")
+            await wait_for(
+                lambda: site.instances[index].knowledge.table is not None, 3.0
+            )
+            await wait_for(lambda: site.instances[index].knowledge.backends, 1.0)
+            await asyncio.sleep(0.15)
+            assert (await site.call("/open/x", index=index, key=None)).status == 200
+
+    run(case())
+
+
+def test_let_few_instances_read_the_store() -> None:
+    async def case() -> None:
+        async with open_site("p1") as site:
+            for number in (2, 3, 4):
+                await site.add_instance(f"i{number}", ip=f"127.0.0.{number}")
+            for index in range(4):
+                await site.wait_ready(index)
+            await wait_for(
+                lambda: all(
+                    len(i.peers.membership.alive()) == 4 for i in site.instances
+                )
+            )
+            await asyncio.sleep(1.0)
+            site.store.calls.clear()
+            await asyncio.sleep(2.0)
+            assert len(site.store.calls) <= 26
+            assert all(instance.is_ready for instance in site.instances)
+
+    run(case())
+
+
+def test_leave_without_cutting_a_request() -> None:
+    """An instance is told to stop while it answers, and callers still hold its address.
+
+    It is not ready and out of the addresses at once, serves what comes, asks callers to
+    close their connections, and ends when nothing is in flight.
+    """
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            await site.add_instance("i2", ip="127.0.0.2")
+            await site.wait_ready(1)
+            await wait_for(lambda: len(site.instances[1].peers.membership.alive()) == 2)
+            site.backends[0].pause_s = 0.5
+            running = asyncio.ensure_future(site.call("/safe/x"))
+            await asyncio.sleep(0.1)
+            leaving = asyncio.ensure_future(site.instances[0].leave())
+            await asyncio.sleep(0.1)
+            assert not await is_ready(site, 0)
+            assert await resolve(site, 1) == [site.settings[1].callers_address]
+            late = await site.call("/safe/y")
+            assert late.status == 200
+            assert late.headers["connection"].lower() == "close"
+            assert (await running).status == 200
+            await leaving
+
+    run(case())
+
+
+def put_rollout(site: Site, target: str, limit_s: float) -> None:
+    site.store.put(
+        OPERATORS,
+        "rollout/engine",
+        {"service": "engine", "target": target, "deadline_s": limit_s},
+    )
+
+
+async def ask_many(site: Site, count: int, pause_s: float = 0.01) -> list[Any]:
+    """Send requests of as many sessions."""
+    tasks = []
+    for number in range(count):
+        session = f"s{number}"
+        tasks.append(asyncio.ensure_future(site.ask_model(Session=session)))
+        await asyncio.sleep(pause_s)
+    return [await task for task in tasks]
+
+
+def test_move_to_a_good_version_in_time() -> None:
+    async def case() -> None:
+        async with open_site("e1", "e2") as site:
+            await site.add_backend("n1", service="engine", version="v2")
+            await site.add_backend("n2", service="engine", version="v2")
+            put_rollout(site, "v2", 6.0)
+            await wait_for(lambda: site.store.status("engine"), 3.0)
+            assert site.store.status("engine")["state"] == "running"
+            for _ in range(24):
+                await ask_many(site, 20, 0.02)
+                if site.store.status("engine")["state"] != "running":
+                    break
+            assert site.store.status("engine")["state"] == "succeeded"
+            old = [len(b.seen) for b in site.backends[:2]]
+            await ask_many(site, 10)
+            assert [len(b.seen) for b in site.backends[:2]] == old
+
+    run(case())
+
+
+def test_revert_a_version_that_fails() -> None:
+    """The new version answers every request with a failure.
+
+    It gets a small share at first, the failures are counted against the old version's,
+    and it is out before the callers have met it often; the status says so.
+    """
+
+    async def case() -> None:
+        async with open_site("e1", "e2") as site:
+            bad = await site.add_backend("n1", service="engine", version="v2")
+            bad.behaviour = "fail"
+            put_rollout(site, "v2", 8.0)
+            for _ in range(14):
+                await ask_many(site, 30, 0.01)
+                if site.store.status("engine").get("state") == "reverted":
+                    break
+            assert site.store.status("engine")["state"] == "reverted"
+            met = len(bad.seen)
+            assert met < 25
+            await ask_many(site, 20)
+            assert len(bad.seen) == met
+
+    run(case())
+
+
+def test_survive_rubbish_on_each_port() -> None:
+    """Bytes that are no message come to every port; the instance serves on."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            settings = site.settings[0]
+            for address in (
+                settings.callers_address,
+                settings.readiness_address,
+                settings.directory_address,
+                settings.control_address,
+            ):
+                ip, _, port = address.rpartition(":")
+                _, writer = await asyncio.open_connection(ip, int(port))
+                writer.write(b"\x00\xffrubbish\r\n\r\n")
+                await writer.drain()
+                writer.close()
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_datagram_endpoint(
+                asyncio.DatagramProtocol,
+                remote_addr=("127.0.0.1", settings.gossip_port),
+            )
+            for data in (
+                b"rubbish",
+                b'{"sender":"x","messages":[{"type":"nil"}]}',
+                b"",
+            ):
+                transport.sendto(data)
+            await asyncio.sleep(0.3)
+            transport.close()
+            assert (await site.call("/safe/x")).status == 200
+
+    run(case())
--- /dev/null
+++ b/tests/platform/test_streams.py
@@ -0,0 +1,130 @@
+"""Streams of events: whole, once, in order, or visibly broken off."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.platform.fakes import Answer
+from tests.platform.site import open_site, run
+
+
+def check_whole(answer: Answer, events: int) -> None:
+    """Check that each event came once and in order, and that the stream ended."""
+    assert answer.whole
+    assert answer.event_ids == list(range(1, events + 1))
+
+
+def test_pass_events_on() -> None:
+    async def case() -> None:
+        async with open_site("e1") as site:
+            answer = await site.ask_model()
+            check_whole(answer, 3)
+            seen = site.backends[0].seen[0]
+            assert seen.headers["x-model"] == "small"
+            assert seen.headers["x-prompt-prefix"] == "aa:50,bb:30,cc:20"
+            assert seen.headers["x-token-usage"] == "100,20"
+
+    run(case())
+
+
+def test_leave_a_model_that_the_caller_names() -> None:
+    async def case() -> None:
+        async with open_site("e1") as site:
+            site.backends[0].confidence = {"middle": 0}
+            await site.ask_model(X_Model="middle")
+            assert [s.headers["x-model"] for s in site.backends[0].seen] == ["middle"]
+
+    run(case())
+
+
+@pytest.mark.parametrize(
+    ("confidence", "asked"),
+    [
+        ({"small": 90}, ["small"]),
+        ({"small": 60}, ["small", "middle"]),
+        ({"small": 20}, ["small", "large"]),
+        ({"small": 60, "middle": 30}, ["small", "middle", "large"]),
+    ],
+)
+def test_ask_a_larger_model_by_confidence(
+    confidence: dict[str, int], asked: list[str]
+) -> None:
+    """The small model doubts its answer; the caller only sees the one that counts."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            site.backends[0].confidence = confidence
+            answer = await site.ask_model()
+            check_whole(answer, 3)
+            assert asked[-1].encode() in answer.body
+            found = [seen.headers["x-model"] for seen in site.backends[0].seen]
+            assert found == asked
+
+    run(case())
+
+
+def test_resume_a_stream_that_breaks_within_an_event() -> None:
+    """An engine resets its connection in the middle of the second event.
+
+    The half event must not be passed on; another engine goes on behind the first one,
+    within the same answer, and the caller sees each event once.
+    """
+
+    async def case() -> None:
+        async with open_site("e1", "e2") as site:
+            site.backends[0].behaviour = "stream_cut"
+            site.backends[1].behaviour = "stream_cut"
+            site.backends[1].events = 1
+            for backend in site.backends:
+                backend.events = 4
+            site.backends[1].behaviour = "answer"
+            for _ in range(3):
+                check_whole(await site.ask_model(), 4)
+            resumed = [
+                seen.headers["last-event-id"]
+                for seen in site.backends[1].seen
+                if "last-event-id" in seen.headers
+            ]
+            assert set(resumed) <= {"1"}
+
+    run(case())
+
+
+def test_never_end_a_broken_stream_as_complete() -> None:
+    """A stream that may not be resumed breaks off: its caller sees the connection end.
+
+    A clean end would pass a part of the answer off as the whole.
+    """
+
+    async def case() -> None:
+        async with open_site("e1", "e2") as site:
+            for backend in site.backends:
+                backend.behaviour = "stream_cut"
+            answer = await site.ask_model("/once/x")
+            assert not answer.whole
+            assert answer.event_ids == [1]
+            assert sum(len(b.seen) for b in site.backends) == 1
+
+    run(case())
+
+
+def test_go_on_after_the_event_that_the_caller_has() -> None:
+    async def case() -> None:
+        async with open_site("e1") as site:
+            answer = await site.ask_model(Last_Event_Id="2")
+            assert answer.whole
+            assert answer.event_ids == [3]
+
+    run(case())
+
+
+def test_resume_elsewhere_when_an_engine_falls_silent() -> None:
+    """An engine goes dark: no reset, no bytes, on any connection."""
+
+    async def case() -> None:
+        async with open_site("e1", "e2") as site:
+            site.backends[0].behaviour = "mute"
+            for _ in range(2):
+                check_whole(await site.ask_model(), 3)
+
+    run(case())
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,227 @@
+"""Tests of the platform's formats: settings, records, header fields, the store."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from baobabthread.errors import ConfigurationError, UsageError
+from baobabthread.instance.store import Conflict, Record, StoreError, Tail, Trimmed
+from baobabthread.instance.wire import BackendCall
+from baobabthread.platform.headers import PlatformWire
+from baobabthread.platform.records import PlatformRecords, decode_configuration
+from baobabthread.platform.settings import parse_settings, read_settings
+from baobabthread.platform.store import PlatformStore
+from baobabthread.routing.configuration import (
+    Repeatability,
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
+from tests.platform.fakes import FakeStore
+from tests.platform.site import make_configuration, run
+
+SETTINGS: dict[str, Any] = {
+    "node_name": "front-a-1",
+    "ip": "10.0.0.1",
+    "zone": "a",
+    "listen": {
+        "front": "10.0.0.1:1",
+        "ready": "10.0.0.1:2",
+        "directory": "10.0.0.1:3",
+        "control": "10.0.0.1:4",
+    },
+    "internal_ports": [7000, 7015],
+    "provider": {"address": "10.0.0.9:5"},
+    "unknown": {"is": "passed over"},
+    "guarantees": {"revoke_ms": 4000, "grace_s": 7},
+}
+
+
+def test_read_settings() -> None:
+    settings = parse_settings(json.dumps(SETTINGS).encode(), "x")
+    assert settings.gossip_address == "10.0.0.1:7000"
+    assert settings.control_port == 4
+    assert settings.bounds.revocation_s == 4.0
+    assert settings.bounds.grace_s == 7.0
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"zone": 5}, "zone"),
+        ({"listen": {"front": "10.0.0.1:1"}}, "ready"),
+        ({"internal_ports": []}, "internal_ports"),
+        ({"provider": None}, "provider"),
+    ],
+)
+def test_name_the_field_that_is_wrong(change: dict[str, Any], named: str) -> None:
+    with pytest.raises(UsageError, match=named) as caught:
+        parse_settings(json.dumps(SETTINGS | change).encode(), "boot.json")
+    assert "boot.json" in caught.value.message
+
+
+def test_say_that_the_settings_file_is_missing(tmp_path: Path) -> None:
+    with pytest.raises(UsageError, match="can't read the settings file"):
+        read_settings(str(tmp_path / "none"))
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]"])
+def test_exit_with_a_message_on_bad_settings(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "boot.json"
+    path.write_text(text)
+    done = subprocess.run(
+        [sys.executable, "-m", "baobabthread.platform", "--settings", str(path)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert "Error: settings file" in done.stderr
+    assert "Remedy:" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_decode_a_configuration() -> None:
+    found = decode_configuration(json.dumps(make_configuration(9)).encode())
+    assert found.version == 9
+    kinds = {route.name: route.repeatability for route in found.routes}
+    assert kinds["safe"] is Repeatability.IDEMPOTENT
+    assert kinds["unsafe"] is Repeatability.NON_IDEMPOTENT
+    stream = next(route for route in found.routes if route.name == "stream")
+    assert stream.may_repeat and stream.is_stream and stream.has_prompts
+    assert not next(route for route in found.routes if route.name == "once").may_repeat
+
+
+def test_let_nothing_of_an_unknown_kind_run_twice() -> None:
+    text = make_configuration()
+    text["routes"][0]["kind"] = "keyed"  # type: ignore[index]
+    found = decode_configuration(json.dumps(text).encode())
+    assert not found.routes[0].may_repeat
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b'{"version":"x"}', b'{"routes":[]}'])
+def test_refuse_a_configuration_that_is_none(value: bytes) -> None:
+    with pytest.raises(ConfigurationError):
+        decode_configuration(value)
+
+
+def test_decode_orders_and_status() -> None:
+    records = PlatformRecords()
+    order = records.decode_operators(
+        Record(
+            key="rollout/s",
+            value=b'{"service":"s","target":"v2","deadline_s":12}',
+            offset=8,
+        )
+    )
+    assert order == RolloutOrder(number=8, service="s", target="v2", time_limit_s=12)
+    assert records.decode_operators(Record(key="x", value=b"?", offset=1)) is None
+    status = RolloutStatus(
+        service="s", target="v2", state=RolloutState.REVERTED, number=8, elapsed_s=1.5
+    )
+    append = records.encode_status(status, 4)
+    assert (append.key, append.expected_end) == ("rollout/s", 4)
+    assert b'"state":"reverted"' in append.value
+    record = Record(key=append.key, value=append.value, offset=4)
+    assert records.decode_status(record) == status
+
+
+def test_write_the_head_of_a_request() -> None:
+    head = PlatformWire().encode_request(
+        "POST",
+        "/a?b",
+        [
+            (b"Host", b"h"),
+            (b"Connection", b"close, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"Content-Length", b"999"),
+            (b"X-Model", b"*"),
+            (b"X-Kept", b"\xe9"),
+        ],
+        BackendCall(
+            backend="b1",
+            time_left_s=1.5,
+            account="metro",
+            priority=12,
+            model="large",
+            last_event=None,
+        ),
+        3,
+    )
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /a?b HTTP/1.1"
+    assert b"X-Kept: \xe9" in lines
+    assert b"X-Timeout-Ms: 1500" in lines
+    assert b"X-Request-Priority: 9" in lines
+    assert b"X-Model: large" in lines and b"X-Model: *" not in lines
+    assert b"Content-Length: 3" in lines
+    assert not any(line.startswith((b"X-Hop", b"Connection")) for line in lines)
+
+
+@pytest.mark.parametrize(
+    ("value", "count"),
+    [("a:1,b:2", 2), ("", 0), ("a", 0), ("a:x", 0), (" a:1 , b:2 ", 2)],
+)
+def test_read_the_parts_of_a_prompt(value: str, count: int) -> None:
+    envelope = PlatformWire().read_envelope({"X-Prompt-Prefix": value})
+    assert len(envelope.prompt_parts) == count
+
+
+def test_pass_over_fields_that_cannot_be_read() -> None:
+    envelope = PlatformWire().read_envelope(
+        {"X-Timeout-Ms": "soon", "X-Token-Usage": "9", "Authorization": "Basic x"}
+    )
+    assert envelope.time_left_s is None
+    assert (envelope.prompt_tokens, envelope.key) == (0, None)
+
+
+def test_read_and_append_to_the_store() -> None:
+    async def case() -> None:
+        fake = await FakeStore().start()
+        store = PlatformStore(address=fake.address, connect_s=0.5)
+        fake.put("keyed.op", "config", {"version": 1})
+        fake.put("keyed.op", "gone", {"x": 1})
+        fake.put("keyed.op", "gone", b"")
+        page = await store.newest("keyed.op", 1.0)
+        assert [record.key for record in page.records] == ["config"]
+        assert page.end == 3
+        tail = await store.read("keyed.op", 1, wait_s=0.0, timeout_s=1.0)
+        assert isinstance(tail, Tail)
+        assert [(r.key, r.value) for r in tail.records][1] == ("gone", b"")
+        assert (tail.next, tail.end) == (3, 3)
+        fake.first["keyed.op"] = 2
+        assert isinstance(
+            await store.read("keyed.op", 1, wait_s=0.0, timeout_s=1.0), Trimmed
+        )
+        status = RolloutStatus(service="s", target="v", state=RolloutState.RUNNING)
+        append = PlatformRecords().encode_status(status, 0)
+        assert (await store.append(append, 1.0)).end == 1  # type: ignore[union-attr]
+        assert isinstance(await store.append(append, 1.0), Conflict)
+        store.close()
+        fake.close()
+
+    run(case())
+
+
+def test_fail_in_time_when_the_store_is_silent_or_busy() -> None:
+    async def case() -> None:
+        fake = await FakeStore().start()
+        store = PlatformStore(address=fake.address, connect_s=0.5)
+        for fault in ("busy", "silent"):
+            fake.fault = fault
+            with pytest.raises(StoreError):
+                await store.newest("keyed.op", 0.3)
+        fake.fault = ""
+        assert (await store.newest("keyed.op", 1.0)).records == []
+        fake.close()
+        with pytest.raises(StoreError):
+            await PlatformStore(address="127.0.0.1:1", connect_s=0.2).newest("x", 0.5)
+        store.close()
+
+    run(case())
--- /dev/null
+++ b/tests/routing/test_models.py
@@ -0,0 +1,67 @@
+"""Tests of the choice of models and of the pace that they are expected to have."""
+
+from __future__ import annotations
+
+import pytest
+
+from baobabthread.errors import UsageError
+from baobabthread.routing.models import MODEL_CHOICES, ModelQuestion
+from baobabthread.routing.pace import Pace
+
+
+def ask(index: int, confidence: float | None, count: int = 3) -> int | None:
+    staged = MODEL_CHOICES.get("staged")
+    return staged.escalate(
+        ModelQuestion(count=count, index=index, confidence=confidence)
+    )
+
+
+@pytest.mark.parametrize(
+    ("index", "confidence", "follows"),
+    [
+        (0, 0.9, None),
+        (0, 0.6, 1),
+        (0, 0.1, 2),
+        (0, None, None),
+        (1, 0.9, None),
+        (1, 0.3, 2),
+        (2, 0.0, None),
+    ],
+)
+def test_ask_a_larger_model_by_confidence(
+    index: int, confidence: float | None, follows: int | None
+) -> None:
+    assert ask(index, confidence) == follows
+
+
+def test_have_nothing_beyond_the_last_model() -> None:
+    assert ask(0, 0.0, count=1) is None
+    assert ask(0, 0.6, count=2) == 1
+    assert MODEL_CHOICES.get("largest").begin(3) == 2
+
+
+def test_name_the_choices_there_are() -> None:
+    with pytest.raises(UsageError, match="no model choice 'cheapest'") as caught:
+        MODEL_CHOICES.get("cheapest")
+    assert "largest, staged" in caught.value.remedy
+
+
+def test_learn_how_long_answers_take() -> None:
+    pace = Pace()
+    for _ in range(100):
+        pace.observe(
+            "s", "m", prompt=8000, shared=6000, first_s=1.0, rest_s=2.0, tokens=100
+        )
+    assert pace.first_s("s", "m", 8000) == pytest.approx(1.0, rel=0.1)
+    assert pace.first_s("s", "m", 0) < 0.3
+    assert pace.whole_s("s", "m", prompt=8000, tokens=100) == pytest.approx(3, rel=0.1)
+
+
+def test_bear_a_few_stuck_answers() -> None:
+    pace = Pace()
+    for number in range(200):
+        first_s = 30.0 if number % 20 == 0 else 0.1
+        pace.observe(
+            "s", None, prompt=0, shared=0, first_s=first_s, rest_s=0.0, tokens=1
+        )
+    assert pace.first_s("s", None, 0) < 0.3
--- /dev/null
+++ b/tests/routing/test_versions.py
@@ -0,0 +1,235 @@
+"""Tests of who gets the new version, when, and how a roll-out ends."""
+
+from __future__ import annotations
+
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.configuration import (
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
+from baobabthread.routing.trial import Trial
+from baobabthread.routing.versions import (
+    TRIAL_PART,
+    Progress,
+    VersionPlan,
+    judge_rollout,
+)
+
+BOUNDS = RoutingBounds(exposure_share=0.2, session_s=5.0)
+SESSIONS = [f"s{number}" for number in range(500)]
+LIMIT_S = 24.0
+
+
+def begin(*, ready_at: float | None = 1.0) -> VersionPlan:
+    plan = VersionPlan(service="s", bounds=BOUNDS)
+    order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
+    assert plan.take_order(order, 0.0)
+    if ready_at is not None:
+        plan.note_target(usable=True, now=ready_at)
+    return plan
+
+
+def count_new(plan: VersionPlan, now: float) -> int:
+    return sum(plan.choose(session, now) for session in SESSIONS)
+
+
+def test_give_nothing_before_an_order() -> None:
+    plan = VersionPlan(service="s", bounds=BOUNDS)
+    assert plan.order is None
+    assert not plan.is_running
+
+
+def test_give_a_new_version_a_part_of_the_bound_at_first() -> None:
+    plan = begin()
+    assert count_new(plan, 0.5) == 0
+    share = count_new(plan, 3.0) / len(SESSIONS)
+    assert 0.5 * TRIAL_PART * 0.2 < share < 0.2
+
+
+def test_give_nothing_while_no_server_runs_the_new_version() -> None:
+    plan = begin(ready_at=None)
+    assert count_new(plan, 20.0) == 0
+
+
+def test_never_move_a_session_back_while_the_share_grows() -> None:
+    plan = begin()
+    moved: set[str] = set()
+    for now in (3.0, 8.0, 12.5, 13.6, 14.7, 20.0):
+        new = {session for session in SESSIONS if plan.choose(session, now)}
+        assert moved <= new
+        moved = new
+    assert moved == set(SESSIONS)
+
+
+def test_keep_a_session_in_use_for_the_first_half() -> None:
+    """A session's last request ran on the old version two seconds ago.
+
+    Its turn for the new one has come, but a conversation that goes on would change its
+    version in the middle; after a pause it may.
+    """
+    plan = begin()
+    session = next(s for s in SESSIONS if plan.choose(s, 3.0))
+    plan.started_old(session, 3.0)
+    plan.ended_old(session, 3.5)
+    assert not plan.choose(session, 5.5)
+    assert not plan.choose(session, 8.4)
+    assert plan.choose(session, 9.6)
+
+
+def test_keep_a_session_that_is_in_use_at_another_instance() -> None:
+    plan, other = begin(), begin()
+    session = next(s for s in SESSIONS if plan.choose(s, 3.0))
+    other.started_old(session, 3.0)
+    assert other.has_news
+    word = other.progress(3.1)
+    assert word is not None
+    plan.take_progress(word, 3.2)
+    assert not plan.choose(session, 4.0)
+    # What was only heard isn't passed on: two instances would keep it for ever.
+    mine = plan.progress(4.0)
+    assert mine is not None
+    assert session not in mine.sessions
+
+
+def test_stop_at_once_on_an_alarm_of_another_instance() -> None:
+    plan = begin()
+    assert count_new(plan, 13.5) > 0
+    word = Progress(
+        service="s", number=1, elapsed_s=13.0, share=0.3, old_running=0, alarm="errors"
+    )
+    plan.take_progress(word, 13.6)
+    assert count_new(plan, 13.7) == 0
+    assert judge_rollout(plan, [], 0, 13.7) is RolloutState.REVERTED
+
+
+def test_succeed_when_nothing_runs_on_the_old_version_anywhere() -> None:
+    """The old version is stopped without draining when this is written.
+
+    An instance that still streams from it would see its callers cut.
+    """
+    plan = begin()
+    count_new(plan, 12.5)
+    plan.started_old("x", 12.6)
+    done = Progress(service="s", number=1, elapsed_s=15.0, share=1.0, old_running=0)
+    busy = Progress(service="s", number=1, elapsed_s=15.0, share=1.0, old_running=2)
+    assert judge_rollout(plan, [done], 1, 15.0) is RolloutState.RUNNING
+    plan.ended_old("x", 15.1)
+    assert judge_rollout(plan, [busy], 1, 15.2) is RolloutState.RUNNING
+    assert judge_rollout(plan, [done], 2, 15.2) is RolloutState.RUNNING
+    assert judge_rollout(plan, [done], 1, 15.2) is RolloutState.SUCCEEDED
+
+
+def test_end_before_the_time_limit_though_something_runs_on() -> None:
+    plan = begin()
+    count_new(plan, 12.5)
+    busy = Progress(service="s", number=1, elapsed_s=20.0, share=1.0, old_running=2)
+    assert judge_rollout(plan, [busy], 1, 20.0) is RolloutState.RUNNING
+    assert judge_rollout(plan, [busy], 1, 22.0) is RolloutState.SUCCEEDED
+
+
+def test_hold_a_suspected_version_on_trial() -> None:
+    plan = begin()
+    for _ in range(40):
+        plan.trial.observe(
+            on_trial=False, call="c", kind="c", failed=False, latency_s=0.1
+        )
+    for failed in (True, True, False, True):
+        plan.trial.observe(
+            on_trial=True, call="c", kind="c", failed=failed, latency_s=0.1
+        )
+    assert plan.trial.alarm is None
+    assert plan.trial.is_suspicious
+    assert plan.share(13.0) < 0.2
+    assert plan.share(19.0) > 0.2
+
+
+def test_go_on_where_a_restarted_instance_finds_a_rollout() -> None:
+    plan = VersionPlan(service="s", bounds=BOUNDS)
+    order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
+    plan.take_order(order, 100.0)
+    plan.take_status(
+        RolloutStatus(
+            service="s",
+            target="v2",
+            state=RolloutState.RUNNING,
+            number=1,
+            elapsed_s=9.0,
+        ),
+        100.0,
+    )
+    assert plan.elapsed(101.0) == 10.0
+    plan.take_status(
+        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, number=1),
+        102.0,
+    )
+    assert count_new(plan, 103.0) == 0
+    plan.take_status(
+        RolloutStatus(service="s", target="v2", state=RolloutState.SUCCEEDED, number=1),
+        104.0,
+    )
+    assert plan.state is RolloutState.REVERTED
+
+
+def test_begin_anew_with_a_later_order() -> None:
+    plan = begin()
+    plan.trial.alarm = "errors"
+    order = RolloutOrder(number=2, service="s", target="v3", time_limit_s=LIMIT_S)
+    assert plan.take_order(order, 50.0)
+    assert plan.trial.alarm is None
+    assert plan.is_running
+
+
+def feed(trial: Trial, *, on_trial: bool, count: int, bad_every: int) -> int:
+    """Feed answers of which each so-many-th fails; return how many until the alarm."""
+    for number in range(1, count + 1):
+        trial.observe(
+            on_trial=on_trial,
+            call="c",
+            kind="c",
+            failed=bool(bad_every) and number % bad_every == 0,
+            latency_s=0.1,
+        )
+        if trial.alarm is not None:
+            return number
+    return count + 1
+
+
+def test_find_a_version_that_fails_a_third_of_its_requests() -> None:
+    trial = Trial(number=1)
+    feed(trial, on_trial=False, count=200, bad_every=0)
+    assert feed(trial, on_trial=True, count=60, bad_every=3) <= 30
+
+
+def test_bear_failures_that_the_old_version_has_too() -> None:
+    trial = Trial(number=1)
+    feed(trial, on_trial=False, count=300, bad_every=7)
+    feed(trial, on_trial=True, count=300, bad_every=7)
+    assert trial.alarm is None
+
+
+def test_find_a_version_that_is_slow() -> None:
+    trial = Trial(number=1)
+    feed(trial, on_trial=False, count=50, bad_every=0)
+    for _ in range(12):
+        trial.observe(on_trial=True, call="c", kind="c", failed=False, latency_s=0.8)
+    assert trial.alarm is not None
+    assert "latency" in trial.alarm
+
+
+def test_add_up_the_evidence_of_all_instances_once() -> None:
+    """Three instances see two failures each; none would raise the alarm alone.
+
+    Their counts come by gossip, late and more than once; each counts once.
+    """
+    trials = [Trial(number=1) for _ in range(3)]
+    for trial in trials:
+        feed(trial, on_trial=False, count=30, bad_every=0)
+        feed(trial, on_trial=True, count=2, bad_every=1)
+        assert trial.alarm is None
+    first = trials[0]
+    for _ in range(3):
+        for number, other in enumerate(trials[1:]):
+            first.merge(f"i{number}", other.evidence())
+    assert first.seen == 6
+    assert first.alarm is not None
