Let requests wait a moment for an instance's first knowledge

Ruled out: the store (it answered within 10 ms) and the queue (nothing waited). Change: up to a second's wait for the first knowledge, which is taken over as it is read.

--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -41,6 +41,9 @@
 """Backend servers that a request is offered to, those that refuse it included."""
 LEAST_LEFT_S = 0.02
 """Time left below which no attempt is worth its place at a backend server."""
+START_PATIENCE_S = 1.0
+"""Time that requests wait for an instance's first knowledge: reading the store takes a
+few hundredths of a second, asking a peer instead half a second."""
 SOON_S = 0.5
 """Time after which a caller may come back to an instance that is not yet ready."""
 LEAVING_RETRY_S = 0.05
@@ -116,6 +119,7 @@
         self._sequence = 0
         self._entries = 1
         self._idle: asyncio.Event | None = None
+        self._known = asyncio.Event()
         self._refuses_from = 0.0
         self._ends_at: float | None = None
         self.in_flight = 0
@@ -162,6 +166,8 @@
         """Answer one request."""
         self.in_flight += 1
         try:
+            if not self._known.is_set():
+                await self._wait_known()
             found = self._admit(request, reply)
             if isinstance(found, _Verdict):
                 self._log.turned_away(request, found.kind, found.status)
@@ -173,6 +179,20 @@
             if not self.in_flight and self._idle is not None:
                 self._idle.set()
 
+    def note_known(self) -> None:
+        """Note that the configuration and the backend servers are known."""
+        self._known.set()
+
+    async def _wait_known(self) -> None:
+        """Wait a little for the first knowledge after a start.
+
+        The first instance that is back after all were lost meets every caller within
+        its first tenth of a second; refused then, they have no other one to go to.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_PATIENCE_S):
+                await self._known.wait()
+
     def _admit(self, request: CallerRequest, reply: Reply) -> Flight | _Verdict:
         table = self._knowledge.table
         if table is None:
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -117,6 +117,7 @@
             store=self._store,
             formats=self._formats,
         )
+        self.knowledge.on_read = self._take_knowledge
         self._leaving_since: float | None = None
         self._callers: asyncio.Server | None = None
         self._shared: tuple[int, int] | None = None
@@ -244,6 +245,11 @@
         stack.callback(server.close)
         return server
 
+    def _take_knowledge(self) -> None:
+        self.backends.refresh()
+        if self.knowledge.is_complete:
+            self.forwarder.note_known()
+
     def _limit_body(self) -> int:
         table = self.knowledge.table
         limits = table.configuration.limits if table is not None else RequestLimits()
@@ -315,4 +321,4 @@
         return
     error = task.exception()
     if error is not None:
-        log_event("task_failed", level="error", task=repr(task), error=repr(error))
+        log_event("task_failed", level="error", reason=repr(error))
--- a/src/baobabthread/instance/records.py
+++ b/src/baobabthread/instance/records.py
@@ -67,7 +67,7 @@
         """Note a request that ended with a refusal or failure of this side's own."""
         self._metrics.turned_away.labels(kind=kind).inc()
         if self._failures.take():
-            self._write("request_failed", flight, status, None, kind=kind)
+            self._write("request_given_up", flight, status, None, kind=kind)
 
     def turned_away(self, request: CallerRequest, kind: str, status: int) -> None:
         """Note a request that never came as far as a route or an account."""
--- a/src/baobabthread/routing/knowledge.py
+++ b/src/baobabthread/routing/knowledge.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from baobabthread.core.freshness import Freshness, FreshnessSettings
@@ -18,6 +20,7 @@
 )
 from baobabthread.routing.table import RoutingTable
 
+NEVER_S = 1e9
 REVOCATION_MARGIN_S = 0.5
 """Time kept from the bound on keys for clocks that drift and reads that are stamped
 late."""
@@ -57,6 +60,7 @@
         "backends_end",
         "changes",
         "freshness",
+        "on_read",
         "operators_end",
         "orders",
         "table",
@@ -74,9 +78,11 @@
         self.backends_changed_at = 0
         """Offset up to which reading last changed anything."""
         self._changes_read = 0
+        self.on_read: Callable[[], None] = lambda: None
+        """Called whenever a read or a peer's word was taken in."""
         self.changes = 0
         """Rises whenever anything but ages has changed."""
-        self._backends_at = -1e9
+        self._backends_at = -NEVER_S
         self._held: dict[str, float] = {}
         self._unstable_until = 0.0
 
@@ -106,6 +112,7 @@
         self.operators_end = max(self.operators_end, end)
         self.freshness.fold_to(end)
         self.freshness.read_head(head=end, started_at=asked_at)
+        self.on_read()
 
     # -- backend servers --
 
@@ -118,6 +125,7 @@
         if self.changes != self._changes_read:
             self._changes_read = self.changes
             self.backends_changed_at = self.backends_end
+        self.on_read()
 
     def confirm_backends(self, *, end: int, read_at: float) -> None:
         """Note a reader's word that nothing has changed up to an offset."""
@@ -175,6 +183,11 @@
         """Return the age in seconds of the list of backend servers."""
         return now - self._backends_at
 
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether both the configuration and the backend servers are known."""
+        return self.table is not None and self._backends_at > -NEVER_S
+
     def is_fresh(self, now: float) -> bool:
         """Tell whether a key that is known now can't have been taken away too long."""
         return self.operators_age(now) <= self.freshness.bound_s
@@ -213,3 +226,4 @@
         self.confirm_backends(end=snapshot.backends_end, read_at=read_at)
         if self.changes != before:
             self.backends_changed_at = self.backends_end
+        self.on_read()
