--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -458,7 +458,7 @@
             raise
         except (NotSentError, RefusedError, BrokenError, TimeoutError) as error:
             outcome = judge(error)
-            flight.trail.append(f"{link.record.id}:{error or 'timeout'}")
+            flight.trail.append(f"{link.record.id}:{str(error) or 'timeout'}")
             attempt.abort()
             await self._recover(flight, state, link, error)
         finally:
--- a/src/baobabthread/instance/records.py
+++ b/src/baobabthread/instance/records.py
@@ -61,13 +61,15 @@
         unusual = status >= 400 or flight.attempts > 1
         lines = self._failures if unusual else self._successes
         if lines.take():
-            self._write("request_answered", flight, status, backend)
+            write_event("request_answered", self._describe(flight, status, backend))
 
     def failed(self, flight: Flight, kind: str, status: int) -> None:
         """Note a request that ended with a refusal or failure of this side's own."""
         self._metrics.turned_away.labels(kind=kind).inc()
         if self._failures.take():
-            self._write("request_given_up", flight, status, None, kind=kind)
+            write_event(
+                "request_given_up", self._describe(flight, status, None, kind=kind)
+            )
 
     def turned_away(self, request: CallerRequest, kind: str, status: int) -> None:
         """Note a request that never came as far as a route or an account."""
@@ -86,7 +88,7 @@
         """Note a caller that left before its answer was whole."""
         self._metrics.turned_away.labels(kind="caller_gone").inc()
         if self._failures.take():
-            self._write("caller_gone", flight, 0, None)
+            write_event("caller_gone", self._describe(flight, 0, None))
 
     def crashed(self, flight: Flight, error: BaseException) -> None:
         """Note an error of this program's own."""
@@ -97,14 +99,13 @@
             error=repr(error),
         )
 
-    def _write(
+    def _describe(
         self,
-        event: str,
         flight: Flight,
         status: int,
         backend: BackendRecord | None,
         **fields: object,
-    ) -> None:
+    ) -> dict[str, object]:
         moment = now()
         described: dict[str, object] = {
             "request": flight.request.envelope.request_id,
@@ -121,7 +122,7 @@
             "took_ms": round((moment - flight.started_at) * 1000),
             "left_ms": round((flight.deadline - moment) * 1000),
         }
-        write_event(event, described | fields | self._describe_knowledge())
+        return described | fields | self._describe_knowledge()
 
     def _describe_knowledge(self) -> dict[str, object]:
         table = self._knowledge.table
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -29,13 +29,19 @@
 from baobabthread.core.freshness import FreshnessState
 from baobabthread.core.rollout import Phase
 from baobabthread.errors import Kind
+from baobabthread.instance.metrics import Metrics
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = ROOT / "src" / "baobabthread"
 EXAMPLES = SOURCES / "examples"
 OPERATORS = ROOT / "docs" / "operators"
 PAGES = sorted(
-    [ROOT / "README.md", ROOT / "CHANGES.md", *(ROOT / "docs").rglob("*.md")]
+    [
+        ROOT / "README.md",
+        ROOT / "CHANGES.md",
+        ROOT / "DEVELOPERS.md",
+        *(ROOT / "docs").rglob("*.md"),
+    ]
 )
 FENCE = re.compile(r"^ *```(\S*)(?: +(\S+))?\n(.*?)^ *```$", re.MULTILINE | re.DOTALL)
 LINK = re.compile(r"(?<!!)\[[^\]\n]+\]\(([^)\s]+)\)")
@@ -150,7 +156,7 @@
     for call in find_calls():
         name = ast.unparse(call.func).rpartition(".")[2]
         for text in list_strings(call):
-            if name == "log_event":
+            if name in ("log_event", "write_event"):
                 found.add(text)
             found.update(EVENT.findall(text))
     for path in list_sources("src"):
@@ -241,6 +247,15 @@
     assert {name for name in metrics if f"`{name}`" not in text} == set()
 
 
+def test_document_every_figure_of_an_instance() -> None:
+    text = (ROOT / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
+    names = set(re.findall(r"`(baobabthread_[a-z_]+)`", text))
+    served = set(re.findall(r"^# TYPE (\S+) ", Metrics().render().decode(), re.M))
+    assert names <= served | {f"{name}_total" for name in served}
+    kept = {name for name in served if not name.endswith("_created")}
+    assert {n for n in kept if n not in names and f"{n}_total" not in names} == set()
+
+
 def test_document_every_log_event() -> None:
     text = (OPERATORS / "metrics-and-logs.md").read_text(encoding="utf-8")
     events = find_events()
