Let one instance decide on each session while a version is on trial

Change: the instance that stands first for a session decides and is asked; the gossip of sessions in use is gone.

--- a/src/baobabthread/core/backends.py
+++ b/src/baobabthread/core/backends.py
@@ -47,8 +47,6 @@
     delay_half_life_s: float = 0.5
     """Seconds in which a delay that was met loses half of its weight: a queue of
     prompts is read in a second or so."""
-    word_life_s: float = 1.0
-    """Seconds for which other entries' word on their pending work counts."""
     far_wait_s: float = 0.01
     """Seconds of waiting that a server in the own failure domain is worth, as bytes
     between domains have a price."""
@@ -104,8 +102,6 @@
         "in_flight",
         "name",
         "pending",
-        "pending_elsewhere",
-        "pending_elsewhere_at",
         "s_per_token",
         "service",
         "settings",
@@ -134,9 +130,6 @@
         self.tokens = 0
         self.pending = 0.0
         """Seconds of work of this entry's own requests before their first parts."""
-        self.pending_elsewhere = 0.0
-        """The same at other entries, by their word."""
-        self.pending_elsewhere_at = -1e9
         self.delay_s = 0.0
         """How much longer than usual first parts took of late."""
         self.delay_at = 0.0
@@ -183,10 +176,7 @@
 
     def wait(self, now: float) -> float:
         """Return the seconds after which a new request's own work would begin."""
-        pending = self.pending
-        if now - self.pending_elsewhere_at < self.settings.word_life_s:
-            pending += self.pending_elsewhere
-        return max(pending, self.delay(now))
+        return max(self.pending, self.delay(now))
 
     def report(self, report: LoadReport, now: float) -> None:
         """Keep what others have running there: the reported less this entry's own."""
--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -348,16 +348,6 @@
         if delay_s is not None:
             server.observe_delay(delay_s, now)
 
-    def pending(self) -> dict[str, float]:
-        """Return the work that this entry has pending at each server, in seconds."""
-        return {s.name: s.pending for s in self if s.pending > 0.0}
-
-    def hear_pending(self, elsewhere: Mapping[str, float], now: float) -> None:
-        """Take in the work that other entries have pending, in seconds."""
-        for server in self:
-            server.pending_elsewhere = elsewhere.get(server.name, 0.0)
-            server.pending_elsewhere_at = now
-
     def finished(
         self,
         name: str,
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -20,8 +20,6 @@
 from baobabthread.routing.versions import Progress, VersionPlan, judge_rollout
 
 PERIOD_S = 0.25
-NEWS_S = 0.05
-"""How soon the others hear of a session in use."""
 WRITE_S = 0.8
 """Longest time for a call to the store."""
 
@@ -56,17 +54,7 @@
                 await self._step()
             except StoreError as error:
                 log_event("status_not_written", level="warning", error=str(error))
-            until = now() + PERIOD_S
-            while now() < until:
-                await asyncio.sleep(NEWS_S)
-                self._tell_news()
-
-    def _tell_news(self) -> None:
-        for state in self._forwarder.services().values():
-            if state.plan.has_news:
-                state.plan.has_news = False
-                self._tell(state.plan)
-                self._peers.announce()
+            await asyncio.sleep(PERIOD_S)
 
     async def _step(self) -> None:
         moment = now()
@@ -75,6 +63,7 @@
         for name, order in list(self._knowledge.orders.items()):
             plan = self._forwarder.service(name).plan
             plan.take_order(order, moment)
+            self._peers.desk.begin(plan)
             self._listen(plan)
             usable = order.target in self._backends.versions(name)
             plan.note_target(usable=usable, now=moment)
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -67,6 +67,7 @@
         "deadline",
         "excluded",
         "last_event",
+        "may_move",
         "model",
         "on_new",
         "reason",
@@ -108,6 +109,8 @@
         """Index of the model to ask; None where the caller or nobody chooses."""
         self.on_new: bool | None = None
         """Whether it goes to the new version of a roll-out."""
+        self.may_move = True
+        """Whether its session may go to the new version at all."""
         self.last_event = request.envelope.last_event
         """The last event that the caller has."""
         self.work = 1
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -24,6 +24,7 @@
 from baobabthread.instance.events import EventCutter
 from baobabthread.instance.flight import CallerRequest, Flight, Reply
 from baobabthread.instance.records import FlightLog
+from baobabthread.instance.sessions import SessionDesk
 from baobabthread.instance.wire import WireFormat
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.budget import make_budget
@@ -104,6 +105,7 @@
         bounds: RoutingBounds,
         rng: random.Random,
         log: FlightLog,
+        desk: SessionDesk,
         model_choice: str = "staged",
     ) -> None:
         self._knowledge = knowledge
@@ -112,6 +114,7 @@
         self._bounds = bounds
         self._rng = rng
         self._log = log
+        self._desk = desk
         self._models = MODEL_CHOICES.get(model_choice)
         self._pace = Pace()
         self._services: dict[str, ServiceState] = {}
@@ -382,6 +385,8 @@
     # -- attempts --
 
     async def _run(self, flight: Flight, state: ServiceState) -> None:
+        if state.plan.is_contested(flight.session, now()):
+            flight.may_move = await self._desk.decide(state.plan, flight.session)
         while True:
             if flight.deadline - now() < LEAST_LEFT_S:
                 await self._time_out(flight)
@@ -420,8 +425,9 @@
             return None
         versions = self._backends.versions(flight.service)
         old = {v: count for v, count in versions.items() if v != order.target}
-        if flight.on_new is None or flight.runs == 0:
-            flight.on_new = plan.choose(flight.session, now())
+        wanted = plan.choose(flight.session, now()) and flight.may_move
+        if flight.on_new is None or flight.runs == 0 or not wanted:
+            flight.on_new = wanted
         if flight.on_new and order.target in versions:
             return order.target
         if old:
@@ -466,6 +472,7 @@
             occupancy.end(outcome, now() - attempt.sent_at)
             if old:
                 state.plan.ended_old(flight.session, now())
+                self._desk.note_end(state.plan, flight.session)
 
     async def _recover(
         self,
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Iterator
-from typing import cast
+from typing import Any, cast
 
 import msgspec
 
@@ -32,6 +32,14 @@
     KnowledgeIs,
     Relay,
 )
+from baobabthread.instance.sessions import (
+    SESSION_MESSAGES,
+    AskVersion,
+    FindPlan,
+    SessionDesk,
+    SessionsInUse,
+    VersionIs,
+)
 from baobabthread.instance.settings import InstanceSettings
 from baobabthread.logs import log_event
 from baobabthread.routing.knowledge import Knowledge, Snapshot
@@ -71,11 +79,15 @@
         started_at: float,
         knowledge: Knowledge,
         rng: random.Random,
+        find_plan: FindPlan,
     ) -> None:
         self._settings = settings
         self._knowledge = knowledge
         self._rng = rng
-        self._codec = PeerCodec(types=(*MEMBERSHIP_MESSAGES, *RELAY_MESSAGES))
+        self._codec = PeerCodec(
+            types=(*MEMBERSHIP_MESSAGES, *RELAY_MESSAGES, *SESSION_MESSAGES)
+        )
+        self.desk = SessionDesk(me=settings.name, tell=self._tell, find_plan=find_plan)
         self.relay = Relay(
             me=settings.name, knowledge=knowledge, tell=self._tell, fetch=self.fetch
         )
@@ -116,12 +128,22 @@
             log_event("datagram_unreadable", peer=addr[0], error=str(error))
             return
         for message in messages:
-            if isinstance(message, AskKnowledge):
+            self._take(sender, message)
+
+    def _take(self, sender: str, message: Any) -> None:
+        match message:
+            case AskKnowledge():
                 self.relay.answer(sender, message)
-            elif isinstance(message, KnowledgeIs):
+            case KnowledgeIs():
                 self.relay.take(sender, message)
-            else:
-                self._run(self.membership.handle(sender, message, now()))  # type: ignore[arg-type]
+            case AskVersion():
+                self.desk.answer(sender, message)
+            case VersionIs():
+                self.desk.take(message)
+            case SessionsInUse():
+                self.desk.take_uses(message)
+            case _:
+                self._run(self.membership.handle(sender, message, now()))
 
     def error_received(self, exc: Exception) -> None:
         """Pass over an unreachable port: the probes find out who is gone."""
@@ -140,10 +162,6 @@
             self.relay.tick()
             await asyncio.sleep(TICK_S)
 
-    def announce(self) -> None:
-        """Send the newest values to the others at once."""
-        self._run(self.membership.announce(self.membership.me.generation, now()))
-
     def leave(self) -> None:
         """Tell the others that this instance takes no new callers."""
         self._run(self.membership.leave(now()))
@@ -183,7 +201,9 @@
         if self._members_seen == self.membership.version:
             return
         self._members_seen = self.membership.version
-        self.relay.set_members([m.name for m in self.membership.alive()])
+        names = [member.name for member in self.membership.alive()]
+        self.relay.set_members(names)
+        self.desk.set_members(names)
         log_event(
             "members_changed",
             serving=",".join(sorted(m.name for m in self.membership.alive())),
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -100,6 +100,7 @@
             started_at=now(),
             knowledge=self.knowledge,
             rng=rng,
+            find_plan=lambda name: self.forwarder.service(name).plan,
         )
         self.forwarder = Forwarder(
             knowledge=self.knowledge,
@@ -108,6 +109,7 @@
             bounds=settings.bounds,
             rng=rng,
             log=FlightLog(knowledge=self.knowledge, metrics=self.metrics),
+            desk=self.peers.desk,
         )
         self.conducting = Conducting(
             knowledge=self.knowledge,
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -21,7 +21,7 @@
 from baobabthread.routing.trial import Trial
 
 SETTLE_S = 1.0
-"""Time after an order in which instances tell each other of the sessions in use."""
+"""Time after an order in which instances hand over which sessions are in use."""
 TRIAL_PART = 0.55
 """Part of the bound on exposure that the new version gets while it is on trial."""
 HALF = 0.5
@@ -34,11 +34,9 @@
 SUSPICION_PART = 0.75
 """Part of the time limit until which a suspected version stays on trial."""
 SESSION_MARGIN_S = 1.0
-"""Time on top of a session's pause for what instances hear late from each other."""
+"""Time on top of a session's pause for requests that end after they were counted."""
 MAX_SESSIONS = 4096
 NEVER_S = 1e9
-MAX_SHARED = 128
-"""Sessions that one instance tells the others of, a few bytes each."""
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True):
@@ -51,9 +49,6 @@
     old_running: int
     """Requests that still run on the old version."""
     alarm: str | None = None
-    sessions: dict[str, float] = {}
-    """Sessions in use on the old version whose turn would have come, and the seconds
-    since their last request."""
 
 
 class VersionPlan:
@@ -61,13 +56,13 @@
 
     __slots__ = (
         "_bounds",
-        "_heard",
+        "_moved",
         "_old_running",
         "_ready_at",
         "_seen",
         "_started_at",
         "_trial_end",
-        "has_news",
+        "_used",
         "order",
         "service",
         "state",
@@ -84,10 +79,12 @@
         self._ready_at: float | None = None
         self._trial_end: float | None = None
         self._old_running = 0
-        self.has_news = False
-        """Whether a session was seen that the others should hear of at once."""
         self._seen: dict[str, float] = {}
-        self._heard: dict[str, float] = {}
+        """Sessions whose requests went to the old version from here, and when last."""
+        self._used: dict[str, float] = {}
+        """The same for the sessions that this instance decides on, from anywhere."""
+        self._moved: set[str] = set()
+        """Those of them that went to the new version."""
 
     def take_order(self, order: RolloutOrder, now: float) -> bool:
         """Begin with an order; return whether it is news."""
@@ -99,6 +96,8 @@
         self._started_at = now
         self._ready_at = None
         self._trial_end = None
+        self._used.clear()
+        self._moved.clear()
         return True
 
     def take_status(self, status: RolloutStatus, now: float) -> None:
@@ -119,9 +118,6 @@
         self._started_at = min(self._started_at, now - progress.elapsed_s)
         if progress.alarm is not None and self.trial.alarm is None:
             self.trial.alarm = progress.alarm
-        for session, age_s in progress.sessions.items():
-            last = max(self._heard.get(session, 0.0), now - age_s)
-            self._heard[session] = last
 
     def note_target(self, *, usable: bool, now: float) -> None:
         """Note whether backend servers of the new version may take work."""
@@ -136,11 +132,6 @@
         """Tell whether a roll-out is under way."""
         return self.order is not None and self.state is RolloutState.RUNNING
 
-    @property
-    def is_on_trial(self) -> bool:
-        """Tell whether only sessions out of use may go to the new version."""
-        return self.is_running and self._trial_end is None
-
     def elapsed(self, now: float) -> float:
         """Return the seconds since the order."""
         return max(0.0, now - self._started_at)
@@ -180,26 +171,57 @@
         return True
 
     def choose(self, session: str, now: float) -> bool:
-        """Return whether a request of a session goes to the new version."""
+        """Return whether a request of a session goes to the new version.
+
+        Where `is_contested` holds, the instance that decides on the session must agree.
+        """
         share = self.share(now)
-        if share >= 1.0:
-            return True
-        if share <= 0.0 or not self._is_in(session, share):
+        return share >= 1.0 or (share > 0.0 and self._is_in(session, share))
+
+    def is_contested(self, session: str, now: float) -> bool:
+        """Tell whether a session that may be in use would move before the half."""
+        if not self.is_running or self.share(now) <= 0.0:
             return False
-        if self._trial_end is not None:
+        return self._trial_end is None and self._is_in(session, self._trial_share)
+
+    def decide(self, session: str, now: float) -> bool:
+        """Return for all instances whether a contested session moves.
+
+        One instance decides on each session, so that two requests in the same moment
+        get the same answer. A session in use stays where it is for the first half: its
+        caller would get another version in the middle of a conversation.
+        """
+        if session in self._moved:
             return True
-        # A session in use stays where it is for the first half: a caller that goes on
-        # with a conversation would get another version in the middle of it.
-        return not self._is_pinned(session, now)
+        if not self.is_contested(session, now):
+            return False
+        if now - self._used.get(session, -NEVER_S) < self._pause_s:
+            self._used[session] = now
+            return False
+        self._moved.add(session)
+        return True
+
+    def take_uses(self, ages: Mapping[str, float], now: float) -> None:
+        """Note sessions on the old version and the seconds since their last request."""
+        for session, age_s in ages.items():
+            self._used[session] = max(self._used.get(session, -NEVER_S), now - age_s)
+
+    def list_uses(self, now: float) -> dict[str, float]:
+        """Return the sessions seen here whose turn may come, and how long ago."""
+        if self.order is None:
+            return {}
+        self._forget(now)
+        share = self._trial_share
+        return {
+            session: round(now - at, 2)
+            for session, at in self._seen.items()
+            if self._is_in(session, share)
+        }
 
     def started_old(self, session: str, now: float) -> None:
         """Count a request of a session that goes to the old version."""
         self._old_running += 1
         self._note_old(session, now)
-        # Another instance that hasn't heard of this request would move the session's
-        # next one, which may come in the same second, to the new version.
-        if self.is_on_trial and self._is_in(session, self._trial_share):
-            self.has_news = True
 
     def ended_old(self, session: str, now: float) -> None:
         """Count the end of a request on the old version."""
@@ -217,7 +239,6 @@
             share=self.share(now),
             old_running=self._old_running,
             alarm=self.trial.alarm,
-            sessions=self._list_pinned(now) if self._trial_end is None else {},
         )
 
     def _is_in(self, session: str, share: float) -> bool:
@@ -229,26 +250,13 @@
         if len(self._seen) > MAX_SESSIONS:
             self._forget(now)
 
-    def _is_pinned(self, session: str, now: float) -> bool:
-        last = max(
-            self._seen.get(session, -NEVER_S), self._heard.get(session, -NEVER_S)
-        )
-        return now - last < self._pause_s
-
     @property
     def _pause_s(self) -> float:
         return self._bounds.session_s + SESSION_MARGIN_S
 
-    def _list_pinned(self, now: float) -> dict[str, float]:
-        """Return the sessions seen here; what was only heard isn't passed on."""
-        self._forget(now)
-        mine = [each for each in self._seen if self._is_in(each, self._trial_share)]
-        return {each: round(now - self._seen[each], 2) for each in mine[-MAX_SHARED:]}
-
     def _forget(self, now: float) -> None:
         recent = now - self._pause_s
         self._seen = {s: at for s, at in self._seen.items() if at > recent}
-        self._heard = {s: at for s, at in self._heard.items() if at > recent}
 
 
 def judge_rollout(
