--- /dev/null
+++ b/src/baobabthread/instance/answers.py
@@ -0,0 +1,134 @@
+"""What becomes of a backend server's answer: passed on, dropped, or tried elsewhere."""
+
+from __future__ import annotations
+
+from baobabthread.core.limits import Outcome
+from baobabthread.instance.attempts import Again, Attempt, Head
+from baobabthread.instance.clock import now
+from baobabthread.instance.connections import BrokenError
+from baobabthread.instance.estimates import Estimates
+from baobabthread.instance.events import EventCutter
+from baobabthread.instance.flight import Flight
+from baobabthread.instance.records import FlightLog
+from baobabthread.instance.services import ServiceState
+from baobabthread.instance.wire import WireFormat
+from baobabthread.routing.models import ModelChoice, ModelQuestion
+from baobabthread.routing.versions import VersionPlan
+
+MAX_ANSWER_BYTES = 8_000_000
+"""Largest answer that is held until it is whole."""
+
+
+class Answers:
+    """Pass answers on, whole or event by event."""
+
+    __slots__ = ("_estimates", "_log", "_models", "_wire")
+
+    def __init__(
+        self,
+        *,
+        wire: WireFormat,
+        estimates: Estimates,
+        models: ModelChoice,
+        log: FlightLog,
+    ) -> None:
+        self._wire = wire
+        self._estimates = estimates
+        self._models = models
+        self._log = log
+
+    async def take(
+        self, flight: Flight, state: ServiceState, attempt: Attempt, head: Head
+    ) -> None:
+        """Pass an answer on.
+
+        Raises `Again` where another one is to be tried, `BrokenError` where it breaks.
+        """
+        _observe_trial(flight, state.plan, head)
+        if not flight.reply.has_begun:
+            if head.is_failure:
+                await self._take_failure(flight, state, attempt, head)
+                return
+            if head.is_success:
+                self._judge_model(flight, state, attempt, head)
+        elif not head.is_success:
+            raise BrokenError(f"status {head.status} instead of the rest of a stream")
+        if flight.route.is_stream and head.is_success:
+            await self._relay(flight, attempt, head)
+            return
+        body = await attempt.read_whole(MAX_ANSWER_BYTES)
+        if head.is_success:
+            self._estimates.observe_whole(flight, now() - attempt.sent_at)
+        await self._pass_on(flight, attempt, head, body)
+
+    async def _take_failure(
+        self, flight: Flight, state: ServiceState, attempt: Attempt, head: Head
+    ) -> None:
+        """Try an answer that says failure elsewhere, or pass it on as it is."""
+        body = await attempt.read_whole(MAX_ANSWER_BYTES)
+        flight.trail.append(f"{attempt.link.record.id}:status {head.status}")
+        if flight.route.may_repeat and flight.may_run_again and state.spend():
+            flight.excluded.add(attempt.link.record.id)
+            raise Again(Outcome.FAILED)
+        await self._pass_on(flight, attempt, head, body)
+
+    async def _pass_on(
+        self, flight: Flight, attempt: Attempt, head: Head, body: bytes
+    ) -> None:
+        headers = self._wire.pass_headers(head.response.raw_headers)
+        self._log.answered(flight, attempt.link.record, head.status)
+        await flight.reply.answer(head.status, headers, body)
+
+    def _judge_model(
+        self, flight: Flight, state: ServiceState, attempt: Attempt, head: Head
+    ) -> None:
+        """Drop an answer that its own model doubts, and ask a larger one."""
+        if flight.model is None:
+            return
+        question = ModelQuestion(
+            count=len(flight.route.models),
+            index=flight.model,
+            confidence=head.marks.confidence,
+        )
+        larger = self._models.escalate(question)
+        if larger is None or not flight.may_run_again:
+            return
+        expected_s = self._estimates.whole_s(flight, flight.route.models[larger])
+        if now() + expected_s > flight.deadline or not state.spend():
+            return
+        flight.trail.append(f"{attempt.link.record.id}:unsure")
+        flight.model = larger
+        raise Again(Outcome.CANCELLED)
+
+    async def _relay(self, flight: Flight, attempt: Attempt, head: Head) -> None:
+        """Pass a stream on event by event."""
+        reply = flight.reply
+        if not reply.has_begun:
+            headers = self._wire.pass_headers(head.response.raw_headers)
+            await reply.begin(head.status, headers)
+        cutter = EventCutter(passed=flight.last_event)
+        first_at = now()
+        while chunk := await attempt.read_some():
+            events = cutter.feed(chunk)
+            if events.data:
+                await reply.write(events.data)
+            if events.last_id is not None:
+                flight.last_event = events.last_id
+        if not cutter.is_clean:
+            raise BrokenError("stream ended within an event")
+        attempt.finish()
+        self._estimates.observe_stream(flight, head.latency_s, now() - first_at)
+        self._log.answered(flight, attempt.link.record, head.status)
+        await reply.finish()
+
+
+def _observe_trial(flight: Flight, plan: VersionPlan, head: Head) -> None:
+    if not plan.is_running or flight.on_new is None:
+        return
+    plan.trial.observe(
+        on_trial=flight.on_new,
+        call=flight.route.name,
+        kind=f"{flight.route.name}/{flight.model_name}",
+        failed=head.is_failure,
+        latency_s=head.latency_s,
+    )
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -53,6 +53,17 @@
     """
 
 
+class Again(Exception):  # noqa: N818 - a step, not an error
+    """Go on with another attempt.
+
+    `outcome` is what the attempt that ended says about its backend server.
+    """
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__()
+        self.outcome = outcome
+
+
 class Head(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the head of an answer that belongs to this request."""
 
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -10,8 +10,8 @@
 from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.backends import Backends
 from baobabthread.instance.clock import now
-from baobabthread.instance.forwarder import Forwarder
 from baobabthread.instance.peers import PeerLink
+from baobabthread.instance.services import Services
 from baobabthread.instance.store import Conflict, RecordFormat, Store, StoreError
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import RolloutState, RolloutStatus
@@ -32,14 +32,14 @@
         *,
         knowledge: Knowledge,
         backends: Backends,
-        forwarder: Forwarder,
+        services: Services,
         peers: PeerLink,
         store: Store,
         formats: RecordFormat,
     ) -> None:
         self._knowledge = knowledge
         self._backends = backends
-        self._forwarder = forwarder
+        self._services = services
         self._peers = peers
         self._store = store
         self._formats = formats
@@ -61,7 +61,7 @@
         if self._knowledge.orders and not self._is_recalled:
             await self._recall()
         for name, order in list(self._knowledge.orders.items()):
-            plan = self._forwarder.service(name).plan
+            plan = self._services.get(name).plan
             plan.take_order(order, moment)
             self._peers.desk.begin(plan)
             self._listen(plan)
@@ -83,7 +83,7 @@
                 continue
             if status is None or status.service not in self._knowledge.orders:
                 continue
-            plan = self._forwarder.service(status.service).plan
+            plan = self._services.get(status.service).plan
             plan.take_order(self._knowledge.orders[status.service], now())
             self._adopt(plan, status, "store")
 
--- /dev/null
+++ b/src/baobabthread/instance/estimates.py
@@ -0,0 +1,72 @@
+"""How long a request will take, by what answers took before."""
+
+from __future__ import annotations
+
+from baobabthread.instance.flight import Flight
+from baobabthread.routing.pace import Pace
+
+
+class Estimates:
+    """Ask the pace of answers about one request, and teach it."""
+
+    __slots__ = ("_pace",)
+
+    def __init__(self) -> None:
+        self._pace = Pace()
+
+    def first_s(self, flight: Flight) -> float:
+        """Return about the seconds until the first part of an answer."""
+        prompt = flight.request.envelope.prompt_tokens
+        return self._pace.first_s(flight.service, flight.model_name, prompt)
+
+    def whole_s(self, flight: Flight, model: str | None) -> float:
+        """Return about the seconds until a model's answer is whole."""
+        envelope = flight.request.envelope
+        return self._pace.whole_s(
+            flight.service,
+            model,
+            prompt=envelope.prompt_tokens,
+            tokens=envelope.expected_tokens,
+        )
+
+    def work_ms(self, flight: Flight) -> int:
+        """Return about how many milliseconds a backend server works on it."""
+        return max(1, int(self.whole_s(flight, flight.model_name) * 1000))
+
+    def reading_s(self, flight: Flight) -> float:
+        """Return the seconds that an engine reads the prompt; 0 at a plain service."""
+        if not flight.route.is_stream:
+            return 0.0
+        envelope = flight.request.envelope
+        fresh = max(0, envelope.prompt_tokens - envelope.shared_tokens)
+        return self._pace.unhindered_s(flight.service, flight.model_name, fresh)
+
+    def shared_s(self, flight: Flight) -> float:
+        """Return the seconds that a cached prefix saves."""
+        tokens = flight.request.envelope.shared_tokens
+        return self._pace.shared_s(flight.service, flight.model_name, tokens)
+
+    def observe_whole(self, flight: Flight, took_s: float) -> None:
+        """Learn from an answer that came in one piece."""
+        self._pace.observe(
+            flight.service,
+            flight.model_name,
+            prompt=0,
+            shared=0,
+            first_s=took_s,
+            rest_s=0.0,
+            tokens=1,
+        )
+
+    def observe_stream(self, flight: Flight, first_s: float, rest_s: float) -> None:
+        """Learn from a stream that came to its end."""
+        envelope = flight.request.envelope
+        self._pace.observe(
+            flight.service,
+            flight.model_name,
+            prompt=envelope.prompt_tokens,
+            shared=envelope.shared_tokens,
+            first_s=first_s,
+            rest_s=rest_s,
+            tokens=envelope.expected_tokens,
+        )
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -123,6 +123,11 @@
         """Give the name of the model to ask."""
         return None if self.model is None else self.route.models[self.model]
 
+    @property
+    def may_run_again(self) -> bool:
+        """Tell whether its route allows another run."""
+        return self.runs < self.route.max_attempts
+
     @property
     def rank(self) -> int:
         """Give the rank of the request, 0 first."""
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -24,6 +24,7 @@
 from baobabthread.instance.metrics import Metrics
 from baobabthread.instance.peers import KNOWLEDGE_PATH, KNOWN_END, PeerLink
 from baobabthread.instance.records import FlightLog
+from baobabthread.instance.services import Services
 from baobabthread.instance.settings import InstanceSettings
 from baobabthread.instance.store import RecordFormat, Store
 from baobabthread.instance.wire import WireFormat
@@ -94,19 +95,22 @@
             failure_domain=settings.failure_domain,
             rng=rng,
         )
+        self.services = Services(
+            backends=self.backends, bounds=settings.bounds, rng=rng
+        )
         self.peers = PeerLink(
             settings=settings,
             incarnation=uuid.uuid4().hex[:12],
             started_at=now(),
             knowledge=self.knowledge,
             rng=rng,
-            find_plan=lambda name: self.forwarder.service(name).plan,
+            find_plan=lambda name: self.services.get(name).plan,
         )
         self.forwarder = Forwarder(
             knowledge=self.knowledge,
             backends=self.backends,
+            services=self.services,
             wire=self._wire,
-            bounds=settings.bounds,
             rng=rng,
             log=FlightLog(knowledge=self.knowledge, metrics=self.metrics),
             desk=self.peers.desk,
@@ -114,7 +118,7 @@
         self.conducting = Conducting(
             knowledge=self.knowledge,
             backends=self.backends,
-            forwarder=self.forwarder,
+            services=self.services,
             peers=self.peers,
             store=self._store,
             formats=self._formats,
@@ -210,7 +214,7 @@
         log_event("instance_leaving", in_flight=self.forwarder.in_flight)
         end = began + self._settings.bounds.grace_s - END_MARGIN_S
         accept_until = min(began + ACCEPT_S, end - 0.5)
-        self.forwarder.leave(refuses_from=began + SERVE_ALL_S, ends_at=end)
+        self.forwarder.admission.leave(refuses_from=began + SERVE_ALL_S, ends_at=end)
         await asyncio.sleep(accept_until - now())
         if self._callers is not None:
             self._callers.close()
@@ -250,7 +254,7 @@
     def _take_knowledge(self) -> None:
         self.backends.refresh()
         if self.knowledge.is_complete:
-            self.forwarder.note_known()
+            self.forwarder.admission.note_known()
 
     def _limit_body(self) -> int:
         table = self.knowledge.table
@@ -286,8 +290,8 @@
             )
             if sharing != self._shared:
                 self._shared = sharing
-                self.forwarder.share(sharing[0])
-            self.forwarder.tick()
+                self.services.share(sharing[0])
+            self.forwarder.turns.tick()
             await asyncio.sleep(TICK_S)
 
     async def _prune(self) -> None:
--- /dev/null
+++ b/src/baobabthread/instance/services.py
@@ -0,0 +1,74 @@
+"""What is decided for each service: its queue, its budget of repeats, its versions."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+from baobabthread.core.retries import RetryBudget
+from baobabthread.instance.backends import Backends
+from baobabthread.instance.clock import now
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.budget import make_budget
+from baobabthread.routing.queues import ServiceQueue
+from baobabthread.routing.versions import VersionPlan
+
+
+class ServiceState:
+    """Hold what is decided for one service."""
+
+    __slots__ = ("budget", "entries", "name", "plan", "queue")
+
+    def __init__(
+        self, *, name: str, bounds: RoutingBounds, entries: int, rng: random.Random
+    ) -> None:
+        self.name = name
+        self.queue = ServiceQueue()
+        self.plan = VersionPlan(service=name, bounds=bounds)
+        self.entries = entries
+        self.budget: RetryBudget = make_budget(bounds, entries=entries, rng=rng)
+
+    def spend(self) -> bool:
+        """Take a repeat out of the budget; return whether there was one."""
+        return self.budget.try_spend(now())
+
+
+class Services:
+    """Keep the state of each service and divide what instances share."""
+
+    __slots__ = ("_backends", "_bounds", "_entries", "_rng", "_states")
+
+    def __init__(
+        self, *, backends: Backends, bounds: RoutingBounds, rng: random.Random
+    ) -> None:
+        self._backends = backends
+        self._bounds = bounds
+        self._rng = rng
+        self._entries = 1
+        self._states: dict[str, ServiceState] = {}
+
+    def __iter__(self) -> Iterator[ServiceState]:
+        return iter(self._states.values())
+
+    def get(self, name: str) -> ServiceState:
+        """Return the state of a service."""
+        state = self._states.get(name)
+        if state is None:
+            state = ServiceState(
+                name=name, bounds=self._bounds, entries=self._entries, rng=self._rng
+            )
+            state.queue.set_capacity(self._backends.capacity(name), self._entries)
+            self._states[name] = state
+        return state
+
+    def share(self, entries: int) -> None:
+        """Divide capacity and repeats among so many instances."""
+        self._entries = max(1, entries)
+        for state in self:
+            capacity = self._backends.capacity(state.name)
+            state.queue.set_capacity(capacity, self._entries)
+            if state.entries != self._entries:
+                state.entries = self._entries
+                state.budget = make_budget(
+                    self._bounds, entries=self._entries, rng=self._rng
+                )
