--- a/src/baobabthread/core/balance.py
+++ b/src/baobabthread/core/balance.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import math
 import random
-from collections.abc import Container, Iterable, Iterator, Mapping
+from collections.abc import Container, Iterator, Mapping
 from typing import Protocol
 
 from baobabthread.core.backends import (
@@ -153,66 +152,6 @@
     return view.cheaper()
 
 
-@BALANCERS.register("earliest")
-def pick_earliest(view: View) -> Server | None:
-    """Take the server at which the request's first part would be ready first.
-
-    Prompts are read one after the other, so a request waits for the work before it,
-    not for the number of requests: one long prompt outweighs many that run.
-    """
-    home = view.pool.preferred(view.prefix_key) if view.prefix_key else ()
-    best: Server | None = None
-    best_s = math.inf
-    for server in _sample(view, home):
-        if server.name in view.exclude:
-            continue
-        ready_s = _estimate_ready(view, server) + _estimate_reading(view, server, home)
-        if ready_s < best_s:
-            best, best_s = server, ready_s
-    return best
-
-
-def _sample(view: View, home: tuple[Server, ...]) -> Iterable[Server]:
-    usable = view.pool.usable
-    if len(usable) <= view.settings.sample:
-        # A random start, so that entries that see the same don't all choose the first.
-        turn = int(view.rng.random() * len(usable)) if usable else 0
-        return [*usable[turn:], *usable[:turn]]
-    return [*home, *view.rng.sample(usable, view.settings.sample)]
-
-
-def _estimate_reading(view: View, server: Server, home: tuple[Server, ...]) -> float:
-    """Return what reading a prefix costs at a server that may not have it."""
-    if home and server is home[0]:
-        return 0.0
-    # What is read again also holds up all others there: near saturation that is the
-    # larger part, and spilling for a short wait makes the queue that it flees from.
-    cost = view.shared_s * READING_WEIGHT
-    return cost * SPILL_PART if server in home else cost
-
-
-def _estimate_ready(view: View, server: Server) -> float:
-    now = view.now
-    ready = server.wait(now)
-    if server.far:
-        ready += view.settings.far_wait_s
-    crowd = (server.in_flight + 1) / (server.capacity * max(0.1, server.ramp(now)))
-    slowness = max(1.0, server.speed(now, view.usual) / view.usual)
-    # Beyond its places requests queue for whole answers; below them each one that runs
-    # slows the others a little.
-    queue = max(0.0, crowd - 1.0) * QUEUE_S
-    return (ready + RUN_S * (1.0 + crowd)) * slowness + queue
-
-
-READING_WEIGHT = 2.0
-"""Seconds of waiting that a second of reading a prefix again is worth."""
-SPILL_PART = 0.6
-"""Part of that at the server to which a prefix spills, where it often is as well."""
-RUN_S = 0.05
-"""Seconds that any request takes at an idle server, by which its slowness and its
-crowding weigh against the wait."""
-QUEUE_S = 1.0
-"""Seconds of waiting for each time that a server's places are taken once more."""
 WITNESS_S = 10.0
 """How long an entry tells others of a server that leaves; less than they hold it."""
 
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from baobabthread.core import earliest
 from baobabthread.core.backends import BalanceSettings
 from baobabthread.core.balance import BackendTable
 from baobabthread.core.configuration import (
@@ -32,7 +33,7 @@
 SUSPECT_S = 2.0
 """Time for which a backend server that gave no sign of life gets no new work while
 others have room."""
-BALANCER = "earliest"
+BALANCER = earliest.NAME
 NEVER_SLOW = 1e6
 """Slowness never ejects a server: under load the time of an answer says more of those
 before it than of the server, and ejecting the busy ones loads the others more. The
--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
@@ -43,7 +44,7 @@
 AskPeer = Callable[[], Awaitable[None]]
 
 
-class Feed:
+class Feed(abc.ABC):
     """Read one topic to its end again and again."""
 
     def __init__(
@@ -133,19 +134,24 @@
             )
 
     @property
+    @abc.abstractmethod
     def _must_read(self) -> bool:
-        raise NotImplementedError
+        """Tell whether peers don't suffice."""
 
     @property
+    @abc.abstractmethod
     def _known_end(self) -> int:
-        raise NotImplementedError
+        """Return how far the topic is known, by whomever."""
 
+    @abc.abstractmethod
     def _take(self, record: Record) -> None:
-        raise NotImplementedError
+        """Take over one record."""
 
+    @abc.abstractmethod
     def _note_read(self, end: int, asked_at: float) -> None:
-        raise NotImplementedError
+        """Note that the topic was read to its end."""
 
+    @abc.abstractmethod
     async def _rest(self) -> None:
         """Wait before the next read."""
 
@@ -196,6 +202,9 @@
         # An instance that reads only until its reader answers again needs the age now.
         return OPERATORS_WAIT_S if self._relay.is_reader else 0.0
 
+    async def _rest(self) -> None:
+        """Read on at once: the store itself holds a read that finds nothing."""
+
     def _take(self, record: Record) -> None:
         if not record.value:
             return
@@ -243,22 +252,10 @@
         await asyncio.sleep(BACKENDS_POLL_S * (0.8 + 0.4 * self._rng.random()))
 
     def _take_page(self, records: list[Record]) -> None:
-        found = []
-        for record in records:
-            if not record.value:
-                continue
-            try:
-                found.append(self._formats.decode_backend(record))
-            except msgspec.MsgspecError as error:
-                log_event(
-                    "record_unreadable",
-                    level="error",
-                    topic=self._topic,
-                    key=record.key,
-                    offset=record.offset,
-                    error=str(error),
-                )
-        self._knowledge.replace_backends(found, now())
+        listed = {record.key for record in records if record.value}
+        for id in [id for id in self._knowledge.backends if id not in listed]:
+            self._knowledge.drop_backend(id, now())
+        super()._take_page(records)
 
     def _take(self, record: Record) -> None:
         if not record.value:
--- a/tests/core/test_earliest.py
+++ b/tests/core/test_earliest.py
@@ -20,6 +20,7 @@
     Service,
     ServiceKind,
 )
+from baobabthread.core.earliest import NAME
 from baobabthread.core.limits import Outcome
 
 
@@ -29,7 +30,7 @@
     )
     configuration: Configuration = msgspec.structs.replace(
         EMPTY,
-        services={"s": Service(kind=ServiceKind.MODEL, balancer="earliest")},
+        services={"s": Service(kind=ServiceKind.MODEL, balancer=NAME)},
         backends={
             f"b{number}": Backend(
                 service="s",
