Read new configurations from the store, not from a reader on a slow link

Ruled out: the store (it answered the readers at once), the age bound (ages were fresh). Change: word of news makes an instance read the operators' topic itself; only backend servers' changes are fetched.

--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -199,7 +199,7 @@
 
     @property
     def _wait_s(self) -> float:
-        # An instance that reads only until its reader answers again needs the age now.
+        # An instance that reads once, for a change or an age, needs the answer now.
         return OPERATORS_WAIT_S if self._relay.is_reader else 0.0
 
     async def _rest(self) -> None:
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -49,8 +49,11 @@
 """Query field: how far the one who asks has read the operators' records."""
 TICK_S = 0.05
 MAX_DATAGRAM_BYTES = 60_000
-FETCH_S = 0.6
-"""Longest time for a peer's answer; another one is asked after it."""
+CONNECT_S = 0.4
+"""Longest time for a connection to a peer; another one is asked after it."""
+FETCH_S = 2.0
+"""Longest time for a peer's answer: a large configuration takes half a second and more
+over the slowest links."""
 FETCH_PAUSE_S = 0.3
 """Least time between two questions to peers."""
 STALE_S = 1.2
@@ -178,7 +181,8 @@
             if isinstance(effect, Send):
                 self._send(effect)
             elif isinstance(effect, FetchRecords):
-                self.fetch(effect.peer)
+                member = self.membership.table.get(effect.peer)
+                self.relay.note_news(member.read_offset if member is not None else 0)
 
     def _tell(self, to: str, message: msgspec.Struct) -> None:
         self._send(Send(to=to, message=message))
@@ -218,7 +222,9 @@
         age = max(
             self._knowledge.operators_age(moment), self._knowledge.backends_age(moment)
         )
-        if age < STALE_S or moment - self._fetched_at < FETCH_PAUSE_S:
+        if age < STALE_S and not self.relay.is_behind:
+            return
+        if moment - self._fetched_at < FETCH_PAUSE_S:
             return
         me = self.membership.me.name
         peers = [m.name for m in self.membership.alive() if m.name != me]
@@ -239,7 +245,7 @@
         address = f"{host}:{self._settings.control_port}"
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address=address, connect_s=FETCH_S)
+            pool = ConnectionPool(address=address, connect_s=CONNECT_S)
             self._pools[address] = pool
         asked_at = now()
         try:
--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -1,9 +1,10 @@
 """Knowledge passed on among instances, so that few of them read the store.
 
 A few readers follow the store. Every other instance asks its reader a few times a
-second how old its knowledge is and whether it has changed, and fetches what changed.
-An instance that gets no answer reads the store itself, so that a dead reader costs a
-second and no rule.
+second how old its knowledge is and whether it has changed. It fetches changes of
+backend servers from the reader and reads new configurations from the store. An instance
+that gets no answer reads everything itself, so that a dead reader costs a second and no
+rule.
 """
 
 from __future__ import annotations
@@ -70,6 +71,7 @@
         "_asked",
         "_asked_at",
         "_fetch",
+        "_heard_end",
         "_knowledge",
         "_me",
         "_misses",
@@ -89,6 +91,7 @@
         self._alive: list[str] = [me]
         self._asked: dict[int, float] = {}
         self._asked_at = -1e9
+        self._heard_end = 0
         self._misses = 0
         self._sequence = 0
         self._subscribers: dict[str, float] = {}
@@ -103,10 +106,21 @@
         """Tell whether this instance follows the store for others."""
         return self._me in self._readers()
 
+    @property
+    def is_behind(self) -> bool:
+        """Tell whether operators wrote something that is not known here yet."""
+        return self._heard_end > self._knowledge.operators_end
+
+    def note_news(self, operators_end: int) -> None:
+        """Note that operators wrote up to an offset."""
+        # A configuration may be some hundred kilobytes. From a reader on a slow link
+        # twenty instances would get it after ten seconds; the store's link bears it.
+        self._heard_end = max(self._heard_end, operators_end)
+
     def needs_operators(self) -> bool:
         """Tell whether this instance has to read the operators' records itself."""
         age = self._knowledge.operators_age(now())
-        return self.is_reader or age > OPERATORS_LIMIT_S
+        return self.is_reader or self.is_behind or age > OPERATORS_LIMIT_S
 
     def needs_backends(self) -> bool:
         """Tell whether this instance has to read the backend servers' records."""
@@ -144,8 +158,8 @@
                 read_offset=word.operators_end,
                 asked_at=asked_at,
             )
-        behind = word.backends_changed_at > knowledge.backends_end
-        if word.operators_end > knowledge.operators_end or behind:
+        self.note_news(word.operators_end)
+        if word.backends_changed_at > knowledge.backends_end:
             self._fetch(sender)
         elif asked_at is not None:
             knowledge.confirm_backends(
--- a/tests/instance/test_relaying.py
+++ b/tests/instance/test_relaying.py
@@ -134,6 +134,31 @@
     assert member.fetched == ["reader"]
 
 
+def test_read_a_new_configuration_from_the_store(clock: Clock) -> None:
+    """Operators add a thousand routes, and the reader sits on a slow link.
+
+    Twenty instances that fetched it there would have it after ten seconds; the change
+    is due within three.
+    """
+    _, others = make_members()
+    member = others[0]
+    member.read(5, clock.time)
+    assert not member.relay.needs_operators()
+    word = KnowledgeIs(
+        sequence=0,
+        operators_end=6,
+        operators_age_s=0.1,
+        backends_end=5,
+        backends_changed_at=5,
+        backends_age_s=0.1,
+    )
+    member.relay.take("reader", word)
+    assert member.relay.needs_operators()
+    assert member.fetched == []
+    member.read(6, clock.time)
+    assert not member.relay.needs_operators()
+
+
 def test_read_the_store_when_the_reader_is_silent(clock: Clock) -> None:
     """The reader is cut off right before a change that is due in two seconds."""
     _, others = make_members()
