Compare latencies only beside the old version, and by the whole record

Ruled out: errors (none), stale knowledge, two conductors (one wrote, the others heard). Change: no latency evidence once 0.7 of the traffic has moved; an alarm on latency needs the whole record above the usual rate.

--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -130,5 +130,5 @@
         call=flight.route.name,
         kind=f"{flight.route.name}/{flight.model_name}",
         failed=head.is_failure,
-        latency_s=head.latency_s,
+        latency_s=head.latency_s if plan.compares(now()) else None,
     )
--- a/src/baobabthread/routing/trial.py
+++ b/src/baobabthread/routing/trial.py
@@ -91,14 +91,21 @@
         self._wealth: dict[_Key, Wealth] = {}
 
     def observe(
-        self, *, on_trial: bool, call: str, kind: str, failed: bool, latency_s: float
+        self,
+        *,
+        on_trial: bool,
+        call: str,
+        kind: str,
+        failed: bool,
+        latency_s: float | None,
     ) -> None:
         """Take in an answer seen here.
 
-        `kind` names answers that should take about the same time.
+        `kind` names answers that should take about the same time. No latency is given
+        where the old version no longer runs beside the new one to compare with.
         """
         self._count_own(_Key(on_trial, call, Concern.ERRORS), bad=failed)
-        if failed:
+        if failed or latency_s is None:
             return
         slow = self._judge_latency(kind, latency_s, learn=not on_trial)
         if slow is not None:
@@ -172,8 +179,12 @@
         wealth = self._wealth.setdefault(key, Wealth())
         rate = self._find_usual_rate(key)
         wealth.bet(seen=seen, bad=bad, rate=rate, stake=1.0)
+        total = self._total[key]
+        if key.concern is Concern.LATENCY and total.bad <= rate * total.seen:
+            # Answers are slow in clumps when a server falls out or a burst comes, and
+            # a clump wins a bet; a slow version is slow most of the time.
+            return
         if self.alarm is None and wealth.value >= NEEDED_WEALTH:
-            total = self._total[key]
             self.alarm = (
                 f"{key.concern} of {key.call or 'all requests'}: {total.bad} of "
                 f"{total.seen} bad, usual rate {rate:.3f}"
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -31,6 +31,8 @@
 STEPS = ((0.0, 0.35), (1.0, 0.7), (2.0, 1.0))
 """Seconds since the end of the trial, and the share from then on: a version that fails
 under load only shows it before it has all of the traffic."""
+MOST_COMPARED = 0.7
+"""Share of the new version up to which latencies are compared."""
 SUSPICION_PART = 0.75
 """Part of the time limit until which a suspected version stays on trial."""
 SESSION_MARGIN_S = 1.0
@@ -119,6 +121,14 @@
         if progress.alarm is not None and self.trial.alarm is None:
             self.trial.alarm = progress.alarm
 
+    def compares(self, now: float) -> bool:
+        """Tell whether enough still runs on the old version to compare latencies with.
+
+        Once nearly all traffic has moved, a burst or a lost server would be held
+        against the new version, as nothing shows that the old one suffers as well.
+        """
+        return self.share(now) <= MOST_COMPARED
+
     def note_target(self, *, usable: bool, now: float) -> None:
         """Note whether backend servers of the new version may take work."""
         if usable and self._ready_at is None:
--- a/tests/routing/test_versions.py
+++ b/tests/routing/test_versions.py
@@ -224,6 +224,36 @@
     assert "latency" in trial.alarm
 
 
+def observe_latency(trial: Trial, latency_s: float, *, on_trial: bool) -> None:
+    trial.observe(
+        on_trial=on_trial, call="c", kind="c", failed=False, latency_s=latency_s
+    )
+
+
+def test_bear_a_clump_of_slow_answers() -> None:
+    """A server falls out while a good version takes over, and a dozen answers are late.
+
+    The old version has as many late ones, spread out. In one clump they would win the
+    bet and revert the version, though nine answers in ten are as fast as ever.
+    """
+    trial = Trial(number=1)
+    for number in range(160):
+        observe_latency(trial, 2.0 if number % 8 == 7 else 0.1, on_trial=False)
+    for _ in range(109):
+        observe_latency(trial, 0.1, on_trial=True)
+    for _ in range(13):
+        observe_latency(trial, 2.0, on_trial=True)
+    assert trial.alarm is None
+
+
+def test_compare_latencies_only_beside_the_old_version() -> None:
+    plan = begin()
+    assert plan.compares(3.0)
+    count_new(plan, 12.5)
+    assert plan.compares(13.0)
+    assert not plan.compares(15.0)
+
+
 def test_add_up_the_evidence_of_all_instances_once() -> None:
     """Three instances see two failures each; none would raise the alarm alone.
 
