--- a/bench/_answers.py
+++ b/bench/_answers.py
@@ -9,8 +9,8 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from baobabthread.core.attempts import VersionCost
-from baobabthread.core.escalation import Case, Step, describe_step, find_plan
+from baobabthread.core.models.escalation import Case, Step, describe_step, find_plan
+from baobabthread.core.requests.attempts import VersionCost
 
 FloatArray = NDArray[np.float64]
 
--- a/bench/_cluster.py
+++ b/bench/_cluster.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from baobabthread.adapters.platform import LogClient
-from baobabthread.core.billtypes import BillRecord
-from baobabthread.core.configuration import parse_section
+from baobabthread.core.billing.types import BillRecord
+from baobabthread.core.configuration.configuration import parse_section
 from baobabthread.core.messages import Stream
 from baobabthread.errors import UnavailableError
 from baobabthread.ports.log import LogError
--- a/bench/_control_members.py
+++ b/bench/_control_members.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from baobabthread.core.membership_gossip import measure
-from baobabthread.core.membership_messages import (
+from baobabthread.core.membership.gossip import measure
+from baobabthread.core.membership.messages import (
     Digest,
     GossipPayload,
     MemberInfo,
--- a/bench/_control_parts.py
+++ b/bench/_control_parts.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from baobabthread.adapters.commits import GroupCommit
-from baobabthread.core.claimfold import ClaimRecord
+from baobabthread.core.claims.fold import ClaimRecord
 from baobabthread.core.events import Rated, RatingsRead
 from baobabthread.core.messages import (
     Append,
--- a/bench/_control_site.py
+++ b/bench/_control_site.py
@@ -13,7 +13,8 @@
 
 from baobabthread.adapters.codec import PeerCodec
 from baobabthread.adapters.pollers import MAX_ASKED
-from baobabthread.core.billtypes import BillsCopied, CopyBills
+from baobabthread.core.billing.types import BillsCopied, CopyBills
+from baobabthread.core.configuration.records import Publish
 from baobabthread.core.entry import CoreSettings, EntryCore
 from baobabthread.core.events import (
     Answered,
@@ -28,8 +29,7 @@
     SubmitRating,
     Tick,
 )
-from baobabthread.core.fold_records import Publish
-from baobabthread.core.membership_messages import (
+from baobabthread.core.membership.messages import (
     Acknowledge,
     Digest,
     GossipPayload,
@@ -47,7 +47,7 @@
     Stream,
 )
 from baobabthread.core.peermessages import PEER_MESSAGES
-from baobabthread.core.session_tokens import SessionKey, SessionKeyRing
+from baobabthread.core.sessions.tokens import SessionKey, SessionKeyRing
 from baobabthread.core.sharing import TOPICS
 from bench._control_members import Members, describe_member
 from bench._control_texts import (
--- a/bench/_control_sockets.py
+++ b/bench/_control_sockets.py
@@ -14,7 +14,7 @@
 from baobabthread.adapters.codec import PeerCodec
 from baobabthread.adapters.engines import EngineClient
 from baobabthread.adapters.peers import PeerOutbox, PeerServer
-from baobabthread.core.membership_messages import Acknowledge, Digest, Probe
+from baobabthread.core.membership.messages import Acknowledge, Digest, Probe
 from baobabthread.core.peermessages import PEER_MESSAGES
 from bench._control_members import describe_member
 
--- a/bench/_entries.py
+++ b/bench/_entries.py
@@ -7,12 +7,12 @@
 import random
 from collections.abc import Callable, Iterable
 
-from baobabthread.core.backends import LoadReport
-from baobabthread.core.balance import BackendTable
-from baobabthread.core.configuration import Priority
-from baobabthread.core.fairness import FairQueue, UsageDigest, Waiting
-from baobabthread.core.limits import AdaptiveLimit, Outcome, Shedder
-from baobabthread.core.retries import Attempt, RetryBudget
+from baobabthread.core.backends.backends import LoadReport
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.configuration.configuration import Priority
+from baobabthread.core.limits.fairness import FairQueue, UsageDigest, Waiting
+from baobabthread.core.limits.limits import AdaptiveLimit, Outcome, Shedder
+from baobabthread.core.limits.retries import Attempt, RetryBudget
 from baobabthread.errors import Ran
 from bench._policies import (
     DOMAINS,
--- a/bench/_loads.py
+++ b/bench/_loads.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
-from baobabthread.core.billtypes import BillRecord, name_bill
-from baobabthread.core.configuration import parse_section
-from baobabthread.load import Load, LoadAccount, LoadReport, LoadSettings, Work
-from baobabthread.load_caller import Record, Result
-from baobabthread.load_effects import compare_runs, count_runs
-from baobabthread.load_report import Tally
+from baobabthread.core.billing.types import BillRecord, name_bill
+from baobabthread.core.configuration.configuration import parse_section
+from baobabthread.load.caller import Record, Result
+from baobabthread.load.effects import compare_runs, count_runs
+from baobabthread.load.report import Tally
+from baobabthread.load.tool import Load, LoadAccount, LoadReport, LoadSettings, Work
 from bench._cluster import Cluster
 
 SECTION = "kalbaishakhi"
--- a/bench/_policies.py
+++ b/bench/_policies.py
@@ -7,16 +7,16 @@
 
 import msgspec
 
-from baobabthread.core.backends import BalanceSettings
-from baobabthread.core.configuration import (
+from baobabthread.core.backends.backends import BalanceSettings
+from baobabthread.core.configuration.configuration import (
     Backend,
     Configuration,
     Service,
     ServiceKind,
 )
-from baobabthread.core.fairness import FairnessSettings, Waiting
-from baobabthread.core.limits import LimitSettings
-from baobabthread.core.retries import RetrySettings
+from baobabthread.core.limits.fairness import FairnessSettings, Waiting
+from baobabthread.core.limits.limits import LimitSettings
+from baobabthread.core.limits.retries import RetrySettings
 from bench._servers import MODEL, PLAIN, Job, ServerSpec
 from bench._workload import MODEL_SERVERS, PLAIN_SERVERS, Arrival
 
--- a/bench/_servers.py
+++ b/bench/_servers.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from baobabthread.core.backends import LoadReport
-from baobabthread.core.limits import Outcome
+from baobabthread.core.backends.backends import LoadReport
+from baobabthread.core.limits.limits import Outcome
 
 
 class Events:
--- a/bench/_workload.py
+++ b/bench/_workload.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.core.configuration import Priority
+from baobabthread.core.configuration.configuration import Priority
 from bench._servers import MODEL, PLAIN
 
 PREFIXES_PER_ACCOUNT = 6
--- a/bench/balance.py
+++ b/bench/balance.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from baobabthread.core.backends import BalanceSettings
+from baobabthread.core.backends.backends import BalanceSettings
 from bench._entries import Cluster
 from bench._measures import (
     Window,
--- a/bench/cascade.py
+++ b/bench/cascade.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from baobabthread.core.attempts import Attempt, Offer, Rating
-from baobabthread.core.cascade import CASCADE_RULES, CascadeRule
+from baobabthread.core.models.cascade import CASCADE_RULES, CascadeRule
+from baobabthread.core.requests.attempts import Attempt, Offer, Rating
 from bench._answers import (
     CALLS,
     COSTS,
--- a/bench/control.py
+++ b/bench/control.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from baobabthread.adapters.pollers import MAX_ASKED
-from baobabthread.core.configuration import ServiceKind
+from baobabthread.core.configuration.configuration import ServiceKind
 from baobabthread.core.entry import EntryCore
 from baobabthread.process import tune_collector
 from bench import _control_tokens as _control_tokens
--- a/bench/detect.py
+++ b/bench/detect.py
@@ -11,8 +11,8 @@
 import msgspec
 import numpy as np
 
-from baobabthread.core.detectors import Detector, Observation
-from baobabthread.core.quality import DETECTORS, WindowDetector
+from baobabthread.core.rollouts.detectors import Detector, Observation
+from baobabthread.core.rollouts.quality import DETECTORS, WindowDetector
 from bench.experiment import EXPERIMENTS, Options, Report, Table
 
 ENTRIES = 6
--- a/bench/outage.py
+++ b/bench/outage.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from baobabthread.load import Record, Work
+from baobabthread.load.tool import Record, Work
 from bench._cluster import Cluster
 from bench._loads import (
     FREE,
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -13,7 +13,7 @@
 import aiohttp
 import msgspec
 
-from baobabthread.core.configuration import parse_section
+from baobabthread.core.configuration.configuration import parse_section
 from baobabthread.errors import UnavailableError
 from bench._processes import (
     Process,
--- a/bench/stop.py
+++ b/bench/stop.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from baobabthread.core.billtypes import BillOutcome
-from baobabthread.load import Record, Work
-from baobabthread.load_caller import Result
+from baobabthread.core.billing.types import BillOutcome
+from baobabthread.load.caller import Result
+from baobabthread.load.tool import Record, Work
 from bench._cluster import Cluster, Entry
 from bench._loads import MIXED, Counts, Evidence, Timed, TimedLoad, make_settings
 from bench.experiment import EXPERIMENTS, Options, Report, Table
--- a/src/baobabthread/adapters/callers.py
+++ b/src/baobabthread/adapters/callers.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from baobabthread.core.configuration import Priority
+from baobabthread.core.configuration.configuration import Priority
 from baobabthread.core.events import RequestArrived
 from baobabthread.errors import Kind, Problem, Ran, RequestError
 from baobabthread.logs import log_event
--- a/src/baobabthread/adapters/connections.py
+++ b/src/baobabthread/adapters/connections.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 
 from baobabthread.adapters.callers import render_problem
-from baobabthread.errors import Kind, Problem, Ran
+from baobabthread.errors import Kind, Problem, Ran, UnavailableError
 from baobabthread.logs import log_event
+from baobabthread.settings import Address
 
 IDLE_TIMEOUT_S = 30.0
 MAX_HEADER_BYTES = 16_384
@@ -18,6 +21,8 @@
 LINGER_S = 2.0
 """How long the rest of a refused body is read, so that its caller sees the answer."""
 MAX_DETAIL = 200
+SHUTDOWN_S = 1.0
+"""How long connections get to end when a listener is closed."""
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -79,6 +84,33 @@
         return CallerConnection(self, loop=loop, **self._limits)
 
 
+async def serve(
+    stack: contextlib.AsyncExitStack,
+    server: web.Server,
+    address: Address,
+    tls: ssl.SSLContext | None,
+) -> str:
+    """Listen until the stack ends; return the address with the port that was chosen.
+
+    Raises `UnavailableError` where the address can't be listened at.
+    """
+    runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(
+        runner, address.host, address.port, ssl_context=tls, reuse_address=True
+    )
+    try:
+        await site.start()
+    except OSError as error:
+        raise UnavailableError(
+            f"can't listen at {address}: {error.strerror}",
+            remedy="choose a free address or stop what listens there",
+        ) from None
+    host, port = runner.addresses[0][:2]
+    return str(Address(host, port))
+
+
 def _explain_malformed(reason: str) -> Problem:
     return Problem(
         kind=Kind.BAD_REQUEST,
--- a/src/baobabthread/adapters/effects.py
+++ b/src/baobabthread/adapters/effects.py
@@ -26,7 +26,7 @@
     SubmitRating,
 )
 from baobabthread.core.messages import Append, Received, Send, SendFailed, Stream
-from baobabthread.core.orders import OrderEngine
+from baobabthread.core.rollouts.orders import OrderEngine
 from baobabthread.logs import log_event
 from baobabthread.ports.engine import Engine, Order, OrderStale
 from baobabthread.ports.ratings import RatedAnswer
--- a/src/baobabthread/adapters/exchanges.py
+++ b/src/baobabthread/adapters/exchanges.py
@@ -25,7 +25,6 @@
 from baobabthread.adapters.metrics import Metrics
 from baobabthread.adapters.operators import OperatorServer
 from baobabthread.adapters.peers import REQUESTS_PATH
-from baobabthread.core.addresses import Departure, DepartureState
 from baobabthread.core.entry import EntryCore
 from baobabthread.core.events import (
     AttemptEnded,
@@ -37,6 +36,7 @@
     Replay,
     RequestArrived,
 )
+from baobabthread.core.membership.addresses import Departure, DepartureState
 from baobabthread.errors import Kind, RequestError, UnavailableError
 from baobabthread.settings import EntrySettings
 
--- a/src/baobabthread/adapters/operators.py
+++ b/src/baobabthread/adapters/operators.py
@@ -15,7 +15,7 @@
     refuse,
     render_problem,
 )
-from baobabthread.core.configuration import MAX_TEXT_BYTES, Configuration
+from baobabthread.core.configuration.configuration import MAX_TEXT_BYTES, Configuration
 from baobabthread.core.events import PublishEnded
 from baobabthread.errors import Kind
 
--- a/src/baobabthread/administration.py
+++ b/src/baobabthread/administration.py
@@ -3,41 +3,71 @@
 from __future__ import annotations
 
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from baobabthread.adapters.effects import EffectRunner
 from baobabthread.adapters.operators import PublishBody
-from baobabthread.core.bills import BillFold
-from baobabthread.core.configuration import Configuration
+from baobabthread.adapters.peers import PeerOutbox
+from baobabthread.adapters.platform import LogClient
+from baobabthread.core.billing.bills import BillFold
+from baobabthread.core.configuration.configuration import Configuration
+from baobabthread.core.entry import EntryCore
 from baobabthread.core.events import PublishEnded, PublishRequested
+from baobabthread.core.membership.addresses import Departure
 from baobabthread.core.messages import Stream
 
-if TYPE_CHECKING:
-    from baobabthread.entry import Entry
-
 READ_LIMIT = 1_000
 
 
 class EntryAdministration:
     """Serve operators from the state of one entry."""
 
-    __slots__ = ("_entry",)
-
-    def __init__(self, *, entry: Entry) -> None:
-        self._entry = entry
+    __slots__ = (
+        "_core",
+        "_departure",
+        "_effects",
+        "_incarnation",
+        "_log",
+        "_name",
+        "_outbox",
+        "_started_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: str,
+        started_at: float,
+        core: EntryCore,
+        departure: Departure,
+        effects: EffectRunner,
+        log: LogClient,
+        outbox: PeerOutbox,
+    ) -> None:
+        """Take the parts of the entry; `started_at` is its start in unix time."""
+        self._name = name
+        self._incarnation = incarnation
+        self._started_at = started_at
+        self._core = core
+        self._departure = departure
+        self._effects = effects
+        self._log = log
+        self._outbox = outbox
 
     @property
     def configuration(self) -> Configuration | None:
         """Give the configuration in force."""
-        return self._entry.core.control.configuration
+        return self._core.control.configuration
 
     async def publish(self, body: PublishBody, operator: str) -> PublishEnded:
         """Publish a text and return what became of it."""
-        fold = self._entry.core.control.fold
+        fold = self._core.control.fold
         base = body.base
         if base is None:
             base = fold.section_generation(body.section)
-        future = self._entry.effects.expect_publish(body.id)
-        self._entry.feed(
+        future = self._effects.expect_publish(body.id)
+        self._effects.feed(
             PublishRequested(
                 id=body.id,
                 section=body.section,
@@ -50,7 +80,7 @@
 
     def dump_sections(self) -> Any:
         """Return the sections in force."""
-        fold = self._entry.core.control.fold
+        fold = self._core.control.fold
         return {
             "generation": fold.generation,
             "sections": [section for section in fold.sections.values() if section.text],
@@ -58,7 +88,7 @@
 
     def dump_generations(self) -> Any:
         """Return the generation that each entry has in force."""
-        control = self._entry.core.control
+        control = self._core.control
         return {
             "generation": control.fold.generation,
             "entries": [
@@ -79,7 +109,7 @@
         fold = BillFold()
         after = 0
         while True:
-            page = await self._entry.log.read(
+            page = await self._log.read(
                 Stream.BILLS, after=after, limit=READ_LIMIT, wait_s=0.0
             )
             for record in page.records:
@@ -103,31 +133,30 @@
 
     def dump_rollouts(self) -> Any:
         """Return the state of roll-outs and versions."""
-        configuration = self._entry.core.directory.configuration
+        configuration = self._core.directory.configuration
         return {
             "versions": {
                 name: {"service": row.service, "state": row.state}
                 for name, row in configuration.versions.items()
             },
-            "rollouts": self._entry.core.conductors.describe(time.monotonic()),
+            "rollouts": self._core.conductors.describe(time.monotonic()),
             "barred": sorted(
                 f"{barred.version}/{barred.call or '*'}"
-                for barred in self._entry.core.conductors.list_barred()
+                for barred in self._core.conductors.list_barred()
             ),
         }
 
     def dump_state(self) -> Any:
         """Return the state of this process."""
-        entry = self._entry
-        core = entry.core
+        core = self._core
         now = time.monotonic()
         control = core.control
         return {
-            "name": entry.settings.name,
-            "incarnation": entry.incarnation,
-            "life": entry.departure.state,
+            "name": self._name,
+            "incarnation": self._incarnation,
+            "life": self._departure.state,
             "caught_up": core.conductors.caught_up,
-            "uptime_s": round(time.time() - entry.started_at, 1),
+            "uptime_s": round(time.time() - self._started_at, 1),
             "generation": control.fold.generation,
             "freshness": control.freshness.state(now),
             "head_age_s": round(control.freshness.head_age(now), 2),
@@ -136,6 +165,6 @@
             "claims": core.claims.describe(),
             "ledger": core.ledger.describe(),
             "backends": core.backends.health(),
-            "peer_bytes_sent": entry.outbox.bytes_sent,
-            "peer_messages_sent": entry.outbox.messages_sent,
+            "peer_bytes_sent": self._outbox.bytes_sent,
+            "peer_messages_sent": self._outbox.messages_sent,
         }
--- a/src/baobabthread/commands/operate.py
+++ b/src/baobabthread/commands/operate.py
@@ -17,7 +17,7 @@
 
 from baobabthread import __version__
 from baobabthread.commands.options import argument, option
-from baobabthread.core.configuration import (
+from baobabthread.core.configuration.configuration import (
     MAX_TEXT_BYTES,
     merge_sections,
     parse_section,
--- a/src/baobabthread/commands/run.py
+++ b/src/baobabthread/commands/run.py
@@ -16,9 +16,9 @@
 
 from baobabthread.commands.operate import read_text
 from baobabthread.commands.options import argument, option
-from baobabthread.core.configuration import merge_sections, parse_section
+from baobabthread.core.configuration.configuration import merge_sections, parse_section
 from baobabthread.errors import UsageError
-from baobabthread.load_settings import LoadSettings, Work, parse_account
+from baobabthread.load.settings import LoadSettings, Work, parse_account
 from baobabthread.logs import configure_logs
 from baobabthread.process import run_entry
 from baobabthread.settings import (
@@ -255,7 +255,7 @@
 
     def run(self) -> int:
         """Run the load, print the table, and fail on what must never be."""
-        from baobabthread.load import render_report, run_load
+        from baobabthread.load.tool import render_report, run_load
 
         report = asyncio.run(run_load(self.build_settings()))
         print(render_report(report))
--- /dev/null
+++ b/src/baobabthread/core/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers, and which of them gets a request."""
--- a/src/baobabthread/core/backends.py
+++ b/src/baobabthread/core/backends/backends.py
@@ -9,7 +9,7 @@
 import msgspec
 import xxhash
 
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits.limits import Outcome
 
 MIN_LATENCY_S = 1e-6
 UNKNOWN_LATENCY_S = 10.0
--- a/src/baobabthread/core/earliest.py
+++ b/src/baobabthread/core/backends/earliest.py
@@ -5,8 +5,8 @@
 import math
 from collections.abc import Iterable
 
-from baobabthread.core.backends import Server
-from baobabthread.core.balance import BALANCERS, View
+from baobabthread.core.backends.backends import Server
+from baobabthread.core.backends.balancers import BALANCERS, View
 
 NAME = "earliest"
 READING_WEIGHT = 2.0
--- a/src/baobabthread/core/pools.py
+++ b/src/baobabthread/core/backends/pools.py
@@ -4,7 +4,7 @@
 
 import math
 
-from baobabthread.core.backends import BalanceSettings, Health, Server
+from baobabthread.core.backends.backends import BalanceSettings, Health, Server
 
 MASK = (1 << 64) - 1
 MIX = 0x9E3779B97F4A7C15
--- /dev/null
+++ b/src/baobabthread/core/billing/__init__.py
@@ -0,0 +1,1 @@
+"""Bills of requests, each written exactly once."""
--- a/src/baobabthread/core/billappends.py
+++ b/src/baobabthread/core/billing/appends.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.core.billlinks import Bill
+from baobabthread.core.billing.links import Bill
 from baobabthread.core.messages import Append, Effects, Stream
 
 _ENCODER = msgspec.json.Encoder()
--- a/src/baobabthread/core/bills.py
+++ b/src/baobabthread/core/billing/bills.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.core.billtypes import BillOutcome, BillRecord
+from baobabthread.core.billing.types import BillOutcome, BillRecord
 from baobabthread.core.messages import LogRecord
 
 _DECODER = msgspec.json.Decoder(BillRecord)
--- a/src/baobabthread/core/billcopies.py
+++ b/src/baobabthread/core/billing/copies.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection
 
-from baobabthread.core.billtypes import (
+from baobabthread.core.billing.types import (
     BillOutcome,
     BillRecord,
     BillsCopied,
--- a/src/baobabthread/core/billhandover.py
+++ b/src/baobabthread/core/billing/handover.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
-from baobabthread.core.billlinks import Bill, Links
-from baobabthread.core.billtypes import BillsTaken, HandOverBills
+from baobabthread.core.billing.links import Bill, Links
+from baobabthread.core.billing.types import BillsTaken, HandOverBills
 from baobabthread.core.messages import Effects, Send
 
 
--- a/src/baobabthread/core/ledger.py
+++ b/src/baobabthread/core/billing/ledger.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from baobabthread.core.billappends import BillAppends
-from baobabthread.core.billcopies import BillCopies
-from baobabthread.core.billhandover import Gifts, Taking
-from baobabthread.core.billlinks import Bill, Link, Links
-from baobabthread.core.billtypes import (
+from baobabthread.core.billing.appends import BillAppends
+from baobabthread.core.billing.copies import BillCopies
+from baobabthread.core.billing.handover import Gifts, Taking
+from baobabthread.core.billing.links import Bill, Link, Links
+from baobabthread.core.billing.types import (
     BillOpened,
     BillRecord,
     BillRefused,
--- a/src/baobabthread/core/billlinks.py
+++ b/src/baobabthread/core/billing/links.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from baobabthread.core.billtypes import BillRecord, CopyBills, OpenBill, Peer
+from baobabthread.core.billing.types import BillRecord, CopyBills, OpenBill, Peer
 from baobabthread.core.messages import Effects
 
 
--- a/src/baobabthread/core/answers.py
+++ b/src/baobabthread/core/claims/answers.py
@@ -4,8 +4,8 @@
 
 from collections import deque
 
-from baobabthread.core.handover import Outcome
-from baobabthread.core.keys import ClaimKey
+from baobabthread.core.claims.handover import Outcome
+from baobabthread.core.claims.keys import ClaimKey
 
 
 class AnswerStore:
--- a/src/baobabthread/core/claims.py
+++ b/src/baobabthread/core/claims/claims.py
@@ -8,20 +8,29 @@
 
 import msgspec
 
-from baobabthread.core.answers import AnswerStore
-from baobabthread.core.claimentry import Entry, State
-from baobabthread.core.claimfold import ClaimFold, ClaimRecord, Holder
-from baobabthread.core.claimproblems import (
+from baobabthread.core.claims.ages import refuse_by_age
+from baobabthread.core.claims.answers import AnswerStore
+from baobabthread.core.claims.entry import Entry, State
+from baobabthread.core.claims.fold import ClaimFold, ClaimRecord, Holder
+from baobabthread.core.claims.goneowners import GoneOwners
+from baobabthread.core.claims.handover import (
+    HandedKey,
+    HandOver,
+    Outcome,
+    split_hand_over,
+)
+from baobabthread.core.claims.keys import ClaimKey, ParsedKey, parse_key
+from baobabthread.core.claims.problems import (
     problem_leaving,
     problem_log_down,
     problem_slow_claim,
-    refuse_expired,
     refuse_malformed,
     refuse_reused,
     refuse_unminted,
     refuse_unstored,
 )
-from baobabthread.core.claimtypes import (
+from baobabthread.core.claims.releases import Releases
+from baobabthread.core.claims.types import (
     ClaimRequest,
     ClaimSettings,
     Dispatch,
@@ -30,14 +39,6 @@
     Refuse,
     Replay,
 )
-from baobabthread.core.goneowners import GoneOwners
-from baobabthread.core.handover import (
-    HandedKey,
-    HandOver,
-    Outcome,
-    split_hand_over,
-)
-from baobabthread.core.keys import ClaimKey, ParsedKey, parse_key
 from baobabthread.core.messages import (
     Append,
     AppendFailed,
@@ -47,7 +48,6 @@
     Send,
     Stream,
 )
-from baobabthread.core.releases import Releases
 from baobabthread.errors import Problem, Ran
 
 _ENCODER = msgspec.json.Encoder()
@@ -90,7 +90,13 @@
         parsed = parse_key(request.key)
         if parsed is None:
             return [refuse_malformed(request)]
-        refusal = self._check_age(request, parsed, now)
+        refusal = refuse_by_age(
+            request,
+            parsed,
+            wall_s=self._get_wall(now),
+            floor_s=self._fold.floor,
+            settings=self._settings,
+        )
         if refusal is not None:
             return [refusal]
         key = ClaimKey(account=request.account, text=request.key)
@@ -217,21 +223,6 @@
     def _get_wall(self, now: float) -> float:
         return now + self._wall_offset_s
 
-    def _check_age(
-        self, request: ClaimRequest, parsed: ParsedKey, now: float
-    ) -> Refuse | None:
-        if parsed.minted_s is None:
-            if parsed.incarnation is None:
-                return refuse_malformed(request)
-            return None
-        wall_s = self._get_wall(now)
-        oldest = max(self._fold.floor, wall_s - self._settings.key_lifetime_s)
-        if parsed.minted_s <= oldest:
-            return refuse_expired(request)
-        if parsed.minted_s > wall_s + self._settings.clock_skew_s:
-            return refuse_malformed(request)
-        return None
-
     def _repeat(self, entry: Entry, request: ClaimRequest) -> Join | Replay | Refuse:
         if entry.body_hash != request.body_hash:
             return refuse_reused(request)
--- a/src/baobabthread/core/claimentry.py
+++ b/src/baobabthread/core/claims/entry.py
@@ -4,8 +4,8 @@
 
 import enum
 
-from baobabthread.core.claimtypes import ClaimRequest
-from baobabthread.core.keys import ClaimKey
+from baobabthread.core.claims.keys import ClaimKey
+from baobabthread.core.claims.types import ClaimRequest
 
 
 class State(enum.Enum):
--- a/src/baobabthread/core/claimfold.py
+++ b/src/baobabthread/core/claims/fold.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.core.keys import ClaimKey
+from baobabthread.core.claims.keys import ClaimKey
 from baobabthread.core.messages import LogRead, LogRecord
 
 
--- a/src/baobabthread/core/goneowners.py
+++ b/src/baobabthread/core/claims/goneowners.py
@@ -4,15 +4,15 @@
 
 from collections import OrderedDict
 
-from baobabthread.core.claimproblems import (
+from baobabthread.core.claims.handover import HandedTables, HandOver
+from baobabthread.core.claims.keys import ClaimKey, parse_key
+from baobabthread.core.claims.problems import (
     problem_slow_claim,
     refuse_expired,
     refuse_gone,
     refuse_reused,
 )
-from baobabthread.core.claimtypes import ClaimRequest, Refuse, Replay
-from baobabthread.core.handover import HandedTables, HandOver
-from baobabthread.core.keys import ClaimKey, parse_key
+from baobabthread.core.claims.types import ClaimRequest, Refuse, Replay
 from baobabthread.errors import Ran
 
 MAX_GONE = 10_000
--- a/src/baobabthread/core/handover.py
+++ b/src/baobabthread/core/claims/handover.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.core.keys import ClaimKey
+from baobabthread.core.claims.keys import ClaimKey
 from baobabthread.errors import Problem, Ran
 
 KEYS_IN_PART = 200
--- a/src/baobabthread/core/claimproblems.py
+++ b/src/baobabthread/core/claims/problems.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from baobabthread.core.claimtypes import ClaimRequest, Refuse
+from baobabthread.core.claims.types import ClaimRequest, Refuse
 from baobabthread.errors import Kind, Problem, Ran
 
 BOUND_REMEDY = (
--- a/src/baobabthread/core/releases.py
+++ b/src/baobabthread/core/claims/releases.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from baobabthread.core.claimfold import ReleaseRecord
-from baobabthread.core.keys import ClaimKey
+from baobabthread.core.claims.fold import ReleaseRecord
+from baobabthread.core.claims.keys import ClaimKey
 from baobabthread.core.messages import Append, Effects, LogRecord, Stream
 
 _ENCODER = msgspec.json.Encoder()
--- a/src/baobabthread/core/claimtypes.py
+++ b/src/baobabthread/core/claims/types.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from baobabthread.core.handover import Outcome
-from baobabthread.core.keys import ClaimKey
+from baobabthread.core.claims.handover import Outcome
+from baobabthread.core.claims.keys import ClaimKey
 from baobabthread.errors import Problem
 
 
--- a/src/baobabthread/core/fold_checkpoint.py
+++ b/src/baobabthread/core/configuration/checkpoint.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from baobabthread.core.fold import ConfigurationFold
-from baobabthread.core.fold_records import split_snapshot
+from baobabthread.core.configuration.fold import ConfigurationFold
+from baobabthread.core.configuration.records import split_snapshot
 from baobabthread.core.messages import Append, Effects, LogRead, Stream
 
 
--- a/src/baobabthread/core/configuration_checks.py
+++ b/src/baobabthread/core/configuration/checks.py
@@ -7,7 +7,7 @@
 import re
 from collections.abc import Iterable, Mapping
 
-from baobabthread.core.configuration_types import (
+from baobabthread.core.configuration.types import (
     Configuration,
     Rollout,
     SectionText,
--- a/src/baobabthread/core/configuration.py
+++ b/src/baobabthread/core/configuration/configuration.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from baobabthread.core.configuration_checks import check_merged, check_section
-from baobabthread.core.configuration_types import (
+from baobabthread.core.configuration.checks import check_merged, check_section
+from baobabthread.core.configuration.types import (
     EMPTY,
     Account,
     Backend,
--- a/src/baobabthread/core/control.py
+++ b/src/baobabthread/core/configuration/control.py
@@ -7,21 +7,26 @@
 
 import msgspec
 
-from baobabthread.core.configuration import Configuration, OnStale
-from baobabthread.core.events import PublishEnded, PublishRequested
-from baobabthread.core.fold import ConfigurationFold
-from baobabthread.core.fold_checkpoint import CheckpointPlanner
-from baobabthread.core.fold_publisher import NotAppended, Outcome, Publisher, Unknown
-from baobabthread.core.fold_records import (
+from baobabthread.core.configuration.checkpoint import CheckpointPlanner
+from baobabthread.core.configuration.configuration import Configuration, OnStale
+from baobabthread.core.configuration.fold import ConfigurationFold
+from baobabthread.core.configuration.freshness import Freshness, FreshnessSettings
+from baobabthread.core.configuration.publisher import (
+    NotAppended,
+    Outcome,
+    Publisher,
+    Unknown,
+)
+from baobabthread.core.configuration.records import (
     Accepted,
     Conflict,
     Invalid,
     Publish,
     Relay,
 )
-from baobabthread.core.freshness import Freshness, FreshnessSettings
-from baobabthread.core.membership import Membership
-from baobabthread.core.membership_messages import (
+from baobabthread.core.events import PublishEnded, PublishRequested
+from baobabthread.core.membership.membership import Membership
+from baobabthread.core.membership.messages import (
     FetchRecords,
     MemberInfo,
     MembershipMessage,
--- a/src/baobabthread/core/directory.py
+++ b/src/baobabthread/core/configuration/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from baobabthread.core.configuration import (
+from baobabthread.core.configuration.configuration import (
     EMPTY,
     Account,
     Call,
--- a/src/baobabthread/core/fold.py
+++ b/src/baobabthread/core/configuration/fold.py
@@ -5,9 +5,13 @@
 from collections import deque
 from collections.abc import Mapping
 
-from baobabthread.core.configuration import Configuration, SectionText, parse_section
-from baobabthread.core.fold_merge import MergedSections, Proposal
-from baobabthread.core.fold_records import (
+from baobabthread.core.configuration.configuration import (
+    Configuration,
+    SectionText,
+    parse_section,
+)
+from baobabthread.core.configuration.merge import MergedSections, Proposal
+from baobabthread.core.configuration.records import (
     Accepted,
     Conflict,
     Decided,
--- a/src/baobabthread/core/freshness.py
+++ b/src/baobabthread/core/configuration/freshness.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.core.configuration import OnStale
+from baobabthread.core.configuration.configuration import OnStale
 
 NEVER_S = 1e9
 """Age, in seconds, of a head that nobody ever read."""
--- a/src/baobabthread/core/fold_merge.py
+++ b/src/baobabthread/core/configuration/merge.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.core.configuration import (
+from baobabthread.core.configuration.configuration import (
     EMPTY,
     Configuration,
     SectionText,
--- a/src/baobabthread/core/fold_publisher.py
+++ b/src/baobabthread/core/configuration/publisher.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from baobabthread.core.fold import ConfigurationFold
-from baobabthread.core.fold_records import Accepted, Conflict, Invalid, Publish
+from baobabthread.core.configuration.fold import ConfigurationFold
+from baobabthread.core.configuration.records import Accepted, Conflict, Invalid, Publish
 from baobabthread.core.messages import Append, AppendFailed, Effects, Stream
 
 RETRY_S = 0.5
--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -8,26 +8,20 @@
 
 import msgspec
 
-from baobabthread.core.addresses import (
-    AddressAnswer,
-    AddressSettings,
-    answer_addresses,
-)
-from baobabthread.core.attempts import Rating
-from baobabthread.core.backends import LoadReport
-from baobabthread.core.balance import BackendTable
-from baobabthread.core.billtypes import (
+from baobabthread.core.backends.backends import LoadReport
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.billing.ledger import Ledger
+from baobabthread.core.billing.types import (
     Peer,
 )
-from baobabthread.core.choices import Choices
-from baobabthread.core.claims import Claims
-from baobabthread.core.conductors import Conductors
-from baobabthread.core.configuration import Configuration
-from baobabthread.core.control import (
+from baobabthread.core.claims.claims import Claims
+from baobabthread.core.claims.handover import HandOver
+from baobabthread.core.configuration.configuration import Configuration
+from baobabthread.core.configuration.control import (
     ConfigurationChanged,
     Control,
 )
-from baobabthread.core.directory import Directory
+from baobabthread.core.configuration.directory import Directory
 from baobabthread.core.events import (
     AttemptEnded,
     CallerGone,
@@ -39,9 +33,12 @@
     RosterRead,
     Tick,
 )
-from baobabthread.core.handover import HandOver
-from baobabthread.core.ledger import Ledger
-from baobabthread.core.membership_messages import (
+from baobabthread.core.membership.addresses import (
+    AddressAnswer,
+    AddressSettings,
+    answer_addresses,
+)
+from baobabthread.core.membership.messages import (
     Hint,
     MemberInfo,
     MemberState,
@@ -55,17 +52,20 @@
     SendFailed,
     Stream,
 )
-from baobabthread.core.named import NamedSessions
+from baobabthread.core.models.choices import Choices
 from baobabthread.core.peermessages import (
     BILLING_MESSAGES,
     CONTROL_MESSAGES,
     MEMBERSHIP_MESSAGES,
     SESSION_MESSAGES,
 )
-from baobabthread.core.requests import Requests
-from baobabthread.core.services import ServiceState
-from baobabthread.core.session_tokens import SessionKeyRing
-from baobabthread.core.sessions import SessionIs
+from baobabthread.core.requests.attempts import Rating
+from baobabthread.core.requests.requests import Requests
+from baobabthread.core.rollouts.conductors import Conductors
+from baobabthread.core.services import ServiceStates
+from baobabthread.core.sessions.named import NamedSessions
+from baobabthread.core.sessions.sessions import SessionIs
+from baobabthread.core.sessions.tokens import SessionKeyRing
 from baobabthread.core.sharing import Sharing
 
 
@@ -142,7 +142,7 @@
             named=self.named,
         )
         self.directory = Directory()
-        self._services: dict[str, ServiceState] = {}
+        self._services = ServiceStates()
         self._sharing = Sharing(
             me=me.incarnation,
             membership=self.control.membership,
@@ -377,17 +377,7 @@
 
     def _reconfigure(self, configuration: Configuration, now: float) -> None:
         self.directory = Directory(configuration=configuration)
-        for name, service in configuration.services.items():
-            state = self._services.get(name)
-            if state is None:
-                self._services[name] = ServiceState(
-                    name=name,
-                    service=service,
-                    configuration=configuration,
-                    rng=self._rng,
-                )
-            else:
-                state.reconfigure(service, configuration, self._rng)
+        self._services.reconfigure(configuration, self._rng)
         self.backends.rebuild(configuration, now)
         self.conductors.reconfigure(configuration, now)
         self.requests.reconfigure(self.directory)
@@ -395,11 +385,8 @@
 
     def _share_capacity(self) -> None:
         """Divide what the backend servers can run among the live entries."""
-        entries = max(1, len(self.control.membership.alive()))
-        backends = self.directory.configuration.backends.values()
-        for name, state in self._services.items():
-            capacity = sum(b.capacity for b in backends if b.service == name)
-            state.limit.set_capacity(max(1, capacity), entries)
+        entries = len(self.control.membership.alive())
+        self._services.share_capacity(self.directory.configuration, entries)
 
     def _locate_incarnation(self, incarnation: str) -> str | None:
         for member in self.control.membership.members():
--- a/src/baobabthread/core/events.py
+++ b/src/baobabthread/core/events.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from baobabthread.core.configuration import Priority
-from baobabthread.core.keys import ClaimKey
+from baobabthread.core.claims.keys import ClaimKey
+from baobabthread.core.configuration.configuration import Priority
 from baobabthread.core.messages import LogRecord
 from baobabthread.errors import Problem
 
--- /dev/null
+++ b/src/baobabthread/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits, fair queues and budgets of retries."""
--- a/src/baobabthread/core/fairness.py
+++ b/src/baobabthread/core/limits/fairness.py
@@ -10,11 +10,24 @@
 
 import msgspec
 
-from baobabthread.core.flows import BATCH, CLASS, INTERACTIVE, URGENT, Entry, Flow, Item
-from baobabthread.core.flows import Waiting as Waiting
-from baobabthread.core.ranks import Ranks
-from baobabthread.core.rates import AccountUsage, DrainRate, Elsewhere, RemoteUsage
-from baobabthread.core.rates import UsageDigest as UsageDigest
+from baobabthread.core.limits.flows import (
+    BATCH,
+    CLASS,
+    INTERACTIVE,
+    URGENT,
+    Entry,
+    Flow,
+    Item,
+)
+from baobabthread.core.limits.flows import Waiting as Waiting
+from baobabthread.core.limits.ranks import Ranks
+from baobabthread.core.limits.rates import (
+    AccountUsage,
+    DrainRate,
+    Elsewhere,
+    RemoteUsage,
+)
+from baobabthread.core.limits.rates import UsageDigest as UsageDigest
 
 
 class FairnessSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/baobabthread/core/flows.py
+++ b/src/baobabthread/core/limits/flows.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.core.configuration import Priority
+from baobabthread.core.configuration.configuration import Priority
 
 URGENT, INTERACTIVE, BATCH = range(3)
 SLACK = 16
--- a/src/baobabthread/core/limits.py
+++ b/src/baobabthread/core/limits/limits.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.core.rates import Elsewhere
+from baobabthread.core.limits.rates import Elsewhere
 
 MIN_ESTIMATE_S = 0.1
 MIN_RETRY_S = 0.05
--- a/src/baobabthread/core/ranks.py
+++ b/src/baobabthread/core/limits/ranks.py
@@ -4,7 +4,7 @@
 
 import heapq
 
-from baobabthread.core.flows import Flow
+from baobabthread.core.limits.flows import Flow
 
 MAX_LOOKED_AT = 32
 """Accounts looked at to estimate a wait; of more, these stand for the rest."""
--- a/src/baobabthread/core/addresses.py
+++ b/src/baobabthread/core/membership/addresses.py
@@ -8,7 +8,7 @@
 import msgspec
 from transitions import Machine
 
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.messages import MemberInfo
 from baobabthread.core.rendezvous import rank
 
 
--- a/src/baobabthread/core/membership_contacts.py
+++ b/src/baobabthread/core/membership/contacts.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable, Sequence
 
-from baobabthread.core.membership_messages import Hint
-from baobabthread.core.membership_table import MemberTable
+from baobabthread.core.membership.messages import Hint
+from baobabthread.core.membership.table import MemberTable
 
 MAX_HINTED = 512
 
--- a/src/baobabthread/core/membership_detector.py
+++ b/src/baobabthread/core/membership/detector.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-from baobabthread.core.freshness import Freshness
-from baobabthread.core.membership_messages import (
+from baobabthread.core.configuration.freshness import Freshness
+from baobabthread.core.membership.messages import (
     Acknowledge,
     Digest,
     MembershipSettings,
@@ -16,9 +16,9 @@
     Probe,
     ProbeRequest,
 )
-from baobabthread.core.membership_probes import Errand, ProbeLog, Question
-from baobabthread.core.membership_table import MemberTable
-from baobabthread.core.membership_updates import UpdateQueue
+from baobabthread.core.membership.probes import Errand, ProbeLog, Question
+from baobabthread.core.membership.table import MemberTable
+from baobabthread.core.membership.updates import UpdateQueue
 from baobabthread.core.messages import Effects, Send
 
 DigestMaker: TypeAlias = Callable[[str, float], Digest]
--- a/src/baobabthread/core/membership_gossip.py
+++ b/src/baobabthread/core/membership/gossip.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from baobabthread.core.membership_messages import GossipPayload
+from baobabthread.core.membership.messages import GossipPayload
 
 OVERHEAD_BYTES = 60
 """Bytes of a payload's field names and punctuation in JSON."""
--- a/src/baobabthread/core/membership.py
+++ b/src/baobabthread/core/membership/membership.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from baobabthread.core.freshness import Freshness, FreshnessState, Reach
-from baobabthread.core.membership_contacts import Contacts
-from baobabthread.core.membership_detector import Detector
-from baobabthread.core.membership_gossip import GossipStore
-from baobabthread.core.membership_messages import (
+from baobabthread.core.configuration.freshness import Freshness, FreshnessState, Reach
+from baobabthread.core.membership.contacts import Contacts
+from baobabthread.core.membership.detector import Detector
+from baobabthread.core.membership.gossip import GossipStore
+from baobabthread.core.membership.messages import (
     Acknowledge,
     Announce,
     Digest,
@@ -28,8 +28,8 @@
     ProbeRequest,
     Synchronise,
 )
-from baobabthread.core.membership_table import MemberTable
-from baobabthread.core.membership_updates import UpdateQueue
+from baobabthread.core.membership.table import MemberTable
+from baobabthread.core.membership.updates import UpdateQueue
 from baobabthread.core.messages import Effects, Send
 
 __all__ = ["Membership", "MembershipSettings"]
--- a/src/baobabthread/core/membership_table.py
+++ b/src/baobabthread/core/membership/table.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-from baobabthread.core.membership_messages import MemberInfo, MemberState
+from baobabthread.core.membership.messages import MemberInfo, MemberState
 
 MAX_MEMBERS = 4_096
 
--- a/src/baobabthread/core/membership_updates.py
+++ b/src/baobabthread/core/membership/updates.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from baobabthread.core.membership_messages import MemberInfo, MemberState
-from baobabthread.core.membership_table import MemberTable
+from baobabthread.core.membership.messages import MemberInfo, MemberState
+from baobabthread.core.membership.table import MemberTable
 
 
 class UpdateQueue:
--- a/src/baobabthread/core/aim.py
+++ b/src/baobabthread/core/models/aim.py
@@ -4,7 +4,7 @@
 
 import math
 
-from baobabthread.core.evidence import SharedEvidence
+from baobabthread.core.models.evidence import SharedEvidence
 
 MARGIN_ERRORS = 1.0
 """Standard errors of the quality that the target is raised by."""
--- a/src/baobabthread/core/cascade.py
+++ b/src/baobabthread/core/models/cascade.py
@@ -6,8 +6,13 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from baobabthread.core.aim import find_aim
-from baobabthread.core.attempts import (
+from baobabthread.core.models.aim import find_aim
+from baobabthread.core.models.calibration import CellKey, find_bin
+from baobabthread.core.models.escalation import Plan, Solution, find_plan
+from baobabthread.core.models.estimates import Estimates
+from baobabthread.core.models.evidence import MixKey, SharedEvidence
+from baobabthread.core.registry import Registry
+from baobabthread.core.requests.attempts import (
     Attempt,
     Offer,
     Rating,
@@ -15,11 +20,6 @@
     VersionCost,
     draw,
 )
-from baobabthread.core.calibration import CellKey, find_bin
-from baobabthread.core.escalation import Plan, Solution, find_plan
-from baobabthread.core.estimates import Estimates
-from baobabthread.core.evidence import MixKey, SharedEvidence
-from baobabthread.core.registry import Registry
 
 RATING_SHARE = 0.1
 """Share of the answers sent to the rating service once evidence is thick."""
--- a/src/baobabthread/core/choices.py
+++ b/src/baobabthread/core/models/choices.py
@@ -4,18 +4,18 @@
 
 import msgspec
 
-from baobabthread.core.attempts import Attempt, Offer, Rating
-from baobabthread.core.conductors import Conductors
-from baobabthread.core.detectors import Observation
-from baobabthread.core.directory import Directory
+from baobabthread.core.configuration.directory import Directory
 from baobabthread.core.events import Answered, AttemptEnded, SubmitRating
 from baobabthread.core.messages import Effects
-from baobabthread.core.named import NamedSessions
+from baobabthread.core.models.selection import choose_versions
 from baobabthread.core.problems import explain_no_account, explain_no_version
-from baobabthread.core.request import Request
-from baobabthread.core.selection import choose_versions
+from baobabthread.core.requests.attempts import Attempt, Offer, Rating
+from baobabthread.core.requests.request import Request
+from baobabthread.core.rollouts.conductors import Conductors
+from baobabthread.core.rollouts.detectors import Observation
 from baobabthread.core.services import ServiceState
-from baobabthread.core.session_tokens import Pin, SessionKeyRing
+from baobabthread.core.sessions.named import NamedSessions
+from baobabthread.core.sessions.tokens import Pin, SessionKeyRing
 from baobabthread.errors import Problem
 
 SESSION_LIFETIME_S = 24 * 3600.0
--- a/src/baobabthread/core/estimates.py
+++ b/src/baobabthread/core/models/estimates.py
@@ -4,8 +4,7 @@
 
 from collections.abc import Sequence
 
-from baobabthread.core.attempts import VersionCost
-from baobabthread.core.calibration import (
+from baobabthread.core.models.calibration import (
     AFTER_PRIOR,
     BINS,
     FIRST_PRIOR,
@@ -14,8 +13,9 @@
     CellKey,
     fit_chances,
 )
-from baobabthread.core.escalation import Case, Step, describe_step
-from baobabthread.core.evidence import MixKey, SharedEvidence
+from baobabthread.core.models.escalation import Case, Step, describe_step
+from baobabthread.core.models.evidence import MixKey, SharedEvidence
+from baobabthread.core.requests.attempts import VersionCost
 
 DEFAULT_TOKENS = 200.0
 BASE_WEIGHT = 10.0
--- a/src/baobabthread/core/evidence.py
+++ b/src/baobabthread/core/models/evidence.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.core.calibration import (
+from baobabthread.core.models.calibration import (
     Cell,
     CellCounts,
     CellKey,
--- a/src/baobabthread/core/selection.py
+++ b/src/baobabthread/core/models/selection.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from baobabthread.core.attempts import draw
-from baobabthread.core.configuration import VersionState
+from baobabthread.core.configuration.configuration import VersionState
+from baobabthread.core.requests.attempts import draw
 
 
 class Split(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/baobabthread/core/peermessages.py
+++ b/src/baobabthread/core/peermessages.py
@@ -4,15 +4,18 @@
 
 import msgspec
 
-from baobabthread.core.billtypes import (
+from baobabthread.core.billing.types import (
     BillsCopied,
     BillsTaken,
     CopyBills,
     HandOverBills,
 )
-from baobabthread.core.control import ConfigurationRelay, FetchConfiguration
-from baobabthread.core.handover import HandOver
-from baobabthread.core.membership_messages import (
+from baobabthread.core.claims.handover import HandOver
+from baobabthread.core.configuration.control import (
+    ConfigurationRelay,
+    FetchConfiguration,
+)
+from baobabthread.core.membership.messages import (
     Acknowledge,
     Announce,
     Members,
@@ -20,7 +23,7 @@
     ProbeRequest,
     Synchronise,
 )
-from baobabthread.core.sessions import SessionGet, SessionIs, SessionPut
+from baobabthread.core.sessions.sessions import SessionGet, SessionIs, SessionPut
 
 MEMBERSHIP_MESSAGES = (
     Probe,
--- a/src/baobabthread/core/problems.py
+++ b/src/baobabthread/core/problems.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from baobabthread.core.events import Broken, Refused
-from baobabthread.core.request import Request
+from baobabthread.core.requests.request import Request
 from baobabthread.errors import Kind, Problem, Ran
 
 NO_BACKEND_RETRY_S = 1.0
--- /dev/null
+++ b/src/baobabthread/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request through an entry."""
--- a/src/baobabthread/core/admissions.py
+++ b/src/baobabthread/core/requests/admissions.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from baobabthread.core.balance import BackendTable
-from baobabthread.core.billtypes import BillRequest
-from baobabthread.core.configuration import Account
-from baobabthread.core.directory import Directory
-from baobabthread.core.endings import Endings
-from baobabthread.core.flows import Waiting
-from baobabthread.core.ledger import Ledger
-from baobabthread.core.limits import AccountLimit
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.billing.ledger import Ledger
+from baobabthread.core.billing.types import BillRequest
+from baobabthread.core.configuration.configuration import Account
+from baobabthread.core.configuration.directory import Directory
+from baobabthread.core.limits.flows import Waiting
+from baobabthread.core.limits.limits import AccountLimit
 from baobabthread.core.messages import Effects
 from baobabthread.core.problems import (
     explain_account_limit,
@@ -17,7 +16,8 @@
     explain_no_account,
     explain_overload,
 )
-from baobabthread.core.request import Phase, Request
+from baobabthread.core.requests.endings import Endings
+from baobabthread.core.requests.request import Phase, Request
 from baobabthread.core.services import ServiceState
 
 
--- a/src/baobabthread/core/dispatching.py
+++ b/src/baobabthread/core/requests/dispatching.py
@@ -4,12 +4,10 @@
 
 import msgspec
 
-from baobabthread.core.balance import BackendTable
-from baobabthread.core.billtypes import BilledAttempt
-from baobabthread.core.choices import Choices
-from baobabthread.core.configuration import OnStale, Priority
-from baobabthread.core.directory import Directory
-from baobabthread.core.endings import Endings
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.billing.types import BilledAttempt
+from baobabthread.core.configuration.configuration import OnStale, Priority
+from baobabthread.core.configuration.directory import Directory
 from baobabthread.core.events import (
     Answered,
     AttemptEnded,
@@ -19,10 +17,11 @@
     Dispatch,
     Refused,
 )
-from baobabthread.core.intake import MayServe
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits.limits import Outcome
+from baobabthread.core.limits.rates import weigh_tokens
+from baobabthread.core.limits.retries import Attempt as FailedAttempt
 from baobabthread.core.messages import Effects
-from baobabthread.core.named import NamedSessions
+from baobabthread.core.models.choices import Choices
 from baobabthread.core.problems import (
     BUSY,
     explain_broken,
@@ -31,9 +30,10 @@
     explain_no_backend,
     explain_refused,
 )
-from baobabthread.core.rates import weigh_tokens
-from baobabthread.core.request import Phase, Request
-from baobabthread.core.retries import Attempt as FailedAttempt
+from baobabthread.core.requests.endings import Endings
+from baobabthread.core.requests.intake import MayServe
+from baobabthread.core.requests.request import Phase, Request
+from baobabthread.core.sessions.named import NamedSessions
 from baobabthread.errors import Ran
 
 ENGINE_PRIORITY = {Priority.URGENT: 1, Priority.INTERACTIVE: 4, Priority.BATCH: 8}
--- a/src/baobabthread/core/endings.py
+++ b/src/baobabthread/core/requests/endings.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from baobabthread.core.billtypes import BillOutcome, Settlement
-from baobabthread.core.claims import Claims
+from baobabthread.core.billing.ledger import Ledger
+from baobabthread.core.billing.types import BillOutcome, Settlement
+from baobabthread.core.claims.claims import Claims
+from baobabthread.core.claims.handover import Outcome as KeyOutcome
 from baobabthread.core.events import Refuse
-from baobabthread.core.handover import Outcome as KeyOutcome
-from baobabthread.core.ledger import Ledger
-from baobabthread.core.limits import AccountLimit, Outcome
+from baobabthread.core.limits.limits import AccountLimit, Outcome
 from baobabthread.core.messages import Effects
-from baobabthread.core.request import Phase, Request
+from baobabthread.core.requests.request import Phase, Request
 from baobabthread.core.services import ServiceState
 from baobabthread.errors import Kind, Problem
 
--- a/src/baobabthread/core/intake.py
+++ b/src/baobabthread/core/requests/intake.py
@@ -7,11 +7,11 @@
 
 import xxhash
 
-from baobabthread.core.configuration import Call, OnStale, ServiceKind
-from baobabthread.core.directory import Directory
+from baobabthread.core.configuration.configuration import Call, OnStale, ServiceKind
+from baobabthread.core.configuration.directory import Directory
 from baobabthread.core.events import RequestArrived
-from baobabthread.core.rates import weigh_tokens
-from baobabthread.core.request import Request
+from baobabthread.core.limits.rates import weigh_tokens
+from baobabthread.core.requests.request import Request
 from baobabthread.core.services import ServiceState
 from baobabthread.errors import Kind, Problem, Ran
 
--- a/src/baobabthread/core/request.py
+++ b/src/baobabthread/core/requests/request.py
@@ -4,12 +4,12 @@
 
 import enum
 
-from baobabthread.core.billtypes import BilledAttempt
-from baobabthread.core.configuration import Call, Priority
+from baobabthread.core.billing.types import BilledAttempt
+from baobabthread.core.claims.keys import ClaimKey
+from baobabthread.core.configuration.configuration import Call, Priority
 from baobabthread.core.events import RequestArrived
-from baobabthread.core.keys import ClaimKey
 from baobabthread.core.services import ServiceState
-from baobabthread.core.session_tokens import Pin
+from baobabthread.core.sessions.tokens import Pin
 
 
 class Phase(enum.Enum):
--- a/src/baobabthread/core/requests.py
+++ b/src/baobabthread/core/requests/requests.py
@@ -6,16 +6,15 @@
 
 import msgspec
 
-from baobabthread.core import claimtypes
-from baobabthread.core.admissions import Admissions
-from baobabthread.core.balance import BackendTable
-from baobabthread.core.billtypes import BillOpened, BillRefused
-from baobabthread.core.choices import Choices
-from baobabthread.core.claimproblems import problem_slow_claim
-from baobabthread.core.claims import Claims
-from baobabthread.core.directory import Directory
-from baobabthread.core.dispatching import Dispatching
-from baobabthread.core.endings import Endings
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.billing.ledger import Ledger
+from baobabthread.core.billing.types import BillOpened, BillRefused
+from baobabthread.core.claims import types as claimtypes
+from baobabthread.core.claims.claims import Claims
+from baobabthread.core.claims.handover import Outcome as KeyOutcome
+from baobabthread.core.claims.keys import ClaimKey
+from baobabthread.core.claims.problems import problem_slow_claim
+from baobabthread.core.configuration.directory import Directory
 from baobabthread.core.events import (
     AttemptEnded,
     CallerGone,
@@ -24,16 +23,17 @@
     Replay,
     RequestArrived,
 )
-from baobabthread.core.handover import Outcome as KeyOutcome
-from baobabthread.core.intake import Intake, MayServe
-from baobabthread.core.keys import ClaimKey
-from baobabthread.core.ledger import Ledger
-from baobabthread.core.limits import AccountLimit
+from baobabthread.core.limits.limits import AccountLimit
 from baobabthread.core.messages import Effects
-from baobabthread.core.named import NamedSessions
+from baobabthread.core.models.choices import Choices
 from baobabthread.core.problems import explain_deadline, explain_gone
-from baobabthread.core.request import Phase, Request
+from baobabthread.core.requests.admissions import Admissions
+from baobabthread.core.requests.dispatching import Dispatching
+from baobabthread.core.requests.endings import Endings
+from baobabthread.core.requests.intake import Intake, MayServe
+from baobabthread.core.requests.request import Phase, Request
 from baobabthread.core.services import ServiceState
+from baobabthread.core.sessions.named import NamedSessions
 from baobabthread.errors import Problem, Ran
 
 
--- /dev/null
+++ b/src/baobabthread/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Versions that come and go: roll-outs, detection, orders to engines."""
--- a/src/baobabthread/core/conducting.py
+++ b/src/baobabthread/core/rollouts/conducting.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from baobabthread.core.configuration import VersionState
-from baobabthread.core.rollout import (
+from baobabthread.core.configuration.configuration import VersionState
+from baobabthread.core.rollouts.rollout import (
     Phase,
     PlannedRollout,
     RolledBack,
--- a/src/baobabthread/core/conductors.py
+++ b/src/baobabthread/core/rollouts/conductors.py
@@ -9,18 +9,18 @@
 import msgspec
 import xxhash
 
-from baobabthread.core.conducting import make_record, next_step
-from baobabthread.core.configuration import (
+from baobabthread.core.configuration.configuration import (
     Configuration,
     ServiceKind,
 )
-from baobabthread.core.detectors import Detector, Observation
 from baobabthread.core.events import LoadReported, OrderEnded, Rated
-from baobabthread.core.leases import Lease
 from baobabthread.core.messages import Append, Effects, LogRead, Stream
-from baobabthread.core.orders import EngineReport, OrderEngine, Orders
-from baobabthread.core.quality import DETECTORS
-from baobabthread.core.rollout import (
+from baobabthread.core.models.selection import Barred, Selection
+from baobabthread.core.rollouts.conducted import Conducted
+from baobabthread.core.rollouts.conducting import make_record, next_step
+from baobabthread.core.rollouts.detectors import Detector, Observation
+from baobabthread.core.rollouts.orders import EngineReport, OrderEngine
+from baobabthread.core.rollouts.rollout import (
     Phase,
     PlannedRollout,
     Quarantined,
@@ -28,8 +28,7 @@
     RolloutRecord,
     encode_record,
 )
-from baobabthread.core.selection import Barred, Selection
-from baobabthread.core.situations import RolloutStatus, Situations
+from baobabthread.core.rollouts.situations import RolloutStatus, Situations
 
 STEP_S = 0.5
 """How often detectors and roll-outs are looked at."""
@@ -41,35 +40,6 @@
 """Records remembered as appended before older ones are forgotten."""
 
 
-class _Conducted:
-    """Hold what this entry needs to conduct one service."""
-
-    __slots__ = (
-        "alarms",
-        "detector",
-        "detector_name",
-        "lease",
-        "name",
-        "open_orders",
-        "orders",
-        "restate_at",
-        "selection",
-    )
-
-    def __init__(
-        self, *, name: str, holder: str, detector: str, rng: random.Random
-    ) -> None:
-        self.name = name
-        self.detector_name = detector
-        self.detector: Detector = DETECTORS.get(detector)()
-        self.lease = Lease(holder=holder, service=name, random_source=rng)
-        self.orders = Orders()
-        self.selection = Selection(cascade=(), states={})
-        self.restate_at = 0.0
-        self.open_orders = 0
-        self.alarms = 0
-
-
 class Conductors:
     """Fold roll-outs, watch versions, and conduct the services whose lease is held."""
 
@@ -91,7 +61,7 @@
     def __init__(self, *, incarnation: str, rng: random.Random) -> None:
         self._me = incarnation
         self._rng = rng
-        self._services: dict[str, _Conducted] = {}
+        self._services: dict[str, Conducted] = {}
         self._configuration: Configuration | None = None
         self._appended: dict[str, float] = {}
         self._compared: set[str] = set()
@@ -123,7 +93,7 @@
                 continue
             known = self._services.get(name)
             if known is None or known.detector_name != service.detector:
-                self._services[name] = _Conducted(
+                self._services[name] = Conducted(
                     name=name, holder=self._me, detector=service.detector, rng=self._rng
                 )
         self._reset_detectors(configuration)
@@ -197,7 +167,7 @@
         if ended.stale:
             conducted.orders.on_refused(ended.backend, ended.fence)
 
-    def _find_conducted(self, backend: str) -> _Conducted | None:
+    def _find_conducted(self, backend: str) -> Conducted | None:
         if self._configuration is None:
             return None
         configured = self._configuration.backends.get(backend)
@@ -265,7 +235,7 @@
             for alarm in conducted.detector.alarms(0.0)
         )
 
-    def _watch(self, conducted: _Conducted, now: float) -> Effects:
+    def _watch(self, conducted: Conducted, now: float) -> Effects:
         """Append a quarantine for each alarm that the log does not show yet."""
         effects: Effects = []
         known = self.fold.quarantined()
@@ -287,7 +257,7 @@
             )
         return effects
 
-    def _conduct(self, conducted: _Conducted, now: float) -> Effects:
+    def _conduct(self, conducted: Conducted, now: float) -> Effects:
         effects: Effects = []
         for planned in self.fold.planned(conducted.name):
             life = self.fold.life(planned.id)
@@ -304,7 +274,7 @@
                 effects += self._append(what, record, now)
         return effects
 
-    def _restate(self, conducted: _Conducted, now: float) -> Effects:
+    def _restate(self, conducted: Conducted, now: float) -> Effects:
         """Append again what stands, before the log forgets it."""
         # A quarantine whose record has expired would be unknown to every entry that
         # starts afterwards; the version would get traffic again, entry by entry.
@@ -399,7 +369,7 @@
             )
             self._take_alarms(conducted, now)
 
-    def _take_alarms(self, conducted: _Conducted, now: float) -> None:
+    def _take_alarms(self, conducted: Conducted, now: float) -> None:
         """Bar what an alarm names at once, not with the next look."""
         # Until then every caller would still be sent to a version known to be bad.
         alarms = len(conducted.detector.alarms(now))
--- a/src/baobabthread/core/detectors.py
+++ b/src/baobabthread/core/rollouts/detectors.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from baobabthread.core.models.selection import Damped
 from baobabthread.core.registry import Registry
-from baobabthread.core.selection import Damped
-from baobabthread.core.tallies import Concern
+from baobabthread.core.rollouts.tallies import Concern
 
 
 class Observation(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/baobabthread/core/leases.py
+++ b/src/baobabthread/core/rollouts/leases.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from baobabthread.core.leasefold import (
+from baobabthread.core.messages import Append, AppendFailed, Effects, LogRead, Stream
+from baobabthread.core.rollouts.leasefold import (
     LeaseClaim,
     LeaseFold,
     LeaseRelease,
     LeaseRenewal,
 )
-from baobabthread.core.messages import Append, AppendFailed, Effects, LogRead, Stream
 
 _ENCODER = msgspec.json.Encoder()
 
--- a/src/baobabthread/core/orders.py
+++ b/src/baobabthread/core/rollouts/orders.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.core.leases import Lease
+from baobabthread.core.rollouts.leases import Lease
 
 
 class OrderSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/baobabthread/core/quality.py
+++ b/src/baobabthread/core/rollouts/quality.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from baobabthread.core.detectors import DETECTORS, Alarm, Observation
-from baobabthread.core.latency import SlowGauge
-from baobabthread.core.selection import Damped
-from baobabthread.core.tallies import Concern, Tallies, Tally, TallyKey
-from baobabthread.core.wealth import LEAST_REFERENCE, Reference, Wealth
+from baobabthread.core.models.selection import Damped
+from baobabthread.core.rollouts.detectors import DETECTORS, Alarm, Observation
+from baobabthread.core.rollouts.latency import SlowGauge
+from baobabthread.core.rollouts.tallies import Concern, Tallies, Tally, TallyKey
+from baobabthread.core.rollouts.wealth import LEAST_REFERENCE, Reference, Wealth
 
 __all__ = ["DETECTORS", "BettingDetector", "CountingDetector", "WindowDetector"]
 
--- a/src/baobabthread/core/rollout.py
+++ b/src/baobabthread/core/rollouts/rollout.py
@@ -8,9 +8,9 @@
 import msgspec
 from transitions import Machine
 
-from baobabthread.core.configuration import Rollout
+from baobabthread.core.configuration.configuration import Rollout
 from baobabthread.core.messages import LogRecord
-from baobabthread.core.selection import Barred, Split
+from baobabthread.core.models.selection import Barred, Split
 
 
 class StepAdvanced(msgspec.Struct, frozen=True, kw_only=True, tag="step"):
--- a/src/baobabthread/core/situations.py
+++ b/src/baobabthread/core/rollouts/situations.py
@@ -6,11 +6,15 @@
 
 import msgspec
 
-from baobabthread.core.conducting import Situation
-from baobabthread.core.configuration import EMPTY, Configuration, VersionState
-from baobabthread.core.detectors import Detector
-from baobabthread.core.orders import Target
-from baobabthread.core.rollout import Phase, PlannedRollout, RolloutFold
+from baobabthread.core.configuration.configuration import (
+    EMPTY,
+    Configuration,
+    VersionState,
+)
+from baobabthread.core.rollouts.conducting import Situation
+from baobabthread.core.rollouts.detectors import Detector
+from baobabthread.core.rollouts.orders import Target
+from baobabthread.core.rollouts.rollout import Phase, PlannedRollout, RolloutFold
 
 READY_SHARE = 0.5
 """Share of a service's capacity that must have the new version loaded."""
--- a/src/baobabthread/core/services.py
+++ b/src/baobabthread/core/services.py
@@ -4,12 +4,12 @@
 
 import random
 
-from baobabthread.core.attempts import VersionCost
-from baobabthread.core.cascade import CASCADE_RULES, CascadeRule
-from baobabthread.core.configuration import Configuration, Service
-from baobabthread.core.fairness import FairQueue
-from baobabthread.core.limits import AdaptiveLimit, Shedder
-from baobabthread.core.retries import RetryBudget
+from baobabthread.core.configuration.configuration import Configuration, Service
+from baobabthread.core.limits.fairness import FairQueue
+from baobabthread.core.limits.limits import AdaptiveLimit, Shedder
+from baobabthread.core.limits.retries import RetryBudget
+from baobabthread.core.models.cascade import CASCADE_RULES, CascadeRule
+from baobabthread.core.requests.attempts import VersionCost
 
 SMOOTHING = 0.1
 FIRST_LATENCY_S = 0.5
@@ -89,6 +89,30 @@
         )
 
 
+class ServiceStates(dict[str, ServiceState]):
+    """Hold the state of each service by name, and follow the configuration."""
+
+    __slots__ = ()
+
+    def reconfigure(self, configuration: Configuration, rng: random.Random) -> None:
+        """Take over a newly accepted text; what was learnt of a service stays."""
+        for name, service in configuration.services.items():
+            state = self.get(name)
+            if state is not None:
+                state.reconfigure(service, configuration, rng)
+                continue
+            self[name] = ServiceState(
+                name=name, service=service, configuration=configuration, rng=rng
+            )
+
+    def share_capacity(self, configuration: Configuration, entries: int) -> None:
+        """Divide what the backend servers can run among so many entries."""
+        backends = configuration.backends.values()
+        for name, state in self.items():
+            capacity = sum(b.capacity for b in backends if b.service == name)
+            state.limit.set_capacity(max(1, capacity), max(1, entries))
+
+
 def list_costs(service: Service, configuration: Configuration) -> list[VersionCost]:
     """Return the prices of a service's versions, those in its cascade first."""
     others = [
--- /dev/null
+++ b/src/baobabthread/core/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions and the versions that they keep."""
--- a/src/baobabthread/core/named.py
+++ b/src/baobabthread/core/sessions/named.py
@@ -4,12 +4,10 @@
 
 from collections.abc import Callable, Iterable
 
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.messages import MemberInfo
 from baobabthread.core.messages import Effects, Send
-from baobabthread.core.request import Request
-from baobabthread.core.session_tokens import Pin
-from baobabthread.core.session_transfers import SessionTransfers
-from baobabthread.core.sessions import (
+from baobabthread.core.requests.request import Request
+from baobabthread.core.sessions.sessions import (
     Holders,
     NamedSession,
     SessionGet,
@@ -18,6 +16,8 @@
     SessionTable,
     choose_holders,
 )
+from baobabthread.core.sessions.tokens import Pin
+from baobabthread.core.sessions.transfers import SessionTransfers
 
 LOOK_UP_S = 0.1
 """How long a request waits for the entry that remembers its session."""
--- a/src/baobabthread/core/sessions.py
+++ b/src/baobabthread/core/sessions/sessions.py
@@ -8,15 +8,15 @@
 
 import msgspec
 
-from baobabthread.core.configuration import (
+from baobabthread.core.configuration.configuration import (
     Account,
     Configuration,
     Version,
     VersionState,
 )
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.messages import MemberInfo
 from baobabthread.core.rendezvous import choose, rank
-from baobabthread.core.session_tokens import Pin, SessionKey, SessionKeyRing
+from baobabthread.core.sessions.tokens import Pin, SessionKey, SessionKeyRing
 
 __all__ = [
     "Holders",
--- a/src/baobabthread/core/session_transfers.py
+++ b/src/baobabthread/core/sessions/transfers.py
@@ -5,10 +5,10 @@
 from collections import deque
 from collections.abc import Iterable
 
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.messages import MemberInfo
 from baobabthread.core.messages import Effects, Send
 from baobabthread.core.rendezvous import outranks
-from baobabthread.core.sessions import (
+from baobabthread.core.sessions.sessions import (
     Holders,
     NamedSession,
     SessionPut,
--- a/src/baobabthread/core/sharing.py
+++ b/src/baobabthread/core/sharing.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from baobabthread.core.balance import BackendTable
-from baobabthread.core.conductors import Conductors
-from baobabthread.core.configuration import ServiceKind
-from baobabthread.core.fairness import UsageDigest
-from baobabthread.core.membership import Membership
-from baobabthread.core.membership_messages import GossipPayload
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.configuration.configuration import ServiceKind
+from baobabthread.core.limits.fairness import UsageDigest
+from baobabthread.core.membership.membership import Membership
+from baobabthread.core.membership.messages import GossipPayload
 from baobabthread.core.registry import Registry
+from baobabthread.core.rollouts.conductors import Conductors
 from baobabthread.core.services import ServiceState
 
 PERIOD_S = 1.0
--- a/src/baobabthread/demo.py
+++ b/src/baobabthread/demo.py
@@ -13,14 +13,14 @@
 import msgspec
 
 from baobabthread.adapters.operators import PublishBody
-from baobabthread.core.billtypes import BillRecord
-from baobabthread.core.configuration import parse_section
+from baobabthread.core.billing.types import BillRecord
+from baobabthread.core.configuration.configuration import parse_section
 from baobabthread.core.messages import Stream
 from baobabthread.entry import Entry
 from baobabthread.errors import BaobabthreadError
-from baobabthread.load import Load, LoadAccount, LoadReport, LoadSettings, Work
-from baobabthread.load_caller import Record, Result
-from baobabthread.load_table import render_rows
+from baobabthread.load.caller import Record, Result
+from baobabthread.load.table import render_rows
+from baobabthread.load.tool import Load, LoadAccount, LoadReport, LoadSettings, Work
 from baobabthread.settings import Address, EntrySettings
 from baobabthread.standins.fleet import Fleet
 
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -16,7 +16,7 @@
 from baobabthread.adapters.channels import Channel
 from baobabthread.adapters.codec import PeerCodec
 from baobabthread.adapters.commits import GroupCommit
-from baobabthread.adapters.connections import CallerServer
+from baobabthread.adapters.connections import CallerServer, serve
 from baobabthread.adapters.dispatches import Dispatcher
 from baobabthread.adapters.effects import EffectRunner
 from baobabthread.adapters.engines import EngineClient, PlainClient, open_session
@@ -38,27 +38,30 @@
 )
 from baobabthread.adapters.tails import Tail
 from baobabthread.administration import EntryAdministration
-from baobabthread.core.addresses import AddressSettings, Departure, DepartureState
-from baobabthread.core.configuration import ServiceKind
+from baobabthread.core.configuration.configuration import ServiceKind
 from baobabthread.core.entry import CoreSettings, EntryCore
 from baobabthread.core.events import (
     Tick,
 )
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.addresses import (
+    AddressSettings,
+    Departure,
+    DepartureState,
+)
+from baobabthread.core.membership.messages import MemberInfo
 from baobabthread.core.messages import (
     LogRead,
     Stream,
 )
 from baobabthread.core.peermessages import PEER_MESSAGES
-from baobabthread.core.session_tokens import SessionKey, SessionKeyRing
+from baobabthread.core.sessions.tokens import SessionKey, SessionKeyRing
 from baobabthread.errors import UnavailableError
 from baobabthread.logs import log_event
 from baobabthread.ports.roster import Instance, Role
-from baobabthread.settings import Address, EntrySettings
+from baobabthread.settings import EntrySettings
 
 TICK_S = 0.05
 WAIT_STEP_S = 0.02
-SHUTDOWN_S = 1.0
 FORWARD_TIMEOUT_S = 120.0
 HANDOVER_TIMEOUT_S = 5.0
 ADDRESSES_PATH = "/v1/addresses"
@@ -169,29 +172,8 @@
             max_header_bytes=settings.max_header_bytes,
         )
         peers = CallerServer(handler=self._handle_peer)
-        self.address = await self._serve(callers, settings.listen, tls)
-        self.peer_address = await self._serve(peers, settings.peer_listen, tls)
-
-    async def _serve(self, server: web.Server, address: Any, tls: Any) -> str:
-        runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
-        await runner.setup()
-        self._stack.push_async_callback(runner.cleanup)
-        site = web.TCPSite(
-            runner,
-            address.host,
-            address.port,
-            ssl_context=tls,
-            reuse_address=True,
-        )
-        try:
-            await site.start()
-        except OSError as error:
-            raise UnavailableError(
-                f"can't listen at {address}: {error.strerror}",
-                remedy="choose a free address or stop what listens there",
-            ) from None
-        host, port = runner.addresses[0][:2]
-        return str(Address(host, port))
+        self.address = await serve(self._stack, callers, settings.listen, tls)
+        self.peer_address = await serve(self._stack, peers, settings.peer_listen, tls)
 
     async def _connect_peers(self) -> None:
         settings = self.settings
@@ -214,7 +196,16 @@
             fail=self.effects.fail_send,
         )
         self._stack.push_async_callback(self.outbox.close)
-        self.administration = EntryAdministration(entry=self)
+        self.administration = EntryAdministration(
+            name=settings.name,
+            incarnation=self.incarnation,
+            started_at=self.started_at,
+            core=self.core,
+            departure=self.departure,
+            effects=self.effects,
+            log=self.log,
+            outbox=self.outbox,
+        )
         exchanges = Exchanges(
             core=self.core,
             settings=settings,
--- a/src/baobabthread/instance/admission.py
+++ b/src/baobabthread/instance/admission.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from baobabthread.core.retries import RetryBudget
+from baobabthread.core.limits.retries import RetryBudget
 from baobabthread.instance.clock import now
 from baobabthread.instance.endings import SOON_S
 from baobabthread.instance.estimates import Estimates
--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.attempts import Again, Attempt, Head
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import BrokenError
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.backends import BackendLink
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import (
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -9,17 +9,17 @@
 import msgspec
 import xxhash
 
-from baobabthread.core import earliest
-from baobabthread.core.backends import BalanceSettings
-from baobabthread.core.balance import BackendTable
-from baobabthread.core.configuration import (
+from baobabthread.core.backends import earliest
+from baobabthread.core.backends.backends import BalanceSettings
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.configuration.configuration import (
     EMPTY,
     Backend,
     Configuration,
     Service,
     ServiceKind,
 )
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import ConnectionPool
 from baobabthread.routing.configuration import BackendRecord
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.admission import Admission, Verdict
 from baobabthread.instance.answers import Answers
 from baobabthread.instance.attempts import (
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from baobabthread.adapters.codec import PeerCodec
-from baobabthread.core.membership import Membership
-from baobabthread.core.membership_messages import (
+from baobabthread.core.membership.membership import Membership
+from baobabthread.core.membership.messages import (
     FetchRecords,
     GossipPayload,
     MemberInfo,
--- a/src/baobabthread/instance/services.py
+++ b/src/baobabthread/instance/services.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Iterator
 
-from baobabthread.core.retries import RetryBudget
+from baobabthread.core.limits.retries import RetryBudget
 from baobabthread.instance.backends import Backends
 from baobabthread.instance.clock import now
 from baobabthread.routing.bounds import RoutingBounds
--- a/src/baobabthread/instance/turns.py
+++ b/src/baobabthread/instance/turns.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 
-from baobabthread.core.fairness import Waiting
+from baobabthread.core.limits.fairness import Waiting
 from baobabthread.instance.clock import now
 from baobabthread.instance.endings import SOON_S, Endings
 from baobabthread.instance.estimates import Estimates
--- /dev/null
+++ b/src/baobabthread/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load tool: callers that ask, check every answer and count."""
--- a/src/baobabthread/load_caller.py
+++ b/src/baobabthread/load/caller.py
@@ -10,8 +10,8 @@
 import aiohttp
 import msgspec
 
-from baobabthread.load_addresses import Address, AddressBook
-from baobabthread.load_checks import (
+from baobabthread.load.addresses import Address, AddressBook
+from baobabthread.load.checks import (
     Checked,
     Fault,
     ProblemBody,
@@ -22,8 +22,8 @@
     is_flawed,
     parse_problem,
 )
-from baobabthread.load_settings import LoadAccount, LoadSettings, Work
-from baobabthread.load_work import Request
+from baobabthread.load.settings import LoadAccount, LoadSettings, Work
+from baobabthread.load.work import Request
 
 PAUSE_S = 0.05
 CONNECT_S = 1.0
--- a/src/baobabthread/load_checks.py
+++ b/src/baobabthread/load/checks.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.load_work import Request
+from baobabthread.load.work import Request
 from baobabthread.standins.answers import FLAWED_WORD, write_answer
 
 FINISHED = ("stop", "length")
--- a/src/baobabthread/load_effects.py
+++ b/src/baobabthread/load/effects.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from baobabthread.errors import UnavailableError
-from baobabthread.load_caller import Record, Result
-from baobabthread.load_settings import Work
+from baobabthread.load.caller import Record, Result
+from baobabthread.load.settings import Work
 
 BATCH = 5_000
 TIMEOUT_S = 10.0
--- a/src/baobabthread/load_report.py
+++ b/src/baobabthread/load/report.py
@@ -8,9 +8,9 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from baobabthread.load_caller import Record, Result
-from baobabthread.load_effects import Effects
-from baobabthread.load_settings import LoadSettings
+from baobabthread.load.caller import Record, Result
+from baobabthread.load.effects import Effects
+from baobabthread.load.settings import LoadSettings
 
 TICKS_PER_S = 100_000
 HIGHEST_TICKS = 3_600 * TICKS_PER_S
--- a/src/baobabthread/load_settings.py
+++ b/src/baobabthread/load/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.core.configuration import Priority
+from baobabthread.core.configuration.configuration import Priority
 from baobabthread.errors import UsageError
 
 MAX_REQUESTS = 5_000_000
--- a/src/baobabthread/load_table.py
+++ b/src/baobabthread/load/table.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from baobabthread.load_report import LoadReport, Percentiles
+from baobabthread.load.report import LoadReport, Percentiles
 
 LATENCY_HEAD = ("latency, ms", "count", "p50", "p90", "p95", "p99", "p99.9", "max")
 
--- a/src/baobabthread/load.py
+++ b/src/baobabthread/load/tool.py
@@ -13,12 +13,12 @@
 import aiohttp
 
 from baobabthread.errors import UsageError
-from baobabthread.load_caller import Caller, Record
-from baobabthread.load_effects import Effects, compare_runs, count_runs
-from baobabthread.load_report import LoadReport, Tally
-from baobabthread.load_settings import LoadAccount, LoadSettings, Work, parse_account
-from baobabthread.load_table import render_report
-from baobabthread.load_work import WorkSource
+from baobabthread.load.caller import Caller, Record
+from baobabthread.load.effects import Effects, compare_runs, count_runs
+from baobabthread.load.report import LoadReport, Tally
+from baobabthread.load.settings import LoadAccount, LoadSettings, Work, parse_account
+from baobabthread.load.table import render_report
+from baobabthread.load.work import WorkSource
 
 __all__ = [
     "Load",
--- a/src/baobabthread/load_work.py
+++ b/src/baobabthread/load/work.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.load_settings import LoadAccount, LoadSettings, Work
+from baobabthread.load.settings import LoadAccount, LoadSettings, Work
 
 WORDS = (
     *("draft", "playlist", "safety", "notice", "lightning", "bulletin", "summary"),
--- a/src/baobabthread/routing/budget.py
+++ b/src/baobabthread/routing/budget.py
@@ -4,7 +4,7 @@
 
 import random
 
-from baobabthread.core.retries import RetryBudget, RetrySettings
+from baobabthread.core.limits.retries import RetryBudget, RetrySettings
 from baobabthread.routing.bounds import RoutingBounds
 
 MARGIN = 0.9
--- a/src/baobabthread/routing/directory.py
+++ b/src/baobabthread/routing/directory.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.messages import MemberInfo
 
 LIFETIME_S = 2.0
 """How long callers keep addresses. Some keep them three times as long, which still
--- a/src/baobabthread/routing/knowledge.py
+++ b/src/baobabthread/routing/knowledge.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from baobabthread.core.freshness import Freshness, FreshnessSettings
+from baobabthread.core.configuration.freshness import Freshness, FreshnessSettings
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import (
     BackendRecord,
--- a/src/baobabthread/routing/queues.py
+++ b/src/baobabthread/routing/queues.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from baobabthread.core.configuration import Priority
-from baobabthread.core.fairness import FairQueue, Waiting
+from baobabthread.core.configuration.configuration import Priority
+from baobabthread.core.limits.fairness import FairQueue, Waiting
 
 URGENT_RANK = 0
 LAST_INTERACTIVE_RANK = 2
--- a/src/baobabthread/routing/trial.py
+++ b/src/baobabthread/routing/trial.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.core.wealth import Wealth
+from baobabthread.core.rollouts.wealth import Wealth
 
 SLOW_FACTOR = 3.0
 """An answer is slow when it takes so many times what the old version usually takes."""
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from baobabthread.core.attempts import draw
+from baobabthread.core.requests.attempts import draw
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import (
     RolloutOrder,
--- a/src/baobabthread/standins/fleet.py
+++ b/src/baobabthread/standins/fleet.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-from baobabthread.core.configuration import (
+from baobabthread.core.configuration.configuration import (
     Backend,
     Configuration,
     ServiceKind,
--- a/tests/core/lone.py
+++ b/tests/core/lone.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from baobabthread.core.configuration.fold import Publish
 from baobabthread.core.entry import CoreSettings, EntryCore
 from baobabthread.core.events import (
     Answered,
@@ -17,10 +18,9 @@
     RequestArrived,
     Tick,
 )
-from baobabthread.core.fold import Publish
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.messages import MemberInfo
 from baobabthread.core.messages import LogRead, LogRecord, Stream
-from baobabthread.core.session_tokens import SessionKey, SessionKeyRing
+from baobabthread.core.sessions.tokens import SessionKey, SessionKeyRing
 
 KEY = "KEY-OF-metro"
 TEXT = """
--- a/tests/core/test_addresses.py
+++ b/tests/core/test_addresses.py
@@ -4,14 +4,14 @@
 
 from collections import Counter
 
-from baobabthread.core.addresses import (
+from baobabthread.core.membership.addresses import (
     AddressAnswer,
     AddressSettings,
     Departure,
     DepartureState,
     answer_addresses,
 )
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.messages import MemberInfo
 
 SETTINGS = AddressSettings(lifetime_s=10.0, margin_s=2.0, limit=4)
 
--- a/tests/core/test_balance.py
+++ b/tests/core/test_balance.py
@@ -5,16 +5,17 @@
 
 import pytest
 
-from baobabthread.core.backends import BalanceSettings, Health, LoadReport
-from baobabthread.core.balance import BALANCERS, BackendTable
-from baobabthread.core.configuration import (
+from baobabthread.core.backends.backends import BalanceSettings, Health, LoadReport
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.backends.balancers import BALANCERS
+from baobabthread.core.configuration.configuration import (
     EMPTY,
     Backend,
     Configuration,
     Service,
     ServiceKind,
 )
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits.limits import Outcome
 
 
 def configure(
--- a/tests/core/test_bills.py
+++ b/tests/core/test_bills.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from baobabthread.core.bills import BillFold
-from baobabthread.core.billtypes import BillOutcome, BillRecord
+from baobabthread.core.billing.bills import BillFold
+from baobabthread.core.billing.types import BillOutcome, BillRecord
 from baobabthread.core.messages import LogRecord
 
 
--- a/tests/core/test_calibration.py
+++ b/tests/core/test_calibration.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from baobabthread.core.calibration import (
+from baobabthread.core.models.calibration import (
     BINS,
     FIRST_PRIOR,
     LAST_PRIOR,
@@ -21,8 +21,13 @@
     find_bin,
     fit_chances,
 )
-from baobabthread.core.escalation import Case, describe_step, find_plan, solve_case
-from baobabthread.core.evidence import MixKey, SharedEvidence
+from baobabthread.core.models.escalation import (
+    Case,
+    describe_step,
+    find_plan,
+    solve_case,
+)
+from baobabthread.core.models.evidence import MixKey, SharedEvidence
 
 KEY = CellKey(call="draft", version="small-1")
 RATED = st.lists(
--- a/tests/core/test_cascade.py
+++ b/tests/core/test_cascade.py
@@ -7,16 +7,16 @@
 
 import pytest
 
-from baobabthread.core.aim import GRACE_S, find_aim
-from baobabthread.core.attempts import (
+from baobabthread.core.models.aim import GRACE_S, find_aim
+from baobabthread.core.models.cascade import CASCADE_RULES, CascadeRule
+from baobabthread.core.models.evidence import SharedEvidence
+from baobabthread.core.requests.attempts import (
     Attempt,
     Offer,
     Rating,
     Sampler,
     VersionCost,
 )
-from baobabthread.core.cascade import CASCADE_RULES, CascadeRule
-from baobabthread.core.evidence import SharedEvidence
 from baobabthread.errors import UsageError
 
 COSTS = (VersionCost(name="small", cost=1.0), VersionCost(name="large", cost=15.0))
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
-from baobabthread.core.claims import Claims
-from baobabthread.core.claimtypes import (
+from baobabthread.core.claims.claims import Claims
+from baobabthread.core.claims.handover import HandOver, Outcome
+from baobabthread.core.claims.types import (
     ClaimRequest,
     ClaimSettings,
     Dispatch,
@@ -14,7 +15,6 @@
     Refuse,
     Replay,
 )
-from baobabthread.core.handover import HandOver, Outcome
 from baobabthread.core.messages import (
     Append,
     AppendFailed,
--- a/tests/core/test_earliest.py
+++ b/tests/core/test_earliest.py
@@ -11,17 +11,17 @@
 
 import msgspec
 
-from baobabthread.core.backends import BalanceSettings
-from baobabthread.core.balance import BackendTable
-from baobabthread.core.configuration import (
+from baobabthread.core.backends.backends import BalanceSettings
+from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.backends.earliest import NAME
+from baobabthread.core.configuration.configuration import (
     EMPTY,
     Backend,
     Configuration,
     Service,
     ServiceKind,
 )
-from baobabthread.core.earliest import NAME
-from baobabthread.core.limits import Outcome
+from baobabthread.core.limits.limits import Outcome
 
 
 def make_table(count: int = 5, *, far: int = 0, seed: int = 1) -> BackendTable:
--- a/tests/core/test_fairness.py
+++ b/tests/core/test_fairness.py
@@ -4,9 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from baobabthread.core.configuration import Priority
-from baobabthread.core.fairness import FairnessSettings, FairQueue
-from baobabthread.core.flows import Waiting
+from baobabthread.core.configuration.configuration import Priority
+from baobabthread.core.limits.fairness import FairnessSettings, FairQueue
+from baobabthread.core.limits.flows import Waiting
 
 ids = iter(range(10**9))
 
--- a/tests/core/test_fold.py
+++ b/tests/core/test_fold.py
@@ -9,11 +9,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from baobabthread.core.configuration import merge_sections, parse_section
-from baobabthread.core.fold import ConfigurationFold
-from baobabthread.core.fold_checkpoint import CheckpointPlanner, CheckpointSettings
-from baobabthread.core.fold_publisher import NotAppended, Publisher, Unknown
-from baobabthread.core.fold_records import (
+from baobabthread.core.configuration.checkpoint import (
+    CheckpointPlanner,
+    CheckpointSettings,
+)
+from baobabthread.core.configuration.configuration import merge_sections, parse_section
+from baobabthread.core.configuration.fold import ConfigurationFold
+from baobabthread.core.configuration.publisher import NotAppended, Publisher, Unknown
+from baobabthread.core.configuration.records import (
     Accepted,
     Conflict,
     Duplicate,
--- a/tests/core/test_freshness.py
+++ b/tests/core/test_freshness.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from baobabthread.core.configuration import OnStale
-from baobabthread.core.freshness import (
+from baobabthread.core.configuration.configuration import OnStale
+from baobabthread.core.configuration.freshness import (
     Freshness,
     FreshnessSettings,
     FreshnessState,
--- a/tests/core/test_gossip.py
+++ b/tests/core/test_gossip.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from baobabthread.core.membership_gossip import MAX_SAVED_BYTES, GossipStore
-from baobabthread.core.membership_messages import GossipPayload
+from baobabthread.core.membership.gossip import MAX_SAVED_BYTES, GossipStore
+from baobabthread.core.membership.messages import GossipPayload
 
 ROOM = 800
 
--- a/tests/core/test_leases.py
+++ b/tests/core/test_leases.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from baobabthread.core.leases import Lease, LeaseSettings
 from baobabthread.core.messages import Append, LogRead, LogRecord, Stream
+from baobabthread.core.rollouts.leases import Lease, LeaseSettings
 
 SETTINGS = LeaseSettings()
 WAIT_S = SETTINGS.lease_s + SETTINGS.longest_order_s + SETTINGS.margin_s
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from baobabthread.core.billtypes import (
+from baobabthread.core.billing.ledger import Ledger
+from baobabthread.core.billing.types import (
     BillOpened,
     BillOutcome,
     BillRefused,
@@ -17,7 +18,6 @@
     Peer,
     Settlement,
 )
-from baobabthread.core.ledger import Ledger
 from baobabthread.core.messages import (
     Append,
     Appended,
--- a/tests/core/test_limits.py
+++ b/tests/core/test_limits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from baobabthread.core.limits import (
+from baobabthread.core.limits.limits import (
     AccountLimit,
     AdaptiveLimit,
     LimitSettings,
@@ -10,7 +10,7 @@
     Shedder,
     SheddingSettings,
 )
-from baobabthread.core.rates import Elsewhere
+from baobabthread.core.limits.rates import Elsewhere
 
 
 def run_rounds(limit: AdaptiveLimit, *, servers: int, rounds: int, start: float = 0.0):
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -10,10 +10,14 @@
 import msgspec
 import pytest
 
-from baobabthread.core.freshness import Freshness, FreshnessSettings, FreshnessState
-from baobabthread.core.membership import Membership
-from baobabthread.core.membership_gossip import GossipStore, measure
-from baobabthread.core.membership_messages import (
+from baobabthread.core.configuration.freshness import (
+    Freshness,
+    FreshnessSettings,
+    FreshnessState,
+)
+from baobabthread.core.membership.gossip import GossipStore, measure
+from baobabthread.core.membership.membership import Membership
+from baobabthread.core.membership.messages import (
     FetchRecords,
     GossipPayload,
     Hint,
--- a/tests/core/test_orders.py
+++ b/tests/core/test_orders.py
@@ -8,9 +8,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from baobabthread.core.leases import Lease
 from baobabthread.core.messages import LogRead, LogRecord, Stream
-from baobabthread.core.orders import (
+from baobabthread.core.rollouts.leases import Lease
+from baobabthread.core.rollouts.orders import (
     EngineReport,
     OrderEngine,
     Orders,
--- a/tests/core/test_quality.py
+++ b/tests/core/test_quality.py
@@ -8,11 +8,11 @@
 import msgspec
 import pytest
 
-from baobabthread.core.configuration import VersionState
-from baobabthread.core.detectors import Alarm, Detector, Observation
-from baobabthread.core.quality import DETECTORS, RATING_SHARE, BettingDetector
-from baobabthread.core.selection import Damped, Selection, choose_versions
-from baobabthread.core.tallies import Concern, Tallies, TallyKey
+from baobabthread.core.configuration.configuration import VersionState
+from baobabthread.core.models.selection import Damped, Selection, choose_versions
+from baobabthread.core.rollouts.detectors import Alarm, Detector, Observation
+from baobabthread.core.rollouts.quality import DETECTORS, RATING_SHARE, BettingDetector
+from baobabthread.core.rollouts.tallies import Concern, Tallies, TallyKey
 
 CALLS = ("draft", "translate")
 
--- a/tests/core/test_retries.py
+++ b/tests/core/test_retries.py
@@ -2,7 +2,7 @@
 
 import random
 
-from baobabthread.core.retries import Attempt, RetryBudget, RetrySettings
+from baobabthread.core.limits.retries import Attempt, RetryBudget, RetrySettings
 from baobabthread.errors import Ran
 
 
--- a/tests/core/test_rollout.py
+++ b/tests/core/test_rollout.py
@@ -5,7 +5,10 @@
 import msgspec
 import pytest
 
-from baobabthread.core.conducting import (
+from baobabthread.core.configuration.configuration import Rollout, VersionState
+from baobabthread.core.messages import LogRecord
+from baobabthread.core.models.selection import Barred, Selection, choose_versions
+from baobabthread.core.rollouts.conducting import (
     LEAST_OUTCOMES,
     LEAST_PATIENCE_S,
     Advance,
@@ -15,9 +18,7 @@
     Situation,
     next_step,
 )
-from baobabthread.core.configuration import Rollout, VersionState
-from baobabthread.core.messages import LogRecord
-from baobabthread.core.rollout import (
+from baobabthread.core.rollouts.rollout import (
     Phase,
     PlannedRollout,
     Quarantined,
@@ -28,7 +29,6 @@
     StepAdvanced,
     encode_record,
 )
-from baobabthread.core.selection import Barred, Selection, choose_versions
 
 PLAN = PlannedRollout(
     id="spring@3",
--- a/tests/core/test_sessions.py
+++ b/tests/core/test_sessions.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from baobabthread.core.configuration import (
+from baobabthread.core.configuration.configuration import (
     Account,
     Configuration,
     Service,
@@ -17,10 +17,9 @@
     Version,
     VersionState,
 )
-from baobabthread.core.membership_messages import MemberInfo
+from baobabthread.core.membership.messages import MemberInfo
 from baobabthread.core.rendezvous import choose
-from baobabthread.core.session_transfers import SessionTransfers
-from baobabthread.core.sessions import (
+from baobabthread.core.sessions.sessions import (
     Holders,
     Moved,
     MoveReason,
@@ -36,6 +35,7 @@
     name_session,
     resolve,
 )
+from baobabthread.core.sessions.transfers import SessionTransfers
 
 OLD = SessionKey(id="k1", secret=b"1" * 32)
 NEW = SessionKey(id="k2", secret=b"2" * 32)
--- a/tests/core/test_silent_owners.py
+++ b/tests/core/test_silent_owners.py
@@ -4,16 +4,16 @@
 
 import msgspec
 
-from baobabthread.core.billtypes import (
+from baobabthread.core.billing.ledger import Ledger
+from baobabthread.core.billing.types import (
     BillOutcome,
     BillRecord,
     CopyBills,
     OpenBill,
     Peer,
 )
-from baobabthread.core.claims import Claims
-from baobabthread.core.claimtypes import ClaimRequest, Forward, Refuse
-from baobabthread.core.ledger import Ledger
+from baobabthread.core.claims.claims import Claims
+from baobabthread.core.claims.types import ClaimRequest, Forward, Refuse
 from baobabthread.core.messages import Append, Appended, Effects, Stream
 
 OWNER = Peer(name="e1", failure_domain="south")
--- a/tests/failures/test_claims_matrix.py
+++ b/tests/failures/test_claims_matrix.py
@@ -16,11 +16,13 @@
 import msgspec
 import pytest
 
-from baobabthread.core import handover
-from baobabthread.core.claimentry import Entry
-from baobabthread.core.claimfold import ClaimFold
-from baobabthread.core.claims import Claims
-from baobabthread.core.claimtypes import (
+from baobabthread.core.claims import handover
+from baobabthread.core.claims.claims import Claims
+from baobabthread.core.claims.entry import Entry
+from baobabthread.core.claims.fold import ClaimFold
+from baobabthread.core.claims.handover import HandedTables, HandOver, Outcome
+from baobabthread.core.claims.keys import ClaimKey
+from baobabthread.core.claims.types import (
     ClaimRequest,
     ClaimSettings,
     Dispatch,
@@ -29,8 +31,6 @@
     Refuse,
     Replay,
 )
-from baobabthread.core.handover import HandedTables, HandOver, Outcome
-from baobabthread.core.keys import ClaimKey
 from baobabthread.core.messages import (
     Append,
     AppendFailed,
--- a/tests/failures/test_configuration_matrix.py
+++ b/tests/failures/test_configuration_matrix.py
@@ -14,18 +14,28 @@
 import msgspec
 import pytest
 
-from baobabthread.core.control import ConfigurationRelay, FetchConfiguration
-from baobabthread.core.fold import ConfigurationFold
-from baobabthread.core.fold_checkpoint import CheckpointPlanner, CheckpointSettings
-from baobabthread.core.fold_publisher import NotAppended, Publisher, Unknown
-from baobabthread.core.fold_records import (
+from baobabthread.core.configuration.checkpoint import (
+    CheckpointPlanner,
+    CheckpointSettings,
+)
+from baobabthread.core.configuration.control import (
+    ConfigurationRelay,
+    FetchConfiguration,
+)
+from baobabthread.core.configuration.fold import ConfigurationFold
+from baobabthread.core.configuration.freshness import (
+    Freshness,
+    FreshnessSettings,
+    FreshnessState,
+)
+from baobabthread.core.configuration.publisher import NotAppended, Publisher, Unknown
+from baobabthread.core.configuration.records import (
     Accepted,
     Publish,
     Relay,
     SectionState,
     Snapshot,
 )
-from baobabthread.core.freshness import Freshness, FreshnessSettings, FreshnessState
 from baobabthread.core.messages import (
     AppendFailed,
     Effects,
--- a/tests/failures/test_leases_matrix.py
+++ b/tests/failures/test_leases_matrix.py
@@ -16,8 +16,6 @@
 import msgspec
 import pytest
 
-from baobabthread.core.leasefold import LeaseClaim, LeaseFold, LeaseRenewal
-from baobabthread.core.leases import Lease, LeaseSettings
 from baobabthread.core.messages import (
     AppendFailed,
     Effects,
@@ -25,7 +23,9 @@
     LogRecord,
     Stream,
 )
-from baobabthread.core.orders import OrderEngine, Orders
+from baobabthread.core.rollouts.leasefold import LeaseClaim, LeaseFold, LeaseRenewal
+from baobabthread.core.rollouts.leases import Lease, LeaseSettings
+from baobabthread.core.rollouts.orders import OrderEngine, Orders
 from tests.core.test_orders import ORDER_EXAMPLES
 from tests.core.test_orders import (
     test_orders_converge_and_never_starve_a_version as run_order_histories,
--- a/tests/failures/test_ledger_matrix.py
+++ b/tests/failures/test_ledger_matrix.py
@@ -14,10 +14,11 @@
 import msgspec
 import pytest
 
-from baobabthread.core.billcopies import BillCopies
-from baobabthread.core.billlinks import Link
-from baobabthread.core.bills import BillFold
-from baobabthread.core.billtypes import (
+from baobabthread.core.billing.bills import BillFold
+from baobabthread.core.billing.copies import BillCopies
+from baobabthread.core.billing.ledger import Ledger
+from baobabthread.core.billing.links import Link
+from baobabthread.core.billing.types import (
     BilledAttempt,
     BillOpened,
     BillOutcome,
@@ -32,7 +33,6 @@
     Settlement,
     name_bill,
 )
-from baobabthread.core.ledger import Ledger
 from baobabthread.core.messages import (
     Appended,
     AppendFailed,
--- a/tests/failures/test_membership_matrix.py
+++ b/tests/failures/test_membership_matrix.py
@@ -16,18 +16,18 @@
 import msgspec
 import pytest
 
-from baobabthread.core.configuration import OnStale
-from baobabthread.core.control import (
+from baobabthread.core.configuration.configuration import OnStale
+from baobabthread.core.configuration.control import (
     ConfigurationRelay,
     Control,
     FetchConfiguration,
 )
-from baobabthread.core.fold_records import Publish
-from baobabthread.core.freshness import Freshness, FreshnessState
-from baobabthread.core.membership import Membership
-from baobabthread.core.membership_detector import Detector
-from baobabthread.core.membership_messages import MemberInfo, MemberState
-from baobabthread.core.membership_table import MemberTable
+from baobabthread.core.configuration.freshness import Freshness, FreshnessState
+from baobabthread.core.configuration.records import Publish
+from baobabthread.core.membership.detector import Detector
+from baobabthread.core.membership.membership import Membership
+from baobabthread.core.membership.messages import MemberInfo, MemberState
+from baobabthread.core.membership.table import MemberTable
 from baobabthread.core.messages import (
     Append,
     AppendFailed,
--- a/tests/failures/test_requests_matrix.py
+++ b/tests/failures/test_requests_matrix.py
@@ -14,7 +14,6 @@
 import msgspec
 import pytest
 
-from baobabthread.core import choices, dispatching, endings
 from baobabthread.core.events import (
     Answered,
     AttemptOutcome,
@@ -28,6 +27,8 @@
     RosterRead,
 )
 from baobabthread.core.messages import Append, Stream
+from baobabthread.core.models import choices
+from baobabthread.core.requests import dispatching, endings
 from baobabthread.errors import Ran
 from tests.core.lone import SURE, WEAK, Lone, write_text
 from tests.failures.mutants import Promise, ProofResult, mutant, proof
@@ -267,7 +268,9 @@
 
 @mutant("non-idempotent calls are retried", promise=Promise.ONCE, check=check_some)
 def retry_all(patch: Patch) -> None:
-    patch.setattr("baobabthread.core.retries.is_repeatable", lambda attempt: True)
+    patch.setattr(
+        "baobabthread.core.limits.retries.is_repeatable", lambda attempt: True
+    )
 
 
 @mutant("a broken attempt counts as not run", promise=Promise.NOT_RUN, check=check_some)
--- a/tests/histories/configuration_model.py
+++ b/tests/histories/configuration_model.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from baobabthread.core.configuration import merge_sections, parse_section
-from baobabthread.core.fold_records import Publish
+from baobabthread.core.configuration.configuration import merge_sections, parse_section
+from baobabthread.core.configuration.records import Publish
 from baobabthread.core.messages import LogRecord
 from baobabthread.errors import ConfigurationError
 
--- a/tests/histories/test_billing_history.py
+++ b/tests/histories/test_billing_history.py
@@ -22,9 +22,10 @@
     run_state_machine_as_test,
 )
 
-from baobabthread.core.billcopies import BillCopies
-from baobabthread.core.bills import BillFold
-from baobabthread.core.billtypes import (
+from baobabthread.core.billing.bills import BillFold
+from baobabthread.core.billing.copies import BillCopies
+from baobabthread.core.billing.ledger import Ledger
+from baobabthread.core.billing.types import (
     BillOpened,
     BillOutcome,
     BillRecord,
@@ -35,7 +36,6 @@
     Settlement,
     name_bill,
 )
-from baobabthread.core.ledger import Ledger
 from baobabthread.core.messages import (
     Append,
     Appended,
--- a/tests/histories/test_claims_history.py
+++ b/tests/histories/test_claims_history.py
@@ -20,8 +20,10 @@
     run_state_machine_as_test,
 )
 
-from baobabthread.core.claims import Claims
-from baobabthread.core.claimtypes import (
+from baobabthread.core.claims.claims import Claims
+from baobabthread.core.claims.handover import HandOver, Outcome
+from baobabthread.core.claims.keys import ClaimKey
+from baobabthread.core.claims.types import (
     ClaimRequest,
     ClaimSettings,
     Dispatch,
@@ -30,8 +32,6 @@
     Refuse,
     Replay,
 )
-from baobabthread.core.handover import HandOver, Outcome
-from baobabthread.core.keys import ClaimKey
 from baobabthread.core.messages import (
     Append,
     AppendFailed,
--- a/tests/histories/test_configuration_history.py
+++ b/tests/histories/test_configuration_history.py
@@ -23,9 +23,9 @@
     run_state_machine_as_test,
 )
 
-from baobabthread.core.fold import ConfigurationFold
-from baobabthread.core.fold_publisher import Publisher
-from baobabthread.core.fold_records import (
+from baobabthread.core.configuration.fold import ConfigurationFold
+from baobabthread.core.configuration.publisher import Publisher
+from baobabthread.core.configuration.records import (
     Accepted,
     Conflict,
     Invalid,
--- a/tests/histories/test_session_history.py
+++ b/tests/histories/test_session_history.py
@@ -21,11 +21,10 @@
     run_state_machine_as_test,
 )
 
-from baobabthread.core import sessions as sessions_module
-from baobabthread.core.configuration import Configuration, VersionState
+from baobabthread.core.configuration.configuration import Configuration, VersionState
 from baobabthread.core.rendezvous import choose
-from baobabthread.core.session_tokens import SessionKey, SessionKeyRing
-from baobabthread.core.sessions import (
+from baobabthread.core.sessions import sessions as sessions_module
+from baobabthread.core.sessions.sessions import (
     Moved,
     NoVersion,
     Pin,
@@ -33,6 +32,7 @@
     Started,
     resolve,
 )
+from baobabthread.core.sessions.tokens import SessionKey, SessionKeyRing
 from tests.core.test_sessions import write_configuration
 from tests.failures.mutants import Promise, ProofResult, mutant, proof
 
--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -15,7 +15,7 @@
 
 from baobabthread.adapters.platform import LogClient
 from baobabthread.core.messages import LogRecord, Stream
-from baobabthread.load import LoadSettings, Work
+from baobabthread.load.tool import LoadSettings, Work
 
 LIVENESS_S = 45.0
 """Bound on each wait: it tells a run that hangs from one that is slow."""
--- a/tests/processes/test_cut.py
+++ b/tests/processes/test_cut.py
@@ -8,7 +8,7 @@
 
 from bench._cluster import Cluster, Entry
 
-from baobabthread.load_caller import Result
+from baobabthread.load.caller import Result
 from tests.processes.cut_entry import CUTS_VARIABLE
 from tests.processes.support import (
     count_warned,
--- a/tests/processes/test_kill.py
+++ b/tests/processes/test_kill.py
@@ -9,7 +9,7 @@
 
 from bench.stop import BROKEN, Ended, is_explained
 
-from baobabthread.load_caller import Result
+from baobabthread.load.caller import Result
 from tests.processes.support import (
     GONE,
     count_warned,
--- a/tests/processes/test_pause.py
+++ b/tests/processes/test_pause.py
@@ -9,8 +9,8 @@
 
 from bench._cluster import Cluster, Entry
 
-from baobabthread.core.leasefold import LeaseFold
 from baobabthread.core.messages import Stream
+from baobabthread.core.rollouts.leasefold import LeaseFold
 from tests.processes.support import (
     count_warned,
     find_states,
--- a/tests/processes/test_walk.py
+++ b/tests/processes/test_walk.py
@@ -11,8 +11,8 @@
 from bench._cluster import Cluster, Entry
 from bench._processes import OPERATOR_KEY
 
-from baobabthread.core.billtypes import BillOutcome
-from baobabthread.load_caller import Result
+from baobabthread.core.billing.types import BillOutcome
+from baobabthread.load.caller import Result
 from tests.processes.support import (
     count_warned,
     open_cluster,
--- a/tests/routing/test_queues.py
+++ b/tests/routing/test_queues.py
@@ -9,8 +9,8 @@
 
 import random
 
-from baobabthread.core.configuration import Priority
-from baobabthread.core.fairness import Waiting
+from baobabthread.core.configuration.configuration import Priority
+from baobabthread.core.limits.fairness import Waiting
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.budget import make_budget
 from baobabthread.routing.queues import LEAST_RUNNING, ServiceQueue, classify
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from baobabthread.core.configuration import (
+from baobabthread.core.configuration.configuration import (
     MAX_TEXT_BYTES,
     Configuration,
     Priority,
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -6,7 +6,7 @@
 import pytest
 
 from baobabthread import cli
-from baobabthread.core.billtypes import BillOutcome, BillRecord
+from baobabthread.core.billing.types import BillOutcome, BillRecord
 from baobabthread.demo import (
     BillCheck,
     DemoReport,
@@ -14,8 +14,8 @@
     move_addresses,
     read_example,
 )
-from baobabthread.load_caller import Record, Result
-from baobabthread.load_settings import Work
+from baobabthread.load.caller import Record, Result
+from baobabthread.load.settings import Work
 from baobabthread.standins.fleet import Fleet
 
 ZEROS = (
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -24,10 +24,14 @@
 
 from baobabthread.cli import Baobabthread, run
 from baobabthread.commands.options import list_arguments
-from baobabthread.core.backends import Health
-from baobabthread.core.configuration import SectionText, merge_sections, parse_section
-from baobabthread.core.freshness import FreshnessState
-from baobabthread.core.rollout import Phase
+from baobabthread.core.backends.backends import Health
+from baobabthread.core.configuration.configuration import (
+    SectionText,
+    merge_sections,
+    parse_section,
+)
+from baobabthread.core.configuration.freshness import FreshnessState
+from baobabthread.core.rollouts.rollout import Phase
 from baobabthread.errors import Kind
 from baobabthread.instance.metrics import Metrics
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from baobabthread.core.backends import Health
+from baobabthread.core.backends.backends import Health
 from tests.shell import (
     STATUS,
     TEXT,
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -13,9 +13,9 @@
 
 from baobabthread.adapters.engines import EngineClient, PlainClient, open_session
 from baobabthread.errors import UsageError
-from baobabthread.load import LoadAccount, LoadReport, LoadSettings, Work, run_load
-from baobabthread.load_report import make_histogram, read_percentiles
-from baobabthread.load_table import render_report
+from baobabthread.load.report import make_histogram, read_percentiles
+from baobabthread.load.table import render_report
+from baobabthread.load.tool import LoadAccount, LoadReport, LoadSettings, Work, run_load
 from baobabthread.ports.engine import Answer, Chunk, End
 from baobabthread.ports.plain import PlainAnswer
 from baobabthread.standins.fleet import Fleet
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections import Counter
 
-from baobabthread.core.rollout import Phase
-from baobabthread.core.selection import Barred
+from baobabthread.core.models.selection import Barred
+from baobabthread.core.rollouts.rollout import Phase
 from tests.shell import Shell, run_case
 
 MOST = 4_000
