--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -44,6 +44,8 @@
         self._store = store
         self._formats = formats
         self._written: dict[str, RolloutStatus] = {}
+        self._early: frozenset[int] | None = None
+        """Orders that were there when this instance learnt its first configuration."""
         self._is_recalled = False
         self._sharing: dict[str, float] = {}
 
@@ -58,11 +60,17 @@
 
     async def _step(self) -> None:
         moment = now()
-        if self._knowledge.orders and not self._is_recalled:
+        if self._knowledge.table is None:
+            return
+        orders = self._knowledge.orders
+        if self._early is None:
+            self._early = frozenset(order.number for order in orders.values())
+        if self._early and not self._is_recalled:
+            # An order that came later can't have been carried out before.
             await self._recall()
-        for name, order in list(self._knowledge.orders.items()):
+        for name, order in list(orders.items()):
             plan = self._services.get(name).plan
-            plan.take_order(order, moment)
+            plan.take_order(order, moment, saw_before=order.number not in self._early)
             self._peers.desk.begin(plan)
             self._listen(plan)
             usable = order.target in self._backends.versions(name)
@@ -84,7 +92,8 @@
             if status is None or status.service not in self._knowledge.orders:
                 continue
             plan = self._services.get(status.service).plan
-            plan.take_order(self._knowledge.orders[status.service], now())
+            order = self._knowledge.orders[status.service]
+            plan.take_order(order, now(), saw_before=False)
             self._adopt(plan, status, "store")
 
     def _listen(self, plan: VersionPlan) -> None:
--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -24,9 +24,9 @@
 from baobabthread.routing.configuration import RoutingConfiguration
 from baobabthread.routing.knowledge import Knowledge
 
-OPERATORS_WAIT_S = 0.5
+OPERATORS_WAIT_S = 0.7
 """How long the store holds a read that finds nothing new: a change is heard at once,
-and what a reader knows is never older than twice this while the store answers."""
+and with the period of questions what the others know is 1.1 s old at most."""
 BACKENDS_POLL_S = 0.5
 """Pause between reads of the backend servers' records: their pings alone would end a
 held read ten times a second, and each call has its price."""
@@ -39,7 +39,14 @@
 LEAST_PAUSE_S = 0.1
 MOST_PAUSE_S = 0.5
 """Pause between calls that fail: many instances that ask a store that is just back
-must not take it down again, and none may be late by more than this."""
+must not take it down again, and no reader may be late by more than this."""
+PAUSE_BY_MEMBER_S = 1 / 30
+"""Pause for each member at an instance that isn't a reader: all together they ask a
+store that is away 30 times a second, however many they are. Readers find out that it is
+back, and the others hear it from them."""
+SEVERAL = 2
+"""Records behind from which the newest of each key are read: of a row of large
+configurations only the last one counts, and a slow link would carry them all."""
 
 AskPeer = Callable[[], Awaitable[None]]
 
@@ -86,9 +93,13 @@
     async def _step(self) -> None:
         if self._next is None:
             await self._load()
+            return
+        # A peer may have told what came since the last own read.
+        start = max(self._next, self._known_end)
+        if self._heard_end - start >= SEVERAL:
+            await self._load()
         else:
-            # A peer may have told what came since the last own read.
-            await self._follow(max(self._next, self._known_end))
+            await self._follow(start)
 
     async def _load(self) -> None:
         asked_at = now()
@@ -143,6 +154,11 @@
     def _known_end(self) -> int:
         """Return how far the topic is known, by whomever."""
 
+    @property
+    def _heard_end(self) -> int:
+        """Return how far the topic goes by a peer's word; 0 where nobody tells."""
+        return 0
+
     @abc.abstractmethod
     def _take(self, record: Record) -> None:
         """Take over one record."""
@@ -178,7 +194,10 @@
         self._failures += 1
 
     def _choose_pause(self) -> float:
-        ceiling = min(MOST_PAUSE_S, LEAST_PAUSE_S * 2.0 ** min(8, self._failures))
+        most = MOST_PAUSE_S
+        if not self._relay.is_reader:
+            most = max(most, PAUSE_BY_MEMBER_S * self._relay.members)
+        ceiling = min(most, LEAST_PAUSE_S * 2.0 ** min(8, self._failures))
         return ceiling * (0.5 + 0.5 * self._rng.random())
 
 
@@ -197,6 +216,10 @@
     def _known_end(self) -> int:
         return self._knowledge.operators_end
 
+    @property
+    def _heard_end(self) -> int:
+        return self._relay.heard_end
+
     @property
     def _wait_s(self) -> float:
         # An instance that reads once, for a change or an age, needs the answer now.
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -38,6 +38,7 @@
     FindPlan,
     SessionDesk,
     SessionsInUse,
+    UsesNoted,
     VersionIs,
 )
 from baobabthread.instance.settings import InstanceSettings
@@ -144,7 +145,9 @@
             case VersionIs():
                 self.desk.take(message)
             case SessionsInUse():
-                self.desk.take_uses(message)
+                self.desk.take_uses(sender, message)
+            case UsesNoted():
+                self.desk.take_confirmation(message)
             case _:
                 self._run(self.membership.handle(sender, message, now()))
 
@@ -163,6 +166,7 @@
             self._run(self.membership.tick(now()))
             self._note_members()
             self.relay.tick()
+            self.desk.tick()
             await asyncio.sleep(TICK_S)
 
     def leave(self) -> None:
--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -18,11 +18,11 @@
 from baobabthread.instance.clock import now
 from baobabthread.routing.knowledge import Knowledge
 
-SMALL = 16
-"""Members up to which two readers serve all."""
-MEMBERS_PER_READER = 20
-"""Members for each reader beyond that: each call to the store has its price, and a
-reader then answers some fifty small questions a second."""
+LEAST_READERS = 2
+"""Readers of a small installation, so that one may fall out unnoticed."""
+MEMBERS_PER_READER = 40
+"""Members for each reader: each call to the store has its price, and a reader then
+answers a hundred small questions a second, about 1.5 % of a core."""
 ASK_PERIOD_S = 0.4
 PATIENCE_S = 0.25
 """Time after which a question counts as unanswered, and the next reader is asked."""
@@ -101,6 +101,16 @@
         """Note which instances serve, this one included."""
         self._alive = names or [self._me]
 
+    @property
+    def members(self) -> int:
+        """Give how many instances serve, this one included."""
+        return len(self._alive)
+
+    @property
+    def heard_end(self) -> int:
+        """Give the end of the operators' log by anybody's word."""
+        return self._heard_end
+
     @property
     def is_reader(self) -> bool:
         """Tell whether this instance follows the store for others."""
@@ -140,7 +150,7 @@
             self._misses += 1
         self._sequence += 1
         self._asked[self._sequence] = moment
-        self._tell(self._choose_reader(), AskKnowledge(sequence=self._sequence))
+        self._tell(self._choose_peer(moment), AskKnowledge(sequence=self._sequence))
 
     def answer(self, sender: str, question: AskKnowledge) -> None:
         """Answer a question and remember who asked."""
@@ -152,7 +162,7 @@
         knowledge = self._knowledge
         asked_at = self._asked.pop(word.sequence, None)
         if asked_at is not None:
-            self._misses = 0
+            self._note_answer(word)
             knowledge.freshness.hear(
                 head_age_s=word.operators_age_s,
                 read_offset=word.operators_end,
@@ -167,14 +177,22 @@
             )
 
     def _readers(self) -> list[str]:
-        count = 2
-        if len(self._alive) > SMALL:
-            count = math.ceil(len(self._alive) / MEMBERS_PER_READER)
-        return rank("readers", self._alive)[:count]
+        count = math.ceil(len(self._alive) / MEMBERS_PER_READER)
+        return rank("readers", self._alive)[: max(LEAST_READERS, count)]
+
+    def _note_answer(self, word: KnowledgeIs) -> None:
+        is_old = word.operators_age_s > OPERATORS_LIMIT_S
+        self._misses = self._misses + 1 if is_old else 0
 
-    def _choose_reader(self) -> str:
+    def _choose_peer(self, moment: float) -> str:
         readers = rank(self._me, self._readers())
-        return readers[self._misses % len(readers)]
+        if self._knowledge.operators_age(moment) <= OPERATORS_LIMIT_S:
+            return readers[self._misses % len(readers)]
+        # The store may turn away all readers and serve the others, or serve only some:
+        # whoever is fresh can tell. Each question goes to another member, since asking
+        # the readers alone would refuse every key while most instances know them.
+        others = [name for name in rank(self._me, self._alive) if name != self._me]
+        return others[self._misses % len(others)] if others else self._me
 
     def _tell_changes(self, moment: float) -> None:
         knowledge = self._knowledge
--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -3,7 +3,8 @@
 Callers send a session's requests to any instance, two of them in the same second. By
 itself one instance would move the session and another one keep it; word spread by
 gossip comes too late. The instance that stands first for the session decides, at the
-price of a question and an answer for the few requests that the trial may move.
+price of a question and an answer for the few requests that the trial may move. The
+second one knows the same, for the time when the first is stopped.
 """
 
 from __future__ import annotations
@@ -19,7 +20,14 @@
 
 ANSWER_S = 0.08
 """Time for the answer, several times a trip between failure domains; without one the
-session stays on the old version, which never harms it."""
+next instance is asked."""
+DECIDERS = 2
+"""Instances that are told of a session in use, and asked one after the other: the first
+may have started after the order and know nothing."""
+REPEAT_S = 0.15
+"""Time after which word of sessions in use is sent again: datagrams get lost, and a
+session that its decider doesn't know would move in the middle of a conversation."""
+MOST_TRIES = 8
 
 
 class AskVersion(msgspec.Struct, frozen=True, kw_only=True, tag="session.ask"):
@@ -36,24 +44,51 @@
     """Tell whether it does."""
 
     sequence: int
-    is_new: bool
+    is_new: bool | None
+    """None where the one who was asked can't know."""
 
 
 class SessionsInUse(msgspec.Struct, frozen=True, kw_only=True, tag="session.uses"):
     """Tell which sessions are in use on the old version."""
 
+    sequence: int
     service: str
     number: int
     ages: dict[str, float]
     """Seconds since the last request of each."""
 
 
-SESSION_MESSAGES = (AskVersion, VersionIs, SessionsInUse)
+class UsesNoted(msgspec.Struct, frozen=True, kw_only=True, tag="session.noted"):
+    """Confirm word of sessions in use."""
+
+    sequence: int
+
+
+SESSION_MESSAGES = (AskVersion, VersionIs, SessionsInUse, UsesNoted)
 
 Tell = Callable[[str, msgspec.Struct], None]
 FindPlan = Callable[[str], VersionPlan]
 
 
+class _Unconfirmed:
+    __slots__ = ("message", "sent_at", "to", "told_at", "tries")
+
+    def __init__(self, *, to: str, message: SessionsInUse, moment: float) -> None:
+        self.to = to
+        self.message = message
+        self.told_at = moment
+        self.sent_at = moment
+        self.tries = 1
+
+    def renew(self, moment: float) -> SessionsInUse:
+        """Return the message with the ages of now, and count a try."""
+        passed_s = moment - self.told_at
+        self.sent_at = moment
+        self.tries += 1
+        ages = {s: round(age + passed_s, 2) for s, age in self.message.ages.items()}
+        return msgspec.structs.replace(self.message, ages=ages)
+
+
 class SessionDesk:
     """Ask the deciding instance, and answer for the sessions decided here."""
 
@@ -65,6 +100,7 @@
         "_me",
         "_sequence",
         "_tell",
+        "_unconfirmed",
     )
 
     def __init__(self, *, me: str, tell: Tell, find_plan: FindPlan) -> None:
@@ -72,9 +108,10 @@
         self._tell = tell
         self._find_plan = find_plan
         self._alive: list[str] = [me]
-        self._asked: dict[int, asyncio.Future[bool]] = {}
+        self._asked: dict[int, asyncio.Future[bool | None]] = {}
         self._handed: dict[str, int] = {}
         self._sequence = 0
+        self._unconfirmed: dict[int, _Unconfirmed] = {}
 
     def set_members(self, names: list[str]) -> None:
         """Note which instances serve, this one included."""
@@ -82,11 +119,24 @@
 
     async def decide(self, plan: VersionPlan, session: str) -> bool:
         """Return whether a contested session's request goes to the new version."""
-        home = self._find_home(session)
-        if home == self._me or plan.order is None:
-            return plan.decide(session, now())
+        if plan.order is None:
+            return False
+        for name in rank(session, self._alive)[:DECIDERS]:
+            if name == self._me:
+                is_new = self._decide_here(plan, session)
+            else:
+                is_new = await self._ask(name, plan, session)
+            if is_new is not None:
+                return is_new
+        # Somebody may have decided to move it, and the answer was lost.
+        self._hand_over(plan, {session: 0.0})
+        return False
+
+    async def _ask(self, name: str, plan: VersionPlan, session: str) -> bool | None:
+        assert plan.order is not None
         self._sequence += 1
-        answer: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        answer: asyncio.Future[bool | None]
+        answer = asyncio.get_running_loop().create_future()
         self._asked[self._sequence] = answer
         question = AskVersion(
             sequence=self._sequence,
@@ -95,16 +145,16 @@
             session=session,
         )
         try:
-            self._tell(home, question)
+            self._tell(name, question)
             async with asyncio.timeout(ANSWER_S):
                 return await answer
         except TimeoutError:
-            return False
+            return None
         finally:
             self._asked.pop(question.sequence, None)
 
     def note_end(self, plan: VersionPlan, session: str) -> None:
-        """Tell the deciding instance that a request on the old version has ended."""
+        """Tell the deciding instances that a request on the old version has ended."""
         if plan.is_contested(session, now()):
             self._hand_over(plan, {session: 0.0})
 
@@ -116,11 +166,22 @@
         self._handed[plan.service] = order.number
         self._hand_over(plan, plan.list_uses(now()))
 
+    def tick(self) -> None:
+        """Send again what nobody has confirmed."""
+        moment = now()
+        for sequence, waiting in list(self._unconfirmed.items()):
+            if moment - waiting.sent_at < REPEAT_S:
+                continue
+            if waiting.tries >= MOST_TRIES:
+                del self._unconfirmed[sequence]
+                continue
+            self._tell(waiting.to, waiting.renew(moment))
+
     def answer(self, sender: str, question: AskVersion) -> None:
         """Decide for another instance."""
         plan = self._find_plan(question.service)
         known = plan.order is not None and plan.order.number == question.number
-        is_new = known and plan.decide(question.session, now())
+        is_new = self._decide_here(plan, question.session) if known else None
         self._tell(sender, VersionIs(sequence=question.sequence, is_new=is_new))
 
     def take(self, word: VersionIs) -> None:
@@ -129,25 +190,42 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(word.is_new)
 
-    def take_uses(self, uses: SessionsInUse) -> None:
+    def take_uses(self, sender: str, uses: SessionsInUse) -> None:
         """Take in which sessions are in use elsewhere."""
         plan = self._find_plan(uses.service)
-        if plan.order is not None and plan.order.number == uses.number:
-            plan.take_uses(uses.ages, now())
+        if plan.order is None or plan.order.number != uses.number:
+            # The order is on its way here; the sender tells again.
+            return
+        plan.take_uses(uses.ages, now())
+        self._tell(sender, UsesNoted(sequence=uses.sequence))
+
+    def take_confirmation(self, word: UsesNoted) -> None:
+        """Note that word of sessions in use has arrived."""
+        self._unconfirmed.pop(word.sequence, None)
+
+    def _decide_here(self, plan: VersionPlan, session: str) -> bool | None:
+        return plan.decide(session, now()) if plan.saw_before else None
 
     def _hand_over(self, plan: VersionPlan, ages: dict[str, float]) -> None:
-        assert plan.order is not None
-        by_home: dict[str, dict[str, float]] = {}
+        by_decider: dict[str, dict[str, float]] = {}
         for session, age_s in ages.items():
-            by_home.setdefault(self._find_home(session), {})[session] = age_s
-        for home, theirs in by_home.items():
-            if home == self._me:
+            for name in rank(session, self._alive)[:DECIDERS]:
+                by_decider.setdefault(name, {})[session] = age_s
+        for name, theirs in by_decider.items():
+            if name == self._me:
                 plan.take_uses(theirs, now())
-                continue
-            uses = SessionsInUse(
-                service=plan.service, number=plan.order.number, ages=theirs
-            )
-            self._tell(home, uses)
+            else:
+                self._send_uses(name, plan, theirs)
 
-    def _find_home(self, session: str) -> str:
-        return rank(session, self._alive)[0]
+    def _send_uses(self, to: str, plan: VersionPlan, ages: dict[str, float]) -> None:
+        assert plan.order is not None
+        self._sequence += 1
+        uses = SessionsInUse(
+            sequence=self._sequence,
+            service=plan.service,
+            number=plan.order.number,
+            ages=ages,
+        )
+        waiting = _Unconfirmed(to=to, message=uses, moment=now())
+        self._unconfirmed[self._sequence] = waiting
+        self._tell(to, uses)
--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -31,6 +31,11 @@
 
 MAX_ANSWER_BYTES = 16_000_000
 MAX_READ_KB = 1024
+STALL_S = 0.6
+"""Silence after which an answer that has begun counts as broken off."""
+LONGEST_ANSWER_S = 6.0
+"""Longest time for an answer that keeps coming: a configuration of two thousand routes
+takes a second over a link of 5 Mbit/s, a few of them in a row several."""
 LENGTH_BYTES = 4
 OFFSETS_BYTES = 16
 T = TypeVar("T")
@@ -146,9 +151,9 @@
             async with asyncio.timeout(timeout_s):
                 connection = await self._pool.send(head, body)
                 response: Response = await self._pool.receive(connection)
-                answer = await response.read(MAX_ANSWER_BYTES)
-                response.finish()
-                connection = None
+            answer = await _read_steadily(response)
+            response.finish()
+            connection = None
         except (BrokenError, NotSentError, TimeoutError) as error:
             raise StoreError(f"{path}: {error or 'no answer in time'}") from error
         finally:
@@ -157,6 +162,24 @@
         return _Answer(status=response.status, body=answer)
 
 
+async def _read_steadily(response: Response) -> bytes:
+    """Return the body of an answer as long as it keeps coming.
+
+    With one bound for the whole answer an instance on a slow link never gets a large
+    configuration: it breaks off, asks again and fills its link with the same bytes,
+    while it goes on with the configuration before.
+    """
+    chunks = []
+    size = 0
+    async with asyncio.timeout(LONGEST_ANSWER_S):
+        while chunk := await asyncio.wait_for(response.read_some(), STALL_S):
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_ANSWER_BYTES:
+                raise BrokenError("answer too large")
+    return b"".join(chunks)
+
+
 class _Answer(msgspec.Struct, frozen=True, kw_only=True):
     status: int
     body: bytes
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -66,6 +66,7 @@
         "_trial_end",
         "_used",
         "order",
+        "saw_before",
         "service",
         "state",
         "trial",
@@ -85,14 +86,20 @@
         """Sessions whose requests went to the old version from here, and when last."""
         self._used: dict[str, float] = {}
         """The same for the sessions that this instance decides on, from anywhere."""
-        self._moved: set[str] = set()
-        """Those of them that went to the new version."""
-
-    def take_order(self, order: RolloutOrder, now: float) -> bool:
+        self._moved: dict[str, float] = {}
+        """Those of them that went to the new version, and when they first did."""
+        self.saw_before = True
+        """Whether this instance served before the order, so that it was told of the
+        sessions in use; one that started later can't decide on any."""
+
+    def take_order(
+        self, order: RolloutOrder, now: float, *, saw_before: bool = True
+    ) -> bool:
         """Begin with an order; return whether it is news."""
         if self.order is not None and order.number <= self.order.number:
             return False
         self.order = order
+        self.saw_before = saw_before
         self.state = RolloutState.RUNNING
         self.trial = Trial(number=order.number)
         self._started_at = now
@@ -208,13 +215,17 @@
         if now - self._used.get(session, -NEVER_S) < self._pause_s:
             self._used[session] = now
             return False
-        self._moved.add(session)
+        self._moved[session] = now
         return True
 
     def take_uses(self, ages: Mapping[str, float], now: float) -> None:
         """Note sessions on the old version and the seconds since their last request."""
         for session, age_s in ages.items():
-            self._used[session] = max(self._used.get(session, -NEVER_S), now - age_s)
+            used_at = now - age_s
+            self._used[session] = max(self._used.get(session, -NEVER_S), used_at)
+            # Whoever asked did not get the answer and stayed on the old version.
+            if used_at > self._moved.get(session, NEVER_S):
+                del self._moved[session]
 
     def list_uses(self, now: float) -> dict[str, float]:
         """Return the sessions seen here whose turn may come, and how long ago."""
