--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -24,9 +24,9 @@
 from baobabthread.routing.configuration import RoutingConfiguration
 from baobabthread.routing.knowledge import Knowledge
 
-OPERATORS_WAIT_S = 0.7
+OPERATORS_WAIT_S = 0.5
 """How long the store holds a read that finds nothing new: a change is heard at once,
-and with the period of questions what the others know is 1.1 s old at most."""
+and what a reader knows is never older than twice this while the store answers."""
 BACKENDS_POLL_S = 0.5
 """Pause between reads of the backend servers' records: their pings alone would end a
 held read ten times a second, and each call has its price."""
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -28,7 +28,7 @@
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.first: dict[str, int] = {}
         self.fault = ""
-        """One of busy, silent, lost; empty for none."""
+        """One of busy, silent, lost, trickle; empty for none."""
         self.calls: list[str] = []
         self._grown = asyncio.Event()
         self._server: asyncio.Server | None = None
@@ -75,10 +75,29 @@
             return web.Response(status=503)
         query = request.query
         if request.path == "/-/log-newest":
-            return self._answer_newest(query["topic"])
-        if request.path == "/-/log-read":
-            return await self._answer_read(query)
-        return await self._answer_append(query, await request.read())
+            answer = self._answer_newest(query["topic"])
+        elif request.path == "/-/log-read":
+            answer = await self._answer_read(query)
+        else:
+            return await self._answer_append(query, await request.read())
+        if self.fault == "trickle":
+            return await self._trickle(request, answer)
+        return answer
+
+    async def _trickle(
+        self, request: web.BaseRequest, answer: web.Response
+    ) -> web.StreamResponse:
+        """Send an answer in pieces, as a slow link does: 1.2 s for all of it."""
+        body = answer.body
+        assert isinstance(body, bytes)
+        slow = web.StreamResponse(status=answer.status)
+        slow.content_length = len(body)
+        await slow.prepare(request)
+        size = max(1, len(body) // 12)
+        for start in range(0, len(body), size):
+            await asyncio.sleep(0.1)
+            await slow.write(body[start : start + size])
+        return slow
 
     def _answer_newest(self, topic: str) -> web.Response:
         items = [
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -7,7 +7,14 @@
 from typing import Any
 
 from tests.platform.fakes import OPERATORS, call
-from tests.platform.site import Site, open_site, run, wait_for
+from tests.platform.site import (
+    Site,
+    make_configuration,
+    open_site,
+    route,
+    run,
+    wait_for,
+)
 
 
 async def resolve(site: Site, index: int = 0) -> list[str]:
@@ -82,6 +89,50 @@
     run(case())
 
 
+def test_take_a_large_configuration_over_a_slow_link() -> None:
+    """A configuration of many routes takes over a second to arrive.
+
+    An instance that gives the whole answer half a second asks for it for ever and
+    refuses the new routes with 404, long after the operators were told that it counts.
+    """
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            routes = [*make_configuration()["routes"]]  # type: ignore[misc]
+            routes.append(route("/added/", "idempotent"))
+            site.store.fault = "trickle"
+            site.configure(7, routes=routes)
+            await wait_for(
+                lambda: site.instances[0].knowledge.table.configuration.version == 7,
+                4.0,
+            )
+            assert (await site.call("/added/x")).status == 200
+
+    run(case())
+
+
+def test_ask_a_store_that_is_away_seldom() -> None:
+    """The store refuses everybody for two seconds; readers alone ask it often."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            for number in (2, 3, 4, 5, 6):
+                await site.add_instance(f"i{number}", ip=f"127.0.0.{number}")
+            for index in range(6):
+                await site.wait_ready(index)
+            relay = site.instances[0].peers.relay
+            await wait_for(lambda: relay.members == 6)
+            site.store.fault = "busy"
+            await asyncio.sleep(1.6)
+            site.store.calls.clear()
+            await asyncio.sleep(2.0)
+            assert len(site.store.calls) <= 70
+            site.store.fault = ""
+            await wait_for(lambda: all(i.is_ready for i in site.instances), 1.5)
+
+    run(case())
+
+
 def test_leave_without_cutting_a_request() -> None:
     """An instance is told to stop while it answers, and callers still hold its address.
 
