--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -157,18 +157,21 @@
     async def run(self) -> None:
         """Probe and judge until cancelled."""
         while True:
-            knowledge = self._knowledge
-            table = knowledge.table
-            self.membership.report(
-                generation=table.configuration.version if table is not None else 0,
-                read_offset=knowledge.operators_end,
-            )
-            self._run(self.membership.tick(now()))
-            self._note_members()
-            self.relay.tick()
-            self.desk.tick()
+            self._step()
             await asyncio.sleep(TICK_S)
 
+    def _step(self) -> None:
+        knowledge = self._knowledge
+        table = knowledge.table
+        self.membership.report(
+            generation=table.configuration.version if table is not None else 0,
+            read_offset=knowledge.operators_end,
+        )
+        self._run(self.membership.tick(now()))
+        self._note_members()
+        self.relay.tick()
+        self.desk.tick()
+
     def leave(self) -> None:
         """Tell the others that this instance takes no new callers."""
         self._run(self.membership.leave(now()))
@@ -199,6 +202,13 @@
             log_event("datagram_too_large", level="error", bytes=len(data))
             return
         host, _, port = self.membership.peer_address(effect.to).rpartition(":")
+        if not port.isdigit():
+            # Somebody asked before the members' list named it here. It asks again, and
+            # is known by then.
+            log_event(
+                "peer_unknown", peer=effect.to, kind=type(effect.message).__name__
+            )
+            return
         self._transport.sendto(data, (host, int(port)))
 
     def _list_seeds(self) -> Iterator[str]:
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -43,10 +43,17 @@
 addresses within the lifetime that they were told."""
 END_MARGIN_S = 0.4
 """Time kept from the end of the grace for closing."""
+RESUME_S = 0.1
+"""Pause before work that failed goes on: long enough that a fault in each step can't
+take the whole processor, short beside the time after which peers call a member dead."""
 COLLECT_AFTER = 20_000
 """Objects after which the cycle collector looks for cycles; requests leave few."""
 
 
+Work = Callable[[], Coroutine[Any, Any, None]]
+"""Work that goes on until it is cancelled."""
+
+
 class Interface(Protocol):
     """Answer questions about this instance and the others."""
 
@@ -196,7 +203,7 @@
         stack.callback(self.backends.close)
         await self._open(stack)
         for work in self._list_work():
-            _start_task(stack, work)
+            _start_task(stack, _keep_running(work))
         log_event(
             "instance_started",
             name=self._settings.name,
@@ -261,7 +268,7 @@
         limits = table.configuration.limits if table is not None else RequestLimits()
         return limits.max_body_bytes
 
-    def _list_work(self) -> list[Coroutine[Any, Any, None]]:
+    def _list_work(self) -> list[Work]:
         common: dict[str, Any] = {
             "store": self._store,
             "formats": self._formats,
@@ -272,12 +279,12 @@
             "relay": self.peers.relay,
         }
         return [
-            OperatorsFeed(**common).run(),
-            BackendsFeed(**common).run(),
-            self.peers.run(),
-            self.conducting.run(),
-            self._tick(),
-            self._prune(),
+            OperatorsFeed(**common).run,
+            BackendsFeed(**common).run,
+            self.peers.run,
+            self.conducting.run,
+            self._tick,
+            self._prune,
         ]
 
     async def _tick(self) -> None:
@@ -316,6 +323,26 @@
     stack.callback(task.cancel)
 
 
+async def _keep_running(work: Work) -> None:
+    """Run work until it is cancelled, also when one of its steps fails.
+
+    A fault in one step would otherwise end the probes or the reading of the store for
+    good in a process that goes on to serve: it keeps addresses of instances that are
+    gone and a share of the retry budget for members that it never meets.
+    """
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            log_event(
+                "task_failed",
+                level="error",
+                work=work.__qualname__,
+                reason=repr(error),
+            )
+        await asyncio.sleep(RESUME_S)
+
+
 def _tune_collector() -> None:
     gc.collect()
     gc.freeze()
--- a/src/baobabthread/routing/directory.py
+++ b/src/baobabthread/routing/directory.py
@@ -12,9 +12,6 @@
 """How long callers keep addresses. Some keep them three times as long, which still
 ends before an instance that is told to stop is gone."""
 MAX_ADDRESSES = 64
-ENOUGH_NEAR = 4
-"""Instances of the caller's failure domain that suffice: what a caller sends elsewhere
-crosses domains twice, and with four the loss of one leaves three that answer."""
 FRESH_BEFORE_S = 3.0
 """Age of a member's knowledge from which callers are no longer sent to it."""
 
@@ -41,10 +38,6 @@
     if i_am_ready or not ready:
         # With nobody else known this instance is the only one that may help.
         ready.append(me)
-    near = [member for member in ready if member.failure_domain == failure_domain]
-    if len(near) >= ENOUGH_NEAR:
-        # Callers draw from all that they are told, so far ones are left out.
-        ready = near
     ready.sort(key=lambda m: (m.failure_domain != failure_domain, m.name))
     return Directory(
         addresses=[member.address for member in ready[:MAX_ADDRESSES]],
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -6,6 +6,9 @@
 import json
 from typing import Any
 
+from baobabthread.adapters.codec import PeerCodec
+from baobabthread.instance import process
+from baobabthread.instance.relaying import RELAY_MESSAGES, AskKnowledge
 from tests.platform.fakes import OPERATORS, call
 from tests.platform.site import (
     Site,
@@ -111,6 +114,45 @@
     run(case())
 
 
+def test_go_on_after_a_question_of_an_unknown_peer() -> None:
+    """An instance hears a question of one that its list of members doesn't name yet.
+
+    The change that is told to all who asked has nowhere to go; the probes must go on,
+    or this instance keeps the members of its first moment for good.
+    """
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            peers = site.instances[0].peers
+            codec = PeerCodec(types=RELAY_MESSAGES)
+            data = codec.encode("stranger", [AskKnowledge(sequence=1)])
+            peers.datagram_received(data, ("127.0.0.1", 9))
+            site.configure(3)
+            await asyncio.sleep(0.6)
+            await site.add_instance("i2", ip="127.0.0.2")
+            await wait_for(lambda: len(peers.membership.alive()) == 2)
+            await wait_for(lambda: peers.relay.members == 2, 1.0)
+
+    run(case())
+
+
+def test_keep_running_when_a_step_fails() -> None:
+    async def case() -> None:
+        done = []
+
+        async def work() -> None:
+            done.append(1)
+            if len(done) == 1:
+                raise ValueError("one step")
+            await asyncio.sleep(30)
+
+        task = asyncio.ensure_future(process._keep_running(work))
+        await wait_for(lambda: len(done) == 2, 2.0)
+        task.cancel()
+
+    run(case())
+
+
 def test_ask_a_store_that_is_away_seldom() -> None:
     """The store refuses everybody for two seconds; readers alone ask it often."""
 
