--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -109,6 +109,8 @@
                 lambda: site.instances[0].knowledge.table.configuration.version == 7,
                 4.0,
             )
+            site.store.fault = ""
+            await site.wait_ready()
             assert (await site.call("/added/x")).status == 200
 
     run(case())
