--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 	$(BIN)/python -m pytest --hypothesis-profile=ci $(PYTEST_ARGS)
 
 lint: $(VENV)/.ready
-	$(BIN)/ruff format --check src bench tests
-	$(BIN)/ruff check src bench tests
+	$(BIN)/ruff format --check src bench soak tests
+	$(BIN)/ruff check src bench soak tests
 	$(BIN)/mypy
 
 # A build folder of an earlier state would put modules that are gone into the file.
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,149 @@
+"""Callers that keep their connections and note what becomes of each request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+
+from tests.platform.fakes import HOST, read_answer
+
+from soak.history import Call, Kind, now
+from soak.site import Site
+
+PAUSE_S = 0.04
+TIMEOUT_S = 4.0
+ADDRESSES_S = 2.0
+"""How long addresses are kept; one caller in three keeps them three times as long."""
+SMALL_BODY = b"{}"
+UNANSWERED = (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError)
+"""How a connection ends before a whole answer, or with bytes that are none."""
+WORDS = {Kind.UNSAFE: "POST", Kind.STREAM: "POST", Kind.ONCE: "POST"}
+
+
+class Caller:
+    """Send one request after the other until told to stop."""
+
+    def __init__(self, *, site: Site, number: int, seed: int) -> None:
+        self._site = site
+        self._number = number
+        self._rng = random.Random(f"{seed}/{number}")
+        self._addresses: list[str] = []
+        self._asked_at = -1e9
+        self._count = 0
+        self._streams: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
+        self.stopped = False
+
+    async def run(self) -> None:
+        """Ask until stopped."""
+        while not self.stopped:
+            await self._refresh()
+            if self._addresses:
+                await self._ask(self._rng.choice(self._addresses))
+            await asyncio.sleep(PAUSE_S * (0.5 + self._rng.random()))
+        for _, writer in self._streams.values():
+            writer.close()
+
+    async def _refresh(self) -> None:
+        keeps_s = ADDRESSES_S * (3 if self._number % 3 == 0 else 1)
+        if now() - self._asked_at < keeps_s and self._addresses:
+            return
+        for machine in self._rng.sample(self._site.machines, len(self._site.machines)):
+            with contextlib.suppress(
+                OSError, TimeoutError, asyncio.IncompleteReadError
+            ):
+                async with asyncio.timeout(1.0):
+                    self._addresses = await _resolve(machine.directory)
+                self._asked_at = now()
+                return
+
+    async def _ask(self, address: str) -> None:
+        call = self._make_call(address)
+        self._site.history.calls.append(call)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await self._exchange(address, call)
+        except UNANSWERED:
+            self._drop(address)
+            if call.status == 0:
+                self._addresses = [a for a in self._addresses if a != address]
+        call.ended_at = now()
+
+    def _make_call(self, address: str) -> Call:
+        self._count += 1
+        machines = self._site.machines
+        index = next((m.index for m in machines if m.front == address), -1)
+        return Call(
+            id=f"c{self._number}-{self._count}",
+            kind=self._rng.choice(list(Kind)),
+            instance=index,
+            key=self._choose_key(),
+            sent_at=now(),
+        )
+
+    def _choose_key(self) -> str:
+        revoked = list(self._site.history.revoked)
+        if revoked and self._rng.random() < 0.15:
+            # Somebody who lost a key goes on trying it.
+            return self._rng.choice(revoked)
+        return self._rng.choice(self._site.keys)
+
+    async def _exchange(self, address: str, call: Call) -> None:
+        kept = self._streams.get(address)
+        call.kept = kept is not None
+        if kept is None:
+            ip, _, port = address.rpartition(":")
+            kept = await asyncio.open_connection(ip, int(port))
+            self._streams[address] = kept
+        reader, writer = kept
+        call.sent_at = now()
+        writer.write(self._render(call))
+        await writer.drain()
+        call.wrote_all = True
+        answer = await read_answer(reader)
+        call.status = answer.status
+        call.whole = answer.whole
+        call.signed = "x-response-signature" in answer.headers
+        call.own_id = answer.headers.get("x-attempt-id") == call.id
+        call.body = answer.body[:64]
+        call.event_ids = answer.event_ids
+        if not answer.whole or answer.headers.get("connection", "").lower() == "close":
+            self._drop(address)
+
+    def _render(self, call: Call) -> bytes:
+        body = SMALL_BODY if call.kind in WORDS else b""
+        fields = {
+            "Host": HOST,
+            "X-Attempt-Id": call.id,
+            "X-Timeout-Ms": str(int(TIMEOUT_S * 1000)),
+            "Authorization": f"Token {call.key}",
+            "X-Tenant": "forged",
+            "Session": f"s{self._number}-{self._count // 5}",
+        }
+        if call.kind.is_stream:
+            fields["X-Model"] = "*"
+            fields["X-Token-Usage"] = "100,20"
+            fields["X-Prompt-Prefix"] = f"aa:50,bb{self._rng.randrange(9)}:30,cc:20"
+        if body:
+            fields["Content-Length"] = str(len(body))
+        lines = [f"{WORDS.get(call.kind, 'GET')} /{call.kind}/x HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+    def _drop(self, address: str) -> None:
+        stream = self._streams.pop(address, None)
+        if stream is not None:
+            stream[1].close()
+
+
+async def _resolve(directory: str) -> list[str]:
+    ip, _, port = directory.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    try:
+        request = f"GET /-/resolve?name={HOST}&zone=z0 HTTP/1.1\r\nHost: x\r\n\r\n"
+        writer.write(request.encode())
+        answer = await read_answer(reader)
+        return list(json.loads(answer.body)["addresses"])
+    finally:
+        writer.close()
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,245 @@
+"""The faults that a run draws from; each injects one, waits and heals it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from baobabthread.core.registry import Registry
+from soak.proxies import Mode, Proxy
+from soak.site import ENGINE, PLAIN, Backend, Site
+
+SHORT_S = 0.4
+LONG_S = 2.5
+LEAVE_S = 2.5
+"""How long a backend server that leaves works on."""
+
+Inject = Callable[[Site], Coroutine[Any, Any, None]]
+FAULTS: Registry[Inject] = Registry(what="fault")
+
+
+def _draw_s(site: Site) -> float:
+    return site.rng.uniform(SHORT_S, LONG_S)
+
+
+# -- processes --
+
+
+@FAULTS.register("term")
+async def terminate_one(site: Site) -> None:
+    """Stop one instance gracefully; it starts again."""
+    machine = site.rng.choice(site.machines)
+    with site.note("term", machine.index):
+        await machine.terminate()
+
+
+@FAULTS.register("term in turn")
+async def terminate_in_turn(site: Site) -> None:
+    """Stop all instances one after the other."""
+    for machine in list(site.machines):
+        with site.note("term", machine.index):
+            await machine.terminate()
+            await asyncio.sleep(0.5)
+
+
+@FAULTS.register("kill")
+async def kill_one(site: Site) -> None:
+    """Kill one instance."""
+    machine = site.rng.choice(site.machines)
+    with site.note("kill"):
+        await machine.kill()
+        await asyncio.sleep(0.8)
+
+
+@FAULTS.register("kill all")
+async def kill_all(site: Site) -> None:
+    """Kill all instances at the same moment."""
+    with site.note("kill all"):
+        await asyncio.gather(*(machine.kill() for machine in site.machines))
+        await asyncio.sleep(1.5)
+
+
+@FAULTS.register("pause")
+async def pause_one(site: Site) -> None:
+    """Let one instance stand still and wake again."""
+    machine = site.rng.choice(site.machines)
+    with site.note("pause"):
+        await machine.pause(site.rng.uniform(SHORT_S, 5.0))
+        await asyncio.sleep(0.8)
+
+
+@FAULTS.register("hup")
+async def hang_up(site: Site) -> None:
+    """Tell all instances that their settings changed."""
+    with site.note("hup"):
+        for machine in site.machines:
+            machine.send(signal.SIGHUP)
+        await asyncio.sleep(0.2)
+
+
+# -- the store --
+
+
+async def _harm_store(site: Site, fault: str) -> None:
+    with site.note(f"store {fault}"):
+        site.store.fault = fault
+        await asyncio.sleep(site.rng.uniform(SHORT_S, 5.0))
+        site.store.fault = ""
+        await asyncio.sleep(1.0)
+
+
+@FAULTS.register("store busy")
+async def keep_store_busy(site: Site) -> None:
+    """Let the store refuse everybody."""
+    await _harm_store(site, "busy")
+
+
+@FAULTS.register("store silent")
+async def silence_store(site: Site) -> None:
+    """Let the store answer nobody."""
+    await _harm_store(site, "silent")
+
+
+@FAULTS.register("store slow")
+async def slow_store(site: Site) -> None:
+    """Let the store's answers trickle."""
+    await _harm_store(site, "trickle")
+
+
+@FAULTS.register("store loses answers")
+async def lose_answers(site: Site) -> None:
+    """Let the store do what it is asked and never say so."""
+    await _harm_store(site, "lost")
+
+
+@FAULTS.register("store forgets")
+async def forget_history(site: Site) -> None:
+    """Drop the history: only the newest record of each key is left."""
+    with site.note("store forgets"):
+        for topic, records in site.store.topics.items():
+            site.store.first[topic] = len(records)
+        await asyncio.sleep(0.5)
+
+
+async def _harm_proxies(site: Site, name: str, proxies: list[Proxy]) -> None:
+    mode = site.rng.choice([Mode.DELAY, Mode.SILENT, Mode.DEAF, Mode.RESET])
+    with site.note(f"{name} {mode}"):
+        for proxy in proxies:
+            proxy.set_mode(mode, delay_s=site.rng.uniform(0.05, 0.6))
+        await asyncio.sleep(site.rng.uniform(SHORT_S, 5.0))
+        for proxy in proxies:
+            proxy.set_mode(Mode.PASS)
+        await asyncio.sleep(1.0)
+
+
+@FAULTS.register("cut from the store")
+async def cut_from_store(site: Site) -> None:
+    """Harm the way of some instances to the store; the others reach it."""
+    count = site.rng.randint(1, max(1, len(site.store_proxies) - 1))
+    await _harm_proxies(site, "store link", site.rng.sample(site.store_proxies, count))
+
+
+# -- backend servers --
+
+
+async def _harm_backend(site: Site, backend: Backend, behaviour: str) -> None:
+    with site.note(f"backend {behaviour}"):
+        backend.troubles += 1
+        backend.fake.behaviour = behaviour
+        await asyncio.sleep(_draw_s(site))
+        backend.fake.behaviour = "answer"
+        await asyncio.sleep(0.5)
+        backend.troubles -= 1
+
+
+@FAULTS.register("bad answers")
+async def answer_badly(site: Site) -> None:
+    """Let one backend server answer in a bad way."""
+    backend = site.pick_backend()
+    if backend is None:
+        return
+    ways = ["fail", "shed", "mute", "cut", "extra", "other_id", "unsigned"]
+    ways += ["unframed", "unframed_reset"]
+    if backend.fake.service == ENGINE:
+        ways = ["fail", "shed", "mute", "stream_cut", "other_id"]
+    await _harm_backend(site, backend, site.rng.choice(ways))
+
+
+@FAULTS.register("link to a backend")
+async def harm_link(site: Site) -> None:
+    """Harm the connections to one backend server."""
+    backend = site.pick_backend()
+    if backend is None:
+        return
+    backend.troubles += 1
+    await _harm_proxies(site, "backend link", [backend.proxy])
+    backend.troubles -= 1
+
+
+@FAULTS.register("backend leaves")
+async def let_backend_leave(site: Site) -> None:
+    """Replace one backend server; it says so and works on for a while."""
+    backend = site.pick_backend()
+    if backend is None:
+        return
+    with site.note("configuration: backend leaves"):
+        await site.add_backend(backend.fake.service)
+        site.publish_backend(backend, state="draining", seq=2)
+        await asyncio.sleep(LEAVE_S)
+        with site.note("backend gone"):
+            backend.troubles += 1
+            site.remove_backend(backend)
+            await asyncio.sleep(0.8)
+
+
+@FAULTS.register("backend crashes")
+async def crash_backend(site: Site) -> None:
+    """Lose one backend server without a word; its record lapses later."""
+    backend = site.pick_backend()
+    if backend is None:
+        return
+    with site.note("backend crash"):
+        backend.troubles += 1
+        backend.proxy.set_mode(Mode.RESET)
+        await site.add_backend(backend.fake.service)
+        await asyncio.sleep(1.5)
+        site.remove_backend(backend)
+
+
+# -- operators --
+
+
+@FAULTS.register("configuration")
+async def change_configuration(site: Site) -> None:
+    """Add a route."""
+    with site.note("configuration"):
+        site.add_route()
+        await asyncio.sleep(0.5)
+
+
+@FAULTS.register("configuration storm")
+async def change_often(site: Site) -> None:
+    """Publish several configurations in quick succession."""
+    with site.note("configuration"):
+        for _ in range(6):
+            site.add_route()
+            await asyncio.sleep(0.08)
+        await asyncio.sleep(0.5)
+
+
+@FAULTS.register("revoke")
+async def take_key_away(site: Site) -> None:
+    """Take a key away."""
+    with site.note("configuration: revoke"):
+        site.revoke_key()
+        await asyncio.sleep(0.5)
+
+
+@FAULTS.register("more backends")
+async def add_backends(site: Site) -> None:
+    """Add one backend server to each service."""
+    with site.note("configuration: more backends"):
+        await site.add_backend(PLAIN)
+        await site.add_backend(ENGINE)
--- /dev/null
+++ b/soak/history.py
@@ -0,0 +1,119 @@
+"""What callers and backend servers saw during one run, and which faults were on."""
+
+from __future__ import annotations
+
+import enum
+import time
+
+import msgspec
+
+
+def now() -> float:
+    """Return seconds on the clock by which everything here is noted."""
+    return time.monotonic()
+
+
+class Kind(enum.StrEnum):
+    """Name the kinds of requests that callers send."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    OPEN = "open"
+    STREAM = "stream"
+    ONCE = "once"
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self in (Kind.SAFE, Kind.OPEN, Kind.STREAM)
+
+    @property
+    def is_stream(self) -> bool:
+        """Tell whether answers are events."""
+        return self in (Kind.STREAM, Kind.ONCE)
+
+
+class Call(msgspec.Struct, kw_only=True):
+    """Hold one request as its caller saw it."""
+
+    id: str
+    kind: Kind
+    instance: int
+    key: str
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    """0 where no answer came."""
+    signed: bool = False
+    own_id: bool = False
+    whole: bool = False
+    body: bytes = b""
+    event_ids: list[int] = []
+    wrote_all: bool = False
+    """Whether every byte of the request was handed to the system."""
+    kept: bool = False
+    """Whether it went out on a connection that had carried another one."""
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one request as a backend server saw it."""
+
+    id: str
+    backend: str
+    service: str
+    version: str
+    at: float
+    executed: bool
+    """False where the backend server said that it did not run it."""
+    sound: bool
+    """Whether it answers whole and in order."""
+    account: str
+    leaked: bool
+    """Whether the caller's key was passed on."""
+
+
+class Fault(msgspec.Struct, kw_only=True):
+    """Hold one fault; `instance` is None where it may touch all of them."""
+
+    name: str
+    began_at: float
+    ended_at: float = 0.0
+    instance: int | None = None
+
+
+class History(msgspec.Struct, kw_only=True):
+    """Hold all that happened in one run."""
+
+    seed: int
+    calls: list[Call] = []
+    runs: list[Run] = []
+    faults: list[Fault] = []
+    revoked: dict[str, float] = {}
+    """Keys and when the store had taken in their removal."""
+    own_ends: list[str] = []
+    """Processes that ended by themselves."""
+    calm_from: float = 0.0
+    """When the last fault had ended and the time to recover was over."""
+    account_of: dict[str, str] = {}
+    last_event: int = 0
+    """Id of the last event of each whole stream."""
+    revocation_s: float = 3.0
+    retry_ratio: float = 0.9
+    retry_extra: float = 52.0
+
+    def runs_by_id(self) -> dict[str, list[Run]]:
+        """Return what ran, and what did not, for each request."""
+        found: dict[str, list[Run]] = {}
+        for run in self.runs:
+            found.setdefault(run.id, []).append(run)
+        return found
+
+    def disturbed(self, instance: int, start: float, end: float) -> list[str]:
+        """Return the faults that may have touched an instance in that time."""
+        return [
+            fault.name
+            for fault in self.faults
+            if fault.began_at <= end
+            and (fault.ended_at or end) >= start
+            and fault.instance in (None, instance)
+        ]
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,175 @@
+"""The promises to callers and backend servers, each checked against a history."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from baobabthread.core.registry import Registry
+from soak.history import Call, History
+
+WINDOW_S = 10.0
+"""Length of the window in which repeats are counted."""
+NOT_RUN = (408, 421, 429, 503)
+"""Statuses that promise that a request has not run and never will."""
+GENTLE = ("term", "configuration", "hup")
+"""Planned work, in which nothing may be cut."""
+AROUND_S = 3.0
+"""Time around a request in which a fault may excuse what happens to it."""
+LEAST_SERVED = 0.9
+"""Part of the requests that are answered once everything is well again."""
+
+
+class Breach(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one broken promise."""
+
+    promise: str
+    detail: str
+
+
+Check = Callable[[History], Iterator[str]]
+PROMISES: Registry[Check] = Registry(what="promise")
+
+
+def check_all(history: History) -> list[Breach]:
+    """Return every broken promise of a run."""
+    return [
+        Breach(promise=name, detail=detail)
+        for name in PROMISES
+        for detail in PROMISES.get(name)(history)
+    ]
+
+
+@PROMISES.register("whole")
+def check_whole(history: History) -> Iterator[str]:
+    """Find successes that are not signed, not whole or not the request's own."""
+    for call in history.calls:
+        if not 200 <= call.status < 300:
+            continue
+        if call.whole and not (call.signed and call.own_id):
+            yield f"{call.id}: {call.status} without signature or with another id"
+        if call.whole and not call.kind.is_stream and b"answer of" not in call.body:
+            yield f"{call.id}: body {call.body[:40]!r}"
+
+
+@PROMISES.register("in order")
+def check_order(history: History) -> Iterator[str]:
+    """Find streams with events out of order, doubled or missing at their end."""
+    for call in history.calls:
+        if not call.kind.is_stream or call.status != 200:
+            continue
+        expected = list(range(1, len(call.event_ids) + 1))
+        if call.event_ids != expected:
+            yield f"{call.id}: events {call.event_ids}"
+        elif call.whole and len(expected) != history.last_event:
+            yield f"{call.id}: complete after event {len(expected)}"
+
+
+@PROMISES.register("once")
+def check_once(history: History) -> Iterator[str]:
+    """Find requests that ran twice though they must not repeat."""
+    kinds = {call.id: call.kind for call in history.calls}
+    for id, runs in history.runs_by_id().items():
+        executed = [run.backend for run in runs if run.executed]
+        if len(executed) > 1 and id in kinds and not kinds[id].may_repeat:
+            yield f"{id} ({kinds[id]}): ran at {executed}"
+
+
+@PROMISES.register("true refusals")
+def check_refusals(history: History) -> Iterator[str]:
+    """Find statuses that promise that a request never ran though it did."""
+    runs = history.runs_by_id()
+    for call in history.calls:
+        if call.status in NOT_RUN and any(
+            run.executed for run in runs.get(call.id, ())
+        ):
+            yield f"{call.id} ({call.kind}): {call.status}, but it ran"
+
+
+@PROMISES.register("own account")
+def check_account(history: History) -> Iterator[str]:
+    """Find requests under another account than their key's, or with the key itself."""
+    keys = {call.id: call.key for call in history.calls}
+    for run in history.runs:
+        if run.id not in keys:
+            yield f"{run.id}: nobody sent it"
+            continue
+        expected = history.account_of.get(keys[run.id], "")
+        if run.leaked or (run.account != expected and run.account):
+            yield f"{run.id}: account {run.account!r} instead of {expected!r}"
+
+
+@PROMISES.register("revoked keys")
+def check_revoked(history: History) -> Iterator[str]:
+    """Find what ran for a key long after it was taken away."""
+    runs = history.runs_by_id()
+    for call in history.calls:
+        taken_at = history.revoked.get(call.key)
+        if taken_at is None or call.kind.value == "open":
+            continue
+        late = call.sent_at - taken_at
+        if late > history.revocation_s and runs.get(call.id):
+            yield f"{call.id}: ran {late:.2f} s after its key was taken away"
+
+
+@PROMISES.register("repeats")
+def check_repeats(history: History) -> Iterator[str]:
+    """Find windows with more repeats than the common budget allows."""
+    service_of = {run.id: run.service for run in history.runs}
+    for service in sorted(set(service_of.values())):
+        arrivals = [run for run in history.runs if run.service == service]
+        seen: set[str] = set()
+        again = []
+        for run in sorted(arrivals, key=lambda run: run.at):
+            if run.id in seen:
+                again.append(run.at)
+            seen.add(run.id)
+        sent = [c.sent_at for c in history.calls if service_of.get(c.id) == service]
+        for start in again:
+            end = start + WINDOW_S
+            count = sum(start <= at < end for at in again)
+            windows = (start, start - WINDOW_S, start - WINDOW_S / 2)
+            asked = max(sum(w <= at < w + WINDOW_S for at in sent) for w in windows)
+            allowed = history.retry_ratio * asked + history.retry_extra
+            if count > allowed:
+                yield f"{service}: {count} repeats, {allowed:.0f} allowed"
+                break
+
+
+@PROMISES.register("not cut")
+def check_not_cut(history: History) -> Iterator[str]:
+    """Find requests that were cut around planned work, though a sound server had them."""
+    runs = history.runs_by_id()
+    for call in history.calls:
+        if call.status and call.whole:
+            continue
+        if not any(run.executed and run.sound for run in runs.get(call.id, ())):
+            continue
+        if _is_excused(history, call):
+            continue
+        yield f"{call.id} ({call.kind}) at i{call.instance}: cut, status {call.status}"
+
+
+def _is_excused(history: History, call: Call) -> bool:
+    start, end = call.sent_at - AROUND_S, call.ended_at
+    faults = history.disturbed(call.instance, start, end)
+    return any(not name.startswith(GENTLE) for name in faults)
+
+
+@PROMISES.register("recovers")
+def check_recovery(history: History) -> Iterator[str]:
+    """Find a run in which callers still go unanswered after the last fault."""
+    late = [call for call in history.calls if call.sent_at >= history.calm_from]
+    late = [call for call in late if call.key not in history.revoked]
+    served = sum(call.status == 200 and call.whole for call in late)
+    if not late:
+        yield "nobody asked after the last fault"
+    elif served < LEAST_SERVED * len(late):
+        yield f"{served} of {len(late)} answered after the last fault"
+
+
+@PROMISES.register("no own ends")
+def check_own_ends(history: History) -> Iterator[str]:
+    """Find processes that ended by themselves."""
+    yield from history.own_ends
--- /dev/null
+++ b/soak/proxies.py
@@ -0,0 +1,127 @@
+"""Loopback proxies that harm the connections between processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+
+CHUNK_BYTES = 65_536
+
+
+class Mode(enum.StrEnum):
+    """Name what a proxy does with the bytes of its connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    """Bytes vanish both ways, and nobody is told."""
+    DEAF = "deaf"
+    """Requests arrive; answers vanish."""
+    RESET = "reset"
+
+
+class Proxy:
+    """Pass connections on to one address, or harm them."""
+
+    __slots__ = ("_links", "_server", "address", "delay_s", "mode", "target")
+
+    def __init__(self, *, target: str) -> None:
+        self.target = target
+        self.mode = Mode.PASS
+        self.delay_s = 0.0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._links: set[_Link] = set()
+
+    async def start(self) -> Proxy:
+        """Listen at a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    def set_mode(self, mode: Mode, *, delay_s: float = 0.0) -> None:
+        """Harm what is open and what comes from now on."""
+        self.mode = mode
+        self.delay_s = delay_s
+        if mode is Mode.RESET:
+            self.reset_all()
+
+    def reset_all(self) -> None:
+        """Reset every open connection."""
+        for link in list(self._links):
+            link.abort()
+
+    def close(self) -> None:
+        """Stop listening and end what is open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode is Mode.RESET:
+            writer.transport.abort()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        link = _Link(self, writer, far_writer)
+        self._links.add(link)
+        try:
+            await asyncio.gather(
+                link.pump(reader, far_writer, is_answer=False),
+                link.pump(far_reader, writer, is_answer=True),
+            )
+        finally:
+            self._links.discard(link)
+            link.abort()
+
+
+class _Link:
+    """Hold one connection and its way on; a silent one stays silent for good."""
+
+    def __init__(
+        self, proxy: Proxy, near: asyncio.StreamWriter, far: asyncio.StreamWriter
+    ) -> None:
+        self._proxy = proxy
+        self._near = near
+        self._far = far
+        self._lost = {False: False, True: False}
+
+    async def pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_answer: bool,
+    ) -> None:
+        """Pass bytes on one way until it ends."""
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self._swallows(is_answer):
+                    continue
+                if self._proxy.mode is Mode.DELAY:
+                    await asyncio.sleep(self._proxy.delay_s)
+                writer.write(data)
+                await writer.drain()
+        # A close is told on like the bytes before it; a cut is not.
+        if not self._swallows(is_answer) and not writer.is_closing():
+            writer.close()
+
+    def _swallows(self, is_answer: bool) -> bool:
+        # Bytes that were lost leave a gap: whatever came after them would be joined to
+        # the wrong place, so the connection never carries anything again.
+        mode = self._proxy.mode
+        if mode is Mode.SILENT or (mode is Mode.DEAF and is_answer):
+            self._lost[is_answer] = True
+        return self._lost[is_answer]
+
+    def abort(self) -> None:
+        """Reset both ends."""
+        for writer in (self._near, self._far):
+            writer.transport.abort()
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,245 @@
+"""One installation under soak: the store, backend servers, proxies, real instances."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+from tests.platform.fakes import BACKENDS, OPERATORS, FakeBackend, FakeStore, Seen
+from tests.platform.site import make_configuration, route
+
+from soak.history import Fault, History, Run, now
+from soak.instances import (
+    RETRY_EXTRA,
+    RETRY_RATIO,
+    REVOCATION_S,
+    Machine,
+    Ports,
+)
+from soak.proxies import Proxy
+
+SOUND = ("answer", "fail", "shed")
+"""Ways to answer in which nothing is cut, mixed or lost."""
+EVENTS = 8
+EVENT_PAUSE_S = 0.02
+WORK_S = 0.02
+FIRST_PORT = 20_000
+LAST_PORT = 30_000
+PLAIN = "plain"
+ENGINE = "engine"
+
+
+class Backend:
+    """Hold one backend server and the proxy before it."""
+
+    def __init__(self, *, fake: FakeBackend, proxy: Proxy) -> None:
+        self.fake = fake
+        self.proxy = proxy
+        self.troubles = 0
+        """Faults that are on at it now."""
+
+    @property
+    def is_sound(self) -> bool:
+        """Tell whether it answers whole, in order, and can be reached."""
+        return not self.troubles and self.fake.behaviour in SOUND
+
+
+class Site:
+    """Hold the parts of an installation, and note all that they see."""
+
+    def __init__(self, *, seed: int, instances: int, folder: Path) -> None:
+        self.rng = random.Random(seed)
+        self.folder = folder
+        self.history = History(
+            seed=seed,
+            last_event=EVENTS,
+            revocation_s=REVOCATION_S,
+            retry_ratio=RETRY_RATIO,
+            retry_extra=RETRY_EXTRA,
+        )
+        self.machines: list[Machine] = []
+        self.backends: dict[str, Backend] = {}
+        self.store_proxies: list[Proxy] = []
+        self.added_routes: list[str] = []
+        self.weaken: str | None = None
+        self._instances = instances
+        self._version = 0
+        self._number = 0
+        self._keys: dict[str, list[str]] = {"metro": ["key-0"], "malls": ["key-1"]}
+        self._next_key = 2
+        self._stack = contextlib.AsyncExitStack()
+        self.store = FakeStore()
+
+    # -- life --
+
+    async def start(self) -> None:
+        """Start everything and wait until callers can be served."""
+        await self.store.start()
+        self._stack.callback(self.store.close)
+        self.configure()
+        for _ in range(3):
+            await self.add_backend(PLAIN)
+        for _ in range(3):
+            await self.add_backend(ENGINE)
+        await self._start_machines()
+        await asyncio.sleep(1.5)
+
+    async def _start_machines(self) -> None:
+        first = _find_first_port(self.rng)
+        ips = [f"127.0.{self.rng.randrange(1, 250)}.{n + 1}" for n in range(250)]
+        ips = ips[: self._instances]
+        ports = Ports(first)
+        for index, ip in enumerate(ips):
+            proxy = await Proxy(target=self.store.address).start()
+            self._stack.callback(proxy.close)
+            self.store_proxies.append(proxy)
+            machine = Machine(
+                index=index,
+                ip=ip,
+                ports=ports,
+                store_address=proxy.address,
+                seeds=ips[:3],
+                folder=self.folder,
+                weaken=self.weaken,
+            )
+            self._stack.push_async_callback(machine.close)
+            self.machines.append(machine)
+        await asyncio.gather(*(machine.start() for machine in self.machines))
+
+    async def close(self) -> None:
+        """End every process and socket that was opened here."""
+        for machine in self.machines:
+            self.history.own_ends.extend(machine.own_ends)
+        for backend in self.backends.values():
+            backend.proxy.close()
+            backend.fake.close()
+        await self._stack.aclose()
+
+    # -- operators --
+
+    @property
+    def keys(self) -> list[str]:
+        """Give the keys that count now."""
+        return [key for keys in self._keys.values() for key in keys]
+
+    def configure(self) -> None:
+        """Publish a configuration with the accounts and routes of now."""
+        self._version += 1 + self.rng.randrange(3)
+        configuration = make_configuration(self._version)
+        routes = list(configuration["routes"])  # type: ignore[call-overload]
+        routes += [route(f"/{name}/", "idempotent") for name in self.added_routes]
+        configuration["routes"] = routes
+        configuration["tenants"] = [
+            {"name": name, "api_keys": keys} for name, keys in self._keys.items()
+        ]
+        for account, keys in self._keys.items():
+            for key in keys:
+                self.history.account_of[key] = account
+        self.store.put(OPERATORS, "config", configuration)
+
+    def add_route(self) -> str:
+        """Publish one route more."""
+        name = f"added{self._version}"
+        self.added_routes.append(name)
+        self.configure()
+        return name
+
+    def revoke_key(self) -> None:
+        """Take one key away and give its account another one."""
+        account = self.rng.choice(sorted(self._keys))
+        old = self._keys[account][0]
+        self._keys[account] = [f"key-{self._next_key}"]
+        self._next_key += 1
+        self.configure()
+        self.history.revoked[old] = now()
+
+    # -- backend servers --
+
+    async def add_backend(self, service: str, version: str = "v1") -> Backend:
+        """Start a backend server and enter it into the store."""
+        self._number += 1
+        id = f"{service[0]}{self._number}"
+        fake = FakeBackend(id, service=service, version=version)
+        fake.events = EVENTS
+        fake.pause_s = EVENT_PAUSE_S if service == ENGINE else WORK_S
+        fake.on_arrival = self._note_run
+        await fake.start()
+        proxy = await Proxy(target=fake.address).start()
+        backend = Backend(fake=fake, proxy=proxy)
+        self.backends[id] = backend
+        self.publish_backend(backend)
+        return backend
+
+    def publish_backend(self, backend: Backend, **more: object) -> None:
+        """Write a backend server's record, which names its proxy's address."""
+        record = backend.fake.record | {"address": backend.proxy.address} | more
+        self.store.put(BACKENDS, backend.fake.id, record)
+
+    def remove_backend(self, backend: Backend) -> None:
+        """Let a backend server and its record go."""
+        self.store.put(BACKENDS, backend.fake.id, b"")
+        backend.fake.close()
+        backend.proxy.close()
+        self.backends.pop(backend.fake.id, None)
+
+    def pick_backend(self, service: str | None = None) -> Backend | None:
+        """Return a backend server whose loss leaves two of its service."""
+        able = []
+        for backend in self.backends.values():
+            of_service = backend.fake.service
+            fellows = [
+                b
+                for b in self.backends.values()
+                if b.fake.service == of_service and b.is_sound
+            ]
+            if service in (None, of_service) and backend.is_sound and len(fellows) > 2:
+                able.append(backend)
+        return self.rng.choice(able) if able else None
+
+    def _note_run(self, backend: FakeBackend, seen: Seen, executed: bool) -> None:
+        headers = seen.headers
+        held = self.backends.get(backend.id)
+        self.history.runs.append(
+            Run(
+                id=headers.get("x-attempt-id", ""),
+                backend=backend.id,
+                service=backend.service,
+                version=backend.version,
+                at=now(),
+                executed=executed,
+                sound=held is not None and held.is_sound,
+                account=headers.get("x-tenant", ""),
+                leaked="authorization" in headers,
+            )
+        )
+
+    # -- faults --
+
+    @contextlib.contextmanager
+    def note(self, name: str, instance: int | None = None) -> Iterator[None]:
+        """Note that a fault is on while the block runs."""
+        fault = Fault(name=name, began_at=now(), instance=instance)
+        self.history.faults.append(fault)
+        try:
+            yield
+        finally:
+            fault.ended_at = now()
+
+
+def _find_first_port(rng: random.Random) -> int:
+    """Return the first of five ports that are free at every loopback address."""
+    for _ in range(200):
+        first = rng.randrange(FIRST_PORT, LAST_PORT)
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in range(first, first + 5):
+                    sock = stack.enter_context(socket.socket())
+                    sock.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+            return first
+    raise RuntimeError("no five free ports in a row")
--- /dev/null
+++ b/soak/weakened.py
@@ -0,0 +1,87 @@
+"""Run an instance with one safeguard taken out, to see that a check finds it."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from baobabthread.core.registry import Registry
+from baobabthread.instance import connections, endings, events
+from baobabthread.instance.connections import ConnectionPool
+from baobabthread.platform import __main__ as program
+from baobabthread.platform import headers
+from baobabthread.routing import configuration, knowledge
+
+WEAKENED: Registry[Callable[[], None]] = Registry(what="weakened instance")
+
+
+@WEAKENED.register("refuse what ran")
+def refuse_what_ran() -> None:
+    """Promise that a request has not run though it may have."""
+    endings.Endings._surely_not_run = lambda self, flight: True  # type: ignore
+
+
+@WEAKENED.register("repeat everything")
+def repeat_everything() -> None:
+    """Take every route for one that may be repeated."""
+    configuration.Route.may_repeat = property(lambda self: True)  # type: ignore
+
+
+@WEAKENED.register("serve on stale knowledge")
+def serve_stale() -> None:
+    """Honour keys however old the knowledge of them is."""
+    knowledge.Knowledge.is_fresh = lambda self, now: True  # type: ignore
+
+
+@WEAKENED.register("pass parts of events")
+def pass_parts() -> None:
+    """Pass bytes of a stream on as they come, also what was passed before."""
+
+    def feed(self: object, data: bytes) -> events.WholeEvents:
+        return events.WholeEvents(data=data, last_id=None)
+
+    events.EventCutter.feed = feed  # type: ignore
+
+
+@WEAKENED.register("take any answer")
+def take_any_answer() -> None:
+    """Take a success without a signature, or of another request, for the answer."""
+    read_marks = headers.PlatformWire.read_marks
+
+    def read(self: headers.PlatformWire, status: int, fields: object) -> object:
+        marks = read_marks(self, status, fields)  # type: ignore[arg-type]
+        marks.signed = True  # type: ignore[misc]
+        return marks
+
+    headers.PlatformWire.read_marks = read  # type: ignore
+
+
+@WEAKENED.register("pass the key on")
+def pass_key_on() -> None:
+    """Leave the caller's key and account in what a backend server gets."""
+    headers._OURS.clear()
+
+
+@WEAKENED.register("keep spoilt connections")
+def keep_spoilt() -> None:
+    """Use connections on that hold bytes which belong to no request."""
+    connections.Connection.is_usable = property(  # type: ignore
+        lambda self: self.is_connected()
+    )
+
+    def release(
+        self: ConnectionPool, connection: connections.Connection, idle_s: float
+    ) -> None:
+        self._idle.append(connection)
+
+    ConnectionPool.release = release  # type: ignore
+
+
+def main() -> int:
+    """Take out the safeguard that the first argument names, and serve."""
+    WEAKENED.get(sys.argv.pop(1))()
+    return program.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -150,6 +150,9 @@
 
 
 Behaviour = Callable[["FakeBackend", Seen, asyncio.StreamWriter], Awaitable[None]]
+OnArrival = Callable[["FakeBackend", Seen, bool], None]
+"""Take in a request that arrived, and whether it is executed."""
+NOT_EXECUTED = ("shed", "misdirected")
 BEHAVIOURS: dict[str, Behaviour] = {}
 
 
@@ -176,6 +179,7 @@
         self.events = 3
         self.pause_s = 0.0
         self.seen: list[Seen] = []
+        self.on_arrival: OnArrival = lambda backend, seen, executed: None
         self.address = ""
         self._server: asyncio.Server | None = None
 
@@ -203,6 +207,10 @@
         assert self._server is not None
         self._server.close()
 
+    def _choose_behaviour(self, seen: Seen) -> str:
+        asked_for = seen.headers.get("x-target-instance", self.id)
+        return self.behaviour if asked_for == self.id else "misdirected"
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -210,9 +218,9 @@
             while True:
                 seen = await _read_request(reader)
                 self.seen.append(seen)
-                work = asyncio.ensure_future(
-                    BEHAVIOURS[self.behaviour](self, seen, writer)
-                )
+                behaviour = self._choose_behaviour(seen)
+                self.on_arrival(self, seen, behaviour not in NOT_EXECUTED)
+                work = asyncio.ensure_future(BEHAVIOURS[behaviour](self, seen, writer))
                 while not work.done():
                     await asyncio.wait({work}, timeout=0.02)
                     if reader.at_eof() and not work.done():
@@ -318,6 +326,14 @@
     writer.write(render_head(seen, 503, X_Not_Executed="1", Content_Length="0"))
 
 
+@behaves("misdirected")
+async def misdirect(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Refuse what was meant for another backend server that had this address."""
+    writer.write(render_head(seen, 421, Content_Length="0"))
+
+
 @behaves("mute")
 async def stay_mute(
     backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
