--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -23,6 +23,7 @@
 from baobabthread.instance.lines import configure_lines, run_flusher
 from baobabthread.instance.metrics import Metrics
 from baobabthread.instance.peers import KNOWLEDGE_PATH, KNOWN_END, PeerLink
+from baobabthread.instance.readiness import Readiness
 from baobabthread.instance.records import FlightLog
 from baobabthread.instance.services import Services
 from baobabthread.instance.settings import InstanceSettings
@@ -131,6 +132,7 @@
             formats=self._formats,
         )
         self.knowledge.on_read = self._take_knowledge
+        self.readiness = Readiness(publish=self.peers.publish, heard=self.peers.heard)
         self._leaving_since: float | None = None
         self._callers: asyncio.Server | None = None
         self._shared: tuple[int, int] | None = None
@@ -158,6 +160,7 @@
             me=membership.me,
             serving=membership.alive(),
             i_am_ready=self.is_ready,
+            is_stale=self.readiness.is_stale,
             failure_domain=failure_domain,
             max_lifetime_s=self._settings.bounds.max_lifetime_s,
         )
@@ -299,6 +302,7 @@
                 self._shared = sharing
                 self.services.share(sharing[0])
             self.forwarder.turns.tick()
+            self.readiness.tick(is_stale=not self.knowledge.is_fresh(now()))
             await asyncio.sleep(TICK_S)
 
     async def _prune(self) -> None:
--- a/src/baobabthread/routing/directory.py
+++ b/src/baobabthread/routing/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -12,8 +12,8 @@
 """How long callers keep addresses. Some keep them three times as long, which still
 ends before an instance that is told to stop is gone."""
 MAX_ADDRESSES = 64
-FRESH_BEFORE_S = 3.0
-"""Age of a member's knowledge from which callers are no longer sent to it."""
+LEAST_READY_PART = 0.5
+"""Part of the instances that must be ready for the others to be left out."""
 
 
 class Directory(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,13 +28,20 @@
     me: MemberInfo,
     serving: Sequence[MemberInfo],
     i_am_ready: bool,
+    is_stale: Callable[[MemberInfo], bool],
     failure_domain: str | None,
     max_lifetime_s: float,
 ) -> Directory:
-    """Return the addresses of the instances that serve, near ones first."""
-    ready = [
-        member for member in serving if member.name != me.name and _knows_enough(member)
-    ]
+    """Return the addresses of the instances that serve, near ones first.
+
+    `is_stale` tells which members said of late that they refuse keys.
+    """
+    others = [member for member in serving if member.name != me.name]
+    ready = [member for member in others if not is_stale(member)]
+    if len(ready) < LEAST_READY_PART * len(others):
+        # The store is away, not they: it comes back for all in the same moment, and
+        # callers that know only the few that said so first would overrun those.
+        ready = others
     if i_am_ready or not ready:
         # With nobody else known this instance is the only one that may help.
         ready.append(me)
@@ -43,7 +50,3 @@
         addresses=[member.address for member in ready[:MAX_ADDRESSES]],
         lifetime_s=min(LIFETIME_S, max_lifetime_s),
     )
-
-
-def _knows_enough(member: MemberInfo) -> bool:
-    return member.generation > 0 and member.head_age_s < FRESH_BEFORE_S
