--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -109,7 +109,7 @@
         waited_s = max(0.0, head.latency_s - self._estimates.reading_s(flight))
         largest = flight.route.models[-1]
         first_s = waited_s + self._estimates.reading_s(flight, largest)
-        passed_s = now() - flight.started_at + flight.used_s
+        passed_s = now() - flight.started_at
         return 1.0 - (passed_s + first_s) / max(flight.route.objective_s, 1e-3)
 
     async def _relay(self, flight: Flight, attempt: Attempt, head: Head) -> None:
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -79,7 +79,6 @@
         "session",
         "started_at",
         "trail",
-        "used_s",
         "work",
     )
 
@@ -101,9 +100,6 @@
         self.deadline = deadline
         self.session = request.envelope.session or request.envelope.request_id
         self.started_at = request.arrived_at
-        left_s = request.envelope.time_left_s
-        self.used_s = 0.0 if left_s is None else max(0.0, route.timeout_s - left_s)
-        """Time that its caller seems to have spent on earlier tries."""
         self.attempts = 0
         """Backend servers that it was offered to."""
         self.runs = 0
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -181,9 +181,10 @@
             link, work=flight.work, first_s=self._estimates.reading_s(flight)
         )
         flight.attempts += 1
-        on_old = state.plan.order is not None and not flight.on_new
+        on_old = not flight.on_new
         if on_old:
             state.plan.started_old(flight.session, now())
+            self._desk.note_use(state.plan, flight.session)
         outcome = Outcome.CANCELLED
         try:
             head = await attempt.open(self._wire)
@@ -203,7 +204,7 @@
             occupancy.end(outcome, now() - attempt.sent_at)
             if on_old:
                 state.plan.ended_old(flight.session, now())
-                self._desk.note_end(state.plan, flight.session)
+                self._desk.note_use(state.plan, flight.session)
 
     async def _recover(
         self, flight: Flight, state: ServiceState, link: BackendLink, error: Exception
--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -153,9 +153,9 @@
         finally:
             self._asked.pop(question.sequence, None)
 
-    def note_end(self, plan: VersionPlan, session: str) -> None:
-        """Tell the deciding instances that a request on the old version has ended."""
-        if plan.is_contested(session, now()):
+    def note_use(self, plan: VersionPlan, session: str) -> None:
+        """Tell the deciding instances that a request is on the old version, or was."""
+        if plan.may_move_early(session):
             self._hand_over(plan, {session: 0.0})
 
     def begin(self, plan: VersionPlan) -> None:
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -83,7 +83,8 @@
         self._trial_end: float | None = None
         self._old_running = 0
         self._seen: dict[str, float] = {}
-        """Sessions whose requests went to the old version from here, and when last."""
+        """Sessions whose requests went to the old version from here, and when last;
+        also before any order, which may come in the middle of a conversation."""
         self._used: dict[str, float] = {}
         """The same for the sessions that this instance decides on, from anywhere."""
         self._moved: dict[str, float] = {}
@@ -197,9 +198,13 @@
 
     def is_contested(self, session: str, now: float) -> bool:
         """Tell whether a session that may be in use would move before the half."""
-        if not self.is_running or self.share(now) <= 0.0:
+        return self.share(now) > 0.0 and self.may_move_early(session)
+
+    def may_move_early(self, session: str) -> bool:
+        """Tell whether the trial may move a session, now or once it has settled."""
+        if not self.is_running or self._trial_end is not None:
             return False
-        return self._trial_end is None and self._is_in(session, self._trial_share)
+        return self._is_in(session, self._trial_share)
 
     def decide(self, session: str, now: float) -> bool:
         """Return for all instances whether a contested session moves.
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -245,6 +245,27 @@
     run(case())
 
 
+def test_keep_sessions_that_were_in_use_before_the_order() -> None:
+    """Callers are in the middle of their conversations when the order comes.
+
+    The first part of them that the trial may move has used the old version seconds
+    ago; their next requests must find it again in the first half.
+    """
+
+    async def case() -> None:
+        async with open_site("e1", "e2") as site:
+            await ask_many(site, 120, 0.005)
+            new = await site.add_backend("n1", service="engine", version="v2")
+            put_rollout(site, "v2", 30.0)
+            await asyncio.sleep(0.5)
+            await ask_many(site, 120, 0.005)
+            await asyncio.sleep(0.6)
+            await ask_many(site, 120, 0.005)
+            assert not new.seen
+
+    run(case())
+
+
 def test_revert_a_version_that_fails() -> None:
     """The new version answers every request with a failure.
 
