--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -153,6 +153,9 @@
         """Return the version that must run the request, or None for any."""
         order = plan.order
         if order is None:
+            # A stream that begins now may break after an order has come: resumed on the
+            # new version, it would be joined from two, and lost where that one is bad.
+            flight.on_new = False
             return None
         versions = self._backends.versions(flight.service)
         old = {v: count for v, count in versions.items() if v != order.target}
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -4,8 +4,14 @@
 
 import pytest
 
-from tests.platform.fakes import Answer
-from tests.platform.site import open_site, run
+from baobabthread.instance.clock import now
+from baobabthread.instance.flight import CallerRequest, Flight, Reply
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.configuration import RolloutOrder
+from baobabthread.routing.table import Envelope
+from baobabthread.routing.versions import VersionPlan
+from tests.platform.fakes import HOST, Answer
+from tests.platform.site import Site, open_site, run
 
 
 def check_whole(answer: Answer, events: int) -> None:
@@ -128,3 +134,62 @@
                 check_whole(await site.ask_model(), 3)
 
     run(case())
+
+
+def test_resume_on_the_old_version_what_began_before_the_order() -> None:
+    """A stream runs on the old version when an order to move comes, and then it breaks.
+
+    The new version answers every request with a failure. Resumed there, the stream
+    would be cut, though the old version could go on with it.
+    """
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            forwarder = site.instances[0].forwarder
+            plan = VersionPlan(service="engine", bounds=RoutingBounds(exposure_share=1))
+            flights = [make_flight(site, f"s{number}") for number in range(20)]
+            for flight in flights:
+                assert forwarder._choose_version(flight, plan) is None
+                flight.runs = 1
+            await site.add_backend("n1", service="engine", version="v2")
+            await site.wait_ready()
+            order = RolloutOrder(
+                number=1, service="engine", target="v2", time_limit_s=60
+            )
+            plan.take_order(order, now() - 10.0)
+            plan.note_target(usable=True, now=now() - 9.0)
+            assert any(plan.choose(flight.session, now()) for flight in flights)
+            versions = {forwarder._choose_version(flight, plan) for flight in flights}
+            assert versions == {"v1"}
+
+    run(case())
+
+
+def make_flight(site: Site, session: str) -> Flight:
+    table = site.instances[0].knowledge.table
+    assert table is not None
+    route = table.match(HOST, "/stream/x")
+    assert route is not None
+    request = CallerRequest(
+        method="POST",
+        target="/stream/x",
+        host=HOST,
+        headers=[],
+        body=b"",
+        envelope=Envelope(request_id=session, session=session),
+        arrived_at=now(),
+    )
+    return Flight(
+        request=request,
+        reply=Unanswered(),
+        route=route,
+        account=None,
+        service="engine",
+        deadline=now() + 5.0,
+    )
+
+
+class Unanswered(Reply):
+    """Stand for a caller that is not answered in the test."""
+
+    has_begun = False
