--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,30 +7,22 @@
 import pytest
 from soak.play import Plan, play
 
-SHORT = (1, 2)
-"""Seeds of the runs that are always played."""
-REGRESSIONS: tuple[tuple[Plan, str], ...] = ()
-"""Plans that once broke a promise, and the cause."""
+PLANS: tuple[tuple[Plan, str], ...] = (
+    (Plan(seed=1, seconds=5.0, callers=8), "always played"),
+    (Plan(seed=2, seconds=5.0, callers=8), "always played"),
+)
+"""What is played in each run of the tests, and why: two short seeds, and each plan that
+ever broke a promise, with the cause."""
 
 
-def check(plan: Plan) -> None:
+@pytest.mark.parametrize(("plan", "why"), PLANS)
+def test_keep_all_promises(plan: Plan, why: str) -> None:
     outcome = asyncio.run(play(plan))
-    assert not outcome.breaches
+    assert not outcome.breaches, why
     assert outcome.calls > 100
     assert outcome.served > outcome.calls / 3
 
 
-@pytest.mark.parametrize("seed", SHORT)
-def test_keep_all_promises_in_a_short_run(seed: int) -> None:
-    check(Plan(seed=seed, seconds=5.0, callers=8))
-
-
-@pytest.mark.parametrize(("plan", "cause"), REGRESSIONS)
-def test_keep_what_was_once_broken(plan: Plan, cause: str) -> None:
-    assert cause
-    check(plan)
-
-
 @pytest.mark.parametrize(
     ("weaken", "promise"),
     [("take any answer", "whole"), ("refuse what ran", "true refusals")],
