--- a/src/baobabthread/platform/__main__.py
+++ b/src/baobabthread/platform/__main__.py
@@ -2,63 +2,19 @@
 
 from __future__ import annotations
 
-import argparse
-import asyncio
-import os
+import signal
 import sys
 
-from baobabthread.errors import BaobabthreadError, UsageError
-from baobabthread.instance.process import Instance, Outside
-from baobabthread.platform.headers import PlatformWire
-from baobabthread.platform.interface import PlatformInterface
-from baobabthread.platform.records import PlatformRecords
-from baobabthread.platform.settings import PATH_VARIABLE, read_settings
-from baobabthread.platform.store import PlatformStore
-
-CONNECT_S = 0.5
-"""Longest time for a connection to the store."""
-
 
 def main() -> int:
-    """Read the settings and serve; return the exit code."""
-    try:
-        return asyncio.run(_run(_parse_arguments()))
-    except BaobabthreadError as error:
-        print(error.render(), file=sys.stderr)
-        return error.exit_code
-
-
-def _parse_arguments() -> argparse.Namespace:
-    parser = argparse.ArgumentParser(prog="baobabthread.platform", description=__doc__)
-    parser.add_argument(
-        "--settings",
-        default=os.environ.get(PATH_VARIABLE),
-        help=f"path of the settings file [env: {PATH_VARIABLE}]",
-    )
-    parser.add_argument(
-        "--metrics", default=None, help="PORT/PATH at which figures are served"
-    )
-    return parser.parse_args()
-
-
-async def _run(arguments: argparse.Namespace) -> int:
-    if arguments.settings is None:
-        raise UsageError(
-            "no settings file", remedy=f"set {PATH_VARIABLE} or give --settings PATH"
-        )
-    settings = read_settings(arguments.settings)
-    port, _, path = (arguments.metrics or "").partition("/")
-    outside = Outside(
-        store=PlatformStore(address=settings.store_address, connect_s=CONNECT_S),
-        formats=PlatformRecords(),
-        wire=PlatformWire(),
-        make_interface=lambda is_ready, find: PlatformInterface(
-            is_ready=is_ready, find_addresses=find
-        ),
-        metrics_address=f"{settings.ip}:{port}" if port else None,
-        metrics_path=f"/{path}",
-    )
-    return await Instance(settings=settings, outside=outside).run()
+    """Load the program and run it; return the exit code."""
+    # The platform may tell of changed settings while the program still loads. Without
+    # this the signal ends the process and costs its callers another start. Nothing is
+    # lost by passing it over: settings are read after this, at the start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from baobabthread.platform import program
+
+    return program.main()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/baobabthread/platform/program.py
@@ -0,0 +1,61 @@
+"""The program on the platform: its arguments, and its parts put together."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import sys
+
+from baobabthread.errors import BaobabthreadError, UsageError
+from baobabthread.instance.process import Instance, Outside
+from baobabthread.platform.headers import PlatformWire
+from baobabthread.platform.interface import PlatformInterface
+from baobabthread.platform.records import PlatformRecords
+from baobabthread.platform.settings import PATH_VARIABLE, read_settings
+from baobabthread.platform.store import PlatformStore
+
+CONNECT_S = 0.5
+"""Longest time for a connection to the store."""
+
+
+def main() -> int:
+    """Read the settings and serve; return the exit code."""
+    try:
+        return asyncio.run(_run(_parse_arguments()))
+    except BaobabthreadError as error:
+        print(error.render(), file=sys.stderr)
+        return error.exit_code
+
+
+def _parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="baobabthread.platform", description=__doc__)
+    parser.add_argument(
+        "--settings",
+        default=os.environ.get(PATH_VARIABLE),
+        help=f"path of the settings file [env: {PATH_VARIABLE}]",
+    )
+    parser.add_argument(
+        "--metrics", default=None, help="PORT/PATH at which figures are served"
+    )
+    return parser.parse_args()
+
+
+async def _run(arguments: argparse.Namespace) -> int:
+    if arguments.settings is None:
+        raise UsageError(
+            "no settings file", remedy=f"set {PATH_VARIABLE} or give --settings PATH"
+        )
+    settings = read_settings(arguments.settings)
+    port, _, path = (arguments.metrics or "").partition("/")
+    outside = Outside(
+        store=PlatformStore(address=settings.store_address, connect_s=CONNECT_S),
+        formats=PlatformRecords(),
+        wire=PlatformWire(),
+        make_interface=lambda is_ready, find: PlatformInterface(
+            is_ready=is_ready, find_addresses=find
+        ),
+        metrics_address=f"{settings.ip}:{port}" if port else None,
+        metrics_path=f"/{path}",
+    )
+    return await Instance(settings=settings, outside=outside).run()
