Tell starts of a backend server apart, and use no server of a foreign record

A backend server may now start again under its id. Its records, connections, load, delays, ejection and 'leaves' were kept by id, so the new start was taken for the old one: after 'leaving' it was never used again, and a late record of the start before, or a peer's, replaced the newer one. Everything that belongs to a start is now kept by incarnation (id and time of start), and the newest start of an id is remembered, also while its record is gone.

A record that lacks a field, has one of another type, an unknown state or an address that is none was used with defaults (slots 1, state ready); now it names no server, and what stood under its key before is dropped. A record nested a hundred thousand deep ended the feed's step each time it was read, and one without bytes broke the whole page off: both are passed over.

Tests failed before: take_backend refused the new start, decode_backend took the foreign ones.

--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -68,7 +68,7 @@
         body = await attempt.read_whole(MAX_ANSWER_BYTES)
         flight.trail.append(f"{attempt.link.record.id}:status {head.status}")
         if flight.route.may_repeat and flight.may_run_again and state.spend():
-            flight.excluded.add(attempt.link.record.id)
+            flight.excluded.add(attempt.link.name)
             raise Again(Outcome.FAILED)
         await self._pass_on(flight, attempt, head, body)
 
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -54,6 +54,11 @@
             address=record.address, connect_s=CONNECT_S, on_bytes=self._note_bytes
         )
 
+    @property
+    def name(self) -> str:
+        """Give the name of this start of it."""
+        return self.record.incarnation
+
     def suspect(self) -> None:
         """Note that it gave no sign of life when it should have."""
         self.suspect_until = now() + SUSPECT_S
@@ -94,13 +99,14 @@
         if self._seen == self._knowledge.changes:
             return
         self._seen = self._knowledge.changes
-        records = self._knowledge.backends
-        for id in [id for id in self._links if id not in records]:
-            self._links.pop(id).pool.close()
-        for id, record in records.items():
-            link = self._links.get(id)
+        # By incarnation: connections, load, delays and ejection belong to one start.
+        records = {r.incarnation: r for r in self._knowledge.backends.values()}
+        for name in [name for name in self._links if name not in records]:
+            self._links.pop(name).pool.close()
+        for name, record in records.items():
+            link = self._links.get(name)
             if link is None:
-                self._links[id] = BackendLink(record=record)
+                self._links[name] = BackendLink(record=record)
             else:
                 link.record = record
         self.table.rebuild(_translate(records), now())
@@ -118,7 +124,7 @@
         """Return the backend server for an attempt, or nothing when none is left."""
         moment = now()
         suspects = {
-            id for id, link in self._links.items() if moment < link.suspect_until
+            name for name, link in self._links.items() if moment < link.suspect_until
         }
         for out in (_Either(exclude, suspects), exclude):
             name = self.table.pick(
@@ -149,9 +155,7 @@
 
     def occupy(self, link: BackendLink, *, work: int, first_s: float) -> Occupancy:
         """Count an attempt that starts; its first part takes so long by itself."""
-        return Occupancy(
-            table=self.table, name=link.record.id, work=work, first_s=first_s
-        )
+        return Occupancy(table=self.table, name=link.name, work=work, first_s=first_s)
 
     def prune(self) -> None:
         """Close connections that were idle for too long."""
@@ -217,21 +221,21 @@
 
 
 def _translate(records: dict[str, BackendRecord]) -> Configuration:
-    usable = [record for record in records.values() if not record.leaving]
+    usable = {n: record for n, record in records.items() if not record.leaving}
     return msgspec.structs.replace(
         EMPTY,
         services={
             record.service: Service(kind=ServiceKind.MODEL, balancer=BALANCER)
-            for record in usable
+            for record in usable.values()
         },
         backends={
-            record.id: Backend(
+            name: Backend(
                 service=record.service,
                 address=record.address,
                 failure_domain=record.failure_domain,
                 capacity=record.capacity,
                 versions=[record.version],
             )
-            for record in usable
+            for name, record in usable.items()
         },
     )
--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -132,7 +132,7 @@
     def _take_guarded(self, record: Record) -> None:
         try:
             self._take(record)
-        except (msgspec.MsgspecError, BaobabthreadError) as error:
+        except (msgspec.MsgspecError, BaobabthreadError, RecursionError) as error:
             # One record that can't be understood must not stop those behind it; what
             # was known before stays in force.
             log_event(
@@ -143,6 +143,11 @@
                 offset=record.offset,
                 error=str(error),
             )
+            self._pass_over(record)
+
+    @abc.abstractmethod
+    def _pass_over(self, record: Record) -> None:
+        """Go on without a record that can't be understood."""
 
     @property
     @abc.abstractmethod
@@ -252,6 +257,9 @@
                 limit_s=found.time_limit_s,
             )
 
+    def _pass_over(self, record: Record) -> None:
+        """Keep what is in force: it is the operators' last word that can be read."""
+
     def _note_read(self, end: int, asked_at: float) -> None:
         self._knowledge.note_operators_read(end=end, asked_at=asked_at)
 
@@ -296,5 +304,10 @@
                 offset=record.offset,
             )
 
+    def _pass_over(self, record: Record) -> None:
+        # Its newest record is somebody else's: what stood there before may be gone, and
+        # its address another server's. A live one writes again within a heartbeat.
+        self._knowledge.discard_backend(record.key)
+
     def _note_read(self, end: int, asked_at: float) -> None:
         self._knowledge.note_backends_read(end=end, asked_at=asked_at, now=now())
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -213,7 +213,7 @@
         self, flight: Flight, state: ServiceState, link: BackendLink, error: Exception
     ) -> None:
         """Try again where that is safe and within the budget, otherwise fail."""
-        flight.excluded.add(link.record.id)
+        flight.excluded.add(link.name)
         if isinstance(error, TimeoutError):
             await self._endings.time_out(flight)
             return
@@ -244,5 +244,5 @@
             return False
         if flight.attempts >= MAX_OFFERS:
             return False
-        others = flight.excluded | {link.record.id}
+        others = flight.excluded | {link.name}
         return self._pick(flight, state, others) is not None and state.spend()
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import enum
+import ipaddress
+
 import msgspec
 
 from baobabthread.errors import ConfigurationError
@@ -23,13 +26,14 @@
 
 CONFIGURATION_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
-DRAINING = "draining"
+LAST_PORT = 65_535
 MS = 1000.0
 
 _KINDS = {
     "idempotent": Repeatability.IDEMPOTENT,
     "streaming": Repeatability.STREAM,
 }
+_SERVER_REMEDY = "let only backend servers write there; theirs has all fields"
 _REMEDY = "publish a configuration in the form that the platform's pages give"
 
 
@@ -95,14 +99,24 @@
     tenants: list[_Tenant] = []
 
 
+class _ServerState(enum.StrEnum):
+    READY = "ready"
+    DRAINING = "draining"
+
+
 class _Server(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what a backend server writes; whatever lacks a field is not from one."""
+
     service: str
     address: str
-    zone: str = ""
-    version: str = ""
-    slots: int = 1
+    zone: str
+    version: str
+    slots: int
     """Requests that it runs at once."""
-    state: str = "ready"
+    state: _ServerState
+    born: int = 0
+    """Unix millisecond of its start; deployments whose servers never return under
+    their id leave it out."""
 
 
 class _Order(msgspec.Struct, frozen=True, kw_only=True):
@@ -225,9 +239,13 @@
 def decode_backend(id: str, value: bytes) -> BackendRecord:
     """Decode the record of one start of a backend server.
 
-    Raises `msgspec.MsgspecError` where it can't be understood.
+    Raises `ConfigurationError` where it names no backend server that could be used.
     """
-    found = msgspec.json.decode(value, type=_Server)
+    try:
+        found = msgspec.json.decode(value, type=_Server)
+        _check_address(found.address)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise ConfigurationError(str(error), field=id, remedy=_SERVER_REMEDY) from error
     return BackendRecord(
         id=id,
         service=found.service,
@@ -235,10 +253,19 @@
         failure_domain=found.zone,
         version=found.version,
         capacity=max(1, found.slots),
-        leaving=found.state == DRAINING,
+        leaving=found.state is _ServerState.DRAINING,
+        started_ms=max(0, found.born),
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise `ValueError` unless this is an IP address and a port."""
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not 0 < int(port) <= LAST_PORT:
+        raise ValueError(f"{port!r} is no port")
+
+
 def decode_order(number: int, value: bytes) -> RolloutOrder:
     """Decode an order to move a service to another version."""
     found = msgspec.json.decode(value, type=_Order)
--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -38,6 +38,9 @@
 takes a second over a link of 5 Mbit/s, a few of them in a row several."""
 LENGTH_BYTES = 4
 OFFSETS_BYTES = 16
+NO_KEY = b"\0"
+"""Content of a record without key and value."""
+
 T = TypeVar("T")
 PARTITION = 0
 """The only partition of a topic that keeps the newest record of each key."""
@@ -209,9 +212,11 @@
         (length,) = struct.unpack_from(">I", body, position)
         position += LENGTH_BYTES
         content = body[position : position + length]
-        if len(content) < length or not content:
+        if len(content) < length:
             raise StoreError("answer ends within a record")
         position += length
+        # Another writer's record may lack even the length of a key.
+        content = content or NO_KEY
         cut = 1 + content[0]
         records.append(
             Record(
--- a/src/baobabthread/routing/configuration.py
+++ b/src/baobabthread/routing/configuration.py
@@ -120,6 +120,13 @@
     version: str
     capacity: int
     leaving: bool = False
+    started_ms: int = 0
+    """Unix millisecond of its start; 0 where it tells none and its id is enough."""
+
+    @property
+    def incarnation(self) -> str:
+        """Name this start of it: a server that starts again under its id is another."""
+        return f"{self.id}@{self.started_ms}" if self.started_ms else self.id
 
 
 class RolloutOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/baobabthread/routing/knowledge.py
+++ b/src/baobabthread/routing/knowledge.py
@@ -26,6 +26,9 @@
 late."""
 RETURN_S = 2.2
 """Time after the store is back in which entries that lapsed meanwhile return."""
+MAX_STARTS = 20_000
+"""Backend servers whose newest start is remembered, also after their record is gone:
+twice those of the largest deployment that is planned and those replaced in a day."""
 UNSTABLE_S = 1.5
 """Gap between two reads of the backend servers' records after which the store counts
 as having been away."""
@@ -54,6 +57,7 @@
         "_bounds",
         "_changes_read",
         "_held",
+        "_newest_start",
         "_unstable_until",
         "backends",
         "backends_changed_at",
@@ -84,6 +88,7 @@
         """Rises whenever anything but ages has changed."""
         self._backends_at = -NEVER_S
         self._held: dict[str, float] = {}
+        self._newest_start: dict[str, int] = {}
         self._unstable_until = 0.0
 
     # -- operators --
@@ -136,16 +141,39 @@
         """Take over a backend server's record; return whether it changes anything."""
         self._held.pop(record.id, None)
         known = self.backends.get(record.id)
-        if known == record:
+        if known == record or not self._note_start(record):
             return False
-        if known is not None and known.leaving and not record.leaving:
-            # Records of a peer may be older than what was read here: a backend server
-            # that said it leaves never comes back under the same id.
+        is_same_start = known is not None and known.started_ms == record.started_ms
+        if known is not None and is_same_start and known.leaving and not record.leaving:
+            # Records of a peer may be older than what was read here: a start of a
+            # backend server that said it leaves never takes that back.
             return False
         self.backends[record.id] = record
         self.changes += 1
         return True
 
+    def _note_start(self, record: BackendRecord) -> bool:
+        """Return whether this is the newest start of the server that is known.
+
+        A server that starts again under its id is still named by late records of its
+        start before and by peers that are behind. Going back to those would send
+        requests with the old address or version, and take it for leaving.
+        """
+        if record.started_ms < self._newest_start.get(record.id, 0):
+            return False
+        if record.started_ms:
+            self._newest_start.pop(record.id, None)
+            self._newest_start[record.id] = record.started_ms
+            if len(self._newest_start) > MAX_STARTS:
+                del self._newest_start[next(iter(self._newest_start))]
+        return True
+
+    def discard_backend(self, id: str) -> None:
+        """Drop a server at once whose newest record names none that could be used."""
+        self._held.pop(id, None)
+        if self.backends.pop(id, None) is not None:
+            self.changes += 1
+
     def drop_backend(self, id: str, now: float) -> None:
         """Note that a backend server's record is gone."""
         if id not in self.backends:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -14,7 +14,11 @@
 from baobabthread.instance.store import Conflict, Record, StoreError, Tail, Trimmed
 from baobabthread.instance.wire import BackendCall
 from baobabthread.platform.headers import PlatformWire
-from baobabthread.platform.records import PlatformRecords, decode_configuration
+from baobabthread.platform.records import (
+    PlatformRecords,
+    decode_backend,
+    decode_configuration,
+)
 from baobabthread.platform.settings import parse_settings, read_settings
 from baobabthread.platform.store import PlatformStore
 from baobabthread.routing.configuration import (
@@ -225,3 +229,59 @@
         store.close()
 
     run(case())
+
+
+SERVER: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.5:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 3,
+}
+
+
+def test_decode_a_backend_server() -> None:
+    found = decode_backend("s1", json.dumps(SERVER).encode())
+    assert (found.capacity, found.leaving, found.incarnation) == (6, False, "s1")
+    text = json.dumps(SERVER | {"born": 1700, "state": "draining"}).encode()
+    found = decode_backend("s1", text)
+    assert found.leaving
+    assert found.started_ms == 1700
+    assert found.incarnation != "s1"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": None},
+        {"address": 5},
+        {"address": "nowhere"},
+        {"address": "10.0.0.5:0"},
+        {"address": "10.0.0.5:http"},
+        {"slots": "6"},
+        {"slots": True},
+        {"state": "warming"},
+        {"born": "1700"},
+        {"born": 1700.5},
+        {"zone": ["a"]},
+    ],
+)
+def test_use_no_server_that_another_writer_names(change: dict[str, Any]) -> None:
+    with pytest.raises(ConfigurationError, match="s1"):
+        decode_backend("s1", json.dumps(SERVER | change).encode())
+
+
+@pytest.mark.parametrize("missing", ["service", "address", "version", "slots", "state"])
+def test_use_no_server_whose_record_lacks_a_field(missing: str) -> None:
+    text = {name: value for name, value in SERVER.items() if name != missing}
+    with pytest.raises(ConfigurationError):
+        decode_backend("s1", json.dumps(text).encode())
+
+
+@pytest.mark.parametrize("value", [b"\xff\x00", b"[" * 100_000, b"{", b"7"])
+def test_use_no_server_whose_record_is_no_text(value: bytes) -> None:
+    with pytest.raises(ConfigurationError):
+        decode_backend("s1", value)
--- a/tests/routing/test_knowledge.py
+++ b/tests/routing/test_knowledge.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
+
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import (
     BackendRecord,
@@ -143,3 +146,50 @@
     older = RolloutOrder(number=2, service="s", target="v9", time_limit_s=9.0)
     assert not knowledge.take_order(older)
     assert knowledge.orders["s"].target == "v2"
+
+
+def start(started_ms: int, *, leaving: bool = False) -> BackendRecord:
+    record = backend("s1", leaving=leaving)
+    return msgspec.structs.replace(
+        record, started_ms=started_ms, address=f"127.0.0.1:{started_ms}"
+    )
+
+
+def test_take_a_server_back_that_starts_again_under_its_id() -> None:
+    """A server says that it leaves, ends, and starts again with the same id.
+
+    Its new start holds nothing of the old one: that it leaves included.
+    """
+    knowledge = make_knowledge()
+    knowledge.take_backend(start(1, leaving=True))
+    assert not knowledge.take_backend(start(1))
+    assert knowledge.take_backend(start(2))
+    assert not knowledge.backends["s1"].leaving
+
+
+def test_never_go_back_to_an_older_start_of_a_server() -> None:
+    """A late record of the start before, or a peer that is behind, names the old start.
+
+    Requests would go to an address that another server may have by now. That holds
+    also while its record is gone, and beside a record that names no start at all.
+    """
+    knowledge = make_knowledge()
+    knowledge.take_backend(start(2))
+    assert not knowledge.take_backend(start(1))
+    knowledge.replace_backends([start(1, leaving=True)], 10.0)
+    assert knowledge.backends["s1"] == start(2)
+    knowledge.drop_backend("s1", 10.0)
+    assert not knowledge.take_backend(start(1))
+    assert not knowledge.take_backend(backend("s1"))
+    assert not knowledge.backends
+    assert knowledge.take_backend(start(2))
+
+
+def test_forget_old_starts_within_a_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("baobabthread.routing.knowledge.MAX_STARTS", 2)
+    knowledge = make_knowledge()
+    for number in range(4):
+        record = msgspec.structs.replace(start(5), id=f"s{number}")
+        knowledge.take_backend(record)
+    assert not knowledge.take_backend(msgspec.structs.replace(start(4), id="s3"))
+    assert knowledge.take_backend(msgspec.structs.replace(start(4), id="s0"))
