Ask the keepers of engines what a prompt would meet before placing it

Cause: an instance knew only its own requests and the delays that it met, one of seven or one of 58 parts of an engine's load, and took most shared parts for kept. Large prompts met each other at engines while others were idle.

Now one instance (rendezvous) keeps the load of each engine: what is placed and has not begun, what is overdue, which parts a model has read there. Everybody asks the keepers of up to eight engines before an attempt at a model and tells what it places. Reading is estimated from what is kept.

Ruled out: telling all instances of all placements (28,000 datagrams a second among 58), polling engines (priced, 200 ms old).

--- a/src/baobabthread/core/backends/balance.py
+++ b/src/baobabthread/core/backends/balance.py
@@ -13,10 +13,15 @@
     Server,
 )
 from baobabthread.core.backends.balancers import BALANCERS, DEFAULT, Balancer, View
+from baobabthread.core.backends.loads import Load
 from baobabthread.core.backends.pools import Pool
 from baobabthread.core.configuration.configuration import Configuration
 from baobabthread.core.limits.limits import Outcome
 
+CANDIDATES = 8
+"""Servers whose load is asked for before a pick. The best of eight of thirty waits a
+few hundredths of a second longer than the best of all, for a quarter of the words."""
+NO_LOADS: Mapping[str, Load] = {}
 WITNESS_S = 10.0
 """How long an entry tells others of a server that leaves; less than they hold it."""
 
@@ -94,10 +99,13 @@
         now: float,
         may_probe: bool = False,
         shared_s: float = 0.0,
+        shared_tokens: int = 0,
+        loads: Mapping[str, Load] = NO_LOADS,
     ) -> str | None:
         """Return the server for a request, or nothing when none is left.
 
-        `shared_s` is the work that a cached prefix saves. `may_probe` lets an
+        `shared_s` is the work that a cached prefix of `shared_tokens` saves, `loads`
+        what keepers say of some servers. `may_probe` lets an
         idempotent request try a server that was ejected.
         """
         pool = self._pool(service, version, now)
@@ -116,11 +124,30 @@
             usual=self._usual.get(service, 1.0),
             settings=self._settings,
             shared_s=shared_s,
+            shared_tokens=shared_tokens,
+            loads=loads,
         )
         balancer = self._balancers.get(service) or BALANCERS.get(DEFAULT)
         chosen = balancer(view)
         return chosen.name if chosen is not None else None
 
+    def list_candidates(
+        self,
+        *,
+        service: str,
+        version: str | None,
+        prefix_key: int | None,
+        exclude: Container[str],
+        now: float,
+    ) -> list[str]:
+        """Return servers to choose among: a prefix's own ones, and some at random."""
+        pool = self._pool(service, version, now)
+        home = pool.preferred(prefix_key) if prefix_key is not None else ()
+        others = [server for server in pool.usable if server not in home]
+        count = min(len(others), CANDIDATES - len(home))
+        found = [*home, *self._rng.sample(others, count)]
+        return [server.name for server in found if server.name not in exclude]
+
     def capacity(self, service: str, version: str | None, now: float) -> int:
         """Return how many requests the usable servers can run at once."""
         return sum(s.capacity for s in self._pool(service, version, now).usable)
--- a/src/baobabthread/core/backends/balancers.py
+++ b/src/baobabthread/core/backends/balancers.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Container
+from collections.abc import Container, Mapping
 from typing import Protocol
 
 from baobabthread.core.backends.backends import BalanceSettings, Server
+from baobabthread.core.backends.loads import Load
 from baobabthread.core.backends.pools import Pool
 from baobabthread.core.registry import Registry
 
@@ -21,12 +22,14 @@
     __slots__ = (
         "exclude",
         "least",
+        "loads",
         "now",
         "pool",
         "prefix_key",
         "rng",
         "settings",
         "shared_s",
+        "shared_tokens",
         "usual",
     )
 
@@ -41,9 +44,15 @@
         usual: float,
         settings: BalanceSettings,
         shared_s: float = 0.0,
+        shared_tokens: int = 0,
+        loads: Mapping[str, Load],
     ) -> None:
         self.shared_s = shared_s
         """Seconds of work that a server saves which has the prefix in its cache."""
+        self.shared_tokens = shared_tokens
+        """Tokens of the prefix."""
+        self.loads = loads
+        """What keepers say of some servers; empty where nobody was asked."""
         self.pool = pool
         self.prefix_key = prefix_key
         self.exclude = exclude
--- a/src/baobabthread/core/backends/earliest.py
+++ b/src/baobabthread/core/backends/earliest.py
@@ -13,6 +13,9 @@
 """Seconds of waiting that a second of reading a prefix again is worth."""
 SPILL_PART = 0.6
 """Part of that at the server to which a prefix spills, where it often is as well."""
+AWAY_S = 0.01
+"""Seconds of waiting for which a prefix that nobody keeps goes to its own server: the
+next one with the same prefix finds it there though the keepers were replaced."""
 RUN_S = 0.05
 """Seconds that any request takes at an idle server, by which its slowness and its
 crowding weigh against the wait."""
@@ -41,6 +44,8 @@
 
 def _sample(view: View, home: tuple[Server, ...]) -> Iterable[Server]:
     usable = view.pool.usable
+    if view.loads:
+        return [server for server in usable if server.name in view.loads]
     if len(usable) <= view.settings.sample:
         # A random start, so that entries that see the same don't all choose the first.
         turn = int(view.rng.random() * len(usable)) if usable else 0
@@ -50,6 +55,11 @@
 
 def _estimate_reading(view: View, server: Server, home: tuple[Server, ...]) -> float:
     """Return what reading a prefix costs at a server that may not have it."""
+    load = view.loads.get(server.name)
+    if load is not None:
+        missing = 1.0 - min(1.0, load.kept_tokens / max(1, view.shared_tokens))
+        cost = view.shared_s * READING_WEIGHT * missing
+        return cost if home and server is home[0] else cost + AWAY_S
     if home and server is home[0]:
         return 0.0
     # What is read again also holds up all others there: near saturation that is the
@@ -60,7 +70,8 @@
 
 def _estimate_ready(view: View, server: Server) -> float:
     now = view.now
-    ready = server.wait(now)
+    load = view.loads.get(server.name)
+    ready = server.wait(now) if load is None else max(server.pending, load.wait_s)
     if server.far:
         ready += view.settings.far_wait_s
     crowd = (server.in_flight + 1) / (server.capacity * max(0.1, server.ramp(now)))
--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.attempts import Again, Attempt, Head
 from baobabthread.instance.clock import now
@@ -10,6 +12,7 @@
 from baobabthread.instance.events import EventCutter
 from baobabthread.instance.flight import Flight
 from baobabthread.instance.records import FlightLog
+from baobabthread.instance.selection import Prospect, Selection
 from baobabthread.instance.services import ServiceState
 from baobabthread.instance.wire import WireFormat
 from baobabthread.routing.models import ModelChoice, ModelQuestion
@@ -22,7 +25,7 @@
 class Answers:
     """Pass answers on, whole or event by event."""
 
-    __slots__ = ("_estimates", "_log", "_models", "_wire")
+    __slots__ = ("_estimates", "_log", "_models", "_selection", "_wire")
 
     def __init__(
         self,
@@ -30,11 +33,13 @@
         wire: WireFormat,
         estimates: Estimates,
         models: ModelChoice,
+        selection: Selection,
         log: FlightLog,
     ) -> None:
         self._wire = wire
         self._estimates = estimates
         self._models = models
+        self._selection = selection
         self._log = log
 
     async def take(
@@ -50,7 +55,7 @@
                 await self._take_failure(flight, state, attempt, head)
                 return
             if head.is_success:
-                self._judge_model(flight, state, attempt, head)
+                await self._judge_model(flight, state, attempt, head)
         elif not head.is_success:
             raise BrokenError(f"status {head.status} instead of the rest of a stream")
         if flight.route.is_stream and head.is_success:
@@ -79,7 +84,7 @@
         self._log.answered(flight, attempt.link.record, head.status)
         await flight.reply.answer(head.status, headers, body)
 
-    def _judge_model(
+    async def _judge_model(
         self, flight: Flight, state: ServiceState, attempt: Attempt, head: Head
     ) -> None:
         """Drop an answer that its own model doubts, and ask a larger one."""
@@ -89,10 +94,12 @@
             count=len(flight.route.models),
             index=flight.model,
             confidence=head.marks.confidence,
-            spare=self._find_spare(flight, head),
         )
+        if self._models.escalate(question) is None or not flight.may_run_again:
+            return
+        question = await self._weigh_time(flight, head, question)
         larger = self._models.escalate(question)
-        if larger is None or not flight.may_run_again:
+        if larger is None:
             return
         expected_s = self._estimates.whole_s(flight, flight.route.models[larger])
         if now() + expected_s > flight.deadline or not state.spend():
@@ -101,16 +108,28 @@
         flight.model = larger
         raise Again(Outcome.CANCELLED)
 
-    def _find_spare(self, flight: Flight, head: Head) -> float:
-        """Return what a larger model would leave of the objective, as a part of it.
+    async def _weigh_time(
+        self, flight: Flight, head: Head, question: ModelQuestion
+    ) -> ModelQuestion:
+        """Add what a larger model's answer would wait for and leave of the objective.
 
-        It is expected to wait as long as this attempt did beyond its own reading.
+        Where no keeper of engines answers, it is expected to wait as long as this
+        attempt did beyond its own reading.
         """
-        waited_s = max(0.0, head.latency_s - self._estimates.reading_s(flight))
         largest = flight.route.models[-1]
-        first_s = waited_s + self._estimates.reading_s(flight, largest)
+        prospect = await self._selection.foresee(flight, largest)
+        if prospect is None:
+            waited_s = max(0.0, head.latency_s - self._estimates.reading_s(flight))
+            reading_s = self._estimates.reading_s(flight, largest)
+            prospect = Prospect(wait_s=waited_s, reading_s=reading_s)
         passed_s = now() - flight.started_at
-        return 1.0 - (passed_s + first_s) / max(flight.route.objective_s, 1e-3)
+        objective_s = max(flight.route.objective_s, 1e-3)
+        first_s = prospect.wait_s + prospect.reading_s
+        return msgspec.structs.replace(
+            question,
+            spare=1.0 - (passed_s + first_s) / objective_s,
+            wait=prospect.wait_s / objective_s,
+        )
 
     async def _relay(self, flight: Flight, attempt: Attempt, head: Head) -> None:
         """Pass a stream on event by event."""
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import deque
-from collections.abc import Container
+from collections.abc import Container, Mapping
 
 import msgspec
 import xxhash
@@ -12,6 +12,7 @@
 from baobabthread.core.backends import earliest
 from baobabthread.core.backends.backends import BalanceSettings
 from baobabthread.core.backends.balance import BackendTable
+from baobabthread.core.backends.loads import Load
 from baobabthread.core.configuration.configuration import (
     EMPTY,
     Backend,
@@ -120,6 +121,8 @@
         exclude: Container[str],
         may_probe: bool,
         shared_s: float,
+        shared_tokens: int,
+        loads: Mapping[str, Load],
     ) -> BackendLink | None:
         """Return the backend server for an attempt, or nothing when none is left."""
         moment = now()
@@ -135,12 +138,31 @@
                 now=moment,
                 may_probe=may_probe,
                 shared_s=shared_s,
+                shared_tokens=shared_tokens,
+                loads=loads,
             )
             # The table returns an excluded one when it has nothing else.
             if name is not None and name not in out:
                 return self._links.get(name)
         return None
 
+    def list_candidates(
+        self,
+        service: str,
+        *,
+        version: str | None,
+        prefix_key: int | None,
+        exclude: Container[str],
+    ) -> list[str]:
+        """Return the backend servers whose load is worth a question."""
+        return self.table.list_candidates(
+            service=service,
+            version=version,
+            prefix_key=prefix_key,
+            exclude=exclude,
+            now=now(),
+        )
+
     def versions(self, service: str) -> dict[str, int]:
         """Return how many backend servers of a service run each version."""
         found: dict[str, int] = {}
--- a/src/baobabthread/instance/estimates.py
+++ b/src/baobabthread/instance/estimates.py
@@ -33,15 +33,18 @@
         """Return about how many milliseconds a backend server works on it."""
         return max(1, int(self.whole_s(flight, flight.model_name) * 1000))
 
-    def reading_s(self, flight: Flight, model: str | None = None) -> float:
+    def reading_s(
+        self, flight: Flight, model: str | None = None, kept_tokens: int | None = None
+    ) -> float:
         """Return the seconds that an engine reads the prompt; 0 at a plain service.
 
-        The model is the one that is asked unless another one is named.
+        The model and what is kept are those of the attempt unless others are named.
         """
         if not flight.route.is_stream:
             return 0.0
-        envelope = flight.request.envelope
-        fresh = max(0, envelope.prompt_tokens - envelope.shared_tokens)
+        if kept_tokens is None:
+            kept_tokens = _find_kept(flight)
+        fresh = max(0, flight.request.envelope.prompt_tokens - kept_tokens)
         name = model or flight.model_name
         return self._pace.unhindered_s(flight.service, name, fresh)
 
@@ -69,8 +72,15 @@
             flight.service,
             flight.model_name,
             prompt=envelope.prompt_tokens,
-            shared=envelope.shared_tokens,
+            shared=_find_kept(flight),
             first_s=first_s,
             rest_s=rest_s,
             tokens=envelope.expected_tokens,
         )
+
+
+def _find_kept(flight: Flight) -> int:
+    """Return the tokens that need not be read; nobody's word means all shared ones."""
+    if flight.kept_tokens is not None:
+        return flight.kept_tokens
+    return flight.request.envelope.shared_tokens
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -66,6 +66,7 @@
         "attempts",
         "deadline",
         "excluded",
+        "kept_tokens",
         "last_event",
         "may_move",
         "model",
@@ -79,6 +80,7 @@
         "session",
         "started_at",
         "trail",
+        "version",
         "work",
     )
 
@@ -109,6 +111,10 @@
         """Index of the model to ask; None where the caller or nobody chooses."""
         self.on_new: bool | None = None
         """Whether it goes to the new version of a roll-out."""
+        self.version: str | None = None
+        """The version that must run it; None for any."""
+        self.kept_tokens: int | None = None
+        """Tokens of its prompt that the engine keeps; None where nobody knows."""
         self.may_move = True
         """Whether its session may go to the new version at all."""
         self.last_event = request.envelope.last_event
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -16,20 +16,22 @@
     SilentError,
     judge,
 )
-from baobabthread.instance.backends import BackendLink, Backends, hash_prefix
+from baobabthread.instance.backends import BackendLink, Backends
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import BrokenError, NotSentError
 from baobabthread.instance.endings import Endings
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.flight import CallerRequest, Flight, Reply
+from baobabthread.instance.placement import Placement
 from baobabthread.instance.records import FlightLog
+from baobabthread.instance.selection import Selection
 from baobabthread.instance.services import Services, ServiceState
 from baobabthread.instance.sessions import SessionDesk
 from baobabthread.instance.turns import LEAST_LEFT_S, Turns
 from baobabthread.instance.wire import WireFormat
 from baobabthread.routing.knowledge import Knowledge
+from baobabthread.routing.mechanisms import NONE_OFF, Mechanism, Switches
 from baobabthread.routing.models import MODEL_CHOICES
-from baobabthread.routing.versions import VersionPlan
 
 MAX_OFFERS = 6
 """Backend servers that a request is offered to, those that refuse it included."""
@@ -48,18 +50,32 @@
         rng: random.Random,
         log: FlightLog,
         desk: SessionDesk,
-        model_choice: str = "staged",
+        placement: Placement,
+        off: Switches = NONE_OFF,
     ) -> None:
         self._backends = backends
         self._services = services
         self._wire = wire
         self._log = log
         self._desk = desk
-        models = MODEL_CHOICES.get(model_choice)
+        self._off = off
+        models = MODEL_CHOICES.get(
+            "largest" if Mechanism.STAGED_MODELS in off else "staged"
+        )
         self._estimates = Estimates()
+        self.selection = Selection(
+            backends=backends,
+            estimates=self._estimates,
+            placement=placement,
+            off=off,
+        )
         self._endings = Endings(log=log, rng=rng)
         self._answers = Answers(
-            wire=wire, estimates=self._estimates, models=models, log=log
+            wire=wire,
+            estimates=self._estimates,
+            models=models,
+            selection=self.selection,
+            log=log,
         )
         self.admission = Admission(
             knowledge=knowledge,
@@ -126,7 +142,7 @@
             if flight.deadline - now() < LEAST_LEFT_S:
                 await self._endings.time_out(flight)
                 return
-            link = self._pick(flight, state, flight.excluded)
+            link = await self.selection.select(flight, state.plan)
             if link is None:
                 await self._endings.give_up(flight, "no_backend")
                 return
@@ -136,39 +152,6 @@
             except Again:
                 continue
 
-    def _pick(
-        self, flight: Flight, state: ServiceState, excluded: set[str]
-    ) -> BackendLink | None:
-        key = flight.prompt_key
-        return self._backends.pick(
-            flight.service,
-            version=self._choose_version(flight, state.plan),
-            prefix_key=hash_prefix(key) if key is not None else None,
-            exclude=excluded,
-            may_probe=flight.route.may_repeat and flight.attempts == 0,
-            shared_s=self._estimates.shared_s(flight),
-        )
-
-    def _choose_version(self, flight: Flight, plan: VersionPlan) -> str | None:
-        """Return the version that must run the request, or None for any."""
-        order = plan.order
-        if order is None:
-            # A stream that begins now may break after an order has come: resumed on the
-            # new version, it would be joined from two, and lost where that one is bad.
-            flight.on_new = False
-            return None
-        versions = self._backends.versions(flight.service)
-        old = {v: count for v, count in versions.items() if v != order.target}
-        wanted = plan.choose(flight.session, now()) and flight.may_move
-        if flight.on_new is None or flight.runs == 0 or not wanted:
-            flight.on_new = wanted
-        if flight.on_new and order.target in versions:
-            return order.target
-        if old:
-            flight.on_new = False
-            return max(old, key=lambda v: (old[v], v))
-        return None
-
     async def _attempt(
         self, flight: Flight, state: ServiceState, link: BackendLink
     ) -> None:
@@ -183,6 +166,8 @@
         occupancy = self._backends.occupy(
             link, work=flight.work, first_s=self._estimates.reading_s(flight)
         )
+        booking = self.selection.place(flight, link)
+        is_silent = False
         flight.attempts += 1
         on_old = not flight.on_new
         if on_old:
@@ -192,6 +177,8 @@
         try:
             head = await attempt.open(self._wire)
             occupancy.begin(head.latency_s)
+            if booking is not None:
+                booking.begin()
             await self._answers.take(flight, state, attempt, head)
             outcome = Outcome.FAILED if head.is_failure else Outcome.OK
         except Again as again:
@@ -199,12 +186,15 @@
             raise
         except (NotSentError, RefusedError, BrokenError, TimeoutError) as error:
             outcome = judge(error)
+            is_silent = isinstance(error, SilentError)
             flight.trail.append(f"{link.record.id}:{str(error) or 'timeout'}")
             attempt.abort()
             await self._recover(flight, state, link, error)
         finally:
             attempt.abort()
             occupancy.end(outcome, now() - attempt.sent_at)
+            if booking is not None:
+                booking.give_up(silent=is_silent)
             if on_old:
                 state.plan.ended_old(flight.session, now())
                 self._desk.note_use(state.plan, flight.session)
@@ -242,7 +232,8 @@
         """
         if not flight.route.may_repeat or not flight.may_run_again:
             return False
+        if Mechanism.PATIENCE in self._off:
+            return False
         if flight.attempts >= MAX_OFFERS:
             return False
-        others = flight.excluded | {link.name}
-        return self._pick(flight, state, others) is not None and state.spend()
+        return self.selection.has_other(flight, link) and state.spend()
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -26,6 +26,14 @@
     NotSentError,
     encode_head,
 )
+from baobabthread.instance.placement import (
+    LOAD_MESSAGES,
+    AskLoads,
+    LoadsAre,
+    Placement,
+    TellBegun,
+    TellPlaced,
+)
 from baobabthread.instance.relaying import (
     RELAY_MESSAGES,
     AskKnowledge,
@@ -89,8 +97,14 @@
         self._knowledge = knowledge
         self._rng = rng
         self._codec = PeerCodec(
-            types=(*MEMBERSHIP_MESSAGES, *RELAY_MESSAGES, *SESSION_MESSAGES)
+            types=(
+                *MEMBERSHIP_MESSAGES,
+                *RELAY_MESSAGES,
+                *SESSION_MESSAGES,
+                *LOAD_MESSAGES,
+            )
         )
+        self.placement = Placement(me=settings.name, tell=self._tell)
         self.desk = SessionDesk(me=settings.name, tell=self._tell, find_plan=find_plan)
         self.relay = Relay(
             me=settings.name, knowledge=knowledge, tell=self._tell, fetch=self.fetch
@@ -148,6 +162,14 @@
                 self.desk.take_uses(sender, message)
             case UsesNoted():
                 self.desk.take_confirmation(message)
+            case AskLoads():
+                self.placement.answer(sender, message)
+            case LoadsAre():
+                self.placement.take(message)
+            case TellPlaced():
+                self.placement.take_placed(sender, message)
+            case TellBegun():
+                self.placement.take_begun(sender, message)
             case _:
                 self._run(self.membership.handle(sender, message, now()))
 
@@ -171,6 +193,7 @@
         self._note_members()
         self.relay.tick()
         self.desk.tick()
+        self.placement.tick()
 
     def leave(self) -> None:
         """Tell the others that this instance takes no new callers."""
@@ -222,6 +245,7 @@
         names = [member.name for member in self.membership.alive()]
         self.relay.set_members(names)
         self.desk.set_members(names)
+        self.placement.set_members(names)
         log_event(
             "members_changed",
             serving=",".join(sorted(m.name for m in self.membership.alive())),
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -122,6 +122,8 @@
             rng=rng,
             log=FlightLog(knowledge=self.knowledge, metrics=self.metrics),
             desk=self.peers.desk,
+            placement=self.peers.placement,
+            off=settings.off,
         )
         self.conducting = Conducting(
             knowledge=self.knowledge,
--- /dev/null
+++ b/src/baobabthread/instance/selection.py
@@ -0,0 +1,151 @@
+"""Where an attempt goes: which version may run it, and which backend server does."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+import xxhash
+
+from baobabthread.core.backends.loads import Load, Part
+from baobabthread.instance.backends import BackendLink, Backends, hash_prefix
+from baobabthread.instance.clock import now
+from baobabthread.instance.estimates import Estimates
+from baobabthread.instance.flight import Flight
+from baobabthread.instance.placement import Booking, Placement
+from baobabthread.routing.mechanisms import Mechanism, Switches
+from baobabthread.routing.versions import VersionPlan
+
+PART_KEY_BITS = 48
+"""Bits of a part's key: two of a hundred thousand parts share one once in 50,000 days,
+which costs a wrong guess of the reading."""
+
+
+class Prospect(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell what an attempt with another model would meet at the best engine."""
+
+    wait_s: float
+    reading_s: float
+
+
+class Selection:
+    """Choose the version and the backend server for each attempt."""
+
+    __slots__ = ("_backends", "_estimates", "_off", "_placement")
+
+    def __init__(
+        self,
+        *,
+        backends: Backends,
+        estimates: Estimates,
+        placement: Placement,
+        off: Switches,
+    ) -> None:
+        self._backends = backends
+        self._estimates = estimates
+        self._placement = placement
+        self._off = off
+
+    async def select(self, flight: Flight, plan: VersionPlan) -> BackendLink | None:
+        """Return the backend server for the next attempt, if one is left."""
+        flight.kept_tokens = None
+        flight.version = self.choose_version(flight, plan)
+        loads = await self._ask(flight, flight.model_name)
+        link = self._pick(flight, flight.excluded, loads)
+        if link is not None and link.name in loads:
+            flight.kept_tokens = loads[link.name].kept_tokens
+        return link
+
+    def has_other(self, flight: Flight, link: BackendLink) -> bool:
+        """Tell whether another backend server could take the request."""
+        return self._pick(flight, flight.excluded | {link.name}, {}) is not None
+
+    async def foresee(self, flight: Flight, model: str) -> Prospect | None:
+        """Return what a model's answer would wait for; nothing if nobody knows."""
+        loads = await self._ask(flight, model)
+        prospects = [
+            Prospect(
+                wait_s=load.wait_s,
+                reading_s=self._estimates.reading_s(flight, model, load.kept_tokens),
+            )
+            for load in loads.values()
+        ]
+        return min(prospects, key=lambda p: p.wait_s + p.reading_s, default=None)
+
+    def place(self, flight: Flight, link: BackendLink) -> Booking | None:
+        """Tell of the prompt that an engine is to read; nothing at a plain service."""
+        if not flight.route.is_stream or Mechanism.LOADS in self._off:
+            return None
+        return self._placement.place(
+            link.name,
+            reading_s=self._estimates.reading_s(flight),
+            lasts_s=flight.deadline - now(),
+            parts=_list_parts(flight, flight.model_name),
+        )
+
+    async def _ask(self, flight: Flight, model: str | None) -> Mapping[str, Load]:
+        if not flight.route.is_stream or Mechanism.LOADS in self._off:
+            return {}
+        names = self._backends.list_candidates(
+            flight.service,
+            version=flight.version,
+            prefix_key=self._key(flight),
+            exclude=flight.excluded,
+        )
+        return await self._placement.ask(names, _list_parts(flight, model))
+
+    def _pick(
+        self, flight: Flight, excluded: set[str], loads: Mapping[str, Load]
+    ) -> BackendLink | None:
+        return self._backends.pick(
+            flight.service,
+            version=flight.version,
+            prefix_key=self._key(flight),
+            exclude=excluded,
+            may_probe=flight.route.may_repeat and flight.attempts == 0,
+            shared_s=self._estimates.shared_s(flight),
+            shared_tokens=flight.request.envelope.shared_tokens,
+            loads=loads,
+        )
+
+    def _key(self, flight: Flight) -> int | None:
+        key = flight.prompt_key
+        if key is None or Mechanism.HOMES in self._off:
+            return None
+        return hash_prefix(key)
+
+    def choose_version(self, flight: Flight, plan: VersionPlan) -> str | None:
+        """Return the version that must run the request, or None for any."""
+        order = plan.order
+        if order is None:
+            # A stream that begins now may break after an order has come: resumed on the
+            # new version, it would be joined from two, and lost where that one is bad.
+            flight.on_new = False
+            return None
+        versions = self._backends.versions(flight.service)
+        old = {v: count for v, count in versions.items() if v != order.target}
+        wanted = plan.choose(flight.session, now()) and flight.may_move
+        if flight.on_new is None or flight.runs == 0 or not wanted:
+            flight.on_new = wanted
+        if flight.on_new and order.target in versions:
+            return order.target
+        if old:
+            flight.on_new = False
+            return max(old, key=lambda v: (old[v], v))
+        return None
+
+
+def _list_parts(flight: Flight, model: str | None) -> tuple[Part, ...]:
+    """Return the shared parts of a prompt as a model keeps them.
+
+    What is kept of a part holds for one model and only behind the same parts.
+    """
+    if not flight.route.has_prompts:
+        return ()
+    parts = []
+    path = model or ""
+    for part in flight.request.envelope.prompt_parts[:-1]:
+        path = f"{path}/{part.id}"
+        digest = xxhash.xxh3_64_intdigest(path.encode(errors="surrogatepass"))
+        parts.append(Part(key=digest >> (64 - PART_KEY_BITS), tokens=part.tokens))
+    return tuple(parts)
--- a/src/baobabthread/instance/settings.py
+++ b/src/baobabthread/instance/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.mechanisms import NONE_OFF, Switches
 
 
 class InstanceSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,6 +27,8 @@
     store_address: str
     memory_mb: int = 300
     bounds: RoutingBounds = RoutingBounds()
+    off: Switches = NONE_OFF
+    """Mechanisms that are switched off, to measure what they are worth."""
 
     @property
     def gossip_address(self) -> str:
--- a/src/baobabthread/platform/program.py
+++ b/src/baobabthread/platform/program.py
@@ -7,6 +7,8 @@
 import os
 import sys
 
+import msgspec
+
 from baobabthread.errors import BaobabthreadError, UsageError
 from baobabthread.instance.process import Instance, Outside
 from baobabthread.platform.headers import PlatformWire
@@ -14,6 +16,7 @@
 from baobabthread.platform.records import PlatformRecords
 from baobabthread.platform.settings import PATH_VARIABLE, read_settings
 from baobabthread.platform.store import PlatformStore
+from baobabthread.routing.mechanisms import Mechanism
 
 CONNECT_S = 0.5
 """Longest time for a connection to the store."""
@@ -38,6 +41,14 @@
     parser.add_argument(
         "--metrics", default=None, help="PORT/PATH at which figures are served"
     )
+    parser.add_argument(
+        "--without",
+        action="append",
+        type=Mechanism,
+        choices=list(Mechanism),
+        default=[],
+        help="switch a mechanism off, to measure what it is worth; may be repeated",
+    )
     return parser.parse_args()
 
 
@@ -46,7 +57,9 @@
         raise UsageError(
             "no settings file", remedy=f"set {PATH_VARIABLE} or give --settings PATH"
         )
-    settings = read_settings(arguments.settings)
+    settings = msgspec.structs.replace(
+        read_settings(arguments.settings), off=frozenset(arguments.without)
+    )
     port, _, path = (arguments.metrics or "").partition("/")
     outside = Outside(
         store=PlatformStore(address=settings.store_address, connect_s=CONNECT_S),
--- /dev/null
+++ b/src/baobabthread/routing/mechanisms.py
@@ -0,0 +1,27 @@
+"""Names of the mechanisms that can be switched off, to measure what each is worth."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Mechanism(enum.StrEnum):
+    """Name a mechanism of the decisions; all are in use unless switched off."""
+
+    STAGED_MODELS = "staged-models"
+    """Begin with the smallest model; without it the largest one answers."""
+    LOADS = "loads"
+    """Ask the keepers of engines what waits there."""
+    PRICE = "price"
+    """Ask larger models for less the longer prompts wait."""
+    PATIENCE = "patience"
+    """Give up an attempt that is silent and try another backend server."""
+    HOMES = "homes"
+    """Keep prompts with a common part at one engine."""
+    TRIAL_SHARE = "trial-share"
+    """Move traffic to a new version step by step."""
+
+
+Switches = frozenset[Mechanism]
+"""The mechanisms that are switched off."""
+NONE_OFF: Switches = frozenset()
--- a/src/baobabthread/routing/models.py
+++ b/src/baobabthread/routing/models.py
@@ -33,6 +33,8 @@
     """The model that made this answer."""
     confidence: float | None
     """The model's own opinion of it, 0 to 1."""
+    wait: float = 0.0
+    """Time that a larger model's prompt would wait, as part of the objective."""
     spare: float = 1.0
     """Time that a larger model's first part would leave, as part of the objective."""
 
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -145,11 +145,11 @@
 
     async def case() -> None:
         async with open_site("e1") as site:
-            forwarder = site.instances[0].forwarder
+            selection = site.instances[0].forwarder.selection
             plan = VersionPlan(service="engine", bounds=RoutingBounds(exposure_share=1))
             flights = [make_flight(site, f"s{number}") for number in range(20)]
             for flight in flights:
-                assert forwarder._choose_version(flight, plan) is None
+                assert selection.choose_version(flight, plan) is None
                 flight.runs = 1
             await site.add_backend("n1", service="engine", version="v2")
             await site.wait_ready()
@@ -159,7 +159,7 @@
             plan.take_order(order, now() - 10.0)
             plan.note_target(usable=True, now=now() - 9.0)
             assert any(plan.choose(flight.session, now()) for flight in flights)
-            versions = {forwarder._choose_version(flight, plan) for flight in flights}
+            versions = {selection.choose_version(flight, plan) for flight in flights}
             assert versions == {"v1"}
 
     run(case())
