Price engine time by the wait at the best engine; begin nothing that may outlast a stop

Cause of lateness: each doubtful answer took ten times the engine time of a small one whatever waited there, so heavy moments fed themselves.

The bound that the caller states counts now; the test failed before.

--- a/src/baobabthread/instance/admission.py
+++ b/src/baobabthread/instance/admission.py
@@ -24,9 +24,10 @@
 few hundredths of a second, asking a peer instead half a second."""
 LEAVING_RETRY_S = 0.05
 """Time after which a caller may go to another instance: at once."""
-LEAVING_FACTOR = 3.0
-"""Times the usual length of an answer that must be left: estimates of length are often
-far off, and a stream that is cut at the end is worse than one that begins elsewhere."""
+LEAVING_FACTOR = 1.5
+"""Times the time of the longest answer that must be left. Callers' estimates of length
+are often far off, so the bound that they state counts: a stream that is cut at the end
+is worse than one that begins elsewhere at the price of another connection."""
 LEAVING_MARGIN_S = 0.5
 LOW_BALANCE = 2.0
 """Repeats left below which answers must be good at once: none could follow."""
@@ -163,8 +164,8 @@
             return True
         models = flight.route.models
         largest = models[-1] if flight.model is not None else None
-        whole_s = self._estimates.whole_s(flight, largest)
-        return now() + LEAVING_FACTOR * whole_s + LEAVING_MARGIN_S < self._ends_at
+        longest_s = self._estimates.longest_s(flight, largest)
+        return now() + LEAVING_FACTOR * longest_s + LEAVING_MARGIN_S < self._ends_at
 
 
 def _limit_s(route: Route, request: CallerRequest) -> float:
--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -15,9 +15,13 @@
 from baobabthread.instance.selection import Prospect, Selection
 from baobabthread.instance.services import ServiceState
 from baobabthread.instance.wire import WireFormat
+from baobabthread.routing.mechanisms import Switches
 from baobabthread.routing.models import ModelChoice, ModelQuestion
 from baobabthread.routing.versions import VersionPlan
 
+LENGTH_MARGIN = 1.5
+"""Times the expected length of a larger model's answer that must be left: callers'
+estimates are often far off, and an answer that is cut at its deadline is worth none."""
 MAX_ANSWER_BYTES = 8_000_000
 """Largest answer that is held until it is whole."""
 
@@ -25,7 +29,7 @@
 class Answers:
     """Pass answers on, whole or event by event."""
 
-    __slots__ = ("_estimates", "_log", "_models", "_selection", "_wire")
+    __slots__ = ("_estimates", "_log", "_models", "_off", "_selection", "_wire")
 
     def __init__(
         self,
@@ -34,11 +38,13 @@
         estimates: Estimates,
         models: ModelChoice,
         selection: Selection,
+        off: Switches,
         log: FlightLog,
     ) -> None:
         self._wire = wire
         self._estimates = estimates
         self._models = models
+        self._off = off
         self._selection = selection
         self._log = log
 
@@ -55,6 +61,7 @@
                 await self._take_failure(flight, state, attempt, head)
                 return
             if head.is_success:
+                flight.confidence = head.marks.confidence
                 await self._judge_model(flight, state, attempt, head)
         elif not head.is_success:
             raise BrokenError(f"status {head.status} instead of the rest of a stream")
@@ -102,9 +109,10 @@
         if larger is None:
             return
         expected_s = self._estimates.whole_s(flight, flight.route.models[larger])
-        if now() + expected_s > flight.deadline or not state.spend():
+        if now() + LENGTH_MARGIN * expected_s > flight.deadline or not state.spend():
             return
-        flight.trail.append(f"{attempt.link.record.id}:unsure")
+        doubt = f"unsure {head.marks.confidence:.2f}"
+        flight.trail.append(f"{attempt.link.record.id}:{doubt}")
         flight.model = larger
         raise Again(Outcome.CANCELLED)
 
@@ -128,7 +136,7 @@
         return msgspec.structs.replace(
             question,
             spare=1.0 - (passed_s + first_s) / objective_s,
-            wait=prospect.wait_s / objective_s,
+            prices=self._estimates.price_models(flight, prospect.wait_s, self._off),
         )
 
     async def _relay(self, flight: Flight, attempt: Attempt, head: Head) -> None:
@@ -136,6 +144,7 @@
         reply = flight.reply
         if not reply.has_begun:
             headers = self._wire.pass_headers(head.response.raw_headers)
+            flight.first_s = now() - flight.started_at
             await reply.begin(head.status, headers)
         cutter = EventCutter(passed=flight.last_event)
         first_at = now()
--- a/src/baobabthread/instance/estimates.py
+++ b/src/baobabthread/instance/estimates.py
@@ -3,8 +3,15 @@
 from __future__ import annotations
 
 from baobabthread.instance.flight import Flight
+from baobabthread.routing.mechanisms import Mechanism, Switches
 from baobabthread.routing.pace import Pace
 
+LENGTH_FACTOR = 3.0
+"""Times its caller's estimate that an answer may be long where nothing bounds it."""
+PRICE_WAIT_S = 1.6
+"""Wait at the best engine from which a larger model's answer must be all of an answer's
+worth better: whatever is read then makes all that follows late."""
+
 
 class Estimates:
     """Ask the pace of answers about one request, and teach it."""
@@ -29,6 +36,17 @@
             tokens=envelope.expected_tokens,
         )
 
+    def longest_s(self, flight: Flight, model: str | None) -> float:
+        """Return about the seconds that a model's longest answer would take."""
+        envelope = flight.request.envelope
+        guess = int(LENGTH_FACTOR * envelope.expected_tokens)
+        return self._pace.whole_s(
+            flight.service,
+            model,
+            prompt=envelope.prompt_tokens,
+            tokens=envelope.output_tokens or guess,
+        )
+
     def work_ms(self, flight: Flight) -> int:
         """Return about how many milliseconds a backend server works on it."""
         return max(1, int(self.whole_s(flight, flight.model_name) * 1000))
@@ -53,6 +71,22 @@
         tokens = flight.request.envelope.shared_tokens
         return self._pace.shared_s(flight.service, flight.model_name, tokens)
 
+    def price_models(
+        self, flight: Flight, wait_s: float, off: Switches
+    ) -> tuple[float, ...]:
+        """Return what the engine time of each model's answer is worth now.
+
+        `wait_s` is the wait at the best engine. A model that reads faster costs less.
+        """
+        if Mechanism.PRICE in off:
+            return ()
+        models = flight.route.models
+        largest_s = max(1e-3, self.reading_s(flight, models[-1], 0))
+        pressure = wait_s / PRICE_WAIT_S
+        return tuple(
+            pressure * self.reading_s(flight, model, 0) / largest_s for model in models
+        )
+
     def observe_whole(self, flight: Flight, took_s: float) -> None:
         """Learn from an answer that came in one piece."""
         self._pace.observe(
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -64,8 +64,10 @@
     __slots__ = (
         "account",
         "attempts",
+        "confidence",
         "deadline",
         "excluded",
+        "first_s",
         "kept_tokens",
         "last_event",
         "may_move",
@@ -119,6 +121,10 @@
         """Whether its session may go to the new version at all."""
         self.last_event = request.envelope.last_event
         """The last event that the caller has."""
+        self.confidence: float | None = None
+        """What the model of the last attempt says of its answer."""
+        self.first_s = 0.0
+        """Time until the caller got the head of an answer; 0 before it did."""
         self.work = 1
         self.reason = ""
         self.trail: list[str] = []
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -75,6 +75,7 @@
             estimates=self._estimates,
             models=models,
             selection=self.selection,
+            off=off,
             log=log,
         )
         self.admission = Admission(
--- a/src/baobabthread/routing/models.py
+++ b/src/baobabthread/routing/models.py
@@ -33,11 +33,16 @@
     """The model that made this answer."""
     confidence: float | None
     """The model's own opinion of it, 0 to 1."""
-    wait: float = 0.0
-    """Time that a larger model's prompt would wait, as part of the objective."""
+    prices: tuple[float, ...] = ()
+    """What the engine time of each model's answer is worth now, as a part of an
+    answer's worth; empty where engines are idle."""
     spare: float = 1.0
     """Time that a larger model's first part would leave, as part of the objective."""
 
+    def price(self, index: int) -> float:
+        """Return the price of a model's answer."""
+        return self.prices[index] if self.prices else 0.0
+
     @property
     def worth(self) -> float:
         """Give what a larger model's answer would be worth, 1 where it is in time."""
@@ -94,10 +99,10 @@
         # others behind: then an answer that is there is worth more.
         confidence = question.confidence / question.worth
         if question.index > 0:
-            return last if confidence < MIDDLE_SURE else None
-        if confidence < UNSURE:
+            return last if confidence + question.price(last) < MIDDLE_SURE else None
+        if confidence + question.price(last) < UNSURE:
             return last
-        return 1 if confidence < SURE else None
+        return 1 if confidence + question.price(1) < SURE else None
 
 
 MODEL_CHOICES.register("largest")(Largest())
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -193,3 +193,23 @@
     """Stand for a caller that is not answered in the test."""
 
     has_begun = False
+
+
+@pytest.mark.parametrize(("most_tokens", "status"), [(20, 200), (2000, 503)])
+def test_begin_no_stream_that_may_outlast_the_instance(
+    most_tokens: int, status: int
+) -> None:
+    """An instance was told to stop, and a caller that knows it still sends a request.
+
+    The caller expects ten tokens but allows two thousand. Cut at the end of the
+    instance's time, the stream would be lost; refused, it begins at another one.
+    """
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            admission = site.instances[0].forwarder.admission
+            admission.leave(refuses_from=now(), ends_at=now() + 3.0)
+            answer = await site.ask_model(X_Token_Usage=f"100,{most_tokens}")
+            assert answer.status == status
+
+    run(case())
