--- a/src/baobabthread/cli.py
+++ b/src/baobabthread/cli.py
@@ -7,6 +7,7 @@
 
 import cappa
 
+from baobabthread.commands.explain import Losses
 from baobabthread.commands.operate import Bills, Check, Publish, Show, State, Version
 from baobabthread.commands.options import check_given
 from baobabthread.commands.run import Demo, Load, Serve, Standin
@@ -28,7 +29,17 @@
     """Hold the chosen command."""
 
     command: cappa.Subcommands[
-        Serve | Standin | Check | Publish | Show | State | Bills | Load | Demo | Version
+        Serve
+        | Standin
+        | Check
+        | Publish
+        | Show
+        | State
+        | Bills
+        | Losses
+        | Load
+        | Demo
+        | Version
     ]
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,7 +12,7 @@
 import pytest
 
 from baobabthread import __version__, cli
-from baobabthread.commands import operate, run
+from baobabthread.commands import explain, operate, run
 from baobabthread.commands.options import list_arguments, name_variable
 from baobabthread.demo import read_example
 from tests.shell import ROOT_KEY, ShellThread, hash_key
@@ -26,6 +26,7 @@
     "publish": operate.Publish,
     "show": operate.Show,
     "state": operate.State,
+    "losses": explain.Losses,
     "bills": operate.Bills,
     "version": operate.Version,
 }
@@ -111,6 +112,7 @@
             ("standin", "files"),
             ("publish", "file"),
             ("state", "url"),
+            ("losses", "logs"),
         }
         return
     flag = str(arg.long)
@@ -138,7 +140,13 @@
     flag = str(list_arguments(command)[field][0].long)
     given, expected = VALUES[kind.removeprefix("Annotated[").partition(", option")[0]]
     monkeypatch.setenv(name_variable(flag.removeprefix("--")), given)
-    words = {"check": ["f"], "standin": ["f"], "publish": ["f"], "state": ["u"]}
+    words = {
+        "check": ["f"],
+        "standin": ["f"],
+        "publish": ["f"],
+        "state": ["u"],
+        "losses": ["f"],
+    }
     parsed = cappa.parse(
         cli.Baobabthread, argv=[name, *words.get(name, [])], completion=False
     )
