--- a/src/baobabthread/instance/admission.py
+++ b/src/baobabthread/instance/admission.py
@@ -31,6 +31,9 @@
 LEAVING_MARGIN_S = 0.5
 LOW_BALANCE = 2.0
 """Repeats left below which answers must be good at once: none could follow."""
+IDLE_PRICE = 0.05
+"""Price of engine time up to which the largest model is asked at once for that: it
+takes ten times the engine time, and half of the answers don't need it."""
 LOW_PART = 0.45
 """The same as a part of the most that can be left: among many instances the budget of
 each is small, and asking the largest model every time would overload the engines."""
@@ -153,7 +156,8 @@
         models = flight.route.models
         if not models or flight.request.envelope.model != UNNAMED_MODEL:
             return
-        if budget.balance < min(LOW_BALANCE, LOW_PART * budget.most):
+        is_low = budget.balance < min(LOW_BALANCE, LOW_PART * budget.most)
+        if is_low and self._estimates.price < IDLE_PRICE:
             flight.model = len(models) - 1
         else:
             flight.model = self._models.begin(len(models))
--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -106,16 +106,29 @@
             return
         question = await self._weigh_time(flight, head, question)
         larger = self._models.escalate(question)
-        if larger is None:
-            return
-        expected_s = self._estimates.whole_s(flight, flight.route.models[larger])
-        if now() + LENGTH_MARGIN * expected_s > flight.deadline or not state.spend():
+        reason = self._find_obstacle(flight, state, larger)
+        if larger is None or reason is not None:
+            described = (
+                f"kept {head.marks.confidence:.2f} {reason} {question.describe()}"
+            )
+            flight.trail.append(f"{attempt.link.record.id}:{described}")
             return
         doubt = f"unsure {head.marks.confidence:.2f}"
         flight.trail.append(f"{attempt.link.record.id}:{doubt}")
         flight.model = larger
         raise Again(Outcome.CANCELLED)
 
+    def _find_obstacle(
+        self, flight: Flight, state: ServiceState, larger: int | None
+    ) -> str | None:
+        """Return why no larger model is asked; take a repeat where one is."""
+        if larger is None:
+            return "price"
+        expected_s = self._estimates.whole_s(flight, flight.route.models[larger])
+        if now() + LENGTH_MARGIN * expected_s > flight.deadline:
+            return "deadline"
+        return None if state.spend() else "budget"
+
     async def _weigh_time(
         self, flight: Flight, head: Head, question: ModelQuestion
     ) -> ModelQuestion:
@@ -136,7 +149,9 @@
         return msgspec.structs.replace(
             question,
             spare=1.0 - (passed_s + first_s) / objective_s,
-            prices=self._estimates.price_models(flight, prospect.wait_s, self._off),
+            prices=self._estimates.price_models(
+                flight, prospect.wait_s, prospect.reading_s, self._off
+            ),
         )
 
     async def _relay(self, flight: Flight, attempt: Attempt, head: Head) -> None:
--- a/src/baobabthread/instance/estimates.py
+++ b/src/baobabthread/instance/estimates.py
@@ -8,6 +8,8 @@
 
 LENGTH_FACTOR = 3.0
 """Times its caller's estimate that an answer may be long where nothing bounds it."""
+PRICE_STEP = 0.2
+"""Part by which the price of late follows each wait that was asked for."""
 PRICE_WAIT_S = 1.6
 """Wait at the best engine from which a larger model's answer must be all of an answer's
 worth better: whatever is read then makes all that follows late."""
@@ -16,10 +18,12 @@
 class Estimates:
     """Ask the pace of answers about one request, and teach it."""
 
-    __slots__ = ("_pace",)
+    __slots__ = ("_pace", "price")
 
     def __init__(self) -> None:
         self._pace = Pace()
+        self.price = 0.0
+        """What engine time was worth of late."""
 
     def first_s(self, flight: Flight) -> float:
         """Return about the seconds until the first part of an answer."""
@@ -72,20 +76,25 @@
         return self._pace.shared_s(flight.service, flight.model_name, tokens)
 
     def price_models(
-        self, flight: Flight, wait_s: float, off: Switches
+        self, flight: Flight, wait_s: float, reading_s: float, off: Switches
     ) -> tuple[float, ...]:
         """Return what the engine time of each model's answer is worth now.
 
-        `wait_s` is the wait at the best engine. A model that reads faster costs less.
+        `wait_s` is the wait at the best engine and `reading_s` what the largest model
+        has to read there. A model that reads faster costs less, and so does a prompt
+        whose parts are kept.
         """
         if Mechanism.PRICE in off:
             return ()
         models = flight.route.models
         largest_s = max(1e-3, self.reading_s(flight, models[-1], 0))
         pressure = wait_s / PRICE_WAIT_S
-        return tuple(
+        self.price += PRICE_STEP * (pressure - self.price)
+        prices = [
             pressure * self.reading_s(flight, model, 0) / largest_s for model in models
-        )
+        ]
+        prices[-1] = pressure * min(1.0, reading_s / largest_s)
+        return tuple(prices)
 
     def observe_whole(self, flight: Flight, took_s: float) -> None:
         """Learn from an answer that came in one piece."""
--- a/src/baobabthread/instance/records.py
+++ b/src/baobabthread/instance/records.py
@@ -120,6 +120,7 @@
             "prompt": flight.request.envelope.prompt_tokens,
             "kept": flight.kept_tokens if flight.kept_tokens is not None else "",
             "hint": flight.request.envelope.expected_tokens,
+            "objective_ms": round(flight.route.objective_s * 1000),
             "first_ms": round(flight.first_s * 1000),
             "attempts": flight.attempts,
             "runs": flight.runs,
