Switch mechanisms off one by one, to measure what each is worth

'--without MECHANISM' of the platform's program (staged-models, loads, price, patience, homes); all are in use unless named. Each has a test that what it does is then not done.

--- a/src/baobabthread/routing/mechanisms.py
+++ b/src/baobabthread/routing/mechanisms.py
@@ -18,8 +18,6 @@
     """Give up an attempt that is silent and try another backend server."""
     HOMES = "homes"
     """Keep prompts with a common part at one engine."""
-    TRIAL_SHARE = "trial-share"
-    """Move traffic to a new version step by step."""
 
 
 Switches = frozenset[Mechanism]
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -9,6 +9,8 @@
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any
 
+import msgspec
+
 from baobabthread.instance.process import Instance, Outside
 from baobabthread.instance.settings import InstanceSettings
 from baobabthread.platform.headers import PlatformWire
@@ -16,6 +18,7 @@
 from baobabthread.platform.records import PlatformRecords
 from baobabthread.platform.settings import parse_settings
 from baobabthread.platform.store import PlatformStore
+from baobabthread.routing.mechanisms import NONE_OFF, Switches
 from tests.platform.fakes import (
     BACKENDS,
     HOST,
@@ -108,8 +111,10 @@
         self.store.put(BACKENDS, id, backend.record)
         return backend
 
-    async def add_instance(self, name: str = "i1", *, ip: str = "127.0.0.1") -> int:
-        """Start an instance; return its index."""
+    async def add_instance(
+        self, name: str = "i1", *, ip: str = "127.0.0.1", off: Switches = NONE_OFF
+    ) -> int:
+        """Start an instance, some mechanisms switched off; return its index."""
         ports = find_ports(4)
         text = {
             "node_name": name,
@@ -126,7 +131,9 @@
             "provider": {"address": self.store.address},
             "guarantees": {"revoke_ms": 2000, "grace_s": 3},
         }
-        settings = parse_settings(json.dumps(text).encode(), "test")
+        settings = msgspec.structs.replace(
+            parse_settings(json.dumps(text).encode(), "test"), off=off
+        )
         outside = Outside(
             store=PlatformStore(address=settings.store_address, connect_s=0.3),
             formats=PlatformRecords(),
@@ -183,7 +190,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_site(*backends: FakeBackend | str) -> AsyncIterator[Site]:
+async def open_site(
+    *backends: FakeBackend | str, off: Switches = NONE_OFF
+) -> AsyncIterator[Site]:
     """Open an installation with one instance that is ready."""
     site = Site(await FakeStore().start())
     try:
@@ -191,7 +200,7 @@
         for each in backends:
             service = "engine" if str(each).startswith("e") else "plain"
             await site.add_backend(str(each), service=service)
-        await site.add_instance()
+        await site.add_instance(off=off)
         await site.wait_ready()
         yield site
     finally:
--- /dev/null
+++ b/tests/platform/test_mechanisms.py
@@ -0,0 +1,90 @@
+"""Each mechanism can be switched off; what it does is then not done."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+from baobabthread.routing.mechanisms import Mechanism
+from tests.platform.site import open_site, run
+
+
+async def ask(off: Mechanism | None, confidence: int = 20) -> list[str]:
+    """Return the models that are asked for one answer."""
+    switches = frozenset() if off is None else frozenset([off])
+    async with open_site("e1", "e2", off=switches) as site:
+        for backend in site.backends:
+            backend.confidence = {"small": confidence}
+        answer = await site.ask_model()
+        assert answer.whole
+        seen = [s for backend in site.backends for s in backend.seen]
+        return sorted(s.headers["x-model"] for s in seen)
+
+
+@pytest.mark.parametrize("off", [None, *Mechanism])
+def test_answer_without_any_mechanism(off: Mechanism | None) -> None:
+    async def case() -> None:
+        staged = off is not Mechanism.STAGED_MODELS
+        assert await ask(off) == (["large", "small"] if staged else ["large"])
+
+    run(case())
+
+
+def test_tell_nobody_of_loads_without_them() -> None:
+    async def case() -> None:
+        for off, count in ((frozenset(), 1), (frozenset([Mechanism.LOADS]), 0)):
+            async with open_site("e1", off=off) as site:
+                told: list[str] = []
+                placement = site.instances[0].peers.placement
+                take = placement.take_placed
+                placement_type = type(placement)
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(
+                        placement_type,
+                        "take_placed",
+                        lambda _, sender, word, take=take, told=told: (
+                            told.append(word.engine),
+                            take(sender, word),
+                        ),
+                    )
+                    await site.ask_model()
+                assert len(told) == count
+
+    run(case())
+
+
+def test_wait_for_a_silent_server_without_patience() -> None:
+    """One of two engines runs the request and never answers.
+
+    With patience the other one answers; without it the request ends at its deadline.
+    """
+
+    async def case() -> None:
+        for off, status in ((None, 200), (Mechanism.PATIENCE, 504)):
+            switches = frozenset() if off is None else frozenset([off])
+            async with open_site("p1", off=switches) as site:
+                site.backends[0].behaviour = "mute"
+                await site.add_backend("p2")
+                await site.wait_ready()
+                statuses = {
+                    (await site.call("/safe/x", X_Timeout_Ms="1000")).status
+                    for _ in range(4)
+                }
+                assert status in statuses
+                assert (504 in statuses) == (off is Mechanism.PATIENCE)
+
+    run(case())
+
+
+def test_name_the_mechanisms_that_can_be_switched_off() -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "baobabthread.platform", "--without", "luck"],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert "luck" in done.stderr
+    assert "staged-models" in done.stderr
