Send nothing more to an address that another server has

Records carry no time of start on this deployment, so the late one can't be told from a new one.

Ruled out: the retry budget itself, and the new start, which answers.

Now whoever meets the refusal keeps the server out for six seconds, in which the record lapses, and tells the keeper of its load, so that others go elsewhere. The test failed before.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -41,9 +41,10 @@
 class RefusedError(Exception):
     """Report that a backend server states that it did not run the request."""
 
-    def __init__(self, status: int) -> None:
+    def __init__(self, status: int, *, is_other_server: bool) -> None:
         super().__init__(f"refused with {status}")
         self.status = status
+        self.is_other_server = is_other_server
 
 
 class SilentError(BrokenError):
@@ -185,7 +186,9 @@
             raise BrokenError("answer to another request")
         if marks.not_run:
             self.flight.runs -= 1
-            raise RefusedError(status)
+            if marks.is_other_server:
+                self.link.note_gone()
+            raise RefusedError(status, is_other_server=marks.is_other_server)
         if marks.encoded:
             raise BrokenError("answer with an encoding that nobody asked for")
         if 200 <= status < 300 and not (marks.signed and marks.request_id):
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -34,6 +34,9 @@
 SUSPECT_S = 2.0
 """Time for which a backend server that gave no sign of life gets no new work while
 others have room."""
+GONE_S = 6.0
+"""Time for which a server whose address another one has gets no work: its record lapses
+after three heartbeats, some four seconds, and the list of them is read within two."""
 BALANCER = earliest.NAME
 NEVER_SLOW = 1e6
 """Slowness never ejects a server: under load the time of an answer says more of those
@@ -64,6 +67,15 @@
         """Note that it gave no sign of life when it should have."""
         self.suspect_until = now() + SUSPECT_S
 
+    def note_gone(self) -> None:
+        """Note that another server answers at its address.
+
+        A late record of a server that crashed names it as ready though its address
+        has another start by now, which refuses. Each request that goes there takes a
+        repeat out of the budget until the record lapses.
+        """
+        self.suspect_until = now() + GONE_S
+
     def note_answer(self, sent_at: float) -> None:
         """Note that a request that was sent then is answered."""
         self._answered.append(sent_at)
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -187,7 +187,9 @@
             raise
         except (NotSentError, RefusedError, BrokenError, TimeoutError) as error:
             outcome = judge(error)
-            is_silent = isinstance(error, SilentError)
+            is_silent = isinstance(error, SilentError) or (
+                isinstance(error, RefusedError) and error.is_other_server
+            )
             flight.trail.append(f"{link.record.id}:{str(error) or 'timeout'}")
             attempt.abort()
             await self._recover(flight, state, link, error)
--- a/src/baobabthread/instance/wire.py
+++ b/src/baobabthread/instance/wire.py
@@ -33,6 +33,8 @@
     request_id: str | None
     not_run: bool
     """Whether the backend server states that it did not run the request."""
+    is_other_server: bool
+    """Whether it comes from another start than the one that was asked for."""
     confidence: float | None
     """The model's own opinion of its answer, 0 to 1."""
     encoded: bool
--- a/src/baobabthread/platform/headers.py
+++ b/src/baobabthread/platform/headers.py
@@ -112,6 +112,7 @@
             signed=SIGNATURE in headers,
             request_id=headers.get(REQUEST_ID),
             not_run=NOT_RUN in headers or status == MISDIRECTED,
+            is_other_server=status == MISDIRECTED,
             confidence=None if confidence is None else confidence / 100.0,
             encoded=headers.get("Content-Encoding", "identity").lower() != "identity",
             retry_after_s=_read_number(headers.get("Retry-After")),
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -68,6 +68,27 @@
     run(case())
 
 
+def test_send_nothing_more_to_an_address_that_another_server_has() -> None:
+    """A server crashed; a late record names it as ready, and its address is another's.
+
+    The other server refuses what was meant for the one that is gone. One request finds
+    that out; with each one that goes there the budget of repeats would run out.
+    """
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            store, other = site.store, site.backends[0]
+            store.put(BACKENDS, "gone", other.record)
+            knowledge = site.instances[0].knowledge
+            await wait_for(lambda: "gone" in knowledge.backends, 2.0)
+            for _ in range(40):
+                assert (await site.call("/unsafe/x")).status == 200
+            asked = [seen.headers["x-target-instance"] for seen in other.seen]
+            assert asked.count("gone") <= 1
+
+    run(case())
+
+
 def test_serve_on_beside_records_of_other_writers() -> None:
     """Other writers leave records that name no server, among those of live ones.
 
