--- a/src/baobabthread/instance/admission.py
+++ b/src/baobabthread/instance/admission.py
@@ -33,7 +33,7 @@
 """Repeats left below which answers must be good at once: none could follow."""
 IDLE_PRICE = 0.05
 """Price of engine time up to which the largest model is asked at once for that: it
-takes ten times the engine time, and half of the answers don't need it."""
+takes ten times the engine time, also for answers that don't need it."""
 LOW_PART = 0.45
 """The same as a part of the most that can be left: among many instances the budget of
 each is small, and asking the largest model every time would overload the engines."""
--- a/src/baobabthread/routing/models.py
+++ b/src/baobabthread/routing/models.py
@@ -13,9 +13,9 @@
 UNSURE = 0.40
 """Confidence of the smallest model below which only the largest one will do."""
 MIDDLE_LEAST = 0.35
-"""Confidence of the smallest model from which one in between helps at all: it is as
-hard for both, and below this the next answer is as poor (0 of 2 good, against 155 of
-155 from 0.4 on, in a day's log)."""
+"""Confidence of the smallest model from which one in between helps at all. Below it the
+next answer said over 0.5 of itself in 10 of 70 cases, from 0.40 on in 216 of 249 (the
+logs of a day and of twelve seconds of a saturated one)."""
 MIDDLE_SURE = 0.55
 """The same of a model in between, below which the largest one follows."""
 
