--- a/src/baobabthread/instance/estimates.py
+++ b/src/baobabthread/instance/estimates.py
@@ -8,8 +8,8 @@
 
 SLOW_TOKEN_S = 0.04
 """Time for a token at an engine that reads long prompts between its tokens: about nine
-of ten streams of a saturated deployment are faster. An instance that has just started knows no
-better, and a stream that its stop cuts is lost."""
+of ten streams of a saturated deployment are faster. An instance that has just started
+knows no better, and a stream that its stop cuts is lost."""
 LENGTH_FACTOR = 3.0
 """Times its caller's estimate that an answer may be long where nothing bounds it."""
 PRICE_STEP = 0.2
