Tell an age only with the offset that it is about

Cause: a member's answer to a probe held its age of that moment, but the offset of its last report, up to a tick (50 ms) before, longer beside load. An instance that had just read a configuration which takes a key away said 'offset 2, 1.3 s' where 2 was the offset before; one that lacked the configuration counted that for its own state, called itself fresh and ran requests of the key 3.69 to 3.83 s after it was taken away (bound 3.0 s), in a silence of the store.

The age fell from 4,839 to 1,387 ms within 72 ms while the configuration stayed the old one.

Change: the description takes the offset that the freshness itself is about.

--- a/src/baobabthread/core/configuration/freshness.py
+++ b/src/baobabthread/core/configuration/freshness.py
@@ -85,6 +85,11 @@
         """Give the age, in seconds, up to which the state counts as fresh."""
         return self._settings.bound_s
 
+    @property
+    def folded(self) -> int:
+        """Give the offset up to which the log is held here: what the age is about."""
+        return self._folded
+
     def read_head(self, *, head: int, started_at: float) -> None:
         """Note that this entry read the log's head.
 
--- a/src/baobabthread/core/membership/membership.py
+++ b/src/baobabthread/core/membership/membership.py
@@ -338,8 +338,13 @@
         return [FetchRecords(peer=member.name, after=self._me.read_offset)]
 
     def _make_digest(self, to: str, now: float) -> Digest:
+        # Failure: this entry folds a record that takes a key away, and is asked before
+        # its next report. The new age beside the offset before would tell an entry that
+        # lacks the record that nothing is missing: it would go on to honour the key.
         self._me = msgspec.structs.replace(
-            self._me, head_age_s=self._freshness.head_age(now)
+            self._me,
+            head_age_s=self._freshness.head_age(now),
+            read_offset=max(self._me.read_offset, self._freshness.folded),
         )
         repeats = self._repeats()
         limit = self._settings.update_count
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -264,3 +264,22 @@
     net.run(20.0)
     headers = net.messages * HEADER_BYTES
     assert 2 * (net.bytes + headers) / size / 20 < 14_000
+
+
+def test_tell_an_age_only_with_the_offset_that_it_is_about() -> None:
+    """One entry reads a new configuration, and is probed before its next report.
+
+    It takes a key away. Told the new age beside the offset reported before, the other
+    entry, which lacks that configuration, would call itself fresh and honour the key.
+    """
+    net = Net(2)
+    for name, member in net.members.items():
+        net.freshness[name].fold_to(2)
+        member.report(generation=1, read_offset=2)
+    net.run(3.0, log_sides=())
+    net.freshness["e1"].read_head(head=3, started_at=net.now)
+    net.freshness["e1"].fold_to(3)
+    net.run(3.0, log_sides=())
+    assert net.freshness["e1"].head_age(net.now) < 4.0
+    assert net.freshness["e0"].head_age(net.now) > 5.0
+    assert net.freshness["e0"].state(net.now) is not FreshnessState.FRESH
