--- a/src/baobabthread/routing/models.py
+++ b/src/baobabthread/routing/models.py
@@ -10,7 +10,7 @@
 
 SURE = 0.60
 """Confidence of the smallest model from which its answer is passed on."""
-UNSURE = 0.40
+UNSURE = 0.45
 """Confidence of the smallest model below which only the largest one will do."""
 MIDDLE_LEAST = 0.35
 """Confidence of the smallest model from which one in between helps at all. Below it the
