Say in one word how the reading of a placed prompt ended

The stand-ins' base is abstract instead of raising NotImplementedError, and signals are no longer registered behind a suppressed one: each platform that runs this has them.

Nothing decides differently; the tests follow the names and check the same.

--- a/src/baobabthread/commands/run.py
+++ b/src/baobabthread/commands/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import signal
 import sys
 from collections.abc import Sequence
@@ -201,8 +200,7 @@
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in numbers:
-        with contextlib.suppress(NotImplementedError):
-            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, stop.set)
     return stop
 
 
--- a/src/baobabthread/core/backends/loads.py
+++ b/src/baobabthread/core/backends/loads.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections import OrderedDict
 from collections.abc import Sequence
 
@@ -47,6 +48,17 @@
     parts: tuple[Part, ...] = ()
 
 
+class ReadingEnd(enum.StrEnum):
+    """Tell how an engine's reading of a prompt ended for whoever placed it."""
+
+    BEGUN = "begun"
+    """Its answer has begun."""
+    DROPPED = "dropped"
+    """Nobody waits for it any more."""
+    SILENT = "silent"
+    """The engine gave no sign of life, or another server has its address."""
+
+
 class Load(msgspec.Struct, frozen=True, array_like=True):
     """Tell what a request would meet at an engine."""
 
@@ -73,6 +85,7 @@
 
     def __init__(self) -> None:
         self._waiting: OrderedDict[tuple[str, int], _Waiting] = OrderedDict()
+        """By sender and number, in the order of placement."""
         self._progress_at = 0.0
         self._kept: OrderedDict[int, int] = OrderedDict()
         self._kept_tokens = 0
@@ -92,8 +105,16 @@
         for part in placed.parts:
             self._keep(part)
 
-    def begin(self, sender: str, number: int, now: float) -> None:
-        """Note that an answer has begun, or that its request has ended."""
+    def end(self, sender: str, number: int, end: ReadingEnd, now: float) -> None:
+        """Take a prompt off, and learn from how its reading ended."""
+        if end is ReadingEnd.BEGUN:
+            self._begin(sender, number, now)
+            return
+        self._waiting.pop((sender, number), None)
+        if end is ReadingEnd.SILENT:
+            self.suspect_until = now + SUSPECT_S
+
+    def _begin(self, sender: str, number: int, now: float) -> None:
         begun = self._waiting.pop((sender, number), None)
         self._progress_at = now
         self.suspect_until = 0.0
@@ -107,12 +128,6 @@
         for key in overtaken:
             del self._waiting[key]
 
-    def withdraw(self, sender: str, number: int, *, silent: bool, now: float) -> None:
-        """Note that a request was given up, and whether for the engine's silence."""
-        self._waiting.pop((sender, number), None)
-        if silent:
-            self.suspect_until = now + SUSPECT_S
-
     def wait_s(self, now: float) -> float:
         """Return the time until another prompt would be read."""
         self._expire(now)
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -158,23 +158,6 @@
                 return self._links.get(name)
         return None
 
-    def list_candidates(
-        self,
-        service: str,
-        *,
-        version: str | None,
-        prefix_key: int | None,
-        exclude: Container[str],
-    ) -> list[str]:
-        """Return the backend servers whose load is worth a question."""
-        return self.table.list_candidates(
-            service=service,
-            version=version,
-            prefix_key=prefix_key,
-            exclude=exclude,
-            now=now(),
-        )
-
     def versions(self, service: str) -> dict[str, int]:
         """Return how many backend servers of a service run each version."""
         found: dict[str, int] = {}
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 
+from baobabthread.core.backends.loads import ReadingEnd
 from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.admission import Admission, Verdict
 from baobabthread.instance.answers import Answers
@@ -167,8 +168,8 @@
         occupancy = self._backends.occupy(
             link, work=flight.work, first_s=self._estimates.reading_s(flight)
         )
-        booking = self.selection.place(flight, link)
-        is_silent = False
+        prompt = self.selection.place(flight, link)
+        reading_end = ReadingEnd.DROPPED
         flight.attempts += 1
         on_old = not flight.on_new
         if on_old:
@@ -178,8 +179,8 @@
         try:
             head = await attempt.open(self._wire)
             occupancy.begin(head.latency_s)
-            if booking is not None:
-                booking.begin()
+            if prompt is not None:
+                prompt.end(ReadingEnd.BEGUN)
             await self._answers.take(flight, state, attempt, head)
             outcome = Outcome.FAILED if head.is_failure else Outcome.OK
         except Again as again:
@@ -187,17 +188,16 @@
             raise
         except (NotSentError, RefusedError, BrokenError, TimeoutError) as error:
             outcome = judge(error)
-            is_silent = isinstance(error, SilentError) or (
-                isinstance(error, RefusedError) and error.is_other_server
-            )
+            if _is_gone(error):
+                reading_end = ReadingEnd.SILENT
             flight.trail.append(f"{link.record.id}:{str(error) or 'timeout'}")
             attempt.abort()
             await self._recover(flight, state, link, error)
         finally:
             attempt.abort()
             occupancy.end(outcome, now() - attempt.sent_at)
-            if booking is not None:
-                booking.give_up(silent=is_silent)
+            if prompt is not None:
+                prompt.end(reading_end)
             if on_old:
                 state.plan.ended_old(flight.session, now())
                 self._desk.note_use(state.plan, flight.session)
@@ -240,3 +240,10 @@
         if flight.attempts >= MAX_OFFERS:
             return False
         return self.selection.has_other(flight, link) and state.spend()
+
+
+def _is_gone(error: Exception) -> bool:
+    """Tell whether an attempt's end says that its backend server isn't there."""
+    if isinstance(error, RefusedError):
+        return error.is_other_server
+    return isinstance(error, SilentError)
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -31,7 +31,7 @@
     AskLoads,
     LoadsAre,
     Placement,
-    TellBegun,
+    TellEnded,
     TellPlaced,
 )
 from baobabthread.instance.relaying import (
@@ -168,8 +168,8 @@
                 self.placement.take(message)
             case TellPlaced():
                 self.placement.take_placed(sender, message)
-            case TellBegun():
-                self.placement.take_begun(sender, message)
+            case TellEnded():
+                self.placement.take_ended(sender, message)
             case _:
                 self._run(self.membership.handle(sender, message, now()))
 
--- a/src/baobabthread/instance/placement.py
+++ b/src/baobabthread/instance/placement.py
@@ -7,7 +7,13 @@
 
 import msgspec
 
-from baobabthread.core.backends.loads import EngineLoads, Load, Part, Placed
+from baobabthread.core.backends.loads import (
+    EngineLoads,
+    Load,
+    Part,
+    Placed,
+    ReadingEnd,
+)
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
 
@@ -42,17 +48,15 @@
     placed: Placed
 
 
-class TellBegun(msgspec.Struct, frozen=True, kw_only=True, tag="loads.begun"):
-    """Tell a keeper that an answer has begun, or that its request has ended."""
+class TellEnded(msgspec.Struct, frozen=True, kw_only=True, tag="loads.ended"):
+    """Tell a keeper that a placed prompt needs no more reading."""
 
     engine: str
     number: int
-    given_up: bool = False
-    silent: bool = False
-    """Whether the engine gave no sign of life."""
+    end: ReadingEnd
 
 
-LOAD_MESSAGES = (AskLoads, LoadsAre, TellPlaced, TellBegun)
+LOAD_MESSAGES = (AskLoads, LoadsAre, TellPlaced, TellEnded)
 
 
 class _Question:
@@ -157,7 +161,7 @@
 
     def place(
         self, engine: str, *, reading_s: float, lasts_s: float, parts: tuple[Part, ...]
-    ) -> Booking:
+    ) -> PlacedPrompt:
         """Tell an engine's keeper that it is to read a prompt."""
         self._number += 1
         placed = Placed(
@@ -171,13 +175,13 @@
             self.take_placed(self._me, TellPlaced(engine=engine, placed=placed))
         else:
             self._tell(keeper, TellPlaced(engine=engine, placed=placed))
-        return Booking(placement=self, engine=engine, number=placed.number)
+        return PlacedPrompt(placement=self, engine=engine, number=placed.number)
 
-    def tell_begun(self, word: TellBegun) -> None:
-        """Tell an engine's keeper that a prompt is read."""
+    def tell_ended(self, word: TellEnded) -> None:
+        """Tell an engine's keeper that a placed prompt needs no more reading."""
         keeper = self._find_keeper(word.engine)
         if keeper == self._me:
-            self.take_begun(self._me, word)
+            self.take_ended(self._me, word)
         else:
             self._tell(keeper, word)
 
@@ -196,13 +200,9 @@
         """Count a prompt that is placed at an engine kept here."""
         self._loads.find(word.engine, now()).place(sender, word.placed, now())
 
-    def take_begun(self, sender: str, word: TellBegun) -> None:
-        """Count it as read, or as given up."""
-        load = self._loads.find(word.engine, now())
-        if word.given_up:
-            load.withdraw(sender, word.number, silent=word.silent, now=now())
-        else:
-            load.begin(sender, word.number, now())
+    def take_ended(self, sender: str, word: TellEnded) -> None:
+        """Take a prompt off the load of an engine kept here."""
+        self._loads.find(word.engine, now()).end(sender, word.number, word.end, now())
 
     def _find_keeper(self, engine: str) -> str:
         keeper = self._keepers.get(engine)
@@ -211,8 +211,8 @@
         return keeper
 
 
-class Booking:
-    """Hold what was told of one placement until its answer begins or it ends."""
+class PlacedPrompt:
+    """Hold what a keeper was told of one prompt until its reading ends."""
 
     __slots__ = ("_engine", "_is_open", "_number", "_placement")
 
@@ -222,23 +222,11 @@
         self._number = number
         self._is_open = True
 
-    def begin(self) -> None:
-        """Tell that the prompt is read."""
-        self._close(given_up=False, silent=False)
-
-    def give_up(self, *, silent: bool) -> None:
-        """Tell that nobody waits for it; nothing where its answer has begun."""
-        self._close(given_up=True, silent=silent)
-
-    def _close(self, *, given_up: bool, silent: bool) -> None:
+    def end(self, end: ReadingEnd) -> None:
+        """Tell how its reading ended; nothing more once that was told."""
         if not self._is_open:
             return
         self._is_open = False
-        self._placement.tell_begun(
-            TellBegun(
-                engine=self._engine,
-                number=self._number,
-                given_up=given_up,
-                silent=silent,
-            )
+        self._placement.tell_ended(
+            TellEnded(engine=self._engine, number=self._number, end=end)
         )
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -12,7 +12,7 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.flight import Flight
-from baobabthread.instance.placement import Booking, Placement
+from baobabthread.instance.placement import PlacedPrompt, Placement
 from baobabthread.routing.mechanisms import Mechanism, Switches
 from baobabthread.routing.versions import VersionPlan
 
@@ -72,7 +72,7 @@
         ]
         return min(prospects, key=lambda p: p.wait_s + p.reading_s, default=None)
 
-    def place(self, flight: Flight, link: BackendLink) -> Booking | None:
+    def place(self, flight: Flight, link: BackendLink) -> PlacedPrompt | None:
         """Tell of the prompt that an engine is to read; nothing at a plain service."""
         if not flight.route.is_stream or Mechanism.LOADS in self._off:
             return None
@@ -86,11 +86,12 @@
     async def _ask(self, flight: Flight, model: str | None) -> Mapping[str, Load]:
         if not flight.route.is_stream or Mechanism.LOADS in self._off:
             return {}
-        names = self._backends.list_candidates(
-            flight.service,
+        names = self._backends.table.list_candidates(
+            service=flight.service,
             version=flight.version,
             prefix_key=self._key(flight),
             exclude=flight.excluded,
+            now=now(),
         )
         return await self._placement.ask(names, _list_parts(flight, model))
 
--- a/src/baobabthread/standins/server.py
+++ b/src/baobabthread/standins/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import contextlib
 import random
 import time
@@ -57,7 +58,7 @@
         raise web.HTTPBadRequest(body=text, content_type="application/json") from error
 
 
-class Server:
+class Server(abc.ABC):
     """Serve one stand-in on one address until it is stopped."""
 
     __slots__ = ("_stack", "faults", "host", "name", "port", "rng", "seed")
@@ -119,7 +120,7 @@
     async def __aexit__(self, *_: object) -> None:
         await self.stop()
 
-    async def open(self, stack: contextlib.AsyncExitStack) -> None:
+    async def open(self, stack: contextlib.AsyncExitStack) -> None:  # noqa: B027 - optional
         """Enter what must be closed with the stand-in into its exit stack."""
 
     def build_app(self) -> web.Application:
@@ -129,9 +130,9 @@
         self.add_control(app.router, prefix="/control")
         return app
 
+    @abc.abstractmethod
     def add_routes(self, router: web.UrlDispatcher) -> None:
         """Add the routes of the stand-in's protocol."""
-        raise NotImplementedError
 
     def add_control(self, router: web.UrlDispatcher, *, prefix: str) -> None:
         """Add the routes that show the stand-in and switch its faults."""
@@ -151,7 +152,7 @@
         self.faults = self.check_faults(values)
         self.on_faults()
 
-    def on_faults(self) -> None:
+    def on_faults(self) -> None:  # noqa: B027 - optional
         """React to changed faults."""
 
     def now(self) -> float:
--- a/tests/core/test_loads.py
+++ b/tests/core/test_loads.py
@@ -20,6 +20,7 @@
     EngineLoads,
     Part,
     Placed,
+    ReadingEnd,
 )
 
 
@@ -44,9 +45,9 @@
     place(load, 1, 0.0, sender="i2")
     assert load.wait_s(0.0) == pytest.approx(0.8)
     assert load.wait_s(0.3) == pytest.approx(0.5)
-    load.begin("i1", 1, 0.4)
+    load.end("i1", 1, ReadingEnd.BEGUN, 0.4)
     assert load.wait_s(0.4) == pytest.approx(0.4)
-    load.begin("i2", 1, 0.8)
+    load.end("i2", 1, ReadingEnd.BEGUN, 0.8)
     assert load.wait_s(0.8) == 0.0
 
 
@@ -68,10 +69,10 @@
     """
     load = EngineLoad()
     place(load, 1, 0.0, reading_s=0.05)
-    load.withdraw("i1", 1, silent=True, now=1.0)
+    load.end("i1", 1, ReadingEnd.SILENT, 1.0)
     assert load.wait_s(1.0) == pytest.approx(SUSPECT_S)
     place(load, 2, 1.5)
-    load.begin("i1", 2, 1.6)
+    load.end("i1", 2, ReadingEnd.BEGUN, 1.6)
     assert load.wait_s(1.6) == 0.0
 
 
@@ -83,7 +84,7 @@
     load = EngineLoad()
     place(load, 1, 0.0, reading_s=0.1)
     place(load, 2, 1.0, reading_s=0.1)
-    load.begin("i1", 2, 1.2)
+    load.end("i1", 2, ReadingEnd.BEGUN, 1.2)
     assert load.wait_s(1.2) == 0.0
 
 
@@ -135,7 +136,7 @@
         reading_s = 0.6 if rng.random() < 0.3 else 0.06
         now += rng.expovariate(0.9 * engines / 0.222)
         for at, engine, earlier in sorted(b for b in begins if b[0] <= now):
-            loads[engine].begin("i", earlier, at)
+            loads[engine].end("i", earlier, ReadingEnd.BEGUN, at)
         begins = [b for b in begins if b[0] > now]
         names = rng.sample(range(engines), asked)
         engine = min(names, key=lambda name: loads[name].wait_s(now))
--- a/tests/instance/test_placement.py
+++ b/tests/instance/test_placement.py
@@ -8,14 +8,14 @@
 import msgspec
 import pytest
 
-from baobabthread.core.backends.loads import Part
+from baobabthread.core.backends.loads import Part, ReadingEnd
 from baobabthread.instance.clock import now
 from baobabthread.instance.placement import (
     ANSWER_S,
     AskLoads,
     LoadsAre,
     Placement,
-    TellBegun,
+    TellEnded,
     TellPlaced,
 )
 
@@ -53,24 +53,22 @@
                 member.take(message)
             case TellPlaced():
                 member.take_placed(sender, message)
-            case TellBegun():
-                member.take_begun(sender, message)
+            case TellEnded():
+                member.take_ended(sender, message)
 
 
 def test_know_what_another_instance_has_placed() -> None:
     async def case() -> None:
         net = Net("a", "b", "c")
-        booking = net.members["a"].place(
-            "e1", reading_s=0.4, lasts_s=9.0, parts=(PART,)
-        )
+        prompt = net.members["a"].place("e1", reading_s=0.4, lasts_s=9.0, parts=(PART,))
         await asyncio.sleep(0)
         loads = await net.members["b"].ask(ENGINES, (PART,))
         assert set(loads) == set(ENGINES)
         assert loads["e1"].wait_s == pytest.approx(0.4, abs=0.05)
         assert loads["e1"].kept_tokens == 300
         assert loads["e2"].wait_s == 0.0
-        booking.begin()
-        booking.give_up(silent=True)
+        prompt.end(ReadingEnd.BEGUN)
+        prompt.end(ReadingEnd.SILENT)
         await asyncio.sleep(0)
         loads = await net.members["c"].ask(["e1"], (PART,))
         assert loads["e1"].wait_s == 0.0
