--- a/tests/failures/test_claims_matrix.py
+++ b/tests/failures/test_claims_matrix.py
@@ -37,6 +37,7 @@
     Stream,
 )
 from baobabthread.errors import Ran
+from tests.failures import claims_scenario
 from tests.failures.claims_scenario import (
     WALL_S,
     ClaimScenario,
@@ -200,7 +201,7 @@
     def same(entry: str, number: int) -> str:
         return f"{entry}.{number}"
 
-    patch.setitem(globals(), "next_incarnation", same)
+    patch.setattr(claims_scenario, "next_incarnation", same)
 
 
 @mutant("claims: a late claimant runs", promise=Promise.ONCE, check=check_claims)
