Choose among all engines that were asked, also where few keepers answer

Cause, found by reading: the choice was bound to the engines whose keepers had answered. An instance cut off from its peers hears only itself, and sent all its prompts to the one or two engines that it keeps; a paused keeper took its engines out of everybody's sight. Now all that were asked are looked at; one whose load nobody tells counts as loaded as the others are on average, not as idle, so that it draws no more than its part. A prompt without a common part no longer has a penalty for leaving a home that it doesn't have.

Before: with one of four loads known all of 200 picks went to that engine.

Ruled out: asking again (another 20 ms before each attempt while cut off).

--- a/src/baobabthread/core/backends/balance.py
+++ b/src/baobabthread/core/backends/balance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Container, Iterator, Mapping
+from collections.abc import Collection, Container, Iterator, Mapping
 
 from baobabthread.core.backends.backends import (
     BalanceSettings,
@@ -102,12 +102,14 @@
         shared_s: float = 0.0,
         shared_tokens: int = 0,
         loads: Mapping[str, Load] = NO_LOADS,
+        candidates: Collection[str] = (),
     ) -> str | None:
         """Return the server for a request, or nothing when none is left.
 
         `shared_s` is the work that a cached prefix of `shared_tokens` saves, `loads`
-        what keepers say of some servers. `may_probe` lets an
-        idempotent request try a server that was ejected.
+        what keepers say of some of the `candidates`, to which the choice is bound where
+        there are any. `may_probe` lets an idempotent request try a server that was
+        ejected.
         """
         pool = self._pool(service, version, now)
         if may_probe and pool.probes:
@@ -127,6 +129,7 @@
             shared_s=shared_s,
             shared_tokens=shared_tokens,
             loads=loads,
+            candidates=candidates,
         )
         balancer = self._balancers.get(service) or BALANCERS.get(DEFAULT)
         chosen = balancer(view)
--- a/src/baobabthread/core/backends/balancers.py
+++ b/src/baobabthread/core/backends/balancers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Container, Mapping
+from collections.abc import Collection, Container, Mapping
 from typing import Protocol
 
 from baobabthread.core.backends.backends import BalanceSettings, Server
@@ -20,6 +20,7 @@
     """Give a balancer what it may look at for one pick."""
 
     __slots__ = (
+        "candidates",
         "exclude",
         "least",
         "loads",
@@ -46,6 +47,7 @@
         shared_s: float = 0.0,
         shared_tokens: int = 0,
         loads: Mapping[str, Load],
+        candidates: Collection[str],
     ) -> None:
         self.shared_s = shared_s
         """Seconds of work that a server saves which has the prefix in its cache."""
@@ -53,6 +55,8 @@
         """Tokens of the prefix."""
         self.loads = loads
         """What keepers say of some servers; empty where nobody was asked."""
+        self.candidates = candidates
+        """Servers whose keepers were asked; empty where nobody was."""
         self.pool = pool
         self.prefix_key = prefix_key
         self.exclude = exclude
--- a/src/baobabthread/core/backends/earliest.py
+++ b/src/baobabthread/core/backends/earliest.py
@@ -44,8 +44,8 @@
 
 def _sample(view: View, home: tuple[Server, ...]) -> Iterable[Server]:
     usable = view.pool.usable
-    if view.loads:
-        return [server for server in usable if server.name in view.loads]
+    if view.candidates:
+        usable = [server for server in usable if server.name in view.candidates]
     if len(usable) <= view.settings.sample:
         # A random start, so that entries that see the same don't all choose the first.
         turn = int(view.rng.random() * len(usable)) if usable else 0
@@ -59,7 +59,8 @@
     if load is not None:
         missing = 1.0 - min(1.0, load.kept_tokens / max(1, view.shared_tokens))
         cost = view.shared_s * READING_WEIGHT * missing
-        return cost if home and server is home[0] else cost + AWAY_S
+        is_away = bool(home) and server is not home[0]
+        return cost + AWAY_S if is_away else cost
     if home and server is home[0]:
         return 0.0
     # What is read again also holds up all others there: near saturation that is the
@@ -71,7 +72,10 @@
 def _estimate_ready(view: View, server: Server) -> float:
     now = view.now
     load = view.loads.get(server.name)
-    ready = server.wait(now) if load is None else max(server.pending, load.wait_s)
+    if load is not None:
+        ready = max(server.pending, load.wait_s)
+    else:
+        ready = max(server.wait(now), _average_wait(view))
     if server.far:
         ready += view.settings.far_wait_s
     crowd = (server.in_flight + 1) / (server.capacity * max(0.1, server.ramp(now)))
@@ -80,3 +84,13 @@
     # slows the others a little.
     queue = max(0.0, crowd - 1.0) * QUEUE_S
     return (ready + RUN_S * (1.0 + crowd)) * slowness + queue
+
+
+def _average_wait(view: View) -> float:
+    """Return what prompts wait at the servers whose load is known.
+
+    Failure: a keeper is paused, and its servers look idle to whoever has sent nothing
+    there. Taken for as loaded as the others, they draw no more than their part.
+    """
+    waits = [load.wait_s for load in view.loads.values()]
+    return sum(waits) / len(waits) if waits else 0.0
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import deque
-from collections.abc import Container, Mapping
+from collections.abc import Collection, Container, Mapping
 
 import msgspec
 import xxhash
@@ -135,6 +135,7 @@
         shared_s: float,
         shared_tokens: int,
         loads: Mapping[str, Load],
+        candidates: Collection[str],
     ) -> BackendLink | None:
         """Return the backend server for an attempt, or nothing when none is left."""
         moment = now()
@@ -152,6 +153,7 @@
                 shared_s=shared_s,
                 shared_tokens=shared_tokens,
                 loads=loads,
+                candidates=candidates,
             )
             # The table returns an excluded one when it has nothing else.
             if name is not None and name not in out:
--- a/src/baobabthread/instance/placement.py
+++ b/src/baobabthread/instance/placement.py
@@ -96,6 +96,8 @@
         """Note which instances serve, this one included."""
         self._alive = names or [self._me]
         self._keepers.clear()
+        silent = self._silent_until
+        self._silent_until = {n: t for n, t in silent.items() if n in self._alive}
 
     def tick(self) -> None:
         """Forget what is idle."""
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -50,19 +50,20 @@
         """Return the backend server for the next attempt, if one is left."""
         flight.kept_tokens = None
         flight.version = self.choose_version(flight, plan)
-        loads = await self._ask(flight, flight.model_name)
-        link = self._pick(flight, flight.excluded, loads)
+        names = self._list_candidates(flight)
+        loads = await self._ask(flight, flight.model_name, names)
+        link = self._pick(flight, flight.excluded, loads, names)
         if link is not None and link.name in loads:
             flight.kept_tokens = loads[link.name].kept_tokens
         return link
 
     def has_other(self, flight: Flight, link: BackendLink) -> bool:
         """Tell whether another backend server could take the request."""
-        return self._pick(flight, flight.excluded | {link.name}, {}) is not None
+        return self._pick(flight, flight.excluded | {link.name}, {}, []) is not None
 
     async def foresee(self, flight: Flight, model: str) -> Prospect | None:
         """Return what a model's answer would wait for; nothing if nobody knows."""
-        loads = await self._ask(flight, model)
+        loads = await self._ask(flight, model, self._list_candidates(flight))
         prospects = [
             Prospect(
                 wait_s=load.wait_s,
@@ -83,20 +84,31 @@
             parts=_list_parts(flight, flight.model_name),
         )
 
-    async def _ask(self, flight: Flight, model: str | None) -> Mapping[str, Load]:
+    def _list_candidates(self, flight: Flight) -> list[str]:
+        """Return the engines to choose among; none where all are looked at alike."""
         if not flight.route.is_stream or Mechanism.LOADS in self._off:
-            return {}
-        names = self._backends.table.list_candidates(
+            return []
+        return self._backends.table.list_candidates(
             service=flight.service,
             version=flight.version,
             prefix_key=self._key(flight),
             exclude=flight.excluded,
             now=now(),
         )
-        return await self._placement.ask(names, _list_parts(flight, model))
+
+    async def _ask(
+        self, flight: Flight, model: str | None, engines: list[str]
+    ) -> Mapping[str, Load]:
+        if not engines:
+            return {}
+        return await self._placement.ask(engines, _list_parts(flight, model))
 
     def _pick(
-        self, flight: Flight, excluded: set[str], loads: Mapping[str, Load]
+        self,
+        flight: Flight,
+        excluded: set[str],
+        loads: Mapping[str, Load],
+        candidates: list[str],
     ) -> BackendLink | None:
         return self._backends.pick(
             flight.service,
@@ -107,6 +119,7 @@
             shared_s=self._estimates.shared_s(flight),
             shared_tokens=flight.request.envelope.shared_tokens,
             loads=loads,
+            candidates=candidates,
         )
 
     def _key(self, flight: Flight) -> int | None:
--- a/tests/core/test_earliest.py
+++ b/tests/core/test_earliest.py
@@ -8,12 +8,15 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
+from typing import Any
 
 import msgspec
 
 from baobabthread.core.backends.backends import BalanceSettings
 from baobabthread.core.backends.balance import BackendTable
 from baobabthread.core.backends.earliest import NAME
+from baobabthread.core.backends.loads import Load
 from baobabthread.core.configuration.configuration import (
     EMPTY,
     Backend,
@@ -46,7 +49,7 @@
     return table
 
 
-def pick(table: BackendTable, key: int | None = None, now: float = 1.0, **more: float):
+def pick(table: BackendTable, key: int | None = None, now: float = 1.0, **more: Any):
     return table.pick(service="s", version="v1", prefix_key=key, now=now, **more)
 
 
@@ -108,3 +111,38 @@
             table.started(name, 100, 1.0)
             table.finished(name, Outcome.OK, latency_s, 100, 1.0)
     assert "b0" not in {pick(table) for _ in range(20)}
+
+
+def test_use_all_servers_while_few_keepers_answer() -> None:
+    """An instance is cut off from its peers, not from the servers.
+
+    Only the load of the one server that it keeps itself is known. Sent there alone, its
+    requests would queue before one server while the others have room.
+    """
+    table = make_table(4)
+    names = [f"b{number}" for number in range(4)]
+    loads = {"b0": Load(wait_s=0.3, kept_tokens=0)}
+    picked = Counter(
+        pick(table, candidates=names, loads=loads, now=1.0) for _ in range(200)
+    )
+    assert set(picked) == set(names)
+    assert max(picked.values()) < 100
+
+
+def test_draw_no_work_to_servers_whose_load_nobody_knows() -> None:
+    """A keeper is paused. Its servers look idle to whoever has sent nothing there.
+
+    They count as loaded as the others are on average, not as idle.
+    """
+    table = make_table(3)
+    loads = {
+        "b0": Load(wait_s=0.0, kept_tokens=0),
+        "b1": Load(wait_s=0.8, kept_tokens=0),
+    }
+    names = ["b0", "b1", "b2"]
+    assert {pick(table, candidates=names, loads=loads) for _ in range(30)} == {"b0"}
+
+
+def test_choose_among_the_candidates_only() -> None:
+    table = make_table(4)
+    assert {pick(table, candidates=["b1", "b3"]) for _ in range(40)} == {"b1", "b3"}
