Read the store by one instance in eighty, and tell changes one by one

Until members were known each instance read for all. Change: readers are one in 80 with two standbys that read when a reader is silent; ages and pauses follow the bounds on changes, drains and keys; an answer holds what changed since the offset that the question names; while nobody is known an instance reads by age alone; where the store is away an instance reads operators' records first.

--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -24,12 +24,6 @@
 from baobabthread.routing.configuration import RoutingConfiguration
 from baobabthread.routing.knowledge import Knowledge
 
-OPERATORS_WAIT_S = 0.5
-"""How long the store holds a read that finds nothing new: a change is heard at once,
-and what a reader knows is never older than twice this while the store answers."""
-BACKENDS_POLL_S = 0.5
-"""Pause between reads of the backend servers' records: their pings alone would end a
-held read ten times a second, and each call has its price."""
 ANSWER_S = 0.8
 """Time for an answer beside the time that the store was told to wait."""
 QUICK_ANSWER_S = 0.5
@@ -228,7 +222,7 @@
     @property
     def _wait_s(self) -> float:
         # An instance that reads once, for a change or an age, needs the answer now.
-        return OPERATORS_WAIT_S if self._relay.is_reader else 0.0
+        return self._relay.limits.hold_s if self._relay.is_reader else 0.0
 
     async def _rest(self) -> None:
         """Read on at once: the store itself holds a read that finds nothing."""
@@ -280,7 +274,8 @@
         return self._knowledge.backends_end
 
     async def _rest(self) -> None:
-        await asyncio.sleep(BACKENDS_POLL_S * (0.8 + 0.4 * self._rng.random()))
+        poll_s = self._relay.limits.poll_s
+        await asyncio.sleep(poll_s * (0.8 + 0.4 * self._rng.random()))
 
     def _take_page(self, records: list[Record]) -> None:
         listed = {record.key for record in records if record.value}
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -65,8 +65,8 @@
 over the slowest links."""
 FETCH_PAUSE_S = 0.3
 """Least time between two questions to peers."""
-STALE_S = 1.2
-"""Age of what is known from which a peer is asked: the store was silent longer than
+STALE_PART = 0.8
+"""Part of the oldest age from which a peer is asked: the store was silent longer than
 one read takes."""
 MAX_SNAPSHOT_BYTES = 32_000_000
 SETTINGS = MembershipSettings(
@@ -107,7 +107,12 @@
         self.placement = Placement(me=settings.name, tell=self._tell)
         self.desk = SessionDesk(me=settings.name, tell=self._tell, find_plan=find_plan)
         self.relay = Relay(
-            me=settings.name, knowledge=knowledge, tell=self._tell, fetch=self.fetch
+            me=settings.name,
+            knowledge=knowledge,
+            tell=self._tell,
+            fetch=self.fetch,
+            bounds=settings.bounds,
+            has_seeds=any(not self._is_me(seed) for seed in self._list_seeds()),
         )
         self._transport: asyncio.DatagramTransport | None = None
         self._pools: dict[str, ConnectionPool] = {}
@@ -260,7 +265,8 @@
         age = max(
             self._knowledge.operators_age(moment), self._knowledge.backends_age(moment)
         )
-        if age < STALE_S and not self.relay.is_behind:
+        stale_s = STALE_PART * self.relay.limits.operators_s
+        if age < stale_s and not self.relay.is_behind:
             return
         if moment - self._fetched_at < FETCH_PAUSE_S:
             return
--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -1,49 +1,54 @@
 """Knowledge passed on among instances, so that few of them read the store.
 
-A few readers follow the store. Every other instance asks its reader a few times a
-second how old its knowledge is and whether it has changed. It fetches changes of
-backend servers from the reader and reads new configurations from the store. An instance
-that gets no answer reads everything itself, so that a dead reader costs a second and no
-rule.
+A few readers follow the store. Every other instance asks its reader now and then how
+old its knowledge is and whether it has changed. The answer brings what changed of the
+backend servers; new configurations are read from the store. An instance that gets no
+answer asks a standby, which then reads, and at last reads everything itself, so that a
+dead reader costs a second and no rule.
 """
 
 from __future__ import annotations
 
-import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.configuration import BackendRecord
 from baobabthread.routing.knowledge import Knowledge
+from baobabthread.routing.sources import AgeLimits, Sources, choose_limits
 
-LEAST_READERS = 2
-"""Readers of a small installation, so that one may fall out unnoticed."""
-MEMBERS_PER_READER = 40
-"""Members for each reader: each call to the store has its price, and a reader then
-answers a hundred small questions a second, about 1.5 % of a core."""
-ASK_PERIOD_S = 0.4
 PATIENCE_S = 0.25
-"""Time after which a question counts as unanswered, and the next reader is asked."""
-OPERATORS_LIMIT_S = 1.5
-"""Age of the operators' records from which an instance reads the store itself. A reader
-that is well is a second behind at most and is asked each 0.4 s; one that was cut off at
-the moment of a change is found out by this age, with time left to apply the change."""
-BACKENDS_LIMIT_S = 1.3
-"""The same for the backend servers' records."""
-SUBSCRIBED_S = 2.0
-"""Time for which a reader tells an instance of changes without being asked."""
+"""Time after which a question counts as unanswered, and the next one is asked."""
+ENOUGH_MISSES = 2
+"""Unanswered questions after which a standby reads the store."""
+ALONE_S = 3.0
+"""Time from the start after which an instance that meets no seed takes itself for the
+only one. Where all start at once, each would otherwise read for all: 195 instances made
+900 calls in the half second until they knew each other."""
+TURN_S = 1 / 30
+"""Time between two instances in the order at which they read the store themselves when
+nobody's word is fresh: all together ask a silent store 30 times a second."""
+MOST_TURN_S = 1.0
+"""Longest such wait; keys are refused half a second after it at the earliest."""
+SUBSCRIBED_PARTS = 5.0
+"""Times the pause between questions for which a reader tells of changes unasked."""
+MOST_TOLD = 48
+"""Backend servers in one answer, some 10 KB; whoever lacks more fetches them all."""
 
 
 class AskKnowledge(msgspec.Struct, frozen=True, kw_only=True, tag="knowledge.ask"):
     """Ask a reader how old its knowledge is."""
 
     sequence: int
+    backends_end: int = 0
+    """How far the one who asks knows the backend servers' records."""
 
 
 class KnowledgeIs(msgspec.Struct, frozen=True, kw_only=True, tag="knowledge.is"):
-    """Tell how old the sender's knowledge is, and where it last changed."""
+    """Tell how old the sender's knowledge is, and what changed last."""
 
     sequence: int
     """The question; 0 where there was none, so that the ages prove nothing."""
@@ -53,6 +58,10 @@
     backends_changed_at: int
     """Offset up to which reading last changed anything."""
     backends_age_s: float
+    since: int = -1
+    """Offset from which on all changes are told here; -1 where there are too many."""
+    changed: list[BackendRecord] = []
+    gone: list[str] = []
 
 
 RELAY_MESSAGES = (AskKnowledge, KnowledgeIs)
@@ -63,6 +72,11 @@
 """Fetch what a member knows."""
 
 
+class _Subscriber(msgspec.Struct):
+    asked_at: float
+    backends_end: int
+
+
 class Relay:
     """Decide who reads the store, and keep the others up to date."""
 
@@ -75,31 +89,48 @@
         "_knowledge",
         "_me",
         "_misses",
+        "_others",
         "_sequence",
+        "_sources",
+        "_joins_until",
         "_subscribers",
         "_tell",
         "_told",
+        "limits",
     )
 
     def __init__(
-        self, *, me: str, knowledge: Knowledge, tell: Tell, fetch: Fetch
+        self,
+        *,
+        me: str,
+        knowledge: Knowledge,
+        tell: Tell,
+        fetch: Fetch,
+        bounds: RoutingBounds | None = None,
+        has_seeds: bool = False,
     ) -> None:
         self._me = me
         self._knowledge = knowledge
         self._tell = tell
         self._fetch = fetch
+        self.limits: AgeLimits = choose_limits(bounds or RoutingBounds())
         self._alive: list[str] = [me]
+        self._sources = Sources(me=me, names=self._alive)
+        self._others: list[str] = []
         self._asked: dict[int, float] = {}
         self._asked_at = -1e9
         self._heard_end = 0
         self._misses = 0
         self._sequence = 0
-        self._subscribers: dict[str, float] = {}
+        self._joins_until = now() + ALONE_S if has_seeds else 0.0
+        self._subscribers: dict[str, _Subscriber] = {}
         self._told = (0, 0)
 
-    def set_members(self, names: list[str]) -> None:
+    def set_members(self, names: Sequence[str]) -> None:
         """Note which instances serve, this one included."""
-        self._alive = names or [self._me]
+        self._alive = list(names) or [self._me]
+        self._sources = Sources(me=self._me, names=self._alive)
+        self._others = []
 
     @property
     def members(self) -> int:
@@ -114,7 +145,11 @@
     @property
     def is_reader(self) -> bool:
         """Tell whether this instance follows the store for others."""
-        return self._me in self._readers()
+        if len(self._alive) == 1 and now() < self._joins_until:
+            return False
+        if self._sources.reads:
+            return True
+        return self._sources.stands_by and self._misses >= ENOUGH_MISSES
 
     @property
     def is_behind(self) -> bool:
@@ -129,33 +164,46 @@
 
     def needs_operators(self) -> bool:
         """Tell whether this instance has to read the operators' records itself."""
-        age = self._knowledge.operators_age(now())
-        return self.is_reader or self.is_behind or age > OPERATORS_LIMIT_S
+        if self.is_reader or self.is_behind:
+            return True
+        return self._knowledge.operators_age(now()) > self._own_limit_s
 
     def needs_backends(self) -> bool:
         """Tell whether this instance has to read the backend servers' records."""
-        age = self._knowledge.backends_age(now())
-        return self.is_reader or age > BACKENDS_LIMIT_S
+        if self.is_reader:
+            return True
+        moment = now()
+        if self._knowledge.backends_age(moment) <= self.limits.backends_s:
+            return False
+        # The operators' records are read first: where the store is away, one call
+        # shows it, and without it nothing can be learnt of backend servers either.
+        return self._knowledge.operators_age(moment) <= self.limits.operators_s
 
     def tick(self) -> None:
         """Ask a reader, or tell subscribers of changes, as is due."""
         moment = now()
         self._tell_changes(moment)
-        if self.is_reader or moment - self._asked_at < ASK_PERIOD_S:
+        if self._sources.reads:
+            return
+        is_overdue = self._count_overdue(moment)
+        if not is_overdue and moment - self._asked_at < self.limits.ask_s:
+            return
+        peer = self._choose_peer(moment)
+        if peer is None:
             return
         self._asked_at = moment
-        overdue = [s for s, at in self._asked.items() if moment - at > PATIENCE_S]
-        for sequence in overdue:
-            del self._asked[sequence]
-            self._misses += 1
         self._sequence += 1
         self._asked[self._sequence] = moment
-        self._tell(self._choose_peer(moment), AskKnowledge(sequence=self._sequence))
+        question = AskKnowledge(
+            sequence=self._sequence, backends_end=self._knowledge.backends_end
+        )
+        self._tell(peer, question)
 
     def answer(self, sender: str, question: AskKnowledge) -> None:
         """Answer a question and remember who asked."""
-        self._subscribers[sender] = now()
-        self._tell(sender, self._describe(question.sequence))
+        known_end = question.backends_end
+        self._subscribers[sender] = _Subscriber(asked_at=now(), backends_end=known_end)
+        self._tell(sender, self._describe(question.sequence, known_end))
 
     def take(self, sender: str, word: KnowledgeIs) -> None:
         """Take in what a reader knows."""
@@ -169,30 +217,48 @@
                 asked_at=asked_at,
             )
         self.note_news(word.operators_end)
+        is_told = 0 <= word.since <= knowledge.backends_end
         if word.backends_changed_at > knowledge.backends_end:
-            self._fetch(sender)
-        elif asked_at is not None:
+            if not is_told:
+                self._fetch(sender)
+                return
+            knowledge.take_changes(
+                word.changed, word.gone, end=word.backends_end, now=now()
+            )
+        if asked_at is not None:
             knowledge.confirm_backends(
                 end=word.backends_end, read_at=asked_at - word.backends_age_s
             )
 
-    def _readers(self) -> list[str]:
-        count = math.ceil(len(self._alive) / MEMBERS_PER_READER)
-        return rank("readers", self._alive)[: max(LEAST_READERS, count)]
+    @property
+    def _own_limit_s(self) -> float:
+        """Give the age from which this instance reads for itself."""
+        turn_s = min(MOST_TURN_S, TURN_S * self._sources.turn)
+        return self.limits.operators_s + turn_s
+
+    def _count_overdue(self, moment: float) -> bool:
+        overdue = [s for s, at in self._asked.items() if moment - at > PATIENCE_S]
+        for sequence in overdue:
+            del self._asked[sequence]
+            self._misses += 1
+        return bool(overdue)
 
     def _note_answer(self, word: KnowledgeIs) -> None:
-        is_old = word.operators_age_s > OPERATORS_LIMIT_S
+        is_old = word.operators_age_s > self.limits.operators_s
         self._misses = self._misses + 1 if is_old else 0
 
-    def _choose_peer(self, moment: float) -> str:
-        readers = rank(self._me, self._readers())
-        if self._knowledge.operators_age(moment) <= OPERATORS_LIMIT_S:
-            return readers[self._misses % len(readers)]
+    def _choose_peer(self, moment: float) -> str | None:
+        age_s = self._knowledge.operators_age(moment)
+        if age_s <= self.limits.operators_s or self._misses % 2:
+            return self._sources.choose(self._misses)
         # The store may turn away all readers and serve the others, or serve only some:
         # whoever is fresh can tell. Each question goes to another member, since asking
         # the readers alone would refuse every key while most instances know them.
-        others = [name for name in rank(self._me, self._alive) if name != self._me]
-        return others[self._misses % len(others)] if others else self._me
+        if not self._others:
+            self._others = [n for n in rank(self._me, self._alive) if n != self._me]
+        if not self._others:
+            return None
+        return self._others[self._misses // 2 % len(self._others)]
 
     def _tell_changes(self, moment: float) -> None:
         knowledge = self._knowledge
@@ -200,21 +266,27 @@
         if state == self._told:
             return
         self._told = state
-        recent = moment - SUBSCRIBED_S
-        self._subscribers = {n: t for n, t in self._subscribers.items() if t > recent}
+        recent = moment - SUBSCRIBED_PARTS * self.limits.ask_s
+        self._subscribers = {
+            n: s for n, s in self._subscribers.items() if s.asked_at > recent
+        }
         if not self.is_reader:
             return
-        for name in self._subscribers:
-            self._tell(name, self._describe(0))
+        for name, subscriber in self._subscribers.items():
+            self._tell(name, self._describe(0, subscriber.backends_end))
 
-    def _describe(self, sequence: int) -> KnowledgeIs:
+    def _describe(self, sequence: int, known_end: int) -> KnowledgeIs:
         knowledge = self._knowledge
         moment = now()
+        changes = knowledge.list_changes(known_end, most=MOST_TOLD)
         return KnowledgeIs(
             sequence=sequence,
             operators_end=knowledge.operators_end,
-            operators_age_s=knowledge.operators_age(moment),
+            operators_age_s=round(knowledge.operators_age(moment) + 0.0005, 3),
             backends_end=knowledge.backends_end,
             backends_changed_at=knowledge.backends_changed_at,
-            backends_age_s=knowledge.backends_age(moment),
+            backends_age_s=round(knowledge.backends_age(moment) + 0.0005, 3),
+            since=known_end if changes is not None else -1,
+            changed=changes.changed if changes is not None else [],
+            gone=changes.gone if changes is not None else [],
         )
--- a/src/baobabthread/platform/settings.py
+++ b/src/baobabthread/platform/settings.py
@@ -33,11 +33,14 @@
 
 class _Guarantees(msgspec.Struct, frozen=True, kw_only=True):
     contact_ms: float = 3000
+    config_apply_ms: float = 2000
+    drain_ms: float = 2000
     grace_s: float = 8
     revoke_ms: float = 5000
     strict_revoke: bool = True
     retry_budget_ratio: float = 0.1
     retry_budget_extra: float = 10
+    budget_window_s: float = 10
     expose_share: float = 0.1
     session_s: float = 5
     ttl_max_s: float = 5
@@ -111,10 +114,13 @@
             revocation_s=bounds.revoke_ms / MS,
             retry_ratio=bounds.retry_budget_ratio,
             retry_extra=bounds.retry_budget_extra,
+            retry_window_s=bounds.budget_window_s,
             exposure_share=bounds.expose_share,
             session_s=bounds.session_s,
             grace_s=bounds.grace_s,
             max_lifetime_s=bounds.ttl_max_s,
             contact_s=bounds.contact_ms / MS,
+            apply_s=bounds.config_apply_ms / MS,
+            drain_s=bounds.drain_ms / MS,
         ),
     )
--- a/src/baobabthread/routing/bounds.py
+++ b/src/baobabthread/routing/bounds.py
@@ -14,6 +14,8 @@
     """Repeats that all instances may send for each request of a service."""
     retry_extra: float = 50.0
     """Repeats that may come on top in one window."""
+    retry_window_s: float = 10.0
+    """Length of each window, wherever it begins, in which the repeats are counted."""
     exposure_share: float = 0.15
     """Part of a service's requests that a bad version may get."""
     session_s: float = 5.0
@@ -24,3 +26,7 @@
     """Longest time for which callers keep addresses."""
     contact_s: float = 3.0
     """Time for which the store must have been well to count as stable."""
+    apply_s: float = 2.0
+    """Time after which a new configuration must be in force everywhere."""
+    drain_s: float = 2.0
+    """Time after which a backend server that leaves must get nothing more."""
--- a/src/baobabthread/routing/knowledge.py
+++ b/src/baobabthread/routing/knowledge.py
@@ -32,6 +32,8 @@
 UNSTABLE_S = 1.5
 """Gap between two reads of the backend servers' records after which the store counts
 as having been away."""
+MAX_CHANGES = 512
+"""Backend servers whose last change is remembered, to be told to others one by one."""
 
 
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,15 +51,24 @@
     backends: list[BackendRecord]
 
 
+class BackendChanges(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what became of the backend servers that changed since an offset."""
+
+    changed: list[BackendRecord]
+    gone: list[str]
+
+
 class Knowledge:
     """Hold the newest configuration, orders and backend servers, and their age."""
 
     __slots__ = (
         "_backends_at",
         "_bounds",
-        "_changes_read",
+        "_changed",
+        "_changed_from",
         "_held",
         "_newest_start",
+        "_unread",
         "_unstable_until",
         "backends",
         "backends_changed_at",
@@ -81,7 +92,12 @@
         self.backends_end = 0
         self.backends_changed_at = 0
         """Offset up to which reading last changed anything."""
-        self._changes_read = 0
+        self._changed: dict[str, int] = {}
+        """Backend servers by the offset at which they were last seen to change."""
+        self._changed_from: int | None = None
+        """Offset from which on all changes are among them."""
+        self._unread: set[str] = set()
+        """Those that changed since the last read."""
         self.on_read: Callable[[], None] = lambda: None
         """Called whenever a read or a peer's word was taken in."""
         self.changes = 0
@@ -127,9 +143,7 @@
             self._unstable_until = now + RETURN_S
         self.backends_end = max(self.backends_end, end)
         self._backends_at = max(self._backends_at, asked_at)
-        if self.changes != self._changes_read:
-            self._changes_read = self.changes
-            self.backends_changed_at = self.backends_end
+        self._note_changes()
         self.on_read()
 
     def confirm_backends(self, *, end: int, read_at: float) -> None:
@@ -149,7 +163,7 @@
             # backend server that said it leaves never takes that back.
             return False
         self.backends[record.id] = record
-        self.changes += 1
+        self._count_change(record.id)
         return True
 
     def _note_start(self, record: BackendRecord) -> bool:
@@ -172,7 +186,7 @@
         """Drop a server at once whose newest record names none that could be used."""
         self._held.pop(id, None)
         if self.backends.pop(id, None) is not None:
-            self.changes += 1
+            self._count_change(id)
 
     def drop_backend(self, id: str, now: float) -> None:
         """Note that a backend server's record is gone."""
@@ -184,7 +198,7 @@
             self._held.setdefault(id, self._unstable_until)
             return
         del self.backends[id]
-        self.changes += 1
+        self._count_change(id)
 
     def replace_backends(self, records: list[BackendRecord], now: float) -> None:
         """Take over a full list; what it lacks is gone."""
@@ -199,7 +213,54 @@
         for id in [id for id, until in self._held.items() if now >= until]:
             del self._held[id]
             if self.backends.pop(id, None) is not None:
-                self.changes += 1
+                self._count_change(id)
+
+    # -- changes told one by one --
+
+    def take_changes(
+        self, changed: list[BackendRecord], gone: list[str], *, end: int, now: float
+    ) -> None:
+        """Take over what a peer tells of all changes up to an offset."""
+        for record in changed:
+            self.take_backend(record)
+        for id in gone:
+            self.drop_backend(id, now)
+        self.backends_end = max(self.backends_end, end)
+        self._note_changes()
+        self.on_read()
+
+    def list_changes(self, since: int, *, most: int) -> BackendChanges | None:
+        """Return what changed since an offset; nothing if that isn't known or long."""
+        if self._changed_from is None or since < self._changed_from:
+            return None
+        ids = [id for id, at in self._changed.items() if at > since]
+        if len(ids) > most:
+            return None
+        return BackendChanges(
+            changed=[self.backends[id] for id in ids if id in self.backends],
+            gone=[id for id in ids if id not in self.backends],
+        )
+
+    def _count_change(self, id: str) -> None:
+        self.changes += 1
+        self._unread.add(id)
+
+    def _note_changes(self) -> None:
+        """Note that all that changed so far did so up to the end that is known."""
+        if self._changed_from is None:
+            self._changed_from = self.backends_end
+            self._unread.clear()
+            self.backends_changed_at = self.backends_end
+        if not self._unread:
+            return
+        self.backends_changed_at = self.backends_end
+        for id in self._unread:
+            self._changed.pop(id, None)
+            self._changed[id] = self.backends_end
+        self._unread.clear()
+        while len(self._changed) > MAX_CHANGES:
+            id = next(iter(self._changed))
+            self._changed_from = self._changed.pop(id)
 
     # -- ages --
 
@@ -249,9 +310,7 @@
         read_at = asked_at - snapshot.backends_age_s
         if snapshot.backends_end < self.backends_end:
             return
-        before = self.changes
         self.replace_backends(snapshot.backends, now)
         self.confirm_backends(end=snapshot.backends_end, read_at=read_at)
-        if self.changes != before:
-            self.backends_changed_at = self.backends_end
+        self._note_changes()
         self.on_read()
