Send word of a version on trial to who leads its roll-out

Change: word goes to the instance that leads and to the next one, when it has changed, at a pace by members; the leader's conclusions go to all at once, three times, and by gossip each second. Members follow its suspicion as well as its alarm.

--- a/bench/_fleet_store.py
+++ b/bench/_fleet_store.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from baobabthread.instance.clock import now
 from baobabthread.instance.store import (
     Append,
     Appended,
@@ -115,8 +114,9 @@
     ) -> Tail | Trimmed:
         """Return the records from an offset on, at once when there are any."""
         await self._answer(f"read {topic}", timeout_s)
-        until = now() + wait_s
-        while len(self.topics.get(topic, [])) <= start and now() < until:
+        for _ in range(int(wait_s / LOOK_S)):
+            if len(self.topics.get(topic, [])) > start:
+                break
             await asyncio.sleep(LOOK_S)
         if start < self._first.get(topic, 0):
             return Trimmed()
--- a/src/baobabthread/core/membership/membership.py
+++ b/src/baobabthread/core/membership/membership.py
@@ -417,9 +417,10 @@
     def _merge(self, info: MemberInfo, now: float) -> None:
         if info.name == self._me.name:
             self._refute(info)
-        elif self.table.merge(self._doubt(info, now), now):
-            if now - self._started >= JOINING_S:
-                self._updates.add(info.name)
+            return
+        is_news = self.table.merge(self._doubt(info, now), now)
+        if is_news and now - self._started >= JOINING_S:
+            self._updates.add(info.name)
 
     def _doubt(self, info: MemberInfo, now: float) -> MemberInfo:
         # An entry that was cut off buried the others; when it is back its word would
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -6,20 +6,21 @@
 
 import msgspec
 
-from baobabthread.core.rendezvous import rank
 from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.backends import Backends
 from baobabthread.instance.clock import now
 from baobabthread.instance.peers import PeerLink
 from baobabthread.instance.services import Services
 from baobabthread.instance.store import Conflict, RecordFormat, Store, StoreError
+from baobabthread.instance.trialdesk import TrialWord
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import RolloutState, RolloutStatus
 from baobabthread.routing.knowledge import Knowledge
-from baobabthread.routing.trial import Evidence
 from baobabthread.routing.versions import Progress, VersionPlan, judge_rollout
 
 PERIOD_S = 0.25
+SPREAD_S = 1.0
+"""Time between two words of a leader that are spread to all."""
 WRITE_S = 0.8
 """Longest time for a call to the store."""
 
@@ -48,6 +49,8 @@
         """Orders that were there when this instance learnt its first configuration."""
         self._is_recalled = False
         self._sharing: dict[str, float] = {}
+        self._spread_at: dict[str, float] = {}
+        peers.trials.take_verdict = self._take_verdict
 
     async def run(self) -> None:
         """Move the roll-outs on until cancelled."""
@@ -100,14 +103,17 @@
         moment = now()
         for payload in self._peers.heard(f"rollout/{plan.service}"):
             progress = msgspec.json.decode(payload.body, type=Progress)
-            plan.take_progress(progress, moment)
-        for payload in self._peers.heard(f"evidence/{plan.service}"):
-            evidence = msgspec.json.decode(payload.body, type=Evidence)
-            plan.trial.merge(payload.origin, evidence)
+            plan.take_verdict(progress, moment)
+        for word in self._words(plan):
+            plan.take_progress(word.progress, moment)
+            plan.trial.merge(word.origin, word.evidence)
         for payload in self._peers.heard(f"status/{plan.service}"):
             status = msgspec.json.decode(payload.body, type=RolloutStatus)
             self._adopt(plan, status, payload.origin)
 
+    def _take_verdict(self, progress: Progress) -> None:
+        self._services.get(progress.service).plan.take_verdict(progress, now())
+
     def _adopt(self, plan: VersionPlan, status: RolloutStatus, source: str) -> None:
         before = plan.state
         plan.take_status(status, now())
@@ -135,8 +141,29 @@
                 seen=plan.trial.seen,
                 alarm=plan.trial.alarm or "",
             )
-        self._peers.publish(f"rollout/{plan.service}", progress)
-        self._peers.publish(f"evidence/{plan.service}", plan.trial.evidence())
+        self._peers.trials.tell(
+            TrialWord(
+                origin=self._peers.incarnation,
+                progress=progress,
+                evidence=plan.trial.evidence(),
+            )
+        )
+        if self._peers.trials.leads(plan.service):
+            self._peers.trials.conclude(progress)
+            self._spread(progress)
+
+    def _spread(self, progress: Progress) -> None:
+        """Spread the leader's word also to those that start later or missed it."""
+        moment = now()
+        before = self._spread_at.get(progress.service, -1e9)
+        if moment - before >= SPREAD_S:
+            self._spread_at[progress.service] = moment
+            self._peers.publish(f"rollout/{progress.service}", progress)
+
+    def _words(self, plan: VersionPlan) -> list[TrialWord]:
+        if plan.order is None:
+            return []
+        return self._peers.trials.words(plan.service, plan.order.number)
 
     def _leads(self, service: str) -> bool:
         """Tell whether this instance is the one that writes a service's status.
@@ -146,18 +173,13 @@
         """
         if not self._knowledge.is_fresh(now()):
             return False
-        membership = self._peers.membership
-        names = [member.name for member in membership.alive()]
-        return bool(names) and rank(service, names)[0] == membership.me.name
+        return self._peers.trials.leads(service)
 
     async def _lead(self, plan: VersionPlan) -> None:
         order = plan.order
         assert order is not None
         moment = now()
-        words = [
-            msgspec.json.decode(payload.body, type=Progress)
-            for payload in self._peers.heard(f"rollout/{plan.service}")
-        ]
+        words = [word.progress for word in self._words(plan)]
         others = len(self._peers.membership.alive()) - 1
         state = judge_rollout(plan, words, others, moment)
         written = self._written.get(plan.service)
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -50,6 +50,12 @@
     VersionIs,
 )
 from baobabthread.instance.settings import InstanceSettings
+from baobabthread.instance.trialdesk import (
+    TRIAL_MESSAGES,
+    TrialDesk,
+    TrialVerdict,
+    TrialWord,
+)
 from baobabthread.logs import log_event
 from baobabthread.routing.knowledge import Knowledge, Snapshot
 
@@ -102,9 +108,11 @@
                 *RELAY_MESSAGES,
                 *SESSION_MESSAGES,
                 *LOAD_MESSAGES,
+                *TRIAL_MESSAGES,
             )
         )
         self.placement = Placement(me=settings.name, tell=self._tell)
+        self.trials = TrialDesk(me=settings.name, tell=self._tell)
         self.desk = SessionDesk(me=settings.name, tell=self._tell, find_plan=find_plan)
         self.relay = Relay(
             me=settings.name,
@@ -175,6 +183,10 @@
                 self.placement.take_placed(sender, message)
             case TellEnded():
                 self.placement.take_ended(sender, message)
+            case TrialWord():
+                self.trials.take(message)
+            case TrialVerdict():
+                self.trials.take_verdict(message.progress)
             case _:
                 self._run(self.membership.handle(sender, message, now()))
 
@@ -199,6 +211,7 @@
         self.relay.tick()
         self.desk.tick()
         self.placement.tick()
+        self.trials.tick()
 
     def leave(self) -> None:
         """Tell the others that this instance takes no new callers."""
@@ -251,6 +264,7 @@
         self.relay.set_members(names)
         self.desk.set_members(names)
         self.placement.set_members(names)
+        self.trials.set_members(names)
         log_event(
             "members_changed",
             serving=",".join(sorted(m.name for m in self.membership.alive())),
--- /dev/null
+++ b/src/baobabthread/instance/trialdesk.py
@@ -0,0 +1,178 @@
+"""Word of a version on trial, from all instances to the one that leads its roll-out.
+
+Spread by gossip, the counts of two hundred instances go to all of them a dozen times
+over, three megabytes a second; one that leads and one that would follow it are enough.
+What they conclude goes to all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from baobabthread.core.rendezvous import rank
+from baobabthread.instance.clock import now
+from baobabthread.routing.trial import Evidence
+from baobabthread.routing.versions import Progress
+
+LEADERS = 2
+"""Instances that are told: the one that leads, and the next one should it be lost."""
+TELL_S = 0.25
+TELL_BY_MEMBER_S = 1 / 200
+"""Time between two words, and what each member adds to it: a leader hears two hundred
+a second at most, some 1.5 % of a core while a roll-out lasts."""
+MOST_TELL_S = 1.5
+REPEAT_S = 2.0
+"""Time after which a word is sent again though nothing has changed: it may be lost, or
+another instance lead by now."""
+VERDICT_TIMES = 3
+VERDICT_S = 0.3
+"""How often, and how far apart, a conclusion is told to all."""
+
+
+class TrialWord(msgspec.Struct, frozen=True, kw_only=True, tag="trial.word"):
+    """Tell the leader how far the sender is and what it has counted."""
+
+    origin: str
+    """The sender's incarnation."""
+    progress: Progress
+    evidence: Evidence
+
+
+class TrialVerdict(msgspec.Struct, frozen=True, kw_only=True, tag="trial.verdict"):
+    """Tell all what the leader concludes."""
+
+    progress: Progress
+
+
+TRIAL_MESSAGES = (TrialWord, TrialVerdict)
+
+Tell = Callable[[str, msgspec.Struct], None]
+TakeVerdict = Callable[[Progress], None]
+
+
+class _Verdict(msgspec.Struct):
+    progress: Progress
+    told: int
+    told_at: float
+
+
+class TrialDesk:
+    """Send word to the leaders, and hold what others sent here."""
+
+    __slots__ = (
+        "_alive",
+        "_leaders",
+        "_me",
+        "_sent",
+        "_sent_at",
+        "_tell",
+        "_verdicts",
+        "_words",
+        "take_verdict",
+    )
+
+    def __init__(self, *, me: str, tell: Tell) -> None:
+        self._me = me
+        self._tell = tell
+        self._alive: list[str] = [me]
+        self._leaders: dict[str, list[str]] = {}
+        self._sent: dict[str, TrialWord] = {}
+        self._sent_at: dict[str, float] = {}
+        self._words: dict[str, dict[str, TrialWord]] = {}
+        self._verdicts: dict[str, _Verdict] = {}
+        self.take_verdict: TakeVerdict = lambda progress: None
+
+    def set_members(self, names: Sequence[str]) -> None:
+        """Note which instances serve, this one included."""
+        self._alive = list(names) or [self._me]
+        self._leaders.clear()
+
+    def leaders(self, service: str) -> list[str]:
+        """Return who leads the roll-outs of a service, and who would next."""
+        found = self._leaders.get(service)
+        if found is None:
+            found = self._leaders[service] = rank(service, self._alive)[:LEADERS]
+        return found
+
+    def leads(self, service: str) -> bool:
+        """Tell whether this instance leads the roll-outs of a service."""
+        return self.leaders(service)[:1] == [self._me]
+
+    def words(self, service: str, number: int) -> list[TrialWord]:
+        """Return the newest word of each other instance about an order."""
+        words = self._words.get(service, {})
+        return [word for word in words.values() if word.progress.number == number]
+
+    def tell(self, word: TrialWord) -> None:
+        """Send word to the leaders when it is due and news."""
+        service = word.progress.service
+        moment = now()
+        passed_s = moment - self._sent_at.get(service, -1e9)
+        if passed_s < self._choose_pause():
+            return
+        if self._is_known(word) and passed_s < REPEAT_S:
+            return
+        self._sent[service] = word
+        self._sent_at[service] = moment
+        for name in self.leaders(service):
+            if name != self._me:
+                self._tell(name, word)
+
+    def take(self, word: TrialWord) -> None:
+        """Keep another instance's word."""
+        service = word.progress.service
+        theirs = self._words.setdefault(service, {})
+        known = theirs.get(word.origin)
+        if known is not None and known.progress.number > word.progress.number:
+            return
+        theirs[word.origin] = word
+
+    def conclude(self, progress: Progress) -> None:
+        """Tell all what this leader concludes, unless it did so before."""
+        known = self._verdicts.get(progress.service)
+        if known is not None and _is_same(known.progress, progress):
+            return
+        if known is None and not progress.alarm and not progress.is_suspicious:
+            return
+        self._verdicts[progress.service] = _Verdict(
+            progress=progress, told=0, told_at=-1e9
+        )
+        self.tick()
+
+    def tick(self) -> None:
+        """Tell conclusions again, as datagrams get lost."""
+        moment = now()
+        for verdict in self._verdicts.values():
+            if verdict.told >= VERDICT_TIMES or moment - verdict.told_at < VERDICT_S:
+                continue
+            verdict.told += 1
+            verdict.told_at = moment
+            for name in self._alive:
+                if name != self._me:
+                    self._tell(name, TrialVerdict(progress=verdict.progress))
+
+    def _choose_pause(self) -> float:
+        return min(MOST_TELL_S, max(TELL_S, TELL_BY_MEMBER_S * len(self._alive)))
+
+    def _is_known(self, word: TrialWord) -> bool:
+        known = self._sent.get(word.progress.service)
+        if known is None:
+            return False
+        moved = _has_moved(known.progress) == _has_moved(word.progress)
+        same = _is_same(known.progress, word.progress)
+        return same and moved and known.evidence == word.evidence
+
+
+def _is_same(one: Progress, other: Progress) -> bool:
+    return (one.number, one.share, one.alarm, one.is_suspicious) == (
+        other.number,
+        other.share,
+        other.alarm,
+        other.is_suspicious,
+    )
+
+
+def _has_moved(progress: Progress) -> bool:
+    return progress.share >= 1.0 and progress.old_running == 0
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -51,6 +51,8 @@
     old_running: int
     """Requests that still run on the old version."""
     alarm: str | None = None
+    is_suspicious: bool = False
+    """Whether the sender's bets against the version are ahead of what is usual."""
 
 
 class VersionPlan:
@@ -63,6 +65,7 @@
         "_ready_at",
         "_seen",
         "_started_at",
+        "_suspected",
         "_trial_end",
         "_used",
         "order",
@@ -81,6 +84,8 @@
         self._started_at = 0.0
         self._ready_at: float | None = None
         self._trial_end: float | None = None
+        self._suspected = False
+        """Whether the instance that hears of all answers suspects the version."""
         self._old_running = 0
         self._seen: dict[str, float] = {}
         """Sessions whose requests went to the old version from here, and when last;
@@ -106,6 +111,7 @@
         self._started_at = now
         self._ready_at = None
         self._trial_end = None
+        self._suspected = False
         self._used.clear()
         self._moved.clear()
         return True
@@ -129,6 +135,12 @@
         if progress.alarm is not None and self.trial.alarm is None:
             self.trial.alarm = progress.alarm
 
+    def take_verdict(self, progress: Progress, now: float) -> None:
+        """Take in what the instance concludes that hears of all answers."""
+        self.take_progress(progress, now)
+        if self.order is not None and progress.number == self.order.number:
+            self._suspected = progress.is_suspicious
+
     def compares(self, now: float) -> bool:
         """Tell whether enough still runs on the old version to compare latencies with.
 
@@ -183,7 +195,8 @@
         limit = self.order.time_limit_s
         if elapsed < limit * HALF or now - self._ready_at < LEAST_TRIAL_S:
             return False
-        if self.trial.is_suspicious and elapsed < limit * SUSPICION_PART:
+        is_suspicious = self.trial.is_suspicious or self._suspected
+        if is_suspicious and elapsed < limit * SUSPICION_PART:
             return False
         self._trial_end = now
         return True
@@ -265,6 +278,7 @@
             share=self.share(now),
             old_running=self._old_running,
             alarm=self.trial.alarm,
+            is_suspicious=self.trial.is_suspicious,
         )
 
     def _is_in(self, session: str, share: float) -> bool:
