--- a/tests/routing/test_queues.py
+++ b/tests/routing/test_queues.py
@@ -7,11 +7,8 @@
 
 from __future__ import annotations
 
-import random
-
 from baobabthread.core.configuration.configuration import Priority
 from baobabthread.core.limits.fairness import Waiting
-from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.queues import LEAST_RUNNING, ServiceQueue, classify
 
 
