--- /dev/null
+++ b/tests/instance/test_trialdesk.py
@@ -0,0 +1,137 @@
+"""Tests of word about a version on trial among many instances."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from baobabthread.instance import trialdesk
+from baobabthread.instance.trialdesk import TrialDesk, TrialVerdict, TrialWord
+from baobabthread.routing.trial import Evidence
+from baobabthread.routing.versions import Progress
+
+
+class Clock:
+    """Stand still until a test moves it on."""
+
+    def __init__(self) -> None:
+        self.time = 100.0
+
+    def __call__(self) -> float:
+        return self.time
+
+
+class Desks:
+    """Hold the desks of many instances and carry what they send."""
+
+    def __init__(self, count: int) -> None:
+        names = [f"i{number}" for number in range(count)]
+        self.sent: list[tuple[str, Any]] = []
+        self.lost: set[str] = set()
+        self.verdicts: dict[str, Progress] = {}
+        self.all = {name: self._make(name, names) for name in names}
+
+    def _make(self, name: str, names: list[str]) -> TrialDesk:
+        desk = TrialDesk(me=name, tell=self._carry)
+        desk.set_members(names)
+        desk.take_verdict = lambda progress: self.verdicts.update({name: progress})
+        return desk
+
+    def _carry(self, to: str, message: msgspec.Struct) -> None:
+        self.sent.append((to, message))
+        if to in self.lost:
+            return
+        if isinstance(message, TrialWord):
+            self.all[to].take(message)
+        elif isinstance(message, TrialVerdict):
+            self.all[to].take_verdict(message.progress)
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr(trialdesk, "now", clock)
+    return clock
+
+
+def make_word(origin: str, **more: Any) -> TrialWord:
+    progress = Progress(service="s", number=1, elapsed_s=1.0, share=0.05, old_running=3)
+    return TrialWord(
+        origin=origin,
+        progress=msgspec.structs.replace(progress, **more),
+        evidence=Evidence(number=1, counts=[]),
+    )
+
+
+def test_tell_two_of_two_hundred(clock: Clock) -> None:
+    """Each instance counts answers of the new version while a roll-out runs.
+
+    Spread to all, the words of two hundred instances grow with their square.
+    """
+    desks = Desks(200)
+    for _ in range(40):
+        for name, desk in desks.all.items():
+            desk.tell(make_word(name, elapsed_s=clock.time))
+        clock.time += 0.25
+    leader, deputy = desks.all["i0"].leaders("s")
+    assert len(desks.all[leader].words("s", 1)) == 199
+    assert len(desks.all[deputy].words("s", 1)) == 199
+    assert len(desks.sent) <= 5 * 2 * 200
+
+
+def test_tell_again_when_another_leads(clock: Clock) -> None:
+    """The leader is lost in the middle of a roll-out; nothing has changed since.
+
+    The next one in line knows all words already, and one that moves up hears them.
+    """
+    desks = Desks(20)
+    names = list(desks.all)
+    for name, desk in desks.all.items():
+        desk.tell(make_word(name))
+    gone = desks.all["i0"].leaders("s")
+    left = [name for name in names if name != gone[0]]
+    for name in left:
+        desks.all[name].set_members(left)
+    assert desks.all[left[0]].leaders("s")[0] == gone[1]
+    clock.time += 2.1
+    for name in left:
+        desks.all[name].tell(make_word(name))
+    third = desks.all[left[0]].leaders("s")[1]
+    assert len(desks.all[third].words("s", 1)) == 18
+
+
+def test_tell_all_what_the_leader_concludes(clock: Clock) -> None:
+    """A bad version is found out, and the first datagram to an instance is lost.
+
+    It would go on to send callers there until gossip arrives, some seconds later.
+    """
+    desks = Desks(20)
+    leader = desks.all["i0"].leaders("s")[0]
+    missed = next(name for name in desks.all if name != leader)
+    desks.lost.add(missed)
+    desks.all[leader].conclude(make_word(leader, alarm="bad").progress)
+    assert len(desks.verdicts) == 18
+    desks.lost.clear()
+    clock.time += 0.35
+    desks.all[leader].tick()
+    assert desks.verdicts[missed].alarm == "bad"
+    sent = len(desks.sent)
+    for _ in range(10):
+        clock.time += 0.5
+        desks.all[leader].conclude(make_word(leader, alarm="bad").progress)
+        desks.all[leader].tick()
+    assert len(desks.sent) == sent + 19
+
+
+def test_tell_at_once_when_a_roll_out_has_moved(clock: Clock) -> None:
+    """The last request on the old version ends; the roll-out waits for that word."""
+    desks = Desks(20)
+    desk = desks.all["i0"]
+    leader = next(name for name in desk.leaders("s") if name != "i0")
+    desk.tell(make_word("i0", share=1.0))
+    clock.time += 0.3
+    desk.tell(make_word("i0", share=1.0, old_running=0))
+    (word,) = desks.all[leader].words("s", 1)
+    assert word.progress.old_running == 0
