Take as much for kept as the configuration says an engine holds

Cause: an engine was taken to keep 700,000 tokens of prompts, a figure of one deployment; those of the large site hold 536,725 in all, running requests included. Change: who places a prompt tells the keeper the engine's memory, as operators write it; three quarters of it count as kept, 400,000 tokens where nothing tells.

--- a/src/baobabthread/core/backends/loads.py
+++ b/src/baobabthread/core/backends/loads.py
@@ -22,9 +22,11 @@
 that is overdue has begun as well: word of it was lost."""
 LONGEST_S = 6.0
 """Longest time that a placement counts without word: its instance may be gone."""
-KEPT_TOKENS = 700_000
-"""Tokens of prompts for which an engine is taken to keep their parts: three quarters of
-the memory of the engines seen, the rest holds what runs."""
+KEPT_PART = 0.75
+"""Part of an engine's memory that is taken to hold parts of prompts; the rest holds
+what runs."""
+KEPT_TOKENS = 400_000
+"""Tokens of such parts where nothing tells how much an engine holds."""
 IDLE_S = 30.0
 """Time without word after which nothing is known of an engine."""
 
@@ -46,6 +48,8 @@
     lasts_s: float
     """Time after which its caller has gone."""
     parts: tuple[Part, ...] = ()
+    memory_tokens: int = 0
+    """Tokens that the engine holds in all; 0 where nothing tells."""
 
 
 class ReadingEnd(enum.StrEnum):
@@ -81,7 +85,14 @@
 class EngineLoad:
     """Keep what one engine has to read and which parts of prompts it holds."""
 
-    __slots__ = ("_kept", "_kept_tokens", "_progress_at", "_waiting", "suspect_until")
+    __slots__ = (
+        "_kept",
+        "_kept_tokens",
+        "_most_kept",
+        "_progress_at",
+        "_waiting",
+        "suspect_until",
+    )
 
     def __init__(self) -> None:
         self._waiting: OrderedDict[tuple[str, int], _Waiting] = OrderedDict()
@@ -89,6 +100,7 @@
         self._progress_at = 0.0
         self._kept: OrderedDict[int, int] = OrderedDict()
         self._kept_tokens = 0
+        self._most_kept = KEPT_TOKENS
         self.suspect_until = 0.0
 
     def place(self, sender: str, placed: Placed, now: float) -> None:
@@ -102,6 +114,8 @@
             reading_s=placed.reading_s,
             until=now + min(LONGEST_S, placed.lasts_s),
         )
+        if placed.memory_tokens:
+            self._most_kept = int(KEPT_PART * placed.memory_tokens)
         for part in placed.parts:
             self._keep(part)
 
@@ -154,7 +168,7 @@
         known = self._kept.pop(part.key, 0)
         self._kept[part.key] = part.tokens
         self._kept_tokens += part.tokens - known
-        while self._kept_tokens > KEPT_TOKENS:
+        while self._kept_tokens > self._most_kept:
             _, tokens = self._kept.popitem(last=False)
             self._kept_tokens -= tokens
 
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -65,6 +65,7 @@
         )
         self._estimates = Estimates()
         self.selection = Selection(
+            knowledge=knowledge,
             backends=backends,
             estimates=self._estimates,
             placement=placement,
--- a/src/baobabthread/instance/placement.py
+++ b/src/baobabthread/instance/placement.py
@@ -162,7 +162,13 @@
     # -- telling --
 
     def place(
-        self, engine: str, *, reading_s: float, lasts_s: float, parts: tuple[Part, ...]
+        self,
+        engine: str,
+        *,
+        reading_s: float,
+        lasts_s: float,
+        parts: tuple[Part, ...],
+        memory_tokens: int = 0,
     ) -> PlacedPrompt:
         """Tell an engine's keeper that it is to read a prompt."""
         self._number += 1
@@ -171,6 +177,7 @@
             reading_s=round(reading_s, 4),
             lasts_s=round(lasts_s, 2),
             parts=parts,
+            memory_tokens=memory_tokens,
         )
         keeper = self._find_keeper(engine)
         if keeper == self._me:
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -13,6 +13,7 @@
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.flight import Flight
 from baobabthread.instance.placement import PlacedPrompt, Placement
+from baobabthread.routing.knowledge import Knowledge
 from baobabthread.routing.mechanisms import Mechanism, Switches
 from baobabthread.routing.versions import VersionPlan
 
@@ -31,16 +32,18 @@
 class Selection:
     """Choose the version and the backend server for each attempt."""
 
-    __slots__ = ("_backends", "_estimates", "_off", "_placement")
+    __slots__ = ("_backends", "_estimates", "_knowledge", "_off", "_placement")
 
     def __init__(
         self,
         *,
+        knowledge: Knowledge,
         backends: Backends,
         estimates: Estimates,
         placement: Placement,
         off: Switches,
     ) -> None:
+        self._knowledge = knowledge
         self._backends = backends
         self._estimates = estimates
         self._placement = placement
@@ -82,8 +85,14 @@
             reading_s=self._estimates.reading_s(flight),
             lasts_s=flight.deadline - now(),
             parts=_list_parts(flight, flight.model_name),
+            memory_tokens=self._find_memory(flight.service),
         )
 
+    def _find_memory(self, service: str) -> int:
+        table = self._knowledge.table
+        plan = table.services.get(service) if table is not None else None
+        return plan.memory_tokens if plan is not None else 0
+
     def _list_candidates(self, flight: Flight) -> list[str]:
         """Return the engines to choose among; none where all are looked at alike."""
         if not flight.route.is_stream or Mechanism.LOADS in self._off:
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -70,6 +70,8 @@
 
 class _Engine(msgspec.Struct, frozen=True, kw_only=True):
     slots: int = 0
+    kv_capacity_tokens: int = 0
+    """Memory for running requests and kept parts together."""
     models: list[_Model] = []
 
 
@@ -232,6 +234,7 @@
         name=service.name,
         max_connections=service.max_conns,
         capacity=engine.slots,
+        memory_tokens=engine.kv_capacity_tokens,
         models=tuple(ModelCost(name=m.name, cost=m.cost) for m in engine.models),
     )
 
--- a/src/baobabthread/routing/configuration.py
+++ b/src/baobabthread/routing/configuration.py
@@ -80,6 +80,8 @@
     """Connections that one backend server takes from all callers together."""
     capacity: int = 0
     """Requests that one engine runs at once; 0 where only its record tells."""
+    memory_tokens: int = 0
+    """Tokens that one engine holds, running and kept ones; 0 where nothing tells."""
     models: tuple[ModelCost, ...] = ()
 
 
--- a/tests/core/test_loads.py
+++ b/tests/core/test_loads.py
@@ -114,6 +114,27 @@
     assert load.count_kept((two,)) == 0
 
 
+def test_follow_how_much_an_engine_holds() -> None:
+    """Engines of one deployment hold a third less than those of another.
+
+    Parts that they have long dropped would be taken for kept, and prompts sent there
+    for them be read from the beginning.
+    """
+    load = EngineLoad()
+    parts = [Part(key, 1_000) for key in range(400)]
+    for number, part in enumerate(parts):
+        placed = Placed(
+            number=number,
+            reading_s=0.0,
+            lasts_s=1.0,
+            parts=(part,),
+            memory_tokens=200_000,
+        )
+        load.place("i1", placed, 0.0)
+    kept = [part for part in parts if load.count_kept([part])]
+    assert kept == parts[-150:]
+
+
 def test_forget_engines_that_are_gone() -> None:
     loads = EngineLoads()
     place(loads.find("e1", 0.0), 1, 0.0)
