--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -39,6 +39,7 @@
     answer_addresses,
 )
 from baobabthread.core.membership.messages import (
+    MEMBERSHIP_MESSAGES,
     Hint,
     MemberInfo,
     MemberState,
@@ -56,7 +57,6 @@
 from baobabthread.core.peermessages import (
     BILLING_MESSAGES,
     CONTROL_MESSAGES,
-    MEMBERSHIP_MESSAGES,
     SESSION_MESSAGES,
 )
 from baobabthread.core.requests.attempts import Rating
