--- a/tests/failures/test_membership_matrix.py
+++ b/tests/failures/test_membership_matrix.py
@@ -351,7 +351,7 @@
 
 @mutant("silent entries do not count", promise=Promise.WITHDRAWN, check=_find(*CUTS))
 def forget_silent(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Membership, "_known", lambda self: len(self._present()))
+    patch.setattr(Membership, "_known", lambda self: len(self.table.present()))
 
 
 @mutant("old answers are evidence", promise=Promise.WITHDRAWN, check=_find(*CUTS))
