--- a/src/baobabthread/core/membership/membership.py
+++ b/src/baobabthread/core/membership/membership.py
@@ -9,13 +9,9 @@
 import msgspec
 
 from baobabthread.core.configuration.freshness import Freshness, FreshnessState, Reach
+from baobabthread.core.membership import comparison
 from baobabthread.core.membership.contacts import Contacts
 from baobabthread.core.membership.detector import Detector
-from baobabthread.core.membership.fingerprints import (
-    list_prints,
-    pack_prints,
-    unpack_prints,
-)
 from baobabthread.core.membership.gossip import GossipStore
 from baobabthread.core.membership.messages import (
     Acknowledge,
@@ -48,8 +44,6 @@
 """Time from the start in which members are learnt by comparing tables alone. Where all
 start at once everybody is news to everybody, and passing each one on would take a
 hundred kilobytes of each instance among two hundred."""
-PER_MESSAGE = 60
-"""Members in a message, some 8 KB: more than a datagram holds would never arrive."""
 UPDATE_BYTES = 140
 """About what a description of an entry takes."""
 AGE_STEPS = 1000
@@ -324,43 +318,22 @@
             return [self._detector.acknowledge(name, 0, self._me.name, now)]
         sample = self.gossip.sample(limit_bytes=self._settings.sync_gossip_bytes)
         digest = Digest(sender=self._make_digest(name, now).sender, gossip=sample)
-        return [Send(to=name, message=Prints(prints=self._pack_known(), digest=digest))]
-
-    def _pack_known(self) -> bytes:
-        return pack_prints(list_prints(self._known_members()))
+        return [comparison.list_known(self._known_members(), name, digest)]
 
     def _known_members(self) -> list[MemberInfo]:
         return [self._me, *self.table.present()]
 
     def _take_prints(self, name: str, message: Prints) -> Effects:
-        mine = list_prints(self._known_members())
-        theirs = unpack_prints(message.prints)
-        news = [info for number, info in mine.items() if number not in theirs]
-        wants = pack_prints(theirs - mine.keys())
-        return self._send_members(name, news, wants)
+        digest = Digest(sender=self._me)
+        known = self._known_members()
+        return comparison.answer_prints(known, message, name, digest)
 
     def _take_members(self, name: str, message: Members, now: float) -> Effects:
-        mine = list_prints(self._known_members())
-        wanted = unpack_prints(message.wants)
+        known = self._known_members()
         for info in message.members:
             self._merge(info, now)
-        news = [info for number, info in mine.items() if number in wanted]
-        return self._send_members(name, news, b"")
-
-    def _send_members(
-        self, to: str, members: list[MemberInfo], wants: bytes
-    ) -> Effects:
-        if not members and not wants:
-            return []
         digest = Digest(sender=self._me)
-        messages = [
-            Members(
-                members=members[start : start + PER_MESSAGE], wants=b"", digest=digest
-            )
-            for start in range(0, max(1, len(members)), PER_MESSAGE)
-        ]
-        messages[0] = msgspec.structs.replace(messages[0], wants=wants)
-        return [Send(to=to, message=message) for message in messages]
+        return comparison.answer_wants(known, message, name, digest)
 
     def _fetch(self, now: float) -> Effects:
         member = self.table.get(self._fetch_source) if self._fetch_source else None
