--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -31,8 +31,9 @@
 TURN_S = 1 / 30
 """Time between two instances in the order at which they read the store themselves when
 nobody's word is fresh: all together ask a silent store 30 times a second."""
-MOST_TURN_S = 1.0
-"""Longest such wait; keys are refused half a second after it at the earliest."""
+MOST_TURN_S = 0.7
+"""Longest such wait: a change that only the store can tell is then known within nine
+tenths of its bound, where that is four seconds."""
 SUBSCRIBED_PARTS = 5.0
 """Times the pause between questions for which a reader tells of changes unasked."""
 MOST_TOLD = 48
