--- a/tests/instance/test_relaying.py
+++ b/tests/instance/test_relaying.py
@@ -200,8 +200,8 @@
 def test_take_turns_when_nobody_is_fresh(clock: Clock) -> None:
     """The store turns all readers away; two hundred instances must not ask at once."""
     _, _, others = find_roles(195)
-    times = sorted(round(stay_silent(clock, member), 2) for member in others[::10])
-    assert times[-1] - times[0] >= 0.4
+    times = sorted(round(stay_silent(clock, member), 2) for member in others)
+    assert times[-1] - times[0] > 0.5
 
 
 def test_know_nobody_yet(clock: Clock) -> None:
