--- a/src/baobabthread/administration.py
+++ b/src/baobabthread/administration.py
@@ -5,6 +5,8 @@
 import time
 from typing import Any
 
+import msgspec
+
 from baobabthread.adapters.effects import EffectRunner
 from baobabthread.adapters.operators import PublishBody
 from baobabthread.adapters.peers import PeerOutbox
@@ -160,7 +162,11 @@
             "generation": control.fold.generation,
             "freshness": control.freshness.state(now),
             "head_age_s": round(control.freshness.head_age(now), 2),
-            "members": control.membership.members(),
+            # By name: on the wire a description is a row without names.
+            "members": [
+                msgspec.structs.asdict(member)
+                for member in control.membership.members()
+            ],
             "open_requests": len(core.requests),
             "claims": core.claims.describe(),
             "ledger": core.ledger.describe(),
--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -38,6 +38,9 @@
 """Pause for each member at an instance that isn't a reader: all together they ask a
 store that is away 30 times a second, however many they are. Readers find out that it is
 back, and the others hear it from them."""
+FIRST_PART = 0.25
+"""Part of that pause after the first failure. Pauses that begin at a tenth of a second
+make half a dozen calls of each instance at the begin of every outage."""
 SEVERAL = 2
 """Records behind from which the newest of each key are read: of a row of large
 configurations only the last one counts, and a slow link would carry them all."""
@@ -192,11 +195,22 @@
             )
         self._failures += 1
 
+    @property
+    def _is_urgent(self) -> bool:
+        """Tell whether nobody else reads this for the instance.
+
+        A new configuration, or the first one after a start, must not wait for others.
+        """
+        relay = self._relay
+        return relay.is_reader or relay.is_behind or self._knowledge.table is None
+
     def _choose_pause(self) -> float:
-        most = MOST_PAUSE_S
+        least, most = LEAST_PAUSE_S, MOST_PAUSE_S
         if not self._relay.is_reader:
             most = max(most, PAUSE_BY_MEMBER_S * self._relay.members)
-        ceiling = min(most, LEAST_PAUSE_S * 2.0 ** min(8, self._failures))
+        if not self._is_urgent:
+            least = max(least, FIRST_PART * most)
+        ceiling = min(most, least * 2.0 ** min(8, self._failures))
         return ceiling * (0.5 + 0.5 * self._rng.random())
 
 
