--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,9 +10,11 @@
 from tests.platform.fakecallers import HOST, read_answer
 
 from soak.history import Call, Kind, now
-from soak.site import Site
+from soak.site import Crashing, Site
 
 PAUSE_S = 0.04
+CRASH_PAUSE_S = 0.4
+"""Pause of a caller whose request crashes every server: it asks again, unchanged."""
 TIMEOUT_S = 4.0
 ADDRESSES_S = 2.0
 """How long addresses are kept; one caller in three keeps them three times as long."""
@@ -25,13 +27,22 @@
 class Caller:
     """Send one request after the other until told to stop."""
 
-    def __init__(self, *, site: Site, number: int, seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        site: Site,
+        number: int,
+        seed: int,
+        crashing: Crashing | None = None,
+    ) -> None:
         self._site = site
         self._number = number
         self._rng = random.Random(f"{seed}/{number}")
         self._addresses: list[str] = []
         self._asked_at = -1e9
         self._count = 0
+        self._crashing = crashing
+        self._pause_s = PAUSE_S if crashing is None else CRASH_PAUSE_S
         self._streams: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
         self.stopped = False
 
@@ -41,7 +52,7 @@
             await self._refresh()
             if self._addresses:
                 await self._ask(self._rng.choice(self._addresses))
-            await asyncio.sleep(PAUSE_S * (0.5 + self._rng.random()))
+            await asyncio.sleep(self._pause_s * (0.5 + self._rng.random()))
         for _, writer in self._streams.values():
             writer.close()
 
@@ -72,14 +83,16 @@
 
     def _make_call(self, address: str) -> Call:
         self._count += 1
+        crashing = self._crashing
         machines = self._site.machines
         index = next((m.index for m in machines if m.front == address), -1)
         return Call(
             id=f"c{self._number}-{self._count}",
-            kind=self._rng.choice(list(Kind)),
+            kind=crashing.kind if crashing else self._rng.choice(list(Kind)),
             instance=index,
-            key=self._choose_key(),
+            key=self._site.find_key(crashing) if crashing else self._choose_key(),
             sent_at=now(),
+            mark=crashing.mark if crashing else "",
         )
 
     def _choose_key(self) -> str:
@@ -113,6 +126,7 @@
 
     def _render(self, call: Call) -> bytes:
         body = SMALL_BODY if call.kind in WORDS else b""
+        body = call.mark.encode() or body
         fields = {
             "Host": HOST,
             "X-Attempt-Id": call.id,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from baobabthread.core.registry import Registry
+from soak.callers import Caller
 from soak.proxies import Mode, Proxy
 from soak.site import ENGINE, PLAIN, Backend, Site
 
@@ -208,6 +209,25 @@
         site.remove_backend(backend)
 
 
+@FAULTS.register("crashing request")
+async def crash_server_after_server(site: Site) -> None:
+    """Let callers ask again and again for what crashes each server that begins it."""
+    crashing = site.make_crashing()
+    callers = [
+        Caller(
+            site=site, number=site.rng.randrange(1000, 10**6), seed=n, crashing=crashing
+        )
+        for n in range(site.rng.randint(1, 4))
+    ]
+    with site.note("crashing request"):
+        asking = [asyncio.ensure_future(caller.run()) for caller in callers]
+        await asyncio.sleep(site.rng.uniform(5.0, 8.0))
+        for caller in callers:
+            caller.stopped = True
+        await asyncio.gather(*asking)
+        await asyncio.sleep(1.5)
+
+
 # -- operators --
 
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -53,6 +53,8 @@
     """Whether every byte of the request was handed to the system."""
     kept: bool = False
     """Whether it went out on a connection that had carried another one."""
+    mark: str = ""
+    """Names what every server crashes under; requests with the same one are alike."""
 
 
 class Run(msgspec.Struct, frozen=True, kw_only=True):
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from baobabthread.core.registry import Registry
-from soak.history import Call, History
+from soak.history import Call, History, Run
 
 WINDOW_S = 10.0
 """Length of the window in which repeats are counted."""
@@ -23,6 +23,15 @@
 """Part of the requests that are answered once everything is well again."""
 
 
+CONTACT_S = 3.0
+"""Time after which a request that crashed three servers is known to all in touch."""
+ENOUGH_CRASHES = 3
+MOST_LATER = 3
+"""Requests of that kind that may still reach servers after it."""
+OUT_OF_TOUCH = ("term", "kill", "pause", "store")
+"""Faults of which an instance may know nothing new for a while."""
+
+
 class Breach(msgspec.Struct, frozen=True, kw_only=True):
     """Hold one broken promise."""
 
@@ -143,6 +152,39 @@
                 break
 
 
+@PROMISES.register("crashing requests")
+def check_crashing(history: History) -> Iterator[str]:
+    """Find requests that still reach servers long after they crashed three."""
+    runs = history.runs_by_id()
+    marks = sorted({call.mark for call in history.calls if call.mark})
+    for mark in marks:
+        calls = [call for call in history.calls if call.mark == mark]
+        crashed: dict[str, float] = {}
+        for run in sorted((r for c in calls for r in runs.get(c.id, ())), key=_order):
+            if run.executed:
+                crashed.setdefault(run.backend, run.at)
+        if len(crashed) < ENOUGH_CRASHES:
+            continue
+        known_at = list(crashed.values())[ENOUGH_CRASHES - 1] + CONTACT_S
+        late = [c.id for c in calls if _reached(history, c, runs, known_at)]
+        if len(late) > MOST_LATER:
+            yield f"{mark}: {len(crashed)} servers crashed, sent later: {late}"
+
+
+def _order(run: Run) -> float:
+    return run.at
+
+
+def _reached(
+    history: History, call: Call, runs: dict[str, list[Run]], since: float
+) -> bool:
+    if not any(run.executed and run.at > since for run in runs.get(call.id, ())):
+        return False
+    start, end = call.sent_at - CONTACT_S, call.sent_at
+    faults = history.disturbed(call.instance, start, end)
+    return not any(name.startswith(OUT_OF_TOUCH) for name in faults)
+
+
 @PROMISES.register("not cut")
 def check_not_cut(history: History) -> Iterator[str]:
     """Find requests that planned work cut though a sound server ran them."""
@@ -167,7 +209,7 @@
 def check_recovery(history: History) -> Iterator[str]:
     """Find a run in which callers still go unanswered after the last fault."""
     late = [call for call in history.calls if call.sent_at >= history.calm_from]
-    late = [call for call in late if call.key not in history.revoked]
+    late = [c for c in late if c.key not in history.revoked and not c.mark]
     served = sum(call.status == 200 and call.whole for call in late)
     if not late:
         yield "nobody asked after the last fault"
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,11 +9,12 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import msgspec
 from tests.platform.fakes import FakeBackend, Seen
 from tests.platform.fakestore import BACKENDS, OPERATORS, FakeStore
 from tests.platform.site import make_configuration, route
 
-from soak.history import Fault, History, Run, now
+from soak.history import Fault, History, Kind, Run, now
 from soak.instances import (
     RETRY_EXTRA,
     RETRY_RATIO,
@@ -34,6 +35,22 @@
 ENGINE = "engine"
 
 
+CRASH_MARK = "crash"
+"""Begins the bodies under which every server crashes."""
+BACK_S = 0.7
+"""Time after which a server that crashed is back, as another start of it."""
+LAPSE_S = 0.8
+"""Time after that in which its old record still stands."""
+
+
+class Crashing(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what callers ask for again though every server crashes under it."""
+
+    kind: Kind
+    account: str
+    mark: str
+
+
 class Backend:
     """Hold one backend server and the proxy before it."""
 
@@ -72,6 +89,7 @@
         self._number = 0
         self._keys: dict[str, list[str]] = {"metro": ["key-0"], "malls": ["key-1"]}
         self._next_key = 2
+        self._returns: set[asyncio.Task[None]] = set()
         self._stack = contextlib.AsyncExitStack()
         self.store = FakeStore()
 
@@ -114,6 +132,9 @@
 
     async def close(self) -> None:
         """End every process and socket that was opened here."""
+        for task in self._returns:
+            task.cancel()
+        await asyncio.gather(*self._returns, return_exceptions=True)
         for machine in self.machines:
             self.history.own_ends.extend(machine.own_ends)
         for backend in self.backends.values():
@@ -128,6 +149,19 @@
         """Give the keys that count now."""
         return [key for keys in self._keys.values() for key in keys]
 
+    def find_key(self, crashing: Crashing) -> str:
+        """Return the key that the caller of a crashing request has now."""
+        return self._keys[crashing.account][0]
+
+    def make_crashing(self) -> Crashing:
+        """Return a request under which every server crashes."""
+        self._number += 1
+        return Crashing(
+            kind=self.rng.choice(list(Kind)),
+            account=self.rng.choice(sorted(self._keys)),
+            mark=f"{CRASH_MARK} {self._number}",
+        )
+
     def configure(self) -> None:
         """Publish a configuration with the accounts and routes of now."""
         self._version += 1 + self.rng.randrange(3)
@@ -169,6 +203,8 @@
         fake.events = EVENTS
         fake.pause_s = EVENT_PAUSE_S if service == ENGINE else WORK_S
         fake.on_arrival = self._note_run
+        fake.crash_on = CRASH_MARK.encode()
+        fake.on_crash = self._take_crash
         await fake.start()
         proxy = await Proxy(target=fake.address).start()
         backend = Backend(fake=fake, proxy=proxy)
@@ -202,6 +238,19 @@
                 able.append(backend)
         return self.rng.choice(able) if able else None
 
+    def _take_crash(self, fake: FakeBackend) -> None:
+        backend = self.backends.get(fake.id)
+        if backend is not None:
+            backend.troubles += 1
+            backend.proxy.close()
+            self._returns.add(asyncio.ensure_future(self._bring_back(backend)))
+
+    async def _bring_back(self, backend: Backend) -> None:
+        await asyncio.sleep(BACK_S)
+        await self.add_backend(backend.fake.service, backend.fake.version)
+        await asyncio.sleep(LAPSE_S)
+        self.remove_backend(backend)
+
     def _note_run(self, backend: FakeBackend, seen: Seen, executed: bool) -> None:
         headers = seen.headers
         held = self.backends.get(backend.id)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -22,6 +22,7 @@
 
 
 Behaviour = Callable[["FakeBackend", Seen, asyncio.StreamWriter], Awaitable[None]]
+OnCrash = Callable[["FakeBackend"], None]
 OnArrival = Callable[["FakeBackend", Seen, bool], None]
 """Take in a request that arrived, and whether it is executed."""
 NOT_EXECUTED = ("shed", "misdirected")
@@ -52,8 +53,15 @@
         self.pause_s = 0.0
         self.seen: list[Seen] = []
         self.on_arrival: OnArrival = lambda backend, seen, executed: None
+        self.crash_on = b""
+        """Part of a body under which it crashes; none where empty."""
+        self.crash_s = 0.03
+        """Time from the begin of such a request to the crash."""
+        self.is_down = False
+        self.on_crash: OnCrash = lambda backend: None
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
 
     @property
     def record(self) -> dict[str, object]:
@@ -68,9 +76,9 @@
             "seq": 1,
         }
 
-    async def start(self) -> FakeBackend:
-        """Listen at a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> FakeBackend:
+        """Listen at a port, a free one where none is named."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self
 
@@ -79,13 +87,29 @@
         assert self._server is not None
         self._server.close()
 
+    def crash(self) -> None:
+        """End at once: nothing listens any more, and every connection breaks."""
+        if self.is_down:
+            return
+        self.is_down = True
+        self.close()
+        for writer in list(self._open):
+            writer.transport.abort()
+        self.on_crash(self)
+
+    def _crashes_under(self, seen: Seen) -> bool:
+        return bool(self.crash_on) and self.crash_on in seen.body
+
     def _choose_behaviour(self, seen: Seen) -> str:
         asked_for = seen.headers.get("x-target-instance", self.id)
-        return self.behaviour if asked_for == self.id else "misdirected"
+        if asked_for != self.id:
+            return "misdirected"
+        return "crash" if self._crashes_under(seen) else self.behaviour
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._open.add(writer)
         try:
             while True:
                 seen = await _read_request(reader)
@@ -103,6 +127,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self._open.discard(writer)
             writer.close()
 
 
@@ -272,3 +297,21 @@
     writer.write(
         f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok".encode()
     )
+
+
+@behaves("crash")
+async def crash_under(
+    backend: FakeBackend, seen: Seen, writer: asyncio.StreamWriter
+) -> None:
+    """Begin to run it, with the head of a stream where it is one, and crash."""
+    if "x-model" in seen.headers:
+        head = render_head(
+            seen,
+            200,
+            Content_Type="text/event-stream",
+            Transfer_Encoding="chunked",
+            X_Confidence="100",
+        )
+        writer.write(head + _chunk(b"id: 1\ndata: first\n\n"))
+    await asyncio.sleep(backend.crash_s)
+    backend.crash()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -95,6 +95,16 @@
         "repeats",
         make_history([make_call()], [make_run()] * 80, faults=[]),
     ),
+    (
+        "crashing requests",
+        make_history(
+            [make_call(f"c{n}", sent_at=50.0 + n, mark="crash 1") for n in range(12)],
+            [
+                make_run(f"c{n}", backend=f"p{n}", at=50.05 + n)
+                for n in (0, 1, 2, 8, 9, 10, 11)
+            ],
+        ),
+    ),
     (
         "not cut",
         make_history(
@@ -128,3 +138,12 @@
     kill = Fault(name="kill", began_at=49.0, ended_at=51.0)
     calls = [cut, *[make_call("c9")] * 20]
     assert "not cut" not in find(make_history(calls, [make_run()], faults=[kill]))
+
+
+def test_excuse_instances_that_could_not_know_of_a_crashing_request() -> None:
+    numbers = (0, 1, 2, 8, 9, 10, 11)
+    calls = [make_call(f"c{n}", sent_at=50.0 + n, mark="crash 1") for n in numbers]
+    runs = [make_run(f"c{n}", backend=f"p{n}", at=50.05 + n) for n in numbers]
+    pause = Fault(name="pause", began_at=57.0, ended_at=58.5, instance=0)
+    found = find(make_history(calls, runs, faults=[pause]))
+    assert "crashing requests" not in found
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,18 @@
     assert outcome.served > outcome.calls / 3
 
 
+def test_stop_requests_that_crash_servers() -> None:
+    """Callers ask again and again for what ends each server that begins to run it.
+
+    Whoever takes each try for a new one sends it to three servers more; fifteen ended
+    under one request, and half of all other requests were lost with them.
+    """
+    plan = Plan(seed=3, seconds=5.0, faults=("crashing request",))
+    outcome = asyncio.run(play(plan))
+    assert not outcome.breaches
+    assert outcome.served > outcome.calls / 2
+
+
 @pytest.mark.parametrize(
     ("weaken", "promise"),
     [("take any answer", "whole"), ("refuse what ran", "true refusals")],
