Let a cancellation end the reading of a store's answer

Cause: asyncio.wait_for of this Python returns the result where a cancellation meets it in the same turn of the loop, and the cancellation is lost. A feed that was told to stop read on, met a closed store and asked for ever; the process stayed until it was killed, and a test run hung for its whole time. Ruled out: the change under work; the code before it hung as well, 2 of 8 runs of two test modules, four at once (tasks dumped: Feed.run asleep while cancelling). Change: a bound by asyncio.timeout for each part. Test: cancelled after each of twelve turns of the loop; 6 and more of them failed before.

--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -175,7 +175,13 @@
     chunks = []
     size = 0
     async with asyncio.timeout(LONGEST_ANSWER_S):
-        while chunk := await asyncio.wait_for(response.read_some(), STALL_S):
+        while True:
+            # `wait_for` loses a cancellation that meets the answer: the reader goes on
+            # for good, and a process that was told to stop never ends.
+            async with asyncio.timeout(STALL_S):
+                chunk = await response.read_some()
+            if not chunk:
+                break
             chunks.append(chunk)
             size += len(chunk)
             if size > MAX_ANSWER_BYTES:
