--- a/src/baobabthread/instance/heldrecords.py
+++ b/src/baobabthread/instance/heldrecords.py
@@ -23,7 +23,7 @@
 from baobabthread.logs import log_event
 from baobabthread.routing.quarantine import Held
 
-LOOK_S = 0.1
+LOOK_S = 0.25
 PAUSE_S = 0.5
 """Pause after a call to the store that failed."""
 CALL_S = 0.8
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -78,7 +78,7 @@
         self._alive: list[str] = [me]
         self._neighbours: list[str] = []
         self._judges: dict[str, list[str]] = {}
-        self._ledger = CrashLedger()
+        self._ledger = CrashLedger(find_delay=self._find_delay)
         self._telling: dict[str, _Telling] = {}
         self._compared_at = -1e9
         self._asked_at = -1e9
@@ -140,11 +140,13 @@
             self._judges[service] = judges
         return judges
 
+    def _find_delay(self, service: str) -> float:
+        judges = self._find_judges(service)
+        place = judges.index(self._me) if self._me in judges else JUDGES
+        return TURN_S * place
+
     def _judge(self, moment: float) -> None:
-        for delay in range(JUDGES):
-            if self._ledger.is_due(moment, delay * TURN_S):
-                break
-        else:
+        if not self._ledger.is_due(moment):
             return
         suspects = self._ledger.judge(
             moment,
--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -28,6 +28,8 @@
 """Crashes that are kept, the newest: twice the engines of one large service, some 2 MB
 at its judges where each had 128 requests on it."""
 
+FindDelay = Callable[[str], float]
+"""Return by how much longer this judge of a service waits than the first one."""
 IsOnTrial = Callable[[str, str], bool]
 """Tell whether a version of a service is on trial beside another one."""
 
@@ -89,9 +91,10 @@
 class CrashLedger:
     """Keep crashes and find the requests that explain them."""
 
-    __slots__ = ("_crashes", "_unjudged")
+    __slots__ = ("_crashes", "_find_delay", "_unjudged")
 
-    def __init__(self) -> None:
+    def __init__(self, *, find_delay: FindDelay = lambda service: 0.0) -> None:
+        self._find_delay = find_delay
         self._crashes: dict[str, _Seen] = {}
         self._unjudged: set[str] = set()
 
@@ -111,10 +114,9 @@
             seen.fresh.discard(fingerprint)
             seen.older.discard(fingerprint)
 
-    def is_due(self, now: float, delay_s: float) -> bool:
-        """Tell whether crashes wait to be judged, by one that waits so much longer."""
-        due = now - SETTLE_S - delay_s
-        return any(self._crashes[name].at <= due for name in self._unjudged)
+    def is_due(self, now: float) -> bool:
+        """Tell whether crashes wait to be judged."""
+        return any(self._is_settled(name, now) for name in self._unjudged)
 
     def judge(
         self,
@@ -130,7 +132,7 @@
         """
         for name in [n for n, s in self._crashes.items() if now - s.at > KEEP_S]:
             self._drop(name)
-        settled = {n for n, s in self._crashes.items() if s.at <= now - SETTLE_S}
+        settled = {name for name in self._crashes if self._is_settled(name, now)}
         self._unjudged -= settled
         open_ = {
             name: self._crashes[name].present
@@ -146,6 +148,10 @@
             found.append(suspect)
             open_ = {n: p for n, p in open_.items() if suspect.fingerprint not in p}
 
+    def _is_settled(self, name: str, now: float) -> bool:
+        seen = self._crashes[name]
+        return now - seen.at >= SETTLE_S + self._find_delay(seen.service)
+
     def _drop(self, name: str) -> None:
         self._crashes.pop(name)
         self._unjudged.discard(name)
