--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from baobabthread.core.registry import Registry
-from baobabthread.instance import attempts, endings, events
+from baobabthread.instance import attempts, crashes, endings, events
 from baobabthread.instance.wire import AnswerMarks
 from baobabthread.platform import __main__ as program
 from baobabthread.platform import headers
@@ -61,6 +61,12 @@
     headers._OURS.clear()
 
 
+@WEAKENED.register("forget crashes")
+def forget_crashes() -> None:
+    """Take each try of a request that crashed servers for a new one."""
+    crashes.CrashWatch._tell = lambda self, server: None  # type: ignore
+
+
 def main() -> int:
     """Take out the safeguard that the first argument names, and serve."""
     WEAKENED.get(sys.argv.pop(1))()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,8 @@
 )
 """What is played in each run of the tests, and why: two short seeds, and each plan that
 ever broke a promise, with the cause."""
+FAULT_OF = {"forget crashes": "crashing request"}
+"""Fault that shows that a safeguard is missing, where it isn't the usual one."""
 
 
 @pytest.mark.parametrize(("plan", "why"), PLANS)
@@ -40,7 +42,11 @@
 
 @pytest.mark.parametrize(
     ("weaken", "promise"),
-    [("take any answer", "whole"), ("refuse what ran", "true refusals")],
+    [
+        ("take any answer", "whole"),
+        ("refuse what ran", "true refusals"),
+        ("forget crashes", "crashing requests"),
+    ],
 )
 def test_find_a_safeguard_that_was_taken_out(weaken: str, promise: str) -> None:
     """Backend servers answer badly, and instances lack what protects callers from it.
@@ -51,7 +57,7 @@
         seed=5,
         seconds=5.0,
         callers=8,
-        faults=("bad answers",),
+        faults=(FAULT_OF.get(weaken, "bad answers"),),
         weaken=weaken,
         keep_logs=False,
     )
