Hold crashes of a version that never answers against it

Cause: a trial judged answers alone. A version that crashes under everything gives none: three instances, four servers of it, time limit 8 s: state succeeded after 7 s, 33 crashes, none of the last 30 requests answered. Ruled out: the share (0.055 as always), the held requests (none). Change: the first judge of a service counts each crash of a version on trial that answered nobody within a minute as one bad answer, unless a held request was there. One judge, as a crash that all instances saw is one sign: a good version whose server is lost has answered.

--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -148,6 +148,7 @@
     def _connect_quarantine(self) -> None:
         desk = self.peers.quarantine
         desk.is_on_trial = self.services.is_on_trial
+        desk.on_unproven = self.services.note_crash
         desk.find_versions = self.backends.versions
         desk.was_answered = self.crashes.was_answered
         desk.on_held = self.crashes.take_back
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -91,6 +91,8 @@
         self.is_on_trial: IsOnTrial = lambda service, version: False
         self.find_versions: FindVersions = lambda service: ()
         self.was_answered: Callable[[str], bool] = lambda fingerprint: False
+        self.on_unproven: Callable[[str, str], None] = lambda service, version: None
+        """Take in that a version which answered nobody of late crashed."""
         self.on_held: Callable[[str], None] = lambda fingerprint: None
 
     def set_members(self, names: Sequence[str]) -> None:
@@ -156,6 +158,11 @@
         )
         for suspect in suspects:
             self._hold(suspect, moment)
+        held = self.quarantine.names(moment)
+        for service, version in self._ledger.count_unproven(moment, held):
+            # One judge counts it: a crash that all instances saw is one bad sign.
+            if self._find_judges(service)[:1] == [self._me]:
+                self.on_unproven(service, version)
 
     def _hold(self, suspect: Suspect, moment: float) -> None:
         fingerprint = suspect.fingerprint
--- a/src/baobabthread/instance/services.py
+++ b/src/baobabthread/instance/services.py
@@ -11,6 +11,9 @@
 from baobabthread.routing.queues import ServiceQueue
 from baobabthread.routing.versions import VersionPlan
 
+CRASHES = "crashes"
+"""Stands for a route where a backend server crashed instead of answering."""
+
 
 class ServiceState:
     """Hold what is decided for one service."""
@@ -59,6 +62,19 @@
             return False
         return plan.is_running and plan.share(now()) < 1.0
 
+    def note_crash(self, service: str, version: str) -> None:
+        """Hold a crash against a version on trial, as one bad answer.
+
+        A version that crashes under everything answers nothing: judged by answers alone
+        it passes its trial, gets all requests, and the old version is stopped.
+        """
+        plan = self.get(service).plan
+        if plan.order is None or plan.order.target != version or not plan.is_running:
+            return
+        plan.trial.observe(
+            on_trial=True, call=CRASHES, kind=CRASHES, failed=True, latency_s=None
+        )
+
     def share(self, entries: int) -> None:
         """Divide capacity and repeats among so many instances."""
         self._entries = max(1, entries)
--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -62,13 +62,23 @@
 class _Seen:
     """Hold a crash with the words of all instances about it."""
 
-    __slots__ = ("at", "fresh", "is_proven", "older", "service", "version")
+    __slots__ = (
+        "at",
+        "fresh",
+        "is_counted",
+        "is_proven",
+        "older",
+        "service",
+        "version",
+    )
 
     def __init__(self, *, crash: Crash, now: float) -> None:
         self.at = now
         self.service = crash.service
         self.version = crash.version
         self.is_proven = False
+        self.is_counted = False
+        """Whether it was held against its version."""
         self.fresh: set[str] = set()
         self.older: set[str] = set()
 
@@ -152,6 +162,23 @@
         seen = self._crashes[name]
         return now - seen.at >= SETTLE_S + self._find_delay(seen.service)
 
+    def count_unproven(
+        self, now: float, held: Collection[str]
+    ) -> list[tuple[str, str]]:
+        """Return service and version of crashes to hold against them, each one once.
+
+        These are crashes of versions that answered nobody of late, under requests that
+        aren't held: the version never works, or not any more.
+        """
+        found = []
+        for name, seen in self._crashes.items():
+            if seen.is_counted or not self._is_settled(name, now):
+                continue
+            seen.is_counted = True
+            if not seen.is_proven and seen.present.isdisjoint(held):
+                found.append((seen.service, seen.version))
+        return found
+
     def _drop(self, name: str) -> None:
         self._crashes.pop(name)
         self._unjudged.discard(name)
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -240,3 +240,14 @@
     assert judge(ledger, LATER_S) == []
     assert ledger.is_due(1.0 + LATER_S)
     assert len(judge(ledger, 1.0 + LATER_S)) == 1
+
+
+def test_count_crashes_of_a_version_that_never_answered_once() -> None:
+    ledger = CrashLedger()
+    for n in range(2):
+        ledger.take(make_crash(f"n{n}", "some", version="v2", is_proven=False), 0.0)
+    ledger.take(make_crash("n2", "bad", version="v2", is_proven=False), 0.0)
+    ledger.take(make_crash("e1", "other"), 0.0)
+    assert ledger.count_unproven(SETTLE_S / 2, held=()) == []
+    assert ledger.count_unproven(LATER_S, held={"bad"}) == [("engine", "v2")] * 2
+    assert ledger.count_unproven(LATER_S, held=()) == []
