Keep no bodies for crashes, tell the longest list in one datagram

Found in reading the change. What left a server unanswered was kept with its body, 512 a server: at 18 KB each and 69 servers up to 600 MB; now its fingerprint, id and times. The longest list (512 entries) was larger than a datagram and would never have been told; 128 entries take some 12 KB.

--- a/src/baobabthread/instance/crashes.py
+++ b/src/baobabthread/instance/crashes.py
@@ -11,6 +11,8 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 
+import msgspec
+
 from baobabthread.instance.backends import BackendLink, Backends
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import Listening
@@ -41,6 +43,9 @@
 ones are at every crash, and answered all the while."""
 MOST_ANSWERED = 4096
 """Requests that were answered of late and are remembered, some 0.6 MB."""
+MOST_PAST = 512
+"""Requests that left a server unanswered and are remembered: several times what one
+instance has on it at once."""
 MOST_NAMED = 8
 """Requests that a line of the log names."""
 
@@ -62,14 +67,13 @@
 class Stay:
     """Hold one request while it is on a backend server."""
 
-    __slots__ = ("_abort", "began_at", "flight", "left_at", "was_taken_back")
+    __slots__ = ("_abort", "began_at", "flight", "was_taken_back")
 
     def __init__(self, *, flight: Flight, abort: Callable[[], None]) -> None:
         self.flight = flight
         self._abort = abort
         self.was_taken_back = False
         self.began_at: float | None = None
-        self.left_at: float | None = None
 
     def begin(self) -> None:
         """Note that its answer has begun."""
@@ -80,6 +84,24 @@
         self.was_taken_back = True
         self._abort()
 
+    def note(self) -> _Seen:
+        """Return what is kept of it once it has left."""
+        return _Seen(
+            fingerprint=self.flight.fingerprint,
+            request_id=self.flight.request.envelope.request_id,
+            began_at=self.began_at,
+            left_at=now(),
+        )
+
+
+class _Seen(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what is kept of a request, without its body, to look back at a crash."""
+
+    fingerprint: str
+    request_id: str
+    began_at: float | None
+    left_at: float
+
     def is_older(self, moment: float) -> bool:
         """Tell whether it had been running for long at a moment."""
         return self.began_at is not None and moment - self.began_at > FRESH_S
@@ -91,7 +113,7 @@
     def __init__(self, link: BackendLink) -> None:
         self.link = link
         self.here: set[Stay] = set()
-        self.past: deque[Stay] = deque(maxlen=512)
+        self.past: deque[_Seen] = deque(maxlen=MOST_PAST)
         """Those that left unanswered, the newest last."""
         self.broke_at = 0.0
         self.check: asyncio.Task[None] | None = None
@@ -124,8 +146,7 @@
         if exit is Exit.ANSWERED:
             self._note_answered(stay.flight, link)
         elif exit is not Exit.NEVER_THERE:
-            stay.left_at = now()
-            server.past.append(stay)
+            server.past.append(stay.note())
         is_broken = exit is Exit.BROKEN and not stay.was_taken_back
         if is_broken and self._may_have_crashed(server):
             server.broke_at = now()
@@ -139,8 +160,8 @@
         """Take a request back from all backend servers that may not have begun it."""
         for server in self._servers.values():
             for stay in list(server.here):
-                is_it = stay.flight.fingerprint == fingerprint
-                if is_it and not stay.is_older(now()):
+                seen = stay.note()
+                if seen.fingerprint == fingerprint and not seen.is_older(now()):
                     stay.take_back()
 
     def prune(self) -> None:
@@ -194,11 +215,11 @@
 
     def _tell(self, server: _Server) -> None:
         broke_at = server.broke_at
-        present = [stay for stay in server.past if _was_there(stay, broke_at)]
-        present += server.here
-        flights = [s for s in present if not self.was_answered(s.flight.fingerprint)]
-        older = {s.flight.fingerprint for s in flights if s.is_older(broke_at)}
-        fresh = {s.flight.fingerprint for s in flights if not s.is_older(broke_at)}
+        present = [seen for seen in server.past if _was_there(seen, broke_at)]
+        present += [stay.note() for stay in server.here]
+        present = [seen for seen in present if not self.was_answered(seen.fingerprint)]
+        older = {seen.fingerprint for seen in present if seen.is_older(broke_at)}
+        fresh = {seen.fingerprint for seen in present if not seen.is_older(broke_at)}
         server.past.clear()
         record = server.link.record
         proven_at = self._proven.get((record.service, record.version), -1e9)
@@ -210,7 +231,7 @@
             fresh=sorted(fresh),
             older=sorted(older - fresh),
         )
-        ids = [s.flight.request.envelope.request_id for s in flights]
+        ids = [seen.request_id for seen in present]
         log_event(
             "backend_crashed",
             level="warning",
@@ -226,6 +247,5 @@
         self._report(crash)
 
 
-def _was_there(stay: Stay, broke_at: float) -> bool:
-    assert stay.left_at is not None
-    return -LEFT_S <= stay.left_at - broke_at <= BREAK_S
+def _was_there(seen: _Seen, broke_at: float) -> bool:
+    return -LEFT_S <= seen.left_at - broke_at <= BREAK_S
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -278,8 +278,9 @@
         self._plan_writing(held.fingerprint, held.service)
 
     def _spread(self, held: Held) -> None:
-        self._note_news(held)
         self._telling[held.fingerprint] = _Telling(held=held, told=0, told_at=-1e9)
+        # May let it go at once, which is told in its place then.
+        self._note_news(held)
         self._tell_again(now())
 
     def _tell_again(self, moment: float) -> None:
--- a/src/baobabthread/routing/quarantine.py
+++ b/src/baobabthread/routing/quarantine.py
@@ -20,16 +20,16 @@
 """Time after it in which one crash is enough to hold the request again."""
 LATE_S = 10.0
 """Time by which an entry that ends is not taken over from others any more."""
-MOST_HELD = 512
-"""Entries that are kept. Each one costs its callers three servers first; all of them
-take 70 KB of memory and 60 KB on the wire."""
+MOST_HELD = 128
+"""Entries that are kept, those that end last. Each one cost three servers first; all of
+them fit into one datagram, some 12 KB."""
 
 
 FindVersions = Callable[[str], Collection[str]]
 """Return the versions that a service has now."""
 
 
-class Held(msgspec.Struct, frozen=True, kw_only=True):
+class Held(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Hold one request back, or let it go again."""
 
     fingerprint: str
--- /dev/null
+++ b/tests/instance/test_quarantine.py
@@ -0,0 +1,119 @@
+"""Tests of how instances tell each other what is held, without sockets."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from baobabthread.instance import quarantine as module
+from baobabthread.instance.quarantine import CompareHeld, HeldAre, QuarantineDesk
+from baobabthread.routing.crashes import SETTLE_S, Crash
+from baobabthread.routing.quarantine import Held
+
+
+class Told:
+    """Keep what a desk sends."""
+
+    def __init__(self) -> None:
+        self.words: list[tuple[str, msgspec.Struct]] = []
+
+    def tell(self, to: str, word: msgspec.Struct) -> None:
+        """Keep one message."""
+        self.words.append((to, word))
+
+    def entries(self) -> list[Held]:
+        """Return the entries of all messages."""
+        found = [word for _, word in self.words if isinstance(word, HeldAre)]
+        return [held for word in found for held in word.entries]
+
+
+def make_desk() -> tuple[QuarantineDesk, Told]:
+    told = Told()
+    desk = QuarantineDesk(me="a", tell=told.tell)
+    desk.set_members(["a", "b", "c", "d"])
+    desk.knows_all = True
+    return desk, told
+
+
+def make_held(fingerprint: str = "f1", **more: object) -> Held:
+    fields: dict[str, object] = {"service": "s", "times": 1, "left_s": 60.0}
+    return Held(fingerprint=fingerprint, **(fields | more))  # type: ignore[arg-type]
+
+
+def test_say_nothing_while_nothing_is_held() -> None:
+    desk, told = make_desk()
+    for _ in range(5):
+        desk.tick()
+    assert told.words == []
+
+
+def test_object_to_what_was_answered_here() -> None:
+    """A judge holds a popular request that this instance answered a moment ago.
+
+    The objection must be what is told on, not the entry that it is about.
+    """
+    desk, told = make_desk()
+    desk.was_answered = lambda fingerprint: fingerprint == "f1"
+    desk.take("b", HeldAre(entries=[make_held()]))
+    assert desk.find("f1") is None
+    assert told.entries()
+    assert all(held.is_cleared for held in told.entries())
+
+
+def test_tell_only_what_a_neighbour_lacks() -> None:
+    desk, told = make_desk()
+    desk.take("b", HeldAre(entries=[make_held("f1"), make_held("f2")]))
+    desk.take("b", HeldAre(entries=[make_held("f2")], wants_reply=True))
+    assert [held.fingerprint for held in told.entries()] == ["f1"]
+
+
+def test_answer_a_list_that_differs_and_whoever_asks() -> None:
+    desk, told = make_desk()
+    desk.compare("b", CompareHeld(digest=desk.quarantine.digest))
+    assert told.words == []
+    desk.compare("b", CompareHeld(digest=desk.quarantine.digest, asks=True))
+    desk.take("c", HeldAre(entries=[make_held()]))
+    desk.compare("d", CompareHeld(digest=0))
+    (first, asked), (second, differs) = told.words
+    assert (first, second) == ("b", "d")
+    assert isinstance(asked, HeldAre)
+    assert asked.is_complete
+    assert not asked.wants_reply
+    assert isinstance(differs, HeldAre)
+    assert differs.wants_reply
+
+
+def test_read_the_store_where_no_peer_tells() -> None:
+    desk, told = make_desk()
+    desk.knows_all = False
+    desk.tick()
+    assert [type(word) for _, word in told.words] == [CompareHeld]
+    assert not desk.must_read
+    desk._started_at -= module.ALONE_S + 0.1
+    assert desk.must_read
+    desk.take("b", HeldAre(entries=[], is_complete=True))
+    assert not desk.must_read
+
+
+def test_tell_that_a_request_is_let_go_after_it_was_judged() -> None:
+    """The judge itself answered the request after its third crash.
+
+    It holds it and lets it go in the same moment: told last must be that it is let go.
+    """
+    desk, told = make_desk()
+    desk.set_members(["a", "b"])
+    for number in range(3):
+        crash = Crash(
+            backend=f"e{number}",
+            service="s",
+            version="v1",
+            is_proven=True,
+            fresh=["f1"],
+            older=[],
+        )
+        desk.report(crash)
+    desk.was_answered = lambda fingerprint: True
+    time.sleep(SETTLE_S + module.TURN_S + 0.05)
+    desk.tick()
+    assert [held.is_cleared for held in told.entries()] == [True]
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -4,6 +4,7 @@
 
 import itertools
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -77,6 +78,13 @@
     assert not find(quarantine, "f0", MOST_HELD + 10.0)
 
 
+def test_fit_the_longest_list_into_one_datagram() -> None:
+    quarantine = Quarantine()
+    for number in range(MOST_HELD):
+        quarantine.hold(f"{number:016d}", "service-of-some-length", ("v1", "v2"), 0.0)
+    assert len(msgspec.json.encode(quarantine.list(0.0))) < 30_000
+
+
 @given(
     st.lists(
         st.tuples(st.sampled_from("abc"), st.integers(1, 3), st.booleans()), max_size=5
