--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -291,6 +291,17 @@
     run(case())
 
 
+async def roll_out_crashing(site: Site) -> Places:
+    """Order a version that crashes under every good request; return its places."""
+    bad = Places(site, service="plain", version="v2")
+    bad.crash_on = b"good"
+    for number in range(4):
+        await bad.add(f"n{number}")
+    order = {"service": "plain", "target": "v2", "deadline_s": 8}
+    site.store.put(OPERATORS, "rollout/plain", order)
+    return bad
+
+
 def test_hold_nothing_for_a_version_that_crashes_under_everything() -> None:
     """A new version is rolled out and crashes under whatever it is given.
 
@@ -300,12 +311,7 @@
 
     async def case() -> None:
         async with open_places(service="plain") as (site, _):
-            bad = Places(site, service="plain", version="v2")
-            bad.crash_on = b"good"
-            for number in range(4):
-                await bad.add(f"n{number}")
-            order = {"service": "plain", "target": "v2", "deadline_s": 8}
-            site.store.put(OPERATORS, "rollout/plain", order)
+            bad = await roll_out_crashing(site)
             answers: list[Answer | None] = []
             others = asyncio.ensure_future(keep_asking(site, "/safe/x", answers))
             # It is taken back after about four crashes.
@@ -329,12 +335,7 @@
 
     async def case() -> None:
         async with open_places(service="plain") as (site, _):
-            bad = Places(site, service="plain", version="v2")
-            bad.crash_on = b"good"
-            for number in range(4):
-                await bad.add(f"n{number}")
-            order = {"service": "plain", "target": "v2", "deadline_s": 8}
-            site.store.put(OPERATORS, "rollout/plain", order)
+            bad = await roll_out_crashing(site)
             answers: list[Answer | None] = []
             others = asyncio.ensure_future(keep_asking(site, "/safe/x", answers))
             await wait_for(
