Move the choice of whom to fetch records from out of the membership

Ruled out: moving more: probes, updates, contacts and comparison already stand apart. Change: RecordSource in core/membership/sources.py; no rule is another one.

--- a/src/baobabthread/core/membership/membership.py
+++ b/src/baobabthread/core/membership/membership.py
@@ -17,7 +17,6 @@
     Acknowledge,
     Announce,
     Digest,
-    FetchRecords,
     GossipPayload,
     Hint,
     MemberInfo,
@@ -30,6 +29,7 @@
     ProbeRequest,
     Synchronise,
 )
+from baobabthread.core.membership.sources import RecordSource
 from baobabthread.core.membership.table import MemberTable
 from baobabthread.core.membership.updates import UpdateQueue
 from baobabthread.core.messages import Effects, Send
@@ -59,8 +59,6 @@
     __slots__ = (
         "_contacts",
         "_detector",
-        "_fetch_since",
-        "_fetch_source",
         "_freshness",
         "_me",
         "_next_reach",
@@ -68,6 +66,7 @@
         "_next_synchronise",
         "_rng",
         "_settings",
+        "_source",
         "_started",
         "_synchronise_s",
         "_updates",
@@ -101,8 +100,7 @@
             rng=rng,
             settings=self._settings,
         )
-        self._fetch_source: str | None = None
-        self._fetch_since = 0.0
+        self._source = RecordSource(after_s=self._settings.fetch_after_s)
         self._started = math.inf
         self._next_reach = 0.0
         self._next_reconnect = 0.0
@@ -211,9 +209,8 @@
         """Return when to call `tick` again, in seconds of the same clock as `now`."""
         due = min(self._next_synchronise, self._next_reconnect)
         due = min(due, self._detector.next_due())
-        if self._fetch_source is not None:
-            due = min(due, self._fetch_since + self._settings.fetch_after_s)
-        return max(now, due)
+        fetch_due = self._source.next_due()
+        return max(now, due if fetch_due is None else min(due, fetch_due))
 
     def tick(self, now: float) -> Effects:
         """Do what is due: probe, suspect, bury, synchronise, fetch, reconnect."""
@@ -232,7 +229,7 @@
                 )
             effects += self._synchronise(now)
             self._forget(now)
-        effects += self._fetch(now)
+        effects += self._source.fetch(self.table, self._me.read_offset, now)
         if now >= self._next_reach:
             # It looks at every member; a fifth of a second is short beside the bound.
             self._next_reach = now + REACH_S
@@ -262,7 +259,7 @@
             case Members():
                 return self._take_members(name, message, now)
             case Announce():
-                return self._fetch(now)
+                return self._source.fetch(self.table, self._me.read_offset, now)
 
     def failed(self, to: str, message: MembershipMessage, now: float) -> Effects:
         """Note a message that could not be delivered; probes go through helpers."""
@@ -335,18 +332,6 @@
         digest = Digest(sender=self._me)
         return comparison.answer_wants(known, message, name, digest)
 
-    def _fetch(self, now: float) -> Effects:
-        member = self.table.get(self._fetch_source) if self._fetch_source else None
-        if member is None or member.read_offset <= self._me.read_offset:
-            self._fetch_source = None
-            return []
-        if now < self._fetch_since + self._settings.fetch_after_s:
-            return []
-        # The next message names the next source: one that never answers is not asked
-        # for ever while others have the records.
-        self._fetch_source = None
-        return [FetchRecords(peer=member.name, after=self._me.read_offset)]
-
     def _make_digest(self, to: str, now: float) -> Digest:
         # Failure: this entry folds a record that takes a key away, and is asked before
         # its next report. The new age beside the offset before would tell an entry that
@@ -383,9 +368,7 @@
             self._merge(info, now)
         for payload in digest.gossip:
             self.gossip.put(payload)
-        if sender.read_offset > self._me.read_offset and self._fetch_source is None:
-            self._fetch_source = sender.name
-            self._fetch_since = now
+        self._source.note(sender, self._me.read_offset, now)
 
     def _merge(self, info: MemberInfo, now: float) -> None:
         if info.name == self._me.name:
