--- a/src/baobabthread/core/membership/membership.py
+++ b/src/baobabthread/core/membership/membership.py
@@ -48,7 +48,6 @@
 """About what a description of an entry takes."""
 AGE_STEPS = 1000
 """Steps of a second in which ages are told."""
-
 REACH_S = 0.2
 """How often the members that answered lately are counted."""
 
