Keep one description of a held request, and name what the watch on crashes keeps

Cause, read as a newcomer: a held request was described three times (in memory, for the store's port, by the adapter) with two converters between; 'stay', 'exit' and 'take back' are no terms of the field; two classes were called _Seen; the check of a server had five ways out in one function. Ruled out: another rule for anybody. A request that is on a server twice still counts as the one that began last. Change: the port takes and gives Held, the adapter turns its time into the store's; Presence, Departure, Trace, cancel; _is_gone apart from _check; a comment tells why a held request is asked for in three places.

--- a/bench/_fleet_store.py
+++ b/bench/_fleet_store.py
@@ -11,7 +11,6 @@
     Append,
     Appended,
     Conflict,
-    HeldRecord,
     Page,
     Record,
     StoreError,
@@ -24,6 +23,7 @@
     RolloutStatus,
     RoutingConfiguration,
 )
+from baobabthread.routing.quarantine import Held
 
 HELD_PREFIX = "held/"
 ANSWER_S = 0.004
@@ -62,20 +62,25 @@
             expected_end=expected_end,
         )
 
-    def decode_held(self, record: Record) -> HeldRecord | None:
-        """Decode a request that is held back; nothing for other records there."""
+    def decode_held(self, record: Record, *, unix_now: float) -> Held | None:
+        """Decode a request that is held; nothing for other records there."""
         if not record.key.startswith(HELD_PREFIX) or not record.value:
             return None
-        return msgspec.json.decode(record.value, type=HeldRecord)
+        return msgspec.json.decode(record.value, type=Held)
 
-    def encode_held(
-        self, fingerprint: str, held: HeldRecord | None, expected_end: int
-    ) -> Append:
-        """Return the record of a request that is held back, or of its end."""
+    def encode_held(self, held: Held, expected_end: int, *, unix_now: float) -> Append:
+        """Return the record of a request that is held."""
+        return msgspec.structs.replace(
+            self.drop_held(held.fingerprint, expected_end),
+            value=msgspec.json.encode(held),
+        )
+
+    def drop_held(self, fingerprint: str, expected_end: int) -> Append:
+        """Return the record that removes a request that is held no more."""
         return Append(
             topic=self.status_topic,
             key=f"{HELD_PREFIX}{fingerprint}",
-            value=msgspec.json.encode(held) if held is not None else b"",
+            value=b"",
             expected_end=expected_end,
         )
 
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -187,7 +187,7 @@
         # An answer without a length ends with its connection: what had come when this
         # side closed it would pass for the whole.
         if self._connection is None:
-            raise BrokenError("taken back")
+            raise BrokenError("cancelled on this side")
 
     def _check(self, marks: AnswerMarks, status: int) -> None:
         own_id = self.flight.request.envelope.request_id
--- a/src/baobabthread/instance/crashes.py
+++ b/src/baobabthread/instance/crashes.py
@@ -53,40 +53,58 @@
 """Pass on what was seen of a crash."""
 
 
-class Exit(enum.Enum):
+class Departure(enum.Enum):
     """Tell how a request left a backend server."""
 
     ANSWERED = "answered"
-    BROKEN = "broken"
-    """Its connection broke."""
-    TAKEN_BACK = "taken back"
+    LOST = "lost"
+    """Its connection ended before the answer."""
+    CANCELLED = "cancelled"
     """This side closed its connection."""
-    NEVER_THERE = "never there"
+    NEVER_SENT = "never sent"
 
 
-class Stay:
+class Trace(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what is kept of a request, without its body, to look back at a crash."""
+
+    fingerprint: str
+    request_id: str
+    began_at: float | None
+    """When its answer began."""
+    left_at: float
+
+    def is_older(self, moment: float) -> bool:
+        """Tell whether it had been running for long at a moment."""
+        return self.began_at is not None and moment - self.began_at > FRESH_S
+
+    def was_there(self, broke_at: float) -> bool:
+        """Tell whether it left as others did when their connections broke."""
+        return -LEFT_S <= self.left_at - broke_at <= BREAK_S
+
+
+class Presence:
     """Hold one request while it is on a backend server."""
 
-    __slots__ = ("_abort", "began_at", "flight", "was_taken_back")
+    __slots__ = ("_abort", "began_at", "flight", "is_cancelled")
 
     def __init__(self, *, flight: Flight, abort: Callable[[], None]) -> None:
         self.flight = flight
         self._abort = abort
-        self.was_taken_back = False
+        self.is_cancelled = False
         self.began_at: float | None = None
 
     def begin(self) -> None:
         """Note that its answer has begun."""
         self.began_at = now()
 
-    def take_back(self) -> None:
+    def cancel(self) -> None:
         """Close its connection, so that a server that hasn't begun it never does."""
-        self.was_taken_back = True
+        self.is_cancelled = True
         self._abort()
 
-    def note(self) -> _Seen:
-        """Return what is kept of it once it has left."""
-        return _Seen(
+    def trace(self) -> Trace:
+        """Return what is kept of it, as if it left now."""
+        return Trace(
             fingerprint=self.flight.fingerprint,
             request_id=self.flight.request.envelope.request_id,
             began_at=self.began_at,
@@ -94,30 +112,23 @@
         )
 
 
-class _Seen(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what is kept of a request, without its body, to look back at a crash."""
-
-    fingerprint: str
-    request_id: str
-    began_at: float | None
-    left_at: float
-
-    def is_older(self, moment: float) -> bool:
-        """Tell whether it had been running for long at a moment."""
-        return self.began_at is not None and moment - self.began_at > FRESH_S
-
-
 class _Server:
     __slots__ = ("broke_at", "check", "here", "link", "past")
 
     def __init__(self, link: BackendLink) -> None:
         self.link = link
-        self.here: set[Stay] = set()
-        self.past: deque[_Seen] = deque(maxlen=MOST_PAST)
+        self.here: set[Presence] = set()
+        self.past: deque[Trace] = deque(maxlen=MOST_PAST)
         """Those that left unanswered, the newest last."""
         self.broke_at = 0.0
+        """When the first connection of the present row of them broke."""
         self.check: asyncio.Task[None] | None = None
 
+    @property
+    def is_checked(self) -> bool:
+        """Tell whether nobody finds out any more whether it crashed."""
+        return self.check is None or self.check.done()
+
 
 class CrashWatch:
     """Note who is on which backend server, and tell of crashes."""
@@ -130,25 +141,27 @@
         self._answered: OrderedDict[str, float] = OrderedDict()
         self._proven: dict[tuple[str, str], float] = {}
 
-    def enter(self, stay: Stay, link: BackendLink) -> None:
+    def enter(self, presence: Presence, link: BackendLink) -> None:
         """Note that a request goes to a backend server."""
         server = self._servers.get(link.name)
         if server is None:
             server = self._servers[link.name] = _Server(link)
-        server.here.add(stay)
+        server.here.add(presence)
 
-    def leave(self, stay: Stay, link: BackendLink, exit: Exit) -> None:
-        """Note how it left."""
+    def leave(
+        self, presence: Presence, link: BackendLink, departure: Departure
+    ) -> None:
+        """Note how it left; only the first word counts."""
         server = self._servers.get(link.name)
-        if server is None or stay not in server.here:
+        if server is None or presence not in server.here:
             return
-        server.here.discard(stay)
-        if exit is Exit.ANSWERED:
-            self._note_answered(stay.flight, link)
-        elif exit is not Exit.NEVER_THERE:
-            server.past.append(stay.note())
-        is_broken = exit is Exit.BROKEN and not stay.was_taken_back
-        if is_broken and self._may_have_crashed(server):
+        server.here.discard(presence)
+        if departure is Departure.ANSWERED:
+            self._note_answered(presence.flight, link)
+        elif departure is not Departure.NEVER_SENT:
+            server.past.append(presence.trace())
+        is_lost = departure is Departure.LOST and not presence.is_cancelled
+        if is_lost and self._may_have_crashed(server):
             server.broke_at = now()
             server.check = asyncio.ensure_future(self._check(server))
 
@@ -156,19 +169,18 @@
         """Tell whether a request was answered whole here of late."""
         return now() - self._answered.get(fingerprint, -1e9) < ANSWERED_S
 
-    def take_back(self, fingerprint: str) -> None:
-        """Take a request back from all backend servers that may not have begun it."""
+    def cancel(self, fingerprint: str) -> None:
+        """Cancel a request at all backend servers that may not have begun it."""
         for server in self._servers.values():
-            for stay in list(server.here):
-                seen = stay.note()
-                if seen.fingerprint == fingerprint and not seen.is_older(now()):
-                    stay.take_back()
+            for presence in list(server.here):
+                trace = presence.trace()
+                if trace.fingerprint == fingerprint and not trace.is_older(now()):
+                    presence.cancel()
 
     def prune(self) -> None:
         """Forget servers that are gone and on which nothing is left."""
         for name, server in list(self._servers.items()):
-            is_checked = server.check is None or server.check.done()
-            is_over = not server.here and is_checked
+            is_over = not server.here and server.is_checked
             if is_over and not self._backends.is_listed(server.link):
                 del self._servers[name]
 
@@ -188,39 +200,40 @@
         self.on_answered(flight)
 
     def _may_have_crashed(self, server: _Server) -> bool:
-        if server.check is not None and not server.check.done():
-            return False
         # One that leaves as planned closes its connections at its end as well.
         is_planned = server.link.record.leaving
-        return not is_planned and self._backends.is_listed(server.link)
+        is_listed = self._backends.is_listed(server.link)
+        return server.is_checked and not is_planned and is_listed
 
     async def _check(self, server: _Server) -> None:
+        if await self._is_gone(server):
+            await asyncio.sleep(GATHER_S)
+            self._tell(server)
+
+    async def _is_gone(self, server: _Server) -> bool:
+        """Tell whether nothing listens at a server's address any more."""
+        link = server.link
         ends_at = now() + LONGEST_CHECK_S
         pause_s = CHECK_S
         while now() < ends_at:
             await asyncio.sleep(pause_s)
-            if server.link.record.leaving:
-                return
-            found = await server.link.pool.look()
-            if found is Listening.YES and not server.link.is_replaced:
-                return
-            if found is not Listening.UNKNOWN or server.link.is_replaced:
-                await asyncio.sleep(GATHER_S)
-                self._tell(server)
-                return
-            if not self._backends.is_listed(server.link):
-                self._tell(server)
-                return
+            found = await link.pool.look()
+            if link.record.leaving:
+                return False
+            if link.is_replaced or found is Listening.NO:
+                return True
+            if found is Listening.YES:
+                return False
+            if not self._backends.is_listed(link):
+                return True
             pause_s = RECHECK_S
+        return False
 
     def _tell(self, server: _Server) -> None:
+        there = self._list_there(server)
         broke_at = server.broke_at
-        present = [seen for seen in server.past if _was_there(seen, broke_at)]
-        present += [stay.note() for stay in server.here]
-        present = [seen for seen in present if not self.was_answered(seen.fingerprint)]
-        older = {seen.fingerprint for seen in present if seen.is_older(broke_at)}
-        fresh = {seen.fingerprint for seen in present if not seen.is_older(broke_at)}
-        server.past.clear()
+        fresh = {t.fingerprint for t in there if not t.is_older(broke_at)}
+        older = {t.fingerprint for t in there} - fresh
         record = server.link.record
         proven_at = self._proven.get((record.service, record.version), -1e9)
         crash = Crash(
@@ -229,9 +242,9 @@
             version=record.version,
             is_proven=now() - proven_at < PROVEN_S,
             fresh=sorted(fresh),
-            older=sorted(older - fresh),
+            older=sorted(older),
         )
-        ids = [seen.request_id for seen in present]
+        ids = [trace.request_id for trace in there]
         log_event(
             "backend_crashed",
             level="warning",
@@ -242,10 +255,13 @@
             requests=",".join(ids[:MOST_NAMED]),
             fresh=len(fresh),
             older=len(older),
-            fingerprints=",".join(f[:12] for f in crash.fresh[:MOST_NAMED]),
+            fingerprints=",".join(crash.fresh[:MOST_NAMED]),
         )
         self._report(crash)
 
-
-def _was_there(seen: _Seen, broke_at: float) -> bool:
-    return -LEFT_S <= seen.left_at - broke_at <= BREAK_S
+    def _list_there(self, server: _Server) -> list[Trace]:
+        """Return who may have crashed a server, and forget who left it before."""
+        there = [trace for trace in server.past if trace.was_there(server.broke_at)]
+        there += [presence.trace() for presence in server.here]
+        server.past.clear()
+        return [trace for trace in there if not self.was_answered(trace.fingerprint)]
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -24,7 +24,7 @@
     LostConnectionError,
     NotSentError,
 )
-from baobabthread.instance.crashes import CrashWatch, Exit, Stay
+from baobabthread.instance.crashes import CrashWatch, Departure, Presence
 from baobabthread.instance.endings import Endings
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.flight import CallerRequest, Flight, Reply
@@ -153,7 +153,11 @@
             self.turns.finish(ticket, flight, state)
 
     async def _hold_back(self, flight: Flight) -> bool:
-        """End a request under which backend servers crash; tell whether it was one."""
+        """End a request under which backend servers crash; tell whether it was one.
+
+        Asked when it comes, before each attempt and after one that failed: it may be
+        held while it waits or runs, and each attempt more costs a server.
+        """
         if not self._quarantine.holds_any:
             return False
         held = self._quarantine.find(flight.fingerprint)
@@ -202,35 +206,35 @@
         if on_old:
             state.plan.started_old(flight.session, now())
             self._desk.note_use(state.plan, flight.session)
-        stay = Stay(flight=flight, abort=attempt.abort)
-        self._crashes.enter(stay, link)
-        exit = Exit.TAKEN_BACK
+        presence = Presence(flight=flight, abort=attempt.abort)
+        self._crashes.enter(presence, link)
+        departure = Departure.CANCELLED
         outcome = Outcome.CANCELLED
         try:
             head = await attempt.open(self._wire)
-            stay.begin()
+            presence.begin()
             occupancy.begin(head.latency_s)
             if prompt is not None:
                 prompt.end(ReadingEnd.BEGUN)
             await self._answers.take(flight, state, attempt, head)
             outcome = Outcome.FAILED if head.is_failure else Outcome.OK
-            exit = Exit.ANSWERED
+            departure = Departure.ANSWERED
         except Again as again:
             outcome = again.outcome
             raise
         except (NotSentError, RefusedError, BrokenError, TimeoutError) as error:
             outcome = judge(error)
-            exit = _find_exit(error)
+            departure = _find_departure(error)
             if _is_gone(error):
                 reading_end = ReadingEnd.SILENT
             flight.trail.append(f"{link.record.id}:{str(error) or 'timeout'}")
             attempt.abort()
             # Told of at once: what follows may wait for a slow caller.
-            self._crashes.leave(stay, link, exit)
+            self._crashes.leave(presence, link, departure)
             await self._recover(flight, state, link, error)
         finally:
             attempt.abort()
-            self._crashes.leave(stay, link, exit)
+            self._crashes.leave(presence, link, departure)
             occupancy.end(outcome, now() - attempt.sent_at)
             if prompt is not None:
                 prompt.end(reading_end)
@@ -284,12 +288,12 @@
         return self.selection.has_other(flight, link) and state.spend()
 
 
-def _find_exit(error: Exception) -> Exit:
+def _find_departure(error: Exception) -> Departure:
     """Return how a request left a backend server that did not answer it."""
     if isinstance(error, NotSentError | RefusedError):
-        return Exit.NEVER_THERE
+        return Departure.NEVER_SENT
     is_lost = isinstance(error, LostConnectionError)
-    return Exit.BROKEN if is_lost else Exit.TAKEN_BACK
+    return Departure.LOST if is_lost else Departure.CANCELLED
 
 
 def _is_gone(error: Exception) -> bool:
--- a/src/baobabthread/instance/heldrecords.py
+++ b/src/baobabthread/instance/heldrecords.py
@@ -14,7 +14,6 @@
 from baobabthread.instance.store import (
     Append,
     Conflict,
-    HeldRecord,
     Page,
     RecordFormat,
     Store,
@@ -65,72 +64,40 @@
             if moment >= due:
                 await self._write(fingerprint)
 
-    async def _load(self) -> Page:
+    async def _load(self) -> tuple[dict[str, Held], int]:
+        """Take over what is stored; return it, and where the topic ends."""
         page = await self._store.newest(self._formats.status_topic, CALL_S)
-        self._desk.learn(
-            [_to_held(r) for r in self._decode(page).values()], source="store"
-        )
+        stored = self._decode(page)
+        self._desk.learn(list(stored.values()), source="store")
         self._desk.knows_all = True
-        return page
+        return stored, page.end
 
     async def _write(self, fingerprint: str) -> None:
-        page = await self._load()
-        stored = self._decode(page).get(fingerprint)
-        held = self._find(fingerprint)
-        if _is_same(stored, held):
-            self._desk.unwritten.pop(fingerprint, None)
-            return
-        append = self._encode(fingerprint, held, page.end)
-        if isinstance(await self._store.append(append, CALL_S), Conflict):
-            return
-        log_event("held_stored", fingerprint=fingerprint, is_over=held is None)
+        stored, end = await self._load()
+        before = stored.get(fingerprint)
+        held = self._desk.quarantine.get(fingerprint, now())
+        append: Append | None = None
+        if held is None and before is not None:
+            append = self._formats.drop_held(fingerprint, end)
+        elif held is not None and (before is None or before.number < held.number):
+            append = self._formats.encode_held(held, end, unix_now=time.time())
+        if append is not None:
+            if isinstance(await self._store.append(append, CALL_S), Conflict):
+                # Somebody else wrote meanwhile: read again at the next step.
+                return
+            log_event("held_stored", fingerprint=fingerprint, is_over=held is None)
         self._desk.unwritten.pop(fingerprint, None)
 
-    def _find(self, fingerprint: str) -> Held | None:
-        entries = self._desk.quarantine.list(now())
-        return next((e for e in entries if e.fingerprint == fingerprint), None)
-
-    def _encode(self, fingerprint: str, held: Held | None, end: int) -> Append:
-        record = None if held is None else _to_record(held)
-        return self._formats.encode_held(fingerprint, record, end)
-
-    def _decode(self, page: Page) -> dict[str, HeldRecord]:
+    def _decode(self, page: Page) -> dict[str, Held]:
         found = {}
+        # Clocks of machines may jump; an hour more or less holds nothing for ever.
+        unix_now = time.time()
         for record in page.records:
             try:
-                held = self._formats.decode_held(record)
+                held = self._formats.decode_held(record, unix_now=unix_now)
             except (msgspec.MsgspecError, BaobabthreadError) as error:
                 log_event("status_unreadable", key=record.key, error=str(error))
                 continue
             if held is not None:
                 found[held.fingerprint] = held
         return found
-
-
-def _is_same(stored: HeldRecord | None, held: Held | None) -> bool:
-    if stored is None or held is None:
-        return stored is None and held is None
-    return (stored.times, stored.is_cleared) >= held.number
-
-
-def _to_record(held: Held) -> HeldRecord:
-    # The machines' clocks may jump; an hour more or less holds nothing for ever.
-    return HeldRecord(
-        fingerprint=held.fingerprint,
-        service=held.service,
-        times=held.times,
-        until_unix_s=time.time() + held.left_s,
-        is_cleared=held.is_cleared,
-        versions=held.versions,
-    )
-
-
-def _to_held(record: HeldRecord) -> Held:
-    return Held(
-        fingerprint=record.fingerprint,
-        service=record.service,
-        times=record.times,
-        left_s=record.until_unix_s - time.time(),
-        is_cleared=record.is_cleared,
-        versions=record.versions,
-    )
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -151,7 +151,7 @@
         desk.on_unproven = self.services.note_crash
         desk.find_versions = self.backends.versions
         desk.was_answered = self.crashes.was_answered
-        desk.on_held = self.crashes.take_back
+        desk.on_held = self.crashes.cancel
         self.crashes.on_answered = lambda flight: desk.note_answered(flight.fingerprint)
 
     # -- what others may ask --
--- a/src/baobabthread/instance/store.py
+++ b/src/baobabthread/instance/store.py
@@ -12,6 +12,7 @@
     RolloutStatus,
     RoutingConfiguration,
 )
+from baobabthread.routing.quarantine import Held
 
 
 class StoreError(Exception):
@@ -68,17 +69,6 @@
     """Tell that a record was not appended, as the topic has grown since."""
 
 
-class HeldRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what is stored of a request that is held back."""
-
-    fingerprint: str
-    service: str
-    times: int
-    until_unix_s: float
-    is_cleared: bool = False
-    versions: tuple[str, ...] = ()
-
-
 class RecordFormat(Protocol):
     """Name the topics and decode what stands in them.
 
@@ -104,13 +94,14 @@
     def encode_status(self, status: RolloutStatus, expected_end: int) -> Append:
         """Return the record that says how far a roll-out has come."""
 
-    def decode_held(self, record: Record) -> HeldRecord | None:
-        """Decode a request that is held back; nothing for other records there."""
+    def decode_held(self, record: Record, *, unix_now: float) -> Held | None:
+        """Decode a request that is held; nothing for other records there."""
+
+    def encode_held(self, held: Held, expected_end: int, *, unix_now: float) -> Append:
+        """Return the record of a request that is held."""
 
-    def encode_held(
-        self, fingerprint: str, held: HeldRecord | None, expected_end: int
-    ) -> Append:
-        """Return the record of a request that is held back, or of its end."""
+    def drop_held(self, fingerprint: str, expected_end: int) -> Append:
+        """Return the record that removes a request that is held no more."""
 
 
 class Store(Protocol):
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from baobabthread.errors import ConfigurationError
-from baobabthread.instance.store import Append, HeldRecord, Record
+from baobabthread.instance.store import Append, Record
 from baobabthread.routing.configuration import (
     Account,
     BackendRecord,
@@ -23,6 +23,7 @@
     ServicePlan,
     Target,
 )
+from baobabthread.routing.quarantine import Held
 
 CONFIGURATION_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
@@ -185,38 +186,40 @@
             expected_end=expected_end,
         )
 
-    def decode_held(self, record: Record) -> HeldRecord | None:
-        """Decode a request that is held back; nothing for other records there."""
+    def decode_held(self, record: Record, *, unix_now: float) -> Held | None:
+        """Decode a request that is held; nothing for other records there."""
         if not record.key.startswith(HELD_PREFIX) or not record.value:
             return None
         found = msgspec.json.decode(record.value, type=_Held)
-        return HeldRecord(
+        return Held(
             fingerprint=record.key.removeprefix(HELD_PREFIX),
             service=found.service,
             times=found.times,
-            until_unix_s=found.until_ms / MS,
+            left_s=found.until_ms / MS - unix_now,
             is_cleared=found.cleared,
             versions=found.versions,
         )
 
-    def encode_held(
-        self, fingerprint: str, held: HeldRecord | None, expected_end: int
-    ) -> Append:
-        """Return the record of a request that is held back, or of its end."""
-        value = b""
-        if held is not None:
-            record = _Held(
-                service=held.service,
-                times=held.times,
-                until_ms=round(held.until_unix_s * MS),
-                cleared=held.is_cleared,
-                versions=held.versions,
-            )
-            value = msgspec.json.encode(record)
+    def encode_held(self, held: Held, expected_end: int, *, unix_now: float) -> Append:
+        """Return the record of a request that is held."""
+        record = _Held(
+            service=held.service,
+            times=held.times,
+            until_ms=round((unix_now + held.left_s) * MS),
+            cleared=held.is_cleared,
+            versions=held.versions,
+        )
+        return msgspec.structs.replace(
+            self.drop_held(held.fingerprint, expected_end),
+            value=msgspec.json.encode(record),
+        )
+
+    def drop_held(self, fingerprint: str, expected_end: int) -> Append:
+        """Return the record that removes a request that is held no more."""
         return Append(
             topic=self.status_topic,
             key=f"{HELD_PREFIX}{fingerprint}",
-            value=value,
+            value=b"",
             expected_end=expected_end,
         )
 
--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -59,7 +59,7 @@
     backends: tuple[str, ...]
 
 
-class _Seen:
+class _Evidence:
     """Hold a crash with the words of all instances about it."""
 
     __slots__ = (
@@ -105,14 +105,14 @@
 
     def __init__(self, *, find_delay: FindDelay = lambda service: 0.0) -> None:
         self._find_delay = find_delay
-        self._crashes: dict[str, _Seen] = {}
+        self._crashes: dict[str, _Evidence] = {}
         self._unjudged: set[str] = set()
 
     def take(self, crash: Crash, now: float) -> None:
         """Take in one instance's word of a crash."""
         seen = self._crashes.get(crash.backend)
         if seen is None:
-            seen = self._crashes[crash.backend] = _Seen(crash=crash, now=now)
+            seen = self._crashes[crash.backend] = _Evidence(crash=crash, now=now)
         seen.add(crash)
         self._unjudged.add(crash.backend)
         while len(self._crashes) > MOST_CRASHES:
@@ -144,19 +144,21 @@
             self._drop(name)
         settled = {name for name in self._crashes if self._is_settled(name, now)}
         self._unjudged -= settled
-        open_ = {
+        unexplained = {
             name: self._crashes[name].present
             for name in settled
             if self._crashes[name].present.isdisjoint(held)
         }
-        self._pass_over_versions(open_)
+        self._drop_bad_versions(unexplained)
         found: list[Suspect] = []
         while True:
-            suspect = self._find(open_, relapsed, is_on_trial)
+            suspect = self._find(unexplained, relapsed, is_on_trial)
             if suspect is None:
                 return found
             found.append(suspect)
-            open_ = {n: p for n, p in open_.items() if suspect.fingerprint not in p}
+            unexplained = {
+                n: p for n, p in unexplained.items() if suspect.fingerprint not in p
+            }
 
     def _is_settled(self, name: str, now: float) -> bool:
         seen = self._crashes[name]
@@ -183,7 +185,7 @@
         self._crashes.pop(name)
         self._unjudged.discard(name)
 
-    def _pass_over_versions(self, crashes: dict[str, set[str]]) -> None:
+    def _drop_bad_versions(self, crashes: dict[str, set[str]]) -> None:
         """Drop crashes of versions that crash under different requests.
 
         A version that never answers crashes under whatever it is given. Whether it or
--- a/src/baobabthread/routing/quarantine.py
+++ b/src/baobabthread/routing/quarantine.py
@@ -144,6 +144,11 @@
             self._digest = None
         return dropped
 
+    def get(self, fingerprint: str, now: float) -> Held | None:
+        """Return the entry for a request, also where it is over or cleared."""
+        entry = self._entries.get(fingerprint)
+        return None if entry is None else _renew(entry, now)
+
     def list(self, now: float) -> list[Held]:
         """Return all entries as they are now."""
         return [_renew(entry, now) for entry in self._entries.values()]
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from baobabthread.errors import ConfigurationError, UsageError
@@ -27,6 +28,7 @@
     RolloutState,
     RolloutStatus,
 )
+from baobabthread.routing.quarantine import Held
 from tests.platform.fakestore import FakeStore
 from tests.platform.site import make_configuration, run
 
@@ -285,3 +287,26 @@
 def test_use_no_server_whose_record_is_no_text(value: bytes) -> None:
     with pytest.raises(ConfigurationError):
         decode_backend("s1", value)
+
+
+def test_store_a_held_request_by_the_time_of_its_end() -> None:
+    formats = PlatformRecords()
+    held = Held(
+        fingerprint="f1",
+        service="s",
+        times=2,
+        left_s=60.0,
+        is_cleared=True,
+        versions=("v1",),
+    )
+    append = formats.encode_held(held, 7, unix_now=1000.0)
+    assert (append.topic, append.expected_end) == ("keyed.status", 7)
+    assert json.loads(append.value)["until_ms"] == 1_060_000
+    record = Record(key=append.key, value=append.value, offset=7)
+    later = formats.decode_held(record, unix_now=1010.0)
+    assert later == msgspec.structs.replace(held, left_s=50.0)
+    gone = formats.drop_held("f1", 8)
+    assert (gone.key, gone.value) == (append.key, b"")
+    for key, value in ((gone.key, b""), ("rollout/s", b"{}")):
+        other = Record(key=key, value=value, offset=0)
+        assert formats.decode_held(other, unix_now=0.0) is None
