Say what each safeguard of held requests prevents, and only what is known

Ruled out: another limit or rule; comments and one text only. Before and after: tests of crashes, instances, routing and pages green.

--- a/src/baobabthread/instance/endings.py
+++ b/src/baobabthread/instance/endings.py
@@ -14,8 +14,8 @@
 HELD_KIND = "quarantined"
 LEAST_HOLD_S = 1.0
 WHY_HELD = (
-    "Backend servers crash under this request: each one that began to run the same "
-    "path, query and body for this account ended."
+    "Backend servers ended while this request, with the same path, query and body, was "
+    "on them, and no other request explains it."
 )
 NOT_RUN_NOW = "It has not been run this time."
 MAY_HAVE_RUN = "It may have been run in part."
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -3,7 +3,7 @@
 Whoever sees a crash tells the few instances that judge the service's crashes; what the
 first of them concludes goes to all, and is written to the store by the one that holds
 it first. After that neighbours compare their lists once a second, so that an instance
-that started, or was cut off, knows within some two seconds. Where nothing is held and
+that started, or was cut off, knows within some three seconds. Where nothing is held and
 nothing crashes, nothing is sent.
 """
 
@@ -21,8 +21,8 @@
 from baobabthread.routing.quarantine import FindVersions, Held, Quarantine
 
 JUDGES = 3
-"""Instances that are told of a service's crashes: two more than one for when it stands
-still or is lost in the same moment."""
+"""Instances that are told of a service's crashes. Where the only one stands still, or is
+lost along with the servers, the request crashes the next ones; two stand in for it."""
 TURN_S = 0.15
 """Time by which each judge waits longer than the one before it."""
 TELL_TIMES = 3
--- a/src/baobabthread/routing/quarantine.py
+++ b/src/baobabthread/routing/quarantine.py
@@ -19,7 +19,8 @@
 RELAPSE_S = 3600.0
 """Time after it in which one crash is enough to hold the request again."""
 LATE_S = 10.0
-"""Time by which an entry that ends is not taken over from others any more."""
+"""Time before an entry is forgotten in which it isn't taken over from others any more:
+two instances would otherwise bring it back to each other for ever."""
 MOST_HELD = 128
 """Entries that are kept, those that end last. Each one cost three servers first; all of
 them fit into one datagram, some 12 KB."""
