--- a/src/baobabthread/core/membership/table.py
+++ b/src/baobabthread/core/membership/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 
 import msgspec
@@ -129,6 +130,24 @@
                 self._checksum ^= find_print(member)
         return self._checksum ^ find_print(me)
 
+    def list_endangered(self, *, least: int) -> list[str]:
+        """Return the serving members of failure domains with so many suspects.
+
+        A domain goes dark as a whole. Probed in a round of all, the last of its members
+        would be named as serving for several seconds among hundreds.
+        """
+        if len(self._suspected_at) < least:
+            return []
+        suspects = Counter(
+            self._members[name].failure_domain for name in self._suspected_at
+        )
+        domains = {domain for domain, count in suspects.items() if count >= least}
+        return [
+            member.name
+            for member in self._members.values()
+            if member.is_serving and member.failure_domain in domains
+        ]
+
     def present(self) -> list[MemberInfo]:
         """Return the members that are not known to be gone."""
         return [m for m in self._members.values() if m.state is not MemberState.DEAD]
