Pass a server's own failure on where no other server is left

Cause: an answer that says failure was dropped and a repeat taken from the budget also where no other server could be asked; the caller got 502 instead of the server's words. Seen in the tests of evacuations. Change: it is tried elsewhere only if there is another server. Test: test_send_nothing_new_to_an_evacuated_domain.

--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -79,7 +79,10 @@
         """Try an answer that says failure elsewhere, or pass it on as it is."""
         body = await attempt.read_whole(MAX_ANSWER_BYTES)
         flight.trail.append(f"{attempt.link.record.id}:status {head.status}")
-        if flight.route.may_repeat and flight.may_run_again and state.spend():
+        may_repeat = flight.route.may_repeat and flight.may_run_again
+        # With no other server left the caller is better off with this one's own words.
+        has_other = may_repeat and self._selection.has_other(flight, attempt.link)
+        if has_other and state.spend():
             flight.excluded.add(attempt.link.name)
             raise Again(Outcome.FAILED)
         await self._pass_on(flight, attempt, head, body)
