Send nothing to evacuated domains, little to cold servers, and no request abroad

Cause: nothing read the operators' evacuations, the time for which a server is cold, or the homes of routes and accounts. Change: the operators' newest word on each failure domain is kept by its offset, passed on with what an instance knows, and takes the domain's servers out of the table for first tries, repeats, resumed streams, larger models and trials alike; what nothing is left for is refused at once with the reason. Servers of a domain that opens again count as cold.

--- a/bench/_fleet_store.py
+++ b/bench/_fleet_store.py
@@ -19,12 +19,14 @@
 )
 from baobabthread.routing.configuration import (
     BackendRecord,
+    Evacuation,
     RolloutOrder,
     RolloutStatus,
     RoutingConfiguration,
 )
 from baobabthread.routing.quarantine import Held
 
+EVACUATION_PREFIX = "evacuation/"
 HELD_PREFIX = "held/"
 ANSWER_S = 0.004
 """Time for an answer of the store."""
@@ -32,6 +34,13 @@
 """Pause between looks at whether a held read has something to tell."""
 
 
+class _Mark(msgspec.Struct, frozen=True):
+    """Say no more than that it stands here."""
+
+
+MARK = _Mark()
+
+
 class Formats:
     """Name the topics and decode what this stand-in writes there."""
 
@@ -41,8 +50,14 @@
 
     def decode_operators(
         self, record: Record
-    ) -> RoutingConfiguration | RolloutOrder | None:
-        """Decode a configuration."""
+    ) -> RoutingConfiguration | RolloutOrder | Evacuation | None:
+        """Decode a configuration or an evacuation."""
+        if record.key.startswith(EVACUATION_PREFIX):
+            return Evacuation(
+                number=record.offset,
+                failure_domain=record.key.removeprefix(EVACUATION_PREFIX),
+                is_on=bool(record.value),
+            )
         return msgspec.json.decode(record.value, type=RoutingConfiguration)
 
     def decode_backend(self, record: Record) -> BackendRecord:
@@ -105,6 +120,11 @@
         configuration = RoutingConfiguration(version=version, routes=(), services=())
         self.write(Formats.operators_topic, "config", configuration)
 
+    def write_evacuation(self, failure_domain: str, *, is_on: bool = True) -> None:
+        """Evacuate a failure domain, or take that back."""
+        key = f"{EVACUATION_PREFIX}{failure_domain}"
+        self.write(Formats.operators_topic, key, MARK if is_on else None)
+
     def write_backend(
         self, number: int, *, domains: int, leaving: bool = False
     ) -> None:
--- a/src/baobabthread/core/backends/balance.py
+++ b/src/baobabthread/core/backends/balance.py
@@ -146,11 +146,16 @@
     ) -> list[str]:
         """Return servers to choose among: a prefix's own ones, and some at random."""
         pool = self._pool(service, version, now)
-        home = pool.preferred(prefix_key) if prefix_key is not None else ()
-        others = [server for server in pool.usable if server not in home]
+        kept = pool.preferred(prefix_key) if prefix_key is not None else ()
+        home = [server for server in kept if server.name not in exclude]
+        others = [
+            server
+            for server in pool.usable
+            if server.name not in exclude and server not in home
+        ]
         count = min(len(others), CANDIDATES - len(home))
         found = [*home, *self._rng.sample(others, count)]
-        return [server.name for server in found if server.name not in exclude]
+        return [server.name for server in found]
 
     def capacity(self, service: str, version: str | None, now: float) -> int:
         """Return how many requests the usable servers can run at once."""
@@ -264,6 +269,13 @@
             self._pools.pop(server.service, None)
         return True
 
+    def begin_slowly(self, name: str, now: float) -> None:
+        """Give a server that is warm now a part of its load that grows."""
+        server = self._servers.get(name)
+        if server is not None and server.health is Health.HEALTHY:
+            server.health = Health.STARTING
+            server.since = now
+
     def health(self) -> Mapping[str, Health]:
         """Return the health of each server, for the state dump."""
         return {name: server.health for name, server in self._servers.items()}
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -194,6 +194,8 @@
         if marks.request_id is not None and marks.request_id != own_id:
             # A second or late answer to somebody else's request.
             raise BrokenError("answer to another request")
+        if marks.cold_left_s > 0.0 and not marks.is_other_server:
+            self.link.note_cold(marks.cold_left_s)
         if marks.not_run:
             self.flight.runs -= 1
             if marks.is_other_server:
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections import deque
-from collections.abc import Collection, Container, Mapping
+from collections.abc import Callable, Collection, Container, Mapping
 
 import msgspec
 import xxhash
@@ -23,7 +24,10 @@
 from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import ConnectionPool
+from baobabthread.instance.restrictions import Restrictions
+from baobabthread.logs import log_event
 from baobabthread.routing.configuration import BackendRecord
+from baobabthread.routing.homes import Homes
 from baobabthread.routing.knowledge import Knowledge
 
 CONNECT_S = 0.4
@@ -51,13 +55,18 @@
         "_answered",
         "heard_at",
         "is_replaced",
+        "note_cold",
         "pool",
         "record",
         "suspect_until",
     )
 
-    def __init__(self, *, record: BackendRecord) -> None:
+    def __init__(
+        self, *, record: BackendRecord, note_cold: Callable[[float], object]
+    ) -> None:
         self.record = record
+        self.note_cold = note_cold
+        """Take in a word of it that it is cold for so many seconds."""
         self.heard_at = -1e9
         self.suspect_until = -1e9
         self.is_replaced = False
@@ -103,12 +112,18 @@
 class Backends:
     """Choose among the backend servers that are known and reach them."""
 
-    __slots__ = ("_knowledge", "_links", "_seen", "table")
+    __slots__ = ("_knowledge", "_links", "_restrictions", "_seen", "table")
 
     def __init__(
-        self, *, knowledge: Knowledge, failure_domain: str, rng: random.Random
+        self,
+        *,
+        knowledge: Knowledge,
+        restrictions: Restrictions,
+        failure_domain: str,
+        rng: random.Random,
     ) -> None:
         self._knowledge = knowledge
+        self._restrictions = restrictions
         self._links: dict[str, BackendLink] = {}
         self._seen = -1
         self.table = BackendTable(
@@ -119,9 +134,12 @@
 
     def refresh(self) -> None:
         """Take over the records that changed."""
+        for name in self._restrictions.drop_warm(now()):
+            self.table.begin_slowly(name, now())
         if self._seen == self._knowledge.changes:
             return
         self._seen = self._knowledge.changes
+        self._restrictions.refresh(now())
         # By incarnation: connections, load, delays and ejection belong to one start.
         records = {r.incarnation: r for r in self._knowledge.backends.values()}
         for name in [name for name in self._links if name not in records]:
@@ -129,10 +147,20 @@
         for name, record in records.items():
             link = self._links.get(name)
             if link is None:
-                self._links[name] = BackendLink(record=record)
+                self._links[name] = BackendLink(
+                    record=record, note_cold=functools.partial(self._note_cold, record)
+                )
             else:
                 link.record = record
-        self.table.rebuild(_translate(records), now())
+        usable = {n: r for n, r in records.items() if self._is_usable(r)}
+        self.table.rebuild(_translate(usable), now())
+
+    def _note_cold(self, record: BackendRecord, left_s: float) -> None:
+        if self._knowledge.note_cold(record, left_s, now()):
+            log_event("backend_cold", backend=record.id, left_s=round(left_s, 3))
+
+    def _is_usable(self, record: BackendRecord) -> bool:
+        return not record.leaving and not self._restrictions.is_evacuated(record)
 
     def pick(
         self,
@@ -141,6 +169,7 @@
         version: str | None,
         prefix_key: int | None,
         exclude: Container[str],
+        homes: Homes,
         may_probe: bool,
         shared_s: float,
         shared_tokens: int,
@@ -152,7 +181,9 @@
         suspects = {
             name for name, link in self._links.items() if moment < link.suspect_until
         }
-        for out in (_Either(exclude, suspects), exclude):
+        barred = self._restrictions.list_barred(homes, moment)
+        never = _Either(exclude, barred) if barred else exclude
+        for out in (_Either(never, suspects), never):
             name = self.table.pick(
                 service=service,
                 version=version,
@@ -170,11 +201,44 @@
                 return self._links.get(name)
         return None
 
+    def list_candidates(
+        self,
+        service: str,
+        *,
+        version: str | None,
+        prefix_key: int | None,
+        exclude: Container[str],
+        homes: Homes,
+    ) -> list[str]:
+        """Return the backend servers whose load is worth asking for."""
+        moment = now()
+        barred = self._restrictions.list_barred(homes, moment)
+        return self.table.list_candidates(
+            service=service,
+            version=version,
+            prefix_key=prefix_key,
+            exclude=_Either(exclude, barred) if barred else exclude,
+            now=moment,
+        )
+
+    def explain_none(self, service: str, homes: Homes) -> str:
+        """Return why no backend server is left for a request."""
+        return self._restrictions.explain(service, homes)
+
     def versions(self, service: str) -> dict[str, int]:
         """Return how many backend servers of a service run each version."""
+        return self._count_versions(service, lambda record: not record.leaving)
+
+    def usable_versions(self, service: str) -> dict[str, int]:
+        """Return the same of those that may get new work."""
+        return self._count_versions(service, self._is_usable)
+
+    def _count_versions(
+        self, service: str, counts: Callable[[BackendRecord], bool]
+    ) -> dict[str, int]:
         found: dict[str, int] = {}
         for record in self._knowledge.backends.values():
-            if record.service == service and not record.leaving:
+            if record.service == service and counts(record):
                 found[record.version] = found.get(record.version, 0) + 1
         return found
 
@@ -188,6 +252,7 @@
 
     def occupy(self, link: BackendLink, *, work: int, first_s: float) -> Occupancy:
         """Count an attempt that starts; its first part takes so long by itself."""
+        self._restrictions.note_sent(link.name, now())
         return Occupancy(table=self.table, name=link.name, work=work, first_s=first_s)
 
     def prune(self) -> None:
@@ -254,12 +319,11 @@
 
 
 def _translate(records: dict[str, BackendRecord]) -> Configuration:
-    usable = {n: record for n, record in records.items() if not record.leaving}
     return msgspec.structs.replace(
         EMPTY,
         services={
             record.service: Service(kind=ServiceKind.MODEL, balancer=BALANCER)
-            for record in usable.values()
+            for record in records.values()
         },
         backends={
             name: Backend(
@@ -269,6 +333,6 @@
                 capacity=record.capacity,
                 versions=[record.version],
             )
-            for name, record in usable.items()
+            for name, record in records.items()
         },
     )
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -76,7 +76,7 @@
             plan.take_order(order, moment, saw_before=order.number not in self._early)
             self._peers.desk.begin(plan)
             self._listen(plan)
-            usable = order.target in self._backends.versions(name)
+            usable = order.target in self._backends.usable_versions(name)
             plan.note_target(usable=usable, now=moment)
             self._tell(plan)
             if plan.is_running and self._leads(name):
--- a/src/baobabthread/instance/feeds.py
+++ b/src/baobabthread/instance/feeds.py
@@ -14,6 +14,7 @@
 from baobabthread.instance.metrics import Metrics
 from baobabthread.instance.relaying import Relay
 from baobabthread.instance.store import (
+    Page,
     Record,
     RecordFormat,
     Store,
@@ -21,7 +22,13 @@
     Trimmed,
 )
 from baobabthread.logs import log_event
-from baobabthread.routing.configuration import RoutingConfiguration
+from baobabthread.routing.coldness import MOST_COLD_S
+from baobabthread.routing.configuration import (
+    BackendRecord,
+    Evacuation,
+    RolloutOrder,
+    RoutingConfiguration,
+)
 from baobabthread.routing.knowledge import Knowledge
 
 ANSWER_S = 0.8
@@ -101,7 +108,7 @@
     async def _load(self) -> None:
         asked_at = now()
         page = await self._store.newest(self._topic, self._answer_s)
-        self._take_page(page.records)
+        self._take_page(page)
         self._next = page.end
         self._note_read(page.end, asked_at)
 
@@ -122,8 +129,8 @@
         if tail.next >= tail.end:
             self._note_read(tail.end, asked_at)
 
-    def _take_page(self, records: list[Record]) -> None:
-        for record in records:
+    def _take_page(self, page: Page) -> None:
+        for record in page.records:
             self._take_guarded(record)
 
     def _take_guarded(self, record: Record) -> None:
@@ -220,6 +227,8 @@
     def __init__(self, *, formats: RecordFormat, **common: object) -> None:
         super().__init__(topic=formats.operators_topic, **common)  # type: ignore[arg-type]
         self._formats = formats
+        self._evacuated: set[str] = set()
+        """Failure domains whose evacuation the page that is read now holds."""
 
     @property
     def _must_read(self) -> bool:
@@ -241,30 +250,47 @@
     async def _rest(self) -> None:
         """Read on at once: the store itself holds a read that finds nothing."""
 
+    def _take_page(self, page: Page) -> None:
+        self._evacuated.clear()
+        super()._take_page(page)
+        self._knowledge.complete_evacuations(self._evacuated, page.end)
+
     def _take(self, record: Record) -> None:
-        if not record.value:
-            return
-        found = self._formats.decode_operators(record)
-        if found is None:
-            return
-        if isinstance(found, RoutingConfiguration):
-            news = self._knowledge.take_configuration(found)
-            log_event(
-                "configuration_read",
-                version=found.version,
-                offset=record.offset,
-                news=news,
-                source="store",
-            )
-        elif self._knowledge.take_order(found):
+        match self._formats.decode_operators(record):
+            case RoutingConfiguration() as found:
+                self._take_configuration(found, record.offset)
+            case RolloutOrder() as found if self._knowledge.take_order(found):
+                log_event(
+                    "rollout_ordered",
+                    service=found.service,
+                    target=found.target,
+                    number=found.number,
+                    limit_s=found.time_limit_s,
+                )
+            case Evacuation() as found:
+                self._take_evacuation(found)
+
+    def _take_evacuation(self, found: Evacuation) -> None:
+        if found.is_on:
+            self._evacuated.add(found.failure_domain)
+        if self._knowledge.take_evacuation(found):
             log_event(
-                "rollout_ordered",
-                service=found.service,
-                target=found.target,
-                number=found.number,
-                limit_s=found.time_limit_s,
+                "evacuation_read",
+                failure_domain=found.failure_domain,
+                on=found.is_on,
+                offset=found.number,
             )
 
+    def _take_configuration(self, found: RoutingConfiguration, offset: int) -> None:
+        news = self._knowledge.take_configuration(found)
+        log_event(
+            "configuration_read",
+            version=found.version,
+            offset=offset,
+            news=news,
+            source="store",
+        )
+
     def _pass_over(self, record: Record) -> None:
         """Keep what is in force: it is the operators' last word that can be read."""
 
@@ -291,11 +317,11 @@
         poll_s = self._relay.limits.poll_s
         await asyncio.sleep(poll_s * (0.8 + 0.4 * self._rng.random()))
 
-    def _take_page(self, records: list[Record]) -> None:
-        listed = {record.key for record in records if record.value}
+    def _take_page(self, page: Page) -> None:
+        listed = {record.key for record in page.records if record.value}
         for id in [id for id in self._knowledge.backends if id not in listed]:
             self._knowledge.drop_backend(id, now())
-        super()._take_page(records)
+        super()._take_page(page)
 
     def _take(self, record: Record) -> None:
         if not record.value:
@@ -312,6 +338,20 @@
                 leaving=backend.leaving,
                 offset=record.offset,
             )
+        self._take_cold(backend)
+
+    def _take_cold(self, backend: BackendRecord) -> None:
+        left_s = backend.cold_left_s
+        if not 0.0 <= left_s <= MOST_COLD_S:
+            log_event(
+                "cold_time_implausible",
+                level="warning",
+                backend=backend.id,
+                left_s=left_s,
+                most_s=MOST_COLD_S,
+            )
+        if self._knowledge.note_cold(backend, left_s, now()):
+            log_event("backend_cold", backend=backend.id, left_s=round(left_s, 3))
 
     def _pass_over(self, record: Record) -> None:
         # Its newest record is somebody else's: what stood there before may be gone, and
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -10,6 +10,7 @@
 from baobabthread.instance.wire import RawHeaders
 from baobabthread.routing.configuration import Account, Route
 from baobabthread.routing.fingerprints import fingerprint
+from baobabthread.routing.homes import find_homes
 from baobabthread.routing.table import Envelope
 
 
@@ -76,6 +77,7 @@
         "deadline",
         "excluded",
         "first_s",
+        "homes",
         "kept_tokens",
         "last_event",
         "lost",
@@ -111,6 +113,8 @@
         self.account = account
         self.service = service
         self.deadline = deadline
+        self.homes = find_homes(route, account)
+        """Areas that it must not leave; None where any will do."""
         self.session = request.envelope.session or request.envelope.request_id
         self.started_at = request.arrived_at
         self.attempts = 0
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -177,7 +177,7 @@
                 return
             link = await self.selection.select(flight, state.plan)
             if link is None:
-                await self._endings.give_up(flight, "no_backend")
+                await self._endings.give_up(flight, self.selection.explain_none(flight))
                 return
             try:
                 await self._attempt(flight, state, link)
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -27,6 +27,7 @@
 from baobabthread.instance.peers import KNOWLEDGE_PATH, KNOWN_END, PeerLink
 from baobabthread.instance.readiness import Readiness
 from baobabthread.instance.records import FlightLog
+from baobabthread.instance.restrictions import Restrictions
 from baobabthread.instance.services import Services
 from baobabthread.instance.settings import InstanceSettings
 from baobabthread.instance.store import RecordFormat, Store
@@ -34,6 +35,7 @@
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import RequestLimits
 from baobabthread.routing.directory import Directory, list_addresses
+from baobabthread.routing.homes import Areas
 from baobabthread.routing.knowledge import Knowledge
 
 TICK_S = 0.1
@@ -68,7 +70,7 @@
 
 
 MakeInterface = Callable[
-    [Callable[[], bool], Callable[[str | None], Directory]], Interface
+    [Callable[[], bool], Callable[[str | None, str | None], Directory]], Interface
 ]
 
 
@@ -100,8 +102,16 @@
         self._rng = rng
         self.metrics = Metrics()
         self.knowledge = Knowledge(bounds=settings.bounds)
+        self._areas = Areas(areas=settings.areas)
+        self.restrictions = Restrictions(
+            me=settings.name,
+            knowledge=self.knowledge,
+            areas=self._areas,
+            bounds=settings.bounds,
+        )
         self.backends = Backends(
             knowledge=self.knowledge,
+            restrictions=self.restrictions,
             failure_domain=settings.failure_domain,
             rng=rng,
         )
@@ -144,6 +154,7 @@
         self._leaving_since: float | None = None
         self._callers: asyncio.Server | None = None
         self._shared: tuple[int, int] | None = None
+        self._members_seen = -1
 
     def _connect_quarantine(self) -> None:
         desk = self.peers.quarantine
@@ -170,9 +181,10 @@
             and self.knowledge.is_fresh(now())
         )
 
-    def find_addresses(self, failure_domain: str | None) -> Directory:
+    def find_addresses(self, failure_domain: str | None, area: str | None) -> Directory:
         """Return which instances a caller may connect to."""
         membership = self.peers.membership
+        table = self.knowledge.table
         return list_addresses(
             me=membership.me,
             serving=membership.alive(),
@@ -180,6 +192,9 @@
             is_stale=self.readiness.is_stale,
             failure_domain=failure_domain,
             max_lifetime_s=self._settings.bounds.max_lifetime_s,
+            area=area,
+            homes=table.homes if table is not None else frozenset(),
+            areas=self._areas,
         )
 
     async def serve_peer(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -318,6 +333,7 @@
     async def _tick(self) -> None:
         while True:
             self.knowledge.expire(now())
+            self._note_members()
             self.backends.refresh()
             sharing = (
                 len(self.peers.membership.alive()),
@@ -330,6 +346,13 @@
             self.readiness.tick(is_stale=not self.knowledge.is_fresh(now()))
             await asyncio.sleep(TICK_S)
 
+    def _note_members(self) -> None:
+        membership = self.peers.membership
+        if self._members_seen != membership.version:
+            self._members_seen = membership.version
+            names = [member.name for member in membership.members()]
+            self.restrictions.note_members(names, now())
+
     async def _prune(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_S)
--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -283,7 +283,7 @@
     def _describe(self, sequence: int, known_end: int) -> KnowledgeIs:
         knowledge = self._knowledge
         moment = now()
-        changes = knowledge.list_changes(known_end, most=MOST_TOLD)
+        changes = knowledge.list_changes(known_end, moment, most=MOST_TOLD)
         return KnowledgeIs(
             sequence=sequence,
             operators_end=knowledge.operators_end,
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -60,6 +60,10 @@
             flight.kept_tokens = loads[link.name].kept_tokens
         return link
 
+    def explain_none(self, flight: Flight) -> str:
+        """Return why no backend server is left for a request."""
+        return self._backends.explain_none(flight.service, flight.homes)
+
     def has_other(self, flight: Flight, link: BackendLink) -> bool:
         """Tell whether another backend server could take the request."""
         return self._pick(flight, flight.excluded | {link.name}, {}, []) is not None
@@ -97,12 +101,12 @@
         """Return the engines to choose among; none where all are looked at alike."""
         if not flight.route.is_stream or Mechanism.LOADS in self._off:
             return []
-        return self._backends.table.list_candidates(
-            service=flight.service,
+        return self._backends.list_candidates(
+            flight.service,
             version=flight.version,
             prefix_key=self._key(flight),
             exclude=flight.excluded,
-            now=now(),
+            homes=flight.homes,
         )
 
     async def _ask(
@@ -124,6 +128,7 @@
             version=flight.version,
             prefix_key=self._key(flight),
             exclude=excluded,
+            homes=flight.homes,
             may_probe=flight.route.may_repeat and flight.attempts == 0,
             shared_s=self._estimates.shared_s(flight),
             shared_tokens=flight.request.envelope.shared_tokens,
@@ -153,8 +158,11 @@
         if flight.on_new and order.target in versions:
             return order.target
         if old:
+            # Where the old version is evacuated and the new one on trial, requests are
+            # refused: all of them on an unproven version would be worse.
             flight.on_new = False
-            return max(old, key=lambda v: (old[v], v))
+            usable = self._backends.usable_versions(flight.service)
+            return max(old, key=lambda v: (usable.get(v, 0), old[v], v))
         return None
 
 
--- a/src/baobabthread/instance/settings.py
+++ b/src/baobabthread/instance/settings.py
@@ -29,6 +29,8 @@
     bounds: RoutingBounds = RoutingBounds()
     off: Switches = NONE_OFF
     """Mechanisms that are switched off, to measure what they are worth."""
+    areas: dict[str, str] = {}
+    """Areas by failure domain."""
 
     @property
     def gossip_address(self) -> str:
--- a/src/baobabthread/instance/store.py
+++ b/src/baobabthread/instance/store.py
@@ -8,6 +8,7 @@
 
 from baobabthread.routing.configuration import (
     BackendRecord,
+    Evacuation,
     RolloutOrder,
     RolloutStatus,
     RoutingConfiguration,
@@ -82,8 +83,11 @@
 
     def decode_operators(
         self, record: Record
-    ) -> RoutingConfiguration | RolloutOrder | None:
-        """Decode what operators wrote; nothing for keys of no interest."""
+    ) -> RoutingConfiguration | RolloutOrder | Evacuation | None:
+        """Decode what operators wrote; nothing for keys of no interest.
+
+        Without a value a record takes back what stood under its key.
+        """
 
     def decode_backend(self, record: Record) -> BackendRecord:
         """Decode the record of one start of a backend server."""
--- a/src/baobabthread/instance/wire.py
+++ b/src/baobabthread/instance/wire.py
@@ -40,6 +40,8 @@
     encoded: bool
     """Whether the body isn't the one that the backend server signed."""
     retry_after_s: float | None = None
+    cold_left_s: float = 0.0
+    """How much longer the backend server says that it is cold."""
 
 
 class WireFormat(Protocol):
--- a/src/baobabthread/platform/headers.py
+++ b/src/baobabthread/platform/headers.py
@@ -20,6 +20,7 @@
 BACKEND = "X-Target-Instance"
 PRIORITY = "X-Request-Priority"
 CONFIDENCE = "X-Confidence"
+COLD_LEFT = "X-Cold-Ms"
 LAST_EVENT = "Last-Event-Id"
 SESSION = "Session"
 KEY = "Authorization"
@@ -116,6 +117,7 @@
             confidence=None if confidence is None else confidence / 100.0,
             encoded=headers.get("Content-Encoding", "identity").lower() != "identity",
             retry_after_s=_read_number(headers.get("Retry-After")),
+            cold_left_s=_read_ms(headers.get(COLD_LEFT)) or 0.0,
         )
 
     def pass_headers(self, headers: RawHeaders) -> list[tuple[str, str]]:
--- a/src/baobabthread/platform/interface.py
+++ b/src/baobabthread/platform/interface.py
@@ -12,7 +12,8 @@
 READY_PATH = "/-/readiness"
 RESOLVE_PATH = "/-/resolve"
 
-FindAddresses = Callable[[str | None], Directory]
+FindAddresses = Callable[[str | None, str | None], Directory]
+"""By the caller's failure domain and area."""
 
 
 class _Addresses(msgspec.Struct, kw_only=True):
@@ -42,7 +43,9 @@
         """Tell which addresses a caller may connect to."""
         if _path(request) != RESOLVE_PATH:
             return web.Response(status=404)
-        found = self._find_addresses(request.query.get("zone"))
+        found = self._find_addresses(
+            request.query.get("zone"), request.query.get("region")
+        )
         answer = _Addresses(addresses=found.addresses, ttl_s=found.lifetime_s)
         return web.Response(
             body=msgspec.json.encode(answer), content_type="application/json"
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -12,6 +12,7 @@
 from baobabthread.routing.configuration import (
     Account,
     BackendRecord,
+    Evacuation,
     ModelCost,
     Repeatability,
     RequestLimits,
@@ -27,6 +28,7 @@
 
 CONFIGURATION_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
+EVACUATION_PREFIX = "evacuate/"
 HELD_PREFIX = "quarantine/"
 LAST_PORT = 65_535
 MS = 1000.0
@@ -63,6 +65,7 @@
     """Whether requests name the parts of their prompt."""
     resumable: bool = False
     gap_target_ms: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _Model(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,6 +84,8 @@
     name: str
     max_conns: int = 0
     engine: _Engine | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,6 +98,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class _Configuration(msgspec.Struct, frozen=True, kw_only=True):
@@ -121,6 +127,8 @@
     born: int = 0
     """Unix millisecond of its start; deployments whose servers never return under
     their id leave it out."""
+    cold_left_ms: float | str | None = None
+    """Text or nothing, which no server writes, costs it only what it says of this."""
 
 
 class _Order(msgspec.Struct, frozen=True, kw_only=True):
@@ -159,8 +167,16 @@
 
     def decode_operators(
         self, record: Record
-    ) -> RoutingConfiguration | RolloutOrder | None:
+    ) -> RoutingConfiguration | RolloutOrder | Evacuation | None:
         """Decode what operators wrote; nothing for keys of no interest."""
+        if record.key.startswith(EVACUATION_PREFIX):
+            return Evacuation(
+                number=record.offset,
+                failure_domain=record.key.removeprefix(EVACUATION_PREFIX),
+                is_on=bool(record.value),
+            )
+        if not record.value:
+            return None
         if record.key == CONFIGURATION_KEY:
             return decode_configuration(record.value)
         if record.key.startswith(ROLLOUT_PREFIX):
@@ -245,7 +261,12 @@
             idle_timeout_s=found.limits.idle_timeout_ms / MS,
         ),
         accounts=tuple(
-            Account(name=t.name, keys=tuple(t.api_keys), priority=t.priority)
+            Account(
+                name=t.name,
+                keys=tuple(t.api_keys),
+                priority=t.priority,
+                homes=tuple(t.allowed_regions),
+            )
             for t in found.tenants
         ),
     )
@@ -273,6 +294,7 @@
         has_prompts=route.sticky,
         resumable=route.resumable,
         pause_s=route.gap_target_ms / MS,
+        homes=tuple(route.allowed_regions),
     )
 
 
@@ -284,6 +306,8 @@
         capacity=engine.slots,
         memory_tokens=engine.kv_capacity_tokens,
         models=tuple(ModelCost(name=m.name, cost=m.cost) for m in engine.models),
+        cold_s=service.cold_s,
+        cold_rate=service.cold_per_s,
     )
 
 
@@ -306,9 +330,14 @@
         capacity=max(1, found.slots),
         leaving=found.state is _ServerState.DRAINING,
         started_ms=max(0, found.born),
+        cold_left_s=_read_cold(found.cold_left_ms),
     )
 
 
+def _read_cold(left_ms: float | str | None) -> float:
+    return left_ms / MS if isinstance(left_ms, float) else 0.0
+
+
 def _check_address(address: str) -> None:
     """Raise `ValueError` unless this is an IP address and a port."""
     host, _, port = address.rpartition(":")
--- a/src/baobabthread/platform/settings.py
+++ b/src/baobabthread/platform/settings.py
@@ -44,6 +44,9 @@
     expose_share: float = 0.1
     session_s: float = 5
     ttl_max_s: float = 5
+    evacuate_ms: float = 5000
+    cold_overage: float = 1.5
+    cold_slack: float = 5
 
 
 class _File(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,6 +56,8 @@
     zone: str
     """The failure domain."""
     region: str = ""
+    zones: dict[str, str] = {}
+    """Areas by failure domain."""
     listen: _Listen
     internal_ports: list[int]
     """First and last port that is free for traffic between instances."""
@@ -101,6 +106,7 @@
         name=file.node_name,
         failure_domain=file.zone,
         region=file.region,
+        areas=file.zones,
         ip=file.ip,
         callers_address=file.listen.front,
         readiness_address=file.listen.ready,
@@ -122,5 +128,8 @@
             contact_s=bounds.contact_ms / MS,
             apply_s=bounds.config_apply_ms / MS,
             drain_s=bounds.drain_ms / MS,
+            evacuation_s=bounds.evacuate_ms / MS,
+            cold_factor=bounds.cold_overage,
+            cold_extra=bounds.cold_slack,
         ),
     )
--- a/src/baobabthread/routing/bounds.py
+++ b/src/baobabthread/routing/bounds.py
@@ -30,3 +30,9 @@
     """Time after which a new configuration must be in force everywhere."""
     drain_s: float = 2.0
     """Time after which a backend server that leaves must get nothing more."""
+    evacuation_s: float = 5.0
+    """Time after which an evacuated failure domain must get nothing more."""
+    cold_factor: float = 1.5
+    """Times the rate that a cold backend server bears which it may get in a second."""
+    cold_extra: float = 5.0
+    """Requests that may come on top in that second."""
--- a/src/baobabthread/routing/configuration.py
+++ b/src/baobabthread/routing/configuration.py
@@ -51,6 +51,8 @@
     resumable: bool = False
     pause_s: float = 0.0
     """Longest pause between events for an answer that is still in time."""
+    homes: tuple[str, ...] = ()
+    """Areas that its requests must not leave; empty where any will do."""
 
     @property
     def may_repeat(self) -> bool:
@@ -83,6 +85,10 @@
     memory_tokens: int = 0
     """Tokens that one engine holds, running and kept ones; 0 where nothing tells."""
     models: tuple[ModelCost, ...] = ()
+    cold_s: float = 0.0
+    """Time for which one of its backend servers is cold after a start."""
+    cold_rate: float = 0.0
+    """Requests a second that a cold one bears; 0 where it makes no difference."""
 
 
 class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -100,6 +106,8 @@
     keys: tuple[str, ...]
     priority: int | None = None
     """Rank of its requests, before that of the route."""
+    homes: tuple[str, ...] = ()
+    """Areas that its requests must not leave; empty where any will do."""
 
 
 class RoutingConfiguration(msgspec.Struct, frozen=True, kw_only=True):
@@ -124,6 +132,8 @@
     leaving: bool = False
     started_ms: int = 0
     """Unix millisecond of its start; 0 where it tells none and its id is enough."""
+    cold_left_s: float = 0.0
+    """How much longer it is cold, from the moment at which this was told."""
 
     @property
     def incarnation(self) -> str:
@@ -131,6 +141,15 @@
         return f"{self.id}@{self.started_ms}" if self.started_ms else self.id
 
 
+class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask that a failure domain's backend servers get nothing more, or take it back."""
+
+    number: int
+    """Position in the operators' log; a later word replaces an earlier one."""
+    failure_domain: str
+    is_on: bool
+
+
 class RolloutOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Ask for a service's traffic to move to another version."""
 
--- a/src/baobabthread/routing/directory.py
+++ b/src/baobabthread/routing/directory.py
@@ -8,6 +8,7 @@
 
 from baobabthread.core.membership.messages import MemberInfo
 from baobabthread.core.rendezvous import rank
+from baobabthread.routing.homes import Areas
 
 LIFETIME_S = 2.0
 """How long callers keep addresses. Some keep them three times as long, which still
@@ -37,11 +38,18 @@
     is_stale: Callable[[MemberInfo], bool],
     failure_domain: str | None,
     max_lifetime_s: float,
+    area: str | None = None,
+    homes: frozenset[str] = frozenset(),
+    areas: Areas | None = None,
 ) -> Directory:
     """Return the addresses of the instances that serve, near ones first.
 
-    `is_stale` tells which members said of late that they refuse keys.
+    `is_stale` tells which members said of late that they refuse keys; `area` is the
+    caller's and `homes` those in which the bodies of all callers may be read.
     """
+    if areas is not None:
+        serving = _keep_bodies_home([*serving, me], area, homes, areas)
+        i_am_ready = i_am_ready and me in serving
     others = [member for member in serving if member.name != me.name]
     ready = [member for member in others if not is_stale(member)]
     if len(ready) < LEAST_READY_PART * len(others):
@@ -58,6 +66,24 @@
     )
 
 
+def _keep_bodies_home(
+    serving: Sequence[MemberInfo],
+    area: str | None,
+    homes: frozenset[str],
+    areas: Areas,
+) -> Sequence[MemberInfo]:
+    """Leave out the instances that a caller's body must not be sent to.
+
+    Those of the caller's own area may read any; where none is left there, those at home
+    may. Without homes any instance is better than none.
+    """
+    for allowed in (frozenset({area}), homes):
+        found = [m for m in serving if areas.find(m.failure_domain) in allowed]
+        if found:
+            return found
+    return serving
+
+
 def _choose_near(
     ready: Sequence[MemberInfo], failure_domain: str | None, *, asked: str
 ) -> list[MemberInfo]:
--- a/src/baobabthread/routing/knowledge.py
+++ b/src/baobabthread/routing/knowledge.py
@@ -13,11 +13,14 @@
 
 from baobabthread.core.configuration.freshness import Freshness, FreshnessSettings
 from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.coldness import ColdServers
 from baobabthread.routing.configuration import (
     BackendRecord,
+    Evacuation,
     RolloutOrder,
     RoutingConfiguration,
 )
+from baobabthread.routing.evacuations import Evacuations
 from baobabthread.routing.table import RoutingTable
 
 NEVER_S = 1e9
@@ -49,6 +52,8 @@
     backends_end: int
     backends_age_s: float
     backends: list[BackendRecord]
+    evacuations: list[Evacuation] = []
+    """The operators' newest word on each failure domain, those taken back as well."""
 
 
 class BackendChanges(msgspec.Struct, frozen=True, kw_only=True):
@@ -75,6 +80,8 @@
         "backends_changed_at",
         "backends_end",
         "changes",
+        "cold",
+        "evacuations",
         "freshness",
         "on_read",
         "operators_end",
@@ -88,6 +95,8 @@
         self.freshness = Freshness(settings=FreshnessSettings(bound_s=age))
         self.table: RoutingTable | None = None
         self.orders: dict[str, RolloutOrder] = {}
+        self.evacuations = Evacuations()
+        self.cold = ColdServers()
         self.backends: dict[str, BackendRecord] = {}
         self.operators_end = 0
         self.backends_end = 0
@@ -131,6 +140,18 @@
         self.changes += 1
         return True
 
+    def take_evacuation(self, word: Evacuation) -> bool:
+        """Take over a word on a failure domain; return whether it changes anything."""
+        return self._count(self.evacuations.take(word))
+
+    def complete_evacuations(self, listed: set[str], end: int) -> bool:
+        """Take back what a list of all records no longer holds; tell whether any."""
+        return self._count(self.evacuations.complete(listed, end))
+
+    def _count(self, has_changed: bool) -> bool:
+        self.changes += has_changed
+        return has_changed
+
     def note_operators_read(self, *, end: int, asked_at: float) -> None:
         """Note that everything up to an offset was read by a question sent then."""
         self.operators_end = max(self.operators_end, end)
@@ -175,6 +196,9 @@
 
     def take_backend(self, record: BackendRecord) -> bool:
         """Take over a backend server's record; return whether it changes anything."""
+        if record.cold_left_s:
+            # Kept apart: it changes with each heartbeat, which is no news to others.
+            record = msgspec.structs.replace(record, cold_left_s=0.0)
         self._held.pop(record.id, None)
         known = self.backends.get(record.id)
         if known == record or not self._note_start(record):
@@ -188,6 +212,16 @@
         self._count_change(record.id)
         return True
 
+    def note_cold(self, record: BackendRecord, left_s: float, now: float) -> bool:
+        """Note that a backend server is cold for so long; return whether it is news."""
+        is_known = self.backends.get(record.id)
+        if is_known is None or is_known.incarnation != record.incarnation:
+            return False
+        if not self.cold.note(record.incarnation, left_s, now):
+            return False
+        self._count_change(record.id)
+        return True
+
     def _note_start(self, record: BackendRecord) -> bool:
         """Return whether this is the newest start of the server that is known.
 
@@ -228,7 +262,11 @@
         for id in [id for id in self.backends if id not in listed]:
             self.drop_backend(id, now)
         for record in records:
-            self.take_backend(record)
+            self._take_told(record, now)
+
+    def _take_told(self, record: BackendRecord, now: float) -> None:
+        self.take_backend(record)
+        self.note_cold(record, record.cold_left_s, now)
 
     def expire(self, now: float) -> None:
         """Drop records that did not return in time."""
@@ -253,14 +291,16 @@
         Those after it, up to `changed_at`, are some that it knows beyond.
         """
         for record in changed:
-            self.take_backend(record)
+            self._take_told(record, now)
         for id in gone:
             self.drop_backend(id, now)
         self.backends_end = max(self.backends_end, end)
         self._note_changes(max(self.backends_end, changed_at))
         self.on_read()
 
-    def list_changes(self, since: int, *, most: int) -> BackendChanges | None:
+    def list_changes(
+        self, since: int, now: float, *, most: int
+    ) -> BackendChanges | None:
         """Return what changed since an offset; nothing if that isn't known or long."""
         if self._changed_from is None or since < self._changed_from:
             return None
@@ -268,10 +308,20 @@
         if len(ids) > most:
             return None
         return BackendChanges(
-            changed=[self.backends[id] for id in ids if id in self.backends],
+            changed=[
+                self._describe(self.backends[id], now)
+                for id in ids
+                if id in self.backends
+            ],
             gone=[id for id in ids if id not in self.backends],
         )
 
+    def _describe(self, record: BackendRecord, now: float) -> BackendRecord:
+        left_s = self.cold.left_s(record.incarnation, now)
+        if not left_s:
+            return record
+        return msgspec.structs.replace(record, cold_left_s=round(left_s, 3))
+
     def _count_change(self, id: str) -> None:
         self.changes += 1
         self._unread.add(id)
@@ -324,7 +374,8 @@
             orders=list(self.orders.values()) if news else [],
             backends_end=self.told_end,
             backends_age_s=self.backends_age(now),
-            backends=list(self.backends.values()),
+            backends=[self._describe(r, now) for r in self.backends.values()],
+            evacuations=self.evacuations.list(),
         )
 
     def merge(self, snapshot: Snapshot, *, asked_at: float, now: float) -> None:
@@ -334,6 +385,7 @@
             self.take_configuration(snapshot.configuration)
             for order in snapshot.orders:
                 self.take_order(order)
+        self._count(self.evacuations.take_all(snapshot.evacuations))
         if has_news or snapshot.operators_end <= self.operators_end:
             self.note_operators_read(
                 end=snapshot.operators_end,
--- a/src/baobabthread/routing/sources.py
+++ b/src/baobabthread/routing/sources.py
@@ -16,7 +16,7 @@
 STANDBYS = 2
 """Members that read when a reader falls silent, so that the others need not."""
 APPLY_PART = 0.75
-"""Part of the time for a change after which an instance reads the operators' records
+"""Part of the time for an operator's word after which an instance reads the store
 itself; one that was cut off at the moment of a change then has the rest to apply it."""
 DRAIN_PART = 0.65
 """The same of the time in which a leaving backend server must be known."""
@@ -60,8 +60,9 @@
 def choose_limits(bounds: RoutingBounds) -> AgeLimits:
     """Return the oldest ages that keep changes and leaving servers within bounds."""
     most_s = max(0.5, bounds.revocation_s - FRESH_MARGIN_S)
+    told_s = min(bounds.apply_s, bounds.evacuation_s)
     return AgeLimits(
-        operators_s=min(most_s, APPLY_PART * bounds.apply_s),
+        operators_s=min(most_s, APPLY_PART * told_s),
         backends_s=DRAIN_PART * bounds.drain_s,
     )
 
--- a/src/baobabthread/routing/table.py
+++ b/src/baobabthread/routing/table.py
@@ -10,15 +10,18 @@
     RoutingConfiguration,
     ServicePlan,
 )
+from baobabthread.routing.homes import find_common_homes
 
 
 class RoutingTable:
     """Answer which route and which client account a request belongs to."""
 
-    __slots__ = ("_accounts", "_hosts", "configuration", "services")
+    __slots__ = ("_accounts", "_hosts", "configuration", "homes", "services")
 
     def __init__(self, *, configuration: RoutingConfiguration) -> None:
         self.configuration = configuration
+        self.homes = find_common_homes(configuration)
+        """Areas in which all callers' bodies may be read; empty where any will do."""
         self.services: dict[str, ServicePlan] = {
             service.name: service for service in configuration.services
         }
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import struct
+import time
 from collections.abc import Awaitable, Callable
 
 SIGNATURE = "signed-by-the-backend"
@@ -19,6 +20,8 @@
         self.body = b""
         self.cut = False
         """Whether the caller closed its connection while the answer was made."""
+        self.cold_left_s = 0.0
+        """How long the server says that it stays cold, in its answer."""
 
 
 Behaviour = Callable[["FakeBackend", Seen, asyncio.StreamWriter], Awaitable[None]]
@@ -42,10 +45,24 @@
 class FakeBackend:
     """Answer requests on real sockets, well or in one of many bad ways."""
 
-    def __init__(self, id: str, *, service: str = "plain", version: str = "v1") -> None:
+    def __init__(
+        self,
+        id: str,
+        *,
+        service: str = "plain",
+        version: str = "v1",
+        zone: str = "a",
+        cold_s: float = 0.0,
+    ) -> None:
         self.id = id
         self.service = service
         self.version = version
+        self.zone = zone
+        self.cold_until = time.monotonic() + cold_s
+        self.cold_arrivals: list[float] = []
+        """When requests came while it was cold."""
+        self.tells_cold = False
+        """Whether its answers say how long it stays cold."""
         self.behaviour = "answer"
         self.confidence: dict[str, int] = {}
         """By model; 100 where it is missing."""
@@ -71,13 +88,28 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "a",
+            "zone": self.zone,
             "version": self.version,
             "slots": 8,
             "state": "ready",
+            "cold_left_ms": round(self.cold_left_s * 1000),
             "seq": 1,
         }
 
+    @property
+    def cold_left_s(self) -> float:
+        """Give how much longer it is cold."""
+        return max(0.0, self.cold_until - time.monotonic())
+
+    def turn_cold(self, seconds: float) -> None:
+        """Become cold, as after a start."""
+        self.cold_until = time.monotonic() + seconds
+
+    def count_most_cold(self) -> int:
+        """Return the most requests that came within one second while it was cold."""
+        times = sorted(self.cold_arrivals)
+        return max((sum(t <= u < t + 1.0 for u in times) for t in times), default=0)
+
     async def start(self, port: int = 0) -> FakeBackend:
         """Listen at a port, a free one where none is named."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -119,6 +151,9 @@
                 seen = await _read_request(reader)
                 self.seen.append(seen)
                 behaviour = self._choose_behaviour(seen)
+                if self.cold_left_s and behaviour != "misdirected":
+                    self.cold_arrivals.append(time.monotonic())
+                seen.cold_left_s = self.cold_left_s if self.tells_cold else 0.0
                 self.on_arrival(self, seen, behaviour not in NOT_EXECUTED)
                 work = asyncio.ensure_future(BEHAVIOURS[behaviour](self, seen, writer))
                 while not work.done():
@@ -153,6 +188,8 @@
     fields = {"X-Attempt-Id": seen.headers.get("x-attempt-id", "")}
     if status < 300 or status >= 500:
         fields["X-Response-Signature"] = SIGNATURE
+    if seen.cold_left_s:
+        fields["X-Cold-Ms"] = str(round(seen.cold_left_s * 1000))
     fields |= {name.replace("_", "-"): value for name, value in more.items()}
     lines = [f"HTTP/1.1 {status} X"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -90,6 +90,8 @@
         self.settings: list[InstanceSettings] = []
         self.backends: list[FakeBackend] = []
         self.stacks: list[contextlib.AsyncExitStack] = []
+        self.zones = {"a": "north", "b": "north", "c": "south", "d": "east"}
+        """Areas by failure domain."""
         ports = find_ports(1)
         self.gossip_port = ports[0]
 
@@ -104,15 +106,30 @@
         self.store.put(BACKENDS, id, backend.record)
         return backend
 
+    def evacuate(self, zone: str) -> None:
+        """Ask that a zone's backend servers get nothing more."""
+        self.store.put(OPERATORS, f"evacuate/{zone}", {})
+
+    def take_evacuation_back(self, zone: str) -> None:
+        """Open a zone again."""
+        self.store.put(OPERATORS, f"evacuate/{zone}", b"")
+
     async def add_instance(
-        self, name: str = "i1", *, ip: str = "127.0.0.1", off: Switches = NONE_OFF
+        self,
+        name: str = "i1",
+        *,
+        ip: str = "127.0.0.1",
+        off: Switches = NONE_OFF,
+        zone: str = "a",
     ) -> int:
         """Start an instance, some mechanisms switched off; return its index."""
         ports = find_ports(4, ip)
         text = {
             "node_name": name,
             "ip": ip,
-            "zone": "a",
+            "zone": zone,
+            "region": self.zones.get(zone, ""),
+            "zones": self.zones,
             "listen": {
                 "front": f"{ip}:{ports[0]}",
                 "ready": f"{ip}:{ports[1]}",
@@ -184,15 +201,20 @@
 
 @contextlib.asynccontextmanager
 async def open_site(
-    *backends: FakeBackend | str, off: Switches = NONE_OFF
+    *backends: FakeBackend | str, off: Switches = NONE_OFF, **more: object
 ) -> AsyncIterator[Site]:
-    """Open an installation with one instance that is ready."""
+    """Open an installation with one instance that is ready.
+
+    Backend servers are named by their service, a number and, if another than `a`, `@`
+    and their failure domain; `more` goes into the configuration.
+    """
     site = Site(await FakeStore().start())
     try:
-        site.configure()
+        site.configure(**more)
         for each in backends:
             service = "engine" if str(each).startswith("e") else "plain"
-            await site.add_backend(str(each), service=service)
+            name, _, zone = str(each).partition("@")
+            await site.add_backend(name, service=service, zone=zone or "a")
         await site.add_instance(off=off)
         await site.wait_ready()
         yield site
