Bound what a row of told steps takes, and tell a new version's servers at once

Change: a row of steps takes 12 KB at most, up to 100 servers are told in one answer. Test: test_tell_no_row_of_steps_that_no_datagram_holds.

--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -40,8 +40,10 @@
 tenths of its bound, where that is four seconds."""
 SUBSCRIBED_PARTS = 5.0
 """Times the pause between questions for which a reader tells of changes unasked."""
-MOST_TOLD = 48
-"""Backend servers in one answer, some 10 KB; whoever lacks more fetches them all."""
+MOST_TOLD = 100
+"""Backend servers in one answer, some 20 KB; whoever lacks more fetches them all. A
+new version starts as many servers as there are, and fetched by all the list fills the
+reader's link until the others read the store themselves."""
 
 
 class AskKnowledge(msgspec.Struct, frozen=True, kw_only=True, tag="knowledge.ask"):
--- a/src/baobabthread/routing/knowledge.py
+++ b/src/baobabthread/routing/knowledge.py
@@ -26,7 +26,6 @@
     StepLog,
     apply_change,
     describe_change,
-    is_short,
 )
 from baobabthread.routing.table import RoutingTable
 
@@ -202,7 +201,7 @@
             step = _describe_step(
                 before, self._last_told, since=self.operators_end, end=end
             )
-            self.steps.add(step, end)
+            self.steps.add(step)
             self.operators_end = end
         self.freshness.fold_to(end)
 
@@ -473,7 +472,6 @@
             return None
     orders = [o for name, o in after.orders.items() if before.orders.get(name) != o]
     words = [word for word in after.evacuations if word not in before.evacuations]
-    step = Step(
+    return Step(
         since=since, end=end, configuration=change, orders=orders, evacuations=words
     )
-    return step if is_short(step) else None
--- a/src/baobabthread/routing/news.py
+++ b/src/baobabthread/routing/news.py
@@ -27,8 +27,8 @@
 MOST_STEPS = 16
 """Steps that are kept: those of some seconds of quick changes."""
 MOST_BYTES = 12_000
-"""Longest step that is told. Twenty instances on slow links would get larger ones from
-one member after seconds; the store's link bears it."""
+"""Longest row of steps that is told. Twenty instances would get longer ones from one
+member on a slow link after seconds, and no datagram holds all."""
 
 T = TypeVar("T")
 
@@ -68,19 +68,28 @@
     __slots__ = ("_steps",)
 
     def __init__(self) -> None:
-        self._steps: deque[Step] = deque(maxlen=MOST_STEPS)
+        self._steps: deque[tuple[Step, int]] = deque(maxlen=MOST_STEPS)
+        """With the bytes that each takes."""
 
-    def add(self, step: Step | None, end: int) -> None:
-        """Keep a step; nothing where it can't be told, which breaks the row."""
-        if step is None or (self._steps and self._steps[-1].end != step.since):
+    def add(self, step: Step | None) -> None:
+        """Keep the step that follows the last one; none breaks the row."""
+        size = len(msgspec.json.encode(step)) if step is not None else 0
+        if step is None or size > MOST_BYTES:
             self._steps.clear()
-        if step is not None and step.end == end:
-            self._steps.append(step)
+        else:
+            self._steps.append((step, size))
 
     def list_since(self, offset: int) -> list[Step]:
-        """Return the steps that lead on from an offset; none where they don't reach."""
-        found = [step for step in self._steps if step.end > offset]
-        return found if found and found[0].since <= offset else []
+        """Return the steps that lead on from an offset.
+
+        None where they don't reach so far back, or are too long to be told.
+        """
+        found = [(step, size) for step, size in self._steps if step.end > offset]
+        if not found or found[0][0].since > offset:
+            return []
+        if sum(size for _, size in found) > MOST_BYTES:
+            return []
+        return [step for step, _ in found]
 
 
 def describe_change(
@@ -122,11 +131,6 @@
     return after if _digest(after) == change.check else None
 
 
-def is_short(step: Step) -> bool:
-    """Tell whether a step may be told."""
-    return len(msgspec.json.encode(step)) <= MOST_BYTES
-
-
 def _route_key(route: Route) -> str:
     return f"{route.host}{route.path_prefix}"
 
--- a/tests/routing/test_news.py
+++ b/tests/routing/test_news.py
@@ -206,6 +206,21 @@
     assert [step.end for step in reader.steps.list_since(2)] == [3]
 
 
+def test_tell_no_row_of_steps_that_no_datagram_holds() -> None:
+    """Changes come in quick succession, each of them short enough to be told.
+
+    A word that is too long isn't sent at all: nobody would hear how old it is either.
+    """
+    reader = make_knowledge()
+    routes = MOST_BYTES // 600
+    read(reader, 1, configure(1, "k1"))
+    for number in range(2, 8):
+        added = configure(number, "k1", routes=routes * (number % 2))
+        read(reader, number, added)
+    assert len(reader.steps.list_since(5)) == 2
+    assert reader.steps.list_since(1) == []
+
+
 def test_keep_only_the_last_steps() -> None:
     reader = make_knowledge()
     for number in range(1, MOST_STEPS + 5):
