Soak evacuations, cold servers and homes, with a promise and a mutant for each

Faults: a failure domain is evacuated and opened again, up to twice; a server of a service is new and cold; the homes of one route change twice. Promises: nothing reaches an evacuated domain after its bound from whoever is in touch; no cold server gets more than its bound within a second from anybody; nothing is served abroad. Each is broken by an instance without its safeguard. The plans that were kept name the faults that they drew from, so that their seeds play what they did.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,11 +9,14 @@
 
 from baobabthread.core.registry import Registry
 from soak.callers import Caller
+from soak.instances import APPLY_S, EVACUATION_S, SERVER_DOMAINS
 from soak.proxies import Mode, Proxy
-from soak.site import ENGINE, PLAIN, Backend, Site
+from soak.site import COLD_S, ENGINE, PLAIN, Backend, Site
 
 SHORT_S = 0.4
 LONG_S = 2.5
+LEAST_OPEN = 1
+"""Failure domains that are not evacuated, so that callers can be served."""
 LEAVE_S = 2.5
 """How long a backend server that leaves works on."""
 
@@ -228,6 +231,44 @@
         await asyncio.sleep(1.5)
 
 
+@FAULTS.register("cold backend")
+async def replace_by_cold_one(site: Site) -> None:
+    """Replace one backend server of a service by one that is cold for some seconds."""
+    backend = site.pick_backend()
+    if backend is None:
+        return
+    with site.note("configuration: cold backend"):
+        await site.add_backend(backend.fake.service, cold_s=COLD_S)
+        await asyncio.sleep(COLD_S + 0.5)
+
+
+@FAULTS.register("evacuation")
+async def evacuate_domain(site: Site) -> None:
+    """Evacuate one failure domain and take that back."""
+    # Taken back by one of two operators it would be open while the other one's word
+    # counts, as the record is one for both.
+    domains = sorted(set(SERVER_DOMAINS) - site.list_evacuated())
+    if len(domains) < LEAST_OPEN + 1:
+        return
+    domain = site.rng.choice(domains)
+    with site.note("configuration: evacuation"):
+        for _ in range(site.rng.randint(1, 2)):
+            if site.list_evacuated() - {domain} or domain in site.list_evacuated():
+                return
+            with site.evacuate(domain):
+                await asyncio.sleep(site.rng.uniform(0.3, EVACUATION_S + 3.0))
+            await asyncio.sleep(0.3)
+
+
+@FAULTS.register("homes")
+async def change_homes(site: Site) -> None:
+    """Bind one route to one area, then to another one, then to none."""
+    with site.note("configuration: homes"):
+        for areas in (("north",), ("south",), ()):
+            site.change_homes(*areas)
+            await asyncio.sleep(site.rng.uniform(0.5, APPLY_S + 2.0))
+
+
 # -- operators --
 
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import time
 
 import msgspec
@@ -72,6 +73,9 @@
     account: str
     leaked: bool
     """Whether the caller's key was passed on."""
+    failure_domain: str = ""
+    is_cold: bool = False
+    """Whether the backend server had told that it is cold."""
 
 
 class Fault(msgspec.Struct, kw_only=True):
@@ -83,6 +87,23 @@
     instance: int | None = None
 
 
+class Evacuated(msgspec.Struct, kw_only=True):
+    """Hold from when to when a failure domain was evacuated, by the store's word."""
+
+    failure_domain: str
+    from_s: float
+    to_s: float = math.inf
+
+
+class Homes(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold from when on a kind of requests had these homes."""
+
+    kind: Kind
+    from_s: float
+    areas: tuple[str, ...]
+    """None at all where the requests may be served anywhere."""
+
+
 class History(msgspec.Struct, kw_only=True):
     """Hold all that happened in one run."""
 
@@ -96,6 +117,14 @@
     """Processes that ended by themselves."""
     calm_from: float = 0.0
     """When the last fault had ended and the time to recover was over."""
+    evacuated: list[Evacuated] = []
+    homes: list[Homes] = []
+    areas: dict[str, str] = {}
+    """Areas by failure domain."""
+    evacuation_s: float = 3.0
+    apply_s: float = 2.0
+    most_cold: float = 8.0
+    """Requests that a cold server may get within a second."""
     account_of: dict[str, str] = {}
     last_event: int = 0
     """Id of the last event of each whole stream."""
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -16,6 +16,14 @@
 REVOCATION_S = 3.0
 RETRY_RATIO = 0.9
 RETRY_EXTRA = 52.0
+EVACUATION_S = 3.0
+APPLY_S = 2.0
+COLD_FACTOR = 1.5
+COLD_EXTRA = 5.0
+SERVER_DOMAINS = ("s0", "s1", "s2")
+"""Failure domains of the backend servers; all alike to the instances, in others."""
+AREAS = {"z0": "north", "z1": "north", "s0": "north", "s1": "north", "s2": "south"}
+"""Areas by failure domain."""
 SOURCES = Path(__file__).resolve().parent.parent
 
 
@@ -146,6 +154,8 @@
             "node_name": f"i{self.index}",
             "ip": self.ip,
             "zone": f"z{self.index % 2}",
+            "region": AREAS[f"z{self.index % 2}"],
+            "zones": AREAS,
             "listen": {
                 "front": self.front,
                 "ready": f"{self.ip}:{ports.ready}",
@@ -162,6 +172,10 @@
                 "retry_budget_extra": RETRY_EXTRA,
                 "expose_share": 0.2,
                 "session_s": 1,
+                "evacuate_ms": EVACUATION_S * 1000,
+                "config_apply_ms": APPLY_S * 1000,
+                "cold_overage": COLD_FACTOR,
+                "cold_slack": COLD_EXTRA,
             },
         }
         path = self._folder / f"i{self.index}.json"
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 
 import msgspec
 
 from baobabthread.core.registry import Registry
-from soak.history import Call, History, Run
+from soak.history import Call, History, Homes, Run
 
 WINDOW_S = 10.0
 """Length of the window in which repeats are counted."""
@@ -185,6 +186,66 @@
     return not any(name.startswith(OUT_OF_TOUCH) for name in faults)
 
 
+@PROMISES.register("evacuated domains")
+def check_evacuated(history: History) -> Iterator[str]:
+    """Find requests that reached an evacuated failure domain, from who could know."""
+    calls = {call.id: call for call in history.calls}
+    for run in history.runs:
+        call = calls.get(run.id)
+        if call is None or _is_out_of_touch(history, call, run.at):
+            continue
+        for each in history.evacuated:
+            if each.failure_domain != run.failure_domain:
+                continue
+            late = run.at - each.from_s
+            if late > history.evacuation_s and run.at < each.to_s:
+                yield f"{run.id}: reached {run.failure_domain} {late:.2f} s late"
+
+
+@PROMISES.register("cold servers")
+def check_cold(history: History) -> Iterator[str]:
+    """Find cold servers that got more in a second than they bear, from anybody."""
+    by_server: dict[str, list[float]] = {}
+    for run in history.runs:
+        if run.is_cold:
+            by_server.setdefault(run.backend, []).append(run.at)
+    for server, times in by_server.items():
+        most = max(sum(t <= u < t + 1.0 for u in times) for t in times)
+        if most > history.most_cold:
+            yield f"{server}: {most} requests within a second while cold"
+
+
+@PROMISES.register("homes")
+def check_homes(history: History) -> Iterator[str]:
+    """Find requests that were served in an area in which no configuration allows it."""
+    calls = {call.id: call for call in history.calls}
+    for run in history.runs:
+        call = calls.get(run.id)
+        if call is None or _is_out_of_touch(history, call, run.at):
+            continue
+        allowed = _list_allowed(history, call, run.at)
+        area = history.areas.get(run.failure_domain, "")
+        if allowed and not any(not areas or area in areas for areas in allowed):
+            yield f"{run.id} ({call.kind}): served in {area!r}, homes {allowed}"
+
+
+def _list_allowed(history: History, call: Call, at: float) -> list[tuple[str, ...]]:
+    """Return a kind's homes by each configuration that may be in force."""
+    anywhere = Homes(kind=call.kind, from_s=-math.inf, areas=())
+    words = [anywhere, *(each for each in history.homes if each.kind is call.kind)]
+    found = []
+    for number, word in enumerate(words):
+        following = words[number + 1].from_s if number + 1 < len(words) else math.inf
+        if word.from_s <= at and following + history.apply_s > call.sent_at:
+            found.append(word.areas)
+    return found
+
+
+def _is_out_of_touch(history: History, call: Call, at: float) -> bool:
+    faults = history.disturbed(call.instance, call.sent_at - CONTACT_S, at)
+    return any(name.startswith(OUT_OF_TOUCH) for name in faults)
+
+
 @PROMISES.register("not cut")
 def check_not_cut(history: History) -> Iterator[str]:
     """Find requests that planned work cut though a sound server ran them."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import socket
 from collections.abc import Iterator
@@ -14,11 +15,17 @@
 from tests.platform.fakestore import BACKENDS, OPERATORS, FakeStore
 from tests.platform.site import make_configuration, route
 
-from soak.history import Fault, History, Kind, Run, now
+from soak.history import Evacuated, Fault, History, Homes, Kind, Run, now
 from soak.instances import (
+    APPLY_S,
+    AREAS,
+    COLD_EXTRA,
+    COLD_FACTOR,
+    EVACUATION_S,
     RETRY_EXTRA,
     RETRY_RATIO,
     REVOCATION_S,
+    SERVER_DOMAINS,
     Machine,
     Ports,
 )
@@ -35,6 +42,10 @@
 ENGINE = "engine"
 
 
+COLD_S = 3.0
+"""Time for which a server is cold after a start that is played as one."""
+COLD_RATE = 2.0
+"""Requests a second that a cold server bears."""
 CRASH_MARK = "crash"
 """Begins the bodies under which every server crashes."""
 BACK_S = 0.7
@@ -78,7 +89,12 @@
             revocation_s=REVOCATION_S,
             retry_ratio=RETRY_RATIO,
             retry_extra=RETRY_EXTRA,
+            areas=AREAS,
+            evacuation_s=EVACUATION_S,
+            apply_s=APPLY_S,
+            most_cold=COLD_RATE * COLD_FACTOR + COLD_EXTRA,
         )
+        self._homes: tuple[str, ...] = ()
         self.machines: list[Machine] = []
         self.backends: dict[str, Backend] = {}
         self.store_proxies: list[Proxy] = []
@@ -168,6 +184,11 @@
         configuration = make_configuration(self._version)
         routes = list(configuration["routes"])  # type: ignore[call-overload]
         routes += [route(f"/{name}/", "idempotent") for name in self.added_routes]
+        for each in routes:
+            if each["path_prefix"] == "/safe/":
+                each["allowed_regions"] = list(self._homes)
+        for service in configuration["services"]:  # type: ignore[attr-defined]
+            service.update(cold_s=COLD_S, cold_per_s=COLD_RATE)
         configuration["routes"] = routes
         configuration["tenants"] = [
             {"name": name, "api_keys": keys} for name, keys in self._keys.items()
@@ -193,13 +214,43 @@
         self.configure()
         self.history.revoked[old] = now()
 
+    @contextlib.contextmanager
+    def evacuate(self, failure_domain: str) -> Iterator[None]:
+        """Evacuate a failure domain while the block runs."""
+        key = f"evacuate/{failure_domain}"
+        self.store.put(OPERATORS, key, {})
+        evacuated = Evacuated(failure_domain=failure_domain, from_s=now())
+        self.history.evacuated.append(evacuated)
+        try:
+            yield
+        finally:
+            evacuated.to_s = now()
+            self.store.put(OPERATORS, key, b"")
+
+    def list_evacuated(self) -> set[str]:
+        """Return the failure domains that are evacuated now."""
+        open_ended = [e for e in self.history.evacuated if e.to_s == math.inf]
+        return {each.failure_domain for each in open_ended}
+
+    def change_homes(self, *areas: str) -> None:
+        """Publish other homes of one route."""
+        self._homes = areas
+        self.configure()
+        word = Homes(kind=Kind.SAFE, from_s=now(), areas=areas)
+        self.history.homes.append(word)
+
     # -- backend servers --
 
-    async def add_backend(self, service: str, version: str = "v1") -> Backend:
+    async def add_backend(
+        self, service: str, version: str = "v1", *, cold_s: float = 0.0
+    ) -> Backend:
         """Start a backend server and enter it into the store."""
         self._number += 1
         id = f"{service[0]}{self._number}"
-        fake = FakeBackend(id, service=service, version=version)
+        domain = SERVER_DOMAINS[self._number % len(SERVER_DOMAINS)]
+        fake = FakeBackend(
+            id, service=service, version=version, zone=domain, cold_s=cold_s
+        )
         fake.events = EVENTS
         fake.pause_s = EVENT_PAUSE_S if service == ENGINE else WORK_S
         fake.on_arrival = self._note_run
@@ -265,6 +316,8 @@
                 sound=held is not None and held.is_sound,
                 account=headers.get("x-tenant", ""),
                 leaked="authorization" in headers,
+                failure_domain=backend.zone,
+                is_cold=bool(backend.cold_left_s),
             )
         )
 
--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -6,11 +6,18 @@
 from collections.abc import Callable
 
 from baobabthread.core.registry import Registry
-from baobabthread.instance import attempts, crashes, endings, events
+from baobabthread.instance import (
+    attempts,
+    crashes,
+    endings,
+    events,
+    flight,
+    restrictions,
+)
 from baobabthread.instance.wire import AnswerMarks
 from baobabthread.platform import __main__ as program
 from baobabthread.platform import headers
-from baobabthread.routing import configuration, knowledge
+from baobabthread.routing import coldness, configuration, knowledge
 
 WEAKENED: Registry[Callable[[], None]] = Registry(what="weakened instance")
 
@@ -67,6 +74,24 @@
     crashes.CrashWatch._tell = lambda self, server: None  # type: ignore
 
 
+@WEAKENED.register("forget evacuations")
+def forget_evacuations() -> None:
+    """Take no failure domain for evacuated."""
+    restrictions.Restrictions.is_evacuated = lambda self, record: False  # type: ignore
+
+
+@WEAKENED.register("forget the cold")
+def forget_the_cold() -> None:
+    """Take every backend server for warm."""
+    coldness.ColdServers.left_s = lambda self, name, now: 0.0  # type: ignore
+
+
+@WEAKENED.register("forget homes")
+def forget_homes() -> None:
+    """Let every request be served anywhere."""
+    flight.find_homes = lambda route, account: None
+
+
 def main() -> int:
     """Take out the safeguard that the first argument names, and serve."""
     WEAKENED.get(sys.argv.pop(1))()
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import pytest
-from soak.history import Call, Fault, History, Kind, Run
+from soak.history import Call, Evacuated, Fault, History, Homes, Kind, Run
 from soak.promises import PROMISES, check_all
 
 BODY = b"answer of p1"
@@ -105,6 +105,33 @@
             ],
         ),
     ),
+    (
+        "evacuated domains",
+        make_history(
+            [make_call()],
+            [make_run(failure_domain="z1")],
+            evacuated=[Evacuated(failure_domain="z1", from_s=46.0, to_s=60.0)],
+        ),
+    ),
+    (
+        "cold servers",
+        make_history(
+            [make_call(f"c{n}") for n in range(9)],
+            [make_run(f"c{n}", at=50.0 + 0.1 * n, is_cold=True) for n in range(9)],
+        ),
+    ),
+    (
+        "homes",
+        make_history(
+            [make_call()],
+            [make_run(failure_domain="z1")],
+            areas={"z1": "north"},
+            homes=[
+                Homes(kind=Kind.SAFE, from_s=40.0, areas=("north",)),
+                Homes(kind=Kind.SAFE, from_s=45.0, areas=("south",)),
+            ],
+        ),
+    ),
     (
         "not cut",
         make_history(
@@ -147,3 +174,26 @@
     pause = Fault(name="pause", began_at=57.0, ended_at=58.5, instance=0)
     found = find(make_history(calls, runs, faults=[pause]))
     assert "crashing requests" not in found
+
+
+def test_excuse_what_came_within_the_bound_or_after_the_end() -> None:
+    calls = [make_call(f"c{n}") for n in range(3)]
+    runs = [
+        make_run("c0", at=48.9, failure_domain="z1"),
+        make_run("c1", at=52.1, failure_domain="z1"),
+        make_run("c2", at=50.0, failure_domain="z2"),
+    ]
+    evacuated = [Evacuated(failure_domain="z1", from_s=46.0, to_s=52.0)]
+    found = find(make_history(calls, runs, evacuated=evacuated))
+    assert "evacuated domains" not in found
+
+
+def test_excuse_homes_of_a_configuration_that_may_be_in_force() -> None:
+    call = make_call(sent_at=46.5)
+    run = make_run(at=46.6, failure_domain="z1")
+    homes = [
+        Homes(kind=Kind.SAFE, from_s=40.0, areas=("north",)),
+        Homes(kind=Kind.SAFE, from_s=45.0, areas=("south",)),
+    ]
+    history = make_history([call], [run], areas={"z1": "north"}, homes=homes)
+    assert "homes" not in find(history)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,16 +7,57 @@
 import pytest
 from soak.play import Plan, play
 
+EARLY_FAULTS = (
+    "term",
+    "term in turn",
+    "kill",
+    "kill all",
+    "pause",
+    "hup",
+    "store busy",
+    "store silent",
+    "store slow",
+    "store loses answers",
+    "store forgets",
+    "cut from the store",
+    "bad answers",
+    "link to a backend",
+    "backend leaves",
+    "backend crashes",
+    "crashing request",
+    "configuration",
+    "configuration storm",
+    "revoke",
+    "revoke in an outage",
+    "more backends",
+)
+"""What the plans that were kept drew from: with more faults their seeds would play
+something else."""
+
 PLANS: tuple[tuple[Plan, str], ...] = (
-    (Plan(seed=1, seconds=5.0, callers=8), "always played"),
-    (Plan(seed=2, seconds=5.0, callers=8), "always played"),
-    (Plan(seed=18, seconds=10.0), "the proxy ended what the server had reset"),
-    (Plan(seed=30, seconds=10.0), "a check did not know a whole body"),
-    (Plan(seed=32, seconds=10.0), "SIGHUP while an instance loads ended it"),
+    (Plan(seed=1, seconds=5.0, callers=8, faults=EARLY_FAULTS), "always played"),
+    (Plan(seed=2, seconds=5.0, callers=8, faults=EARLY_FAULTS), "always played"),
+    (
+        Plan(seed=18, seconds=10.0, faults=EARLY_FAULTS),
+        "the proxy ended what the server had reset",
+    ),
+    (
+        Plan(seed=30, seconds=10.0, faults=EARLY_FAULTS),
+        "a check did not know a whole body",
+    ),
+    (
+        Plan(seed=32, seconds=10.0, faults=EARLY_FAULTS),
+        "SIGHUP while an instance loads ended it",
+    ),
 )
 """What is played in each run of the tests, and why: two short seeds, and each plan that
 ever broke a promise, with the cause."""
-FAULT_OF = {"forget crashes": "crashing request"}
+FAULT_OF = {
+    "forget crashes": "crashing request",
+    "forget evacuations": "evacuation",
+    "forget the cold": "cold backend",
+    "forget homes": "homes",
+}
 """Fault that shows that a safeguard is missing, where it isn't the usual one."""
 
 
@@ -28,6 +69,18 @@
     assert outcome.served > outcome.calls / 3
 
 
+@pytest.mark.parametrize("fault", ["evacuation", "cold backend", "homes"])
+def test_keep_requests_away_from_where_they_must_not_go(fault: str) -> None:
+    """Callers ask all the while; a domain is evacuated, servers are cold, homes change.
+
+    Instances of which one is stopped meanwhile learn of it anew.
+    """
+    plan = Plan(seed=7, seconds=6.0, faults=(fault, fault, "term"))
+    outcome = asyncio.run(play(plan))
+    assert not outcome.breaches
+    assert outcome.served > outcome.calls / 2
+
+
 def test_stop_requests_that_crash_servers() -> None:
     """Callers ask again and again for what ends each server that begins to run it.
 
@@ -46,6 +99,9 @@
         ("take any answer", "whole"),
         ("refuse what ran", "true refusals"),
         ("forget crashes", "crashing requests"),
+        ("forget evacuations", "evacuated domains"),
+        ("forget the cold", "cold servers"),
+        ("forget homes", "homes"),
     ],
 )
 def test_find_a_safeguard_that_was_taken_out(weaken: str, promise: str) -> None:
