--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from baobabthread.adapters.codec import expand
 from baobabthread.instance.clock import now
 from baobabthread.instance.feeds import BackendsFeed, OperatorsFeed
 from baobabthread.instance.heldrecords import HeldRecords
@@ -194,7 +195,7 @@
         to = self._by_address.get(f"{address[0]}:{address[1]}")
         if to is None:
             return
-        found = KIND.search(data)
+        found = KIND.search(expand(data))
         kind = found.group(1).decode() if found else "other"
         self.count(sender, to.domain, kind, len(data))
         if not to.is_up or self.rng.random() < LOSS:
