Pass keys of a member on as soon as it is heard again

Cause: whoever is a member again was noted for the keys only at the next tick. Change: members are noted with each message of the membership as well. Before and after: test_keys_of_an_owner_are_passed_on_as_soon_as_it_is_heard red, then green; tests/core green.

--- a/src/baobabthread/core/entry.py
+++ b/src/baobabthread/core/entry.py
@@ -295,7 +295,10 @@
     def _receive(self, event: Received, now: float) -> Effects:
         message: Any = event.message
         if isinstance(message, MEMBERSHIP_MESSAGES):
-            return self.control.handle_membership(event.sender, message, now)
+            effects = self.control.handle_membership(event.sender, message, now)
+            # Failure: a member is back and its keys are still answered for as those of
+            # a dead one until the next tick, "may have run" where it knows the answer.
+            return effects + self._note_members(now)
         if isinstance(message, CONTROL_MESSAGES):
             return self.control.handle(event.sender, message, now)
         if isinstance(message, BILLING_MESSAGES):
--- a/tests/core/test_silent_owners.py
+++ b/tests/core/test_silent_owners.py
@@ -14,7 +14,15 @@
 )
 from baobabthread.core.claims.claims import Claims
 from baobabthread.core.claims.types import ClaimRequest, Forward, Refuse
-from baobabthread.core.messages import Append, Appended, Effects, Stream
+from baobabthread.core.events import Tick
+from baobabthread.core.membership.messages import (
+    Digest,
+    MemberInfo,
+    MemberState,
+    Probe,
+)
+from baobabthread.core.messages import Append, Appended, Effects, Received, Stream
+from tests.core.lone import Lone
 
 OWNER = Peer(name="e1", failure_domain="south")
 OTHER = Peer(name="e3", failure_domain="south")
@@ -108,3 +116,46 @@
     assert (bill.bill_id, bill.cost) == ("a/request/r1", 2.0)
     ledger.on_appended(Appended(stream=Stream.BILLS, id=bill.bill_id, offset=1), 5.2)
     assert list_bills(ledger.tick(36.0)) == []
+
+
+def describe(*, state: MemberState = MemberState.ALIVE, counter: int = 0) -> MemberInfo:
+    return MemberInfo(
+        name="e9",
+        address="127.0.0.1:9",
+        peer_address="127.0.0.1:10",
+        failure_domain="south",
+        incarnation="e9.1",
+        started_at=0.5,
+        state=state,
+        counter=counter,
+    )
+
+
+def hear(lone: Lone, member: MemberInfo) -> None:
+    """Let the core hear a probe of a member."""
+    probe = Probe(sequence=1, digest=Digest(sender=member))
+    lone.core.handle(Received(sender=member.name, message=probe), lone.now)
+
+
+def test_keys_of_an_owner_are_passed_on_as_soon_as_it_is_heard() -> None:
+    """Cut an owner off until it is held dead, and heal the cut.
+
+    Its first sign of life makes it a member again, and a caller repeats a warning in
+    the same moment. Noted only at the next tick, its keys were answered for as those
+    of a dead one: "may have run", where the owner knows the answer.
+    """
+    lone = Lone()
+    hear(lone, describe())
+    lone.core.control.membership.table.merge(
+        describe(state=MemberState.DEAD, counter=1), lone.now
+    )
+    lone.core.handle(Tick(), lone.now)
+    claims = lone.core.claims
+    request = ClaimRequest(
+        request_id="r1", account="metro", key="e9.1/warning-1", body_hash="h"
+    )
+    [refusal] = claims.begin(request, lone.now)
+    assert isinstance(refusal, Refuse)
+    hear(lone, describe(counter=2))
+    [forward] = claims.begin(request, lone.now)
+    assert forward == Forward(request_id="r1", incarnation="e9.1")
