Bear the pauses of streams that engines make before one is given up as dark

Engines of this deployment read parts of long prompts between the events of a stream, up to a second, and events hold seven tokens. Change: the silence that is borne is twice the 99th percentile of the pauses met, 0.7 s at least and 1.6 s at most.

--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -166,7 +166,7 @@
             await reply.begin(head.status, headers)
         cutter = EventCutter(passed=flight.last_event)
         first_at = now()
-        while chunk := await attempt.read_some():
+        while chunk := await self._read_event(flight, attempt):
             events = cutter.feed(chunk)
             if events.data:
                 await reply.write(events.data)
@@ -179,6 +179,14 @@
         self._log.answered(flight, attempt.link.record, head.status)
         await reply.finish()
 
+    async def _read_event(self, flight: Flight, attempt: Attempt) -> bytes:
+        """Return the next bytes of a stream, and learn how long they took."""
+        began = now()
+        try:
+            return await attempt.read_some()
+        finally:
+            self._estimates.observe_pause(flight, now() - began)
+
 
 def _observe_trial(flight: Flight, plan: VersionPlan, head: Head) -> None:
     if not plan.is_running or flight.on_new is None:
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -26,8 +26,6 @@
 ENGINE_PATIENCE_S = 1.0
 """The same for the first part of an engine's answer, which waits for prompts to be
 read; a dark engine found after it still lets the answer come in time."""
-EVENT_PATIENCE_S = 0.7
-"""Silence within a stream; an engine that runs makes a token every few milliseconds."""
 LOST_EVENTS_S = 1.6
 """Silence within a stream after which it counts as lost though its engine goes on with
 others; one that was put back for lack of memory is read in again sooner."""
@@ -93,6 +91,7 @@
 
     __slots__ = (
         "_connection",
+        "_event_patience_s",
         "_may_give_up",
         "_response",
         "flight",
@@ -107,9 +106,11 @@
         flight: Flight,
         link: BackendLink,
         usual_first_s: float,
+        event_patience_s: float,
         may_give_up: Callable[[], bool],
     ) -> None:
         self._may_give_up = may_give_up
+        self._event_patience_s = event_patience_s
         self.flight = flight
         self.link = link
         self.sent_at = now()
@@ -153,7 +154,7 @@
         self._check(marks, response.status)
         self.link.note_answer(self.sent_at)
         if flight.route.is_stream:
-            self.patience_s = EVENT_PATIENCE_S
+            self.patience_s = self._event_patience_s
         return Head(response=response, marks=marks, latency_s=now() - self.sent_at)
 
     async def read_some(self) -> bytes:
--- a/src/baobabthread/instance/estimates.py
+++ b/src/baobabthread/instance/estimates.py
@@ -5,6 +5,7 @@
 from baobabthread.instance.flight import Flight
 from baobabthread.routing.mechanisms import Mechanism, Switches
 from baobabthread.routing.pace import Pace
+from baobabthread.routing.pauses import Pauses
 
 SLOW_TOKEN_S = 0.04
 """Time for a token at an engine that reads long prompts between its tokens: about nine
@@ -22,10 +23,11 @@
 class Estimates:
     """Ask the pace of answers about one request, and teach it."""
 
-    __slots__ = ("_pace", "price")
+    __slots__ = ("_pace", "_pauses", "price")
 
     def __init__(self) -> None:
         self._pace = Pace()
+        self._pauses = Pauses()
         self.price = 0.0
         """What engine time was worth of late."""
 
@@ -101,6 +103,14 @@
         prices[-1] = pressure * min(1.0, reading_s / largest_s)
         return tuple(prices)
 
+    def event_patience_s(self, flight: Flight) -> float:
+        """Return the silence within a stream after which its engine is given up."""
+        return self._pauses.patience_s(flight.service)
+
+    def observe_pause(self, flight: Flight, pause_s: float) -> None:
+        """Learn from a pause within a stream, also from one that was given up."""
+        self._pauses.observe(flight.service, pause_s)
+
     def observe_whole(self, flight: Flight, took_s: float) -> None:
         """Learn from an answer that came in one piece."""
         self._pace.observe(
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -193,6 +193,7 @@
             flight=flight,
             link=link,
             usual_first_s=self._estimates.first_s(flight),
+            event_patience_s=self._estimates.event_patience_s(flight),
             may_give_up=lambda: self._may_give_up(flight, state, link),
         )
         flight.work = self._estimates.work_ms(flight)
--- /dev/null
+++ b/src/baobabthread/routing/pauses.py
@@ -0,0 +1,43 @@
+"""How long streams of a service pause between events, and when silence means a loss."""
+
+from __future__ import annotations
+
+QUANTILE = 0.99
+"""Part of the pauses that the followed one is longer than."""
+STEP = 0.1
+"""Step by which it follows each pause."""
+FIRST_S = 0.3
+"""What is assumed before any event."""
+PATIENCE_FACTOR = 2.0
+"""Times that pause for which an engine's silence is borne."""
+LEAST_PATIENCE_S = 0.7
+"""Silence that is always borne; an engine that runs makes a token every few
+milliseconds when nothing else is to be read."""
+MOST_PATIENCE_S = 1.6
+"""Silence after which an engine is given up whatever it did before: callers leave soon
+after it."""
+
+
+class Pauses:
+    """Follow the long pauses of each service's streams.
+
+    Engines read the prompts of others between the tokens of a stream, one long part
+    after the other. Taken for dark by a fixed bound, one that is only busy loses its
+    streams to the next one, which reads all their prompts again and falls silent too.
+    """
+
+    __slots__ = ("_long_s",)
+
+    def __init__(self) -> None:
+        self._long_s: dict[str, float] = {}
+
+    def observe(self, service: str, pause_s: float) -> None:
+        """Take in a pause, also one that was given up at its end."""
+        long_s = self._long_s.get(service, FIRST_S)
+        part = QUANTILE if pause_s > long_s else QUANTILE - 1.0
+        self._long_s[service] = long_s * (1.0 + STEP * part)
+
+    def patience_s(self, service: str) -> float:
+        """Return the silence within a stream after which its engine is given up."""
+        long_s = self._long_s.get(service, FIRST_S)
+        return min(MOST_PATIENCE_S, max(LEAST_PATIENCE_S, PATIENCE_FACTOR * long_s))
