--- a/src/baobabthread/instance/estimates.py
+++ b/src/baobabthread/instance/estimates.py
@@ -15,6 +15,9 @@
 """Times its caller's estimate that an answer may be long where nothing bounds it."""
 PRICE_STEP = 0.2
 """Part by which the price of late follows each wait that was asked for."""
+FREE_WAIT_S = 0.24
+"""Wait at the best engine that costs nobody anything: it is what any prompt meets while
+others are read, an eighth of the shortest objectives of models' answers."""
 PRICE_WAIT_S = 1.6
 """Wait at the best engine from which a larger model's answer must be all of an answer's
 worth better: whatever is read then makes all that follows late."""
@@ -95,7 +98,7 @@
             return ()
         models = flight.route.models
         largest_s = max(1e-3, self.reading_s(flight, models[-1], 0))
-        pressure = wait_s / PRICE_WAIT_S
+        pressure = max(0.0, wait_s - FREE_WAIT_S) / PRICE_WAIT_S
         self.price += PRICE_STEP * (pressure - self.price)
         prices = [
             pressure * self.reading_s(flight, model, 0) / largest_s for model in models
