--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,10 @@
 demo: $(VENV)/.ready
 	$(BIN)/baobabthread demo
 
-# The profile makes hypothesis draw the same examples in every run.
+# The profile makes hypothesis draw the same examples in every run. Most tests wait for
+# processes and timers: four at a time need half of a small machine.
 test: $(VENV)/.ready
-	$(BIN)/python -m pytest --hypothesis-profile=ci $(PYTEST_ARGS)
+	$(BIN)/python -m pytest --hypothesis-profile=ci -n 4 --dist worksteal $(PYTEST_ARGS)
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check src bench soak tests
