Begin a trial only once servers of the new version are warm

What the trial sent there was refused as "backends_cold" whenever no window was open, though the old version had room; found by reading, shown by test_begin_no_trial_on_cold_servers (200 and 503, then 200 alone). Change: the version counts as ready from its first warm server on; what turns cold later doesn't end the trial. Configurations that come as steps are logged like those that are read.

--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -159,6 +159,9 @@
         if self._knowledge.note_cold(record, left_s, now()):
             log_event("backend_cold", backend=record.id, left_s=round(left_s, 3))
 
+    def _is_warm(self, record: BackendRecord) -> bool:
+        return self._is_usable(record) and not self._restrictions.is_cold(record)
+
     def _is_usable(self, record: BackendRecord) -> bool:
         return not record.leaving and not self._restrictions.is_evacuated(record)
 
@@ -233,6 +236,10 @@
         """Return the same of those that may get new work."""
         return self._count_versions(service, self._is_usable)
 
+    def warm_versions(self, service: str) -> dict[str, int]:
+        """Return the same without the servers that are cold."""
+        return self._count_versions(service, self._is_warm)
+
     def _count_versions(
         self, service: str, counts: Callable[[BackendRecord], bool]
     ) -> dict[str, int]:
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -14,7 +14,11 @@
 from baobabthread.instance.store import Conflict, RecordFormat, Store, StoreError
 from baobabthread.instance.trialdesk import TrialWord
 from baobabthread.logs import log_event
-from baobabthread.routing.configuration import RolloutState, RolloutStatus
+from baobabthread.routing.configuration import (
+    RolloutOrder,
+    RolloutState,
+    RolloutStatus,
+)
 from baobabthread.routing.knowledge import Knowledge
 from baobabthread.routing.versions import Progress, VersionPlan, judge_rollout
 
@@ -76,12 +80,19 @@
             plan.take_order(order, moment, saw_before=order.number not in self._early)
             self._peers.desk.begin(plan)
             self._listen(plan)
-            usable = order.target in self._backends.usable_versions(name)
-            plan.note_target(usable=usable, now=moment)
+            plan.note_target(usable=self._may_begin(plan, order), now=moment)
             self._tell(plan)
             if plan.is_running and self._leads(name):
                 await self._lead(plan)
 
+    def _may_begin(self, plan: VersionPlan, order: RolloutOrder) -> bool:
+        """Tell whether servers of an order's version may get work, or still may."""
+        if plan.has_begun:
+            return order.target in self._backends.usable_versions(order.service)
+        # Failure: an order comes as its servers start, all of them cold, and what the
+        # trial sends there is refused though the old version has room.
+        return order.target in self._backends.warm_versions(order.service)
+
     async def _recall(self) -> None:
         """Take over what was written before this instance started."""
         page = await self._store.newest(self._formats.status_topic, WRITE_S)
--- a/src/baobabthread/instance/relaying.py
+++ b/src/baobabthread/instance/relaying.py
@@ -15,6 +15,7 @@
 
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
+from baobabthread.logs import log_event
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import BackendRecord
 from baobabthread.routing.knowledge import NEVER_S, Knowledge
@@ -239,7 +240,7 @@
     def take(self, sender: str, word: KnowledgeIs) -> None:
         """Take in what a reader knows."""
         knowledge = self._knowledge
-        knowledge.take_steps(word.steps)
+        self._take_steps(sender, word)
         if word.operators_end > knowledge.operators_end:
             # Whoever knows it says that it can't be told: the store has to be asked.
             self._behind_at = -NEVER_S
@@ -269,6 +270,20 @@
                 end=word.backends_end, read_at=asked_at - word.backends_age_s
             )
 
+    def _take_steps(self, sender: str, word: KnowledgeIs) -> None:
+        """Take over what operators changed, as far as the sender tells it."""
+        knowledge = self._knowledge
+        before = knowledge.table
+        knowledge.take_steps(word.steps)
+        if knowledge.table is not None and knowledge.table is not before:
+            log_event(
+                "configuration_read",
+                version=knowledge.table.configuration.version,
+                offset=knowledge.operators_end,
+                news=True,
+                source=sender,
+            )
+
     @property
     def _own_limit_s(self) -> float:
         """Give the age from which this instance reads for itself."""
--- a/src/baobabthread/instance/restrictions.py
+++ b/src/baobabthread/instance/restrictions.py
@@ -77,6 +77,10 @@
         """Tell whether a server's failure domain is evacuated."""
         return record.failure_domain in self._evacuated
 
+    def is_cold(self, record: BackendRecord) -> bool:
+        """Tell whether a server bears only few requests now."""
+        return record.incarnation in self._cold
+
     def list_barred(self, homes: Homes, now: float) -> frozenset[str]:
         """Return the starts that must not get a request with such homes now."""
         if not self._cold:
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -157,6 +157,11 @@
             self._ready_at = None
             self._trial_end = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether backend servers of the new version may take work."""
+        return self._ready_at is not None
+
     @property
     def is_running(self) -> bool:
         """Tell whether a roll-out is under way."""
--- a/tests/platform/test_cold.py
+++ b/tests/platform/test_cold.py
@@ -6,7 +6,7 @@
 import json
 from typing import Any
 
-from tests.platform.fakestore import BACKENDS
+from tests.platform.fakestore import BACKENDS, OPERATORS
 from tests.platform.site import Site, open_site, run, wait_for
 
 SERVICES: list[dict[str, Any]] = [
@@ -32,9 +32,10 @@
 async def press(site: Site, seconds: float, *, every_s: float = 0.01) -> list[int]:
     """Send many requests, whatever becomes of them; return how they ended."""
     asking = []
-    for _ in range(int(seconds / every_s)):
+    for number in range(int(seconds / every_s)):
         for index in range(len(site.instances)):
-            asking.append(asyncio.ensure_future(site.call("/safe/x", index=index)))
+            call = site.call("/safe/x", index=index, X_Attempt_Id=f"{index}-{number}")
+            asking.append(asyncio.ensure_future(call))
         await asyncio.sleep(every_s)
     return [answer.status for answer in await asyncio.gather(*asking)]
 
@@ -161,3 +162,24 @@
             assert (await site.call("/safe/x")).status == 200
 
     run(case())
+
+
+def test_begin_no_trial_on_cold_servers() -> None:
+    """A new version is ordered as its servers start, all of them cold.
+
+    Requests that the trial sent there were refused whenever no window was open, though
+    the old version had room.
+    """
+
+    async def case() -> None:
+        async with open_site("p1", services=SERVICES) as site:
+            for number in range(2):
+                await site.add_backend(f"n{number}", version="v2", cold_s=2.0)
+            order = {"service": "plain", "target": "v2", "deadline_s": 9}
+            site.store.put(OPERATORS, "rollout/plain", order)
+            assert set(await press(site, 5.0)) == {200}
+            new = [b for b in site.backends if b.version == "v2"]
+            assert not any(backend.cold_arrivals for backend in new)
+            assert any(backend.seen for backend in new)
+
+    run(case())
