Name nobody of a failure domain that goes dark

Tests: test_take_a_domain_for_dark_once_half_of_it_is_suspected, test_name_nobody_of_a_lost_domain_for_long (300, virtual).

--- a/src/baobabthread/core/membership/detector.py
+++ b/src/baobabthread/core/membership/detector.py
@@ -21,9 +21,6 @@
 from baobabthread.core.membership.updates import UpdateQueue
 from baobabthread.core.messages import Effects, Send
 
-ENOUGH_SILENT = 3
-"""Suspects of one failure domain from which the rest of it is probed first: as many
-that crash at the same time by themselves are rare."""
 ENDANGERED_PART = 0.5
 """Part of the probes that go there; the others keep finding who else is gone."""
 
@@ -215,7 +212,7 @@
 
     def _next_subject(self) -> str | None:
         """Return the next entry of a shuffled round, so that none is left out."""
-        endangered = self._table.list_endangered(least=ENOUGH_SILENT)
+        endangered = self._table.list_endangered()
         if endangered and self._rng.random() < ENDANGERED_PART:
             return self._rng.choice(endangered)
         for _ in range(2):
--- a/src/baobabthread/core/membership/table.py
+++ b/src/baobabthread/core/membership/table.py
@@ -11,6 +11,9 @@
 from baobabthread.core.membership.messages import MemberInfo, MemberState
 
 MAX_MEMBERS = 4_096
+ENOUGH_SILENT = 3
+"""Suspects of one failure domain from which all of it may be lost: as many that crash
+at the same time by themselves are rare."""
 
 
 class MemberTable:
@@ -130,24 +133,39 @@
                 self._checksum ^= find_print(member)
         return self._checksum ^ find_print(me)
 
-    def list_endangered(self, *, least: int) -> list[str]:
-        """Return the serving members of failure domains with so many suspects.
+    def list_endangered(self) -> list[str]:
+        """Return the serving members of failure domains with several suspects.
 
         A domain goes dark as a whole. Probed in a round of all, the last of its members
         would be named as serving for several seconds among hundreds.
         """
-        if len(self._suspected_at) < least:
+        suspects = self._count_suspects()
+        if not suspects:
             return []
-        suspects = Counter(
-            self._members[name].failure_domain for name in self._suspected_at
-        )
-        domains = {domain for domain, count in suspects.items() if count >= least}
+        domains = suspects.keys()
         return [
             member.name
             for member in self._members.values()
             if member.is_serving and member.failure_domain in domains
         ]
 
+    def list_dark_domains(self) -> set[str]:
+        """Return the domains half of whose members, and several, are suspects."""
+        suspects = self._count_suspects()
+        if not suspects:
+            return set()
+        members = Counter(member.failure_domain for member in self.present())
+        return {d for d, count in suspects.items() if 2 * count >= members[d]}
+
+    def _count_suspects(self) -> dict[str, int]:
+        """Return the number of suspects of each failure domain that has several."""
+        if len(self._suspected_at) < ENOUGH_SILENT:
+            return {}
+        suspects = Counter(
+            self._members[name].failure_domain for name in self._suspected_at
+        )
+        return {d: count for d, count in suspects.items() if count >= ENOUGH_SILENT}
+
     def present(self) -> list[MemberInfo]:
         """Return the members that are not known to be gone."""
         return [m for m in self._members.values() if m.state is not MemberState.DEAD]
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -179,11 +179,16 @@
         """Return which instances a caller may connect to."""
         membership = self.peers.membership
         table = self.knowledge.table
+        dark = membership.table.list_dark_domains()
         return list_addresses(
             me=membership.me,
             serving=membership.alive(),
             i_am_ready=self.is_ready,
-            is_stale=self.readiness.is_stale,
+            # Failure: a domain goes dark, and the last of its members that nobody has
+            # probed yet are named to callers for seconds.
+            is_stale=lambda member: (
+                member.failure_domain in dark or self.readiness.is_stale(member)
+            ),
             failure_domain=failure_domain,
             max_lifetime_s=self._settings.bounds.max_lifetime_s,
             area=area,
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -258,3 +258,28 @@
         assert fleet.bytes_sent / len(fleet.members) <= 2_000 * 4.0 + 4 * 1_000
 
     play(195, case)
+
+
+def test_name_nobody_of_a_lost_domain_for_long() -> None:
+    """A failure domain of three hundred instances goes dark, and some others restart.
+
+    The last of the lost ones were named to callers for 7.5 s.
+    """
+
+    async def case(fleet: Fleet) -> None:
+        await meet(fleet)
+        for member in fleet.members.values():
+            if member.domain == "domain1":
+                member.stop()
+        await asyncio.sleep(1.0)
+        for member in list(fleet.up())[:3]:
+            member.stop()
+            member.restart()
+        await asyncio.sleep(CONTACT_S - 1.0)
+        for member in fleet.up():
+            membership = member.link.membership
+            dark = membership.table.list_dark_domains()
+            named = {m.failure_domain for m in membership.alive()} - dark
+            assert "domain1" not in named
+
+    play(300, case)
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -22,7 +22,9 @@
     GossipPayload,
     Hint,
     MemberInfo,
+    MemberState,
 )
+from baobabthread.core.membership.table import ENOUGH_SILENT, MemberTable
 from baobabthread.core.messages import Effects, Send
 
 DELAY_S = 0.001
@@ -283,3 +285,38 @@
     assert net.freshness["e1"].head_age(net.now) < 4.0
     assert net.freshness["e0"].head_age(net.now) > 5.0
     assert net.freshness["e0"].state(net.now) is not FreshnessState.FRESH
+
+
+def make_table(suspects: dict[str, int], members: int) -> MemberTable:
+    """Return a table of domains with so many members each, some of them suspects."""
+    table = MemberTable()
+    for domain, count in suspects.items():
+        for number in range(members):
+            state = MemberState.SUSPECT if number < count else MemberState.ALIVE
+            table.merge(
+                MemberInfo(
+                    name=f"{domain}-{number}",
+                    address="127.0.0.1:1",
+                    peer_address="127.0.0.1:2",
+                    failure_domain=domain,
+                    incarnation=f"{domain}-{number}.1",
+                    started_at=START_S,
+                    state=state,
+                ),
+                START_S,
+            )
+    return table
+
+
+def test_take_a_domain_for_dark_once_half_of_it_is_suspected() -> None:
+    """A failure domain loses its power: seconds pass until all of it was probed.
+
+    Its other members are named to callers until then, and callers that connect to them
+    hang. Single crashes tell nothing of the rest.
+    """
+    table = make_table({"a": 5, "b": ENOUGH_SILENT - 1, "c": 4, "d": 0}, 10)
+    assert table.list_dark_domains() == {"a"}
+    endangered = table.list_endangered()
+    assert sorted({name[0] for name in endangered}) == ["a", "c"]
+    assert len(endangered) == 5 + 6
+    assert make_table({"a": 2, "b": 2}, 2).list_dark_domains() == set()
