Name callers no instance that stops, also where it is the last one of its area

Found in reading the change: an instance that was told to stop, the only one in a caller's area, named itself instead of those at home. Test: test_name_home_where_the_only_near_instance_stops, red, then green.

--- a/src/baobabthread/routing/directory.py
+++ b/src/baobabthread/routing/directory.py
@@ -48,7 +48,10 @@
     caller's and `homes` those in which the bodies of all callers may be read.
     """
     if areas is not None:
-        serving = _keep_bodies_home([*serving, me], area, homes, areas)
+        able = [member for member in serving if member.name != me.name]
+        if i_am_ready:
+            able.append(me)
+        serving = _keep_bodies_home(able, area, homes, areas)
         i_am_ready = i_am_ready and me in serving
     others = [member for member in serving if member.name != me.name]
     ready = [member for member in others if not is_stale(member)]
--- a/tests/routing/test_homes.py
+++ b/tests/routing/test_homes.py
@@ -72,7 +72,7 @@
     assert common(("south",), ("north",)) == {"north", "south"}
 
 
-def name_for(area: str, domains: str, *, me: str = "a") -> str:
+def name_for(area: str, domains: str, *, me: str = "a", is_ready: bool = True) -> str:
     """Return the domains of the instances that callers of an area are told."""
     members = [
         MemberInfo(
@@ -88,7 +88,7 @@
     found = list_addresses(
         me=next(member for member in members if member.failure_domain == me),
         serving=members,
-        i_am_ready=True,
+        i_am_ready=is_ready,
         is_stale=lambda member: False,
         failure_domain="x",
         max_lifetime_s=5.0,
@@ -106,3 +106,12 @@
     assert name_for("south", "abcd", me="c") == "c"
     assert name_for("west", "abcd") == "c"
     assert name_for("west", "abd") == "abd"
+
+
+def test_name_home_where_the_only_near_instance_stops() -> None:
+    """The last instance of an area was told to stop and is asked for addresses.
+
+    It named itself, and callers connected to one that ends a moment later.
+    """
+    assert name_for("north", "acd", is_ready=False) == "c"
+    assert name_for("north", "abcd", is_ready=False) == "b"
