Take no version for the one in force that was taken back

Callers saw one of two answers fail for two seconds: a bad version was taken back, and the next order came while its servers were still listed as ready. The version beside the target was chosen by the number of its servers, and a tie by name, so all requests that were not on trial went to the bad version. Its failures also passed for the usual ones: the next bad version met an alarm only after 104 bad answers of 301.

Now a plan keeps which version is in force: the only one listed before any order, or the target of the last order that succeeded; targets that were taken back are never it. One that starts later learns it from the others' word. Where only versions that were taken back are left, requests are refused.

Class: what is in force was inferred from what is there.

--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -69,6 +69,8 @@
         moment = now()
         if self._knowledge.table is None:
             return
+        for state in self._services:
+            state.plan.note_versions(self._backends.versions(state.name))
         orders = self._knowledge.orders
         if self._early is None:
             self._early = frozenset(order.number for order in orders.values())
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -17,6 +17,8 @@
 from baobabthread.routing.mechanisms import Mechanism, Switches
 from baobabthread.routing.versions import VersionPlan
 
+NO_VERSION = ""
+"""Stands for a version that no backend server runs."""
 PART_KEY_BITS = 48
 """Bits of a part's key: two of a hundred thousand parts share one once in 50,000 days,
 which costs a wrong guess of the reading."""
@@ -147,26 +149,25 @@
 
     def choose_version(self, flight: Flight, plan: VersionPlan) -> str | None:
         """Return the version that must run the request, or None for any."""
+        listed = self._backends.versions(flight.service)
         order = plan.order
         if order is None:
             # A stream that begins now may break after an order has come: resumed on the
             # new version, it would be joined from two, and lost where that one is bad.
             flight.on_new = False
-            return None
-        versions = self._backends.versions(flight.service)
-        old = {v: count for v, count in versions.items() if v != order.target}
+            return plan.find_base(listed) if len(listed) > 1 else None
         wanted = plan.choose(flight.session, now()) and flight.may_move
         if flight.on_new is None or flight.runs == 0 or not wanted:
             flight.on_new = wanted
-        if flight.on_new and order.target in versions:
+        if flight.on_new and order.target in listed:
             return order.target
-        if old:
-            # Where the old version is evacuated and the new one on trial, requests are
-            # refused: all of them on an unproven version would be worse.
-            flight.on_new = False
-            usable = self._backends.usable_versions(flight.service)
-            return max(old, key=lambda v: (usable.get(v, 0), old[v], v))
-        return None
+        flight.on_new = False
+        base = plan.find_base(listed)
+        if base is None and order.target in listed and not plan.is_reverted:
+            return None
+        # Where the old version is evacuated or gone and the new one on trial, requests
+        # are refused: all of them on an unproven version would be worse.
+        return base or plan.base or NO_VERSION
 
 
 def _list_parts(flight: Flight, model: str | None) -> tuple[Part, ...]:
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -53,6 +54,8 @@
     alarm: str | None = None
     is_suspicious: bool = False
     """Whether the sender's bets against the version are ahead of what is usual."""
+    base: str | None = None
+    """The version that was in force before the order, as far as the sender knows."""
 
 
 class VersionPlan:
@@ -68,7 +71,9 @@
         "_suspected",
         "_trial_end",
         "_used",
+        "base",
         "order",
+        "rejected",
         "saw_before",
         "service",
         "state",
@@ -80,6 +85,10 @@
         self._bounds = bounds
         self.order: RolloutOrder | None = None
         self.state = RolloutState.SUCCEEDED
+        self.base: str | None = None
+        """The version in force beside the target of the order, once it is known."""
+        self.rejected: set[str] = set()
+        """Targets of earlier orders that were taken back."""
         self.trial = Trial(number=-1)
         self._started_at = 0.0
         self._ready_at: float | None = None
@@ -104,6 +113,8 @@
         """Begin with an order; return whether it is news."""
         if self.order is not None and order.number <= self.order.number:
             return False
+        self._close_order()
+        self.rejected.discard(order.target)
         self.order = order
         self.saw_before = saw_before
         self.state = RolloutState.RUNNING
@@ -116,6 +127,35 @@
         self._moved.clear()
         return True
 
+    def _close_order(self) -> None:
+        """Keep what the order before has left in force."""
+        if self.order is None:
+            return
+        if self.state is RolloutState.SUCCEEDED:
+            self.base = self.order.target
+        else:
+            self.rejected.add(self.order.target)
+
+    def note_versions(self, listed: Mapping[str, int]) -> None:
+        """Learn which version is in force while just one is listed."""
+        if self.order is None and len(listed) == 1:
+            self.base = next(iter(listed))
+
+    def find_base(self, listed: Mapping[str, int]) -> str | None:
+        """Return the version in force beside the target, among those listed.
+
+        Failure: the servers of a target that was taken back stay listed for seconds.
+        Taken for the version in force, it gets all that isn't on trial, and its
+        failures pass for the usual ones of the version that is.
+        """
+        target = self.order.target if self.order is not None else None
+        found = [v for v in listed if v != target and v not in self.rejected]
+        if self.base in found:
+            return self.base
+        # Nobody told of it: the one with most servers has been there for longest, and
+        # of two alike the one that was named first.
+        return min(found, key=lambda v: (-listed[v], _split(v)), default=None)
+
     def take_status(self, status: RolloutStatus, now: float) -> None:
         """Take over what the store or the conductor says of the present order."""
         if self.order is None or status.target != self.order.target:
@@ -132,6 +172,8 @@
         if self.order is None or progress.number != self.order.number:
             return
         self._started_at = min(self._started_at, now - progress.elapsed_s)
+        if self.base is None and progress.base != self.order.target:
+            self.base = progress.base
         if progress.alarm is not None and self.trial.alarm is None:
             self.trial.alarm = progress.alarm
 
@@ -162,6 +204,11 @@
         """Tell whether backend servers of the new version may take work."""
         return self._ready_at is not None
 
+    @property
+    def is_reverted(self) -> bool:
+        """Tell whether the newest order's version was taken back."""
+        return self.state is RolloutState.REVERTED
+
     @property
     def is_running(self) -> bool:
         """Tell whether a roll-out is under way."""
@@ -284,6 +331,7 @@
             old_running=self._old_running,
             alarm=self.trial.alarm,
             is_suspicious=self.trial.is_suspicious,
+            base=self.base,
         )
 
     def _is_in(self, session: str, share: float) -> bool:
@@ -304,6 +352,14 @@
         self._seen = {s: at for s, at in self._seen.items() if at > recent}
 
 
+def _split(version: str) -> list[tuple[int, str]]:
+    """Return a version's name in the order in which people count: v9 before v10."""
+    return [
+        (int(part), "") if part.isdigit() else (0, part)
+        for part in re.split(r"(\d+)", version)
+    ]
+
+
 def judge_rollout(
     plan: VersionPlan, others: Iterable[Progress], members: int, now: float
 ) -> RolloutState:
--- a/tests/routing/test_versions.py
+++ b/tests/routing/test_versions.py
@@ -151,6 +151,51 @@
     assert plan.share(19.0) > 0.2
 
 
+def test_take_no_version_for_the_old_one_that_was_taken_back() -> None:
+    """A bad version is taken back, and the next order comes while its servers run on.
+
+    By number they tie with those in force. All requests that are not on trial went to
+    the bad version, and its failures passed for usual ones.
+    """
+    plan = VersionPlan(service="s", bounds=BOUNDS)
+    plan.note_versions({"v1": 5})
+    bad = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
+    plan.take_order(bad, 0.0)
+    assert plan.find_base({"v1": 5, "v2": 7}) == "v1"
+    plan.take_status(
+        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, number=1),
+        2.0,
+    )
+    listed = {"v1": 5, "v2": 5, "v3": 5}
+    assert plan.find_base(listed) == "v1"
+    plan.take_order(
+        RolloutOrder(number=2, service="s", target="v3", time_limit_s=LIMIT_S), 3.0
+    )
+    assert plan.find_base(listed) == "v1"
+    assert plan.find_base({"v2": 5, "v3": 5}) is None
+    plan.take_status(
+        RolloutStatus(service="s", target="v3", state=RolloutState.SUCCEEDED, number=2),
+        9.0,
+    )
+    plan.take_order(
+        RolloutOrder(number=3, service="s", target="v4", time_limit_s=LIMIT_S), 9.5
+    )
+    assert plan.find_base({"v1": 5, "v3": 5, "v4": 9}) == "v3"
+
+
+def test_learn_from_others_which_version_is_in_force() -> None:
+    """An instance starts in the middle of a roll-out, with three versions listed."""
+    plan = VersionPlan(service="s", bounds=BOUNDS)
+    assert plan.find_base({"v9": 4, "v10": 4}) == "v9"
+    order = RolloutOrder(number=2, service="s", target="v3", time_limit_s=LIMIT_S)
+    plan.take_order(order, 0.0, saw_before=False)
+    word = Progress(
+        service="s", number=2, elapsed_s=4.0, share=0.1, old_running=0, base="v1"
+    )
+    plan.take_verdict(word, 0.2)
+    assert plan.find_base({"v1": 3, "v2": 5, "v3": 5}) == "v1"
+
+
 def test_go_on_where_a_restarted_instance_finds_a_rollout() -> None:
     plan = VersionPlan(service="s", bounds=BOUNDS)
     order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
