--- a/src/baobabthread/instance/answers.py
+++ b/src/baobabthread/instance/answers.py
@@ -17,7 +17,6 @@
 from baobabthread.instance.wire import WireFormat
 from baobabthread.routing.mechanisms import Switches
 from baobabthread.routing.models import ModelChoice, ModelQuestion
-from baobabthread.routing.versions import VersionPlan
 
 LENGTH_MARGIN = 1.5
 """Times the expected length of a larger model's answer that must be left: callers'
@@ -55,7 +54,6 @@
 
         Raises `Again` where another one is to be tried, `BrokenError` where it breaks.
         """
-        _observe_trial(flight, state.plan, head)
         if not flight.reply.has_begun:
             if head.is_failure:
                 await self._take_failure(flight, state, attempt, head)
@@ -186,15 +184,3 @@
             return await attempt.read_some()
         finally:
             self._estimates.observe_pause(flight, now() - began)
-
-
-def _observe_trial(flight: Flight, plan: VersionPlan, head: Head) -> None:
-    if not plan.is_running or flight.on_new is None:
-        return
-    plan.trial.observe(
-        on_trial=flight.on_new,
-        call=flight.route.name,
-        kind=f"{flight.route.name}/{flight.model_name}",
-        failed=head.is_failure,
-        latency_s=head.latency_s if plan.compares(now()) else None,
-    )
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -146,7 +146,7 @@
             self.link.suspect()
             raise
         self.sent_at = now()
-        flight.runs += 1
+        flight.note_sent()
         response = await self._watch(self.link.pool.receive(self._connection))
         self._check_open()
         self._response = response
@@ -157,6 +157,11 @@
             self.patience_s = self._event_patience_s
         return Head(response=response, marks=marks, latency_s=now() - self.sent_at)
 
+    @property
+    def has_answered(self) -> bool:
+        """Tell whether the head of an answer has come."""
+        return self._response is not None
+
     async def read_some(self) -> bytes:
         """Return the next bytes of the body; none at its end."""
         assert self._response is not None
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -22,6 +22,7 @@
     ServiceKind,
 )
 from baobabthread.core.limits.limits import Outcome
+from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import ConnectionPool
 from baobabthread.instance.restrictions import Restrictions
@@ -249,6 +250,19 @@
                 found[record.version] = found.get(record.version, 0) + 1
         return found
 
+    def list_sidelined(
+        self, service: str, version: str, canaries: int
+    ) -> frozenset[str]:
+        """Return the usable servers of a version but for so many, the same anywhere."""
+        names = [
+            record.incarnation
+            for record in self._knowledge.backends.values()
+            if record.service == service
+            and record.version == version
+            and self._is_usable(record)
+        ]
+        return frozenset(rank(f"{service}/{version}", names)[canaries:])
+
     def is_listed(self, link: BackendLink) -> bool:
         """Tell whether a link's server still has its record."""
         return self._links.get(link.name) is link
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import msgspec
 
@@ -11,22 +12,36 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.peers import PeerLink
 from baobabthread.instance.services import Services
-from baobabthread.instance.store import Conflict, RecordFormat, Store, StoreError
-from baobabthread.instance.trialdesk import TrialWord
+from baobabthread.instance.store import Conflict, Page, RecordFormat, Store, StoreError
+from baobabthread.instance.trialdesk import TrialPermit, TrialWord
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import (
     RolloutOrder,
     RolloutState,
     RolloutStatus,
 )
+from baobabthread.routing.exposure import Totals
 from baobabthread.routing.knowledge import Knowledge
-from baobabthread.routing.versions import Progress, VersionPlan, judge_rollout
+from baobabthread.routing.versions import (
+    Progress,
+    VersionPlan,
+    judge_rollout,
+    may_begin_final,
+)
 
 PERIOD_S = 0.25
+END_PERIOD_S = 0.05
+"""Time between two steps while a version takes over: little of the limit is left."""
 SPREAD_S = 1.0
 """Time between two words of a leader that are spread to all."""
 WRITE_S = 0.8
 """Longest time for a call to the store."""
+CONFIRM_S = 1.0
+"""Time after which the one that leads looks again whether a roll-out has ended."""
+CONFIRMED_S = 2.0
+"""Time for which it takes the store's word for granted. With the time for which others
+go on without its own word, a version that was taken back anywhere gets nothing more
+within 4.5 s, also where two lead that don't hear each other."""
 
 
 class Conducting:
@@ -54,7 +69,15 @@
         self._is_recalled = False
         self._sharing: dict[str, float] = {}
         self._spread_at: dict[str, float] = {}
+        self._asked: dict[str, float] = {}
+        self._confirmed: dict[str, float] = {}
+        """When the store was last asked, and told nothing of a roll-out's end."""
+        self._totals: dict[int, Totals] = {}
+        """What all instances have sent, by order."""
+        self._news = asyncio.Event()
         peers.trials.take_verdict = self._take_verdict
+        peers.trials.take_permit = self._take_permit
+        peers.trials.find_permit = self._find_permit
 
     async def run(self) -> None:
         """Move the roll-outs on until cancelled."""
@@ -63,7 +86,32 @@
                 await self._step()
             except StoreError as error:
                 log_event("status_not_written", level="warning", error=str(error))
-            await asyncio.sleep(PERIOD_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._choose_pause()):
+                    await self._news.wait()
+            self._news.clear()
+
+    def _choose_pause(self) -> float:
+        plans = [state.plan for state in self._services]
+        ends = any(plan.is_running and plan.is_final for plan in plans)
+        return END_PERIOD_S if ends else PERIOD_S
+
+    def take_orders(self) -> None:
+        """Begin with orders as soon as they are known.
+
+        Failure: an instance that starts in the middle of a roll-out would choose among
+        the servers of all versions alike until its next step.
+        """
+        if self._knowledge.table is None:
+            return
+        orders = self._knowledge.orders
+        if self._early is None:
+            self._early = frozenset(order.number for order in orders.values())
+        for name, order in orders.items():
+            plan = self._services.get(name).plan
+            is_early = order.number in self._early
+            if plan.take_order(order, now(), saw_before=not is_early):
+                self._news.set()
 
     async def _step(self) -> None:
         moment = now()
@@ -71,19 +119,25 @@
             return
         for state in self._services:
             state.plan.note_versions(self._backends.versions(state.name))
+        self.take_orders()
         orders = self._knowledge.orders
-        if self._early is None:
-            self._early = frozenset(order.number for order in orders.values())
         if self._early and not self._is_recalled:
             # An order that came later can't have been carried out before.
             await self._recall()
         for name, order in list(orders.items()):
             plan = self._services.get(name).plan
-            plan.take_order(order, moment, saw_before=order.number not in self._early)
+            plan.rate.note(plan.exposure.report().requests, moment)
             self._peers.desk.begin(plan)
             self._listen(plan)
-            plan.note_target(usable=self._may_begin(plan, order), now=moment)
+            plan.trial.note_overdue(moment)
+            plan.note_target(
+                usable=self._may_begin(plan, order),
+                now=moment,
+                servers=self._backends.usable_versions(name).get(order.target, 1),
+            )
             self._tell(plan)
+        for name in list(orders):
+            plan = self._services.get(name).plan
             if plan.is_running and self._leads(name):
                 await self._lead(plan)
 
@@ -127,6 +181,26 @@
     def _take_verdict(self, progress: Progress) -> None:
         self._services.get(progress.service).plan.take_verdict(progress, now())
 
+    def _take_permit(self, permit: TrialPermit) -> None:
+        plan = self._services.get(permit.progress.service).plan
+        if plan.order is None or plan.order.number != permit.progress.number:
+            return
+        plan.take_verdict(permit.progress, now())
+        plan.permit(asked_at=permit.sent_at)
+
+    def _find_permit(self, service: str, number: int) -> Progress | None:
+        """Return what to permit the others, while the store tells of no end."""
+        plan = self._services.get(service).plan
+        if plan.order is None or plan.order.number != number:
+            return None
+        progress = plan.progress(now())
+        if progress is None or not self._is_confirmed(service):
+            return None
+        return progress
+
+    def _is_confirmed(self, service: str) -> bool:
+        return now() - self._confirmed.get(service, -1e9) <= CONFIRMED_S
+
     def _adopt(self, plan: VersionPlan, status: RolloutStatus, source: str) -> None:
         before = plan.state
         plan.take_status(status, now())
@@ -159,6 +233,7 @@
                 origin=self._peers.incarnation,
                 progress=progress,
                 evidence=plan.trial.evidence(),
+                exposure=plan.exposure.report(),
             )
         )
         if self._peers.trials.leads(plan.service):
@@ -192,9 +267,15 @@
         order = plan.order
         assert order is not None
         moment = now()
+        await self._confirm(plan)
+        if not plan.is_running:
+            return
+        self._begin_final(plan)
         words = [word.progress for word in self._words(plan)]
         others = len(self._peers.membership.alive()) - 1
-        state = judge_rollout(plan, words, others, moment)
+        state = judge_rollout(
+            plan, words, others, moment, totals=self._find_totals(plan)
+        )
         written = self._written.get(plan.service)
         if (
             written is not None
@@ -211,21 +292,71 @@
         )
         await self._write(plan, status)
 
-    async def _write(self, plan: VersionPlan, status: RolloutStatus) -> None:
-        page = await self._store.newest(self._formats.status_topic, WRITE_S)
+    def _begin_final(self, plan: VersionPlan) -> None:
+        """Let the new version take over once what it may get lasts to the limit."""
+        moment = now()
+        counts = [word.exposure for word in self._words(plan)]
+        totals = self._find_totals(plan)
+        totals.note([*counts, plan.exposure.report()], moment)
+        if not self._is_confirmed(plan.service):
+            return
+        if may_begin_final(plan, totals, moment):
+            plan.begin_final(moment)
+            log_event(
+                "rollout_final",
+                service=plan.service,
+                requests=totals.sum.requests,
+                exposed=totals.sum.exposed,
+                per_s=round(totals.per_s(plan.elapsed(moment)), 1),
+                left_s=round(plan.left_s(moment), 2),
+                evidence=plan.trial.describe(),
+            )
+            self._tell(plan)
+
+    def _find_totals(self, plan: VersionPlan) -> Totals:
+        assert plan.order is not None
+        totals = self._totals.get(plan.order.number)
+        if totals is None:
+            totals = self._totals[plan.order.number] = Totals(bounds=plan.bounds)
+        return totals
+
+    async def _confirm(self, plan: VersionPlan) -> None:
+        """Look whether another conductor has ended a roll-out."""
+        asked_at = now()
+        if asked_at - self._asked.get(plan.service, -1e9) >= CONFIRM_S:
+            self._asked[plan.service] = asked_at
+            try:
+                page = await self._store.newest(self._formats.status_topic, WRITE_S)
+            except StoreError as error:
+                log_event("rollout_unconfirmed", service=plan.service, error=str(error))
+            else:
+                self._find_end(plan, page)
+                self._confirmed[plan.service] = asked_at
+        if self._is_confirmed(plan.service):
+            plan.permit(asked_at=self._confirmed[plan.service])
+
+    def _find_end(self, plan: VersionPlan, page: Page) -> RolloutStatus | None:
+        """Return what the store holds of a plan's order; take over its end."""
         for record in page.records:
             found = self._formats.decode_status(record)
-            if found is None or found.service != status.service:
+            if found is None or found.service != plan.service:
                 continue
-            if (
-                found.number == status.number
-                and found.state is not RolloutState.RUNNING
-            ):
+            if plan.order is None or found.number != plan.order.number:
+                continue
+            if found.state is not RolloutState.RUNNING:
                 # Another conductor, or an append of this one whose answer was lost,
                 # has ended it: what is written stays.
                 self._end(plan, found)
+            return found
+        return None
+
+    async def _write(self, plan: VersionPlan, status: RolloutStatus) -> None:
+        page = await self._store.newest(self._formats.status_topic, WRITE_S)
+        found = self._find_end(plan, page)
+        if found is not None:
+            if found.state is not RolloutState.RUNNING:
                 return
-            if found.number == status.number and found.state is status.state:
+            if found.state is status.state:
                 self._written[plan.service] = found
                 return
         append = self._formats.encode_status(status, page.end)
@@ -243,7 +374,9 @@
             target=status.target,
             state=status.state,
             elapsed_s=round(status.elapsed_s, 2),
-            seen=plan.trial.seen,
+            evidence=plan.trial.describe(),
+            requests=self._find_totals(plan).sum.requests,
+            exposed=self._find_totals(plan).sum.exposed,
             alarm=plan.trial.alarm or "",
         )
         if status.state is not RolloutState.RUNNING:
--- a/src/baobabthread/instance/estimates.py
+++ b/src/baobabthread/instance/estimates.py
@@ -13,6 +13,8 @@
 knows no better, and a stream that its stop cuts is lost."""
 LENGTH_FACTOR = 3.0
 """Times its caller's estimate that an answer may be long where nothing bounds it."""
+LEAST_LATENCY_S = 0.01
+"""Time that an answer takes besides the reading of its prompt."""
 PRICE_STEP = 0.2
 """Part by which the price of late follows each wait that was asked for."""
 FREE_WAIT_S = 0.24
@@ -80,6 +82,16 @@
         name = model or flight.model_name
         return self._pace.unhindered_s(flight.service, name, fresh)
 
+    def answer_s(self, flight: Flight) -> float:
+        """Return the seconds to an answer's first part where nothing is in the way.
+
+        Servers of a version on trial have kept no prompts yet: expected to answer like
+        the others, a good version would pass for a slow one.
+        """
+        is_unknown = flight.is_on_trial and flight.kept_tokens is None
+        reading_s = self.reading_s(flight, kept_tokens=0 if is_unknown else None)
+        return LEAST_LATENCY_S + reading_s
+
     def shared_s(self, flight: Flight) -> float:
         """Return the seconds that a cached prefix saves."""
         tokens = flight.request.envelope.shared_tokens
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -9,6 +9,7 @@
 
 from baobabthread.instance.wire import RawHeaders
 from baobabthread.routing.configuration import Account, Route
+from baobabthread.routing.exposure import ExposureBudget
 from baobabthread.routing.fingerprints import fingerprint
 from baobabthread.routing.homes import find_homes
 from baobabthread.routing.table import Envelope
@@ -76,8 +77,13 @@
         "confidence",
         "deadline",
         "excluded",
+        "exposure",
         "first_s",
+        "holds_exposure",
         "homes",
+        "is_counted",
+        "is_free",
+        "is_on_trial",
         "kept_tokens",
         "last_event",
         "lost",
@@ -91,6 +97,7 @@
         "runs",
         "service",
         "session",
+        "sidelined",
         "started_at",
         "trail",
         "version",
@@ -116,6 +123,8 @@
         self.homes = find_homes(route, account)
         """Areas that it must not leave; None where any will do."""
         self.session = request.envelope.session or request.envelope.request_id
+        self.is_free = request.envelope.session is None
+        """Whether it belongs to no session, so that any version may answer it."""
         self.started_at = request.arrived_at
         self.attempts = 0
         """Backend servers that it was offered to."""
@@ -124,10 +133,20 @@
         self.lost = 0
         """Attempts whose connection ended before the answer."""
         self.excluded: set[str] = set()
+        self.is_on_trial = False
+        """Whether the attempt goes to a version on trial."""
+        self.sidelined: frozenset[str] = frozenset()
+        """Backend servers of a version on trial that take no part in it."""
         self.model: int | None = None
         """Index of the model to ask; None where the caller or nobody chooses."""
         self.on_new: bool | None = None
         """Whether it goes to the new version of a roll-out."""
+        self.exposure: ExposureBudget | None = None
+        """What its service's version on trial may get."""
+        self.holds_exposure = False
+        """Whether an attempt at that version is taken out of it and not sent yet."""
+        self.is_counted = False
+        """Whether it reached a backend server of its service."""
         self.version: str | None = None
         """The version that must run it; None for any."""
         self.kept_tokens: int | None = None
@@ -146,6 +165,24 @@
         """Backend servers and how each attempt ended, for the log."""
         self._fingerprint: str | None = None
 
+    def release_exposure(self) -> None:
+        """Give back what an attempt that was not sent has taken."""
+        if self.holds_exposure and self.exposure is not None:
+            self.exposure.release()
+        self.holds_exposure = False
+
+    def note_sent(self) -> None:
+        """Count an attempt that was sent."""
+        self.runs += 1
+        if self.exposure is None:
+            return
+        if not self.is_counted:
+            self.is_counted = True
+            self.exposure.count_request()
+        if self.holds_exposure:
+            self.holds_exposure = False
+            self.exposure.spend()
+
     @property
     def model_name(self) -> str | None:
         """Give the name of the model to ask."""
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -39,6 +39,7 @@
 from baobabthread.routing.knowledge import Knowledge
 from baobabthread.routing.mechanisms import NONE_OFF, Mechanism, Switches
 from baobabthread.routing.models import MODEL_CHOICES
+from baobabthread.routing.trial import NO_TICKET, Sent
 
 MOST_LOST = 3
 """Connections that may end under one request, where its route allows more tries: three
@@ -150,6 +151,7 @@
             self._log.crashed(flight, error)
             raise
         finally:
+            flight.release_exposure()
             self.turns.finish(ticket, flight, state)
 
     async def _hold_back(self, flight: Flight) -> bool:
@@ -167,7 +169,7 @@
         return True
 
     async def _run(self, flight: Flight, state: ServiceState) -> None:
-        if state.plan.is_contested(flight.session, now()):
+        if not flight.is_free and state.plan.is_contested(flight.session, now()):
             flight.may_move = await self._desk.decide(state.plan, flight.session)
         while True:
             if flight.deadline - now() < LEAST_LEFT_S:
@@ -206,13 +208,16 @@
         on_old = not flight.on_new
         if on_old:
             state.plan.started_old(flight.session, now())
-            self._desk.note_use(state.plan, flight.session)
+            self._note_use(flight, state)
         presence = Presence(flight=flight, abort=attempt.abort)
         self._crashes.enter(presence, link)
         departure = Departure.CANCELLED
         outcome = Outcome.CANCELLED
+        trial = state.plan.trial
+        ticket = self._begin_trial(flight, state)
         try:
             head = await attempt.open(self._wire)
+            trial.end(ticket, failed=head.is_failure, now=now())
             presence.begin()
             occupancy.begin(head.latency_s)
             if prompt is not None:
@@ -226,6 +231,8 @@
         except (NotSentError, RefusedError, BrokenError, TimeoutError) as error:
             outcome = judge(error)
             departure = _find_departure(error)
+            if isinstance(error, SilentError | TimeoutError):
+                trial.end(ticket, failed=None, now=now())
             if _is_gone(error):
                 reading_end = ReadingEnd.SILENT
             flight.trail.append(f"{link.record.id}:{str(error) or 'timeout'}")
@@ -235,13 +242,33 @@
             await self._recover(flight, state, link, error)
         finally:
             attempt.abort()
+            trial.cancel(ticket)
             self._crashes.leave(presence, link, departure)
             occupancy.end(outcome, now() - attempt.sent_at)
             if prompt is not None:
                 prompt.end(reading_end)
             if on_old:
                 state.plan.ended_old(flight.session, now())
-                self._desk.note_use(state.plan, flight.session)
+                self._note_use(flight, state)
+
+    def _begin_trial(self, flight: Flight, state: ServiceState) -> int:
+        """Note an attempt whose answer speaks for a version or against it."""
+        if not state.plan.is_running or flight.on_new is None:
+            return NO_TICKET
+        return state.plan.trial.begin(
+            Sent(
+                on_trial=flight.on_new,
+                call=flight.route.name,
+                kind=f"{flight.route.name}/{flight.model_name}",
+                at=now(),
+                expected_s=self._estimates.answer_s(flight),
+            )
+        )
+
+    def _note_use(self, flight: Flight, state: ServiceState) -> None:
+        """Tell who decides on its session that a request is on the old version."""
+        if not flight.is_free:
+            self._desk.note_use(state.plan, flight.session)
 
     async def _recover(
         self, flight: Flight, state: ServiceState, link: BackendLink, error: Exception
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -59,6 +59,7 @@
 from baobabthread.instance.trialdesk import (
     TRIAL_MESSAGES,
     TrialDesk,
+    TrialPermit,
     TrialVerdict,
     TrialWord,
 )
@@ -194,7 +195,9 @@
             case TellEnded():
                 self.placement.take_ended(sender, message)
             case TrialWord():
-                self.trials.take(message)
+                self.trials.take(sender, message)
+            case TrialPermit():
+                self.trials.take_permit(message)
             case TrialVerdict():
                 self.trials.take_verdict(message.progress)
             case Crash():
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -296,6 +296,7 @@
 
     def _take_knowledge(self) -> None:
         self.backends.refresh()
+        self.conducting.take_orders()
         if self.knowledge.is_complete:
             self.forwarder.admission.note_known()
 
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -53,14 +53,24 @@
 
     async def select(self, flight: Flight, plan: VersionPlan) -> BackendLink | None:
         """Return the backend server for the next attempt, if one is left."""
+        link = await self._select(flight, plan)
+        if link is None and flight.is_on_trial:
+            # The few servers on trial are no reason to refuse what others can take.
+            flight.may_move = False
+            link = await self._select(flight, plan)
+        return link
+
+    async def _select(self, flight: Flight, plan: VersionPlan) -> BackendLink | None:
         flight.kept_tokens = None
         flight.version = self.choose_version(flight, plan)
+        flight.is_on_trial = bool(flight.on_new) and plan.is_on_trial
+        flight.sidelined = self._sideline(flight, plan)
         names = self._list_candidates(flight)
         loads = await self._ask(flight, flight.model_name, names)
-        link = self._pick(flight, flight.excluded, loads, names)
+        link = self._pick(flight, flight.excluded, loads, names, version=flight.version)
         if link is None and names:
             # Cold ones among them may have been used up while their loads were asked.
-            link = self._pick(flight, flight.excluded, {}, [])
+            link = self._pick(flight, flight.excluded, {}, [], version=flight.version)
         if link is not None and link.name in loads:
             flight.kept_tokens = loads[link.name].kept_tokens
         return link
@@ -71,7 +81,10 @@
 
     def has_other(self, flight: Flight, link: BackendLink) -> bool:
         """Tell whether another backend server could take the request."""
-        return self._pick(flight, flight.excluded | {link.name}, {}, []) is not None
+        excluded = flight.excluded | {link.name}
+        # What fails on trial is tried on the version in force.
+        version = None if flight.is_on_trial else flight.version
+        return self._pick(flight, excluded, {}, [], version=version) is not None
 
     async def foresee(self, flight: Flight, model: str) -> Prospect | None:
         """Return what a model's answer would wait for; nothing if nobody knows."""
@@ -110,10 +123,18 @@
             flight.service,
             version=flight.version,
             prefix_key=self._key(flight),
-            exclude=flight.excluded,
+            exclude=flight.excluded | flight.sidelined,
             homes=flight.homes,
         )
 
+    def _sideline(self, flight: Flight, plan: VersionPlan) -> frozenset[str]:
+        """Return the servers of a version on trial that take no part in it."""
+        if not flight.is_on_trial or flight.version is None:
+            return frozenset()
+        bursts = plan.bursts
+        canaries = bursts.canaries if flight.is_free else bursts.steady_canaries
+        return self._backends.list_sidelined(flight.service, flight.version, canaries)
+
     async def _ask(
         self, flight: Flight, model: str | None, engines: list[str]
     ) -> Mapping[str, Load]:
@@ -127,12 +148,14 @@
         excluded: set[str],
         loads: Mapping[str, Load],
         candidates: list[str],
+        *,
+        version: str | None,
     ) -> BackendLink | None:
         return self._backends.pick(
             flight.service,
-            version=flight.version,
+            version=version,
             prefix_key=self._key(flight),
-            exclude=excluded,
+            exclude=excluded | flight.sidelined,
             homes=flight.homes,
             may_probe=flight.route.may_repeat and flight.attempts == 0,
             shared_s=self._estimates.shared_s(flight),
@@ -149,6 +172,8 @@
 
     def choose_version(self, flight: Flight, plan: VersionPlan) -> str | None:
         """Return the version that must run the request, or None for any."""
+        flight.release_exposure()
+        flight.exposure = plan.exposure
         listed = self._backends.versions(flight.service)
         order = plan.order
         if order is None:
@@ -156,10 +181,13 @@
             # new version, it would be joined from two, and lost where that one is bad.
             flight.on_new = False
             return plan.find_base(listed) if len(listed) > 1 else None
-        wanted = plan.choose(flight.session, now()) and flight.may_move
-        if flight.on_new is None or flight.runs == 0 or not wanted:
+        choose = plan.choose_free if flight.is_free else plan.choose
+        wanted = flight.may_move and choose(flight.session, now())
+        # What began on the old version goes on there while it lives.
+        is_free = flight.on_new is None or flight.runs == 0 or plan.is_final
+        if is_free or not wanted:
             flight.on_new = wanted
-        if flight.on_new and order.target in listed:
+        if flight.on_new and order.target in listed and _expose(flight, plan):
             return order.target
         flight.on_new = False
         base = plan.find_base(listed)
@@ -170,6 +198,15 @@
         return base or plan.base or NO_VERSION
 
 
+def _expose(flight: Flight, plan: VersionPlan) -> bool:
+    """Take an attempt at the new version out of what it may get."""
+    session = None if flight.is_free else flight.session
+    flight.holds_exposure = plan.try_expose(session, now())
+    if flight.holds_exposure and session is not None:
+        plan.note_moved(session, now())
+    return flight.holds_exposure
+
+
 def _list_parts(flight: Flight, model: str | None) -> tuple[Part, ...]:
     """Return the shared parts of a prompt as a model keeps them.
 
--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -46,6 +46,8 @@
     sequence: int
     is_new: bool | None
     """None where the one who was asked can't know."""
+    has_moved: bool = False
+    """Whether it went to the new version before."""
 
 
 class SessionsInUse(msgspec.Struct, frozen=True, kw_only=True, tag="session.uses"):
@@ -108,7 +110,7 @@
         self._tell = tell
         self._find_plan = find_plan
         self._alive: list[str] = [me]
-        self._asked: dict[int, asyncio.Future[bool | None]] = {}
+        self._asked: dict[int, asyncio.Future[VersionIs]] = {}
         self._handed: dict[str, int] = {}
         self._sequence = 0
         self._unconfirmed: dict[int, _Unconfirmed] = {}
@@ -135,7 +137,7 @@
     async def _ask(self, name: str, plan: VersionPlan, session: str) -> bool | None:
         assert plan.order is not None
         self._sequence += 1
-        answer: asyncio.Future[bool | None]
+        answer: asyncio.Future[VersionIs]
         answer = asyncio.get_running_loop().create_future()
         self._asked[self._sequence] = answer
         question = AskVersion(
@@ -147,11 +149,14 @@
         try:
             self._tell(name, question)
             async with asyncio.timeout(ANSWER_S):
-                return await answer
+                word = await answer
         except TimeoutError:
             return None
         finally:
             self._asked.pop(question.sequence, None)
+        if word.has_moved:
+            plan.note_moved(session, now())
+        return word.is_new
 
     def note_use(self, plan: VersionPlan, session: str) -> None:
         """Tell the deciding instances that a request is on the old version, or was."""
@@ -181,14 +186,18 @@
         """Decide for another instance."""
         plan = self._find_plan(question.service)
         known = plan.order is not None and plan.order.number == question.number
+        has_moved = known and plan.has_moved(question.session)
         is_new = self._decide_here(plan, question.session) if known else None
-        self._tell(sender, VersionIs(sequence=question.sequence, is_new=is_new))
+        self._tell(
+            sender,
+            VersionIs(sequence=question.sequence, is_new=is_new, has_moved=has_moved),
+        )
 
     def take(self, word: VersionIs) -> None:
         """Take in a decision."""
         waiting = self._asked.get(word.sequence)
         if waiting is not None and not waiting.done():
-            waiting.set_result(word.is_new)
+            waiting.set_result(word)
 
     def take_uses(self, sender: str, uses: SessionsInUse) -> None:
         """Take in which sessions are in use elsewhere."""
--- a/src/baobabthread/instance/trialdesk.py
+++ b/src/baobabthread/instance/trialdesk.py
@@ -13,6 +13,7 @@
 
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
+from baobabthread.routing.exposure import Exposure
 from baobabthread.routing.trial import Evidence
 from baobabthread.routing.versions import Progress
 
@@ -38,6 +39,17 @@
     """The sender's incarnation."""
     progress: Progress
     evidence: Evidence
+    exposure: Exposure = Exposure()
+    sent_at: float = 0.0
+    """Time on the sender's clock, which a permit brings back."""
+
+
+class TrialPermit(msgspec.Struct, frozen=True, kw_only=True, tag="trial.permit"):
+    """Let an instance go on with a trial: its word was heard and nothing is wrong."""
+
+    progress: Progress
+    sent_at: float
+    """The time of the word that it answers."""
 
 
 class TrialVerdict(msgspec.Struct, frozen=True, kw_only=True, tag="trial.verdict"):
@@ -46,10 +58,12 @@
     progress: Progress
 
 
-TRIAL_MESSAGES = (TrialWord, TrialVerdict)
+TRIAL_MESSAGES = (TrialWord, TrialPermit, TrialVerdict)
 
 Tell = Callable[[str, msgspec.Struct], None]
 TakeVerdict = Callable[[Progress], None]
+TakePermit = Callable[[TrialPermit], None]
+FindPermit = Callable[[str, int], Progress | None]
 
 
 class _Verdict(msgspec.Struct):
@@ -70,6 +84,8 @@
         "_tell",
         "_verdicts",
         "_words",
+        "find_permit",
+        "take_permit",
         "take_verdict",
     )
 
@@ -83,6 +99,9 @@
         self._words: dict[str, dict[str, TrialWord]] = {}
         self._verdicts: dict[str, _Verdict] = {}
         self.take_verdict: TakeVerdict = lambda progress: None
+        self.take_permit: TakePermit = lambda permit: None
+        self.find_permit: FindPermit = lambda service, number: None
+        """Return what to permit about an order; nothing where this one can't tell."""
 
     def set_members(self, names: Sequence[str]) -> None:
         """Note which instances serve, this one included."""
@@ -114,14 +133,24 @@
             return
         if self._is_known(word) and passed_s < REPEAT_S:
             return
+        word = msgspec.structs.replace(word, sent_at=moment)
         self._sent[service] = word
         self._sent_at[service] = moment
         for name in self.leaders(service):
             if name != self._me:
                 self._tell(name, word)
 
-    def take(self, word: TrialWord) -> None:
-        """Keep another instance's word."""
+    def take(self, sender: str, word: TrialWord) -> None:
+        """Keep another instance's word, and let it go on if this one leads."""
+        self._keep(word)
+        service = word.progress.service
+        if not self.leads(service):
+            return
+        progress = self.find_permit(service, word.progress.number)
+        if progress is not None:
+            self._tell(sender, TrialPermit(progress=progress, sent_at=word.sent_at))
+
+    def _keep(self, word: TrialWord) -> None:
         service = word.progress.service
         theirs = self._words.setdefault(service, {})
         known = theirs.get(word.origin)
@@ -134,7 +163,8 @@
         known = self._verdicts.get(progress.service)
         if known is not None and _is_same(known.progress, progress):
             return
-        if known is None and not progress.alarm and not progress.is_suspicious:
+        is_news = progress.alarm or progress.is_suspicious or progress.is_final
+        if known is None and not is_news:
             return
         self._verdicts[progress.service] = _Verdict(
             progress=progress, told=0, told_at=-1e9
@@ -162,15 +192,21 @@
             return False
         moved = _has_moved(known.progress) == _has_moved(word.progress)
         same = _is_same(known.progress, word.progress)
-        return same and moved and known.evidence == word.evidence
+        counted = (known.evidence, known.exposure) == (word.evidence, word.exposure)
+        return same and moved and counted
 
 
 def _is_same(one: Progress, other: Progress) -> bool:
-    return (one.number, one.share, one.alarm, one.is_suspicious) == (
-        other.number,
-        other.share,
-        other.alarm,
-        other.is_suspicious,
+    return _describe(one) == _describe(other)
+
+
+def _describe(progress: Progress) -> tuple[object, ...]:
+    return (
+        progress.number,
+        progress.share,
+        progress.alarm,
+        progress.is_suspicious,
+        progress.is_final,
     )
 
 
--- a/src/baobabthread/platform/settings.py
+++ b/src/baobabthread/platform/settings.py
@@ -42,6 +42,7 @@
     retry_budget_extra: float = 10
     budget_window_s: float = 10
     expose_share: float = 0.1
+    exposure_slack: float = 0.0
     session_s: float = 5
     ttl_max_s: float = 5
     evacuate_ms: float = 5000
@@ -122,6 +123,7 @@
             retry_extra=bounds.retry_budget_extra,
             retry_window_s=bounds.budget_window_s,
             exposure_share=bounds.expose_share,
+            exposure_extra=bounds.exposure_slack,
             session_s=bounds.session_s,
             grace_s=bounds.grace_s,
             max_lifetime_s=bounds.ttl_max_s,
--- a/src/baobabthread/routing/bounds.py
+++ b/src/baobabthread/routing/bounds.py
@@ -18,6 +18,8 @@
     """Length of each window, wherever it begins, in which the repeats are counted."""
     exposure_share: float = 0.15
     """Part of a service's requests that a bad version may get."""
+    exposure_extra: float = 0.0
+    """Requests that a bad version may get on top."""
     session_s: float = 5.0
     """Pause after which a session's next request may go to another version."""
     grace_s: float = 8.0
--- /dev/null
+++ b/src/baobabthread/routing/exposure.py
@@ -0,0 +1,218 @@
+"""How many requests a version on trial may get from all instances together.
+
+The bound is a sum over the whole time of a roll-out: it holds only if each instance
+keeps to a part of what it sends itself, whatever it knows of the others, and if the
+rest is set aside for the end, when the new version takes all that is left of the time.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from baobabthread.routing.bounds import RoutingBounds
+
+MOST_TRIAL_PART = 0.6
+LEAST_TRIAL_PART = 0.15
+"""Most and least of the bound by which requests are chosen for the trial."""
+TRIAL_MARGIN = 0.85
+"""Part of what the end of a roll-out leaves over that the trial is planned with."""
+END_S = 0.7
+"""Time that the end of a roll-out takes at least: answers under the whole load are to
+be seen before the old version is stopped."""
+MOVE_FACTOR = 1.35
+"""Times that share up to which requests of further sessions may go there."""
+STAY_PART = 0.85
+"""Part of the bound up to which requests of sessions may that went there before."""
+PLANNED_PART = 0.93
+"""Part of the bound that is planned for the trial and the end together."""
+SURGE = 1.3
+"""Times the present rate of requests that the end of a roll-out leaves room for."""
+MOST_BURST = 0.5
+"""Share of the requests without a session that the trial takes at most in a burst."""
+BURST_LOAD = 1.25
+"""Times the load of a full share that a server on trial gets then."""
+SESSION_LOAD = 0.4
+"""The same for sessions, whose prompts no server on trial has kept: each takes several
+times the work of one that goes on where it was."""
+BURST_EVERY_S = 3.0
+"""Time from one burst to the next."""
+END_SURGE = 2.0
+"""The same for the time in which nothing can be held back any more."""
+RATE_S = 4.0
+"""Time over which the rate of requests is measured."""
+NOW_S = 0.5
+"""The same where a burst that has just begun must be seen."""
+FIRST = 0.1
+"""Part of a request with which an instance begins, so that its first one may go."""
+EXTRA_PART = 0.4
+"""Part of the fixed bound that the end of a roll-out may use. Only the instance that
+leads hands it out: two that both believe to lead are still below the bound."""
+
+
+class Exposure(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell how many requests one instance has sent since an order."""
+
+    requests: int = 0
+    """Those that reached any version of the service, each once."""
+    exposed: int = 0
+    """Attempts at the version on trial."""
+
+
+def find_trial_share(bounds: RoutingBounds, time_limit_s: float) -> float:
+    """Return the share of the requests that a version gets while it is on trial."""
+    end = SURGE * END_S / max(END_S, time_limit_s)
+    share = TRIAL_MARGIN * (PLANNED_PART * bounds.exposure_share - end)
+    least = LEAST_TRIAL_PART * bounds.exposure_share
+    return max(least, min(MOST_TRIAL_PART * bounds.exposure_share, share))
+
+
+class ExposureBudget:
+    """Count what goes to a version on trial against what goes to its service.
+
+    What is earned by a request is spent by the same instance, so that the sum holds
+    with any number of instances, cut off, alone or just started.
+    """
+
+    __slots__ = ("_exposed", "_final", "_requests", "_reserved")
+
+    def __init__(self) -> None:
+        self._requests = 0
+        self._exposed = 0
+        self._reserved = 0
+        self._final: float | None = None
+
+    def count_request(self) -> None:
+        """Note a request that reached a backend server of the service."""
+        self._requests += 1
+
+    def try_reserve(self, share: float) -> bool:
+        """Take one out of a share of the requests; return whether there was one."""
+        if self._exposed + self._reserved >= self._most(share):
+            return False
+        self.reserve()
+        return True
+
+    def reserve(self) -> None:
+        """Note an attempt that is about to be sent, whatever the budget."""
+        self._reserved += 1
+
+    def release(self) -> None:
+        """Give back what an attempt that was never sent has taken."""
+        self._reserved -= 1
+
+    def spend(self) -> None:
+        """Note that an attempt has reached the version on trial."""
+        self._reserved -= 1
+        self._exposed += 1
+
+    def begin_final(self, requests: float) -> None:
+        """Let about so many more go there: the version takes over all that is left."""
+        if self._final is None:
+            more = SURGE * requests + math.sqrt(requests) + 1.0
+            self._final = self._exposed + self._reserved + more
+
+    def report(self) -> Exposure:
+        """Return what was counted, for the one that leads the roll-out."""
+        return Exposure(requests=self._requests, exposed=self._exposed)
+
+    def _most(self, share: float) -> float:
+        if self._final is not None:
+            return self._final
+        return FIRST + share * self._requests
+
+
+class Bursts:
+    """Put the trial's requests on few servers, close to each other.
+
+    Spread thinly over all servers, a small share never meets another request there, and
+    a version that fails under load passes its trial.
+    """
+
+    __slots__ = ("_trial_share", "canaries", "share", "steady_canaries")
+
+    def __init__(self, *, trial_share: float, servers: int) -> None:
+        self._trial_share = trial_share
+        self.canaries = max(1, math.ceil(trial_share * servers / BURST_LOAD))
+        """Servers of the new version that take the bursts."""
+        self.steady_canaries = max(1, math.ceil(trial_share * servers / SESSION_LOAD))
+        """Servers of it that take the sessions on trial."""
+        load = BURST_LOAD * self.canaries / max(1, servers)
+        self.share = max(trial_share, min(MOST_BURST, load))
+
+    def is_on(self, elapsed_s: float) -> bool:
+        """Tell whether a burst runs so many seconds after the order."""
+        return (
+            elapsed_s % BURST_EVERY_S < BURST_EVERY_S * self._trial_share / self.share
+        )
+
+
+class Rate:
+    """Measure a rate from a count that grows."""
+
+    __slots__ = ("_seen", "_window_s")
+
+    def __init__(self, *, window_s: float = RATE_S) -> None:
+        self._window_s = window_s
+        self._seen: deque[tuple[float, int]] = deque()
+
+    def note(self, count: int, now: float) -> None:
+        """Note the count as it is now."""
+        self._seen.append((now, count))
+        while len(self._seen) > 2 and now - self._seen[1][0] >= self._window_s:
+            self._seen.popleft()
+
+    def per_s(self) -> float:
+        """Return how much the count grows in a second."""
+        if len(self._seen) < 2:
+            return 0.0
+        (began, first), (ended, last) = self._seen[0], self._seen[-1]
+        return (last - first) / max(ended - began, 0.1)
+
+
+class Totals:
+    """Add up what all instances have sent since an order, for the one that leads."""
+
+    __slots__ = ("_bounds", "_now_rate", "_rate", "sum")
+
+    def __init__(self, *, bounds: RoutingBounds) -> None:
+        self._bounds = bounds
+        self._rate = Rate()
+        self._now_rate = Rate(window_s=NOW_S)
+        self.sum = Exposure()
+
+    def note(self, counts: Iterable[Exposure], now: float) -> None:
+        """Take in the newest word of each instance, this one included."""
+        words = list(counts)
+        self.sum = Exposure(
+            requests=sum(word.requests for word in words),
+            exposed=sum(word.exposed for word in words),
+        )
+        self._rate.note(self.sum.requests, now)
+        self._now_rate.note(self.sum.requests, now)
+
+    def per_s(self, elapsed_s: float) -> float:
+        """Return the rate of requests to expect, so many seconds after the order."""
+        # A lull, such as a loss of most instances, is no reason to expect few.
+        usual = self.sum.requests / max(1.0, elapsed_s)
+        return max(self._rate.per_s(), usual)
+
+    def may_take_over(self, *, elapsed_s: float, left_s: float) -> bool:
+        """Tell whether the version may get everything for what is left of its time."""
+        still = SURGE * self.per_s(elapsed_s) * left_s
+        return left_s <= 0.0 or self._fits(still, PLANNED_PART)
+
+    def may_end(self, *, elapsed_s: float, left_s: float) -> bool:
+        """Tell whether nothing has to be held back any more until the time limit."""
+        per_s = max(self.per_s(elapsed_s), self._now_rate.per_s())
+        still = END_SURGE * per_s * left_s
+        return left_s <= 0.0 or self._fits(still, 1.0)
+
+    def _fits(self, still: float, part: float) -> bool:
+        requests = self.sum.requests + still
+        planned = part * self._bounds.exposure_share * requests
+        planned += EXTRA_PART * self._bounds.exposure_extra
+        return self.sum.exposed + still <= planned
--- a/src/baobabthread/routing/trial.py
+++ b/src/baobabthread/routing/trial.py
@@ -9,7 +9,7 @@
 
 from baobabthread.core.rollouts.wealth import Wealth
 
-SLOW_FACTOR = 3.0
+SLOW_FACTOR = 2.0
 """An answer is slow when it takes so many times what the old version usually takes."""
 LATENCY_STEP = 0.05
 """Part by which the usual time of the old version follows each answer."""
@@ -18,12 +18,28 @@
 PRIOR_SEEN = 20.0
 PRIOR_BAD = 1.0
 TOLERANCE = 0.05
-"""How much higher than the old version's the rate of bad answers may be."""
+SLOW_TOLERANCE = 0.03
+"""How much higher than the old version's the rate of bad answers may be, and that of
+slow ones: the few servers on trial are loaded fully and keep no prompts at first."""
 NEEDED_WEALTH = 1500.0
 """Stakes that a bet must win: about five bad answers in a row. With a fresh stake for
 each answer, a good version reaches it once in about 1,500 answers at most."""
 
 
+LEAST_BAD = 3
+"""Bad answers from which on a doubt counts."""
+ERROR_MARGIN = 0.03
+SLOW_MARGIN = 0.04
+"""How much higher than the old version's the rate of bad answers may be at the end."""
+COLD_MARGIN = 0.12
+"""The same for slow answers once all servers of a version take part."""
+ERROR_LIFTS = (0.08, 0.25)
+SLOW_LIFTS = (0.2, 0.4)
+"""Parts of the other answers that a bad version is taken to spoil."""
+
+
+NO_TICKET = 0
+"""Stands for an attempt that no trial is told of."""
 WHOLE = ""
 """Stands for all calls together."""
 
@@ -53,6 +69,18 @@
     counts: list[Count]
 
 
+class Sent(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe an attempt whose answer will speak for or against a version."""
+
+    on_trial: bool
+    call: str
+    kind: str
+    """Names answers that should take about the same time."""
+    at: float
+    expected_s: float
+    """Time that its answer takes where nothing is in the way."""
+
+
 class _Key(msgspec.Struct, frozen=True):
     on_trial: bool
     call: str
@@ -62,18 +90,23 @@
 class _Tally:
     __slots__ = ("bad", "seen")
 
-    def __init__(self) -> None:
-        self.seen = 0
-        self.bad = 0
+    def __init__(self, *, seen: int = 0, bad: int = 0) -> None:
+        self.seen = seen
+        self.bad = bad
 
 
 class Trial:
     """Bet that the new version is worse than the old one, from shared counts."""
 
     __slots__ = (
+        "_before",
         "_heard",
+        "_is_final",
         "_latencies",
+        "_overdue",
         "_own",
+        "_pending",
+        "_tickets",
         "_total",
         "_wealth",
         "alarm",
@@ -89,6 +122,39 @@
         self._heard: dict[str, dict[_Key, Count]] = {}
         self._latencies: dict[str, tuple[float, int]] = {}
         self._wealth: dict[_Key, Wealth] = {}
+        self._tickets = 0
+        self._pending: dict[int, Sent] = {}
+        self._overdue: dict[int, Sent] = {}
+        """Attempts that count as slow already and are not answered yet."""
+        self._is_final = False
+        self._before: dict[_Key, tuple[int, int]] = {}
+        """Answers seen, and bad ones, before the new version took over."""
+
+    def begin(self, sent: Sent) -> int:
+        """Note an attempt; return the ticket with which to tell of its end."""
+        self._tickets += 1
+        self._pending[self._tickets] = sent
+        return self._tickets
+
+    def end(self, ticket: int, *, failed: bool | None, now: float) -> None:
+        """Take in an answer, or nothing where an attempt ends without one.
+
+        What took its time and was given up is slow, whatever it would have answered.
+        """
+        sent = self._pending.pop(ticket, None)
+        overdue = self._overdue.pop(ticket, None)
+        sent = sent or overdue
+        if sent is None:
+            return
+        if failed is not None:
+            self._count_own(_Key(sent.on_trial, sent.call, Concern.ERRORS), bad=failed)
+        if overdue is None and not failed:
+            self._count_latency(sent, now - sent.at, is_whole=failed is not None)
+
+    def cancel(self, ticket: int) -> None:
+        """Forget an attempt that says nothing about a version."""
+        self._pending.pop(ticket, None)
+        self._overdue.pop(ticket, None)
 
     def observe(
         self,
@@ -99,17 +165,43 @@
         failed: bool,
         latency_s: float | None,
     ) -> None:
-        """Take in an answer seen here.
+        """Take in an answer whose latency is known, if any is."""
+        self._count_own(_Key(on_trial, call, Concern.ERRORS), bad=failed)
+        if not failed and latency_s is not None:
+            sent = Sent(on_trial=on_trial, call=call, kind=kind, at=0.0, expected_s=1.0)
+            self._count_latency(sent, latency_s, is_whole=True)
+
+    def note_overdue(self, now: float) -> None:
+        """Count as slow what should have been answered by now.
 
-        `kind` names answers that should take about the same time. No latency is given
-        where the old version no longer runs beside the new one to compare with.
+        A slow version's answers come late; waited for, only its fast ones would be
+        known when it takes over.
         """
-        self._count_own(_Key(on_trial, call, Concern.ERRORS), bad=failed)
-        if failed or latency_s is None:
+        for ticket, sent in list(self._pending.items()):
+            if self._is_slow(sent, now - sent.at):
+                self._overdue[ticket] = self._pending.pop(ticket)
+                self._count_own(
+                    _Key(sent.on_trial, sent.call, Concern.LATENCY), bad=True
+                )
+
+    def _count_latency(self, sent: Sent, latency_s: float, *, is_whole: bool) -> None:
+        is_slow = self._is_slow(sent, latency_s)
+        if not sent.on_trial:
+            # Of logarithms, so that one answer that was stuck doesn't lift the usual.
+            usual, seen = self._latencies.get(sent.kind, (0.0, 0))
+            step = max(LATENCY_STEP, 1.0 / (seen + 1))
+            usual += step * (_compare(sent, latency_s) - usual)
+            self._latencies[sent.kind] = (usual, seen + 1)
+        if is_slow is None or (not is_whole and not is_slow):
             return
-        slow = self._judge_latency(kind, latency_s, learn=not on_trial)
-        if slow is not None:
-            self._count_own(_Key(on_trial, call, Concern.LATENCY), bad=slow)
+        self._count_own(_Key(sent.on_trial, sent.call, Concern.LATENCY), bad=is_slow)
+
+    def _is_slow(self, sent: Sent, latency_s: float) -> bool | None:
+        """Tell whether an answer is slow; nothing while nobody knows what is usual."""
+        usual, seen = self._latencies.get(sent.kind, (0.0, 0))
+        if seen < ENOUGH_LATENCIES:
+            return None
+        return _compare(sent, latency_s) > usual + math.log(SLOW_FACTOR)
 
     def evidence(self) -> Evidence:
         """Return this instance's counts for the others."""
@@ -142,23 +234,64 @@
         whole = self._total.get(_Key(True, WHOLE, Concern.ERRORS))
         return whole.seen if whole is not None else 0
 
+    def describe(self) -> str:
+        """Return for the log how many answers of each version were bad."""
+        return " ".join(
+            f"{'new' if on_trial else 'old'}_{concern}:{tally.bad}/{tally.seen}"
+            for concern in Concern
+            for on_trial in (True, False)
+            for tally in [self._total.get(_Key(on_trial, WHOLE, concern))]
+            if tally is not None
+        )
+
     @property
     def is_suspicious(self) -> bool:
         """Tell whether a bet is ahead of what it seldom exceeds."""
         return any(wealth.suspicion >= 1.0 for wealth in self._wealth.values())
 
-    def _judge_latency(
-        self, kind: str, latency_s: float, *, learn: bool
-    ) -> bool | None:
-        sample = math.log(max(latency_s, 1e-4))
-        usual, seen = self._latencies.get(kind, (sample, 0))
-        if learn:
-            # Of logarithms, so that one answer that was stuck doesn't lift the usual.
-            step = max(LATENCY_STEP, 1.0 / (seen + 1))
-            self._latencies[kind] = (usual + step * (sample - usual), seen + 1)
-        if seen < ENOUGH_LATENCIES:
-            return None
-        return sample > usual + math.log(SLOW_FACTOR)
+    @property
+    def looks_worse(self) -> bool:
+        """Tell whether its answers are sooner a bad version's than a good one's.
+
+        The bets bear clumps of failures and need many answers. At the end of a trial no
+        more can be waited for, and a bad version that takes over can't be taken back.
+        """
+        return any(self._is_worse(key) for key in self._total if key.on_trial)
+
+    def begin_final(self) -> None:
+        """Judge what comes from now on also by itself: the load is another one."""
+        self._is_final = True
+        self._before = {key: (t.seen, t.bad) for key, t in self._total.items()}
+
+    def _is_worse(self, key: _Key) -> bool:
+        tally = self._total[key]
+        seen, bad = self._before.get(key, (0, 0))
+        since = _Tally(seen=tally.seen - seen, bad=tally.bad - bad)
+        usual = self._find_reference(key)
+        if key.concern is Concern.ERRORS:
+            return any(
+                _is_likelier(usual, lift, each)
+                for lift in ERROR_LIFTS
+                for each in (tally, since)
+            )
+        # Servers that took no part in the trial have kept no prompts at all.
+        cold = min(0.9, usual + COLD_MARGIN)
+        return any(
+            _is_likelier(usual, lift, tally) or _is_likelier(cold, lift, since)
+            for lift in SLOW_LIFTS
+        )
+
+    def _find_reference(self, key: _Key) -> float:
+        """Return the highest rate of bad answers that still counts as usual."""
+        old = self._total.get(_Key(False, key.call, key.concern))
+        seen = (old.seen if old else 0) + PRIOR_SEEN
+        # What is assumed of an unknown version fades as its answers are counted.
+        bad = (old.bad if old else 0) + PRIOR_BAD * PRIOR_SEEN / seen
+        rate = bad / seen
+        spread = math.sqrt(rate * (1.0 - rate) / seen)
+        is_latency = key.concern is Concern.LATENCY
+        margin = SLOW_MARGIN if is_latency else ERROR_MARGIN
+        return min(0.9, rate + spread + margin)
 
     def _count_own(self, key: _Key, *, bad: bool) -> None:
         tally = self._own.setdefault(key, _Tally())
@@ -176,6 +309,10 @@
                 self._bet(each, seen=seen, bad=bad)
 
     def _bet(self, key: _Key, *, seen: int, bad: int) -> None:
+        if self._is_final and key.concern is Concern.LATENCY:
+            # With all of the traffic moved, a burst or a lost server would be held
+            # against the new version, and nothing runs on the old one beside it.
+            return
         wealth = self._wealth.setdefault(key, Wealth())
         rate = self._find_usual_rate(key)
         wealth.bet(seen=seen, bad=bad, rate=rate, stake=1.0)
@@ -196,4 +333,21 @@
         bad = (old.bad if old else 0) + PRIOR_BAD
         rate = bad / seen
         spread = math.sqrt(rate * (1.0 - rate) / seen)
-        return min(0.9, rate + spread + TOLERANCE)
+        is_latency = key.concern is Concern.LATENCY
+        tolerance = SLOW_TOLERANCE if is_latency else TOLERANCE
+        return min(0.9, rate + spread + tolerance)
+
+
+def _compare(sent: Sent, latency_s: float) -> float:
+    """Return the logarithm of a latency against what was expected."""
+    return math.log(max(latency_s, 1e-4) / max(sent.expected_s, 1e-4))
+
+
+def _is_likelier(usual: float, lift: float, tally: _Tally) -> bool:
+    """Tell whether so many bad answers are likelier at a lifted rate than the usual."""
+    if tally.bad < LEAST_BAD:
+        return False
+    lifted = usual + lift * (1.0 - usual)
+    when_bad = math.log(lifted / usual)
+    when_good = math.log((1.0 - lifted) / (1.0 - usual))
+    return tally.bad * when_bad + (tally.seen - tally.bad) * when_good > 0.0
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -1,8 +1,9 @@
 """Which version of a service a request goes to while traffic moves between versions.
 
-The share of the new version is a function of the time since the order and of shared
-evidence, so that instances agree on it without talk. A session's place in that share
-is a hash of its name: it moves at most once, and never back while the share grows.
+A version is on trial with a small share of the sessions, chosen by a hash of their
+names, so that instances agree without talk and no session moves back. It takes over all
+at once, just before the time limit: what it may get until then is bounded as a sum, and
+a version that fails only under load shows it with the last of that sum, not before.
 """
 
 from __future__ import annotations
@@ -19,23 +20,35 @@
     RolloutState,
     RolloutStatus,
 )
+from baobabthread.routing.exposure import (
+    MOVE_FACTOR,
+    STAY_PART,
+    Bursts,
+    ExposureBudget,
+    Rate,
+    Totals,
+    find_trial_share,
+)
 from baobabthread.routing.trial import Trial
 
 SETTLE_S = 1.0
 """Time after an order in which instances hand over which sessions are in use."""
-TRIAL_PART = 0.55
-"""Part of the bound on exposure that the new version gets while it is on trial."""
-HALF = 0.5
-"""Part of the time limit before which no session in use may be moved."""
+PERMIT_S = 2.5
+"""Time for which a trial goes on without another word of the one that leads it."""
 LEAST_TRIAL_S = 2.5
-"""Shortest trial before sessions are moved to the new version."""
-STEPS = ((0.0, 0.35), (1.0, 0.7), (2.0, 1.0))
-"""Seconds since the end of the trial, and the share from then on: a version that fails
-under load only shows it before it has all of the traffic."""
-MOST_COMPARED = 0.7
-"""Share of the new version up to which latencies are compared."""
-SUSPICION_PART = 0.75
-"""Part of the time limit until which a suspected version stays on trial."""
+"""Shortest trial before the new version takes over."""
+LEAST_SEEN = 12
+"""Answers of the new version that are enough to be known before it takes over."""
+KNOWN_PART = 0.5
+"""Part of the requests that it got whose answers must be known where they are fewer."""
+END_PART = 0.02
+LEAST_END_S = 0.35
+MOST_END_S = 0.6
+"""Time before the limit at which the move is ended though some requests run on, as a
+part of the limit, and its bounds: their streams can be resumed, a missed limit can't be
+made good."""
+EARLIEST_END = 1.25
+"""Times that time before the limit from which on a move may be ended at all."""
 SESSION_MARGIN_S = 1.0
 """Time on top of a session's pause for requests that end after they were counted."""
 MAX_SESSIONS = 4096
@@ -54,6 +67,8 @@
     alarm: str | None = None
     is_suspicious: bool = False
     """Whether the sender's bets against the version are ahead of what is usual."""
+    is_final: bool = False
+    """Whether the new version takes over all requests."""
     base: str | None = None
     """The version that was in force before the order, as far as the sender knows."""
 
@@ -62,27 +77,33 @@
     """Choose between the versions of one service."""
 
     __slots__ = (
-        "_bounds",
+        "_final_at",
         "_moved",
         "_old_running",
+        "_permitted_until",
         "_ready_at",
         "_seen",
+        "_seen_new",
+        "_servers",
         "_started_at",
-        "_suspected",
-        "_trial_end",
         "_used",
         "base",
+        "bounds",
+        "bursts",
+        "exposure",
         "order",
+        "rate",
         "rejected",
         "saw_before",
         "service",
         "state",
         "trial",
+        "trial_share",
     )
 
     def __init__(self, *, service: str, bounds: RoutingBounds) -> None:
         self.service = service
-        self._bounds = bounds
+        self.bounds = bounds
         self.order: RolloutOrder | None = None
         self.state = RolloutState.SUCCEEDED
         self.base: str | None = None
@@ -91,16 +112,25 @@
         """Targets of earlier orders that were taken back."""
         self.trial = Trial(number=-1)
         self._started_at = 0.0
+        self._servers = 1
+        self.trial_share = 0.0
+        """Share of the sessions that the newest order's version gets on trial."""
+        self.bursts = Bursts(trial_share=0.0, servers=1)
         self._ready_at: float | None = None
-        self._trial_end: float | None = None
-        self._suspected = False
-        """Whether the instance that hears of all answers suspects the version."""
+        self._permitted_until = -NEVER_S
+        self._final_at: float | None = None
+        """When the instance that leads let the new version take over."""
+        self.exposure = ExposureBudget()
+        self.rate = Rate()
+        """Requests a second that this instance sends to the service."""
         self._old_running = 0
         self._seen: dict[str, float] = {}
         """Sessions whose requests went to the old version from here, and when last;
         also before any order, which may come in the middle of a conversation."""
         self._used: dict[str, float] = {}
         """The same for the sessions that this instance decides on, from anywhere."""
+        self._seen_new: dict[str, float] = {}
+        """Sessions whose requests went to the new version, and when last."""
         self._moved: dict[str, float] = {}
         """Those of them that went to the new version, and when they first did."""
         self.saw_before = True
@@ -119,12 +149,17 @@
         self.saw_before = saw_before
         self.state = RolloutState.RUNNING
         self.trial = Trial(number=order.number)
+        self.trial_share = find_trial_share(self.bounds, order.time_limit_s)
+        self.bursts = Bursts(trial_share=self.trial_share, servers=self._servers)
         self._started_at = now
         self._ready_at = None
-        self._trial_end = None
-        self._suspected = False
+        self._permitted_until = -NEVER_S
+        self._final_at = None
+        self.exposure = ExposureBudget()
+        self.rate = Rate()
         self._used.clear()
         self._moved.clear()
+        self._seen_new.clear()
         return True
 
     def _close_order(self) -> None:
@@ -180,40 +215,35 @@
     def take_verdict(self, progress: Progress, now: float) -> None:
         """Take in what the instance concludes that hears of all answers."""
         self.take_progress(progress, now)
-        if self.order is not None and progress.number == self.order.number:
-            self._suspected = progress.is_suspicious
-
-    def compares(self, now: float) -> bool:
-        """Tell whether enough still runs on the old version to compare latencies with.
-
-        Once nearly all traffic has moved, a burst or a lost server would be held
-        against the new version, as nothing shows that the old one suffers as well.
-        """
-        return self.share(now) <= MOST_COMPARED
-
-    def note_target(self, *, usable: bool, now: float) -> None:
-        """Note whether backend servers of the new version may take work."""
+        is_ours = self.order is not None and progress.number == self.order.number
+        if is_ours and progress.is_final:
+            self.begin_final(now)
+
+    def note_target(self, *, usable: bool, now: float, servers: int = 1) -> None:
+        """Note whether backend servers of the new version may take work, how many."""
+        if servers != self._servers:
+            self._servers = servers
+            self.bursts = Bursts(trial_share=self.trial_share, servers=servers)
         if usable and self._ready_at is None:
             self._ready_at = now
         elif not usable:
             self._ready_at = None
-            self._trial_end = None
 
     @property
     def has_begun(self) -> bool:
         """Tell whether backend servers of the new version may take work."""
         return self._ready_at is not None
 
-    @property
-    def is_reverted(self) -> bool:
-        """Tell whether the newest order's version was taken back."""
-        return self.state is RolloutState.REVERTED
-
     @property
     def is_running(self) -> bool:
         """Tell whether a roll-out is under way."""
         return self.order is not None and self.state is RolloutState.RUNNING
 
+    @property
+    def is_reverted(self) -> bool:
+        """Tell whether the newest order's version was taken back."""
+        return self.state is RolloutState.REVERTED
+
     def elapsed(self, now: float) -> float:
         """Return the seconds since the order."""
         return max(0.0, now - self._started_at)
@@ -227,31 +257,65 @@
             return 1.0
         if self.trial.alarm is not None or self._ready_at is None:
             return 0.0
-        if self.elapsed(now) < SETTLE_S:
+        if self._final_at is not None:
+            return 1.0
+        if self.elapsed(now) < SETTLE_S or now >= self._permitted_until:
             return 0.0
-        if not self._is_trial_over(now):
-            return self._trial_share
-        assert self._trial_end is not None
-        since = now - self._trial_end
-        return max(share for after, share in STEPS if since >= after)
+        return self.trial_share
+
+    def permit(self, *, asked_at: float) -> None:
+        """Go on with the trial: the one that leads knows all that was known then here.
+
+        Failure: an instance that is cut from the others, but not from the store, goes
+        on with a version that they have taken back, and nobody hears what it sees.
+        """
+        self._permitted_until = max(self._permitted_until, asked_at + PERMIT_S)
 
     @property
-    def _trial_share(self) -> float:
-        return self._bounds.exposure_share * TRIAL_PART
+    def is_final(self) -> bool:
+        """Tell whether the new version takes over all requests, or has done so."""
+        return self._final_at is not None or (
+            self.order is not None and self.state is RolloutState.SUCCEEDED
+        )
 
-    def _is_trial_over(self, now: float) -> bool:
-        if self._trial_end is not None:
+    def begin_final(self, now: float) -> None:
+        """Let the new version take over everything from now on."""
+        if self._final_at is None:
+            self._final_at = now
+            self.trial.begin_final()
+            self.exposure.begin_final(self.rate.per_s() * self.left_s(now))
+
+    def try_expose(self, session: str | None, now: float) -> bool:
+        """Take an attempt at the new version out of what it may get, if any is left."""
+        if not self.is_running or self.left_s(now) <= 0.0:
+            self.exposure.reserve()
             return True
-        assert self.order is not None and self._ready_at is not None
-        elapsed = self.elapsed(now)
-        limit = self.order.time_limit_s
-        if elapsed < limit * HALF or now - self._ready_at < LEAST_TRIAL_S:
-            return False
-        is_suspicious = self.trial.is_suspicious or self._suspected
-        if is_suspicious and elapsed < limit * SUSPICION_PART:
-            return False
-        self._trial_end = now
-        return True
+        most = STAY_PART * self.bounds.exposure_share
+        if session is None:
+            return self.exposure.try_reserve(self.trial_share)
+        if self.has_moved(session):
+            return self.exposure.try_reserve(most)
+        return self.exposure.try_reserve(min(most, MOVE_FACTOR * self.trial_share))
+
+    def has_moved(self, session: str) -> bool:
+        """Tell whether a session is known to have gone to the new version before."""
+        return session in self._moved or session in self._seen_new
+
+    def note_moved(self, session: str, now: float) -> None:
+        """Note that a session has gone to the new version."""
+        self._seen_new[session] = now
+        if len(self._seen_new) > MAX_SESSIONS:
+            recent = now - self._pause_s
+            self._seen_new = {s: at for s, at in self._seen_new.items() if at > recent}
+
+    def ready_s(self, now: float) -> float:
+        """Return the seconds since servers of the new version may take work."""
+        return now - self._ready_at if self._ready_at is not None else 0.0
+
+    def left_s(self, now: float) -> float:
+        """Return the seconds that are left of the order's time limit."""
+        assert self.order is not None
+        return max(0.0, self.order.time_limit_s - self.elapsed(now))
 
     def choose(self, session: str, now: float) -> bool:
         """Return whether a request of a session goes to the new version.
@@ -261,15 +325,28 @@
         share = self.share(now)
         return share >= 1.0 or (share > 0.0 and self._is_in(session, share))
 
+    def choose_free(self, request: str, now: float) -> bool:
+        """Return whether a request without a session goes to the new version."""
+        share = self.share(now)
+        if 0.0 < share < 1.0:
+            is_on = self.bursts.is_on(self.elapsed(now))
+            return is_on and self._is_in(request, self.bursts.share)
+        return share >= 1.0
+
+    @property
+    def is_on_trial(self) -> bool:
+        """Tell whether the new version gets no more than its part for the trial."""
+        return self.is_running and not self.is_final
+
     def is_contested(self, session: str, now: float) -> bool:
         """Tell whether a session that may be in use would move before the half."""
         return self.share(now) > 0.0 and self.may_move_early(session)
 
     def may_move_early(self, session: str) -> bool:
         """Tell whether the trial may move a session, now or once it has settled."""
-        if not self.is_running or self._trial_end is not None:
+        if not self.is_running or self._final_at is not None:
             return False
-        return self._is_in(session, self._trial_share)
+        return self._is_in(session, self.trial_share)
 
     def decide(self, session: str, now: float) -> bool:
         """Return for all instances whether a contested session moves.
@@ -302,7 +379,7 @@
         if self.order is None:
             return {}
         self._forget(now)
-        share = self._trial_share
+        share = self.trial_share
         return {
             session: round(now - at, 2)
             for session, at in self._seen.items()
@@ -331,6 +408,7 @@
             old_running=self._old_running,
             alarm=self.trial.alarm,
             is_suspicious=self.trial.is_suspicious,
+            is_final=self.is_final,
             base=self.base,
         )
 
@@ -345,7 +423,7 @@
 
     @property
     def _pause_s(self) -> float:
-        return self._bounds.session_s + SESSION_MARGIN_S
+        return self.bounds.session_s + SESSION_MARGIN_S
 
     def _forget(self, now: float) -> None:
         recent = now - self._pause_s
@@ -361,11 +439,17 @@
 
 
 def judge_rollout(
-    plan: VersionPlan, others: Iterable[Progress], members: int, now: float
+    plan: VersionPlan,
+    others: Iterable[Progress],
+    members: int,
+    now: float,
+    *,
+    totals: Totals,
 ) -> RolloutState:
     """Return what the conductor writes of a roll-out now.
 
-    `others` are the other instances' latest words, `members` their number.
+    `others` are the other instances' latest words, `members` their number, `totals`
+    what all have sent.
     """
     if plan.order is None or plan.state is not RolloutState.RUNNING:
         return plan.state
@@ -376,17 +460,46 @@
     words = [p for p in others if p.number == plan.order.number]
     if any(word.alarm is not None for word in words):
         return RolloutState.REVERTED
-    if own.share < 1.0:
+    if not plan.is_final:
+        # The version in force is known to be good; an operator may order anew.
+        is_over = plan.left_s(now) <= 0.0
+        return RolloutState.REVERTED if is_over else RolloutState.RUNNING
+    if plan.trial.looks_worse:
+        return RolloutState.REVERTED
+    end_s = find_end_s(plan.order.time_limit_s)
+    left_s = plan.left_s(now)
+    if left_s > EARLIEST_END * end_s:
+        return RolloutState.RUNNING
+    if not _is_known(plan, totals) or not totals.may_end(
+        elapsed_s=plan.elapsed(now), left_s=left_s
+    ):
+        # Once the old version is stopped, nothing can be held back any more.
         return RolloutState.RUNNING
     # The old version is stopped at once when this is written: whoever still runs
     # something there would see it cut.
     moved = [w for w in words if w.share >= 1.0 and w.old_running == 0]
     if own.old_running == 0 and len(moved) >= members:
         return RolloutState.SUCCEEDED
-    late = plan.elapsed(now) >= plan.order.time_limit_s * LATEST_PART
-    return RolloutState.SUCCEEDED if late else RolloutState.RUNNING
+    return RolloutState.SUCCEEDED if left_s <= end_s else RolloutState.RUNNING
+
+
+def _is_known(plan: VersionPlan, totals: Totals) -> bool:
+    """Tell whether enough answers of the new version are known to let it go on."""
+    least = min(LEAST_SEEN, KNOWN_PART * totals.sum.exposed)
+    return plan.trial.seen >= least
+
+
+def find_end_s(time_limit_s: float) -> float:
+    """Return how long before a time limit a move is ended at the latest."""
+    return min(MOST_END_S, max(LEAST_END_S, END_PART * time_limit_s))
 
 
-LATEST_PART = 0.88
-"""Part of the time limit after which the move is ended though some requests run on:
-their streams can be resumed, a missed limit can't be made good."""
+def may_begin_final(plan: VersionPlan, totals: Totals, now: float) -> bool:
+    """Tell whether the conductor lets the new version take over now."""
+    if not plan.is_running or not plan.has_begun or plan.is_final:
+        return False
+    if plan.trial.alarm is not None or plan.trial.looks_worse:
+        return False
+    if plan.ready_s(now) < LEAST_TRIAL_S or not _is_known(plan, totals):
+        return False
+    return totals.may_take_over(elapsed_s=plan.elapsed(now), left_s=plan.left_s(now))
--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -40,6 +40,7 @@
             plan = VersionPlan(service="s", bounds=RoutingBounds(exposure_share=1.0))
             plan.take_order(ORDER, now() - 10.0)
             plan.note_target(usable=True, now=now() - 9.0)
+            plan.permit(asked_at=now() + 60.0)
             self.restart(name, plan)
 
     def restart(self, name: str, plan: VersionPlan) -> None:
@@ -172,6 +173,7 @@
         fresh = VersionPlan(service="s", bounds=RoutingBounds(exposure_share=1.0))
         fresh.take_order(ORDER, now() - 10.0, saw_before=False)
         fresh.note_target(usable=True, now=now() - 9.0)
+        fresh.permit(asked_at=now() + 60.0)
         net.restart("i1", fresh)
         for session in contested:
             for name in NAMES:
--- a/tests/instance/test_trialdesk.py
+++ b/tests/instance/test_trialdesk.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import functools
 from typing import Any
 
 import msgspec
 import pytest
 
 from baobabthread.instance import trialdesk
-from baobabthread.instance.trialdesk import TrialDesk, TrialVerdict, TrialWord
+from baobabthread.instance.trialdesk import (
+    TrialDesk,
+    TrialPermit,
+    TrialVerdict,
+    TrialWord,
+)
 from baobabthread.routing.trial import Evidence
 from baobabthread.routing.versions import Progress
 
@@ -31,20 +37,23 @@
         self.sent: list[tuple[str, Any]] = []
         self.lost: set[str] = set()
         self.verdicts: dict[str, Progress] = {}
+        self.permits: dict[str, list[float]] = {}
         self.all = {name: self._make(name, names) for name in names}
 
     def _make(self, name: str, names: list[str]) -> TrialDesk:
-        desk = TrialDesk(me=name, tell=self._carry)
+        desk = TrialDesk(me=name, tell=functools.partial(self._carry, name))
         desk.set_members(names)
         desk.take_verdict = lambda progress: self.verdicts.update({name: progress})
         return desk
 
-    def _carry(self, to: str, message: msgspec.Struct) -> None:
+    def _carry(self, sender: str, to: str, message: msgspec.Struct) -> None:
         self.sent.append((to, message))
         if to in self.lost:
             return
         if isinstance(message, TrialWord):
-            self.all[to].take(message)
+            self.all[to].take(sender, message)
+        elif isinstance(message, TrialPermit):
+            self.permits.setdefault(to, []).append(message.sent_at)
         elif isinstance(message, TrialVerdict):
             self.all[to].take_verdict(message.progress)
 
@@ -135,3 +144,27 @@
     desk.tell(make_word("i0", share=1.0, old_running=0))
     (word,) = desks.all[leader].words("s", 1)
     assert word.progress.old_running == 0
+
+
+def test_permit_only_what_the_leader_has_heard_and_may_permit(clock: Clock) -> None:
+    """The leader hears an instance but can't tell whether the trial was taken back.
+
+    A permit answers a word: one that was lost, or that comes to somebody else, is none.
+    """
+    desks = Desks(5)
+    leader = desks.all["i0"].leaders("s")[0]
+    name = next(
+        name for name in desks.all if name not in desks.all[leader].leaders("s")
+    )
+    desks.all[name].tell(make_word(name))
+    assert not desks.permits
+    progress = make_word(leader).progress
+    for desk in desks.all.values():
+        desk.find_permit = lambda service, number: progress if number == 1 else None
+    clock.time += 2.1
+    desks.all[name].tell(make_word(name))
+    assert desks.permits == {name: [clock.time]}
+    desks.lost.add(leader)
+    clock.time += 2.1
+    desks.all[name].tell(make_word(name))
+    assert len(desks.permits[name]) == 1
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -216,11 +216,13 @@
     )
 
 
-async def ask_many(site: Site, count: int, pause_s: float = 0.01) -> list[Any]:
+async def ask_many(
+    site: Site, count: int, pause_s: float = 0.01, prefix: str = "s"
+) -> list[Any]:
     """Send requests of as many sessions."""
     tasks = []
     for number in range(count):
-        session = f"s{number}"
+        session = f"{prefix}{number}"
         tasks.append(asyncio.ensure_future(site.ask_model(Session=session)))
         await asyncio.sleep(pause_s)
     return [await task for task in tasks]
@@ -234,8 +236,8 @@
             put_rollout(site, "v2", 6.0)
             await wait_for(lambda: site.store.status("engine"), 3.0)
             assert site.store.status("engine")["state"] == "running"
-            for _ in range(24):
-                await ask_many(site, 20, 0.02)
+            for turn in range(24):
+                await ask_many(site, 20, 0.02, prefix=f"turn{turn}-")
                 if site.store.status("engine")["state"] != "running":
                     break
             assert site.store.status("engine")["state"] == "succeeded"
@@ -279,8 +281,8 @@
             bad = await site.add_backend("n1", service="engine", version="v2")
             bad.behaviour = "fail"
             put_rollout(site, "v2", 8.0)
-            for _ in range(14):
-                await ask_many(site, 30, 0.01)
+            for turn in range(20):
+                await ask_many(site, 30, 0.01, prefix=f"turn{turn}-")
                 if site.store.status("engine").get("state") == "reverted":
                     break
             assert site.store.status("engine")["state"] == "reverted"
@@ -292,6 +294,27 @@
     run(case())
 
 
+def test_send_nothing_unproven_from_the_first_moment() -> None:
+    """An instance starts in the middle of a roll-out and is called at once.
+
+    Two of three servers run the version on trial. Until the next step of its roll-outs
+    the instance chose among all of them alike.
+    """
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            for number in range(2):
+                await site.add_backend(f"n{number}", service="engine", version="v2")
+            put_rollout(site, "v2", 60.0)
+            await site.wait_ready()
+            index = await site.add_instance("i2", ip="127.0.0.2")
+            answers = [await site.ask_model(index=index) for _ in range(8)]
+            assert all(answer.status == 200 for answer in answers)
+            assert not any(backend.seen for backend in site.backends[1:])
+
+    run(case())
+
+
 def test_survive_rubbish_on_each_port() -> None:
     """Bytes that are no message come to every port; the instance serves on."""
 
