Divide the fixed part of repeats by no view that may be too small

Each instance divided the fixed part of the budget by the members that it saw. An instance that was frozen read all that had come meanwhile in one moment and counted it as requests of that moment.

Now the part is divided by the most members ever seen, is zero for an instance that has seen none though its settings name others, and in the first window of each life; a first repeat stays allowed, never more than requests. Requests that are read after a standstill count from when it began.

Metrics tell what is left of the budget and what a version on trial got. Class: a bound over all divided by what one of them sees.

--- a/src/baobabthread/instance/admission.py
+++ b/src/baobabthread/instance/admission.py
@@ -126,7 +126,7 @@
             deadline=request.arrived_at + _limit_s(route, request),
         )
         budget = self._services.get(flight.service).budget
-        budget.count_request(now())
+        budget.count_request(self._services.arrivals.find(now()))
         self._begin_model(flight, budget)
         if not self._can_end(flight):
             return Verdict(status=503, kind="leaving", retry_after_s=LEAVING_RETRY_S)
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -61,6 +61,18 @@
             "Requests that are held back as backend servers crash under them",
             registry=self.registry,
         )
+        self.repeats_left = Gauge(
+            "baobabthread_repeats_left",
+            "Repeats that this instance may still send in the present window",
+            ["service"],
+            registry=self.registry,
+        )
+        self.exposed = Gauge(
+            "baobabthread_exposed_requests",
+            "Attempts at the version on trial since the newest order",
+            ["service"],
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "baobabthread_answer_seconds",
             "Time from a request's arrival to the end of its answer",
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -131,7 +131,7 @@
             tell=self._tell,
             fetch=self.fetch,
             bounds=settings.bounds,
-            has_seeds=any(not self._is_me(seed) for seed in self._list_seeds()),
+            has_seeds=settings.has_other_seeds,
         )
         self._transport: asyncio.DatagramTransport | None = None
         self._pools: dict[str, ConnectionPool] = {}
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -109,7 +109,11 @@
             failure_domain=settings.failure_domain,
             rng=rng,
         )
-        self.services = Services(backends=self.backends, bounds=settings.bounds)
+        self.services = Services(
+            backends=self.backends,
+            bounds=settings.bounds,
+            is_single=not settings.has_other_seeds,
+        )
         self.peers = PeerLink(
             settings=settings,
             incarnation=uuid.uuid4().hex[:12],
@@ -215,6 +219,11 @@
         self.metrics.knowledge_age.set(self.knowledge.operators_age(now()))
         self.metrics.members.set(len(self.peers.membership.alive()))
         self.metrics.held.set(len(self.peers.quarantine.quarantine.names(now())))
+        for state in self.services:
+            left = self.metrics.repeats_left.labels(service=state.name)
+            left.set(state.budget.balance(now()))
+            exposed = self.metrics.exposed.labels(service=state.name)
+            exposed.set(state.plan.exposure.report().exposed)
         return web.Response(body=self.metrics.render(), content_type="text/plain")
 
     # -- life --
@@ -332,6 +341,7 @@
 
     async def _tick(self) -> None:
         while True:
+            self.services.arrivals.tick(now())
             self.knowledge.expire(now())
             self._note_members()
             self.backends.refresh()
--- a/src/baobabthread/instance/services.py
+++ b/src/baobabthread/instance/services.py
@@ -7,7 +7,7 @@
 from baobabthread.instance.backends import Backends
 from baobabthread.instance.clock import now
 from baobabthread.routing.bounds import RoutingBounds
-from baobabthread.routing.budget import RepeatBudget
+from baobabthread.routing.budget import Arrivals, Members, RepeatBudget
 from baobabthread.routing.queues import ServiceQueue
 from baobabthread.routing.versions import VersionPlan
 
@@ -18,14 +18,13 @@
 class ServiceState:
     """Hold what is decided for one service."""
 
-    __slots__ = ("budget", "entries", "name", "plan", "queue")
+    __slots__ = ("budget", "name", "plan", "queue")
 
-    def __init__(self, *, name: str, bounds: RoutingBounds, entries: int) -> None:
+    def __init__(self, *, name: str, bounds: RoutingBounds, members: Members) -> None:
         self.name = name
         self.queue = ServiceQueue()
         self.plan = VersionPlan(service=name, bounds=bounds)
-        self.entries = entries
-        self.budget = RepeatBudget(bounds=bounds, entries=entries)
+        self.budget = RepeatBudget(bounds=bounds, members=members)
 
     def spend(self) -> bool:
         """Take a repeat out of the budget; return whether there was one."""
@@ -35,13 +34,19 @@
 class Services:
     """Keep the state of each service and divide what instances share."""
 
-    __slots__ = ("_backends", "_bounds", "_entries", "_states")
+    __slots__ = ("_backends", "_bounds", "_entries", "_members", "_states", "arrivals")
 
-    def __init__(self, *, backends: Backends, bounds: RoutingBounds) -> None:
+    def __init__(
+        self, *, backends: Backends, bounds: RoutingBounds, is_single: bool = False
+    ) -> None:
         self._backends = backends
         self._bounds = bounds
         self._entries = 1
         self._states: dict[str, ServiceState] = {}
+        self.arrivals = Arrivals()
+        self._members = Members(
+            is_single=is_single, settled_at=now() + bounds.retry_window_s
+        )
 
     def __iter__(self) -> Iterator[ServiceState]:
         return iter(self._states.values())
@@ -50,7 +55,7 @@
         """Return the state of a service."""
         state = self._states.get(name)
         if state is None:
-            state = ServiceState(name=name, bounds=self._bounds, entries=self._entries)
+            state = ServiceState(name=name, bounds=self._bounds, members=self._members)
             state.queue.set_capacity(self._backends.capacity(name), self._entries)
             self._states[name] = state
         return state
@@ -76,11 +81,9 @@
         )
 
     def share(self, entries: int) -> None:
-        """Divide capacity and repeats among so many instances."""
+        """Divide capacity and the fixed part of repeats among so many instances."""
         self._entries = max(1, entries)
+        self._members.note(self._entries)
         for state in self:
             capacity = self._backends.capacity(state.name)
             state.queue.set_capacity(capacity, self._entries)
-            if state.entries != self._entries:
-                state.entries = self._entries
-                state.budget.divide(self._bounds, entries=self._entries)
--- a/src/baobabthread/instance/settings.py
+++ b/src/baobabthread/instance/settings.py
@@ -37,6 +37,11 @@
         """Give the address at which other instances reach this one."""
         return f"{self.ip}:{self.gossip_port}"
 
+    @property
+    def has_other_seeds(self) -> bool:
+        """Tell whether it was told of any other instance."""
+        return any(seed.rpartition(":")[0] != self.ip for seed in self.seeds)
+
     @property
     def control_port(self) -> int:
         """Give the control port, the same at all instances."""
