--- a/src/baobabthread/instance/services.py
+++ b/src/baobabthread/instance/services.py
@@ -61,11 +61,8 @@
         return state
 
     def is_on_trial(self, service: str, version: str) -> bool:
-        """Tell whether a version is on trial beside another one that serves."""
-        plan = self.get(service).plan
-        if plan.order is None or plan.order.target != version:
-            return False
-        return plan.is_running and plan.share(now()) < 1.0
+        """Tell whether a version is on trial, or failed its trial."""
+        return self.get(service).plan.is_unproven(version)
 
     def note_crash(self, service: str, version: str) -> None:
         """Hold a crash against a version on trial, as one bad answer.
--- a/src/baobabthread/routing/trial.py
+++ b/src/baobabthread/routing/trial.py
@@ -27,7 +27,9 @@
 
 
 LEAST_BAD = 3
-"""Bad answers from which on a doubt counts."""
+"""Bad answers from which on any doubt counts."""
+SURE_ODDS = 10.0
+"""Odds from which on a doubt counts with fewer of them."""
 ERROR_MARGIN = 0.03
 SLOW_MARGIN = 0.04
 """How much higher than the old version's the rate of bad answers may be at the end."""
@@ -345,9 +347,8 @@
 
 def _is_likelier(usual: float, lift: float, tally: _Tally) -> bool:
     """Tell whether so many bad answers are likelier at a lifted rate than the usual."""
-    if tally.bad < LEAST_BAD:
-        return False
     lifted = usual + lift * (1.0 - usual)
     when_bad = math.log(lifted / usual)
     when_good = math.log((1.0 - lifted) / (1.0 - usual))
-    return tally.bad * when_bad + (tally.seen - tally.bad) * when_good > 0.0
+    odds = tally.bad * when_bad + (tally.seen - tally.bad) * when_good
+    return odds > (0.0 if tally.bad >= LEAST_BAD else math.log(SURE_ODDS))
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -171,6 +171,17 @@
         else:
             self.rejected.add(self.order.target)
 
+    def is_unproven(self, version: str) -> bool:
+        """Tell whether a version is on trial, or was taken back.
+
+        Failure: word of crashes that comes after a version was taken back was held
+        against the requests, and good ones were refused for minutes.
+        """
+        if version in self.rejected:
+            return True
+        is_target = self.order is not None and self.order.target == version
+        return is_target and self.state is not RolloutState.SUCCEEDED
+
     def note_versions(self, listed: Mapping[str, int]) -> None:
         """Learn which version is in force while just one is listed."""
         if self.order is None and len(listed) == 1:
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -323,8 +323,10 @@
             bad = await roll_out_crashing(site)
             answers: list[Answer | None] = []
             others = asyncio.ensure_future(keep_asking(site, "/safe/x", answers))
-            # It is taken back after about four crashes.
-            await wait_for(lambda: len(bad.crashes) >= 4, 20.0)
+            await wait_for(lambda: len(bad.crashes) >= 2, 20.0)
+            await wait_for(
+                lambda: site.store.status("plain").get("state") == "reverted", 12.0
+            )
             await asyncio.sleep(0.5)
             others.cancel()
             await bad.close()
--- a/tests/routing/test_versions.py
+++ b/tests/routing/test_versions.py
@@ -242,6 +242,16 @@
     assert not may_take_over(plan, LIMIT_S - 0.5)
 
 
+def test_hold_a_version_that_has_only_failed() -> None:
+    """Two requests came to a version that crashes under everything, and both failed."""
+    plan = begin()
+    prove(plan, bad=1, seen=1)
+    assert not plan.trial.looks_worse
+    prove(plan, bad=1, seen=1)
+    assert plan.trial.looks_worse
+    assert not may_take_over(plan, LIMIT_S - 0.5)
+
+
 def test_revert_what_shows_its_faults_only_with_all_of_the_traffic() -> None:
     """Under load one answer in ten fails, in the last second before the limit.
 
@@ -300,6 +310,27 @@
     assert plan.find_base({"v1": 5, "v3": 5, "v4": 9}) == "v3"
 
 
+def test_blame_no_request_for_a_version_that_was_taken_back() -> None:
+    """Word of the crashes of a bad version arrives once its roll-out has ended."""
+    plan = begin()
+    assert plan.is_unproven("v2")
+    assert not plan.is_unproven("v1")
+    plan.take_status(
+        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, number=1),
+        2.0,
+    )
+    assert plan.is_unproven("v2")
+    plan.take_order(
+        RolloutOrder(number=2, service="s", target="v3", time_limit_s=LIMIT_S), 3.0
+    )
+    assert plan.is_unproven("v2")
+    plan.take_status(
+        RolloutStatus(service="s", target="v3", state=RolloutState.SUCCEEDED, number=2),
+        9.0,
+    )
+    assert not plan.is_unproven("v3")
+
+
 def test_learn_from_others_which_version_is_in_force() -> None:
     """An instance starts in the middle of a roll-out, with three versions listed."""
     plan = VersionPlan(service="s", bounds=BOUNDS)
