Let no version take over after its limit, and split the plan of versions

Found by reading: at the step that crossed the limit a version could take over and succeed in the same moment, with no answer known under the whole load.

--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -21,13 +21,9 @@
     RolloutStatus,
 )
 from baobabthread.routing.exposure import Totals
+from baobabthread.routing.judgment import judge_rollout, may_begin_final
 from baobabthread.routing.knowledge import Knowledge
-from baobabthread.routing.versions import (
-    Progress,
-    VersionPlan,
-    judge_rollout,
-    may_begin_final,
-)
+from baobabthread.routing.versions import Progress, VersionPlan
 
 PERIOD_S = 0.25
 END_PERIOD_S = 0.05
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -180,7 +180,7 @@
             # A stream that begins now may break after an order has come: resumed on the
             # new version, it would be joined from two, and lost where that one is bad.
             flight.on_new = False
-            return plan.find_base(listed) if len(listed) > 1 else None
+            return plan.lineage.find_base(listed) if len(listed) > 1 else None
         choose = plan.choose_free if flight.is_free else plan.choose
         wanted = flight.may_move and choose(flight.session, now())
         # What began on the old version goes on there while it lives.
@@ -190,12 +190,12 @@
         if flight.on_new and order.target in listed and _expose(flight, plan):
             return order.target
         flight.on_new = False
-        base = plan.find_base(listed)
+        base = plan.lineage.find_base(listed)
         if base is None and order.target in listed and not plan.is_reverted:
             return None
         # Where the old version is evacuated or gone and the new one on trial, requests
         # are refused: all of them on an unproven version would be worse.
-        return base or plan.base or NO_VERSION
+        return base or plan.lineage.base or NO_VERSION
 
 
 def _expose(flight: Flight, plan: VersionPlan) -> bool:
--- a/src/baobabthread/routing/exposure.py
+++ b/src/baobabthread/routing/exposure.py
@@ -31,21 +31,21 @@
 """Part of the bound that is planned for the trial and the end together."""
 SURGE = 1.3
 """Times the present rate of requests that the end of a roll-out leaves room for."""
-MOST_BURST = 0.5
-"""Share of the requests without a session that the trial takes at most in a burst."""
-BURST_LOAD = 1.25
-"""Times the load of a full share that a server on trial gets then."""
-SESSION_LOAD = 0.4
-"""The same for sessions, whose prompts no server on trial has kept: each takes several
-times the work of one that goes on where it was."""
-BURST_EVERY_S = 3.0
-"""Time from one burst to the next."""
 END_SURGE = 2.0
 """The same for the time in which nothing can be held back any more."""
 RATE_S = 4.0
 """Time over which the rate of requests is measured."""
 NOW_S = 0.5
 """The same where a burst that has just begun must be seen."""
+MOST_BURST = 0.5
+"""Share of the requests without a session that the trial takes at most in a burst."""
+BURST_EVERY_S = 3.0
+"""Time from one burst to the next."""
+BURST_LOAD = 1.25
+"""Times the load of a full share that a server on trial gets in a burst."""
+SESSION_LOAD = 0.4
+"""The same for sessions, whose prompts no server on trial has kept: each takes several
+times the work of one that goes on where it was."""
 FIRST = 0.1
 """Part of a request with which an instance begins, so that its first one may go."""
 EXTRA_PART = 0.4
@@ -203,7 +203,7 @@
     def may_take_over(self, *, elapsed_s: float, left_s: float) -> bool:
         """Tell whether the version may get everything for what is left of its time."""
         still = SURGE * self.per_s(elapsed_s) * left_s
-        return left_s <= 0.0 or self._fits(still, PLANNED_PART)
+        return left_s > 0.0 and self._fits(still, PLANNED_PART)
 
     def may_end(self, *, elapsed_s: float, left_s: float) -> bool:
         """Tell whether nothing has to be held back any more until the time limit."""
