--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -157,11 +157,6 @@
             self.patience_s = self._event_patience_s
         return Head(response=response, marks=marks, latency_s=now() - self.sent_at)
 
-    @property
-    def has_answered(self) -> bool:
-        """Tell whether the head of an answer has come."""
-        return self._response is not None
-
     async def read_some(self) -> bytes:
         """Return the next bytes of the body; none at its end."""
         assert self._response is not None
