Leave a lone instance the part of repeats that it had

An instance to which settings name no other had a quarter of the fixed part, before 0.425 of it; where that part is small, one of four requests was not tried again. With no others nothing divides the part, so the views that the smaller one allows for can't differ.

--- a/src/baobabthread/routing/budget.py
+++ b/src/baobabthread/routing/budget.py
@@ -12,6 +12,9 @@
 """Part of the common bound that is used; the rest is for what only some see."""
 SHARE_MARGIN = 0.25
 """Part of the fixed bound that is divided, for views of the members that differ."""
+SINGLE_MARGIN = 0.425
+"""Part of it that an instance takes to which settings name no other: killed and started
+again, it has that part twice within a window."""
 FIRST = 1.0
 """Repeats that are allowed on top of the ratio, but never more than requests."""
 STEP_S = 0.1
@@ -108,7 +111,7 @@
         """Return the part of the fixed bound that falls to this instance."""
         if self._known > 1:
             return SHARE_MARGIN / self._known if now >= self._settled_at else 0.0
-        return SHARE_MARGIN if self._is_single else 0.0
+        return SINGLE_MARGIN if self._is_single else 0.0
 
 
 class RepeatBudget:
