Restore what two replaced tests of the budget asserted

Read as a newcomer: the test that a change of members gives no fresh repeats had gone with the method that divided them; it stands again, for members lost, found and cut off.

--- a/tests/routing/test_budget.py
+++ b/tests/routing/test_budget.py
@@ -228,7 +228,7 @@
     Its fixed share is two repeats. A balance capped at that forgets what eight sure
     answers earned, and the four doubtful ones that follow are passed on.
     """
-    budget = make_budget(MANY, known=195)
+    budget = make_budget(MANY, started_at=0.0)
     for number in range(12):
         budget.count_request(number * 0.5)
     assert sum(budget.try_spend(6.0) for _ in range(20)) >= 9
@@ -241,6 +241,23 @@
     assert not budget.try_spend(10.0)
 
 
+def test_keep_what_was_spent_when_members_change() -> None:
+    """An instance is lost, and the fixed part is divided anew among the rest.
+
+    With a fresh balance each change of members would give all repeats once more.
+    """
+    for counts in ((6, 5), (6, 7), (6, 1)):
+        members = Members(is_single=False, settled_at=0.0)
+        members.note(counts[0])
+        budget = RepeatBudget(bounds=BOUNDS, members=members)
+        spent = 0
+        while budget.try_spend(1.0):
+            spent += 1
+        assert spent
+        members.note(counts[1])
+        assert sum(budget.try_spend(1.0) for _ in range(20)) <= 1
+
+
 def test_never_repeat_more_than_was_asked_right_after_a_start() -> None:
     """Instances that have just started take a first repeat each, however many.
 
@@ -278,7 +295,7 @@
 
     Callers come back to instances that have earned nothing yet.
     """
-    budget = make_budget(MANY, known=195)
+    budget = make_budget(MANY, started_at=0.0)
     budget.count_request(0.1)
     assert budget.try_spend(0.1)
 
