Split the tests of roll-outs by module, and name one flag for what it says

In the choice of a version is_free stood for 'the version may still change' beside Flight.is_free, 'belongs to no session'; it is may_change.

--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -184,8 +184,8 @@
         choose = plan.choose_free if flight.is_free else plan.choose
         wanted = flight.may_move and choose(flight.session, now())
         # What began on the old version goes on there while it lives.
-        is_free = flight.on_new is None or flight.runs == 0 or plan.is_final
-        if is_free or not wanted:
+        may_change = flight.on_new is None or flight.runs == 0 or plan.is_final
+        if may_change or not wanted:
             flight.on_new = wanted
         if flight.on_new and order.target in listed and _expose(flight, plan):
             return order.target
--- /dev/null
+++ b/tests/routing/test_trial.py
@@ -0,0 +1,144 @@
+"""Tests of the evidence for and against a version on trial."""
+
+from __future__ import annotations
+
+from baobabthread.routing.trial import Sent, Trial
+from tests.routing.rollouts import (
+    begin,
+    observe_latency,
+    prove,
+)
+
+
+def feed(trial: Trial, *, on_trial: bool, count: int, bad_every: int) -> int:
+    """Feed answers of which each so-many-th fails; return how many until the alarm."""
+    for number in range(1, count + 1):
+        trial.observe(
+            on_trial=on_trial,
+            call="c",
+            kind="c",
+            failed=bool(bad_every) and number % bad_every == 0,
+            latency_s=0.1,
+        )
+        if trial.alarm is not None:
+            return number
+    return count + 1
+
+
+def send(trial: Trial, *, on_trial: bool, at: float) -> int:
+    return trial.begin(
+        Sent(on_trial=on_trial, call="c", kind="c", at=at, expected_s=0.1)
+    )
+
+
+def make_trial() -> Trial:
+    """Return a trial for which the old version has answered in twice the least time."""
+    trial = Trial(number=1)
+    for _ in range(60):
+        trial.end(send(trial, on_trial=False, at=0.0), failed=False, now=0.2)
+    return trial
+
+
+def test_find_a_version_that_fails_a_third_of_its_requests() -> None:
+    trial = Trial(number=1)
+    feed(trial, on_trial=False, count=200, bad_every=0)
+    assert feed(trial, on_trial=True, count=60, bad_every=3) <= 30
+
+
+def test_bear_failures_that_the_old_version_has_too() -> None:
+    trial = Trial(number=1)
+    feed(trial, on_trial=False, count=300, bad_every=7)
+    feed(trial, on_trial=True, count=300, bad_every=7)
+    assert trial.alarm is None
+
+
+def test_find_a_version_that_is_slow() -> None:
+    trial = Trial(number=1)
+    feed(trial, on_trial=False, count=50, bad_every=0)
+    for _ in range(12):
+        trial.observe(on_trial=True, call="c", kind="c", failed=False, latency_s=0.8)
+    assert trial.alarm is not None
+    assert "latency" in trial.alarm
+
+
+def test_bear_a_clump_of_slow_answers() -> None:
+    """A server falls out while a good version takes over, and a dozen answers are late.
+
+    The old version has as many late ones, spread out. In one clump they would win the
+    bet and revert the version, though nine answers in ten are as fast as ever.
+    """
+    trial = Trial(number=1)
+    for number in range(160):
+        observe_latency(trial, 2.0 if number % 8 == 7 else 0.1, on_trial=False)
+    for _ in range(109):
+        observe_latency(trial, 0.1, on_trial=True)
+    for _ in range(13):
+        observe_latency(trial, 2.0, on_trial=True)
+    assert trial.alarm is None
+
+
+def test_raise_no_alarm_over_slow_answers_once_all_has_moved() -> None:
+    """A burst comes as a good version takes over, and half of its answers are late.
+
+    Nothing runs on the old version any more that would show the same.
+    """
+    plan = begin()
+    prove(plan)
+    plan.begin_final(23.0)
+    for number in range(40):
+        observe_latency(plan.trial, 2.0 if number % 2 else 0.1, on_trial=True)
+    assert plan.trial.alarm is None
+
+
+def test_count_as_slow_what_should_have_been_answered() -> None:
+    """A version answers eight times slower, and takes over before its answers come.
+
+    Only its fast answers would be known by then.
+    """
+    trial = make_trial()
+    tickets = [send(trial, on_trial=True, at=10.0) for _ in range(4)]
+    trial.note_overdue(10.3)
+    assert "new_latency" not in trial.describe()
+    trial.note_overdue(10.6)
+    assert "new_latency:4/4" in trial.describe()
+    for ticket in tickets:
+        trial.end(ticket, failed=False, now=11.6)
+    assert "new_latency:4/4" in trial.describe()
+    assert "new_errors:0/4" in trial.describe()
+
+
+def test_count_nothing_for_attempts_that_say_nothing() -> None:
+    trial = make_trial()
+    trial.cancel(send(trial, on_trial=True, at=10.0))
+    trial.end(send(trial, on_trial=True, at=10.0), failed=None, now=10.1)
+    trial.note_overdue(20.0)
+    assert "new" not in trial.describe()
+    trial.end(send(trial, on_trial=True, at=20.0), failed=None, now=21.0)
+    assert "new_latency:1/1" in trial.describe()
+
+
+def test_expect_what_a_prompt_takes_that_nobody_has_kept() -> None:
+    """Servers on trial read all of each prompt, three times as long as usual."""
+    trial = make_trial()
+    for number in range(30):
+        sent = Sent(on_trial=True, call="c", kind="c", at=float(number), expected_s=0.3)
+        trial.end(trial.begin(sent), failed=False, now=number + 0.6)
+    assert "new_latency:0/30" in trial.describe()
+
+
+def test_add_up_the_evidence_of_all_instances_once() -> None:
+    """Three instances see two failures each; none would raise the alarm alone.
+
+    Their counts come by gossip, late and more than once; each counts once.
+    """
+    trials = [Trial(number=1) for _ in range(3)]
+    for trial in trials:
+        feed(trial, on_trial=False, count=30, bad_every=0)
+        feed(trial, on_trial=True, count=2, bad_every=1)
+        assert trial.alarm is None
+    first = trials[0]
+    for _ in range(3):
+        for number, other in enumerate(trials[1:]):
+            first.merge(f"i{number}", other.evidence())
+    assert first.seen == 6
+    assert first.alarm is not None
