Judge a trial's latencies from its first answer on

Cause: each trial learnt anew what the version in force usually takes. With 18 requests a second at six instances, each needed eight of each kind first, and 6 of the 15 latencies were judged, 2 of them slow. Ruled out: that the answers were not slow (half of them are, sevenfold), and that words were lost.

What is usual is now learnt from all answers of the version in force and kept over orders. test_know_from_the_first_answer_on_what_is_slow failed before.

--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -39,7 +39,7 @@
 from baobabthread.routing.knowledge import Knowledge
 from baobabthread.routing.mechanisms import NONE_OFF, Mechanism, Switches
 from baobabthread.routing.models import MODEL_CHOICES
-from baobabthread.routing.trial import NO_TICKET, Sent
+from baobabthread.routing.trial import Sent
 
 MOST_LOST = 3
 """Connections that may end under one request, where its route allows more tries: three
@@ -252,12 +252,13 @@
                 self._note_use(flight, state)
 
     def _begin_trial(self, flight: Flight, state: ServiceState) -> int:
-        """Note an attempt whose answer speaks for a version or against it."""
-        if not state.plan.is_running or flight.on_new is None:
-            return NO_TICKET
+        """Note an attempt whose answer speaks for a version or against it.
+
+        Without a trial it tells what answers of the version in force usually take.
+        """
         return state.plan.trial.begin(
             Sent(
-                on_trial=flight.on_new,
+                on_trial=bool(flight.on_new) and state.plan.is_running,
                 call=flight.route.name,
                 kind=f"{flight.route.name}/{flight.model_name}",
                 at=now(),
--- a/src/baobabthread/routing/trial.py
+++ b/src/baobabthread/routing/trial.py
@@ -40,8 +40,6 @@
 """Parts of the other answers that a bad version is taken to spoil."""
 
 
-NO_TICKET = 0
-"""Stands for an attempt that no trial is told of."""
 WHOLE = ""
 """Stands for all calls together."""
 
@@ -97,6 +95,34 @@
         self.bad = bad
 
 
+class UsualLatencies:
+    """Follow what answers of the version in force take, by their kind.
+
+    Kept over all orders: learnt anew by each trial, where requests are few most of its
+    answers are over before anybody knows what is slow.
+    """
+
+    __slots__ = ("_usual",)
+
+    def __init__(self) -> None:
+        self._usual: dict[str, tuple[float, int]] = {}
+
+    def learn(self, sent: Sent, latency_s: float) -> None:
+        """Take in an answer of the version in force."""
+        usual, seen = self._usual.get(sent.kind, (0.0, 0))
+        step = max(LATENCY_STEP, 1.0 / (seen + 1))
+        # Of logarithms, so that one answer that was stuck doesn't lift the usual.
+        usual += step * (_compare(sent, latency_s) - usual)
+        self._usual[sent.kind] = (usual, seen + 1)
+
+    def is_slow(self, sent: Sent, latency_s: float) -> bool | None:
+        """Tell whether an answer is slow; nothing while nobody knows what is usual."""
+        usual, seen = self._usual.get(sent.kind, (0.0, 0))
+        if seen < ENOUGH_LATENCIES:
+            return None
+        return _compare(sent, latency_s) > usual + math.log(SLOW_FACTOR)
+
+
 class Trial:
     """Bet that the new version is worse than the old one, from shared counts."""
 
@@ -104,7 +130,6 @@
         "_before",
         "_heard",
         "_is_final",
-        "_latencies",
         "_overdue",
         "_own",
         "_pending",
@@ -112,17 +137,18 @@
         "_total",
         "_wealth",
         "alarm",
+        "latencies",
         "number",
     )
 
-    def __init__(self, *, number: int) -> None:
+    def __init__(self, *, number: int, latencies: UsualLatencies | None = None) -> None:
         self.number = number
+        self.latencies = latencies or UsualLatencies()
         self.alarm: str | None = None
         """The figures that proved the version bad."""
         self._own: dict[_Key, _Tally] = {}
         self._total: dict[_Key, _Tally] = {}
         self._heard: dict[str, dict[_Key, Count]] = {}
-        self._latencies: dict[str, tuple[float, int]] = {}
         self._wealth: dict[_Key, Wealth] = {}
         self._tickets = 0
         self._pending: dict[int, Sent] = {}
@@ -180,31 +206,20 @@
         known when it takes over.
         """
         for ticket, sent in list(self._pending.items()):
-            if self._is_slow(sent, now - sent.at):
+            if self.latencies.is_slow(sent, now - sent.at):
                 self._overdue[ticket] = self._pending.pop(ticket)
                 self._count_own(
                     _Key(sent.on_trial, sent.call, Concern.LATENCY), bad=True
                 )
 
     def _count_latency(self, sent: Sent, latency_s: float, *, is_whole: bool) -> None:
-        is_slow = self._is_slow(sent, latency_s)
+        is_slow = self.latencies.is_slow(sent, latency_s)
         if not sent.on_trial:
-            # Of logarithms, so that one answer that was stuck doesn't lift the usual.
-            usual, seen = self._latencies.get(sent.kind, (0.0, 0))
-            step = max(LATENCY_STEP, 1.0 / (seen + 1))
-            usual += step * (_compare(sent, latency_s) - usual)
-            self._latencies[sent.kind] = (usual, seen + 1)
+            self.latencies.learn(sent, latency_s)
         if is_slow is None or (not is_whole and not is_slow):
             return
         self._count_own(_Key(sent.on_trial, sent.call, Concern.LATENCY), bad=is_slow)
 
-    def _is_slow(self, sent: Sent, latency_s: float) -> bool | None:
-        """Tell whether an answer is slow; nothing while nobody knows what is usual."""
-        usual, seen = self._latencies.get(sent.kind, (0.0, 0))
-        if seen < ENOUGH_LATENCIES:
-            return None
-        return _compare(sent, latency_s) > usual + math.log(SLOW_FACTOR)
-
     def evidence(self) -> Evidence:
         """Return this instance's counts for the others."""
         return Evidence(
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -131,7 +131,7 @@
         self.order = order
         self.saw_before = saw_before
         self.state = RolloutState.RUNNING
-        self.trial = Trial(number=order.number)
+        self.trial = Trial(number=order.number, latencies=self.trial.latencies)
         self.trial_share = find_trial_share(self.bounds, order.time_limit_s)
         self.bursts = Bursts(trial_share=self.trial_share, servers=self._servers)
         self._started_at = now
--- a/tests/routing/test_trial.py
+++ b/tests/routing/test_trial.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from baobabthread.routing.configuration import RolloutOrder
 from baobabthread.routing.trial import Sent, Trial
+from baobabthread.routing.versions import VersionPlan
 from tests.routing.rollouts import (
+    BOUNDS,
+    LIMIT_S,
     begin,
     observe_latency,
     prove,
@@ -142,3 +146,21 @@
             first.merge(f"i{number}", other.evidence())
     assert first.seen == 6
     assert first.alarm is not None
+
+
+def test_know_from_the_first_answer_on_what_is_slow() -> None:
+    """A service has few requests, and a slow version is on trial for some seconds.
+
+    Each instance first needed eight answers of the old version for each kind, so that
+    six of fifteen answers were judged, two of them slow, and the version succeeded.
+    """
+    plan = VersionPlan(service="s", bounds=BOUNDS)
+    for _ in range(8):
+        plan.trial.end(send(plan.trial, on_trial=False, at=0.0), failed=False, now=0.2)
+    order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
+    plan.take_order(order, 1.0)
+    for _ in range(3):
+        plan.trial.end(send(plan.trial, on_trial=True, at=2.0), failed=False, now=2.9)
+    assert "new_latency:3/3" in plan.trial.describe()
+    assert "old" not in plan.trial.describe()
+    assert plan.trial.looks_worse
