Find the usual rate of a trial in one place

Read as a newcomer: two methods reckoned the old version's rate of bad answers, with constants for errors and latencies beside each other. One does now, and what differs by concern stands in tables. Nothing decides otherwise: the tests of trials and judgment are untouched and pass. Totals.sum, the name of a builtin, is total.

--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -301,8 +301,8 @@
             log_event(
                 "rollout_final",
                 service=plan.service,
-                requests=totals.sum.requests,
-                exposed=totals.sum.exposed,
+                requests=totals.total.requests,
+                exposed=totals.total.exposed,
                 per_s=round(totals.per_s(plan.elapsed(moment)), 1),
                 left_s=round(plan.left_s(moment), 2),
                 evidence=plan.trial.describe(),
@@ -371,8 +371,8 @@
             state=status.state,
             elapsed_s=round(status.elapsed_s, 2),
             evidence=plan.trial.describe(),
-            requests=self._find_totals(plan).sum.requests,
-            exposed=self._find_totals(plan).sum.exposed,
+            requests=self._find_totals(plan).total.requests,
+            exposed=self._find_totals(plan).total.exposed,
             alarm=plan.trial.alarm or "",
         )
         if status.state is not RolloutState.RUNNING:
--- a/src/baobabthread/routing/exposure.py
+++ b/src/baobabthread/routing/exposure.py
@@ -176,28 +176,28 @@
 class Totals:
     """Add up what all instances have sent since an order, for the one that leads."""
 
-    __slots__ = ("_bounds", "_now_rate", "_rate", "sum")
+    __slots__ = ("_bounds", "_now_rate", "_rate", "total")
 
     def __init__(self, *, bounds: RoutingBounds) -> None:
         self._bounds = bounds
         self._rate = Rate()
         self._now_rate = Rate(window_s=NOW_S)
-        self.sum = Exposure()
+        self.total = Exposure()
 
     def note(self, counts: Iterable[Exposure], now: float) -> None:
         """Take in the newest word of each instance, this one included."""
         words = list(counts)
-        self.sum = Exposure(
+        self.total = Exposure(
             requests=sum(word.requests for word in words),
             exposed=sum(word.exposed for word in words),
         )
-        self._rate.note(self.sum.requests, now)
-        self._now_rate.note(self.sum.requests, now)
+        self._rate.note(self.total.requests, now)
+        self._now_rate.note(self.total.requests, now)
 
     def per_s(self, elapsed_s: float) -> float:
         """Return the rate of requests to expect, so many seconds after the order."""
         # A lull, such as a loss of most instances, is no reason to expect few.
-        usual = self.sum.requests / max(1.0, elapsed_s)
+        usual = self.total.requests / max(1.0, elapsed_s)
         return max(self._rate.per_s(), usual)
 
     def may_take_over(self, *, elapsed_s: float, left_s: float) -> bool:
@@ -212,7 +212,7 @@
         return left_s <= 0.0 or self._fits(still, 1.0)
 
     def _fits(self, still: float, part: float) -> bool:
-        requests = self.sum.requests + still
+        requests = self.total.requests + still
         planned = part * self._bounds.exposure_share * requests
         planned += EXTRA_PART * self._bounds.exposure_extra
-        return self.sum.exposed + still <= planned
+        return self.total.exposed + still <= planned
--- a/src/baobabthread/routing/judgment.py
+++ b/src/baobabthread/routing/judgment.py
@@ -71,7 +71,7 @@
 
 def _is_known(plan: VersionPlan, totals: Totals) -> bool:
     """Tell whether enough answers of the new version are known to let it go on."""
-    least = min(LEAST_SEEN, KNOWN_PART * totals.sum.exposed)
+    least = min(LEAST_SEEN, KNOWN_PART * totals.total.exposed)
     return plan.trial.seen >= least
 
 
--- a/src/baobabthread/routing/trial.py
+++ b/src/baobabthread/routing/trial.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+from collections.abc import Mapping
 
 import msgspec
 
@@ -17,29 +18,15 @@
 """Answers of the old version before which nothing passes for slow."""
 PRIOR_SEEN = 20.0
 PRIOR_BAD = 1.0
-TOLERANCE = 0.05
-SLOW_TOLERANCE = 0.03
-"""How much higher than the old version's the rate of bad answers may be, and that of
-slow ones: the few servers on trial are loaded fully and keep no prompts at first."""
 NEEDED_WEALTH = 1500.0
 """Stakes that a bet must win: about five bad answers in a row. With a fresh stake for
 each answer, a good version reaches it once in about 1,500 answers at most."""
-
-
 LEAST_BAD = 3
 """Bad answers from which on any doubt counts."""
 SURE_ODDS = 10.0
 """Odds from which on a doubt counts with fewer of them."""
-ERROR_MARGIN = 0.03
-SLOW_MARGIN = 0.04
-"""How much higher than the old version's the rate of bad answers may be at the end."""
-COLD_MARGIN = 0.12
-"""The same for slow answers once all servers of a version take part."""
-ERROR_LIFTS = (0.08, 0.25)
-SLOW_LIFTS = (0.2, 0.4)
-"""Parts of the other answers that a bad version is taken to spoil."""
-
-
+HIGHEST_RATE = 0.9
+"""Rate of bad answers above which nothing counts as usual."""
 WHOLE = ""
 """Stands for all calls together."""
 
@@ -51,6 +38,17 @@
     LATENCY = "latency"
 
 
+TOLERANCES = {Concern.ERRORS: 0.05, Concern.LATENCY: 0.03}
+"""How much higher than the old version's the rate of bad answers may be for bets."""
+MARGINS = {Concern.ERRORS: 0.03, Concern.LATENCY: 0.04}
+"""The same at the end of a trial."""
+FINAL_MARGINS = {Concern.ERRORS: 0.0, Concern.LATENCY: 0.12}
+"""What comes on top once all servers of a version take part: those that took none in
+the trial have kept no prompts."""
+LIFTS = {Concern.ERRORS: (0.08, 0.25), Concern.LATENCY: (0.2, 0.4)}
+"""Parts of the other answers that a bad version is taken to spoil."""
+
+
 class Count(msgspec.Struct, frozen=True, array_like=True):
     """Count one instance's answers of one version to one kind of request."""
 
@@ -284,32 +282,13 @@
         tally = self._total[key]
         seen, bad = self._before.get(key, (0, 0))
         since = _Tally(seen=tally.seen - seen, bad=tally.bad - bad)
-        usual = self._find_reference(key)
-        if key.concern is Concern.ERRORS:
-            return any(
-                _is_likelier(usual, lift, each)
-                for lift in ERROR_LIFTS
-                for each in (tally, since)
-            )
-        # Servers that took no part in the trial have kept no prompts at all.
-        cold = min(0.9, usual + COLD_MARGIN)
+        usual = self._find_usual_rate(key, MARGINS, fades=True)
+        final = min(HIGHEST_RATE, usual + FINAL_MARGINS[key.concern])
         return any(
-            _is_likelier(usual, lift, tally) or _is_likelier(cold, lift, since)
-            for lift in SLOW_LIFTS
+            _is_likelier(usual, lift, tally) or _is_likelier(final, lift, since)
+            for lift in LIFTS[key.concern]
         )
 
-    def _find_reference(self, key: _Key) -> float:
-        """Return the highest rate of bad answers that still counts as usual."""
-        old = self._total.get(_Key(False, key.call, key.concern))
-        seen = (old.seen if old else 0) + PRIOR_SEEN
-        # What is assumed of an unknown version fades as its answers are counted.
-        bad = (old.bad if old else 0) + PRIOR_BAD * PRIOR_SEEN / seen
-        rate = bad / seen
-        spread = math.sqrt(rate * (1.0 - rate) / seen)
-        is_latency = key.concern is Concern.LATENCY
-        margin = SLOW_MARGIN if is_latency else ERROR_MARGIN
-        return min(0.9, rate + spread + margin)
-
     def _count_own(self, key: _Key, *, bad: bool) -> None:
         tally = self._own.setdefault(key, _Tally())
         tally.seen += 1
@@ -331,7 +310,7 @@
             # against the new version, and nothing runs on the old one beside it.
             return
         wealth = self._wealth.setdefault(key, Wealth())
-        rate = self._find_usual_rate(key)
+        rate = self._find_usual_rate(key, TOLERANCES)
         wealth.bet(seen=seen, bad=bad, rate=rate, stake=1.0)
         total = self._total[key]
         if key.concern is Concern.LATENCY and total.bad <= rate * total.seen:
@@ -344,15 +323,19 @@
                 f"{total.seen} bad, usual rate {rate:.3f}"
             )
 
-    def _find_usual_rate(self, key: _Key) -> float:
+    def _find_usual_rate(
+        self, key: _Key, margins: Mapping[Concern, float], *, fades: bool = False
+    ) -> float:
+        """Return the highest rate of bad answers that still counts as usual.
+
+        What is assumed of an unknown version may fade as its answers are counted.
+        """
         old = self._total.get(_Key(False, key.call, key.concern))
         seen = (old.seen if old else 0) + PRIOR_SEEN
-        bad = (old.bad if old else 0) + PRIOR_BAD
-        rate = bad / seen
+        prior = PRIOR_BAD * PRIOR_SEEN / seen if fades else PRIOR_BAD
+        rate = ((old.bad if old else 0) + prior) / seen
         spread = math.sqrt(rate * (1.0 - rate) / seen)
-        is_latency = key.concern is Concern.LATENCY
-        tolerance = SLOW_TOLERANCE if is_latency else TOLERANCE
-        return min(0.9, rate + spread + tolerance)
+        return min(HIGHEST_RATE, rate + spread + margins[key.concern])
 
 
 def _compare(sent: Sent, latency_s: float) -> float:
