Log what a stop does to requests, and whose end cut them

A stream that the instance's own end cut was logged as caller_gone, as if its caller had left, and nothing told why it had been taken, when the signal came, whether it came twice or whether the process had stood still before. Three hypotheses about streams cut with status 200 can't be told apart without that: time reckoned from a wrong signal, a pace learnt in calm, a drain that a second signal shortens.

signal_received, the moments of the plan in instance_leaving, and request_cut_by_stop with the time that was left and expected when the request was taken.

--- a/src/baobabthread/instance/admission.py
+++ b/src/baobabthread/instance/admission.py
@@ -11,12 +11,13 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.endings import SOON_S
 from baobabthread.instance.estimates import Estimates
-from baobabthread.instance.flight import CallerRequest, Flight, Reply
+from baobabthread.instance.flight import CallerRequest, Flight, Reply, TakenAtStop
 from baobabthread.instance.services import Services
 from baobabthread.routing.budget import RepeatBudget
 from baobabthread.routing.configuration import UNNAMED_MODEL, Account, Route
 from baobabthread.routing.knowledge import Knowledge
 from baobabthread.routing.models import ModelChoice
+from baobabthread.routing.stopping import StopPlan
 from baobabthread.routing.table import RoutingTable
 
 START_PATIENCE_S = 1.0
@@ -24,11 +25,6 @@
 few hundredths of a second, asking a peer instead half a second."""
 LEAVING_RETRY_S = 0.05
 """Time after which a caller may go to another instance: at once."""
-LEAVING_FACTOR = 1.5
-"""Times the time of the longest answer that must be left. Callers' estimates of length
-are often far off, so the bound that they state counts: a stream that is cut at the end
-is worse than one that begins elsewhere at the price of another connection."""
-LEAVING_MARGIN_S = 0.5
 LOW_BALANCE = 2.0
 """Repeats left below which answers must be good at once: none could follow."""
 IDLE_PRICE = 0.05
@@ -51,14 +47,13 @@
     """Find out what a request is, and whether this instance may take it."""
 
     __slots__ = (
-        "_ends_at",
         "_estimates",
         "_knowledge",
         "_known",
         "_models",
-        "_refuses_from",
         "_rng",
         "_services",
+        "_stopping",
     )
 
     def __init__(
@@ -76,17 +71,15 @@
         self._models = models
         self._rng = rng
         self._known = asyncio.Event()
-        self._refuses_from = 0.0
-        self._ends_at: float | None = None
+        self._stopping: StopPlan | None = None
 
     def note_known(self) -> None:
         """Note that the configuration and the backend servers are known."""
         self._known.set()
 
-    def leave(self, *, refuses_from: float, ends_at: float) -> None:
+    def leave(self, plan: StopPlan) -> None:
         """Take only what will be answered in time from now on."""
-        self._refuses_from = refuses_from
-        self._ends_at = ends_at
+        self._stopping = plan
 
     async def wait_known(self) -> None:
         """Wait a little for the first knowledge after a start.
@@ -166,12 +159,20 @@
 
     def _can_end(self, flight: Flight) -> bool:
         """Tell whether an answer would be whole before this instance ends."""
-        if self._ends_at is None or now() < self._refuses_from:
+        plan = self._stopping
+        if plan is None:
             return True
+        moment = now()
         models = flight.route.models
         largest = models[-1] if flight.model is not None else None
+        usual_s = self._estimates.whole_s(flight, flight.model_name)
         longest_s = self._estimates.longest_s(flight, largest)
-        return now() + LEAVING_FACTOR * longest_s + LEAVING_MARGIN_S < self._ends_at
+        flight.taken_at_stop = TakenAtStop(
+            until_end_ms=round((plan.takes_until - moment) * 1000),
+            usual_ms=round(usual_s * 1000),
+            longest_ms=round(longest_s * 1000),
+        )
+        return plan.can_end(usual_s=usual_s, longest_s=longest_s, now=moment)
 
 
 def _limit_s(route: Route, request: CallerRequest) -> float:
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -67,6 +67,16 @@
         return self.target.partition("?")[0]
 
 
+class TakenAtStop(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold why a request was taken by an instance that was told to stop."""
+
+    until_end_ms: int
+    usual_ms: int
+    """Time that the answer was expected to take."""
+    longest_ms: int
+    """Time that it was expected to take at most."""
+
+
 class Flight:
     """Hold what was decided about a request so far."""
 
@@ -99,6 +109,7 @@
         "session",
         "sidelined",
         "started_at",
+        "taken_at_stop",
         "trail",
         "version",
         "work",
@@ -159,6 +170,7 @@
         """What the model of the last attempt says of its answer."""
         self.first_s = 0.0
         """Time until the caller got the head of an answer; 0 before it did."""
+        self.taken_at_stop: TakenAtStop | None = None
         self.work = 1
         self.reason = ""
         self.trail: list[str] = []
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -109,6 +109,8 @@
             rng=rng,
         )
         self._idle: asyncio.Event | None = None
+        self._is_ended = False
+        """Whether what is in flight is cut as the process ends."""
         self.in_flight = 0
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
@@ -130,12 +132,18 @@
 
     async def wait_idle(self, seconds: float) -> None:
         """Wait until nothing is in flight, at most so long."""
-        if not self.in_flight:
-            return
-        self._idle = asyncio.Event()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._idle.wait()
+        if self.in_flight:
+            self._idle = asyncio.Event()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await self._idle.wait()
+        self._is_ended = True
+
+    def _log_cut(self, flight: Flight) -> None:
+        if self._is_ended:
+            self._log.cut_by_stop(flight)
+        else:
+            self._log.caller_gone(flight)
 
     async def _serve(self, flight: Flight) -> None:
         state = self._services.get(flight.service)
@@ -145,7 +153,7 @@
         try:
             await self._run(flight, state)
         except (asyncio.CancelledError, ConnectionError):
-            self._log.caller_gone(flight)
+            self._log_cut(flight)
             raise
         except Exception as error:
             self._log.crashed(flight, error)
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -38,17 +38,10 @@
 from baobabthread.routing.directory import Directory, list_addresses
 from baobabthread.routing.homes import Areas
 from baobabthread.routing.knowledge import Knowledge
+from baobabthread.routing.stopping import StopPlan, plan_stop
 
 TICK_S = 0.1
 PRUNE_S = 1.0
-ACCEPT_S = 6.5
-"""Time after the signal to stop in which new connections are still taken: some callers
-keep addresses three times as long as they were told."""
-SERVE_ALL_S = 2.5
-"""Time after the signal in which everything is still taken: callers hear of other
-addresses within the lifetime that they were told."""
-END_MARGIN_S = 0.4
-"""Time kept from the end of the grace for closing."""
 COLLECT_AFTER = 20_000
 """Objects after which the cycle collector looks for cycles; requests leave few."""
 
@@ -149,10 +142,11 @@
         )
         self.knowledge.on_read = self._take_knowledge
         self.readiness = Readiness(publish=self.peers.publish, heard=self.peers.heard)
-        self._leaving_since: float | None = None
+        self._stopping: StopPlan | None = None
         self._callers: asyncio.Server | None = None
         self._shared: tuple[int, int] | None = None
         self._members_seen = -1
+        self._ticked_at = now()
 
     def _connect_quarantine(self) -> None:
         desk = self.peers.quarantine
@@ -168,7 +162,7 @@
     @property
     def is_leaving(self) -> bool:
         """Tell whether this instance was told to stop."""
-        return self._leaving_since is not None
+        return self._stopping is not None
 
     @property
     def is_ready(self) -> bool:
@@ -260,17 +254,22 @@
 
     async def leave(self) -> None:
         """Serve on while callers may still hold the address, then end."""
-        began = now()
-        self._leaving_since = began
+        plan = plan_stop(grace_s=self._settings.bounds.grace_s, now=now())
+        self._stopping = plan
         self.peers.leave()
-        log_event("instance_leaving", in_flight=self.forwarder.in_flight)
-        end = began + self._settings.bounds.grace_s - END_MARGIN_S
-        accept_until = min(began + ACCEPT_S, end - 0.5)
-        self.forwarder.admission.leave(refuses_from=began + SERVE_ALL_S, ends_at=end)
-        await asyncio.sleep(accept_until - now())
+        log_event(
+            "instance_leaving",
+            in_flight=self.forwarder.in_flight,
+            serves_all_ms=round((plan.serves_all_until - plan.began_at) * 1000),
+            accepts_ms=round((plan.accepts_until - plan.began_at) * 1000),
+            takes_ms=round((plan.takes_until - plan.began_at) * 1000),
+            ends_ms=round((plan.ends_at - plan.began_at) * 1000),
+        )
+        self.forwarder.admission.leave(plan)
+        await asyncio.sleep(plan.accepts_until - now())
         if self._callers is not None:
             self._callers.close()
-        await self.forwarder.wait_idle(end - now())
+        await self.forwarder.wait_idle(plan.ends_at - now())
         log_event("instance_stopped", in_flight=self.forwarder.in_flight)
 
     async def _open(self, stack: AsyncExitStack) -> None:
@@ -341,6 +340,7 @@
 
     async def _tick(self) -> None:
         while True:
+            self._ticked_at = now()
             self.services.arrivals.tick(now())
             self.knowledge.expire(now())
             self._note_members()
@@ -371,8 +371,18 @@
 
     def _handle_signals(self, told: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
+
+        def take(number: signal.Signals) -> None:
+            log_event(
+                "signal_received",
+                signal=number.name,
+                again=told.is_set(),
+                ticked_ms=round((now() - self._ticked_at) * 1000),
+            )
+            told.set()
+
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, told.set)
+            loop.add_signal_handler(number, take, number)
         # Without a handler the signal ends the process, with all that it serves.
         loop.add_signal_handler(signal.SIGHUP, self._reload)
 
--- a/src/baobabthread/instance/records.py
+++ b/src/baobabthread/instance/records.py
@@ -97,6 +97,13 @@
         if self._failures.take():
             write_event("caller_gone", self._describe(flight, 0, None))
 
+    def cut_by_stop(self, flight: Flight) -> None:
+        """Note a request that was not answered when this instance ended."""
+        self._metrics.turned_away.labels(kind="cut_by_stop").inc()
+        if self._failures.take():
+            fields = self._describe(flight, 0, None, begun=flight.reply.has_begun)
+            write_event("request_cut_by_stop", fields)
+
     def crashed(self, flight: Flight, error: BaseException) -> None:
         """Note an error of this program's own."""
         log_event(
@@ -116,6 +123,10 @@
         moment = now()
         if flight.lost:
             fields.setdefault("fingerprint", flight.fingerprint)
+        if flight.taken_at_stop is not None:
+            fields.setdefault("until_end_ms", flight.taken_at_stop.until_end_ms)
+            fields.setdefault("usual_ms", flight.taken_at_stop.usual_ms)
+            fields.setdefault("longest_ms", flight.taken_at_stop.longest_ms)
         described: dict[str, object] = {
             "request": flight.request.envelope.request_id,
             "status": status,
--- a/tests/platform/fakecallers.py
+++ b/tests/platform/fakecallers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import re
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 HOST = "api.example"
 KEY = "key-of-metro"
@@ -37,6 +39,52 @@
     """Send one request on a connection of its own and read the answer."""
     ip, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(
+        render_request(path, method=method, body=body, host=host, key=key, **fields)
+    )
+    try:
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+MODEL_FIELDS = {
+    "X_Model": "*",
+    "X_Token_Usage": "100,20",
+    "X_Prompt_Prefix": "aa:50,bb:30,cc:20",
+    "X_Length_Hint": "10",
+}
+"""What a caller states of a request that a model answers with events."""
+Ask = Callable[..., Awaitable[Answer]]
+
+
+@contextlib.asynccontextmanager
+async def open_connection(address: str) -> AsyncIterator[Ask]:
+    """Open a connection that is kept; give what asks a model over it."""
+    ip, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+
+    async def ask(path: str, **more: str) -> Answer:
+        fields = MODEL_FIELDS | more
+        writer.write(render_request(path, method="POST", body=b"{}", **fields))
+        return await read_answer(reader)
+
+    try:
+        yield ask
+    finally:
+        writer.close()
+
+
+def render_request(
+    path: str,
+    *,
+    method: str = "GET",
+    body: bytes = b"",
+    host: str = HOST,
+    key: str | None = KEY,
+    **fields: str,
+) -> bytes:
+    """Return a request as it goes on the wire."""
     headers = {"Host": host, "X-Attempt-Id": "a1", "X-Timeout-Ms": "5000"}
     if key is not None:
         headers["Authorization"] = f"Token {key}"
@@ -45,11 +93,7 @@
         headers["Content-Length"] = str(len(body))
     lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-    try:
-        return await read_answer(reader)
-    finally:
-        writer.close()
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
 async def read_answer(reader: asyncio.StreamReader) -> Answer:
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -19,7 +19,7 @@
 from baobabthread.platform.settings import parse_settings
 from baobabthread.platform.store import PlatformStore
 from baobabthread.routing.mechanisms import NONE_OFF, Switches
-from tests.platform.fakecallers import HOST, KEY, Answer, call
+from tests.platform.fakecallers import HOST, KEY, MODEL_FIELDS, Answer, call
 from tests.platform.fakes import FakeBackend
 from tests.platform.fakestore import BACKENDS, OPERATORS, FakeStore
 
@@ -181,13 +181,8 @@
 
     async def ask_model(self, path: str = "/stream/x", **more: Any) -> Answer:
         """Send a request that a model answers with events."""
-        fields = {
-            "X_Model": "*",
-            "X_Token_Usage": "100,20",
-            "X_Prompt_Prefix": "aa:50,bb:30,cc:20",
-            "X_Length_Hint": "10",
-        }
-        return await self.call(path, method="POST", body=b"{}", **(fields | more))
+        fields = MODEL_FIELDS | more
+        return await self.call(path, method="POST", body=b"{}", **fields)
 
 
 async def wait_for(condition: Any, seconds: float = READY_S) -> None:
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from baobabthread.instance.clock import now
 from baobabthread.instance.flight import CallerRequest, Flight, Reply
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import RolloutOrder
+from baobabthread.routing.stopping import plan_stop
 from baobabthread.routing.table import Envelope
 from baobabthread.routing.versions import VersionPlan
 from tests.platform.fakecallers import HOST, Answer
@@ -212,7 +214,13 @@
     async def case() -> None:
         async with open_site("e1") as site:
             admission = site.instances[0].forwarder.admission
-            admission.leave(refuses_from=now(), ends_at=now() + 3.0)
+            moment = now()
+            plan = plan_stop(grace_s=8.0, now=moment)
+            admission.leave(
+                msgspec.structs.replace(
+                    plan, serves_all_until=moment, takes_until=moment + 3.0
+                )
+            )
             answer = await site.ask_model(X_Token_Usage=f"100,{most_tokens}")
             assert answer.status == status
 
