Take nothing at a stop that its end would cut

Callers saw streams break off under status 200 when an instance was stopped. A process that stood still when the signal came reckoned its grace from when it woke.

What is taken in the first third of the grace, 2.5 s at most, must fit by its usual length, later by its longest. The grace counts from the last moment at which the process surely ran; what was taken runs on to the end as heard.

test_take_no_stream_that_the_stop_would_cut: 200 and cut before, 503 with Retry-After now.

--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -254,7 +254,11 @@
 
     async def leave(self) -> None:
         """Serve on while callers may still hold the address, then end."""
-        plan = plan_stop(grace_s=self._settings.bounds.grace_s, now=now())
+        plan = plan_stop(
+            grace_s=self._settings.bounds.grace_s,
+            now=now(),
+            alive_at=self._ticked_at,
+        )
         self._stopping = plan
         self.peers.leave()
         log_event(
--- a/src/baobabthread/routing/stopping.py
+++ b/src/baobabthread/routing/stopping.py
@@ -8,8 +8,10 @@
 """Time after the signal in which new connections are still taken: some callers keep
 addresses three times as long as they were told."""
 SERVE_ALL_S = 2.5
-"""Time after the signal in which everything is still taken: callers hear of other
-addresses within the lifetime that they were told."""
+"""Time after the signal in which requests are taken by their usual length: callers hear
+of other addresses within the lifetime that they were told."""
+SERVE_ALL_PART = 1.0 / 3.0
+"""The same as a part of the grace, most of which is for what was taken."""
 END_MARGIN_S = 0.4
 """Time kept from the end of the grace for closing."""
 ACCEPT_MARGIN_S = 0.5
@@ -26,7 +28,7 @@
 
     began_at: float
     serves_all_until: float
-    """Until then everything is taken."""
+    """Until then answers count with their usual length, afterwards with the longest."""
     accepts_until: float
     """Until then new connections are taken."""
     takes_until: float
@@ -36,18 +38,23 @@
 
     def can_end(self, *, usual_s: float, longest_s: float, now: float) -> bool:
         """Tell whether an answer that begins now would be whole before the end."""
-        if now < self.serves_all_until:
-            return True
-        return now + LENGTH_FACTOR * longest_s + LENGTH_MARGIN_S < self.takes_until
+        expected_s = usual_s if now < self.serves_all_until else longest_s
+        return now + LENGTH_FACTOR * expected_s + LENGTH_MARGIN_S < self.takes_until
 
 
-def plan_stop(*, grace_s: float, now: float) -> StopPlan:
-    """Return the moments of a stop that was heard of now."""
-    takes_until = now + grace_s - END_MARGIN_S
+def plan_stop(*, grace_s: float, now: float, alive_at: float) -> StopPlan:
+    """Return the moments of a stop that was heard of now.
+
+    `alive_at` is when this instance last ran before: a process that stood still hears
+    of a signal late, and its grace counts from when it was sent.
+    """
+    earliest = min(now, alive_at)
+    takes_until = earliest + grace_s - END_MARGIN_S
+    serve_all_s = min(SERVE_ALL_S, SERVE_ALL_PART * grace_s)
     return StopPlan(
         began_at=now,
-        serves_all_until=now + SERVE_ALL_S,
-        accepts_until=min(now + ACCEPT_S, takes_until - ACCEPT_MARGIN_S),
+        serves_all_until=earliest + serve_all_s,
+        accepts_until=min(earliest + ACCEPT_S, takes_until - ACCEPT_MARGIN_S),
         takes_until=takes_until,
-        ends_at=takes_until,
+        ends_at=now + grace_s - END_MARGIN_S,
     )
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -9,7 +9,7 @@
 from baobabthread.adapters.codec import PeerCodec
 from baobabthread.instance import tasks
 from baobabthread.instance.relaying import RELAY_MESSAGES, AskKnowledge
-from tests.platform.fakecallers import call
+from tests.platform.fakecallers import call, open_connection
 from tests.platform.fakestore import OPERATORS
 from tests.platform.site import (
     Site,
@@ -208,6 +208,30 @@
     run(case())
 
 
+def test_take_no_stream_that_the_stop_would_cut() -> None:
+    """A caller sends a stream over a kept connection, well after the signal to stop.
+
+    The instance took whatever came in the first seconds, however little time was left.
+    """
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            engine = site.backends[0]
+            engine.events, engine.pause_s = 8, 0.15
+            async with open_connection(site.settings[0].callers_address) as ask:
+                assert (await ask("/stream/x")).event_ids == list(range(1, 9))
+                leaving = asyncio.ensure_future(site.instances[0].leave())
+                await asyncio.sleep(1.6)
+                answer = await ask("/stream/x")
+            assert answer.status == 503
+            assert answer.headers["connection"].lower() == "close"
+            assert float(answer.headers["retry-after"]) > 0
+            assert len(engine.seen) == 1
+            await leaving
+
+    run(case())
+
+
 def put_rollout(site: Site, target: str, limit_s: float) -> None:
     site.store.put(
         OPERATORS,
