Answer what the end of an instance overtakes

What was still in flight when an instance ended was cut without a word: also requests that had only waited in a queue, whose callers may not repeat them after a closed connection, though they had surely not run. It was logged as the caller's going.

At the end each request in flight gets a true answer: 503 with Retry-After where it has not run, 502 where it may have, and a stream that has begun breaks off visibly. test_answer_what_the_stop_overtakes: 20 requests, 16 of which ran; before the change no answer at all (connections closed by the end of the process).

--- a/src/baobabthread/instance/admission.py
+++ b/src/baobabthread/instance/admission.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from baobabthread.instance.clock import now
-from baobabthread.instance.endings import SOON_S
+from baobabthread.instance.endings import ELSEWHERE_S, SOON_S
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.flight import CallerRequest, Flight, Reply, TakenAtStop
 from baobabthread.instance.services import Services
@@ -23,8 +23,6 @@
 START_PATIENCE_S = 1.0
 """Time that requests wait for an instance's first knowledge: reading the store takes a
 few hundredths of a second, asking a peer instead half a second."""
-LEAVING_RETRY_S = 0.05
-"""Time after which a caller may go to another instance: at once."""
 LOW_BALANCE = 2.0
 """Repeats left below which answers must be good at once: none could follow."""
 IDLE_PRICE = 0.05
@@ -122,7 +120,7 @@
         budget.count_request(self._services.arrivals.find(now()))
         self._begin_model(flight, budget)
         if not self._can_end(flight):
-            return Verdict(status=503, kind="leaving", retry_after_s=LEAVING_RETRY_S)
+            return Verdict(status=503, kind="leaving", retry_after_s=ELSEWHERE_S)
         return flight
 
     def _authenticate(
--- a/src/baobabthread/instance/endings.py
+++ b/src/baobabthread/instance/endings.py
@@ -11,6 +11,9 @@
 SOON_S = 0.5
 """Time after which a caller may come back to an instance that has nothing to offer."""
 
+ELSEWHERE_S = 0.05
+"""Time after which a caller may go to another instance: at once."""
+STOPPED_KIND = "instance_stopped"
 HELD_KIND = "quarantined"
 LEAST_HOLD_S = 1.0
 WHY_HELD = (
@@ -48,6 +51,16 @@
         else:
             await self._fail(flight, 502, kind)
 
+    async def cut(self, flight: Flight) -> None:
+        """End a request that this instance's own end overtakes."""
+        self._log.cut_by_stop(flight)
+        if flight.reply.has_begun:
+            flight.reply.abort()
+        elif self._surely_not_run(flight):
+            await flight.reply.refuse(503, STOPPED_KIND, ELSEWHERE_S)
+        else:
+            await flight.reply.refuse(502, STOPPED_KIND, None)
+
     async def hold_back(self, flight: Flight, held: Held) -> None:
         """End a request under which backend servers crash, and say what to do."""
         left_s = max(LEAST_HOLD_S, held.left_s)
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -44,6 +44,8 @@
 MOST_LOST = 3
 """Connections that may end under one request, where its route allows more tries: three
 servers that crashed are enough to tell that it is the cause."""
+ANSWER_S = 0.2
+"""Time in which the last answers of an instance that ends are sent."""
 MAX_OFFERS = 6
 """Backend servers that a request is offered to, those that refuse it included."""
 
@@ -109,13 +111,16 @@
             rng=rng,
         )
         self._idle: asyncio.Event | None = None
-        self._is_ended = False
+        self._is_ending = False
         """Whether what is in flight is cut as the process ends."""
-        self.in_flight = 0
+        self._running: set[asyncio.Task[object]] = set()
+        """Tasks of the requests in flight."""
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Answer one request."""
-        self.in_flight += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._running.add(task)
         try:
             await self.admission.wait_known()
             found = self.admission.admit(request, reply)
@@ -126,10 +131,15 @@
             if not await self._hold_back(found):
                 await self._serve(found)
         finally:
-            self.in_flight -= 1
-            if not self.in_flight and self._idle is not None:
+            self._running.discard(task)
+            if not self._running and self._idle is not None:
                 self._idle.set()
 
+    @property
+    def in_flight(self) -> int:
+        """Give how many requests are in hand."""
+        return len(self._running)
+
     async def wait_idle(self, seconds: float) -> None:
         """Wait until nothing is in flight, at most so long."""
         if self.in_flight:
@@ -137,27 +147,39 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(seconds):
                     await self._idle.wait()
-        self._is_ended = True
 
-    def _log_cut(self, flight: Flight) -> None:
-        if self._is_ended:
-            self._log.cut_by_stop(flight)
-        else:
-            self._log.caller_gone(flight)
+    async def end(self) -> None:
+        """End what is still in flight, each with an answer that says what is true."""
+        self._is_ending = True
+        for task in list(self._running):
+            task.cancel()
+        await self.wait_idle(ANSWER_S)
 
     async def _serve(self, flight: Flight) -> None:
+        try:
+            await self._wait_and_run(flight)
+        except asyncio.CancelledError:
+            if not self._is_ending:
+                self._log.caller_gone(flight)
+                raise
+            task = asyncio.current_task()
+            assert task is not None
+            task.uncancel()
+            await self._endings.cut(flight)
+        except ConnectionError:
+            self._log.caller_gone(flight)
+            raise
+        except Exception as error:
+            self._log.crashed(flight, error)
+            raise
+
+    async def _wait_and_run(self, flight: Flight) -> None:
         state = self._services.get(flight.service)
         ticket = await self.turns.wait(flight, state)
         if ticket is None:
             return
         try:
             await self._run(flight, state)
-        except (asyncio.CancelledError, ConnectionError):
-            self._log_cut(flight)
-            raise
-        except Exception as error:
-            self._log.crashed(flight, error)
-            raise
         finally:
             flight.release_exposure()
             self.turns.finish(ticket, flight, state)
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -275,6 +275,7 @@
             self._callers.close()
         await self.forwarder.wait_idle(plan.ends_at - now())
         log_event("instance_stopped", in_flight=self.forwarder.in_flight)
+        await self.forwarder.end()
 
     async def _open(self, stack: AsyncExitStack) -> None:
         settings = self._settings
--- a/src/baobabthread/instance/turns.py
+++ b/src/baobabthread/instance/turns.py
@@ -72,7 +72,6 @@
             await turn
         except asyncio.CancelledError:
             self._withdraw(ticket, turn, state)
-            self._log.caller_gone(flight)
             raise
         except TimeoutError:
             await self._endings.refuse(flight, "waited_too_long", SOON_S)
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from typing import Any
 
 from baobabthread.adapters.codec import PeerCodec
@@ -232,6 +233,31 @@
     run(case())
 
 
+def test_answer_what_the_stop_overtakes() -> None:
+    """A server doesn't answer, and the instance ends before the caller's time is over.
+
+    The connection was closed without a word, also where the request had never run.
+    """
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            server, forwarder = site.backends[0], site.instances[0].forwarder
+            server.behaviour = "mute"
+            asking = [
+                asyncio.ensure_future(site.call("/safe/x", X_Attempt_Id=f"a{n}"))
+                for n in range(20)
+            ]
+            await wait_for(lambda: forwarder.in_flight == 20 and len(server.seen) == 16)
+            await forwarder.end()
+            answers = await asyncio.gather(*asking)
+            assert Counter(answer.status for answer in answers) == {502: 16, 503: 4}
+            for answer in answers:
+                assert json.loads(answer.body)["kind"] == "instance_stopped"
+                assert ("retry-after" in answer.headers) == (answer.status == 503)
+
+    run(case())
+
+
 def put_rollout(site: Site, target: str, limit_s: float) -> None:
     site.store.put(
         OPERATORS,
