Give each run a loopback network of its own

Two runs beside each other met: a test failed with Errno 98, address in use, at 127.0.0.1 (1 of 48 runs of tests/platform/test_cold.py 12 at once; from outside 1 of 24 of the crash test at 127.0.0.3), and the soak saw requests that nobody had sent (ids of another run, 3 of 40 runs). Ports were found free, let go and bound again later; a server that ended left its address to whoever came next, and servers of two runs have the same names, so that X-Target-Instance fits.

A run claims one of 57,344 loopback networks by a socket that it holds until its end, and never gives a port of it twice. Ports lie below the range of outgoing connections, whose source is 127.0.0.1 in any case. Tests of the platform, the soak, the experiments and the walk through the README use it; find_ports, find_free_ports and the soak's own search are gone.

--- a/bench/_cluster.py
+++ b/bench/_cluster.py
@@ -18,11 +18,12 @@
 from baobabthread.core.messages import Stream
 from baobabthread.errors import UnavailableError
 from baobabthread.ports.log import LogError
+from baobabthread.standins.loopback import own_network
 from bench._processes import (
     OPERATOR_KEY,
     Process,
     Processes,
-    find_free_ports,
+    own_host,
     publish,
     wait_in_force,
 )
@@ -50,7 +51,7 @@
     @property
     def url(self) -> str:
         """Give the base URL for callers."""
-        return f"http://127.0.0.1:{self.port}"
+        return f"http://{own_host()}:{self.port}"
 
 
 class Cluster:
@@ -90,7 +91,7 @@
             self.session = await stack.enter_async_context(open_session())
             await self._start_standins()
             names = [self.next_name() for _ in range(self._count)]
-            self._seeds = find_free_ports(self._count)
+            self._seeds = own_network().give_ports(self._count)
             async with asyncio.TaskGroup() as group:
                 for name, port in zip(names, self._seeds, strict=True):
                     group.create_task(self.start_entry(name, peer_port=port))
@@ -105,7 +106,7 @@
     @property
     def platform_url(self) -> str:
         """Give the platform's base URL."""
-        return f"http://127.0.0.1:{self.platform_port}"
+        return f"http://{own_host()}:{self.platform_port}"
 
     def next_name(self) -> str:
         """Return a name that no entry had."""
@@ -120,7 +121,7 @@
         platform_port: int | None = None,
     ) -> Entry:
         """Start an entry in the next failure domain."""
-        ports = find_free_ports(2)
+        ports = own_network().give_ports(2)
         domain = DOMAINS[(int(name.removeprefix("e")) - 1) % len(DOMAINS)]
         known = [entry.peer_port for entry in self.entries.values()]
         peer = peer_port or ports[1]
@@ -217,7 +218,7 @@
             after = page.records[-1].offset
 
     async def _start_standins(self) -> None:
-        self.platform_port = find_free_ports(1)[0]
+        self.platform_port = own_network().give_port()
         paths = []
         for section in SECTIONS:
             text = self._move(read_example(section))
@@ -230,9 +231,9 @@
     def _move(self, text: str) -> str:
         """Return a text with its backend servers at free ports."""
         backends = parse_section(text).backends
-        ports = find_free_ports(len(backends))
+        ports = own_network().give_ports(len(backends))
         for (name, backend), port in zip(backends.items(), ports, strict=True):
-            address = f"127.0.0.1:{port}"
+            address = f"{own_host()}:{port}"
             text = text.replace(f'"{backend.address}"', f'"{address}"')
             self.backends[name] = address
         return text
--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -6,9 +6,7 @@
 import contextlib
 import hashlib
 import os
-import random
 import signal
-import socket
 import sys
 from collections.abc import Mapping
 from pathlib import Path
@@ -16,13 +14,12 @@
 import aiohttp
 
 from baobabthread.errors import UnavailableError
+from baobabthread.standins.loopback import own_network
 
 READY_S = 20.0
 STEP_S = 0.05
 STOP_S = 30.0
 OPERATOR_KEY = "bench-operator-key"
-PORTS = range(12_000, 32_000)
-"""Below the range from which the system takes ports of outgoing connections."""
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 UTIME, STIME = 11, 12
 """Places of both times behind the command's name in /proc/PID/stat."""
@@ -37,20 +34,9 @@
 }
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens at just now."""
-    # The program binds the port only later. One that the system may also give to an
-    # outgoing connection would be taken meanwhile on a busy machine.
-    with contextlib.ExitStack() as stack:
-        found: list[int] = []
-        while len(found) < count:
-            port = random.SystemRandom().choice(PORTS)
-            each = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            stack.enter_context(each)
-            with contextlib.suppress(OSError):
-                each.bind(("127.0.0.1", port))
-                found.append(port)
-        return found
+def own_host() -> str:
+    """Return the IP address at which the processes of this run listen."""
+    return own_network().give_host(1)
 
 
 class Process:
@@ -136,7 +122,7 @@
     async def start_standins(self, texts: list[Path], *, port: int) -> Process:
         """Start the platform and the backend servers that the texts name."""
         arguments = ["-m", "baobabthread", "standin", *map(str, texts)]
-        arguments += ["--listen", f"127.0.0.1:{port}"]
+        arguments += ["--listen", f"{own_host()}:{port}"]
         process = await self.start("standin", arguments)
         await wait_for_port(port)
         return process
@@ -155,10 +141,10 @@
     ) -> Process:
         """Start an entry and wait until it listens."""
         arguments = ["-m", module, "serve", "--name", name]
-        arguments += ["--listen", f"127.0.0.1:{port}"]
-        arguments += ["--peer-listen", f"127.0.0.1:{peer_port}"]
-        arguments += ["--platform", f"http://127.0.0.1:{platform_port}"]
-        arguments += ["--peers", ",".join(f"127.0.0.1:{peer}" for peer in peers)]
+        arguments += ["--listen", f"{own_host()}:{port}"]
+        arguments += ["--peer-listen", f"{own_host()}:{peer_port}"]
+        arguments += ["--platform", f"http://{own_host()}:{platform_port}"]
+        arguments += ["--peers", ",".join(f"{own_host()}:{peer}" for peer in peers)]
         arguments += ["--failure-domain", failure_domain]
         process = await self.start(name, arguments, environment=environment)
         await wait_for_port(port)
@@ -170,7 +156,7 @@
     deadline = asyncio.get_running_loop().time() + READY_S
     while True:
         try:
-            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            _, writer = await asyncio.open_connection(own_host(), port)
         except OSError:
             if asyncio.get_running_loop().time() > deadline:
                 raise UnavailableError(
@@ -189,7 +175,7 @@
     """Publish a section and return its generation."""
     body = {"id": f"{section}-{os.urandom(6).hex()}", "section": section, "text": text}
     headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-    url = f"http://127.0.0.1:{port}/admin/publish"
+    url = f"http://{own_host()}:{port}/admin/publish"
     async with session.post(url, json=body, headers=headers) as response:
         answer = await response.json(content_type=None)
         if response.status != 200:
@@ -200,7 +186,7 @@
 async def read_generation(session: aiohttp.ClientSession, port: int) -> int:
     """Return the generation in force at an entry."""
     headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
-    url = f"http://127.0.0.1:{port}/admin/generations"
+    url = f"http://{own_host()}:{port}/admin/generations"
     async with session.get(url, headers=headers) as response:
         answer = await response.json(content_type=None)
         return int(answer["generation"])
--- a/bench/_relay_server.py
+++ b/bench/_relay_server.py
@@ -52,8 +52,8 @@
 if __name__ == "__main__":
     web.run_app(
         build_application(sys.argv[2]),
-        host="127.0.0.1",
-        port=int(sys.argv[1]),
+        host=sys.argv[1].partition(":")[0],
+        port=int(sys.argv[1].partition(":")[2]),
         access_log=None,
         print=None,
     )
--- a/bench/_wire.py
+++ b/bench/_wire.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 
+from bench._processes import own_host
+
 CHUNK = 65_536
 
 
@@ -21,7 +23,7 @@
         self.port = 0
 
     async def __aenter__(self) -> Wire:
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._accept, own_host(), 0)
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
@@ -55,7 +57,7 @@
     async def _join(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._to)
+        far_reader, far_writer = await asyncio.open_connection(own_host(), self._to)
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pump(reader, far_writer))
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -15,10 +15,11 @@
 
 from baobabthread.core.configuration.configuration import parse_section
 from baobabthread.errors import UnavailableError
+from baobabthread.standins.loopback import own_network
 from bench._processes import (
     Process,
     Processes,
-    find_free_ports,
+    own_host,
     publish,
     wait_for_port,
     wait_in_force,
@@ -70,7 +71,7 @@
     """Return the text with its backend servers at other ports."""
     backends = parse_section(text).backends.values()
     for backend, port in zip(backends, ports, strict=False):
-        text = text.replace(f'"{backend.address}"', f'"127.0.0.1:{port}"')
+        text = text.replace(f'"{backend.address}"', f'"{own_host()}:{port}"')
     return text
 
 
@@ -125,7 +126,7 @@
 
 async def set_up(processes: Processes, folder: Path) -> dict[str, Side]:
     """Start stand-ins, a relay for each kind of backend server, and two entries."""
-    ports = find_free_ports(9 + 7)
+    ports = own_network().give_ports(9 + 7)
     backends, others = ports[:9], ports[9:]
     platform, relay_plain, relay_chat, one, other, peer_one, peer_other = others
     files = importlib.resources.files("baobabthread")
@@ -134,11 +135,11 @@
     path = folder / f"{SECTION}.toml"
     path.write_text(text)
     await processes.start_standins([path], port=platform)
-    plain_backend = f"127.0.0.1:{backends[5]}"
-    chat_backend = f"127.0.0.1:{backends[0]}"
+    plain_backend = f"{own_host()}:{backends[5]}"
+    chat_backend = f"{own_host()}:{backends[0]}"
     relays = []
     for port, backend in ((relay_plain, plain_backend), (relay_chat, chat_backend)):
-        arguments = ["-m", "bench._relay_server", str(port), backend]
+        arguments = ["-m", "bench._relay_server", f"{own_host()}:{port}", backend]
         relays.append(await processes.start("relay", arguments))
         await wait_for_port(port)
     entries = []
@@ -160,19 +161,21 @@
         generation = await publish(session, one, SECTION, text)
         await wait_in_force(session, [one, other], generation)
     await asyncio.sleep(2.0)
-    entry = f"http://127.0.0.1:{one}"
+    entry = f"http://{own_host()}:{one}"
     chat_url = "/v1/chat/completions"
     works = {
         "plain": Asked(url=f"{entry}/v1/services/screens/status", body=PLAIN_BODY),
         "chat": Asked(url=entry + chat_url, body=_chat("drafter-s-1", "false", 2)),
         "stream": Asked(url=entry + chat_url, body=_chat("drafter-s-1", "true", 16)),
     }
-    relay_url = f"http://127.0.0.1:{relay_chat}{chat_url}"
+    relay_url = f"http://{own_host()}:{relay_chat}{chat_url}"
     chats = {
         "chat": Asked(url=relay_url, body=_chat("drafter-s-1", "false", 2)),
         "stream": Asked(url=relay_url, body=_chat("drafter-s-1", "true", 16)),
     }
-    plain = Asked(url=f"http://127.0.0.1:{relay_plain}/calls/status", body=PLAIN_BODY)
+    plain = Asked(
+        url=f"http://{own_host()}:{relay_plain}/calls/status", body=PLAIN_BODY
+    )
     return {
         "entry": Side(process=entries[0], works=works),
         "peer": Side(process=entries[1], works={}),
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -32,10 +32,8 @@
 
     __slots__ = ("control", "directory", "front", "gossip", "ready")
 
-    def __init__(self, first: int) -> None:
-        self.front, self.ready, self.directory, self.control, self.gossip = range(
-            first, first + 5
-        )
+    def __init__(self, ports: Sequence[int]) -> None:
+        self.front, self.ready, self.directory, self.control, self.gossip = ports
 
 
 class Machine:
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -7,6 +7,8 @@
 import socket
 import struct
 
+from baobabthread.standins.loopback import LoopbackNetwork
+
 CHUNK_BYTES = 65_536
 
 
@@ -25,10 +27,19 @@
 class Proxy:
     """Pass connections on to one address, or harm them."""
 
-    __slots__ = ("_links", "_server", "address", "delay_s", "mode", "target")
-
-    def __init__(self, *, target: str) -> None:
+    __slots__ = (
+        "_links",
+        "_network",
+        "_server",
+        "address",
+        "delay_s",
+        "mode",
+        "target",
+    )
+
+    def __init__(self, *, target: str, network: LoopbackNetwork) -> None:
         self.target = target
+        self._network = network
         self.mode = Mode.PASS
         self.delay_s = 0.0
         self.address = ""
@@ -36,9 +47,10 @@
         self._links: set[_Link] = set()
 
     async def start(self) -> Proxy:
-        """Listen at a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        """Listen at a port of the run's network."""
+        host, port = self._network.give_host(1), self._network.give_port()
+        self._server = await asyncio.start_server(self._serve, host, port)
+        self.address = f"{host}:{port}"
         return self
 
     def set_mode(self, mode: Mode, *, delay_s: float = 0.0) -> None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,7 +6,6 @@
 import contextlib
 import math
 import random
-import socket
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -15,6 +14,7 @@
 from tests.platform.fakestore import BACKENDS, OPERATORS, FakeStore
 from tests.platform.site import make_configuration, route
 
+from baobabthread.standins.loopback import claim_network
 from soak.history import Evacuated, Fault, History, Homes, Kind, Run, now
 from soak.instances import (
     APPLY_S,
@@ -36,8 +36,6 @@
 EVENTS = 8
 EVENT_PAUSE_S = 0.02
 WORK_S = 0.02
-FIRST_PORT = 20_000
-LAST_PORT = 30_000
 PLAIN = "plain"
 ENGINE = "engine"
 
@@ -107,7 +105,9 @@
         self._next_key = 2
         self._returns: set[asyncio.Task[None]] = set()
         self._stack = contextlib.AsyncExitStack()
-        self.store = FakeStore()
+        self.network = claim_network()
+        self._stack.callback(self.network.close)
+        self.store = FakeStore(network=self.network)
 
     # -- life --
 
@@ -124,13 +124,11 @@
         await asyncio.sleep(1.5)
 
     async def _start_machines(self) -> None:
-        first = _find_first_port()
-        # Not drawn from the seed: two runs of one seed at the same time would meet.
-        network = random.SystemRandom().randrange(1, 250)
-        ips = [f"127.9.{network}.{n + 1}" for n in range(self._instances)]
-        ports = Ports(first)
+        ips = [self.network.give_host(n + 2) for n in range(self._instances)]
+        ports = Ports(self.network.give_ports(5))
         for index, ip in enumerate(ips):
-            proxy = await Proxy(target=self.store.address).start()
+            proxy = Proxy(target=self.store.address, network=self.network)
+            await proxy.start()
             self._stack.callback(proxy.close)
             self.store_proxies.append(proxy)
             machine = Machine(
@@ -249,7 +247,12 @@
         id = f"{service[0]}{self._number}"
         domain = SERVER_DOMAINS[self._number % len(SERVER_DOMAINS)]
         fake = FakeBackend(
-            id, service=service, version=version, zone=domain, cold_s=cold_s
+            id,
+            service=service,
+            version=version,
+            zone=domain,
+            cold_s=cold_s,
+            network=self.network,
         )
         fake.events = EVENTS
         fake.pause_s = EVENT_PAUSE_S if service == ENGINE else WORK_S
@@ -257,7 +260,7 @@
         fake.crash_on = CRASH_MARK.encode()
         fake.on_crash = self._take_crash
         await fake.start()
-        proxy = await Proxy(target=fake.address).start()
+        proxy = await Proxy(target=fake.address, network=self.network).start()
         backend = Backend(fake=fake, proxy=proxy)
         self.backends[id] = backend
         self.publish_backend(backend)
@@ -332,19 +335,3 @@
             yield
         finally:
             fault.ended_at = now()
-
-
-def _find_first_port() -> int:
-    """Return the first of five ports that are free at every loopback address."""
-    rng = random.SystemRandom()
-    for _ in range(200):
-        first = rng.randrange(FIRST_PORT, LAST_PORT)
-        with contextlib.ExitStack() as stack:
-            try:
-                for port in range(first, first + 5):
-                    sock = stack.enter_context(socket.socket())
-                    sock.bind(("0.0.0.0", port))
-            except OSError:
-                continue
-            return first
-    raise RuntimeError("no five free ports in a row")
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -7,6 +7,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from baobabthread.standins.loopback import LoopbackNetwork, own_network
+
 SIGNATURE = "signed-by-the-backend"
 
 
@@ -53,8 +55,10 @@
         version: str = "v1",
         zone: str = "a",
         cold_s: float = 0.0,
+        network: LoopbackNetwork | None = None,
     ) -> None:
         self.id = id
+        self._network = network or own_network()
         self.service = service
         self.version = version
         self.zone = zone
@@ -112,8 +116,9 @@
 
     async def start(self, port: int = 0) -> FakeBackend:
         """Listen at a port, a free one where none is named."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        host, port = self._network.give_host(1), port or self._network.give_port()
+        self._server = await asyncio.start_server(self._serve, host, port)
+        self.address = f"{host}:{port}"
         return self
 
     def close(self) -> None:
--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -11,6 +11,8 @@
 
 from aiohttp import web
 
+from baobabthread.standins.loopback import LoopbackNetwork, own_network
+
 OPERATORS = "keyed.op"
 BACKENDS = "keyed.servers"
 STATUS = "keyed.status"
@@ -19,7 +21,8 @@
 class FakeStore:
     """Keep topics in memory and answer as the platform's store does."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, network: LoopbackNetwork | None = None) -> None:
+        self._network = network or own_network()
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.first: dict[str, int] = {}
         self.fault = ""
@@ -32,8 +35,9 @@
     async def start(self) -> FakeStore:
         """Listen at a free port."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(web.Server(self._serve), "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        host, port = self._network.give_host(1), self._network.give_port()
+        self._server = await loop.create_server(web.Server(self._serve), host, port)
+        self.address = f"{host}:{port}"
         return self
 
     def close(self) -> None:
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any
 
@@ -19,6 +18,7 @@
 from baobabthread.platform.settings import parse_settings
 from baobabthread.platform.store import PlatformStore
 from baobabthread.routing.mechanisms import NONE_OFF, Switches
+from baobabthread.standins.loopback import own_network
 from tests.platform.fakecallers import HOST, KEY, MODEL_FIELDS, Answer, call
 from tests.platform.fakes import FakeBackend
 from tests.platform.fakestore import BACKENDS, OPERATORS, FakeStore
@@ -32,17 +32,6 @@
     asyncio.run(asyncio.wait_for(case, 40))
 
 
-def find_ports(count: int, ip: str = "127.0.0.1") -> list[int]:
-    """Return ports that are free at an address."""
-    found = []
-    with contextlib.ExitStack() as stack:
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind((ip, 0))
-            found.append(sock.getsockname()[1])
-    return found
-
-
 def route(prefix: str, kind: str, **more: object) -> dict[str, object]:
     """Return a route as the operators write it."""
     return {
@@ -92,8 +81,7 @@
         self.stacks: list[contextlib.AsyncExitStack] = []
         self.zones = {"a": "north", "b": "north", "c": "south", "d": "east"}
         """Areas by failure domain."""
-        ports = find_ports(1)
-        self.gossip_port = ports[0]
+        self.gossip_port = own_network().give_port()
 
     def configure(self, version: int = 1, **more: object) -> None:
         """Publish a configuration."""
@@ -123,7 +111,9 @@
         zone: str = "a",
     ) -> int:
         """Start an instance, some mechanisms switched off; return its index."""
-        ports = find_ports(4, ip)
+        ports = own_network().give_ports(4)
+        # The last byte names the host; the network is this run's own.
+        ip = own_network().give_host(int(ip.rpartition(".")[2]))
         text = {
             "node_name": name,
             "ip": ip,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -16,7 +16,7 @@
 import msgspec
 import pytest
 from bench.__main__ import load_experiments
-from bench._processes import find_free_ports
+from bench._processes import own_host
 from bench.experiment import EXPERIMENTS
 
 from baobabthread.cli import run
@@ -30,6 +30,7 @@
 from baobabthread.core.rollouts.rollout import Phase
 from baobabthread.errors import Kind
 from baobabthread.instance.metrics import Metrics
+from baobabthread.standins.loopback import own_network
 from tests.pages import (
     END_ALL,
     EXAMPLES,
@@ -230,16 +231,17 @@
 
 
 def build_walk(folder: Path) -> str:
-    """Return the README's walk at free ports, with its text in a folder."""
+    """Return the README's walk in this run's network, with its text in a folder."""
     blocks = [fence.body for fence in list_fences() if fence.mark == "walk"]
     walk = "\n".join(blocks).replace("src/baobabthread/examples", str(folder))
+    walk = walk.replace("127.0.0.1", own_host())
     text = (EXAMPLES / "association.toml").read_text(encoding="utf-8")
     backends = parse_section(text).backends.values()
-    ports = find_free_ports(len(WALK_PORTS) + len(backends))
+    ports = own_network().give_ports(len(WALK_PORTS) + len(backends))
     for name, port in zip(WALK_PORTS, ports, strict=False):
         walk = re.sub(rf"\b{name}\b", str(port), walk)
     for backend, port in zip(backends, ports[len(WALK_PORTS) :], strict=True):
-        text = text.replace(f'"{backend.address}"', f'"127.0.0.1:{port}"')
+        text = text.replace(f'"{backend.address}"', f'"{own_host()}:{port}"')
     (folder / "association.toml").write_text(text, encoding="utf-8")
     return walk
 
