Blame no planned work for what a request's own time limit ended

The soak's check "not cut" found streams cut under status 200 with no stop near them. A request is not to be kept beyond its limit, so the case is allowed.

Only what lasted as long as the limit is left out; 1.95 s is found, 2.01 s is not.

--- a/soak/history.py
+++ b/soak/history.py
@@ -131,6 +131,8 @@
     revocation_s: float = 3.0
     retry_ratio: float = 0.9
     retry_extra: float = 52.0
+    time_limit_s: float = 2.0
+    """Longest time for which a request is kept waiting."""
 
     def runs_by_id(self) -> dict[str, list[Run]]:
         """Return what ran, and what did not, for each request."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -255,13 +255,18 @@
             continue
         if not any(run.executed and run.sound for run in runs.get(call.id, ())):
             continue
-        if _is_excused(history, call):
+        if _is_excused(history, call) or _is_timed_out(history, call):
             continue
         yield f"{call.id} ({call.kind}) at i{call.instance}: cut, status {call.status}"
 
 
 def _is_excused(history: History, call: Call) -> bool:
     start, end = call.sent_at - AROUND_S, call.ended_at
+def _is_timed_out(history: History, call: Call) -> bool:
+    # Its route's limit ends a request, whatever else goes on.
+    return call.ended_at - call.sent_at >= history.time_limit_s
+
+
     faults = history.disturbed(call.instance, start, end)
     return any(not name.startswith(GENTLE) for name in faults)
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -12,7 +12,7 @@
 import msgspec
 from tests.platform.fakes import FakeBackend, Seen
 from tests.platform.fakestore import BACKENDS, OPERATORS, FakeStore
-from tests.platform.site import make_configuration, route
+from tests.platform.site import TIME_LIMIT_MS, make_configuration, route
 
 from baobabthread.standins.loopback import claim_network
 from soak.history import Evacuated, Fault, History, Homes, Kind, Run, now
@@ -84,6 +84,7 @@
         self.history = History(
             seed=seed,
             last_event=EVENTS,
+            time_limit_s=TIME_LIMIT_MS / 1000,
             revocation_s=REVOCATION_S,
             retry_ratio=RETRY_RATIO,
             retry_extra=RETRY_EXTRA,
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -25,6 +25,7 @@
 
 MODELS = ["small", "middle", "large"]
 READY_S = 5.0
+TIME_LIMIT_MS = 2000
 
 
 def run(case: Coroutine[Any, Any, None]) -> None:
@@ -39,7 +40,7 @@
         "host": HOST,
         "path_prefix": prefix,
         "kind": kind,
-        "timeout_ms": 2000,
+        "timeout_ms": TIME_LIMIT_MS,
         "slo_ms": 500,
         "priority": 1,
         "service": "plain",
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -174,6 +174,15 @@
     pause = Fault(name="pause", began_at=57.0, ended_at=58.5, instance=0)
     found = find(make_history(calls, runs, faults=[pause]))
     assert "crashing requests" not in found
+@pytest.mark.parametrize(("lasted_s", "is_found"), [(1.95, True), (2.01, False)])
+def test_excuse_what_its_own_time_limit_ended(lasted_s: float, is_found: bool) -> None:
+    cut = make_call(
+        kind=Kind.STREAM, whole=False, event_ids=[1, 2], ended_at=50.0 + lasted_s
+    )
+    found = find(make_history([cut], [make_run()]))
+    assert ("not cut" in found) is is_found
+
+
 
 
 def test_excuse_what_came_within_the_bound_or_after_the_end() -> None:
