Press each safeguard until its absence must be seen

Two mutants were never found at all: nothing looked at bytes between events (pass parts of events), and repeat everything never met the one kind of request whose route would let it run twice.

Each safeguard has a press that goes on until enough happened that only it can have kept harmless, counted from what callers and servers saw, and the instances count how often it was asked and decided. A run in which nothing needed it breaks the promise "pressed", so that a calm run is told from a blind check. The same presses on sound instances must break nothing. The check of streams finds bytes that belong to no event. test_find_a_safeguard_that_was_taken_out is unchanged.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,10 @@
         str | None,
         cappa.Arg(long=True, help="Take this safeguard out; a check must find it."),
     ] = None
+    press: Annotated[
+        str | None,
+        cappa.Arg(long=True, help="Press this safeguard until it must have decided."),
+    ] = None
     faults: Annotated[
         list[str],
         cappa.Arg(long=True, help="Draw from these faults only; may be repeated."),
@@ -58,6 +62,7 @@
                     instances=chosen.instances,
                     callers=chosen.callers,
                     weaken=chosen.weaken,
+                    press=chosen.press,
                     faults=tuple(chosen.faults),
                 )
             )
@@ -74,6 +79,9 @@
     faults = ", ".join(outcome.faults)
     seed = outcome.plan.seed
     print(f"seed {seed}: {word}, {served}, faults: {faults}", flush=True)
+    if outcome.pressed is not None:
+        met = f"{outcome.pressed.count} of {outcome.pressed.enough} requests"
+        print(f"  pressed: {met}, decided {outcome.decided} times")
     for breach in outcome.breaches[:8]:
         print(f"  {breach.promise}: {breach.detail}")
     if outcome.logs:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -34,6 +34,7 @@
         number: int,
         seed: int,
         crashing: Crashing | None = None,
+        pause_s: float = PAUSE_S,
     ) -> None:
         self._site = site
         self._number = number
@@ -42,7 +43,7 @@
         self._asked_at = -1e9
         self._count = 0
         self._crashing = crashing
-        self._pause_s = PAUSE_S if crashing is None else CRASH_PAUSE_S
+        self._pause_s = pause_s if crashing is None else CRASH_PAUSE_S
         self._streams: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
         self.stopped = False
 
@@ -121,6 +122,8 @@
         call.own_id = answer.headers.get("x-attempt-id") == call.id
         call.body = answer.body[:64]
         call.event_ids = answer.event_ids
+        if call.kind.is_stream and answer.status == 200:
+            call.stray = answer.stray[:64]
         if not answer.whole or answer.headers.get("connection", "").lower() == "close":
             self._drop(address)
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -50,6 +50,8 @@
     whole: bool = False
     body: bytes = b""
     event_ids: list[int] = []
+    stray: bytes = b""
+    """Begin of what is no whole event, before the last of them or in a whole answer."""
     wrote_all: bool = False
     """Whether every byte of the request was handed to the system."""
     kept: bool = False
@@ -129,10 +131,10 @@
     last_event: int = 0
     """Id of the last event of each whole stream."""
     revocation_s: float = 3.0
-    retry_ratio: float = 0.9
-    retry_extra: float = 52.0
     time_limit_s: float = 2.0
     """Longest time for which a request is kept waiting."""
+    retry_ratio: float = 0.9
+    retry_extra: float = 52.0
 
     def runs_by_id(self) -> dict[str, list[Run]]:
         """Return what ran, and what did not, for each request."""
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -48,7 +48,7 @@
         store_address: str,
         seeds: Sequence[str],
         folder: Path,
-        weaken: str | None = None,
+        counted: Sequence[str] = (),
     ) -> None:
         self.index = index
         self.ip = ip
@@ -60,7 +60,7 @@
         self._store_address = store_address
         self._seeds = seeds
         self._folder = folder
-        self._weaken = weaken
+        self._counted = list(counted)
         self._process: asyncio.subprocess.Process | None = None
         self._keeper: asyncio.Task[None] | None = None
         self._back = asyncio.Event()
@@ -125,8 +125,7 @@
 
     async def _keep(self) -> None:
         path = self._write_settings()
-        module = "soak.weakened" if self._weaken else "baobabthread.platform"
-        arguments = [self._weaken] if self._weaken else []
+        module = "soak.weakened" if self._counted else "baobabthread.platform"
         environment = os.environ | {
             "BAOBABTHREAD_SETTINGS": str(path),
             "PYTHONPATH": f"{SOURCES / 'src'}{os.pathsep}{SOURCES}",
@@ -135,7 +134,7 @@
             while True:
                 self.is_ending = False
                 self._process = await asyncio.create_subprocess_exec(
-                    *(sys.executable, "-m", module, *arguments),
+                    *(sys.executable, "-m", module, *self._counted),
                     env=environment,
                     stdout=log,
                     stderr=log,
--- a/soak/play.py
+++ b/soak/play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import shutil
 import tempfile
 from collections import Counter
@@ -13,14 +14,19 @@
 from soak.callers import Caller
 from soak.faults import FAULTS
 from soak.history import History, now
+from soak.pressing import PRESSES, Pressed
 from soak.promises import Breach, check_all
 from soak.site import Site
+from soak.weakened import DECIDED_EVENT, WATCH, WEAKEN
 
 RECOVER_S = 4.0
 """Time after the last fault in which everything is well again."""
 CALM_S = 2.0
 """Time after that in which callers still ask."""
 MOST_AT_ONCE = 3
+NOT_PRESSED = "pressed"
+"""Names the breach of a run in which nothing needed the safeguard."""
+DECIDED = re.compile(rf"event={DECIDED_EVENT} .*\bdecided=(\d+)")
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,6 +41,8 @@
     """Names to draw from; all of them where empty."""
     weaken: str | None = None
     """A safeguard that is taken out, to see that a check finds it."""
+    press: str | None = None
+    """A safeguard that is pressed and counted; one that is taken out always is."""
     keep_logs: bool = True
 
 
@@ -47,6 +55,9 @@
     served: int
     statuses: dict[int, int]
     faults: list[str]
+    decided: int
+    """How often the pressed safeguard decided, by the instances' own word."""
+    pressed: Pressed | None
     logs: str | None
     """Folder with the instances' logs, kept where a promise was broken."""
 
@@ -55,7 +66,9 @@
     """Play one run and check every promise."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
     site = Site(seed=plan.seed, instances=plan.instances, folder=folder)
-    site.weaken = plan.weaken
+    safeguard = plan.weaken or plan.press
+    if safeguard is not None:
+        site.counted = (WEAKEN if plan.weaken else WATCH, safeguard)
     callers = [
         Caller(site=site, number=number, seed=plan.seed)
         for number in range(plan.callers)
@@ -64,6 +77,7 @@
         await site.start()
         asking = [asyncio.ensure_future(caller.run()) for caller in callers]
         await _inject(site, plan)
+        pressed = await PRESSES.get(safeguard)(site) if safeguard else None
         site.history.calm_from = now() + RECOVER_S
         await asyncio.sleep(RECOVER_S + CALM_S)
         for caller in callers:
@@ -71,7 +85,7 @@
         await asyncio.gather(*asking)
     finally:
         await site.close()
-    return _conclude(plan, site.history, folder)
+    return _conclude(plan, site.history, folder, pressed)
 
 
 async def _inject(site: Site, plan: Plan) -> None:
@@ -87,8 +101,13 @@
     await asyncio.gather(*running)
 
 
-def _conclude(plan: Plan, history: History, folder: Path) -> Outcome:
+def _conclude(
+    plan: Plan, history: History, folder: Path, pressed: Pressed | None
+) -> Outcome:
     breaches = check_all(history)
+    decided = sum(_count_decided(log) for log in folder.glob("i*.log"))
+    if pressed is not None:
+        breaches += _check_pressed(pressed, decided)
     keeps = bool(breaches) and plan.keep_logs
     if keeps:
         (folder / "history.json").write_bytes(msgspec.json.encode(history))
@@ -101,5 +120,29 @@
         served=sum(call.status == 200 and call.whole for call in history.calls),
         statuses=dict(Counter(call.status for call in history.calls)),
         faults=[fault.name for fault in history.faults],
+        decided=decided,
+        pressed=pressed,
         logs=str(folder) if keeps else None,
     )
+
+
+def _check_pressed(pressed: Pressed, decided: int) -> list[Breach]:
+    """Tell a safeguard that nothing asked from one that a check didn't see."""
+    if pressed.is_enough and decided:
+        return []
+    detail = f"{pressed.count} of {pressed.enough} requests, decided {decided} times"
+    return [Breach(promise=NOT_PRESSED, detail=detail)]
+
+
+def _count_decided(log: Path) -> int:
+    """Return about how often a safeguard decided, over all lives of an instance."""
+    total = last = 0
+    for line in log.read_text(errors="replace").splitlines():
+        found = DECIDED.search(line)
+        if found is None:
+            continue
+        decided = int(found.group(1))
+        if decided <= last:
+            total += last
+        last = decided
+    return total + last
--- /dev/null
+++ b/soak/pressing.py
@@ -0,0 +1,304 @@
+"""Pressing each safeguard until callers or servers must see whether it is there.
+
+What faults happen to bring leans on the moment and the machine: a safeguard that is
+missing passes unseen where nothing asks it. Each press here goes on until enough has
+happened that only the safeguard can have kept harmless, and says so where it hasn't.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from baobabthread.core.registry import Registry
+from soak.callers import Caller
+from soak.history import Kind, now
+from soak.promises import CONTACT_S, ENOUGH_CRASHES, MOST_LATER
+from soak.site import COLD_S, ENGINE, PLAIN, Site
+
+MOST_S = 20.0
+"""Longest time for which a safeguard is pressed."""
+LOOK_S = 0.05
+SLACK_S = 0.3
+"""Time after a bound from which on nothing excuses any more what comes."""
+HELD_KIND = b"quarantined"
+ENOUGH = 12
+"""Requests that meet a safeguard, each of which shows it missing."""
+ENOUGH_FAILED = 60
+"""Requests whose second try shows a safeguard missing: few repeats are left for them,
+as all requests share these."""
+ENOUGH_EVACUATED = 60
+"""Requests while a failure domain is evacuated, of which a third would go there."""
+CROWD = 12
+"""Callers that come on top to a cold server."""
+CROWD_FACTOR = 3.0
+"""Times what a cold server bears that its callers ask for in a second."""
+LEAVES_S = 1.0
+"""Time in which servers that leave are still there."""
+FIRST_NUMBER = 2000
+"""Number of the first caller that a press adds."""
+
+
+class Pressed(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold how often a safeguard was needed, and how often that must have been."""
+
+    count: int
+    enough: int
+
+    @property
+    def is_enough(self) -> bool:
+        """Tell whether its absence must have been seen."""
+        return self.count >= self.enough
+
+
+Press = Callable[[Site], Coroutine[Any, Any, Pressed]]
+PRESSES: Registry[Press] = Registry(what="press")
+
+
+async def _wait_until(count: Callable[[], int], enough: int) -> Pressed:
+    """Wait until something was counted often enough, or for the longest time."""
+    for _ in range(int(MOST_S / LOOK_S)):
+        if count() >= enough:
+            break
+        await asyncio.sleep(LOOK_S)
+    return Pressed(count=count(), enough=enough)
+
+
+@contextlib.asynccontextmanager
+async def _harm_all(site: Site, service: str, behaviour: str) -> AsyncIterator[None]:
+    """Let all backend servers of a service answer in a bad way."""
+    backends = [b for b in site.backends.values() if b.fake.service == service]
+    with site.note(f"backend {behaviour}"):
+        for backend in backends:
+            backend.troubles += 1
+            backend.fake.behaviour = behaviour
+        try:
+            yield
+            # What was sent meanwhile is answered so as well.
+            await asyncio.sleep(SLACK_S)
+        finally:
+            for backend in backends:
+                backend.fake.behaviour = "answer"
+                backend.troubles -= 1
+        await asyncio.sleep(SLACK_S)
+
+
+async def _press_answers(
+    site: Site,
+    behaviour: str,
+    *kinds: Kind,
+    service: str = PLAIN,
+    enough: int = ENOUGH,
+) -> Pressed:
+    """Let servers answer badly until enough requests of these kinds ran there."""
+    since = now()
+
+    def count_runs() -> int:
+        kind_of = {call.id: call.kind for call in site.history.calls}
+        return sum(
+            run.at > since and run.executed and kind_of.get(run.id) in kinds
+            for run in site.history.runs
+        )
+
+    async with _harm_all(site, service, behaviour):
+        return await _wait_until(count_runs, enough)
+
+
+@PRESSES.register("take any answer")
+async def press_signatures(site: Site) -> Pressed:
+    """Answer everything without a signature."""
+    return await _press_answers(site, "unsigned", Kind.SAFE, Kind.UNSAFE, Kind.OPEN)
+
+
+@PRESSES.register("refuse what ran")
+async def press_true_refusals(site: Site) -> Pressed:
+    """Run what must not be repeated, and break its answer off."""
+    return await _press_answers(site, "cut", Kind.UNSAFE)
+
+
+@PRESSES.register("repeat everything")
+async def press_repeats(site: Site) -> Pressed:
+    """Fail what must not be repeated, on a route whose own bound would allow it."""
+    return await _press_answers(
+        site, "fail", Kind.ONCE, service=ENGINE, enough=ENOUGH_FAILED
+    )
+
+
+@PRESSES.register("pass parts of events")
+async def press_events(site: Site) -> Pressed:
+    """Break all streams off within an event."""
+    return await _press_answers(
+        site, "stream_cut", Kind.STREAM, service=ENGINE, enough=ENOUGH_FAILED
+    )
+
+
+@PRESSES.register("pass the key on")
+async def press_headers(site: Site) -> Pressed:
+    """Wait for requests: each one carries a key and a forged account."""
+    before = len(site.history.runs)
+    return await _wait_until(lambda: len(site.history.runs) - before, ENOUGH)
+
+
+@PRESSES.register("serve on stale knowledge")
+async def press_freshness(site: Site) -> Pressed:
+    """Take a key away while the store answers nobody, and go on using it."""
+    with site.note("store silent"):
+        site.store.fault = "silent"
+        # A read that the store holds already would still bring the news.
+        await asyncio.sleep(0.8)
+        site.revoke_key()
+        key = list(site.history.revoked)[-1]
+        late_from = site.history.revoked[key] + site.history.revocation_s + SLACK_S
+
+        def count_late() -> int:
+            return sum(
+                call.key == key and call.kind is not Kind.OPEN and bool(call.ended_at)
+                for call in site.history.calls
+                if call.sent_at > late_from
+            )
+
+        pressed = await _wait_until(count_late, ENOUGH)
+        site.store.fault = ""
+        await asyncio.sleep(1.0)
+    return pressed
+
+
+@PRESSES.register("forget evacuations")
+async def press_evacuations(site: Site) -> Pressed:
+    """Evacuate the failure domain with most backend servers until callers asked on."""
+    domains = [backend.fake.zone for backend in site.backends.values()]
+    domain = max(sorted(set(domains)), key=domains.count)
+    with site.note("configuration: evacuation"), site.evacuate(domain):
+        late_from = now() + site.history.evacuation_s + SLACK_S
+        return await _wait_until(
+            lambda: _count_answered(site, late_from), ENOUGH_EVACUATED
+        )
+
+
+def _count_answered(site: Site, since: float, *kinds: Kind) -> int:
+    """Return how many requests that were sent after a moment have ended."""
+    return sum(
+        call.sent_at > since and call.ended_at > 0 and (not kinds or call.kind in kinds)
+        for call in site.history.calls
+    )
+
+
+@PRESSES.register("forget homes")
+async def press_homes(site: Site) -> Pressed:
+    """Bind one kind of requests to one area, then to the other, for long."""
+    least = Pressed(count=ENOUGH, enough=ENOUGH)
+    with site.note("configuration: homes"):
+        for area in ("south", "north"):
+            site.change_homes(area)
+            late_from = now() + site.history.apply_s + SLACK_S
+            pressed = await _wait_until(
+                lambda since=late_from: _count_answered(site, since, Kind.SAFE),  # type: ignore[misc]
+                ENOUGH,
+            )
+            least = min(least, pressed, key=lambda each: each.count)
+        site.change_homes()
+        await asyncio.sleep(site.history.apply_s)
+    return least
+
+
+@PRESSES.register("forget the cold")
+async def press_coldness(site: Site) -> Pressed:
+    """Leave a service one server, which has just started, and send a crowd there."""
+    enough = int(CROWD_FACTOR * site.history.most_cold)
+    count = 0
+    ends_at = now() + MOST_S
+    with site.note("configuration: cold backend"):
+        async with _open_crowd(site):
+            while count < enough and now() < ends_at:
+                since = now()
+                await _leave_one_cold(site)
+                count = max(count, _find_most_sent(site, since, now()))
+        await site.add_backend(PLAIN)
+        await site.add_backend(PLAIN)
+        await asyncio.sleep(0.5)
+    return Pressed(count=count, enough=enough)
+
+
+async def _leave_one_cold(site: Site) -> None:
+    """Replace all plain servers by a cold one, and wait until it is warm."""
+    plain = [b for b in site.backends.values() if b.fake.service == PLAIN]
+    await site.add_backend(PLAIN, cold_s=LEAVES_S + COLD_S)
+    for backend in plain:
+        site.publish_backend(backend, state="draining", seq=2)
+    await asyncio.sleep(LEAVES_S)
+    for backend in plain:
+        site.remove_backend(backend)
+    await asyncio.sleep(COLD_S + SLACK_S)
+
+
+@contextlib.asynccontextmanager
+async def _open_crowd(site: Site) -> AsyncIterator[None]:
+    """Let more callers ask while the block runs, without a pause."""
+    crowd = [
+        Caller(site=site, number=FIRST_NUMBER + n, seed=site.history.seed, pause_s=0.01)
+        for n in range(CROWD)
+    ]
+    asking = [asyncio.ensure_future(caller.run()) for caller in crowd]
+    try:
+        yield
+    finally:
+        for caller in crowd:
+            caller.stopped = True
+        await asyncio.gather(*asking)
+
+
+def _find_most_sent(site: Site, start: float, end: float) -> int:
+    """Return the most requests for the plain service that ended within a second."""
+    plain = (Kind.SAFE, Kind.UNSAFE, Kind.OPEN)
+    times = [
+        call.ended_at
+        for call in site.history.calls
+        if call.kind in plain and start < call.sent_at and call.ended_at < end
+    ]
+    return max((sum(t <= u < t + 1.0 for u in times) for t in times), default=0)
+
+
+@PRESSES.register("forget crashes")
+async def press_crashes(site: Site) -> Pressed:
+    """Ask for what crashes every server, well beyond the time in which all know it."""
+    crashing = site.make_crashing()
+    callers = [
+        Caller(
+            site=site,
+            number=FIRST_NUMBER + CROWD + n,
+            seed=site.history.seed,
+            crashing=crashing,
+        )
+        for n in range(4)
+    ]
+    with site.note("crashing request"):
+        asking = [asyncio.ensure_future(caller.run()) for caller in callers]
+        pressed = await _wait_until(
+            lambda: _count_known(site, crashing.mark), 3 * MOST_LATER
+        )
+        for caller in callers:
+            caller.stopped = True
+        await asyncio.gather(*asking)
+        await asyncio.sleep(1.5)
+    return pressed
+
+
+def _count_known(site: Site, mark: str) -> int:
+    """Return how many requests were held, or ran, though all must know of them."""
+    calls = [call for call in site.history.calls if call.mark == mark]
+    ids = {call.id for call in calls}
+    crashed: dict[str, float] = {}
+    for run in site.history.runs:
+        if run.id in ids and run.executed:
+            crashed.setdefault(run.backend, run.at)
+    times = sorted(crashed.values())
+    if len(times) < ENOUGH_CRASHES:
+        return 0
+    known_at = times[ENOUGH_CRASHES - 1] + CONTACT_S
+    ran = {run.id for run in site.history.runs if run.executed and run.at > known_at}
+    late = [call for call in calls if call.sent_at > known_at and call.ended_at > 0]
+    return sum(call.id in ran or HELD_KIND in call.body for call in late)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -78,6 +78,8 @@
         expected = list(range(1, len(call.event_ids) + 1))
         if call.event_ids != expected:
             yield f"{call.id}: events {call.event_ids}"
+        elif call.stray:
+            yield f"{call.id}: {call.stray!r} between events"
         elif call.whole and len(expected) != history.last_event:
             yield f"{call.id}: complete after event {len(expected)}"
 
@@ -260,13 +262,13 @@
         yield f"{call.id} ({call.kind}) at i{call.instance}: cut, status {call.status}"
 
 
-def _is_excused(history: History, call: Call) -> bool:
-    start, end = call.sent_at - AROUND_S, call.ended_at
 def _is_timed_out(history: History, call: Call) -> bool:
     # Its route's limit ends a request, whatever else goes on.
     return call.ended_at - call.sent_at >= history.time_limit_s
 
 
+def _is_excused(history: History, call: Call) -> bool:
+    start, end = call.sent_at - AROUND_S, call.ended_at
     faults = history.disturbed(call.instance, start, end)
     return any(not name.startswith(GENTLE) for name in faults)
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -98,7 +98,8 @@
         self.backends: dict[str, Backend] = {}
         self.store_proxies: list[Proxy] = []
         self.added_routes: list[str] = []
-        self.weaken: str | None = None
+        self.counted: tuple[str, ...] = ()
+        """Whether a safeguard is watched or weakened, and which; else empty."""
         self._instances = instances
         self._version = 0
         self._number = 0
@@ -139,7 +140,7 @@
                 store_address=proxy.address,
                 seeds=ips[:3],
                 folder=self.folder,
-                weaken=self.weaken,
+                counted=self.counted,
             )
             self._stack.push_async_callback(machine.close)
             self.machines.append(machine)
--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -1,13 +1,15 @@
-"""Run an instance with one safeguard taken out, to see that a check finds it."""
+"""Run an instance whose safeguard is counted, and taken out where that is asked for."""
 
 from __future__ import annotations
 
 import sys
 from collections.abc import Callable
+from typing import Any
 
 from baobabthread.core.registry import Registry
 from baobabthread.instance import (
     attempts,
+    connections,
     crashes,
     endings,
     events,
@@ -15,86 +17,180 @@
     restrictions,
 )
 from baobabthread.instance.wire import AnswerMarks
+from baobabthread.logs import log_event
 from baobabthread.platform import __main__ as program
 from baobabthread.platform import headers
 from baobabthread.routing import coldness, configuration, knowledge
 
-WEAKENED: Registry[Callable[[], None]] = Registry(what="weakened instance")
+DECIDED_EVENT = "safeguard_decided"
+WATCH = "watch"
+WEAKEN = "weaken"
+
+
+class Safeguard:
+    """Count how often a safeguard is asked and decides; overrule it or not."""
+
+    __slots__ = ("_asked", "_decided", "_name", "is_overruled")
+
+    def __init__(self, *, name: str, is_overruled: bool) -> None:
+        self._name = name
+        self.is_overruled = is_overruled
+        self._asked = 0
+        self._decided = 0
+
+    def stands(self, decides: bool) -> bool:
+        """Count a question; tell whether the safeguard decides it and is obeyed."""
+        self._asked += 1
+        if not decides:
+            return False
+        self._decided += 1
+        is_power_of_two = not self._decided & (self._decided - 1)
+        if is_power_of_two:
+            log_event(
+                DECIDED_EVENT,
+                safeguard=self._name,
+                asked=self._asked,
+                decided=self._decided,
+                overruled=self.is_overruled,
+            )
+        return not self.is_overruled
+
+
+Wrap = Callable[[Safeguard], None]
+WEAKENED: Registry[Wrap] = Registry(what="weakened instance")
 
 
 @WEAKENED.register("refuse what ran")
-def refuse_what_ran() -> None:
+def refuse_what_ran(safeguard: Safeguard) -> None:
     """Promise that a request has not run though it may have."""
-    endings.Endings._surely_not_run = lambda self, flight: True  # type: ignore
+    ask = endings.Endings._surely_not_run
+
+    def surely_not_run(self: endings.Endings, flight: flight.Flight) -> bool:
+        return not safeguard.stands(not ask(self, flight))
+
+    endings.Endings._surely_not_run = surely_not_run  # type: ignore
 
 
 @WEAKENED.register("repeat everything")
-def repeat_everything() -> None:
+def repeat_everything(safeguard: Safeguard) -> None:
     """Take every route for one that may be repeated."""
-    configuration.Route.may_repeat = property(lambda self: True)  # type: ignore
+    ask = configuration.Route.may_repeat.fget  # type: ignore
+
+    def may_repeat(self: configuration.Route) -> bool:
+        return not safeguard.stands(not ask(self))
+
+    configuration.Route.may_repeat = property(may_repeat)  # type: ignore
 
 
 @WEAKENED.register("serve on stale knowledge")
-def serve_stale() -> None:
+def serve_stale(safeguard: Safeguard) -> None:
     """Honour keys however old the knowledge of them is."""
-    knowledge.Knowledge.is_fresh = lambda self, now: True  # type: ignore
+    ask = knowledge.Knowledge.is_fresh
+
+    def is_fresh(self: knowledge.Knowledge, now: float) -> bool:
+        return not safeguard.stands(not ask(self, now))
+
+    knowledge.Knowledge.is_fresh = is_fresh  # type: ignore
 
 
 @WEAKENED.register("pass parts of events")
-def pass_parts() -> None:
+def pass_parts(safeguard: Safeguard) -> None:
     """Pass bytes of a stream on as they come, also what was passed before."""
+    cut = events.EventCutter.feed
 
-    def feed(self: object, data: bytes) -> events.WholeEvents:
+    def feed(self: events.EventCutter, data: bytes) -> events.WholeEvents:
+        whole = cut(self, data)
+        if whole.data == data or safeguard.stands(whole.data != data):
+            return whole
+        self._rest = b""
         return events.WholeEvents(data=data, last_id=None)
 
     events.EventCutter.feed = feed  # type: ignore
 
 
 @WEAKENED.register("take any answer")
-def take_any_answer() -> None:
+def take_any_answer(safeguard: Safeguard) -> None:
     """Take a success without a signature, or of another request, for the answer."""
+    ask = attempts.Attempt._check
 
     def check(self: attempts.Attempt, marks: AnswerMarks, status: int) -> None:
-        if marks.not_run:
-            self.flight.runs -= 1
-            raise attempts.RefusedError(status)
+        try:
+            ask(self, marks, status)
+        except connections.BrokenError:
+            if safeguard.stands(True):
+                raise
 
     attempts.Attempt._check = check  # type: ignore
 
 
 @WEAKENED.register("pass the key on")
-def pass_key_on() -> None:
+def pass_key_on(safeguard: Safeguard) -> None:
     """Leave the caller's key and account in what a backend server gets."""
-    headers._OURS.clear()
+    ours = frozenset(headers._OURS)
+    encode = headers.PlatformWire.encode_request
+
+    def encode_request(
+        self: Any, method: str, target: str, fields: Any, *rest: Any
+    ) -> bytes:
+        safeguard.stands(any(name.lower() in ours for name, _ in fields))
+        return encode(self, method, target, fields, *rest)
+
+    if safeguard.is_overruled:
+        headers._OURS.clear()
+    headers.PlatformWire.encode_request = encode_request  # type: ignore
 
 
 @WEAKENED.register("forget crashes")
-def forget_crashes() -> None:
+def forget_crashes(safeguard: Safeguard) -> None:
     """Take each try of a request that crashed servers for a new one."""
-    crashes.CrashWatch._tell = lambda self, server: None  # type: ignore
+    tell = crashes.CrashWatch._tell
+
+    def tell_nobody(self: crashes.CrashWatch, server: Any) -> None:
+        if safeguard.stands(True):
+            tell(self, server)
+
+    crashes.CrashWatch._tell = tell_nobody  # type: ignore
 
 
 @WEAKENED.register("forget evacuations")
-def forget_evacuations() -> None:
+def forget_evacuations(safeguard: Safeguard) -> None:
     """Take no failure domain for evacuated."""
-    restrictions.Restrictions.is_evacuated = lambda self, record: False  # type: ignore
+    ask = restrictions.Restrictions.is_evacuated
+
+    def is_evacuated(self: restrictions.Restrictions, record: Any) -> bool:
+        return safeguard.stands(ask(self, record))
+
+    restrictions.Restrictions.is_evacuated = is_evacuated  # type: ignore
 
 
 @WEAKENED.register("forget the cold")
-def forget_the_cold() -> None:
+def forget_the_cold(safeguard: Safeguard) -> None:
     """Take every backend server for warm."""
-    coldness.ColdServers.left_s = lambda self, name, now: 0.0  # type: ignore
+    ask = coldness.ColdServers.left_s
+
+    def left_s(self: coldness.ColdServers, name: str, now: float) -> float:
+        left = ask(self, name, now)
+        return left if safeguard.stands(left > 0.0) else 0.0
+
+    coldness.ColdServers.left_s = left_s  # type: ignore
 
 
 @WEAKENED.register("forget homes")
-def forget_homes() -> None:
+def forget_homes(safeguard: Safeguard) -> None:
     """Let every request be served anywhere."""
-    flight.find_homes = lambda route, account: None
+    ask = flight.find_homes
+
+    def find_homes(route: Any, account: Any) -> Any:
+        homes = ask(route, account)
+        return homes if safeguard.stands(homes is not None) else None
+
+    flight.find_homes = find_homes
 
 
 def main() -> int:
-    """Take out the safeguard that the first argument names, and serve."""
-    WEAKENED.get(sys.argv.pop(1))()
+    """Watch or take out the safeguard that the first two arguments name, and serve."""
+    mode, name = sys.argv.pop(1), sys.argv.pop(1)
+    WEAKENED.get(name)(Safeguard(name=name, is_overruled=mode == WEAKEN))
     return program.main()
 
 
--- a/tests/platform/fakecallers.py
+++ b/tests/platform/fakecallers.py
@@ -7,6 +7,7 @@
 import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+EVENT = re.compile(rb"id: (\d+)\ndata: [^\n]+\n\n")
 HOST = "api.example"
 KEY = "key-of-metro"
 
@@ -23,7 +24,18 @@
     @property
     def event_ids(self) -> list[int]:
         """Give the ids of the whole events."""
-        return [int(n) for n in re.findall(rb"id: (\d+)\ndata: [^\n]+\n\n", self.body)]
+        return [int(found.group(1)) for found in EVENT.finditer(self.body)]
+
+    @property
+    def stray(self) -> bytes:
+        """Give what belongs to no whole event; a cut answer may end within one."""
+        at = 0
+        for found in EVENT.finditer(self.body):
+            if found.start() > at:
+                break
+            at = found.end()
+        rest = self.body[at:]
+        return rest if self.whole or EVENT.search(rest) else b""
 
 
 async def call(
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -76,6 +76,13 @@
         "in order",
         make_history([make_call(kind=Kind.ONCE, event_ids=[1, 2])], [make_run()]),
     ),
+    (
+        "in order",
+        make_history(
+            [make_call(kind=Kind.STREAM, event_ids=[1, 2, 3], stray=b"id: 2")],
+            [make_run()],
+        ),
+    ),
     (
         "once",
         make_history([make_call(kind=Kind.UNSAFE)], [make_run(), make_run()]),
@@ -167,13 +174,6 @@
     assert "not cut" not in find(make_history(calls, [make_run()], faults=[kill]))
 
 
-def test_excuse_instances_that_could_not_know_of_a_crashing_request() -> None:
-    numbers = (0, 1, 2, 8, 9, 10, 11)
-    calls = [make_call(f"c{n}", sent_at=50.0 + n, mark="crash 1") for n in numbers]
-    runs = [make_run(f"c{n}", backend=f"p{n}", at=50.05 + n) for n in numbers]
-    pause = Fault(name="pause", began_at=57.0, ended_at=58.5, instance=0)
-    found = find(make_history(calls, runs, faults=[pause]))
-    assert "crashing requests" not in found
 @pytest.mark.parametrize(("lasted_s", "is_found"), [(1.95, True), (2.01, False)])
 def test_excuse_what_its_own_time_limit_ended(lasted_s: float, is_found: bool) -> None:
     cut = make_call(
@@ -183,6 +183,13 @@
     assert ("not cut" in found) is is_found
 
 
+def test_excuse_instances_that_could_not_know_of_a_crashing_request() -> None:
+    numbers = (0, 1, 2, 8, 9, 10, 11)
+    calls = [make_call(f"c{n}", sent_at=50.0 + n, mark="crash 1") for n in numbers]
+    runs = [make_run(f"c{n}", backend=f"p{n}", at=50.05 + n) for n in numbers]
+    pause = Fault(name="pause", began_at=57.0, ended_at=58.5, instance=0)
+    found = find(make_history(calls, runs, faults=[pause]))
+    assert "crashing requests" not in found
 
 
 def test_excuse_what_came_within_the_bound_or_after_the_end() -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,8 +4,13 @@
 
 import asyncio
 
+import msgspec
 import pytest
-from soak.play import Plan, play
+from soak.play import NOT_PRESSED, Outcome, Plan, play
+from soak.pressing import PRESSES
+from soak.weakened import WEAKENED
+
+from soak import pressing
 
 EARLY_FAULTS = (
     "term",
@@ -119,3 +124,44 @@
     )
     outcome = asyncio.run(play(plan))
     assert promise in {breach.promise for breach in outcome.breaches}
+
+
+@pytest.mark.parametrize(
+    ("weaken", "promise"),
+    [
+        ("repeat everything", "once"),
+        ("serve on stale knowledge", "revoked keys"),
+        ("pass parts of events", "in order"),
+        ("pass the key on", "own account"),
+    ],
+)
+def test_find_a_safeguard_that_only_its_press_asks(weaken: str, promise: str) -> None:
+    """Nothing but the press needs the safeguard, and its check must see it missing."""
+    outcome = play_quietly(Plan(seed=6, callers=8, weaken=weaken, keep_logs=False))
+    assert promise in {breach.promise for breach in outcome.breaches}
+
+
+@pytest.mark.parametrize("press", list(PRESSES))
+def test_keep_all_promises_while_a_safeguard_is_pressed(press: str) -> None:
+    """A press that broke promises by itself would prove nothing by what it finds."""
+    outcome = play_quietly(Plan(seed=8, callers=8, press=press))
+    assert not outcome.breaches
+    assert outcome.decided
+
+
+def play_quietly(plan: Plan) -> Outcome:
+    """Play a plan whose only faults are changes of the configuration."""
+    quiet = msgspec.structs.replace(plan, seconds=1.0, faults=("configuration",))
+    return asyncio.run(play(quiet))
+
+
+def test_press_every_safeguard() -> None:
+    assert set(PRESSES) == set(WEAKENED)
+
+
+def test_tell_a_safeguard_that_nothing_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A mutant passed unseen, and nobody could tell a blind check from a calm run."""
+    monkeypatch.setattr(pressing, "MOST_S", 0.0)
+    plan = Plan(seed=9, callers=8, weaken="forget homes", keep_logs=False)
+    outcome = play_quietly(plan)
+    assert {breach.promise for breach in outcome.breaches} == {NOT_PRESSED}
