--- a/soak/instances.py
+++ b/soak/instances.py
@@ -82,8 +82,9 @@
 
     async def terminate(self) -> None:
         """Stop it gracefully, or by force after the grace, and wait for the restart."""
+        # A second signal doesn't undo that the first one came while it stood still.
+        self._was_paused = self._is_paused or (self.is_ending and self._was_paused)
         self.is_ending = True
-        self._was_paused = self._is_paused
         self._back.clear()
         process = self._process
         self.send(signal.SIGTERM)
