Count the grace from before a standstill, not from the first beat after it

An instance that stood still when its stop came took requests by a grace that began when it woke, and was ended under them. Gaps between beats are now noted, and a signal within half a second after one counts from its begin.

test_reckon_with_a_signal_that_came_in_a_standstill: 200 before, 503 leaving now.

--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -38,7 +38,7 @@
 from baobabthread.routing.directory import Directory, list_addresses
 from baobabthread.routing.homes import Areas
 from baobabthread.routing.knowledge import Knowledge
-from baobabthread.routing.stopping import StopPlan, plan_stop
+from baobabthread.routing.stopping import Pulse, StopPlan, plan_stop
 
 TICK_S = 0.1
 PRUNE_S = 1.0
@@ -146,7 +146,7 @@
         self._callers: asyncio.Server | None = None
         self._shared: tuple[int, int] | None = None
         self._members_seen = -1
-        self._ticked_at = now()
+        self._pulse = Pulse(now=now())
 
     def _connect_quarantine(self) -> None:
         desk = self.peers.quarantine
@@ -257,7 +257,7 @@
         plan = plan_stop(
             grace_s=self._settings.bounds.grace_s,
             now=now(),
-            alive_at=self._ticked_at,
+            earliest=self._pulse.find_earliest(now()),
         )
         self._stopping = plan
         self.peers.leave()
@@ -345,7 +345,7 @@
 
     async def _tick(self) -> None:
         while True:
-            self._ticked_at = now()
+            self._pulse.beat(now())
             self.services.arrivals.tick(now())
             self.knowledge.expire(now())
             self._note_members()
@@ -382,7 +382,7 @@
                 "signal_received",
                 signal=number.name,
                 again=told.is_set(),
-                ticked_ms=round((now() - self._ticked_at) * 1000),
+                late_ms=round((now() - self._pulse.find_earliest(now())) * 1000),
             )
             told.set()
 
--- a/src/baobabthread/routing/stopping.py
+++ b/src/baobabthread/routing/stopping.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 ACCEPT_S = 6.5
@@ -23,6 +25,38 @@
 LENGTH_MARGIN_S = 0.5
 
 
+GAP_S = 0.5
+"""Time between two beats, which come every tenth of a second, that is a standstill."""
+HEARD_S = 0.5
+"""Time after a standstill in which a signal may have come within it."""
+
+
+class Pulse:
+    """Know since when a signal that is heard now may have been waiting."""
+
+    __slots__ = ("_beat_at", "_gap_from", "_gap_to")
+
+    def __init__(self, *, now: float) -> None:
+        self._beat_at = now
+        self._gap_from = -math.inf
+        self._gap_to = -math.inf
+
+    def beat(self, now: float) -> None:
+        """Note that the process runs."""
+        if now - self._beat_at > GAP_S:
+            self._gap_from, self._gap_to = self._beat_at, now
+        self._beat_at = now
+
+    def find_earliest(self, now: float) -> float:
+        """Return when a signal that is heard now was sent at the earliest.
+
+        After a standstill timers run before the handlers of signals: the last beat
+        alone would tell nothing.
+        """
+        self.beat(now)
+        return self._gap_from if now - self._gap_to < HEARD_S else now
+
+
 class StopPlan(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the moments of a stop, in seconds on the clock of all decisions."""
 
@@ -42,13 +76,12 @@
         return now + LENGTH_FACTOR * expected_s + LENGTH_MARGIN_S < self.takes_until
 
 
-def plan_stop(*, grace_s: float, now: float, alive_at: float) -> StopPlan:
-    """Return the moments of a stop that was heard of now.
+def plan_stop(*, grace_s: float, now: float, earliest: float) -> StopPlan:
+    """Return the moments of a stop that is heard of now.
 
-    `alive_at` is when this instance last ran before: a process that stood still hears
-    of a signal late, and its grace counts from when it was sent.
+    `earliest` is when the signal may have been sent: a process that stood still hears
+    of it late, and its grace counts from then.
     """
-    earliest = min(now, alive_at)
     takes_until = earliest + grace_s - END_MARGIN_S
     serve_all_s = min(SERVE_ALL_S, SERVE_ALL_PART * grace_s)
     return StopPlan(
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections import Counter
 from typing import Any
 
@@ -233,6 +234,28 @@
     run(case())
 
 
+def test_reckon_with_a_signal_that_came_in_a_standstill() -> None:
+    """An instance that stood still hears of its stop late, and is ended on time.
+
+    It took what would last as long as the whole grace from when it woke.
+    """
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            async with open_connection(site.settings[0].callers_address) as ask:
+                assert (await ask("/open/x")).status == 200
+                time.sleep(2.1)  # noqa: ASYNC251
+                await asyncio.sleep(0.05)
+                leaving = asyncio.ensure_future(site.instances[0].leave())
+                await asyncio.sleep(0)
+                answer = await ask("/open/x")
+                assert answer.status == 503
+                assert json.loads(answer.body)["kind"] == "leaving"
+            await leaving
+
+    run(case())
+
+
 def test_answer_what_the_stop_overtakes() -> None:
     """A server doesn't answer, and the instance ends before the caller's time is over.
 
