Show by the judge's own run why a request was held for a version taken back

The new test plays it at the real judge: three servers of a version on trial crash under one request, the version is taken back, the judge looks a turn later. With the predicate of before (is running and not at all) the request is held; with is_unproven nothing is.

--- a/tests/instance/test_quarantine.py
+++ b/tests/instance/test_quarantine.py
@@ -7,9 +7,13 @@
 import msgspec
 
 from baobabthread.instance import quarantine as module
+from baobabthread.instance.clock import now
 from baobabthread.instance.quarantine import CompareHeld, HeldAre, QuarantineDesk
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.configuration import RolloutOrder, RolloutState, RolloutStatus
 from baobabthread.routing.crashes import SETTLE_S, Crash
 from baobabthread.routing.quarantine import Held
+from baobabthread.routing.versions import VersionPlan
 
 
 class Told:
@@ -48,6 +52,36 @@
     assert told.words == []
 
 
+def test_hold_nothing_once_the_version_that_crashed_was_taken_back() -> None:
+    """The version is taken back between its last crash and a judge's look at it.
+
+    Judges look one after the other; a later one took it for a version that serves.
+    """
+    desk, _ = make_desk()
+    plan = VersionPlan(service="s", bounds=RoutingBounds())
+    order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=60.0)
+    plan.take_order(order, now())
+    desk.is_on_trial = lambda service, version: plan.is_unproven(version)
+    for number in range(3):
+        desk.take_crash(
+            Crash(
+                backend=f"b{number}",
+                service="s",
+                version="v2",
+                is_proven=False,
+                fresh=["f1"],
+                older=[],
+            )
+        )
+    status = RolloutStatus(
+        service="s", target="v2", state=RolloutState.REVERTED, number=1
+    )
+    plan.take_status(status, now())
+    time.sleep(SETTLE_S + module.JUDGES * module.TURN_S)
+    desk.tick()
+    assert not desk.holds_any
+
+
 def test_object_to_what_was_answered_here() -> None:
     """A judge holds a popular request that this instance answered a moment ago.
 
