Take no few milliseconds for a slow answer of a version on trial

An answer is slow where it takes twice the usual and 20 ms more than that. Where answers take longer than 20 ms nothing changes.

--- a/src/baobabthread/routing/trial.py
+++ b/src/baobabthread/routing/trial.py
@@ -12,6 +12,11 @@
 
 SLOW_FACTOR = 2.0
 """An answer is slow when it takes so many times what the old version usually takes."""
+LEAST_SLOWER_S = 0.02
+"""Time above the usual within which no answer is slow: the first one of a server waits
+for a connection, and callers notice nothing of it."""
+LEAST_EXPECTED_S = 1e-4
+"""Shortest time that answers are compared by."""
 LATENCY_STEP = 0.05
 """Part by which the usual time of the old version follows each answer."""
 ENOUGH_LATENCIES = 8
@@ -118,7 +123,8 @@
         usual, seen = self._usual.get(sent.kind, (0.0, 0))
         if seen < ENOUGH_LATENCIES:
             return None
-        return _compare(sent, latency_s) > usual + math.log(SLOW_FACTOR)
+        usual_s = max(sent.expected_s, LEAST_EXPECTED_S) * math.exp(usual)
+        return latency_s > max(SLOW_FACTOR * usual_s, usual_s + LEAST_SLOWER_S)
 
 
 class Trial:
@@ -340,7 +346,8 @@
 
 def _compare(sent: Sent, latency_s: float) -> float:
     """Return the logarithm of a latency against what was expected."""
-    return math.log(max(latency_s, 1e-4) / max(sent.expected_s, 1e-4))
+    expected_s = max(sent.expected_s, LEAST_EXPECTED_S)
+    return math.log(max(latency_s, LEAST_EXPECTED_S) / expected_s)
 
 
 def _is_likelier(usual: float, lift: float, tally: _Tally) -> bool:
--- a/tests/routing/test_trial.py
+++ b/tests/routing/test_trial.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from baobabthread.routing.configuration import RolloutOrder
 from baobabthread.routing.trial import Sent, Trial
 from baobabthread.routing.versions import VersionPlan
@@ -65,6 +67,26 @@
     assert "latency" in trial.alarm
 
 
+def answer_all(trial: Trial, latency_s: float, *, on_trial: bool, count: int) -> None:
+    """Let an answer that was expected within ten milliseconds take so long."""
+    for _ in range(count):
+        sent = Sent(on_trial=on_trial, call="c", kind="c", at=0.0, expected_s=0.01)
+        trial.end(trial.begin(sent), failed=False, now=latency_s)
+
+
+@pytest.mark.parametrize(("new_s", "is_worse"), [(0.015, False), (0.09, True)])
+def test_take_no_few_milliseconds_for_slow(new_s: float, is_worse: bool) -> None:
+    """Servers of a good version answer short requests over their first connections.
+
+    On a busy machine that took over twice the usual few milliseconds, and a good
+    version was taken back for it.
+    """
+    trial = Trial(number=1)
+    answer_all(trial, 0.003 if new_s < 0.02 else 0.0225, on_trial=False, count=200)
+    answer_all(trial, new_s, on_trial=True, count=11)
+    assert trial.looks_worse is is_worse
+
+
 def test_bear_a_clump_of_slow_answers() -> None:
     """A server falls out while a good version takes over, and a dozen answers are late.
 
