--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -142,11 +142,12 @@
 
     async def wait_idle(self, seconds: float) -> None:
         """Wait until nothing is in flight, at most so long."""
-        if self.in_flight:
-            self._idle = asyncio.Event()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(seconds):
-                    await self._idle.wait()
+        if not self.in_flight:
+            return
+        self._idle = asyncio.Event()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._idle.wait()
 
     async def end(self) -> None:
         """End what is still in flight, each with an answer that says what is true."""
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -254,11 +254,9 @@
 
     async def leave(self) -> None:
         """Serve on while callers may still hold the address, then end."""
-        plan = plan_stop(
-            grace_s=self._settings.bounds.grace_s,
-            now=now(),
-            earliest=self._pulse.find_earliest(now()),
-        )
+        earliest = self._pulse.find_earliest(now())
+        grace_s = self._settings.bounds.grace_s
+        plan = plan_stop(grace_s=grace_s, now=now(), earliest=earliest)
         self._stopping = plan
         self.peers.leave()
         log_event(
@@ -378,11 +376,10 @@
         loop = asyncio.get_running_loop()
 
         def take(number: signal.Signals) -> None:
+            late_ms = round((now() - self._pulse.find_earliest(now())) * 1000)
+            again = told.is_set()
             log_event(
-                "signal_received",
-                signal=number.name,
-                again=told.is_set(),
-                late_ms=round((now() - self._pulse.find_earliest(now())) * 1000),
+                "signal_received", signal=number.name, again=again, late_ms=late_ms
             )
             told.set()
 
--- a/src/baobabthread/routing/stopping.py
+++ b/src/baobabthread/routing/stopping.py
@@ -23,8 +23,6 @@
 length are often far off: a stream that is cut at the end is worse than one that begins
 elsewhere at the price of another connection."""
 LENGTH_MARGIN_S = 0.5
-
-
 GAP_S = 0.5
 """Time between two beats, which come every tenth of a second, that is a standstill."""
 HEARD_S = 0.5
