--- /dev/null
+++ b/bench/_rollout_days.py
@@ -0,0 +1,231 @@
+"""Days with one roll-out, and what is seen of them from outside."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+
+import msgspec
+
+from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.configuration import RolloutState
+
+OLD, NEW = "v1", "v2"
+ORDER_AT_S = 2.0
+"""Time from the start of the traffic to the order."""
+ENOUGH_BAD = 50
+"""Bad answers from which on a version must soon get nothing more."""
+CONTACT_S = 5.0
+"""Time after a trouble from which on a member counts as in touch again."""
+
+
+class Trouble(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what happens to some members for a while."""
+
+    at_s: float
+    for_s: float
+    members: tuple[int, ...]
+
+    def hits(self, number: int, since_s: float, until_s: float | None = None) -> bool:
+        """Tell whether it meets a member at a moment, or within a time."""
+        until_s = since_s if until_s is None else until_s
+        is_on = self.at_s <= until_s and since_s < self.at_s + self.for_s
+        return is_on and number in self.members
+
+
+class Cut(Trouble, frozen=True, kw_only=True):
+    """Cut some members off."""
+
+    from_peers: bool = False
+    """Whether they don't reach the members that aren't cut off with them."""
+    apart: bool = False
+    """Whether they don't reach each other either."""
+    from_store: bool = False
+
+
+class Kill(Trouble, frozen=True, kw_only=True):
+    """Stop some members; they start again knowing nothing."""
+
+
+class Slow(Trouble, frozen=True, kw_only=True):
+    """Let messages of some members arrive late."""
+
+    lag_s: float
+
+
+class Burst(msgspec.Struct, frozen=True, kw_only=True):
+    """Let more requests come, of all sessions or of a single one."""
+
+    at_s: float
+    for_s: float
+    factor: float = 1.0
+    hot_share: float = 0.0
+    """Part of the requests that belong to one session."""
+
+
+class Day(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a roll-out and what happens beside it; times are from the traffic on."""
+
+    members: int
+    seed: int = 1
+    limit_s: float = 24.0
+    per_s: float = 267.0
+    """Requests a second of all callers."""
+    sessions: int = 3300
+    bounds: RoutingBounds = RoutingBounds(
+        exposure_share=0.0975, exposure_extra=30.0, session_s=8.5
+    )
+    servers: int = 63
+    loss: float = 0.001
+    bad_share: float = 0.0
+    """Part of the new version's answers that are failures."""
+    cuts: tuple[Cut, ...] = ()
+    kills: tuple[Kill, ...] = ()
+    slow: tuple[Slow, ...] = ()
+    bursts: tuple[Burst, ...] = ()
+
+    @property
+    def end_s(self) -> float:
+        """Give the time of the order's limit."""
+        return ORDER_AT_S + self.limit_s
+
+    @property
+    def troubles(self) -> tuple[Trouble, ...]:
+        """Give all that happens to members."""
+        return (*self.cuts, *self.kills, *self.slow)
+
+    def reaches_store(self, number: int, at_s: float) -> bool:
+        """Tell whether a member reaches the store."""
+        return not any(cut.from_store and cut.hits(number, at_s) for cut in self.cuts)
+
+    def reaches(self, one: int, other: int, at_s: float) -> bool:
+        """Tell whether two members reach each other."""
+        for cut in self.cuts:
+            if not cut.from_peers:
+                continue
+            inside = cut.hits(one, at_s) + cut.hits(other, at_s)
+            if inside == 1 or (inside == 2 and cut.apart and one != other):
+                return False
+        return True
+
+    def is_down(self, number: int, at_s: float) -> bool:
+        """Tell whether a member is stopped."""
+        return any(kill.hits(number, at_s) for kill in self.kills)
+
+
+class Sent(msgspec.Struct, kw_only=True):
+    """Hold what is known outside of one request."""
+
+    session: str
+    member: int
+    version: str
+    at_s: float
+    ended_s: float = math.inf
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell of a request on another version than the one before in its session."""
+
+    session: str
+    at_s: float
+    to: str
+    before: int
+    """Member that sent the one before."""
+    member: int
+
+
+class Account(msgspec.Struct, kw_only=True):
+    """Add up what the rules speak of."""
+
+    state: RolloutState | None = None
+    requests: int = 0
+    """Those that reached the service between the order and its limit."""
+    exposed: int = 0
+    """Attempts at the new version in that time, of members that reach the store."""
+    allowed: float = 0.0
+    turned_back: list[Change] = []
+    """Requests on the old version though the new one is good and not taken back."""
+    moved_early: list[Change] = []
+    """Requests on the new version in the first half, of sessions on the old one."""
+    after_bad_s: float = 0.0
+    """Time from the 50th bad answer to the last request of a member in touch."""
+    messages: Counter[str] = msgspec.field(default_factory=Counter)
+    store_calls: int = 0
+
+
+class Watcher:
+    """See what callers and servers see, and judge it."""
+
+    def __init__(self, *, day: Day) -> None:
+        self.account = Account()
+        self._day = day
+        self._rng = random.Random(day.seed)
+        self._last: dict[str, Sent] = {}
+        self._bad = 0
+        self._enough_bad_at: float | None = None
+
+    def fails(self, at_s: float) -> bool:
+        """Draw whether an answer of the new version is bad, and count it."""
+        if self._rng.random() >= self._day.bad_share:
+            return False
+        self._bad += 1
+        if self._bad == ENOUGH_BAD:
+            self._enough_bad_at = at_s
+        return True
+
+    def note_sent(self, sent: Sent, version: str, at_s: float) -> None:
+        """Note an attempt as it reaches a server."""
+        is_first = not sent.version
+        if is_first:
+            sent.at_s = at_s
+        self._count(sent, version, at_s, is_first=is_first)
+        if version == sent.version:
+            return
+        sent.version = version
+        before = self._last.get(sent.session)
+        self._last[sent.session] = sent
+        if before is not None and before is not sent:
+            self._compare(before, sent, at_s)
+
+    def _compare(self, before: Sent, sent: Sent, at_s: float) -> None:
+        day = self._day
+        if before.version == sent.version:
+            return
+        if at_s - before.ended_s >= day.bounds.session_s:
+            return
+        if any(
+            trouble.hits(sent.member, before.at_s - CONTACT_S, at_s)
+            for trouble in day.troubles
+        ):
+            return
+        change = Change(
+            session=sent.session,
+            at_s=round(at_s, 3),
+            to=sent.version,
+            before=before.member,
+            member=sent.member,
+        )
+        if sent.version == NEW and at_s < ORDER_AT_S + day.limit_s / 2:
+            self.account.moved_early.append(change)
+        elif sent.version == OLD and self.account.state is not RolloutState.REVERTED:
+            self.account.turned_back.append(change)
+
+    def _count(self, sent: Sent, version: str, at_s: float, *, is_first: bool) -> None:
+        if not ORDER_AT_S <= at_s < self._day.end_s:
+            return
+        account, bounds = self.account, self._day.bounds
+        account.requests += is_first
+        account.allowed = (
+            bounds.exposure_share * account.requests + bounds.exposure_extra
+        )
+        if version != NEW or not self._is_in_touch(sent.member, at_s):
+            return
+        account.exposed += 1
+        if self._enough_bad_at is not None:
+            account.after_bad_s = at_s - self._enough_bad_at
+
+    def _is_in_touch(self, number: int, at_s: float) -> bool:
+        troubles: list[Trouble] = [c for c in self._day.cuts if c.from_store]
+        troubles += self._day.kills
+        return not any(t.hits(number, at_s - CONTACT_S, at_s) for t in troubles)
--- /dev/null
+++ b/bench/_rollout_members.py
@@ -0,0 +1,330 @@
+"""One instance's part in a roll-out, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterator
+from typing import Any, Protocol, cast
+
+import msgspec
+
+from baobabthread.core.membership.messages import GossipPayload
+from baobabthread.instance.backends import Backends
+from baobabthread.instance.clock import now
+from baobabthread.instance.conducting import Conducting
+from baobabthread.instance.flight import CallerRequest, Flight, Reply
+from baobabthread.instance.peers import PeerLink
+from baobabthread.instance.selection import Selection
+from baobabthread.instance.services import Services
+from baobabthread.instance.sessions import (
+    AskVersion,
+    SessionDesk,
+    SessionsInUse,
+    UsesNoted,
+    VersionIs,
+)
+from baobabthread.instance.store import Append, Appended, Conflict, Page, StoreError
+from baobabthread.instance.trialdesk import (
+    TrialDesk,
+    TrialPermit,
+    TrialVerdict,
+    TrialWord,
+)
+from baobabthread.routing.configuration import (
+    Repeatability,
+    RolloutOrder,
+    RolloutState,
+    Route,
+)
+from baobabthread.routing.knowledge import Knowledge
+from baobabthread.routing.table import Envelope
+from baobabthread.routing.versions import VersionPlan
+from bench._fleet_store import Formats, MemoryStore
+from bench._rollout_days import NEW, OLD, Day, Sent, Watcher
+
+SERVICE = "content"
+LEARN_S = 0.25
+"""Longest time after which an instance knows of an order."""
+LOAD_S = 0.3
+"""Time from a start until the configuration is read."""
+TICK_S = 0.05
+
+
+class Surroundings(Protocol):
+    """Be what a member reaches: the others, the store, the servers."""
+
+    day: Day
+    order: RolloutOrder
+    has_order: asyncio.Event
+    store: MemoryStore
+    watcher: Watcher
+    rng: random.Random
+
+    @property
+    def elapsed_s(self) -> float:
+        """Give the time since the traffic began."""
+
+    def reaches_store(self, number: int) -> bool:
+        """Tell whether a member reaches the store."""
+
+    async def wait_store(self, number: int) -> None:
+        """Wait until a member reaches the store."""
+
+    def deliver(self, sender: Member, name: str, message: msgspec.Struct) -> None:
+        """Carry a datagram."""
+
+    def publish(self, incarnation: str, topic: str, value: msgspec.Struct) -> None:
+        """Spread a value by gossip."""
+
+    def heard(self, incarnation: str, topic: str) -> Iterator[GossipPayload]:
+        """Return what gossip has brought to a member."""
+
+
+class _Membership:
+    def __init__(self, names: list[str]) -> None:
+        self.names = names
+
+    def alive(self) -> list[str]:
+        return self.names
+
+
+class _Peers:
+    """Stand in for the link to the other members."""
+
+    def __init__(self, *, world: Surroundings, member: Member) -> None:
+        self._world = world
+        self.incarnation = f"{member.name}-{member.starts}"
+        self.membership = _Membership([member.name])
+        self.trials = TrialDesk(me=member.name, tell=member.tell)
+        self.desk = SessionDesk(
+            me=member.name, tell=member.tell, find_plan=lambda _: member.plan
+        )
+
+    def set_members(self, names: list[str]) -> None:
+        self.membership.names = names
+        self.trials.set_members(names)
+        self.desk.set_members(names)
+
+    def publish(self, topic: str, value: msgspec.Struct) -> None:
+        self._world.publish(self.incarnation, topic, value)
+
+    def heard(self, topic: str) -> Iterator[GossipPayload]:
+        return self._world.heard(self.incarnation, topic)
+
+
+class _Store:
+    """Reach the store from one member."""
+
+    def __init__(self, *, world: Surroundings, member: Member) -> None:
+        self._world = world
+        self._member = member
+
+    async def newest(self, topic: str, timeout_s: float) -> Page:
+        await self._check(timeout_s)
+        return await self._world.store.newest(topic, timeout_s)
+
+    async def append(self, append: Append, timeout_s: float) -> Appended | Conflict:
+        await self._check(timeout_s)
+        return await self._world.store.append(append, timeout_s)
+
+    async def _check(self, timeout_s: float) -> None:
+        if not self._world.reaches_store(self._member.number):
+            await asyncio.sleep(timeout_s)
+            raise StoreError("no answer in time")
+
+
+class _Knowledge:
+    """Know the order, as read from the store."""
+
+    def __init__(self) -> None:
+        self.table: object | None = None
+        self.orders: dict[str, RolloutOrder] = {}
+
+    def is_fresh(self, now: float) -> bool:
+        return True
+
+
+class _Backends:
+    """List the servers of both versions while there are any."""
+
+    def __init__(self, *, world: Surroundings) -> None:
+        self._world = world
+
+    def versions(self, service: str) -> dict[str, int]:
+        servers = self._world.day.servers
+        found = {OLD: servers}
+        if self._world.has_order.is_set():
+            found[NEW] = servers
+        if self._world.watcher.account.state is RolloutState.SUCCEEDED:
+            del found[OLD]
+        return found
+
+    usable_versions = warm_versions = versions
+
+    def capacity(self, service: str) -> int:
+        return 32 * self._world.day.servers
+
+
+class Member:
+    """Be one instance: its plan, its desks and its part in the roll-out."""
+
+    def __init__(self, *, world: Surroundings, number: int) -> None:
+        self.world = world
+        self.number = number
+        self.name = f"front-{number}"
+        self.is_up = False
+        self.starts = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Begin knowing nothing but what the store tells."""
+        self.starts += 1
+        self.is_up = True
+        backends = cast(Backends, _Backends(world=self.world))
+        self.knowledge = _Knowledge()
+        self.services = Services(backends=backends, bounds=self.world.day.bounds)
+        self.peers = _Peers(world=self.world, member=self)
+        knowledge = cast(Knowledge, self.knowledge)
+        self.conducting = Conducting(
+            knowledge=knowledge,
+            backends=backends,
+            services=self.services,
+            peers=cast(PeerLink, self.peers),
+            store=cast(Any, _Store(world=self.world, member=self)),
+            formats=Formats(),
+        )
+        nothing: Any = None
+        self.selection = Selection(
+            knowledge=knowledge,
+            backends=backends,
+            estimates=nothing,
+            placement=nothing,
+            off=frozenset(),
+        )
+        self._tasks = [
+            asyncio.ensure_future(self._read()),
+            asyncio.ensure_future(self.conducting.run()),
+            asyncio.ensure_future(self._tick()),
+        ]
+
+    def stop(self) -> None:
+        """Be gone."""
+        self.is_up = False
+        for task in self._tasks:
+            task.cancel()
+
+    @property
+    def plan(self) -> VersionPlan:
+        """Give the plan of the service."""
+        return self.services.get(SERVICE).plan
+
+    def tell(self, to: str, message: msgspec.Struct) -> None:
+        """Send a datagram."""
+        self.world.deliver(self, to, message)
+
+    def take(self, sender: str, message: Any) -> None:
+        """Take in a datagram."""
+        desk, trials = self.peers.desk, self.peers.trials
+        match message:
+            case AskVersion():
+                desk.answer(sender, message)
+            case VersionIs():
+                desk.take(message)
+            case SessionsInUse():
+                desk.take_uses(sender, message)
+            case UsesNoted():
+                desk.take_confirmation(message)
+            case TrialWord():
+                trials.take(sender, message)
+            case TrialPermit():
+                trials.take_permit(message)
+            case TrialVerdict():
+                trials.take_verdict(message.progress)
+
+    async def _read(self) -> None:
+        if self.world.elapsed_s > 0.0:
+            await asyncio.sleep(LOAD_S)
+        self.knowledge.table = object()
+        await self.world.has_order.wait()
+        order = self.world.order
+        if self.starts == 1:
+            self.conducting.take_orders()
+            await asyncio.sleep(LEARN_S * self.world.rng.random())
+        await self.world.wait_store(self.number)
+        self.knowledge.orders = {SERVICE: order}
+        self.conducting.take_orders()
+
+    async def _tick(self) -> None:
+        while True:
+            self.peers.desk.tick()
+            self.peers.trials.tick()
+            await asyncio.sleep(TICK_S)
+
+    async def serve(self, sent: Sent, *, attempts: int, lasts_s: float) -> None:
+        """Send one request of a session to a server, as often as it takes."""
+        plan = self.plan
+        flight = _make_flight(sent.session)
+        if plan.is_contested(sent.session, now()):
+            flight.may_move = await self.peers.desk.decide(plan, sent.session)
+        for _ in range(attempts):
+            version = self.selection.choose_version(flight, plan) or OLD
+            self.world.watcher.note_sent(sent, version, self.world.elapsed_s)
+            flight.note_sent()
+            on_old = not flight.on_new
+            if on_old:
+                plan.started_old(flight.session, now())
+                self.peers.desk.note_use(plan, flight.session)
+            await asyncio.sleep(lasts_s)
+            self._judge(flight, version)
+            if on_old:
+                plan.ended_old(flight.session, now())
+                self.peers.desk.note_use(plan, flight.session)
+            sent.ended_s = self.world.elapsed_s
+        flight.release_exposure()
+
+    def _judge(self, flight: Flight, version: str) -> None:
+        plan = self.plan
+        failed = version == NEW and self.world.watcher.fails(self.world.elapsed_s)
+        if plan.is_running:
+            plan.trial.observe(
+                on_trial=bool(flight.on_new),
+                call="c",
+                kind="c",
+                failed=failed,
+                latency_s=0.1,
+            )
+
+
+ROUTE = Route(
+    name="draft",
+    host="h",
+    path_prefix="/",
+    repeatability=Repeatability.STREAM,
+    targets=(),
+    timeout_s=8.0,
+    objective_s=2.0,
+    priority=1,
+    max_attempts=3,
+    resumable=True,
+)
+
+
+def _make_flight(session: str) -> Flight:
+    request = CallerRequest(
+        method="POST",
+        target="/",
+        host="h",
+        headers=(),
+        body=b"",
+        envelope=Envelope(request_id="r", session=session),
+        arrived_at=now(),
+    )
+    return Flight(
+        request=request,
+        reply=cast(Reply, None),
+        route=ROUTE,
+        account=None,
+        service=SERVICE,
+        deadline=now() + 8.0,
+    )
--- /dev/null
+++ b/bench/_rollouts.py
@@ -0,0 +1,223 @@
+"""One roll-out among many instances in virtual time, seen by callers and servers."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Iterator
+
+import msgspec
+
+from baobabthread.core.membership.messages import GossipPayload
+from baobabthread.instance.clock import now
+from baobabthread.routing.configuration import RolloutOrder
+from bench._fleet_store import Formats, MemoryStore
+from bench._rollout_days import NEW, ORDER_AT_S, Account, Day, Kill, Sent, Watcher
+from bench._rollout_members import SERVICE, Member
+from bench._virtual import run_virtually
+
+AFTER_S = 2.0
+"""Time for which requests are watched after the limit."""
+ONE_WAY_S = 0.0005
+DETECT_S = 1.5
+"""Time after which members drop one that is silent."""
+RETURN_S = 0.5
+"""Time after which they take it up again."""
+LARGER_MODEL = 0.35
+"""Part of the requests that are asked again of a larger model."""
+USUAL_S = 0.15
+MOST_S = 3.0
+"""Usual and longest time of an answer."""
+
+
+class World:
+    """Carry messages and requests, and judge what is seen from outside."""
+
+    def __init__(self, day: Day) -> None:
+        self.day = day
+        self.rng = random.Random(day.seed)
+        self.store = MemoryStore()
+        self.watcher = Watcher(day=day)
+        self.has_order = asyncio.Event()
+        self.order = RolloutOrder(
+            number=1, service=SERVICE, target=NEW, time_limit_s=day.limit_s
+        )
+        self.members = [Member(world=self, number=n) for n in range(day.members)]
+        self._by_name = {member.name: member for member in self.members}
+        self._payloads: dict[str, dict[str, tuple[float, GossipPayload]]] = {}
+        self._weights = [1.0 / (1 + n) ** 0.3 for n in range(day.sessions)]
+        self._began = 0.0
+        self._serving: set[asyncio.Task[None]] = set()
+
+    @property
+    def account(self) -> Account:
+        """Give what was seen so far."""
+        return self.watcher.account
+
+    @property
+    def elapsed_s(self) -> float:
+        """Give the time since the traffic began."""
+        return now() - self._began
+
+    # -- what members reach --
+
+    def reaches_store(self, number: int) -> bool:
+        """Tell whether a member reaches the store."""
+        return self.day.reaches_store(number, self.elapsed_s)
+
+    async def wait_store(self, number: int) -> None:
+        """Wait until a member reaches the store."""
+        for cut in sorted(self.day.cuts, key=lambda cut: cut.at_s):
+            if cut.from_store and cut.hits(number, self.elapsed_s):
+                await asyncio.sleep(cut.at_s + cut.for_s - self.elapsed_s)
+
+    def _lag_s(self, *numbers: int) -> float:
+        return sum(
+            slow.lag_s * self.rng.random()
+            for slow in self.day.slow
+            for number in numbers
+            if slow.hits(number, self.elapsed_s)
+        )
+
+    def deliver(self, sender: Member, name: str, message: msgspec.Struct) -> None:
+        """Carry a datagram, unless it gets lost."""
+        self.account.messages[type(message).__name__] += 1
+        to = self._by_name.get(name)
+        if to is None or not self.day.reaches(sender.number, to.number, self.elapsed_s):
+            return
+        if self.rng.random() < self.day.loss:
+            return
+        delay_s = ONE_WAY_S + self._lag_s(sender.number, to.number)
+        asyncio.get_running_loop().call_later(
+            delay_s, self._hand_over, to, sender.name, message
+        )
+
+    def _hand_over(self, to: Member, sender: str, message: msgspec.Struct) -> None:
+        if to.is_up:
+            to.take(sender, message)
+
+    def publish(self, incarnation: str, topic: str, value: msgspec.Struct) -> None:
+        """Spread a value by gossip."""
+        payload = GossipPayload(
+            topic=topic,
+            origin=incarnation,
+            sequence=0,
+            body=msgspec.Raw(msgspec.json.encode(value)),
+        )
+        spread_s = 0.3 * math.log2(1 + self.day.members)
+        held = self._payloads.setdefault(topic, {})
+        held[incarnation] = (now() + spread_s, payload)
+
+    def heard(self, incarnation: str, topic: str) -> Iterator[GossipPayload]:
+        """Return what gossip has brought to a member."""
+        me = int(incarnation.split("-")[1])
+        for origin, (due, payload) in self._payloads.get(topic, {}).items():
+            other = int(origin.split("-")[1])
+            if (
+                other != me
+                and now() >= due
+                and self.day.reaches(me, other, self.elapsed_s)
+            ):
+                yield payload
+
+    async def _watch_members(self) -> None:
+        """Let members drop and take up others some time after each trouble."""
+        moments = {0.0}
+        for trouble in (*self.day.cuts, *self.day.kills):
+            ended_s = trouble.at_s + trouble.for_s
+            moments |= {trouble.at_s + DETECT_S, ended_s, ended_s + RETURN_S}
+        for at_s in sorted(moments):
+            await asyncio.sleep(at_s + 0.001 - self.elapsed_s)
+            for member in self.members:
+                if member.is_up:
+                    names = [m.name for m in self.members if self._sees(member, m)]
+                    if names != member.peers.membership.names:
+                        member.peers.set_members(names)
+
+    def _sees(self, one: Member, other: Member) -> bool:
+        if one is other:
+            return True
+        at_s = self.elapsed_s
+        looks = (at_s, at_s - RETURN_S, at_s - DETECT_S)
+        gone = [
+            not self.day.reaches(one.number, other.number, look)
+            or self.day.is_down(other.number, look)
+            for look in looks
+        ]
+        # Dropped once silent for long enough; taken up again a while after its return.
+        if gone[0]:
+            return not all(gone)
+        return not gone[1]
+
+    # -- callers --
+
+    def play(self) -> Account:
+        """Play the day in virtual time."""
+        run_virtually(self._play())
+        return self.account
+
+    async def _play(self) -> None:
+        self._began = now()
+        for member in self.members:
+            member.start()
+        tasks = [
+            asyncio.ensure_future(self._watch_members()),
+            asyncio.ensure_future(self._watch_state()),
+            *(asyncio.ensure_future(self._kill(kill)) for kill in self.day.kills),
+        ]
+        await self._call()
+        await asyncio.gather(*self._serving)
+        for task in tasks:
+            task.cancel()
+        for member in self.members:
+            member.stop()
+        self.account.store_calls = sum(self.store.calls.values())
+
+    async def _kill(self, kill: Kill) -> None:
+        await asyncio.sleep(kill.at_s)
+        for number in kill.members:
+            self.members[number].stop()
+        await asyncio.sleep(kill.for_s)
+        for number in kill.members:
+            self.members[number].start()
+
+    async def _watch_state(self) -> None:
+        await asyncio.sleep(ORDER_AT_S)
+        self.has_order.set()
+        while True:
+            for record in self.store.topics.get(Formats.status_topic, ()):
+                status = Formats().decode_status(record)
+                if status is not None and self.account.state is not status.state:
+                    self.account.state = status.state
+            await asyncio.sleep(0.005)
+
+    async def _call(self) -> None:
+        day, rng = self.day, self.rng
+        while self.elapsed_s < day.end_s + AFTER_S:
+            bursts = [
+                b for b in day.bursts if b.at_s <= self.elapsed_s < b.at_s + b.for_s
+            ]
+            factor = math.prod(b.factor for b in bursts)
+            await asyncio.sleep(rng.expovariate(day.per_s * factor))
+            hot = sum(b.hot_share for b in bursts)
+            number = (
+                0
+                if rng.random() < hot
+                else rng.choices(range(day.sessions), self._weights)[0]
+            )
+            self._send(f"s{number}")
+
+    def _send(self, session: str) -> None:
+        up = [m for m in self.members if m.is_up and m.knowledge.table is not None]
+        if not up:
+            return
+        member = self.rng.choice(up)
+        sent = Sent(session=session, member=member.number, version="", at_s=0.0)
+        attempts = 2 if self.rng.random() < LARGER_MODEL else 1
+        lasts_s = min(MOST_S, USUAL_S * self.rng.lognormvariate(0.0, 0.8))
+        task = asyncio.ensure_future(
+            member.serve(sent, attempts=attempts, lasts_s=lasts_s)
+        )
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
