Log which version a request of a session gets, and why

No line told version, reason and what was left for the choices of a roll-out, so that the hypotheses on sessions that change their version could not be told apart. Now session_version_chosen does, bounded, with a counter by reason, and lapses of permits have a line. No logic changes.

--- a/bench/_rollout_days.py
+++ b/bench/_rollout_days.py
@@ -122,6 +122,8 @@
     version: str
     at_s: float
     ended_s: float = math.inf
+    reason: str = ""
+    """Why it got the version that it got last."""
 
 
 class Change(msgspec.Struct, frozen=True, kw_only=True):
@@ -133,6 +135,7 @@
     before: int
     """Member that sent the one before."""
     member: int
+    reason: str
 
 
 class Account(msgspec.Struct, kw_only=True):
@@ -205,6 +208,7 @@
             to=sent.version,
             before=before.member,
             member=sent.member,
+            reason=sent.reason,
         )
         if sent.version == NEW and at_s < ORDER_AT_S + day.limit_s / 2:
             self.account.moved_early.append(change)
--- a/bench/_rollout_members.py
+++ b/bench/_rollout_members.py
@@ -269,6 +269,7 @@
             flight.may_move = await self.peers.desk.decide(plan, sent.session)
         for _ in range(attempts):
             version = self.selection.choose_version(flight, plan) or OLD
+            sent.reason = str(flight.version_reason)
             self.world.watcher.note_sent(sent, version, self.world.elapsed_s)
             flight.note_sent()
             on_old = not flight.on_new
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -14,7 +14,7 @@
 from baobabthread.instance.services import Services
 from baobabthread.instance.store import Conflict, Page, RecordFormat, Store, StoreError
 from baobabthread.instance.trialdesk import TrialPermit, TrialWord
-from baobabthread.logs import log_event
+from baobabthread.logs import log_event, write_event
 from baobabthread.routing.configuration import (
     RolloutOrder,
     RolloutState,
@@ -64,6 +64,7 @@
         """Orders that were there when this instance learnt its first configuration."""
         self._is_recalled = False
         self._sharing: dict[str, float] = {}
+        self._permitted: dict[str, bool] = {}
         self._spread_at: dict[str, float] = {}
         self._asked: dict[str, float] = {}
         self._confirmed: dict[str, float] = {}
@@ -131,12 +132,32 @@
                 now=moment,
                 servers=self._backends.usable_versions(name).get(order.target, 1),
             )
+            self._note_permit(plan, moment)
             self._tell(plan)
         for name in list(orders):
             plan = self._services.get(name).plan
             if plan.is_running and self._leads(name):
                 await self._lead(plan)
 
+    def _note_permit(self, plan: VersionPlan, moment: float) -> None:
+        """Log when a trial pauses here for want of a permit, and when it goes on."""
+        before = self._permitted.get(plan.service, False)
+        is_permitted = plan.is_on_trial and plan.is_permitted(moment)
+        if before == is_permitted:
+            return
+        self._permitted[plan.service] = is_permitted
+        if not plan.is_on_trial:
+            return
+        fields = {
+            "service": plan.service,
+            "leaders": ",".join(self._peers.trials.leaders(plan.service)),
+            "elapsed_s": round(plan.elapsed(moment), 2),
+        }
+        if is_permitted:
+            write_event("trial_permitted", fields)
+        else:
+            write_event("trial_permit_lapsed", fields, level="warning")
+
     def _may_begin(self, plan: VersionPlan, order: RolloutOrder) -> bool:
         """Tell whether servers of an order's version may get work, or still may."""
         if plan.has_begun:
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -12,6 +12,7 @@
 from baobabthread.routing.exposure import ExposureBudget
 from baobabthread.routing.fingerprints import fingerprint
 from baobabthread.routing.homes import find_homes
+from baobabthread.routing.reasons import VersionReason
 from baobabthread.routing.table import Envelope
 
 
@@ -112,6 +113,7 @@
         "taken_at_stop",
         "trail",
         "version",
+        "version_reason",
         "work",
     )
 
@@ -160,6 +162,7 @@
         """Whether it reached a backend server of its service."""
         self.version: str | None = None
         """The version that must run it; None for any."""
+        self.version_reason = VersionReason.NO_ROLLOUT
         self.kept_tokens: int | None = None
         """Tokens of its prompt that the engine keeps; None where nobody knows."""
         self.may_move = True
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -209,6 +209,7 @@
             if await self._hold_back(flight):
                 return
             link = await self.selection.select(flight, state.plan)
+            self._log.chose_version(flight, state.plan)
             if link is None:
                 await self._endings.give_up(flight, self.selection.explain_none(flight))
                 return
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -73,6 +73,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.version_choices = Counter(
+            "baobabthread_version_choices",
+            "Choices of a version for a request of a session while a roll-out runs",
+            ["service", "reason"],
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "baobabthread_answer_seconds",
             "Time from a request's arrival to the end of its answer",
--- a/src/baobabthread/instance/records.py
+++ b/src/baobabthread/instance/records.py
@@ -8,12 +8,16 @@
 from baobabthread.logs import log_event, write_event
 from baobabthread.routing.configuration import BackendRecord
 from baobabthread.routing.knowledge import Knowledge
+from baobabthread.routing.reasons import VersionReason
+from baobabthread.routing.versions import VersionPlan
 
 FAILURES_PER_S = 20.0
 """Lines a second on requests that were refused or failed: enough to find each of a
 quiet hour, few enough that a storm of them costs no noticeable processor time."""
 SUCCESSES_PER_S = 2.0
 """Lines a second on requests that went well, as a sample."""
+CHOICES_PER_S = 10.0
+"""Lines a second on the version that a request of a session got in a roll-out."""
 BURST_S = 5.0
 
 
@@ -44,13 +48,40 @@
 class FlightLog:
     """Write a line for the end of a request, with what decided it."""
 
-    __slots__ = ("_failures", "_knowledge", "_metrics", "_successes")
+    __slots__ = ("_choices", "_failures", "_knowledge", "_metrics", "_successes")
 
     def __init__(self, *, knowledge: Knowledge, metrics: Metrics) -> None:
         self._knowledge = knowledge
         self._metrics = metrics
         self._failures = LineBudget(per_s=FAILURES_PER_S)
         self._successes = LineBudget(per_s=SUCCESSES_PER_S)
+        self._choices = LineBudget(per_s=CHOICES_PER_S)
+
+    def chose_version(self, flight: Flight, plan: VersionPlan) -> None:
+        """Note which version a request of a session got in a roll-out, and why."""
+        reason = flight.version_reason
+        if not plan.is_running or flight.is_free:
+            return
+        self._metrics.version_choices.labels(
+            service=flight.service, reason=str(reason)
+        ).inc()
+        if reason is VersionReason.NOT_ON_TRIAL or not self._choices.take():
+            return
+        assert plan.order is not None
+        log_event(
+            "session_version_chosen",
+            request=flight.request.envelope.request_id,
+            session=flight.session,
+            service=flight.service,
+            number=plan.order.number,
+            version=flight.version or "",
+            reason=reason,
+            was_new=plan.has_moved(flight.session),
+            attempt=flight.attempts + 1,
+            part_left=round(plan.part_left(), 2),
+            permit_ms=round(1000 * plan.permitted_s(now())),
+            elapsed_s=round(plan.elapsed(now()), 2),
+        )
 
     def answered(self, flight: Flight, backend: BackendRecord, status: int) -> None:
         """Note an answer that was passed on."""
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -15,6 +15,7 @@
 from baobabthread.instance.placement import PlacedPrompt, Placement
 from baobabthread.routing.knowledge import Knowledge
 from baobabthread.routing.mechanisms import Mechanism, Switches
+from baobabthread.routing.reasons import VersionReason
 from baobabthread.routing.versions import VersionPlan
 
 NO_VERSION = ""
@@ -58,6 +59,7 @@
             # The few servers on trial are no reason to refuse what others can take.
             flight.may_move = False
             link = await self._select(flight, plan)
+            flight.version_reason = VersionReason.NO_SERVER
         return link
 
     async def _select(self, flight: Flight, plan: VersionPlan) -> BackendLink | None:
@@ -176,6 +178,7 @@
         flight.exposure = plan.exposure
         listed = self._backends.versions(flight.service)
         order = plan.order
+        flight.version_reason = VersionReason.NO_ROLLOUT
         if order is None:
             # A stream that begins now may break after an order has come: resumed on the
             # new version, it would be joined from two, and lost where that one is bad.
@@ -187,7 +190,12 @@
         may_change = flight.on_new is None or flight.runs == 0 or plan.is_final
         if may_change or not wanted:
             flight.on_new = wanted
-        if flight.on_new and order.target in listed and _expose(flight, plan):
+        flight.version_reason = _explain(flight, plan, wanted=wanted)
+        if flight.on_new and order.target not in listed:
+            flight.version_reason = VersionReason.NO_SERVER
+        elif flight.on_new and not _expose(flight, plan):
+            flight.version_reason = VersionReason.NO_PART
+        elif flight.on_new:
             return order.target
         flight.on_new = False
         base = plan.lineage.find_base(listed)
@@ -198,6 +206,22 @@
         return base or plan.lineage.base or NO_VERSION
 
 
+def _explain(flight: Flight, plan: VersionPlan, *, wanted: bool) -> VersionReason:
+    """Return why a request is to go to a version, before servers are looked at."""
+    if wanted:
+        if not flight.on_new:
+            return VersionReason.BEGAN_OLD
+        is_over = plan.is_final or not plan.is_running
+        return VersionReason.TAKEN_OVER if is_over else VersionReason.ON_TRIAL
+    if plan.is_reverted or plan.trial.alarm is not None:
+        return VersionReason.TAKEN_BACK
+    if not plan.may_move_early(flight.session):
+        return VersionReason.NOT_ON_TRIAL
+    if not plan.is_permitted(now()):
+        return VersionReason.NO_PERMIT
+    return VersionReason.KEPT
+
+
 def _expose(flight: Flight, plan: VersionPlan) -> bool:
     """Take an attempt at the new version out of what it may get."""
     session = None if flight.is_free else flight.session
--- a/src/baobabthread/routing/exposure.py
+++ b/src/baobabthread/routing/exposure.py
@@ -91,11 +91,15 @@
 
     def try_reserve(self, share: float) -> bool:
         """Take one out of a share of the requests; return whether there was one."""
-        if self._exposed + self._reserved >= self._most(share):
+        if self.left(share) <= 0.0:
             return False
         self.reserve()
         return True
 
+    def left(self, share: float) -> float:
+        """Return what is left of a share of the requests."""
+        return self._most(share) - self._exposed - self._reserved
+
     def reserve(self) -> None:
         """Note an attempt that is about to be sent, whatever the budget."""
         self._reserved += 1
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -228,10 +228,22 @@
             return 0.0
         if self._final_at is not None:
             return 1.0
-        if self.elapsed(now) < SETTLE_S or now >= self._permitted_until:
+        if self.elapsed(now) < SETTLE_S or not self.is_permitted(now):
             return 0.0
         return self.trial_share
 
+    def is_permitted(self, now: float) -> bool:
+        """Tell whether the one that leads lets the trial go on here."""
+        return self.permitted_s(now) > 0.0
+
+    def permitted_s(self, now: float) -> float:
+        """Return the seconds until the trial pauses here without another permit."""
+        return max(0.0, self._permitted_until - now)
+
+    def part_left(self) -> float:
+        """Return the attempts at the new version that are left to this instance."""
+        return self.exposure.left(STAY_PART * self.bounds.exposure_share)
+
     def permit(self, *, asked_at: float) -> None:
         """Go on with the trial: the one that leads knows all that was known then here.
 
