--- a/bench/_rollout_days.py
+++ b/bench/_rollout_days.py
@@ -16,6 +16,10 @@
 """Time from the start of the traffic to the order."""
 ENOUGH_BAD = 50
 """Bad answers from which on a version must soon get nothing more."""
+MOST_CHANGES = 3
+"""Requests that may meet another version than their session's request before."""
+MOST_ROLLBACK_S = 5.0
+"""Longest time from so many bad answers to the last request there."""
 CONTACT_S = 5.0
 """Time after a trouble from which on a member counts as in touch again."""
 
@@ -156,6 +160,22 @@
     messages: Counter[str] = msgspec.field(default_factory=Counter)
     store_calls: int = 0
 
+    @property
+    def changes(self) -> int:
+        """Give the requests that met another version than they should."""
+        return len(self.turned_back) + len(self.moved_early)
+
+    def list_broken(self, *, is_good: bool) -> list[str]:
+        """Name the rules that were broken; a bad version's sessions may go back."""
+        broken = []
+        if is_good and self.changes > MOST_CHANGES:
+            broken.append(f"{self.changes} sessions changed their version")
+        if self.exposed > self.allowed:
+            broken.append(f"{self.exposed} exposed of {self.allowed:.0f}")
+        if self.after_bad_s > MOST_ROLLBACK_S:
+            broken.append(f"sent {self.after_bad_s:.1f} s after enough bad answers")
+        return broken
+
 
 class Watcher:
     """See what callers and servers see, and judge it."""
@@ -233,3 +253,92 @@
         troubles: list[Trouble] = [c for c in self._day.cuts if c.from_store]
         troubles += self._day.kills
         return not any(t.hits(number, at_s - CONTACT_S, at_s) for t in troubles)
+
+
+RATES = {1: 20.0, 6: 57.0, 59: 120.0, 195: 267.0, 400: 300.0}
+"""Requests a second by number of members."""
+PARTS = (0.02, 0.2, 0.35, 0.6)
+"""Parts of the members that something happens to."""
+
+
+def draw_day(members: int, seed: int) -> Day:
+    """Return a day with up to two troubles, a good version or a bad one."""
+    rng = random.Random(f"{members}/{seed}")
+    limit_s = rng.choice((8.0, 14.0, 24.0))
+    per_s = RATES.get(members, members * 2.0)
+    day = Day(
+        members=members,
+        seed=seed,
+        limit_s=limit_s,
+        per_s=per_s,
+        sessions=int(12 * per_s),
+        servers=rng.choice((5, 45, 63)),
+        loss=rng.choice((0.0, 0.001, 0.01, 0.05)),
+        bad_share=rng.choice((0.0, 0.0, 0.1, 0.4)),
+        bounds=RoutingBounds(
+            exposure_share=rng.choice((0.0975, 0.15)),
+            exposure_extra=30.0,
+            session_s=rng.choice((5.0, 8.5)),
+        ),
+    )
+    for _ in range(rng.choice((0, 1, 1, 2))):
+        day = rng.choice(TROUBLES)(day, rng)
+    return day
+
+
+def _draw_members(day: Day, rng: random.Random) -> tuple[int, ...]:
+    count = max(1, int(day.members * rng.choice(PARTS)))
+    return tuple(sorted(rng.sample(range(day.members), count)))
+
+
+def _add_cut(day: Day, rng: random.Random) -> Day:
+    from_peers = rng.random() < 0.6
+    cut = Cut(
+        at_s=rng.uniform(0.0, day.end_s),
+        for_s=rng.uniform(0.5, 8.0),
+        members=_draw_members(day, rng),
+        from_peers=from_peers,
+        apart=rng.random() < 0.5,
+        from_store=not from_peers or rng.random() < 0.5,
+    )
+    return msgspec.structs.replace(day, cuts=(*day.cuts, cut))
+
+
+def _add_kill(day: Day, rng: random.Random) -> Day:
+    kill = Kill(
+        at_s=rng.uniform(0.0, day.end_s),
+        for_s=rng.uniform(0.3, 2.0),
+        members=_draw_members(day, rng),
+    )
+    return msgspec.structs.replace(day, kills=(*day.kills, kill))
+
+
+def _add_slow(day: Day, rng: random.Random) -> Day:
+    slow = Slow(
+        at_s=rng.uniform(0.0, day.end_s),
+        for_s=rng.uniform(0.5, 8.0),
+        members=_draw_members(day, rng),
+        lag_s=rng.choice((0.1, 0.5, 2.0)),
+    )
+    return msgspec.structs.replace(day, slow=(*day.slow, slow))
+
+
+def _add_burst(day: Day, rng: random.Random) -> Day:
+    burst = Burst(
+        at_s=rng.uniform(0.0, day.end_s),
+        for_s=rng.uniform(0.5, 4.0),
+        factor=rng.choice((1.4, 2.0, 2.5)),
+    )
+    return msgspec.structs.replace(day, bursts=(*day.bursts, burst))
+
+
+def _add_hot_session(day: Day, rng: random.Random) -> Day:
+    burst = Burst(
+        at_s=rng.uniform(0.0, day.end_s),
+        for_s=rng.uniform(0.5, 8.0),
+        hot_share=0.11,
+    )
+    return msgspec.structs.replace(day, bursts=(*day.bursts, burst))
+
+
+TROUBLES = (_add_cut, _add_cut, _add_kill, _add_slow, _add_burst, _add_hot_session)
--- a/bench/_rollouts.py
+++ b/bench/_rollouts.py
@@ -11,9 +11,9 @@
 
 from baobabthread.core.membership.messages import GossipPayload
 from baobabthread.instance.clock import now
-from baobabthread.routing.configuration import RolloutOrder
+from baobabthread.routing.configuration import RolloutOrder, RolloutState
 from bench._fleet_store import Formats, MemoryStore
-from bench._rollout_days import NEW, ORDER_AT_S, Account, Day, Kill, Sent, Watcher
+from bench._rollout_days import NEW, OLD, ORDER_AT_S, Account, Day, Kill, Sent, Watcher
 from bench._rollout_members import SERVICE, Member
 from bench._virtual import run_virtually
 
@@ -72,6 +72,13 @@
             if cut.from_store and cut.hits(number, self.elapsed_s):
                 await asyncio.sleep(cut.at_s + cut.for_s - self.elapsed_s)
 
+    def list_versions(self) -> list[str]:
+        """Return the versions that servers run."""
+        if not self.has_order.is_set():
+            return [OLD]
+        is_over = self.account.state is RolloutState.SUCCEEDED
+        return [NEW] if is_over else [OLD, NEW]
+
     def _lag_s(self, *numbers: int) -> float:
         return sum(
             slow.lag_s * self.rng.random()
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -10,9 +10,10 @@
 from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.backends import Backends
 from baobabthread.instance.clock import now
+from baobabthread.instance.confirmation import WRITE_S, Confirmation
 from baobabthread.instance.peers import PeerLink
 from baobabthread.instance.services import Services
-from baobabthread.instance.store import Conflict, Page, RecordFormat, Store, StoreError
+from baobabthread.instance.store import Conflict, RecordFormat, Store, StoreError
 from baobabthread.instance.trialdesk import TrialPermit, TrialWord
 from baobabthread.logs import log_event, write_event
 from baobabthread.routing.configuration import (
@@ -20,24 +21,18 @@
     RolloutState,
     RolloutStatus,
 )
-from baobabthread.routing.exposure import Totals
 from baobabthread.routing.judgment import judge_rollout, may_begin_final
 from baobabthread.routing.knowledge import Knowledge
-from baobabthread.routing.versions import Progress, VersionPlan
+from baobabthread.routing.permission import PERMIT_S
+from baobabthread.routing.progress import Progress
+from baobabthread.routing.trialsums import TrialSums
+from baobabthread.routing.versions import VersionPlan
 
 PERIOD_S = 0.25
 END_PERIOD_S = 0.05
 """Time between two steps while a version takes over: little of the limit is left."""
 SPREAD_S = 1.0
 """Time between two words of a leader that are spread to all."""
-WRITE_S = 0.8
-"""Longest time for a call to the store."""
-CONFIRM_S = 1.0
-"""Time after which the one that leads looks again whether a roll-out has ended."""
-CONFIRMED_S = 2.0
-"""Time for which it takes the store's word for granted. With the time for which others
-go on without its own word, a version that was taken back anywhere gets nothing more
-within 4.5 s, also where two lead that don't hear each other."""
 
 
 class Conducting:
@@ -66,11 +61,10 @@
         self._sharing: dict[str, float] = {}
         self._permitted: dict[str, bool] = {}
         self._spread_at: dict[str, float] = {}
-        self._asked: dict[str, float] = {}
-        self._confirmed: dict[str, float] = {}
-        """When the store was last asked, and told nothing of a roll-out's end."""
-        self._totals: dict[int, Totals] = {}
-        """What all instances have sent, by order."""
+        self._confirmation = Confirmation(
+            store=store, formats=formats, take_end=self._end
+        )
+        self._sums = TrialSums()
         self._news = asyncio.Event()
         peers.trials.take_verdict = self._take_verdict
         peers.trials.take_permit = self._take_permit
@@ -118,6 +112,8 @@
             state.plan.note_versions(self._backends.versions(state.name))
         self.take_orders()
         orders = self._knowledge.orders
+        alive = self._peers.membership.alive()
+        self._sums.note_members([member.name for member in alive], moment)
         if self._early and not self._is_recalled:
             # An order that came later can't have been carried out before.
             await self._recall()
@@ -136,13 +132,14 @@
             self._tell(plan)
         for name in list(orders):
             plan = self._services.get(name).plan
-            if plan.is_running and self._leads(name):
+            if plan.is_running and self._acts(name):
                 await self._lead(plan)
 
     def _note_permit(self, plan: VersionPlan, moment: float) -> None:
         """Log when a trial pauses here for want of a permit, and when it goes on."""
         before = self._permitted.get(plan.service, False)
-        is_permitted = plan.is_on_trial and plan.is_permitted(moment)
+        left_s = plan.permission.left_s(moment)
+        is_permitted = plan.is_on_trial and left_s > 0.0
         if before == is_permitted:
             return
         self._permitted[plan.service] = is_permitted
@@ -168,6 +165,7 @@
 
     async def _recall(self) -> None:
         """Take over what was written before this instance started."""
+        asked_at = now()
         page = await self._store.newest(self._formats.status_topic, WRITE_S)
         self._is_recalled = True
         for record in page.records:
@@ -181,6 +179,7 @@
             plan = self._services.get(status.service).plan
             order = self._knowledge.orders[status.service]
             plan.take_order(order, now(), saw_before=False)
+            plan.permission.confirm(asked_at=asked_at)
             self._adopt(plan, status, "store")
 
     def _listen(self, plan: VersionPlan) -> None:
@@ -203,7 +202,8 @@
         if plan.order is None or plan.order.number != permit.progress.number:
             return
         plan.take_verdict(permit.progress, now())
-        plan.permit(asked_at=permit.sent_at)
+        plan.permit(asked_at=permit.sent_at, admits=permit.progress.admits)
+        self._peers.trials.note_permit(plan.service, permit.sent_at)
 
     def _find_permit(self, service: str, number: int) -> Progress | None:
         """Return what to permit the others, while the store tells of no end."""
@@ -211,12 +211,9 @@
         if plan.order is None or plan.order.number != number:
             return None
         progress = plan.progress(now())
-        if progress is None or not self._is_confirmed(service):
+        if progress is None or not self._confirmation.is_fresh(service):
             return None
-        return progress
-
-    def _is_confirmed(self, service: str) -> bool:
-        return now() - self._confirmed.get(service, -1e9) <= CONFIRMED_S
+        return msgspec.structs.replace(progress, admits=self._sums.admits(plan, now()))
 
     def _adopt(self, plan: VersionPlan, status: RolloutStatus, source: str) -> None:
         before = plan.state
@@ -251,12 +248,18 @@
                 progress=progress,
                 evidence=plan.trial.evidence(),
                 exposure=plan.exposure.report(),
-            )
+            ),
+            permit_s=self._find_permit_s(plan),
         )
-        if self._peers.trials.leads(plan.service):
+        if self._peers.trials.acts(plan.service):
             self._peers.trials.conclude(progress)
             self._spread(progress)
 
+    def _find_permit_s(self, plan: VersionPlan) -> float:
+        """Return the seconds until the permit runs out, or the first one is overdue."""
+        moment = now()
+        return max(plan.permission.permitted_s(moment), PERMIT_S - plan.elapsed(moment))
+
     def _spread(self, progress: Progress) -> None:
         """Spread the leader's word also to those that start later or missed it."""
         moment = now()
@@ -270,29 +273,34 @@
             return []
         return self._peers.trials.words(plan.service, plan.order.number)
 
-    def _leads(self, service: str) -> bool:
-        """Tell whether this instance is the one that writes a service's status.
+    def _acts(self, service: str) -> bool:
+        """Tell whether this instance is one that writes a service's status.
 
         Two that both believe it do no harm: the store takes a record only from the one
         that has read what the other wrote.
         """
         if not self._knowledge.is_fresh(now()):
             return False
-        return self._peers.trials.leads(service)
+        return self._peers.trials.acts(service)
 
     async def _lead(self, plan: VersionPlan) -> None:
         order = plan.order
         assert order is not None
         moment = now()
-        await self._confirm(plan)
+        await self._confirmation.ask(plan)
         if not plan.is_running:
             return
-        self._begin_final(plan)
+        told = [word.exposure for word in self._words(plan)]
+        self._sums.count(plan, told, moment)
+        if self._confirmation.is_fresh(plan.service):
+            plan.permit(
+                asked_at=self._confirmation.confirmed_at(plan.service),
+                admits=self._sums.admits(plan, now()),
+            )
+            self._begin_final(plan)
         words = [word.progress for word in self._words(plan)]
         others = len(self._peers.membership.alive()) - 1
-        state = judge_rollout(
-            plan, words, others, moment, totals=self._find_totals(plan)
-        )
+        state = judge_rollout(plan, words, others, moment, totals=self._sums.find(plan))
         written = self._written.get(plan.service)
         if (
             written is not None
@@ -312,64 +320,24 @@
     def _begin_final(self, plan: VersionPlan) -> None:
         """Let the new version take over once what it may get lasts to the limit."""
         moment = now()
-        counts = [word.exposure for word in self._words(plan)]
-        totals = self._find_totals(plan)
-        totals.note([*counts, plan.exposure.report()], moment)
-        if not self._is_confirmed(plan.service):
+        totals = self._sums.find(plan)
+        if not may_begin_final(plan, totals, moment):
             return
-        if may_begin_final(plan, totals, moment):
-            plan.begin_final(moment)
-            log_event(
-                "rollout_final",
-                service=plan.service,
-                requests=totals.total.requests,
-                exposed=totals.total.exposed,
-                per_s=round(totals.per_s(plan.elapsed(moment)), 1),
-                left_s=round(plan.left_s(moment), 2),
-                evidence=plan.trial.describe(),
-            )
-            self._tell(plan)
-
-    def _find_totals(self, plan: VersionPlan) -> Totals:
-        assert plan.order is not None
-        totals = self._totals.get(plan.order.number)
-        if totals is None:
-            totals = self._totals[plan.order.number] = Totals(bounds=plan.bounds)
-        return totals
-
-    async def _confirm(self, plan: VersionPlan) -> None:
-        """Look whether another conductor has ended a roll-out."""
-        asked_at = now()
-        if asked_at - self._asked.get(plan.service, -1e9) >= CONFIRM_S:
-            self._asked[plan.service] = asked_at
-            try:
-                page = await self._store.newest(self._formats.status_topic, WRITE_S)
-            except StoreError as error:
-                log_event("rollout_unconfirmed", service=plan.service, error=str(error))
-            else:
-                self._find_end(plan, page)
-                self._confirmed[plan.service] = asked_at
-        if self._is_confirmed(plan.service):
-            plan.permit(asked_at=self._confirmed[plan.service])
-
-    def _find_end(self, plan: VersionPlan, page: Page) -> RolloutStatus | None:
-        """Return what the store holds of a plan's order; take over its end."""
-        for record in page.records:
-            found = self._formats.decode_status(record)
-            if found is None or found.service != plan.service:
-                continue
-            if plan.order is None or found.number != plan.order.number:
-                continue
-            if found.state is not RolloutState.RUNNING:
-                # Another conductor, or an append of this one whose answer was lost,
-                # has ended it: what is written stays.
-                self._end(plan, found)
-            return found
-        return None
+        plan.begin_final(moment, part=self._sums.find_end_part(plan, moment))
+        log_event(
+            "rollout_final",
+            service=plan.service,
+            requests=totals.total.requests,
+            exposed=totals.total.exposed,
+            per_s=round(totals.per_s(plan.elapsed(moment)), 1),
+            left_s=round(plan.left_s(moment), 2),
+            evidence=plan.trial.describe(),
+        )
+        self._tell(plan)
 
     async def _write(self, plan: VersionPlan, status: RolloutStatus) -> None:
         page = await self._store.newest(self._formats.status_topic, WRITE_S)
-        found = self._find_end(plan, page)
+        found = self._confirmation.find_end(plan, page)
         if found is not None:
             if found.state is not RolloutState.RUNNING:
                 return
@@ -392,10 +360,15 @@
             state=status.state,
             elapsed_s=round(status.elapsed_s, 2),
             evidence=plan.trial.describe(),
-            requests=self._find_totals(plan).total.requests,
-            exposed=self._find_totals(plan).total.exposed,
+            requests=self._sums.find(plan).total.requests,
+            exposed=self._sums.find(plan).total.exposed,
             alarm=plan.trial.alarm or "",
         )
         if status.state is not RolloutState.RUNNING:
+            progress = plan.progress(now())
             plan.take_status(status, now())
+            if progress is not None:
+                # Gossip takes seconds among hundreds.
+                ended = msgspec.structs.replace(progress, state=status.state)
+                self._peers.trials.conclude(ended)
             self._peers.publish(f"status/{plan.service}", status)
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -95,11 +95,13 @@
         "is_counted",
         "is_free",
         "is_on_trial",
+        "is_spread",
         "kept_tokens",
         "last_event",
         "lost",
         "may_move",
         "model",
+        "moves",
         "on_new",
         "reason",
         "reply",
@@ -166,7 +168,11 @@
         self.kept_tokens: int | None = None
         """Tokens of its prompt that the engine keeps; None where nobody knows."""
         self.may_move = True
-        """Whether its session may go to the new version at all."""
+        """Whether it may go to the new version at all."""
+        self.moves = False
+        """Whether its session is on the new version, by whoever decides on it."""
+        self.is_spread = False
+        """Whether any server of a version on trial may take it."""
         self.last_event = request.envelope.last_event
         """The last event that the caller has."""
         self.confidence: float | None = None
@@ -191,6 +197,7 @@
         self.runs += 1
         if self.exposure is None:
             return
+        self.exposure.count_attempt()
         if not self.is_counted:
             self.is_counted = True
             self.exposure.count_request()
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -201,7 +201,7 @@
 
     async def _run(self, flight: Flight, state: ServiceState) -> None:
         if not flight.is_free and state.plan.is_contested(flight.session, now()):
-            flight.may_move = await self._desk.decide(state.plan, flight.session)
+            flight.moves = await self._desk.decide(state.plan, flight.session)
         while True:
             if flight.deadline - now() < LEAST_LEFT_S:
                 await self._endings.time_out(flight)
@@ -240,7 +240,7 @@
         on_old = not flight.on_new
         if on_old:
             state.plan.started_old(flight.session, now())
-            self._note_use(flight, state)
+        self._note_use(flight, state)
         presence = Presence(flight=flight, abort=attempt.abort)
         self._crashes.enter(presence, link)
         departure = Departure.CANCELLED
@@ -281,7 +281,7 @@
                 prompt.end(reading_end)
             if on_old:
                 state.plan.ended_old(flight.session, now())
-                self._note_use(flight, state)
+            self._note_use(flight, state)
 
     def _begin_trial(self, flight: Flight, state: ServiceState) -> int:
         """Note an attempt whose answer speaks for a version or against it.
@@ -299,8 +299,12 @@
         )
 
     def _note_use(self, flight: Flight, state: ServiceState) -> None:
-        """Tell who decides on its session that a request is on the old version."""
-        if not flight.is_free:
+        """Tell who decides on its session which version a request is on."""
+        if flight.is_free:
+            return
+        if flight.on_new:
+            self._desk.note_new(state.plan, flight.session)
+        else:
             self._desk.note_use(state.plan, flight.session)
 
     async def _recover(
--- a/src/baobabthread/instance/records.py
+++ b/src/baobabthread/instance/records.py
@@ -76,10 +76,11 @@
             number=plan.order.number,
             version=flight.version or "",
             reason=reason,
-            was_new=plan.has_moved(flight.session),
+            was_new=plan.pins.is_on_new(flight.session),
             attempt=flight.attempts + 1,
-            part_left=round(plan.part_left(), 2),
-            permit_ms=round(1000 * plan.permitted_s(now())),
+            exposed=plan.exposure.report().exposed,
+            permit_ms=round(1000 * plan.permission.permitted_s(now())),
+            confirmed_ms=round(1000 * plan.permission.left_s(now())),
             elapsed_s=round(plan.elapsed(now()), 2),
         )
 
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -55,6 +55,10 @@
     async def select(self, flight: Flight, plan: VersionPlan) -> BackendLink | None:
         """Return the backend server for the next attempt, if one is left."""
         link = await self._select(flight, plan)
+        if link is None and flight.is_on_trial and not flight.is_free:
+            # Its session stays on the new version, if not on the few servers on trial.
+            flight.is_spread = True
+            link = await self._select(flight, plan)
         if link is None and flight.is_on_trial:
             # The few servers on trial are no reason to refuse what others can take.
             flight.may_move = False
@@ -131,7 +135,7 @@
 
     def _sideline(self, flight: Flight, plan: VersionPlan) -> frozenset[str]:
         """Return the servers of a version on trial that take no part in it."""
-        if not flight.is_on_trial or flight.version is None:
+        if not flight.is_on_trial or flight.version is None or flight.is_spread:
             return frozenset()
         bursts = plan.bursts
         canaries = bursts.canaries if flight.is_free else bursts.steady_canaries
@@ -184,8 +188,7 @@
             # new version, it would be joined from two, and lost where that one is bad.
             flight.on_new = False
             return plan.lineage.find_base(listed) if len(listed) > 1 else None
-        choose = plan.choose_free if flight.is_free else plan.choose
-        wanted = flight.may_move and choose(flight.session, now())
+        wanted = flight.may_move and _wants_new(flight, plan)
         # What began on the old version goes on there while it lives.
         may_change = flight.on_new is None or flight.runs == 0 or plan.is_final
         if may_change or not wanted:
@@ -193,9 +196,7 @@
         flight.version_reason = _explain(flight, plan, wanted=wanted)
         if flight.on_new and order.target not in listed:
             flight.version_reason = VersionReason.NO_SERVER
-        elif flight.on_new and not _expose(flight, plan):
-            flight.version_reason = VersionReason.NO_PART
-        elif flight.on_new:
+        elif flight.on_new and _expose(flight, plan):
             return order.target
         flight.on_new = False
         base = plan.lineage.find_base(listed)
@@ -206,6 +207,16 @@
         return base or plan.lineage.base or NO_VERSION
 
 
+def _wants_new(flight: Flight, plan: VersionPlan) -> bool:
+    """Tell whether a request is one for the new version, if servers are there."""
+    moment = now()
+    if flight.is_free:
+        return plan.choose_free(flight.session, moment)
+    if plan.is_running:
+        return flight.moves and plan.may_stay(moment)
+    return not plan.is_reverted
+
+
 def _explain(flight: Flight, plan: VersionPlan, *, wanted: bool) -> VersionReason:
     """Return why a request is to go to a version, before servers are looked at."""
     if wanted:
@@ -215,10 +226,10 @@
         return VersionReason.TAKEN_OVER if is_over else VersionReason.ON_TRIAL
     if plan.is_reverted or plan.trial.alarm is not None:
         return VersionReason.TAKEN_BACK
-    if not plan.may_move_early(flight.session):
-        return VersionReason.NOT_ON_TRIAL
-    if not plan.is_permitted(now()):
+    if flight.moves:
         return VersionReason.NO_PERMIT
+    if not plan.is_contested(flight.session, now()):
+        return VersionReason.NOT_ON_TRIAL
     return VersionReason.KEPT
 
 
@@ -226,8 +237,6 @@
     """Take an attempt at the new version out of what it may get."""
     session = None if flight.is_free else flight.session
     flight.holds_exposure = plan.try_expose(session, now())
-    if flight.holds_exposure and session is not None:
-        plan.note_moved(session, now())
     return flight.holds_exposure
 
 
--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -3,8 +3,9 @@
 Callers send a session's requests to any instance, two of them in the same second. By
 itself one instance would move the session and another one keep it; word spread by
 gossip comes too late. The instance that stands first for the session decides, at the
-price of a question and an answer for the few requests that the trial may move. The
-second one knows the same, for the time when the first is stopped.
+price of a question and an answer for the few requests that the trial may move, and for
+all of them in the last part of a roll-out. The second one knows the same, for the time
+when the first is stopped. What was let onto the new version stays there.
 """
 
 from __future__ import annotations
@@ -18,6 +19,9 @@
 from baobabthread.instance.clock import now
 from baobabthread.routing.versions import VersionPlan
 
+LAST_ANSWER_S = 0.25
+"""The same once none of them has answered: one of them may only be slow, and a session
+that has moved must not go back."""
 ANSWER_S = 0.08
 """Time for the answer, several times a trip between failure domains; without one the
 next instance is asked."""
@@ -46,18 +50,18 @@
     sequence: int
     is_new: bool | None
     """None where the one who was asked can't know."""
-    has_moved: bool = False
-    """Whether it went to the new version before."""
 
 
 class SessionsInUse(msgspec.Struct, frozen=True, kw_only=True, tag="session.uses"):
-    """Tell which sessions are in use on the old version."""
+    """Tell which sessions are in use, on which version."""
 
     sequence: int
     service: str
     number: int
     ages: dict[str, float]
-    """Seconds since the last request of each."""
+    """Seconds since the last request of each that is on the old version."""
+    moved: list[str] = []
+    """Those of which a request ran on the new version."""
 
 
 class UsesNoted(msgspec.Struct, frozen=True, kw_only=True, tag="session.noted"):
@@ -102,6 +106,7 @@
         "_me",
         "_sequence",
         "_tell",
+        "_told",
         "_unconfirmed",
     )
 
@@ -113,28 +118,55 @@
         self._asked: dict[int, asyncio.Future[VersionIs]] = {}
         self._handed: dict[str, int] = {}
         self._sequence = 0
+        self._told: dict[str, dict[str, set[str]]] = {}
+        """Who was told of a session that has moved, by service and session."""
         self._unconfirmed: dict[int, _Unconfirmed] = {}
 
     def set_members(self, names: list[str]) -> None:
         """Note which instances serve, this one included."""
-        self._alive = names or [self._me]
+        before, self._alive = self._alive, names or [self._me]
+        if set(before) == set(self._alive):
+            return
+        for sessions in self._told.values():
+            for told in sessions.values():
+                told.intersection_update(self._alive)
+        for service in self._handed:
+            plan = self._find_plan(service)
+            if plan.is_on_trial:
+                self._tell_moved(plan, plan.pins.list_new(now()))
 
     async def decide(self, plan: VersionPlan, session: str) -> bool:
         """Return whether a contested session's request goes to the new version."""
         if plan.order is None:
             return False
-        for name in rank(session, self._alive)[:DECIDERS]:
-            if name == self._me:
-                is_new = self._decide_here(plan, session)
-            else:
-                is_new = await self._ask(name, plan, session)
-            if is_new is not None:
-                return is_new
+        waiting = self._find_deciders(session)
+        for wait_s in (ANSWER_S, LAST_ANSWER_S):
+            silent = []
+            for name in waiting:
+                if name == self._me:
+                    is_new = self._decide_here(plan, session)
+                else:
+                    word = await self._ask(name, plan, session, wait_s)
+                    if word is None:
+                        silent.append(name)
+                    is_new = word.is_new if word is not None else None
+                if is_new is not None:
+                    return is_new
+            waiting = silent
+        # In the second half any session may move, and one that has must not go back.
+        is_free = plan.is_past_half(now()) and plan.may_have_moved(session)
+        if plan.pins.is_on_new(session) or is_free:
+            return True
         # Somebody may have decided to move it, and the answer was lost.
         self._hand_over(plan, {session: 0.0})
         return False
 
-    async def _ask(self, name: str, plan: VersionPlan, session: str) -> bool | None:
+    def _find_deciders(self, session: str) -> list[str]:
+        return rank(session, self._alive)[:DECIDERS]
+
+    async def _ask(
+        self, name: str, plan: VersionPlan, session: str, wait_s: float
+    ) -> VersionIs | None:
         assert plan.order is not None
         self._sequence += 1
         answer: asyncio.Future[VersionIs]
@@ -148,27 +180,46 @@
         )
         try:
             self._tell(name, question)
-            async with asyncio.timeout(ANSWER_S):
-                word = await answer
+            async with asyncio.timeout(wait_s):
+                return await answer
         except TimeoutError:
             return None
         finally:
             self._asked.pop(question.sequence, None)
-        if word.has_moved:
-            plan.note_moved(session, now())
-        return word.is_new
 
     def note_use(self, plan: VersionPlan, session: str) -> None:
         """Tell the deciding instances that a request is on the old version, or was."""
         if plan.may_move_early(session):
             self._hand_over(plan, {session: 0.0})
 
+    def note_new(self, plan: VersionPlan, session: str) -> None:
+        """Tell the deciding instances that a request is on the new version, once."""
+        is_news = plan.pins.note_new(session, now())
+        if is_news and plan.is_on_trial:
+            self._tell_moved(plan, [session])
+
+    def _tell_moved(self, plan: VersionPlan, sessions: list[str]) -> None:
+        by_decider: dict[str, list[str]] = {}
+        known = self._told.setdefault(plan.service, {})
+        for session in sessions:
+            told = known.setdefault(session, set())
+            for name in self._find_deciders(session):
+                if name not in told:
+                    told.add(name)
+                    by_decider.setdefault(name, []).append(session)
+        for name, theirs in by_decider.items():
+            if name == self._me:
+                plan.pins.take_moved(theirs)
+            else:
+                self._send_uses(name, plan, {}, theirs)
+
     def begin(self, plan: VersionPlan) -> None:
         """Hand over the sessions in use here, once for each order."""
         order = plan.order
         if order is None or self._handed.get(plan.service) == order.number:
             return
         self._handed[plan.service] = order.number
+        self._told[plan.service] = {}
         self._hand_over(plan, plan.list_uses(now()))
 
     def tick(self) -> None:
@@ -186,12 +237,8 @@
         """Decide for another instance."""
         plan = self._find_plan(question.service)
         known = plan.order is not None and plan.order.number == question.number
-        has_moved = known and plan.has_moved(question.session)
         is_new = self._decide_here(plan, question.session) if known else None
-        self._tell(
-            sender,
-            VersionIs(sequence=question.sequence, is_new=is_new, has_moved=has_moved),
-        )
+        self._tell(sender, VersionIs(sequence=question.sequence, is_new=is_new))
 
     def take(self, word: VersionIs) -> None:
         """Take in a decision."""
@@ -205,7 +252,8 @@
         if plan.order is None or plan.order.number != uses.number:
             # The order is on its way here; the sender tells again.
             return
-        plan.take_uses(uses.ages, now())
+        plan.pins.take_uses(uses.ages, now())
+        plan.pins.take_moved(uses.moved)
         self._tell(sender, UsesNoted(sequence=uses.sequence))
 
     def take_confirmation(self, word: UsesNoted) -> None:
@@ -213,20 +261,28 @@
         self._unconfirmed.pop(word.sequence, None)
 
     def _decide_here(self, plan: VersionPlan, session: str) -> bool | None:
-        return plan.decide(session, now()) if plan.saw_before else None
+        is_known = plan.saw_before or plan.pins.is_admitted(session)
+        if is_known or not plan.may_have_moved(session):
+            return plan.decide(session, now())
+        # Started after the order, it knows of no session in use on either version.
+        if plan.is_past_half(now()) and plan.decide(session, now()):
+            return True
+        return None
 
     def _hand_over(self, plan: VersionPlan, ages: dict[str, float]) -> None:
         by_decider: dict[str, dict[str, float]] = {}
         for session, age_s in ages.items():
-            for name in rank(session, self._alive)[:DECIDERS]:
+            for name in self._find_deciders(session):
                 by_decider.setdefault(name, {})[session] = age_s
         for name, theirs in by_decider.items():
             if name == self._me:
-                plan.take_uses(theirs, now())
+                plan.pins.take_uses(theirs, now())
             else:
-                self._send_uses(name, plan, theirs)
+                self._send_uses(name, plan, theirs, [])
 
-    def _send_uses(self, to: str, plan: VersionPlan, ages: dict[str, float]) -> None:
+    def _send_uses(
+        self, to: str, plan: VersionPlan, ages: dict[str, float], moved: list[str]
+    ) -> None:
         assert plan.order is not None
         self._sequence += 1
         uses = SessionsInUse(
@@ -234,6 +290,7 @@
             service=plan.service,
             number=plan.order.number,
             ages=ages,
+            moved=moved,
         )
         waiting = _Unconfirmed(to=to, message=uses, moment=now())
         self._unconfirmed[self._sequence] = waiting
--- a/src/baobabthread/routing/exposure.py
+++ b/src/baobabthread/routing/exposure.py
@@ -1,8 +1,10 @@
 """How many requests a version on trial may get from all instances together.
 
-The bound is a sum over the whole time of a roll-out: it holds only if each instance
-keeps to a part of what it sends itself, whatever it knows of the others, and if the
-rest is set aside for the end, when the new version takes all that is left of the time.
+The bound is a sum over the whole time of a roll-out. What can be sent anywhere, such as
+a request without a session, is a part of what each instance sends itself. Sessions stay
+where they are, so that the sum is kept where they are let in: by the instance that
+leads, from what all have sent. The rest is set aside for the end, when the new version
+takes all that is left of the time.
 """
 
 from __future__ import annotations
@@ -24,9 +26,11 @@
 """Time that the end of a roll-out takes at least: answers under the whole load are to
 be seen before the old version is stopped."""
 MOVE_FACTOR = 1.35
-"""Times that share up to which requests of further sessions may go there."""
-STAY_PART = 0.85
-"""Part of the bound up to which requests of sessions may that went there before."""
+"""Times that share up to which further sessions may begin there."""
+OVERDRAFT_PART = 0.6
+"""Part of the fixed bound that sessions on trial may use up before it is taken back."""
+OVERDRAFT_RATE = 0.5
+"""Part of the present rate of requests that is expected to go on until the limit."""
 PLANNED_PART = 0.93
 """Part of the bound that is planned for the trial and the end together."""
 SURGE = 1.3
@@ -60,6 +64,8 @@
     """Those that reached any version of the service, each once."""
     exposed: int = 0
     """Attempts at the version on trial."""
+    attempts: int = 0
+    """Attempts at any version."""
 
 
 def find_trial_share(bounds: RoutingBounds, time_limit_s: float) -> float:
@@ -77,10 +83,11 @@
     with any number of instances, cut off, alone or just started.
     """
 
-    __slots__ = ("_exposed", "_final", "_requests", "_reserved")
+    __slots__ = ("_attempts", "_exposed", "_final", "_requests", "_reserved")
 
     def __init__(self) -> None:
         self._requests = 0
+        self._attempts = 0
         self._exposed = 0
         self._reserved = 0
         self._final: float | None = None
@@ -89,17 +96,17 @@
         """Note a request that reached a backend server of the service."""
         self._requests += 1
 
+    def count_attempt(self) -> None:
+        """Note an attempt that reached a backend server of the service."""
+        self._attempts += 1
+
     def try_reserve(self, share: float) -> bool:
         """Take one out of a share of the requests; return whether there was one."""
-        if self.left(share) <= 0.0:
+        if self._exposed + self._reserved >= self._most(share):
             return False
         self.reserve()
         return True
 
-    def left(self, share: float) -> float:
-        """Return what is left of a share of the requests."""
-        return self._most(share) - self._exposed - self._reserved
-
     def reserve(self) -> None:
         """Note an attempt that is about to be sent, whatever the budget."""
         self._reserved += 1
@@ -121,7 +128,9 @@
 
     def report(self) -> Exposure:
         """Return what was counted, for the one that leads the roll-out."""
-        return Exposure(requests=self._requests, exposed=self._exposed)
+        return Exposure(
+            requests=self._requests, exposed=self._exposed, attempts=self._attempts
+        )
 
     def _most(self, share: float) -> float:
         if self._final is not None:
@@ -194,6 +203,7 @@
         self.total = Exposure(
             requests=sum(word.requests for word in words),
             exposed=sum(word.exposed for word in words),
+            attempts=sum(word.attempts for word in words),
         )
         self._rate.note(self.total.requests, now)
         self._now_rate.note(self.total.requests, now)
@@ -206,9 +216,37 @@
 
     def may_take_over(self, *, elapsed_s: float, left_s: float) -> bool:
         """Tell whether the version may get everything for what is left of its time."""
-        still = SURGE * self.per_s(elapsed_s) * left_s
+        still = self.expect_end(elapsed_s=elapsed_s, left_s=left_s)
+        still *= self._attempts_each
         return left_s > 0.0 and self._fits(still, PLANNED_PART)
 
+    def expect_end(self, *, elapsed_s: float, left_s: float) -> float:
+        """Return the requests to reckon with until the limit, with some to spare."""
+        return SURGE * self.per_s(elapsed_s) * left_s
+
+    def may_admit(self, *, elapsed_s: float, left_s: float, trial_share: float) -> bool:
+        """Tell whether one more session may begin on the version on trial.
+
+        Sessions that are let in stay there: the end must still fit after them.
+        """
+        per_s = self.per_s(elapsed_s)
+        requests = self.total.requests + per_s * left_s
+        end = SURGE * END_S * per_s * self._attempts_each
+        share = (self._plan(requests, PLANNED_PART) - end) / max(1.0, requests)
+        share = max(LEAST_TRIAL_PART * self._bounds.exposure_share, share)
+        most = min(MOVE_FACTOR * trial_share, share) * self.total.requests
+        return self.total.exposed + 1.0 <= most
+
+    def is_overdrawn(self, *, elapsed_s: float, left_s: float) -> bool:
+        """Tell whether sessions on trial take so much that the bound may not hold.
+
+        One session may get a large part of all requests, and it is not moved back.
+        """
+        still = OVERDRAFT_RATE * self.per_s(elapsed_s) * left_s
+        most = self._bounds.exposure_share * (self.total.requests + still)
+        most += OVERDRAFT_PART * self._bounds.exposure_extra
+        return self.total.exposed > most
+
     def may_end(self, *, elapsed_s: float, left_s: float) -> bool:
         """Tell whether nothing has to be held back any more until the time limit."""
         per_s = max(self.per_s(elapsed_s), self._now_rate.per_s())
@@ -216,7 +254,13 @@
         return left_s <= 0.0 or self._fits(still, 1.0)
 
     def _fits(self, still: float, part: float) -> bool:
-        requests = self.total.requests + still
-        planned = part * self._bounds.exposure_share * requests
-        planned += EXTRA_PART * self._bounds.exposure_extra
+        planned = self._plan(self.total.requests + still, part)
         return self.total.exposed + still <= planned
+
+    def _plan(self, requests: float, part: float) -> float:
+        planned = part * self._bounds.exposure_share * requests
+        return planned + EXTRA_PART * self._bounds.exposure_extra
+
+    @property
+    def _attempts_each(self) -> float:
+        return max(1.0, self.total.attempts / max(1, self.total.requests))
--- a/src/baobabthread/routing/judgment.py
+++ b/src/baobabthread/routing/judgment.py
@@ -6,7 +6,8 @@
 
 from baobabthread.routing.configuration import RolloutState
 from baobabthread.routing.exposure import Totals
-from baobabthread.routing.versions import Progress, VersionPlan
+from baobabthread.routing.progress import Progress
+from baobabthread.routing.versions import VersionPlan
 
 LEAST_TRIAL_S = 2.5
 """Shortest trial before the new version takes over."""
@@ -46,6 +47,10 @@
     words = [p for p in others if p.number == plan.order.number]
     if any(word.alarm is not None for word in words):
         return RolloutState.REVERTED
+    if not plan.is_final and totals.is_overdrawn(
+        elapsed_s=plan.elapsed(now), left_s=plan.left_s(now)
+    ):
+        return RolloutState.REVERTED
     if not plan.is_final:
         # The version in force is known to be good; an operator may order anew.
         is_over = plan.left_s(now) <= 0.0
@@ -88,4 +93,6 @@
         return False
     if plan.ready_s(now) < LEAST_TRIAL_S or not _is_known(plan, totals):
         return False
+    if plan.left_s(now) > plan.closing_s:
+        return False
     return totals.may_take_over(elapsed_s=plan.elapsed(now), left_s=plan.left_s(now))
--- /dev/null
+++ b/src/baobabthread/routing/pins.py
@@ -0,0 +1,102 @@
+"""Which version each session is on while a roll-out runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+NEVER_S = 1e9
+MAX_SESSIONS = 4096
+
+
+class SessionPins:
+    """Remember the sessions seen here, and those that this instance decides on."""
+
+    __slots__ = ("_admitted", "_in_use", "_on_new", "_on_old", "_pause_s")
+
+    def __init__(self, *, pause_s: float) -> None:
+        """Note the pause after which a session may change its version."""
+        self._pause_s = pause_s
+        self._on_old: dict[str, float] = {}
+        """Sessions whose requests went to the old version from here, and when last;
+        also before any order, which may come in the middle of a conversation."""
+        self._on_new: dict[str, float] = {}
+        """The same for the new version."""
+        self._in_use: dict[str, float] = {}
+        """Sessions to decide on that are on the old version, and when last."""
+        self._admitted: dict[str, bool] = {}
+        """Those that were let onto the new one, and whether a request ran there."""
+
+    def begin(self) -> None:
+        """Forget what an earlier order has decided."""
+        self._on_new.clear()
+        self._in_use.clear()
+        self._admitted.clear()
+
+    def note_old(self, session: str, now: float) -> None:
+        """Note a request on the old version from here."""
+        self._on_old[session] = now
+        if len(self._on_old) > MAX_SESSIONS:
+            self._on_old = self._find_recent(self._on_old, now)
+
+    def note_new(self, session: str, now: float) -> bool:
+        """Note a request on the new version from here; return whether it is news."""
+        is_news = session not in self._on_new
+        self._on_new[session] = now
+        if len(self._on_new) > MAX_SESSIONS:
+            self._on_new = self._find_recent(self._on_new, now)
+        return is_news
+
+    def is_on_new(self, session: str) -> bool:
+        """Tell whether a session is known to be on the new version."""
+        return session in self._admitted or session in self._on_new
+
+    def list_old(self, now: float) -> dict[str, float]:
+        """Return the sessions in use on the old version here, and when last."""
+        self._on_old = self._find_recent(self._on_old, now)
+        return self._on_old
+
+    def list_new(self, now: float) -> list[str]:
+        """Return the sessions in use on the new version here."""
+        self._on_new = self._find_recent(self._on_new, now)
+        return list(self._on_new)
+
+    @property
+    def has_new(self) -> bool:
+        """Tell whether any session is known to be on the new version."""
+        return bool(self._admitted or self._on_new)
+
+    # -- decided here --
+
+    def is_in_use(self, session: str, now: float) -> bool:
+        """Tell whether a session is in use on the old version."""
+        return now - self._in_use.get(session, -NEVER_S) < self._pause_s
+
+    def keep(self, session: str, now: float) -> None:
+        """Leave a session on the old version."""
+        self._in_use[session] = now
+
+    def admit(self, session: str) -> None:
+        """Let a session onto the new version."""
+        self._admitted.setdefault(session, False)
+
+    def is_admitted(self, session: str) -> bool:
+        """Tell whether a session was let onto the new version."""
+        return session in self._admitted
+
+    def take_uses(self, ages: Mapping[str, float], now: float) -> None:
+        """Note sessions on the old version and the seconds since their last request."""
+        for session, age_s in ages.items():
+            used_at = max(self._in_use.get(session, -NEVER_S), now - age_s)
+            self._in_use[session] = used_at
+            # Whoever asked did not get the answer and stayed on the old version.
+            if self._admitted.get(session) is False:
+                del self._admitted[session]
+
+    def take_moved(self, sessions: Iterable[str]) -> None:
+        """Note sessions of which a request ran on the new version."""
+        for session in sessions:
+            self._admitted[session] = True
+
+    def _find_recent(self, seen: dict[str, float], now: float) -> dict[str, float]:
+        recent = now - self._pause_s
+        return {session: at for session, at in seen.items() if at > recent}
--- /dev/null
+++ b/src/baobabthread/routing/trialsums.py
@@ -0,0 +1,72 @@
+"""What all instances have sent in each roll-out, at those that lead it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from baobabthread.routing.exposure import Exposure, Totals
+from baobabthread.routing.versions import VersionPlan
+
+KNOWN_S = 3.0
+"""Time after an order from which on sessions may begin on the new version though some
+instances have not told that they know of it: they would send those to the old one."""
+SEEN_PART = 0.9
+"""Part of the instances that must serve for sessions to begin there: those that are cut
+off may have them in use."""
+
+
+class TrialSums:
+    """Add up by order what instances tell, and how many of them do."""
+
+    __slots__ = ("_alive", "_heard", "_most_alive", "_totals")
+
+    def __init__(self) -> None:
+        self._alive = 1
+        self._totals: dict[int, Totals] = {}
+        self._most_alive: dict[int, int] = {}
+        """Most instances that served at once since an order."""
+        self._heard: dict[int, int] = {}
+        """Other instances that have told of it."""
+
+    def note_members(self, names: Sequence[str], now: float) -> None:
+        """Note which instances serve, this one included."""
+        self._alive = max(1, len(names))
+
+    def count(self, plan: VersionPlan, told: Iterable[Exposure], now: float) -> None:
+        """Take in the newest word of each other instance."""
+        assert plan.order is not None
+        counts = list(told)
+        number = plan.order.number
+        self._heard[number] = len(counts)
+        self._most_alive[number] = max(self._alive, self._most_alive.get(number, 0))
+        self.find(plan).note([*counts, plan.exposure.report()], now)
+
+    def find(self, plan: VersionPlan) -> Totals:
+        """Return the sums of a plan's order."""
+        assert plan.order is not None
+        totals = self._totals.get(plan.order.number)
+        if totals is None:
+            totals = self._totals[plan.order.number] = Totals(bounds=plan.bounds)
+        return totals
+
+    def admits(self, plan: VersionPlan, now: float) -> bool:
+        """Tell whether further sessions may begin on the new version."""
+        assert plan.order is not None
+        number = plan.order.number
+        if self._alive < SEEN_PART * self._most_alive.get(number, 0):
+            return False
+        has_all = 1 + self._heard.get(number, 0) >= self._alive
+        if plan.elapsed(now) < KNOWN_S and not has_all:
+            return False
+        return self.find(plan).may_admit(
+            elapsed_s=plan.elapsed(now),
+            left_s=plan.left_s(now),
+            trial_share=plan.trial_share,
+        )
+
+    def find_end_part(self, plan: VersionPlan, now: float) -> float:
+        """Return the requests that each instance may decide on until the limit."""
+        requests = self.find(plan).expect_end(
+            elapsed_s=plan.elapsed(now), left_s=plan.left_s(now)
+        )
+        return requests / self._alive
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -1,17 +1,17 @@
 """Which version of a service a request goes to while traffic moves between versions.
 
 A version is on trial with a small share of the sessions, chosen by a hash of their
-names, so that instances agree without talk and no session moves back. It takes over all
-at once, just before the time limit: what it may get until then is bounded as a sum, and
-a version that fails only under load shows it with the last of that sum, not before.
+names. One instance decides on each; what it has let onto the new version stays there
+until that is taken back, so that the sum of what the version gets is bounded where
+sessions are let in. It takes over all at once, just before the time limit: a version
+that fails only under load shows it with the last of that sum, not before.
 """
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
-import msgspec
-
 from baobabthread.core.requests.attempts import draw
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import (
@@ -20,63 +20,47 @@
     RolloutStatus,
 )
 from baobabthread.routing.exposure import (
-    MOVE_FACTOR,
-    STAY_PART,
     Bursts,
     ExposureBudget,
     Rate,
     find_trial_share,
 )
 from baobabthread.routing.lineage import Lineage
+from baobabthread.routing.permission import Permission
+from baobabthread.routing.pins import SessionPins
+from baobabthread.routing.progress import Progress
 from baobabthread.routing.trial import Trial
 
 SETTLE_S = 1.0
 """Time after an order in which instances hand over which sessions are in use."""
-PERMIT_S = 2.5
-"""Time for which a trial goes on without another word of the one that leads it."""
 SESSION_MARGIN_S = 1.0
 """Time on top of a session's pause for requests that end after they were counted."""
-MAX_SESSIONS = 4096
-NEVER_S = 1e9
-
-
-class Progress(msgspec.Struct, frozen=True, kw_only=True):
-    """Tell the other instances how far a roll-out has come at this one."""
-
-    service: str
-    number: int
-    elapsed_s: float
-    share: float
-    old_running: int
-    """Requests that still run on the old version."""
-    alarm: str | None = None
-    is_suspicious: bool = False
-    """Whether the sender's bets against the version are ahead of what is usual."""
-    is_final: bool = False
-    """Whether the new version takes over all requests."""
-    base: str | None = None
-    """The version that was in force before the order, as far as the sender knows."""
+CLOSING_PART = 0.15
+LEAST_CLOSING_S = 1.5
+"""Time before a limit from which on a version may take over, as a part of the limit and
+at least: whoever decides on a session is asked for all of them then."""
+CLOSING_MARGIN_S = 0.5
+"""What instances may differ by in the time since the order."""
 
 
 class VersionPlan:
     """Choose between the versions of one service."""
 
     __slots__ = (
+        "_end_used",
         "_final_at",
-        "_moved",
         "_old_running",
-        "_permitted_until",
         "_ready_at",
-        "_seen",
-        "_seen_new",
         "_servers",
         "_started_at",
-        "_used",
         "bounds",
         "bursts",
+        "end_part",
         "exposure",
         "lineage",
         "order",
+        "permission",
+        "pins",
         "rate",
         "saw_before",
         "service",
@@ -98,22 +82,17 @@
         """Share of the sessions that the newest order's version gets on trial."""
         self.bursts = Bursts(trial_share=0.0, servers=1)
         self._ready_at: float | None = None
-        self._permitted_until = -NEVER_S
+        self.permission = Permission()
         self._final_at: float | None = None
         """When the instance that leads let the new version take over."""
+        self.end_part = math.inf
+        """Requests that may be decided on here once it has."""
+        self._end_used = 0
         self.exposure = ExposureBudget()
         self.rate = Rate()
         """Requests a second that this instance sends to the service."""
         self._old_running = 0
-        self._seen: dict[str, float] = {}
-        """Sessions whose requests went to the old version from here, and when last;
-        also before any order, which may come in the middle of a conversation."""
-        self._used: dict[str, float] = {}
-        """The same for the sessions that this instance decides on, from anywhere."""
-        self._moved: dict[str, float] = {}
-        """Those of them that went to the new version, and when they first did."""
-        self._seen_new: dict[str, float] = {}
-        """Sessions whose requests went to the new version from here, and when last."""
+        self.pins = SessionPins(pause_s=bounds.session_s + SESSION_MARGIN_S)
         self.saw_before = True
         """Whether this instance served before the order, so that it was told of the
         sessions in use; one that started later can't decide on any."""
@@ -136,13 +115,15 @@
         self.bursts = Bursts(trial_share=self.trial_share, servers=self._servers)
         self._started_at = now
         self._ready_at = None
-        self._permitted_until = -NEVER_S
+        self.permission = Permission()
+        if saw_before:
+            self.permission.confirm(asked_at=now)
         self._final_at = None
+        self.end_part = math.inf
+        self._end_used = 0
         self.exposure = ExposureBudget()
         self.rate = Rate()
-        self._used.clear()
-        self._moved.clear()
-        self._seen_new.clear()
+        self.pins.begin()
         return True
 
     def is_unproven(self, version: str) -> bool:
@@ -186,7 +167,9 @@
         self.take_progress(progress, now)
         is_ours = self.order is not None and progress.number == self.order.number
         if is_ours and progress.is_final:
-            self.begin_final(now)
+            self.begin_final(now, part=progress.end_part)
+        if is_ours and self.is_running:
+            self.state = progress.state
 
     def note_target(self, *, usable: bool, now: float, servers: int = 1) -> None:
         """Note whether backend servers of the new version may take work, how many."""
@@ -227,30 +210,35 @@
         if self.trial.alarm is not None or self._ready_at is None:
             return 0.0
         if self._final_at is not None:
-            return 1.0
-        if self.elapsed(now) < SETTLE_S or not self.is_permitted(now):
+            return 1.0 if self.permission.left_s(now) > 0.0 else 0.0
+        if self.elapsed(now) < SETTLE_S or self.permission.permitted_s(now) <= 0.0:
             return 0.0
         return self.trial_share
 
-    def is_permitted(self, now: float) -> bool:
-        """Tell whether the one that leads lets the trial go on here."""
-        return self.permitted_s(now) > 0.0
-
-    def permitted_s(self, now: float) -> float:
-        """Return the seconds until the trial pauses here without another permit."""
-        return max(0.0, self._permitted_until - now)
-
-    def part_left(self) -> float:
-        """Return the attempts at the new version that are left to this instance."""
-        return self.exposure.left(STAY_PART * self.bounds.exposure_share)
-
-    def permit(self, *, asked_at: float) -> None:
+    def permit(self, *, asked_at: float, admits: bool = True) -> None:
         """Go on with the trial: the one that leads knows all that was known then here.
 
         Failure: an instance that is cut from the others, but not from the store, goes
         on with a version that they have taken back, and nobody hears what it sees.
         """
-        self._permitted_until = max(self._permitted_until, asked_at + PERMIT_S)
+        self.permission.permit(asked_at=asked_at, admits=admits)
+
+    def may_stay(self, now: float) -> bool:
+        """Tell whether requests of sessions on the new version may still go there."""
+        if not self.is_running or self.trial.alarm is not None:
+            return False
+        return self._ready_at is not None and self.permission.left_s(now) > 0.0
+
+    def is_closing(self, now: float) -> bool:
+        """Tell whether the new version may take over in a moment, or has done so."""
+        most_s = self.closing_s + CLOSING_MARGIN_S
+        return self.is_running and (self.is_final or self.left_s(now) <= most_s)
+
+    @property
+    def closing_s(self) -> float:
+        """Give the time before the limit from which on it may take over."""
+        assert self.order is not None
+        return max(LEAST_CLOSING_S, CLOSING_PART * self.order.time_limit_s)
 
     @property
     def is_final(self) -> bool:
@@ -259,35 +247,27 @@
             self.order is not None and self.state is RolloutState.SUCCEEDED
         )
 
-    def begin_final(self, now: float) -> None:
-        """Let the new version take over everything from now on."""
+    def begin_final(self, now: float, *, part: float | None = None) -> None:
+        """Let the new version take over everything from now on.
+
+        `part` bounds the requests that may be decided on here until the limit.
+        """
         if self._final_at is None:
             self._final_at = now
+            if part is not None:
+                self.end_part = part
             self.trial.begin_final()
             self.exposure.begin_final(self.rate.per_s() * self.left_s(now))
 
     def try_expose(self, session: str | None, now: float) -> bool:
-        """Take an attempt at the new version out of what it may get, if any is left."""
-        if not self.is_running or self.left_s(now) <= 0.0:
-            self.exposure.reserve()
-            return True
-        most = STAY_PART * self.bounds.exposure_share
-        if session is None:
-            return self.exposure.try_reserve(self.trial_share)
-        if self.has_moved(session):
-            return self.exposure.try_reserve(most)
-        return self.exposure.try_reserve(min(most, MOVE_FACTOR * self.trial_share))
-
-    def has_moved(self, session: str) -> bool:
-        """Tell whether a session is known to have gone to the new version before."""
-        return session in self._moved or session in self._seen_new
+        """Take an attempt at the new version out of what it may get, if any is left.
 
-    def note_moved(self, session: str, now: float) -> None:
-        """Note that a session has gone to the new version."""
-        self._seen_new[session] = now
-        if len(self._seen_new) > MAX_SESSIONS:
-            recent = now - self._pause_s
-            self._seen_new = {s: at for s, at in self._seen_new.items() if at > recent}
+        Sessions were let in before; what follows is only counted.
+        """
+        if session is None and self.is_running and self.left_s(now) > 0.0:
+            return self.exposure.try_reserve(self.trial_share)
+        self.exposure.reserve()
+        return True
 
     def ready_s(self, now: float) -> float:
         """Return the seconds since servers of the new version may take work."""
@@ -299,7 +279,7 @@
         return max(0.0, self.order.time_limit_s - self.elapsed(now))
 
     def choose(self, session: str, now: float) -> bool:
-        """Return whether a request of a session goes to the new version.
+        """Return whether a session that begins now is one for the new version.
 
         Where `is_contested` holds, the instance that decides on the session must agree.
         """
@@ -320,8 +300,10 @@
         return self.is_running and not self.is_final
 
     def is_contested(self, session: str, now: float) -> bool:
-        """Tell whether a session that may be in use would move before the half."""
-        return self.share(now) > 0.0 and self.may_move_early(session)
+        """Tell whether whoever decides on a session must be asked for its version."""
+        if not self.is_running or not self.has_begun:
+            return False
+        return self.is_closing(now) or self.may_move_early(session)
 
     def may_move_early(self, session: str) -> bool:
         """Tell whether the trial may move a session, now or once it has settled."""
@@ -329,6 +311,10 @@
             return False
         return self._is_in(session, self.trial_share)
 
+    def may_have_moved(self, session: str) -> bool:
+        """Tell whether a session may be on the new version by now."""
+        return self.is_final or self.may_move_early(session)
+
     def decide(self, session: str, now: float) -> bool:
         """Return for all instances whether a contested session moves.
 
@@ -336,46 +322,56 @@
         get the same answer. A session in use stays where it is for the first half: its
         caller would get another version in the middle of a conversation.
         """
-        if session in self._moved:
+        if not self.is_running or self.trial.alarm is not None:
+            return self.state is RolloutState.SUCCEEDED
+        if self.pins.is_admitted(session):
+            self._end_used += self.is_final
             return True
-        if not self.is_contested(session, now):
+        if self.is_final:
+            return self._admit_at_end(session, now)
+        if not self.permission.may_admit(now) or not self.choose(session, now):
+            return False
+        if self.pins.is_in_use(session, now):
+            self.pins.keep(session, now)
             return False
-        if now - self._used.get(session, -NEVER_S) < self._pause_s:
-            self._used[session] = now
+        self.pins.admit(session)
+        return True
+
+    def _admit_at_end(self, session: str, now: float) -> bool:
+        assert self.order is not None
+        # The draw rounds the part up or down, so that the sum over instances holds.
+        drawn = draw(f"{self.service}/{self.order.number}/end", session)
+        if self.left_s(now) > 0.0 and self._end_used + drawn >= self.end_part:
             return False
-        self._moved[session] = now
+        self._end_used += 1
+        self.pins.admit(session)
         return True
 
-    def take_uses(self, ages: Mapping[str, float], now: float) -> None:
-        """Note sessions on the old version and the seconds since their last request."""
-        for session, age_s in ages.items():
-            used_at = now - age_s
-            self._used[session] = max(self._used.get(session, -NEVER_S), used_at)
-            # Whoever asked did not get the answer and stayed on the old version.
-            if used_at > self._moved.get(session, NEVER_S):
-                del self._moved[session]
+    def is_past_half(self, now: float) -> bool:
+        """Tell whether sessions in use may change to the new version as well."""
+        assert self.order is not None
+        return self.left_s(now) < self.order.time_limit_s / 2 - SESSION_MARGIN_S
 
     def list_uses(self, now: float) -> dict[str, float]:
         """Return the sessions seen here whose turn may come, and how long ago."""
         if self.order is None:
             return {}
-        self._forget(now)
         share = self.trial_share
         return {
             session: round(now - at, 2)
-            for session, at in self._seen.items()
+            for session, at in self.pins.list_old(now).items()
             if self._is_in(session, share)
         }
 
     def started_old(self, session: str, now: float) -> None:
         """Count a request of a session that goes to the old version."""
         self._old_running += 1
-        self._note_old(session, now)
+        self.pins.note_old(session, now)
 
     def ended_old(self, session: str, now: float) -> None:
         """Count the end of a request on the old version."""
         self._old_running = max(0, self._old_running - 1)
-        self._note_old(session, now)
+        self.pins.note_old(session, now)
 
     def progress(self, now: float) -> Progress | None:
         """Return what to tell the others, while a roll-out is under way."""
@@ -391,21 +387,9 @@
             is_suspicious=self.trial.is_suspicious,
             is_final=self.is_final,
             base=self.lineage.base,
+            end_part=self.end_part if self.is_final else None,
         )
 
     def _is_in(self, session: str, share: float) -> bool:
         assert self.order is not None
         return draw(f"{self.service}/{self.order.number}", session) < share
-
-    def _note_old(self, session: str, now: float) -> None:
-        self._seen[session] = now
-        if len(self._seen) > MAX_SESSIONS:
-            self._forget(now)
-
-    @property
-    def _pause_s(self) -> float:
-        return self.bounds.session_s + SESSION_MARGIN_S
-
-    def _forget(self, now: float) -> None:
-        recent = now - self._pause_s
-        self._seen = {s: at for s, at in self._seen.items() if at > recent}
--- a/tests/instance/test_trialdesk.py
+++ b/tests/instance/test_trialdesk.py
@@ -15,8 +15,8 @@
     TrialVerdict,
     TrialWord,
 )
+from baobabthread.routing.progress import Progress
 from baobabthread.routing.trial import Evidence
-from baobabthread.routing.versions import Progress
 
 
 class Clock:
--- a/tests/routing/test_judgment.py
+++ b/tests/routing/test_judgment.py
@@ -7,7 +7,8 @@
 from baobabthread.routing.configuration import RolloutState
 from baobabthread.routing.exposure import Exposure, Totals
 from baobabthread.routing.judgment import find_end_s, judge_rollout, may_begin_final
-from baobabthread.routing.versions import Progress, VersionPlan
+from baobabthread.routing.progress import Progress
+from baobabthread.routing.versions import VersionPlan
 from tests.routing.rollouts import (
     BOUNDS,
     LIMIT_S,
