Let a version take over only where half of the instances are heard

An instance that hears nobody leads a roll-out by itself, and where it reaches the store it let the version take over by its own sums with the whole fixed part of the bound, as did each of the others. Half of the instances that were met within two hours must be heard now: two groups at most, whose fixed parts fit into the bound together.

--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -323,6 +323,8 @@
         totals = self._sums.find(plan)
         if not may_begin_final(plan, totals, moment):
             return
+        if not self._sums.hears_enough(plan, moment):
+            return
         plan.begin_final(moment, part=self._sums.find_end_part(plan, moment))
         log_event(
             "rollout_final",
--- a/src/baobabthread/routing/trialsums.py
+++ b/src/baobabthread/routing/trialsums.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from baobabthread.routing.coldness import Population
 from baobabthread.routing.exposure import Exposure, Totals
 from baobabthread.routing.versions import VersionPlan
 
@@ -13,14 +14,18 @@
 SEEN_PART = 0.9
 """Part of the instances that must serve for sessions to begin there: those that are cut
 off may have them in use."""
+HEARD_PART = 0.5
+"""Part of the instances that must be heard before a version takes over: each of several
+groups that don't hear each other would let it take over by its own sums."""
 
 
 class TrialSums:
     """Add up by order what instances tell, and how many of them do."""
 
-    __slots__ = ("_alive", "_heard", "_most_alive", "_totals")
+    __slots__ = ("_alive", "_heard", "_most_alive", "_population", "_totals")
 
     def __init__(self) -> None:
+        self._population = Population()
         self._alive = 1
         self._totals: dict[int, Totals] = {}
         self._most_alive: dict[int, int] = {}
@@ -31,6 +36,7 @@
     def note_members(self, names: Sequence[str], now: float) -> None:
         """Note which instances serve, this one included."""
         self._alive = max(1, len(names))
+        self._population.note(names, now)
 
     def count(self, plan: VersionPlan, told: Iterable[Exposure], now: float) -> None:
         """Take in the newest word of each other instance."""
@@ -64,6 +70,12 @@
             trial_share=plan.trial_share,
         )
 
+    def hears_enough(self, plan: VersionPlan, now: float) -> bool:
+        """Tell whether enough instances are heard to let the version take over."""
+        assert plan.order is not None
+        heard = 1 + self._heard.get(plan.order.number, 0)
+        return heard >= HEARD_PART * self._population.count(now)
+
     def find_end_part(self, plan: VersionPlan, now: float) -> float:
         """Return the requests that each instance may decide on until the limit."""
         requests = self.find(plan).expect_end(
--- a/tests/bench/test_rollouts.py
+++ b/tests/bench/test_rollouts.py
@@ -70,6 +70,14 @@
     assert account.list_broken(is_good=True) == []
 
 
+def test_let_no_lonely_instances_take_over() -> None:
+    """Each of a third of the instances heard nobody and let the version take over."""
+    members = tuple(range(0, 195, 3))
+    cut = Cut(at_s=18.0, for_s=9.0, members=members, from_peers=True, apart=True)
+    account = play(Day(members=195, cuts=(cut,)))
+    assert account.list_broken(is_good=True) == []
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_bound_the_end_in_a_burst(seed: int) -> None:
     """Twice the traffic came as the version took over: 811 requests of 679 allowed."""
