Test each part that keeps sessions on their version

Permissions, pins, the leader's sums, the end's bound, words that are lost, stand-ins, deciders that are slow, gone or started anew, servers of a trial that are full: each has a small test beside the whole roll-outs. A choice for a session that nobody could have moved is no longer logged as kept, which filled the lines of the last part.

--- a/bench/_rollout_members.py
+++ b/bench/_rollout_members.py
@@ -264,7 +264,7 @@
     async def serve(self, sent: Sent, *, attempts: int, lasts_s: float) -> None:
         """Send one request of a session to a server, as often as it takes."""
         plan = self.plan
-        flight = _make_flight(sent.session)
+        flight = make_flight(sent.session)
         if plan.is_contested(sent.session, now()):
             flight.moves = await self.peers.desk.decide(plan, sent.session)
         for _ in range(attempts):
@@ -322,7 +322,8 @@
 )
 
 
-def _make_flight(session: str) -> Flight:
+def make_flight(session: str) -> Flight:
+    """Return a request of a session."""
     request = CallerRequest(
         method="POST",
         target="/",
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -56,7 +56,7 @@
         """Return the backend server for the next attempt, if one is left."""
         link = await self._select(flight, plan)
         if link is None and flight.is_on_trial and not flight.is_free:
-            # Its session stays on the new version, if not on the few servers on trial.
+            # A session stays on the new version, also beyond the servers on trial.
             flight.is_spread = True
             link = await self._select(flight, plan)
         if link is None and flight.is_on_trial:
@@ -228,7 +228,7 @@
         return VersionReason.TAKEN_BACK
     if flight.moves:
         return VersionReason.NO_PERMIT
-    if not plan.is_contested(flight.session, now()):
+    if not plan.may_have_moved(flight.session):
         return VersionReason.NOT_ON_TRIAL
     return VersionReason.KEPT
 
--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -200,3 +200,93 @@
         assert not await net.desks["i2"].decide(net.plans["i2"], session)
 
     asyncio.run(case())
+
+
+def test_ask_again_before_a_session_stays() -> None:
+    """Both deciders are slow: a session that has moved went back to the old version."""
+
+    async def case() -> None:
+        net = Net()
+        desk, plan = net.desks["i1"], net.plans["i1"]
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        assert await net.desks["i2"].decide(net.plans["i2"], session)
+        net.lose[AskVersion] = 2
+        assert await desk.decide(plan, session)
+
+    asyncio.run(case())
+
+
+def test_know_a_moved_session_without_its_deciders() -> None:
+    async def case() -> None:
+        net = Net()
+        desk, plan = net.desks["i1"], net.plans["i1"]
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        assert await desk.decide(plan, session)
+        desk.note_new(plan, session)
+        net.lost = True
+        assert await desk.decide(plan, session)
+
+    asyncio.run(case())
+
+
+def test_tell_the_second_decider_what_has_moved() -> None:
+    """The first one is gone; the second one would keep a session that has moved.
+
+    It has no room to let any in.
+    """
+
+    async def case() -> None:
+        net = Net()
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        first, second, _ = rank(session, NAMES)
+        desk, plan = net.desks["i1"], net.plans["i1"]
+        assert await desk.decide(plan, session)
+        desk.note_new(plan, session)
+        for each in net.plans.values():
+            each.permit(asked_at=now(), admits=False)
+        left = [name for name in NAMES if name != first]
+        for name in left:
+            net.desks[name].set_members(left)
+        assert await net.desks[second].decide(net.plans[second], session)
+
+    asyncio.run(case())
+
+
+def test_tell_those_that_decide_once_members_have_changed() -> None:
+    """Both deciders were killed and start anew: they know of no session that moved."""
+
+    async def case() -> None:
+        net = Net()
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        first, second, _ = rank(session, NAMES)
+        desk, plan = net.desks["i1"], net.plans["i1"]
+        desk.begin(plan)
+        assert await desk.decide(plan, session)
+        desk.note_new(plan, session)
+        desk.set_members(["i1"])
+        for name in (first, second):
+            fresh = VersionPlan(service="s", bounds=RoutingBounds(exposure_share=1.0))
+            fresh.take_order(ORDER, now() - 10.0, saw_before=False)
+            net.restart(name, fresh)
+        desk.set_members(NAMES)
+        assert net.plans[first].pins.is_admitted(session)
+        assert net.plans[second].pins.is_admitted(session)
+
+    asyncio.run(case())
+
+
+def test_decide_nothing_in_the_second_half_that_none_could_have_moved() -> None:
+    """Restarted deciders let all sessions onto the trial in its last part."""
+
+    async def case() -> None:
+        net = Net()
+        fresh = VersionPlan(service="s", bounds=RoutingBounds(exposure_share=0.1))
+        fresh.take_order(ORDER, now() - 55.0, saw_before=False)
+        fresh.note_target(usable=True, now=now() - 50.0)
+        for name in NAMES:
+            net.restart(name, fresh)
+        outside = next(f"s{n}" for n in range(60) if not fresh.may_move_early(f"s{n}"))
+        assert fresh.is_contested(outside, now())
+        assert not await net.desks["i1"].decide(fresh, outside)
+
+    asyncio.run(case())
--- a/tests/instance/test_trialdesk.py
+++ b/tests/instance/test_trialdesk.py
@@ -8,13 +8,16 @@
 import msgspec
 import pytest
 
+from baobabthread.core.rendezvous import rank
 from baobabthread.instance import trialdesk
 from baobabthread.instance.trialdesk import (
+    STAND_INS,
     TrialDesk,
     TrialPermit,
     TrialVerdict,
     TrialWord,
 )
+from baobabthread.routing.configuration import RolloutState
 from baobabthread.routing.progress import Progress
 from baobabthread.routing.trial import Evidence
 
@@ -46,6 +49,10 @@
         desk.take_verdict = lambda progress: self.verdicts.update({name: progress})
         return desk
 
+    def rank(self) -> list[str]:
+        """Return those that lead or would stand in, the first one first."""
+        return rank("s", self.all)[:STAND_INS]
+
     def _carry(self, sender: str, to: str, message: msgspec.Struct) -> None:
         self.sent.append((to, message))
         if to in self.lost:
@@ -168,3 +175,73 @@
     clock.time += 2.1
     desks.all[name].tell(make_word(name))
     assert len(desks.permits[name]) == 1
+
+
+def choose_follower(desks: Desks) -> str:
+    """Return an instance that neither leads nor would stand in."""
+    return next(name for name in desks.all if name not in desks.rank())
+
+
+def test_send_a_lost_word_once_more(clock: Clock) -> None:
+    """Among two hundred the next word is due after a second; the permit would lapse."""
+    desks = Desks(200)
+    name = choose_follower(desks)
+    desk = desks.all[name]
+    leader = desk.leaders("s")[0]
+    desk.note_permit("s", clock.time)
+    clock.time += 1.1
+    desks.lost.add(leader)
+    desk.tell(make_word(name, elapsed_s=1.0, old_running=1), permit_s=1.4)
+    desks.lost.clear()
+    sent = len(desks.sent)
+    clock.time += 0.25
+    desk.tell(make_word(name, elapsed_s=1.2, old_running=2), permit_s=1.2)
+    assert len(desks.sent) == sent
+    clock.time += 0.1
+    desk.tell(make_word(name, elapsed_s=1.3, old_running=2), permit_s=1.1)
+    assert [word.origin for word in desks.all[leader].words("s", 1)] == [name]
+    sent = len(desks.sent)
+    clock.time += 0.35
+    desk.tell(make_word(name, elapsed_s=1.6, old_running=3), permit_s=1.0)
+    assert len(desks.sent) == sent
+
+
+def test_renew_a_permit_without_news(clock: Clock) -> None:
+    desks = Desks(200)
+    name = choose_follower(desks)
+    desk = desks.all[name]
+    word = make_word(name)
+    desk.tell(word)
+    clock.time += 1.1
+    desk.tell(word, permit_s=1.4)
+    assert len(desks.sent) == 2
+    desk.tell(word, permit_s=1.2)
+    assert len(desks.sent) == 4
+
+
+def test_stand_in_for_a_leader_that_gives_no_permits(clock: Clock) -> None:
+    """The leader reaches no store: the permits of all instances ran out at once."""
+    desks = Desks(20)
+    name = choose_follower(desks)
+    leader, *others = desks.rank()
+    progress = make_word(leader).progress
+    for other in others:
+        desks.all[other].find_permit = lambda service, number: progress
+    desks.all[name].tell(make_word(name), permit_s=2.0)
+    assert not desks.permits
+    assert not any(desks.all[other].acts("s") for other in others)
+    clock.time += 0.4
+    desks.all[name].tell(make_word(name), permit_s=0.8)
+    assert len(desks.permits[name]) == len(others)
+    assert all(desks.all[other].acts("s") for other in others)
+    clock.time += 2.1
+    assert not any(desks.all[other].acts("s") for other in others)
+
+
+def test_tell_all_of_the_end(clock: Clock) -> None:
+    desks = Desks(20)
+    leader = desks.rank()[0]
+    word = make_word(leader, state=RolloutState.REVERTED)
+    desks.all[leader].conclude(word.progress)
+    assert len(desks.verdicts) == 19
+    assert {p.state for p in desks.verdicts.values()} == {RolloutState.REVERTED}
--- a/tests/routing/test_exposure.py
+++ b/tests/routing/test_exposure.py
@@ -106,6 +106,41 @@
     assert not totals.may_take_over(elapsed_s=14.0, left_s=0.0)
 
 
+def test_count_attempts_for_the_end_where_requests_are_asked_again() -> None:
+    """A third of the requests is asked again of a larger model, also at the end."""
+    totals = add_up(requests=1000, exposed=50)
+    assert totals.may_take_over(elapsed_s=14.0, left_s=1.1)
+    twice = Totals(bounds=BOUNDS)
+    twice.note([Exposure(requests=1000, exposed=50, attempts=1350)], 10.0)
+    assert not twice.may_take_over(elapsed_s=14.0, left_s=1.1)
+
+
+def test_let_sessions_in_while_the_end_still_fits() -> None:
+    def admits(exposed: int, left_s: float = 7.0) -> bool:
+        totals = add_up(requests=1000, exposed=exposed)
+        return totals.may_admit(elapsed_s=14.0, left_s=left_s, trial_share=0.09)
+
+    assert admits(95)
+    assert not admits(110)
+    # With less time ahead, less is earned before the end.
+    assert not admits(95, left_s=0.0)
+
+
+def test_let_nobody_in_before_a_whole_attempt_is_earned() -> None:
+    totals = add_up(requests=10, exposed=0)
+    assert not totals.may_admit(elapsed_s=1.0, left_s=23.0, trial_share=0.06)
+    totals = add_up(requests=15, exposed=0)
+    assert totals.may_admit(elapsed_s=1.0, left_s=23.0, trial_share=0.06)
+
+
+def test_notice_sessions_that_take_too_much() -> None:
+    """A session on trial turns hot: it gets a large part of all requests."""
+    calm = add_up(requests=1000, exposed=90)
+    assert not calm.is_overdrawn(elapsed_s=14.0, left_s=10.0)
+    hot = add_up(requests=1000, exposed=240)
+    assert hot.is_overdrawn(elapsed_s=14.0, left_s=10.0)
+
+
 def test_end_nothing_while_a_burst_has_just_begun() -> None:
     """Callers press beyond the usual in the last second of a roll-out.
 
--- /dev/null
+++ b/tests/routing/test_pins.py
@@ -0,0 +1,60 @@
+"""Tests of which version each session is on."""
+
+from __future__ import annotations
+
+from baobabthread.routing.pins import MAX_SESSIONS, SessionPins
+
+
+def make_pins() -> SessionPins:
+    return SessionPins(pause_s=6.0)
+
+
+def test_keep_a_session_in_use_until_it_pauses() -> None:
+    pins = make_pins()
+    pins.take_uses({"s": 1.0}, 10.0)
+    assert pins.is_in_use("s", 14.9)
+    assert not pins.is_in_use("s", 15.0)
+    pins.keep("s", 16.0)
+    pins.take_uses({"s": 9.0}, 16.0)
+    assert pins.is_in_use("s", 21.9)
+
+
+def test_take_back_only_what_never_ran_on_the_new_version() -> None:
+    """A decider's answer is lost and its session stays on the old version.
+
+    One of which a request ran on the new one must not be moved back for it.
+    """
+    pins = make_pins()
+    for session in ("lost", "ran"):
+        pins.admit(session)
+    pins.take_moved(["ran"])
+    pins.take_uses({"lost": 0.0, "ran": 0.0}, 1.0)
+    assert not pins.is_admitted("lost")
+    assert pins.is_admitted("ran")
+
+
+def test_know_what_ran_here() -> None:
+    pins = make_pins()
+    assert pins.note_new("s", 1.0)
+    assert not pins.note_new("s", 2.0)
+    assert pins.is_on_new("s")
+    assert pins.list_new(7.9) == ["s"]
+    assert pins.list_new(8.0) == []
+
+
+def test_forget_what_an_earlier_order_decided_but_not_who_is_in_use() -> None:
+    pins = make_pins()
+    pins.note_old("old", 1.0)
+    pins.note_new("new", 1.0)
+    pins.admit("admitted")
+    pins.begin()
+    assert pins.list_old(2.0) == {"old": 1.0}
+    assert not pins.is_on_new("new")
+    assert not pins.is_admitted("admitted")
+
+
+def test_hold_a_bounded_number_of_sessions() -> None:
+    pins = make_pins()
+    for number in range(2 * MAX_SESSIONS):
+        pins.note_new(f"s{number}", number * 0.01)
+    assert len(pins.list_new(2 * MAX_SESSIONS * 0.01)) <= 600
--- a/tests/routing/test_versions.py
+++ b/tests/routing/test_versions.py
@@ -196,3 +196,76 @@
     assert plan.take_order(order, 50.0)
     assert plan.trial.alarm is None
     assert plan.is_running
+
+
+def test_move_no_session_back_while_the_leader_is_silent() -> None:
+    """A permit lapses, and sessions went back though nobody had taken the version back.
+
+    Without any word, of the leader or the store, they must.
+    """
+    plan = begin(permitted_at=3.0)
+    session = find_contested(plan, 3.0)
+    assert plan.decide(session, 3.0)
+    late = 3.0 + PERMIT_S + 0.5
+    assert not plan.may_stay(late)
+    plan.permission.confirm(asked_at=late - 1.0)
+    assert plan.may_stay(late)
+    assert plan.decide(session, late)
+    other = next(s for s in SESSIONS if plan.may_move_early(s) and s != session)
+    assert not plan.decide(other, late)
+
+
+def test_admit_nobody_where_the_leader_lets_nobody_in() -> None:
+    plan = begin()
+    session = find_contested(plan, 3.0)
+    plan.permit(asked_at=3.0, admits=False)
+    assert not plan.decide(session, 3.0)
+    plan.permit(asked_at=3.1, admits=True)
+    assert plan.decide(session, 3.1)
+    plan.permit(asked_at=3.2, admits=False)
+    assert plan.decide(session, 3.2)
+
+
+def test_bound_what_is_decided_at_the_end() -> None:
+    """Callers press as the version takes over; those that were let in stay."""
+    plan = begin()
+    plan.begin_final(23.0, part=20.4)
+    admitted = [session for session in SESSIONS if plan.decide(session, 23.1)]
+    assert 20 <= len(admitted) <= 21
+    assert all(plan.decide(session, 23.2) for session in admitted)
+    assert plan.decide(SESSIONS[-1], LIMIT_S + 0.1)
+
+
+def test_ask_about_all_sessions_before_the_version_may_take_over() -> None:
+    """An instance missed the end: sessions that moved at others went back."""
+    plan = begin()
+    before, after = LIMIT_S - plan.closing_s - 1.0, LIMIT_S - plan.closing_s
+    outside = next(s for s in SESSIONS if not plan.is_contested(s, before))
+    assert plan.is_contested(outside, after)
+    assert not plan.decide(outside, after)
+
+
+def test_send_nothing_more_to_a_version_that_was_taken_back() -> None:
+    plan = begin()
+    session = find_contested(plan, 3.0)
+    assert plan.decide(session, 3.0)
+    plan.trial.alarm = "errors"
+    assert not plan.may_stay(3.5)
+    assert not plan.decide(session, 3.5)
+
+
+def test_hear_of_the_end_directly() -> None:
+    """Gossip tells two hundred instances within seconds; old servers stop at once."""
+    plan = begin()
+    word = Progress(
+        service="s",
+        number=1,
+        elapsed_s=23.0,
+        share=1.0,
+        old_running=0,
+        is_final=True,
+        state=RolloutState.SUCCEEDED,
+    )
+    plan.take_verdict(word, 23.0)
+    assert plan.state is RolloutState.SUCCEEDED
+    assert plan.decide(SESSIONS[0], 23.1)
