Tell the end of a roll-out to whoever still asks

An instance that missed the verdicts kept asking a leader that had no answer for a roll-out that had ended: its permit lapsed and its sessions went to old servers that had been stopped, until gossip came 2.8 s later (the large site's small twin).

--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -138,7 +138,7 @@
     def _note_permit(self, plan: VersionPlan, moment: float) -> None:
         """Log when a trial pauses here for want of a permit, and when it goes on."""
         before = self._permitted.get(plan.service, False)
-        left_s = plan.permission.left_s(moment)
+        left_s = plan.permission.permitted_s(moment)
         is_permitted = plan.is_on_trial and left_s > 0.0
         if before == is_permitted:
             return
@@ -195,13 +195,17 @@
             self._adopt(plan, status, payload.origin)
 
     def _take_verdict(self, progress: Progress) -> None:
-        self._services.get(progress.service).plan.take_verdict(progress, now())
+        plan = self._services.get(progress.service).plan
+        before = plan.state
+        plan.take_verdict(progress, now())
+        if plan.state is not before:
+            self._log_end(plan, "leader")
 
     def _take_permit(self, permit: TrialPermit) -> None:
         plan = self._services.get(permit.progress.service).plan
         if plan.order is None or plan.order.number != permit.progress.number:
             return
-        plan.take_verdict(permit.progress, now())
+        self._take_verdict(permit.progress)
         plan.permit(asked_at=permit.sent_at, admits=permit.progress.admits)
         self._peers.trials.note_permit(plan.service, permit.sent_at)
 
@@ -210,6 +214,16 @@
         plan = self._services.get(service).plan
         if plan.order is None or plan.order.number != number:
             return None
+        if not plan.is_running:
+            # Whoever still asks has missed the end.
+            return Progress(
+                service=service,
+                number=number,
+                elapsed_s=round(plan.elapsed(now()), 2),
+                share=plan.share(now()),
+                old_running=0,
+                state=plan.state,
+            )
         progress = plan.progress(now())
         if progress is None or not self._confirmation.is_fresh(service):
             return None
@@ -219,13 +233,17 @@
         before = plan.state
         plan.take_status(status, now())
         if plan.state is not before:
-            log_event(
-                "rollout_status_heard",
-                service=plan.service,
-                target=status.target,
-                state=plan.state,
-                source=source,
-            )
+            self._log_end(plan, source)
+
+    def _log_end(self, plan: VersionPlan, source: str) -> None:
+        assert plan.order is not None
+        log_event(
+            "rollout_status_heard",
+            service=plan.service,
+            target=plan.order.target,
+            state=plan.state,
+            source=source,
+        )
 
     def _tell(self, plan: VersionPlan) -> None:
         progress = plan.progress(now())
