Take a session for in use as long as its stream runs

Whoever decides on a session was told of it when a request on the old version began and when it ended. Word of what runs is now renewed every two seconds, and handed over with an order. The test fails without it.

--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -32,6 +32,9 @@
 """Time after which word of sessions in use is sent again: datagrams get lost, and a
 session that its decider doesn't know would move in the middle of a conversation."""
 MOST_TRIES = 8
+RENEW_S = 2.0
+"""Time after which word of requests that still run on the old version is renewed, well
+within a session's pause."""
 
 
 class AskVersion(msgspec.Struct, frozen=True, kw_only=True, tag="session.ask"):
@@ -104,6 +107,7 @@
         "_find_plan",
         "_handed",
         "_me",
+        "_renewed_at",
         "_sequence",
         "_tell",
         "_told",
@@ -118,6 +122,7 @@
         self._asked: dict[int, asyncio.Future[VersionIs]] = {}
         self._handed: dict[str, int] = {}
         self._sequence = 0
+        self._renewed_at = now()
         self._told: dict[str, dict[str, set[str]]] = {}
         """Who was told of a session that has moved, by service and session."""
         self._unconfirmed: dict[int, _Unconfirmed] = {}
@@ -232,6 +237,17 @@
                 del self._unconfirmed[sequence]
                 continue
             self._tell(waiting.to, waiting.renew(moment))
+        if moment - self._renewed_at >= RENEW_S:
+            self._renewed_at = moment
+            self._renew_uses()
+
+    def _renew_uses(self) -> None:
+        """Tell again of what runs on the old version: a stream outlasts a pause."""
+        for service in self._handed:
+            plan = self._find_plan(service)
+            sessions = plan.pins.list_running_old()
+            running = [s for s in sessions if plan.may_move_early(s)]
+            self._hand_over(plan, dict.fromkeys(running, 0.0))
 
     def answer(self, sender: str, question: AskVersion) -> None:
         """Decide for another instance."""
--- a/src/baobabthread/routing/pins.py
+++ b/src/baobabthread/routing/pins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 NEVER_S = 1e9
@@ -11,7 +12,14 @@
 class SessionPins:
     """Remember the sessions seen here, and those that this instance decides on."""
 
-    __slots__ = ("_admitted", "_in_use", "_on_new", "_on_old", "_pause_s")
+    __slots__ = (
+        "_admitted",
+        "_in_use",
+        "_on_new",
+        "_on_old",
+        "_pause_s",
+        "_running_old",
+    )
 
     def __init__(self, *, pause_s: float) -> None:
         """Note the pause after which a session may change its version."""
@@ -19,6 +27,8 @@
         self._on_old: dict[str, float] = {}
         """Sessions whose requests went to the old version from here, and when last;
         also before any order, which may come in the middle of a conversation."""
+        self._running_old: Counter[str] = Counter()
+        """Their requests that still run."""
         self._on_new: dict[str, float] = {}
         """The same for the new version."""
         self._in_use: dict[str, float] = {}
@@ -32,8 +42,19 @@
         self._in_use.clear()
         self._admitted.clear()
 
-    def note_old(self, session: str, now: float) -> None:
+    def start_old(self, session: str, now: float) -> None:
         """Note a request on the old version from here."""
+        self._running_old[session] += 1
+        self._note_old(session, now)
+
+    def end_old(self, session: str, now: float) -> None:
+        """Note its end."""
+        self._running_old[session] -= 1
+        if self._running_old[session] <= 0:
+            del self._running_old[session]
+        self._note_old(session, now)
+
+    def _note_old(self, session: str, now: float) -> None:
         self._on_old[session] = now
         if len(self._on_old) > MAX_SESSIONS:
             self._on_old = self._find_recent(self._on_old, now)
@@ -53,7 +74,12 @@
     def list_old(self, now: float) -> dict[str, float]:
         """Return the sessions in use on the old version here, and when last."""
         self._on_old = self._find_recent(self._on_old, now)
-        return self._on_old
+        # A stream may last longer than a pause.
+        return self._on_old | dict.fromkeys(self._running_old, now)
+
+    def list_running_old(self) -> list[str]:
+        """Return the sessions of which a request runs on the old version here."""
+        return list(self._running_old)
 
     def list_new(self, now: float) -> list[str]:
         """Return the sessions in use on the new version here."""
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -366,12 +366,12 @@
     def started_old(self, session: str, now: float) -> None:
         """Count a request of a session that goes to the old version."""
         self._old_running += 1
-        self.pins.note_old(session, now)
+        self.pins.start_old(session, now)
 
     def ended_old(self, session: str, now: float) -> None:
         """Count the end of a request on the old version."""
         self._old_running = max(0, self._old_running - 1)
-        self.pins.note_old(session, now)
+        self.pins.end_old(session, now)
 
     def progress(self, now: float) -> Progress | None:
         """Return what to tell the others, while a roll-out is under way."""
--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -290,3 +290,26 @@
         assert not await net.desks["i1"].decide(fresh, outside)
 
     asyncio.run(case())
+
+
+def test_keep_a_session_in_use_as_long_as_its_stream_runs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A stream runs for longer than a pause; word of it was told at its begin only."""
+
+    async def case() -> None:
+        net = Net()
+        plan, desk = net.plans["i1"], net.desks["i1"]
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[0] == "i2")
+        plan.started_old(session, now())
+        desk.begin(plan)
+        began = now()
+        for seconds in range(2, 20, 2):
+            later = began + seconds
+            monkeypatch.setattr(sessions, "now", lambda later=later: later)
+            for each in net.plans.values():
+                each.permit(asked_at=later)
+            desk.tick()
+        assert not await net.desks["i3"].decide(net.plans["i3"], session)
+
+    asyncio.run(case())
--- a/tests/routing/test_pins.py
+++ b/tests/routing/test_pins.py
@@ -44,7 +44,8 @@
 
 def test_forget_what_an_earlier_order_decided_but_not_who_is_in_use() -> None:
     pins = make_pins()
-    pins.note_old("old", 1.0)
+    pins.start_old("old", 1.0)
+    pins.end_old("old", 1.0)
     pins.note_new("new", 1.0)
     pins.admit("admitted")
     pins.begin()
@@ -58,3 +59,15 @@
     for number in range(2 * MAX_SESSIONS):
         pins.note_new(f"s{number}", number * 0.01)
     assert len(pins.list_new(2 * MAX_SESSIONS * 0.01)) <= 600
+
+
+def test_take_a_stream_for_in_use_while_it_runs() -> None:
+    """A stream outlasts a pause; its session's next request moved in the middle."""
+    pins = make_pins()
+    pins.start_old("s", 0.0)
+    assert pins.list_old(20.0) == {"s": 20.0}
+    assert pins.list_running_old() == ["s"]
+    pins.end_old("s", 21.0)
+    assert pins.list_running_old() == []
+    assert pins.list_old(26.9) == {"s": 21.0}
+    assert pins.list_old(27.0) == {}
