Let sessions in once all instances know the new servers

An instance whose table lacks the new version's servers sends all to the old one, also sessions that others have moved. Word of a roll-out now says whether its sender knows them, and the leader lets nobody in before all do, for three seconds at most.

--- a/bench/_rollout_members.py
+++ b/bench/_rollout_members.py
@@ -40,11 +40,15 @@
 from baobabthread.routing.table import Envelope
 from baobabthread.routing.versions import VersionPlan
 from bench._fleet_store import Formats, MemoryStore
-from bench._rollout_days import NEW, OLD, Day, Sent, Watcher
+from bench._rollout_days import NEW, OLD, ORDER_AT_S, Day, Sent, Watcher
 
 SERVICE = "content"
 LEARN_S = 0.25
 """Longest time after which an instance knows of an order."""
+WARM_S = 0.5
+"""Time after an order from which on servers of the new version can be known."""
+SPREAD_S = 1.0
+"""Longest time after it until an instance knows them."""
 LOAD_S = 0.3
 """Time from a start until the configuration is read."""
 TICK_S = 0.05
@@ -156,9 +160,14 @@
 
     def __init__(self, *, world: Surroundings) -> None:
         self._world = world
+        self._knows_new_s = WARM_S + SPREAD_S * world.rng.random()
 
     def versions(self, service: str) -> dict[str, int]:
-        return dict.fromkeys(self._world.list_versions(), self._world.day.servers)
+        found = self._world.list_versions()
+        since_s = self._world.elapsed_s - ORDER_AT_S
+        if since_s < self._knows_new_s and OLD in found:
+            found = [OLD]
+        return dict.fromkeys(found, self._world.day.servers)
 
     usable_versions = warm_versions = versions
 
--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -308,7 +308,7 @@
         await self._confirmation.ask(plan)
         if not plan.is_running:
             return
-        told = [word.exposure for word in self._words(plan)]
+        told = [(word.progress, word.exposure) for word in self._words(plan)]
         self._sums.count(plan, told, moment)
         if self._confirmation.is_fresh(plan.service):
             plan.permit(
--- a/src/baobabthread/routing/progress.py
+++ b/src/baobabthread/routing/progress.py
@@ -23,6 +23,8 @@
     """Whether the new version takes over all requests."""
     base: str | None = None
     """The version that was in force before the order, as far as the sender knows."""
+    has_begun: bool = True
+    """Whether the sender knows servers of the new version that may take work."""
     admits: bool = True
     """Whether further sessions may begin on the new version, by the leader's sums."""
     end_part: float | None = None
--- a/src/baobabthread/routing/trialsums.py
+++ b/src/baobabthread/routing/trialsums.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 from baobabthread.routing.coldness import Population
 from baobabthread.routing.exposure import Exposure, Totals
+from baobabthread.routing.progress import Progress
 from baobabthread.routing.versions import VersionPlan
 
 KNOWN_S = 3.0
-"""Time after an order from which on sessions may begin on the new version though some
-instances have not told that they know of it: they would send those to the old one."""
+"""Time from which on sessions may begin on the new version though some instances have
+not told that they know of its servers: they would send those to the old one."""
 SEEN_PART = 0.9
 """Part of the instances that must serve for sessions to begin there: those that are cut
 off may have them in use."""
@@ -22,7 +23,14 @@
 class TrialSums:
     """Add up by order what instances tell, and how many of them do."""
 
-    __slots__ = ("_alive", "_heard", "_most_alive", "_population", "_totals")
+    __slots__ = (
+        "_alive",
+        "_begun",
+        "_heard",
+        "_most_alive",
+        "_population",
+        "_totals",
+    )
 
     def __init__(self) -> None:
         self._population = Population()
@@ -32,18 +40,26 @@
         """Most instances that served at once since an order."""
         self._heard: dict[int, int] = {}
         """Other instances that have told of it."""
+        self._begun: dict[int, int] = {}
+        """Those of them that know servers of the new version."""
 
     def note_members(self, names: Sequence[str], now: float) -> None:
         """Note which instances serve, this one included."""
         self._alive = max(1, len(names))
         self._population.note(names, now)
 
-    def count(self, plan: VersionPlan, told: Iterable[Exposure], now: float) -> None:
+    def count(
+        self,
+        plan: VersionPlan,
+        told: Sequence[tuple[Progress, Exposure]],
+        now: float,
+    ) -> None:
         """Take in the newest word of each other instance."""
         assert plan.order is not None
-        counts = list(told)
+        counts = [exposure for _, exposure in told]
         number = plan.order.number
-        self._heard[number] = len(counts)
+        self._heard[number] = len(told)
+        self._begun[number] = sum(progress.has_begun for progress, _ in told)
         self._most_alive[number] = max(self._alive, self._most_alive.get(number, 0))
         self.find(plan).note([*counts, plan.exposure.report()], now)
 
@@ -61,8 +77,8 @@
         number = plan.order.number
         if self._alive < SEEN_PART * self._most_alive.get(number, 0):
             return False
-        has_all = 1 + self._heard.get(number, 0) >= self._alive
-        if plan.elapsed(now) < KNOWN_S and not has_all:
+        has_all = 1 + self._begun.get(number, 0) >= self._alive
+        if plan.ready_s(now) < KNOWN_S and not has_all:
             return False
         return self.find(plan).may_admit(
             elapsed_s=plan.elapsed(now),
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -387,6 +387,7 @@
             is_suspicious=self.trial.is_suspicious,
             is_final=self.is_final,
             base=self.lineage.base,
+            has_begun=self.has_begun,
             end_part=self.end_part if self.is_final else None,
         )
 
--- a/tests/routing/test_trialsums.py
+++ b/tests/routing/test_trialsums.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from baobabthread.routing.exposure import Exposure
+from baobabthread.routing.progress import Progress
 from baobabthread.routing.trialsums import KNOWN_S, TrialSums
 from tests.routing.rollouts import begin
 
@@ -10,8 +11,19 @@
 
 
 def tell(sums: TrialSums, count: int, now: float, *, exposed: int = 0) -> None:
-    words = [Exposure(requests=100, exposed=exposed, attempts=100)] * count
-    sums.count(begin(), words, now)
+    exposure = Exposure(requests=100, exposed=exposed, attempts=100)
+    sums.count(begin(), [(make_progress(), exposure)] * count, now)
+
+
+def make_progress(*, has_begun: bool = True) -> Progress:
+    return Progress(
+        service="s",
+        number=1,
+        elapsed_s=1.0,
+        share=0.0,
+        old_running=0,
+        has_begun=has_begun,
+    )
 
 
 def make_sums(now: float = 0.0) -> TrialSums:
@@ -22,13 +34,23 @@
 
 def test_let_nobody_in_before_all_know_the_order() -> None:
     """An instance that has not read it yet sends moved sessions to the old version."""
-    sums, plan = make_sums(), begin()
+    sums, plan = make_sums(), begin(ready_at=1.0)
     tell(sums, 18, 1.0)
     assert not sums.admits(plan, 1.0)
     tell(sums, 19, 1.1)
     assert sums.admits(plan, 1.1)
     tell(sums, 18, 1.2)
-    assert sums.admits(plan, KNOWN_S + 0.1)
+    assert not sums.admits(plan, 1.2)
+    assert sums.admits(plan, 1.0 + KNOWN_S)
+
+
+def test_let_nobody_in_before_all_know_the_new_servers() -> None:
+    sums, plan = make_sums(), begin(ready_at=1.0)
+    exposure = Exposure(requests=100, attempts=100)
+    words = [(make_progress(), exposure)] * 18
+    words.append((make_progress(has_begun=False), exposure))
+    sums.count(plan, words, 1.5)
+    assert not sums.admits(plan, 1.5)
 
 
 def test_let_nobody_in_while_many_are_cut_off() -> None:
