Let deciders that were cut off decide nothing, and see the end of a roll-out whole

It now says that it can't know for as long as a session's pause, and senders tell of uses again when members change.

--- a/src/baobabthread/instance/conducting.py
+++ b/src/baobabthread/instance/conducting.py
@@ -30,7 +30,7 @@
 
 PERIOD_S = 0.25
 END_PERIOD_S = 0.05
-"""Time between two steps while a version takes over: little of the limit is left."""
+"""Time between two steps near a limit, when a version takes over."""
 SPREAD_S = 1.0
 """Time between two words of a leader that are spread to all."""
 
@@ -84,7 +84,7 @@
 
     def _choose_pause(self) -> float:
         plans = [state.plan for state in self._services]
-        ends = any(plan.is_running and plan.is_final for plan in plans)
+        ends = any(plan.is_running and plan.is_closing(now()) for plan in plans)
         return END_PERIOD_S if ends else PERIOD_S
 
     def take_orders(self) -> None:
--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -139,6 +139,7 @@
             plan = self._find_plan(service)
             if plan.is_on_trial:
                 self._tell_moved(plan, plan.pins.list_new(now()))
+                self._hand_over(plan, plan.list_uses(now()))
 
     async def decide(self, plan: VersionPlan, session: str) -> bool:
         """Return whether a contested session's request goes to the new version."""
@@ -277,10 +278,9 @@
         self._unconfirmed.pop(word.sequence, None)
 
     def _decide_here(self, plan: VersionPlan, session: str) -> bool | None:
-        is_known = plan.saw_before or plan.pins.is_admitted(session)
+        is_known = plan.knows_uses(now()) or plan.pins.is_admitted(session)
         if is_known or not plan.may_have_moved(session):
             return plan.decide(session, now())
-        # Started after the order, it knows of no session in use on either version.
         if plan.is_past_half(now()) and plan.decide(session, now()):
             return True
         return None
--- a/src/baobabthread/routing/exposure.py
+++ b/src/baobabthread/routing/exposure.py
@@ -22,7 +22,7 @@
 """Most and least of the bound by which requests are chosen for the trial."""
 TRIAL_MARGIN = 0.85
 """Part of what the end of a roll-out leaves over that the trial is planned with."""
-END_S = 0.7
+END_S = 0.85
 """Time that the end of a roll-out takes at least: answers under the whole load are to
 be seen before the old version is stopped."""
 MOVE_FACTOR = 1.35
@@ -35,6 +35,10 @@
 """Part of the bound that is planned for the trial and the end together."""
 SURGE = 1.3
 """Times the present rate of requests that the end of a roll-out leaves room for."""
+END_PLAN = 1.1
+"""Times the attempts that are expected at the end, where they are bounded besides."""
+END_CAP = 1.2
+"""Times the requests that are expected at the end which may be decided on."""
 END_SURGE = 2.0
 """The same for the time in which nothing can be held back any more."""
 RATE_S = 4.0
@@ -216,13 +220,12 @@
 
     def may_take_over(self, *, elapsed_s: float, left_s: float) -> bool:
         """Tell whether the version may get everything for what is left of its time."""
-        still = self.expect_end(elapsed_s=elapsed_s, left_s=left_s)
-        still *= self._attempts_each
+        still = self._end_factor * self.per_s(elapsed_s) * left_s
         return left_s > 0.0 and self._fits(still, PLANNED_PART)
 
-    def expect_end(self, *, elapsed_s: float, left_s: float) -> float:
-        """Return the requests to reckon with until the limit, with some to spare."""
-        return SURGE * self.per_s(elapsed_s) * left_s
+    def find_end_room(self, *, elapsed_s: float, left_s: float) -> float:
+        """Return the requests that may be decided on until the limit, by all."""
+        return END_CAP * self.per_s(elapsed_s) * left_s
 
     def may_admit(self, *, elapsed_s: float, left_s: float, trial_share: float) -> bool:
         """Tell whether one more session may begin on the version on trial.
@@ -231,7 +234,7 @@
         """
         per_s = self.per_s(elapsed_s)
         requests = self.total.requests + per_s * left_s
-        end = SURGE * END_S * per_s * self._attempts_each
+        end = self._end_factor * END_S * per_s
         share = (self._plan(requests, PLANNED_PART) - end) / max(1.0, requests)
         share = max(LEAST_TRIAL_PART * self._bounds.exposure_share, share)
         most = min(MOVE_FACTOR * trial_share, share) * self.total.requests
@@ -262,5 +265,7 @@
         return planned + EXTRA_PART * self._bounds.exposure_extra
 
     @property
-    def _attempts_each(self) -> float:
-        return max(1.0, self.total.attempts / max(1, self.total.requests))
+    def _end_factor(self) -> float:
+        """Give the attempts to reckon with at the end for each request expected."""
+        each = self.total.attempts / max(1, self.total.requests)
+        return max(SURGE, END_PLAN * each)
--- a/src/baobabthread/routing/permission.py
+++ b/src/baobabthread/routing/permission.py
@@ -14,15 +14,19 @@
     for those that are there already: without any word, they must not stay.
     """
 
-    __slots__ = ("_admits", "_confirmed_until", "_permitted_until")
+    __slots__ = ("_admits", "_confirmed_until", "_permitted_until", "renewed_at")
 
     def __init__(self) -> None:
+        self.renewed_at = -NEVER_S
+        """When the leader's word came again after it had lapsed."""
         self._permitted_until = -NEVER_S
         self._confirmed_until = -NEVER_S
         self._admits = True
 
     def permit(self, *, asked_at: float, admits: bool) -> None:
         """Take the leader's word, as of when it was asked."""
+        if -NEVER_S < self._permitted_until < asked_at:
+            self.renewed_at = asked_at
         self._permitted_until = max(self._permitted_until, asked_at + PERMIT_S)
         self._admits = admits
 
--- a/src/baobabthread/routing/pins.py
+++ b/src/baobabthread/routing/pins.py
@@ -17,13 +17,13 @@
         "_in_use",
         "_on_new",
         "_on_old",
-        "_pause_s",
         "_running_old",
+        "pause_s",
     )
 
     def __init__(self, *, pause_s: float) -> None:
         """Note the pause after which a session may change its version."""
-        self._pause_s = pause_s
+        self.pause_s = pause_s
         self._on_old: dict[str, float] = {}
         """Sessions whose requests went to the old version from here, and when last;
         also before any order, which may come in the middle of a conversation."""
@@ -95,7 +95,7 @@
 
     def is_in_use(self, session: str, now: float) -> bool:
         """Tell whether a session is in use on the old version."""
-        return now - self._in_use.get(session, -NEVER_S) < self._pause_s
+        return now - self._in_use.get(session, -NEVER_S) < self.pause_s
 
     def keep(self, session: str, now: float) -> None:
         """Leave a session on the old version."""
@@ -124,5 +124,5 @@
             self._admitted[session] = True
 
     def _find_recent(self, seen: dict[str, float], now: float) -> dict[str, float]:
-        recent = now - self._pause_s
+        recent = now - self.pause_s
         return {session: at for session, at in seen.items() if at > recent}
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -311,6 +311,11 @@
             return False
         return self._is_in(session, self.trial_share)
 
+    def knows_uses(self, now: float) -> bool:
+        """Tell whether this instance has heard all the while which sessions are used."""
+        heard_s = now - self.permission.renewed_at
+        return self.saw_before and heard_s >= self.pins.pause_s
+
     def may_have_moved(self, session: str) -> bool:
         """Tell whether a session may be on the new version by now."""
         return self.is_final or self.may_move_early(session)
--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -21,6 +21,7 @@
 )
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import RolloutOrder
+from baobabthread.routing.permission import Permission
 from baobabthread.routing.versions import VersionPlan
 
 NAMES = ["i1", "i2", "i3"]
@@ -313,3 +314,40 @@
         assert not await net.desks["i3"].decide(net.plans["i3"], session)
 
     asyncio.run(case())
+
+
+def test_decide_nothing_right_after_a_cut() -> None:
+    """A decider that was cut off let a session move that was in use elsewhere."""
+
+    async def case() -> None:
+        net = Net()
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        first, second, _ = rank(session, NAMES)
+        plan = net.plans["i1"]
+        plan.started_old(session, now())
+        net.desks[second].take_uses(
+            "i1", SessionsInUse(sequence=1, service="s", number=1, ages={session: 0.0})
+        )
+        permission = Permission()
+        permission.permit(asked_at=now() - 9.0, admits=True)
+        permission.permit(asked_at=now(), admits=True)
+        net.plans[first].permission = permission
+        assert not await net.desks["i1"].decide(plan, session)
+
+    asyncio.run(case())
+
+
+def test_tell_of_uses_once_members_have_changed() -> None:
+    async def case() -> None:
+        net = Net()
+        desk, plan = net.desks["i1"], net.plans["i1"]
+        desk.begin(plan)
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        desk.set_members(["i1"])
+        plan.started_old(session, now())
+        desk.note_use(plan, session)
+        desk.set_members(NAMES)
+        for name in rank(session, NAMES)[:2]:
+            assert net.plans[name].pins.is_in_use(session, now())
+
+    asyncio.run(case())
--- a/tests/routing/test_permission.py
+++ b/tests/routing/test_permission.py
@@ -29,3 +29,13 @@
     permission.permit(asked_at=5.0, admits=True)
     permission.permit(asked_at=3.0, admits=True)
     assert permission.permitted_s(5.0) == PERMIT_S
+
+
+def test_know_when_the_leader_was_heard_again() -> None:
+    """An instance that was cut off missed which sessions are in use."""
+    permission = Permission()
+    permission.permit(asked_at=1.0, admits=True)
+    permission.permit(asked_at=3.0, admits=True)
+    assert permission.renewed_at < 0.0
+    permission.permit(asked_at=9.0, admits=True)
+    assert permission.renewed_at == 9.0
