--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -307,12 +307,11 @@
 
     def may_move_early(self, session: str) -> bool:
         """Tell whether the trial may move a session, now or once it has settled."""
-        if not self.is_running or self._final_at is not None:
-            return False
-        return self._is_in(session, self.trial_share)
+        is_early = self.is_running and self._final_at is None
+        return is_early and self._is_in(session, self.trial_share)
 
     def knows_uses(self, now: float) -> bool:
-        """Tell whether this instance has heard all the while which sessions are used."""
+        """Tell whether this instance has heard all along which sessions are in use."""
         heard_s = now - self.permission.renewed_at
         return self.saw_before and heard_s >= self.pins.pause_s
 
