Let the first decider answer for what it let in, and count attempts to the limit

A question to the first decider was lost, and the second one, which had not let them in, answered. It now refuses nothing that the first may have let in: the question is asked again, and what either let in is told to both in the end as well.

--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -160,7 +160,7 @@
                     return is_new
             waiting = silent
         # In the second half any session may move, and one that has must not go back.
-        is_free = plan.is_past_half(now()) and plan.may_have_moved(session)
+        is_free = plan.is_past_half(now()) and plan.is_chosen(session)
         if plan.pins.is_on_new(session) or is_free:
             return True
         # Somebody may have decided to move it, and the answer was lost.
@@ -201,7 +201,7 @@
     def note_new(self, plan: VersionPlan, session: str) -> None:
         """Tell the deciding instances that a request is on the new version, once."""
         is_news = plan.pins.note_new(session, now())
-        if is_news and plan.is_on_trial:
+        if is_news and plan.is_running:
             self._tell_moved(plan, [session])
 
     def _tell_moved(self, plan: VersionPlan, sessions: list[str]) -> None:
@@ -278,12 +278,15 @@
         self._unconfirmed.pop(word.sequence, None)
 
     def _decide_here(self, plan: VersionPlan, session: str) -> bool | None:
-        is_known = plan.knows_uses(now()) or plan.pins.is_admitted(session)
-        if is_known or not plan.may_have_moved(session):
+        if plan.pins.is_admitted(session) or not plan.may_have_moved(session):
             return plan.decide(session, now())
-        if plan.is_past_half(now()) and plan.decide(session, now()):
+        if not plan.knows_uses(now()) and not plan.is_past_half(now()):
+            return None
+        if plan.decide(session, now()):
             return True
-        return None
+        # The first one may have let it in; what it did is told, and words get lost.
+        is_first = self._find_deciders(session)[0] == self._me
+        return False if is_first and plan.knows_uses(now()) else None
 
     def _hand_over(self, plan: VersionPlan, ages: dict[str, float]) -> None:
         by_decider: dict[str, dict[str, float]] = {}
--- a/src/baobabthread/routing/exposure.py
+++ b/src/baobabthread/routing/exposure.py
@@ -35,12 +35,15 @@
 """Part of the bound that is planned for the trial and the end together."""
 SURGE = 1.3
 """Times the present rate of requests that the end of a roll-out leaves room for."""
-END_PLAN = 1.1
-"""Times the attempts that are expected at the end, where they are bounded besides."""
-END_CAP = 1.2
-"""Times the requests that are expected at the end which may be decided on."""
 END_SURGE = 2.0
 """The same for the time in which nothing can be held back any more."""
+END_ATTEMPTS = 1.75
+"""The same for attempts, where requests are often asked again."""
+END_PLAN = 1.1
+"""Times the attempts to expect at the end, where whoever decides on sessions bounds
+them besides."""
+END_CAP = 1.2
+"""Times the requests to expect at the end that may be decided on."""
 RATE_S = 4.0
 """Time over which the rate of requests is measured."""
 NOW_S = 0.5
@@ -253,7 +256,7 @@
     def may_end(self, *, elapsed_s: float, left_s: float) -> bool:
         """Tell whether nothing has to be held back any more until the time limit."""
         per_s = max(self.per_s(elapsed_s), self._now_rate.per_s())
-        still = END_SURGE * per_s * left_s
+        still = max(END_SURGE, END_ATTEMPTS * self._attempts_each) * per_s * left_s
         return left_s <= 0.0 or self._fits(still, 1.0)
 
     def _fits(self, still: float, part: float) -> bool:
@@ -267,5 +270,8 @@
     @property
     def _end_factor(self) -> float:
         """Give the attempts to reckon with at the end for each request expected."""
-        each = self.total.attempts / max(1, self.total.requests)
-        return max(SURGE, END_PLAN * each)
+        return max(SURGE, END_PLAN * self._attempts_each)
+
+    @property
+    def _attempts_each(self) -> float:
+        return self.total.attempts / max(1, self.total.requests)
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -308,7 +308,11 @@
     def may_move_early(self, session: str) -> bool:
         """Tell whether the trial may move a session, now or once it has settled."""
         is_early = self.is_running and self._final_at is None
-        return is_early and self._is_in(session, self.trial_share)
+        return is_early and self.is_chosen(session)
+
+    def is_chosen(self, session: str) -> bool:
+        """Tell whether a session is one of those that the trial may move."""
+        return self._is_in(session, self.trial_share)
 
     def knows_uses(self, now: float) -> bool:
         """Tell whether this instance has heard all along which sessions are in use."""
@@ -360,12 +364,8 @@
         """Return the sessions seen here whose turn may come, and how long ago."""
         if self.order is None:
             return {}
-        share = self.trial_share
-        return {
-            session: round(now - at, 2)
-            for session, at in self.pins.list_old(now).items()
-            if self._is_in(session, share)
-        }
+        seen = self.pins.list_old(now).items()
+        return {s: round(now - at, 2) for s, at in seen if self.is_chosen(s)}
 
     def started_old(self, session: str, now: float) -> None:
         """Count a request of a session that goes to the old version."""
--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -351,3 +351,40 @@
             assert net.plans[name].pins.is_in_use(session, now())
 
     asyncio.run(case())
+
+
+def test_let_the_first_decider_answer_for_what_it_let_in() -> None:
+    """A question is lost at the end; the second decider sent the session back."""
+
+    async def case() -> None:
+        net = Net()
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        first, second, _ = rank(session, NAMES)
+        for plan in net.plans.values():
+            plan.begin_final(now(), part=0.0)
+        net.plans[first].end_part = 9.0
+        desk, plan = net.desks["i1"], net.plans["i1"]
+        assert await desk.decide(plan, session)
+        net.lose[AskVersion] = 1
+        assert await desk.decide(plan, session)
+        assert not net.plans[second].pins.is_admitted(session)
+
+    asyncio.run(case())
+
+
+def test_know_at_the_first_decider_what_the_second_let_in() -> None:
+    async def case() -> None:
+        net = Net()
+        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        first, second, _ = rank(session, NAMES)
+        for plan in net.plans.values():
+            plan.begin_final(now(), part=0.0)
+        net.plans[second].end_part = 9.0
+        net.lose[AskVersion] = 1
+        desk, plan = net.desks["i1"], net.plans["i1"]
+        assert await desk.decide(plan, session)
+        desk.note_new(plan, session)
+        assert net.plans[first].pins.is_admitted(session)
+        assert await desk.decide(plan, session)
+
+    asyncio.run(case())
