--- a/tests/bench/test_rollouts.py
+++ b/tests/bench/test_rollouts.py
@@ -42,7 +42,7 @@
         (1, range(12)),
         (2, range(12)),
         (6, range(24)),
-        (23, range(12)),
+        (23, [*range(12), 3032]),
         (59, range(8)),
         (195, [0, 1, 3025]),
         (400, [0]),
