--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -80,6 +80,15 @@
     return [s for s in names if plan.is_contested(s, now())]
 
 
+def find_asked(net: Net) -> tuple[str, str, str]:
+    """Return a session that i1 has to ask about, and who decides on it."""
+    for session in find_contested(net):
+        first, second, third = rank(session, NAMES)
+        if third == "i1":
+            return session, first, second
+    raise AssertionError("no session")
+
+
 def test_decide_alike_everywhere() -> None:
     """Two requests of a session reach two instances in the same moment.
 
@@ -209,7 +218,7 @@
     async def case() -> None:
         net = Net()
         desk, plan = net.desks["i1"], net.plans["i1"]
-        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        session, _, _ = find_asked(net)
         assert await net.desks["i2"].decide(net.plans["i2"], session)
         net.lose[AskVersion] = 2
         assert await desk.decide(plan, session)
@@ -221,7 +230,7 @@
     async def case() -> None:
         net = Net()
         desk, plan = net.desks["i1"], net.plans["i1"]
-        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        session, _, _ = find_asked(net)
         assert await desk.decide(plan, session)
         desk.note_new(plan, session)
         net.lost = True
@@ -238,8 +247,7 @@
 
     async def case() -> None:
         net = Net()
-        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
-        first, second, _ = rank(session, NAMES)
+        session, first, second = find_asked(net)
         desk, plan = net.desks["i1"], net.plans["i1"]
         assert await desk.decide(plan, session)
         desk.note_new(plan, session)
@@ -258,8 +266,7 @@
 
     async def case() -> None:
         net = Net()
-        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
-        first, second, _ = rank(session, NAMES)
+        session, first, second = find_asked(net)
         desk, plan = net.desks["i1"], net.plans["i1"]
         desk.begin(plan)
         assert await desk.decide(plan, session)
@@ -321,8 +328,7 @@
 
     async def case() -> None:
         net = Net()
-        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
-        first, second, _ = rank(session, NAMES)
+        session, first, second = find_asked(net)
         plan = net.plans["i1"]
         plan.started_old(session, now())
         net.desks[second].take_uses(
@@ -342,7 +348,7 @@
         net = Net()
         desk, plan = net.desks["i1"], net.plans["i1"]
         desk.begin(plan)
-        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
+        session, _, _ = find_asked(net)
         desk.set_members(["i1"])
         plan.started_old(session, now())
         desk.note_use(plan, session)
@@ -358,8 +364,7 @@
 
     async def case() -> None:
         net = Net()
-        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
-        first, second, _ = rank(session, NAMES)
+        session, first, second = find_asked(net)
         for plan in net.plans.values():
             plan.begin_final(now(), part=0.0)
         net.plans[first].end_part = 9.0
@@ -375,8 +380,7 @@
 def test_know_at_the_first_decider_what_the_second_let_in() -> None:
     async def case() -> None:
         net = Net()
-        session = next(s for s in find_contested(net) if rank(s, NAMES)[2] == "i1")
-        first, second, _ = rank(session, NAMES)
+        session, first, second = find_asked(net)
         for plan in net.plans.values():
             plan.begin_final(now(), part=0.0)
         net.plans[second].end_part = 9.0
