Let each desk take its own messages, and name what a request's session is on

The dispatch of the messages on sessions stood three times: in the link to the peers, in the stand-in of a roll-out and in a test; each desk has it now. may_move and moves told a newcomer nothing: may_use_new, session_on_new. A constant that says "the same" stands behind the one that it speaks of.

--- a/bench/_rollout_members.py
+++ b/bench/_rollout_members.py
@@ -17,20 +17,9 @@
 from baobabthread.instance.peers import PeerLink
 from baobabthread.instance.selection import Selection
 from baobabthread.instance.services import Services
-from baobabthread.instance.sessions import (
-    AskVersion,
-    SessionDesk,
-    SessionsInUse,
-    UsesNoted,
-    VersionIs,
-)
+from baobabthread.instance.sessions import SESSION_MESSAGES, SessionDesk
 from baobabthread.instance.store import Append, Appended, Conflict, Page, StoreError
-from baobabthread.instance.trialdesk import (
-    TrialDesk,
-    TrialPermit,
-    TrialVerdict,
-    TrialWord,
-)
+from baobabthread.instance.trialdesk import TrialDesk
 from baobabthread.routing.configuration import (
     Repeatability,
     RolloutOrder,
@@ -234,22 +223,10 @@
 
     def take(self, sender: str, message: Any) -> None:
         """Take in a datagram."""
-        desk, trials = self.peers.desk, self.peers.trials
-        match message:
-            case AskVersion():
-                desk.answer(sender, message)
-            case VersionIs():
-                desk.take(message)
-            case SessionsInUse():
-                desk.take_uses(sender, message)
-            case UsesNoted():
-                desk.take_confirmation(message)
-            case TrialWord():
-                trials.take(sender, message)
-            case TrialPermit():
-                trials.take_permit(message)
-            case TrialVerdict():
-                trials.take_verdict(message.progress)
+        if isinstance(message, SESSION_MESSAGES):
+            self.peers.desk.handle(sender, message)
+        else:
+            self.peers.trials.handle(sender, message)
 
     async def _read(self) -> None:
         if self.world.elapsed_s > 0.0:
@@ -275,7 +252,7 @@
         plan = self.plan
         flight = make_flight(sent.session)
         if plan.is_contested(sent.session, now()):
-            flight.moves = await self.peers.desk.decide(plan, sent.session)
+            flight.session_on_new = await self.peers.desk.decide(plan, sent.session)
         for _ in range(attempts):
             version = self._find_version(flight)
             sent.reason = str(flight.version_reason)
--- a/src/baobabthread/instance/flight.py
+++ b/src/baobabthread/instance/flight.py
@@ -99,9 +99,8 @@
         "kept_tokens",
         "last_event",
         "lost",
-        "may_move",
+        "may_use_new",
         "model",
-        "moves",
         "on_new",
         "reason",
         "reply",
@@ -110,6 +109,7 @@
         "runs",
         "service",
         "session",
+        "session_on_new",
         "sidelined",
         "started_at",
         "taken_at_stop",
@@ -167,9 +167,9 @@
         self.version_reason = VersionReason.NO_ROLLOUT
         self.kept_tokens: int | None = None
         """Tokens of its prompt that the engine keeps; None where nobody knows."""
-        self.may_move = True
+        self.may_use_new = True
         """Whether it may go to the new version at all."""
-        self.moves = False
+        self.session_on_new = False
         """Whether its session is on the new version, by whoever decides on it."""
         self.is_spread = False
         """Whether any server of a version on trial may take it."""
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -201,7 +201,7 @@
 
     async def _run(self, flight: Flight, state: ServiceState) -> None:
         if not flight.is_free and state.plan.is_contested(flight.session, now()):
-            flight.moves = await self._desk.decide(state.plan, flight.session)
+            flight.session_on_new = await self._desk.decide(state.plan, flight.session)
         while True:
             if flight.deadline - now() < LEAST_LEFT_S:
                 await self._endings.time_out(flight)
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -178,14 +178,8 @@
                 self.relay.answer(sender, message)
             case KnowledgeIs():
                 self.relay.take(sender, message)
-            case AskVersion():
-                self.desk.answer(sender, message)
-            case VersionIs():
-                self.desk.take(message)
-            case SessionsInUse():
-                self.desk.take_uses(sender, message)
-            case UsesNoted():
-                self.desk.take_confirmation(message)
+            case AskVersion() | VersionIs() | SessionsInUse() | UsesNoted():
+                self.desk.handle(sender, message)
             case AskLoads():
                 self.placement.answer(sender, message)
             case LoadsAre():
@@ -194,12 +188,8 @@
                 self.placement.take_placed(sender, message)
             case TellEnded():
                 self.placement.take_ended(sender, message)
-            case TrialWord():
-                self.trials.take(sender, message)
-            case TrialPermit():
-                self.trials.take_permit(message)
-            case TrialVerdict():
-                self.trials.take_verdict(message.progress)
+            case TrialWord() | TrialPermit() | TrialVerdict():
+                self.trials.handle(sender, message)
             case Crash():
                 self.quarantine.take_crash(message)
             case CompareHeld():
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -61,7 +61,7 @@
             link = await self._select(flight, plan)
         if link is None and flight.is_on_trial:
             # The few servers on trial are no reason to refuse what others can take.
-            flight.may_move = False
+            flight.may_use_new = False
             link = await self._select(flight, plan)
             flight.version_reason = VersionReason.NO_SERVER
         return link
@@ -188,7 +188,7 @@
             # new version, it would be joined from two, and lost where that one is bad.
             flight.on_new = False
             return plan.lineage.find_base(listed) if len(listed) > 1 else None
-        wanted = flight.may_move and _wants_new(flight, plan)
+        wanted = flight.may_use_new and _wants_new(flight, plan)
         # What began on the old version goes on there while it lives.
         may_change = flight.on_new is None or flight.runs == 0 or plan.is_final
         if may_change or not wanted:
@@ -213,7 +213,7 @@
     if flight.is_free:
         return plan.choose_free(flight.session, moment)
     if plan.is_running:
-        return flight.moves and plan.may_stay(moment)
+        return flight.session_on_new and plan.may_stay(moment)
     return not plan.is_reverted
 
 
@@ -226,7 +226,7 @@
         return VersionReason.TAKEN_OVER if is_over else VersionReason.ON_TRIAL
     if plan.is_reverted or plan.trial.alarm is not None:
         return VersionReason.TAKEN_BACK
-    if flight.moves:
+    if flight.session_on_new:
         return VersionReason.NO_PERMIT
     if not plan.may_have_moved(flight.session):
         return VersionReason.NOT_ON_TRIAL
--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -19,12 +19,12 @@
 from baobabthread.instance.clock import now
 from baobabthread.routing.versions import VersionPlan
 
-LAST_ANSWER_S = 0.25
-"""The same once none of them has answered: one of them may only be slow, and a session
-that has moved must not go back."""
 ANSWER_S = 0.08
 """Time for the answer, several times a trip between failure domains; without one the
 next instance is asked."""
+LAST_ANSWER_S = 0.25
+"""The same once none has answered: one may only be slow, and a session that has moved
+must not go back."""
 DECIDERS = 2
 """Instances that are told of a session in use, and asked one after the other: the first
 may have started after the order and know nothing."""
@@ -127,6 +127,18 @@
         """Who was told of a session that has moved, by service and session."""
         self._unconfirmed: dict[int, _Unconfirmed] = {}
 
+    def handle(self, sender: str, message: msgspec.Struct) -> None:
+        """Take in one of `SESSION_MESSAGES`."""
+        match message:
+            case AskVersion():
+                self._answer(sender, message)
+            case VersionIs():
+                self._take_answer(message)
+            case SessionsInUse():
+                self._take_uses(sender, message)
+            case UsesNoted():
+                self._unconfirmed.pop(message.sequence, None)
+
     def set_members(self, names: list[str]) -> None:
         """Note which instances serve, this one included."""
         before, self._alive = self._alive, names or [self._me]
@@ -250,21 +262,18 @@
             running = [s for s in sessions if plan.may_move_early(s)]
             self._hand_over(plan, dict.fromkeys(running, 0.0))
 
-    def answer(self, sender: str, question: AskVersion) -> None:
-        """Decide for another instance."""
+    def _answer(self, sender: str, question: AskVersion) -> None:
         plan = self._find_plan(question.service)
         known = plan.order is not None and plan.order.number == question.number
         is_new = self._decide_here(plan, question.session) if known else None
         self._tell(sender, VersionIs(sequence=question.sequence, is_new=is_new))
 
-    def take(self, word: VersionIs) -> None:
-        """Take in a decision."""
+    def _take_answer(self, word: VersionIs) -> None:
         waiting = self._asked.get(word.sequence)
         if waiting is not None and not waiting.done():
             waiting.set_result(word)
 
-    def take_uses(self, sender: str, uses: SessionsInUse) -> None:
-        """Take in which sessions are in use elsewhere."""
+    def _take_uses(self, sender: str, uses: SessionsInUse) -> None:
         plan = self._find_plan(uses.service)
         if plan.order is None or plan.order.number != uses.number:
             # The order is on its way here; the sender tells again.
@@ -273,10 +282,6 @@
         plan.pins.take_moved(uses.moved)
         self._tell(sender, UsesNoted(sequence=uses.sequence))
 
-    def take_confirmation(self, word: UsesNoted) -> None:
-        """Note that word of sessions in use has arrived."""
-        self._unconfirmed.pop(word.sequence, None)
-
     def _decide_here(self, plan: VersionPlan, session: str) -> bool | None:
         if plan.pins.is_admitted(session) or not plan.may_have_moved(session):
             return plan.decide(session, now())
--- a/src/baobabthread/instance/trialdesk.py
+++ b/src/baobabthread/instance/trialdesk.py
@@ -132,6 +132,16 @@
         self.find_permit: FindPermit = lambda service, number: None
         """Return what to permit about an order; nothing where this one can't tell."""
 
+    def handle(self, sender: str, message: msgspec.Struct) -> None:
+        """Take in one of `TRIAL_MESSAGES`."""
+        match message:
+            case TrialWord():
+                self.take(sender, message)
+            case TrialPermit():
+                self.take_permit(message)
+            case TrialVerdict():
+                self.take_verdict(message.progress)
+
     def set_members(self, names: Sequence[str]) -> None:
         """Note which instances serve, this one included."""
         self._alive = list(names) or [self._me]
--- a/tests/instance/test_selection.py
+++ b/tests/instance/test_selection.py
@@ -67,7 +67,7 @@
 
 def make_moved() -> Flight:
     flight = make_flight("s")
-    flight.moves = True
+    flight.session_on_new = True
     return flight
 
 
--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import Counter
-from typing import Any
 
 import msgspec
 import pytest
@@ -16,7 +15,6 @@
     AskVersion,
     SessionDesk,
     SessionsInUse,
-    UsesNoted,
     VersionIs,
 )
 from baobabthread.routing.bounds import RoutingBounds
@@ -62,16 +60,7 @@
         if self.lose[type(message)] > 0:
             self.lose[type(message)] -= 1
             return
-        desk: Any = self.desks[to]
-        match message:
-            case AskVersion():
-                desk.answer(sender, message)
-            case VersionIs():
-                desk.take(message)
-            case SessionsInUse():
-                desk.take_uses(sender, message)
-            case UsesNoted():
-                desk.take_confirmation(message)
+        self.desks[to].handle(sender, message)
 
 
 def find_contested(net: Net) -> list[str]:
@@ -331,7 +320,7 @@
         session, first, second = find_asked(net)
         plan = net.plans["i1"]
         plan.started_old(session, now())
-        net.desks[second].take_uses(
+        net.desks[second].handle(
             "i1", SessionsInUse(sequence=1, service="s", number=1, ages={session: 0.0})
         )
         permission = Permission()
