--- a/tests/bench/test_rollouts.py
+++ b/tests/bench/test_rollouts.py
@@ -10,7 +10,16 @@
 
 import pytest
 from bench._fleet import quiet_logs
-from bench._rollout_days import MOST_CHANGES, Account, Burst, Cut, Day, Slow, draw_day
+from bench._rollout_days import (
+    MOST_CHANGES,
+    Account,
+    Burst,
+    Cut,
+    Day,
+    Slow,
+    draw_day,
+    draw_views,
+)
 from bench._rollout_members import SERVICE
 from bench._rollouts import World
 
@@ -60,6 +69,17 @@
         assert not broken, f"seed {seed}"
 
 
+@pytest.mark.parametrize("limit_s", [8.0, 14.0, 24.0])
+@pytest.mark.parametrize("members", [1, 6, 59, 195])
+def test_keep_a_bad_version_within_its_part_under_any_views(
+    members: int, limit_s: float
+) -> None:
+    """A bad version that nobody finds bad got more, as most instances see little."""
+    for seed in range(12):
+        account = play(draw_views(members, seed, limit_s=limit_s))
+        assert account.exposed_anywhere <= account.allowed, f"seed {seed}"
+
+
 def test_go_on_when_the_leader_loses_the_store() -> None:
     """All permits lapsed, sessions went back, and a good version was taken back."""
     cut = Cut(at_s=19.8, for_s=7.6, members=(find_leader(59),), from_store=True)
