Let whoever begins to lead reckon with what others have added up

The sums now go with permits, verdicts and words, and the next leader takes the larger figures.

What bounds the end at one instance is a class of its own now.

--- a/src/baobabthread/routing/exposure.py
+++ b/src/baobabthread/routing/exposure.py
@@ -74,6 +74,14 @@
     attempts: int = 0
     """Attempts at any version."""
 
+    def join(self, other: Exposure) -> Exposure:
+        """Return the larger of two counts of the same requests."""
+        return Exposure(
+            requests=max(self.requests, other.requests),
+            exposed=max(self.exposed, other.exposed),
+            attempts=max(self.attempts, other.attempts),
+        )
+
 
 def find_trial_share(bounds: RoutingBounds, time_limit_s: float) -> float:
     """Return the share of the requests that a version gets while it is on trial."""
@@ -145,6 +153,29 @@
         return FIRST + share * self._requests
 
 
+class EndRoom:
+    """Count what one instance decides on while a version takes over."""
+
+    __slots__ = ("_used", "part")
+
+    def __init__(self, *, part: float | None = None) -> None:
+        self.part = part
+        """Requests that may be decided on; None where nothing bounds them."""
+        self._used = 0
+
+    def has_room(self, drawn: float) -> bool:
+        """Tell whether one more may go there.
+
+        `drawn` is a random number from 0 to 1: it rounds the part up or down, so that
+        the sum over all instances holds.
+        """
+        return self.part is None or self._used + drawn < self.part
+
+    def count(self) -> None:
+        """Note one that goes there."""
+        self._used += 1
+
+
 class Bursts:
     """Put the trial's requests on few servers, close to each other.
 
@@ -204,14 +235,20 @@
         self._now_rate = Rate(window_s=NOW_S)
         self.total = Exposure()
 
-    def note(self, counts: Iterable[Exposure], now: float) -> None:
-        """Take in the newest word of each instance, this one included."""
+    def note(
+        self, counts: Iterable[Exposure], now: float, *, known: Exposure | None = None
+    ) -> None:
+        """Take in the newest word of each instance, this one included.
+
+        Whoever begins to lead has not heard all: `known` is what others have added up.
+        """
         words = list(counts)
-        self.total = Exposure(
+        total = Exposure(
             requests=sum(word.requests for word in words),
             exposed=sum(word.exposed for word in words),
             attempts=sum(word.attempts for word in words),
         )
+        self.total = total.join(known) if known is not None else total
         self._rate.note(self.total.requests, now)
         self._now_rate.note(self.total.requests, now)
 
--- a/src/baobabthread/routing/progress.py
+++ b/src/baobabthread/routing/progress.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from baobabthread.routing.configuration import RolloutState
+from baobabthread.routing.exposure import Exposure
 
 
 class Progress(msgspec.Struct, frozen=True, kw_only=True):
@@ -25,6 +26,8 @@
     """The version that was in force before the order, as far as the sender knows."""
     has_begun: bool = True
     """Whether the sender knows servers of the new version that may take work."""
+    total: Exposure = Exposure()
+    """What all have sent, as far as the sender knows."""
     admits: bool = True
     """Whether further sessions may begin on the new version, by the leader's sums."""
     end_part: float | None = None
--- a/src/baobabthread/routing/trialsums.py
+++ b/src/baobabthread/routing/trialsums.py
@@ -61,7 +61,10 @@
         self._heard[number] = len(told)
         self._begun[number] = sum(progress.has_begun for progress, _ in told)
         self._most_alive[number] = max(self._alive, self._most_alive.get(number, 0))
-        self.find(plan).note([*counts, plan.exposure.report()], now)
+        totals = self.find(plan)
+        counts.append(plan.exposure.report())
+        totals.note(counts, now, known=plan.known_total)
+        plan.known_total = totals.total
 
     def find(self, plan: VersionPlan) -> Totals:
         """Return the sums of a plan's order."""
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 
 from baobabthread.core.requests.attempts import draw
@@ -21,6 +20,8 @@
 )
 from baobabthread.routing.exposure import (
     Bursts,
+    EndRoom,
+    Exposure,
     ExposureBudget,
     Rate,
     find_trial_share,
@@ -47,7 +48,6 @@
     """Choose between the versions of one service."""
 
     __slots__ = (
-        "_end_used",
         "_final_at",
         "_old_running",
         "_ready_at",
@@ -55,8 +55,9 @@
         "_started_at",
         "bounds",
         "bursts",
-        "end_part",
+        "end_room",
         "exposure",
+        "known_total",
         "lineage",
         "order",
         "permission",
@@ -85,10 +86,10 @@
         self.permission = Permission()
         self._final_at: float | None = None
         """When the instance that leads let the new version take over."""
-        self.end_part = math.inf
-        """Requests that may be decided on here once it has."""
-        self._end_used = 0
+        self.end_room = EndRoom()
         self.exposure = ExposureBudget()
+        self.known_total = Exposure()
+        """What all have sent at least, by anybody's word."""
         self.rate = Rate()
         """Requests a second that this instance sends to the service."""
         self._old_running = 0
@@ -119,9 +120,9 @@
         if saw_before:
             self.permission.confirm(asked_at=now)
         self._final_at = None
-        self.end_part = math.inf
-        self._end_used = 0
+        self.end_room = EndRoom()
         self.exposure = ExposureBudget()
+        self.known_total = Exposure()
         self.rate = Rate()
         self.pins.begin()
         return True
@@ -159,6 +160,7 @@
             return
         self._started_at = min(self._started_at, now - progress.elapsed_s)
         self.lineage.learn(progress.base)
+        self.known_total = self.known_total.join(progress.total)
         if progress.alarm is not None and self.trial.alarm is None:
             self.trial.alarm = progress.alarm
 
@@ -248,14 +250,10 @@
         )
 
     def begin_final(self, now: float, *, part: float | None = None) -> None:
-        """Let the new version take over everything from now on.
-
-        `part` bounds the requests that may be decided on here until the limit.
-        """
+        """Let the new version take over; `part` bounds what is decided on here."""
         if self._final_at is None:
             self._final_at = now
-            if part is not None:
-                self.end_part = part
+            self.end_room = EndRoom(part=part)
             self.trial.begin_final()
             self.exposure.begin_final(self.rate.per_s() * self.left_s(now))
 
@@ -333,7 +331,8 @@
         if not self.is_running or self.trial.alarm is not None:
             return self.state is RolloutState.SUCCEEDED
         if self.pins.is_admitted(session):
-            self._end_used += self.is_final
+            if self.is_final:
+                self.end_room.count()
             return True
         if self.is_final:
             return self._admit_at_end(session, now)
@@ -347,11 +346,10 @@
 
     def _admit_at_end(self, session: str, now: float) -> bool:
         assert self.order is not None
-        # The draw rounds the part up or down, so that the sum over instances holds.
         drawn = draw(f"{self.service}/{self.order.number}/end", session)
-        if self.left_s(now) > 0.0 and self._end_used + drawn >= self.end_part:
+        if self.left_s(now) > 0.0 and not self.end_room.has_room(drawn):
             return False
-        self._end_used += 1
+        self.end_room.count()
         self.pins.admit(session)
         return True
 
@@ -392,7 +390,8 @@
             is_final=self.is_final,
             base=self.lineage.base,
             has_begun=self.has_begun,
-            end_part=self.end_part if self.is_final else None,
+            total=self.known_total,
+            end_part=self.end_room.part,
         )
 
     def _is_in(self, session: str, share: float) -> bool:
--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -19,6 +19,7 @@
 )
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import RolloutOrder
+from baobabthread.routing.exposure import EndRoom
 from baobabthread.routing.permission import Permission
 from baobabthread.routing.versions import VersionPlan
 
@@ -353,7 +354,7 @@
         session, first, second = find_asked(net)
         for plan in net.plans.values():
             plan.begin_final(now(), part=0.0)
-        net.plans[first].end_part = 9.0
+        net.plans[first].end_room = EndRoom(part=9.0)
         desk, plan = net.desks["i1"], net.plans["i1"]
         assert await desk.decide(plan, session)
         net.lose[AskVersion] = 1
@@ -369,7 +370,7 @@
         session, first, second = find_asked(net)
         for plan in net.plans.values():
             plan.begin_final(now(), part=0.0)
-        net.plans[second].end_part = 9.0
+        net.plans[second].end_room = EndRoom(part=9.0)
         net.lose[AskVersion] = 1
         desk, plan = net.desks["i1"], net.plans["i1"]
         assert await desk.decide(plan, session)
--- a/tests/routing/test_exposure.py
+++ b/tests/routing/test_exposure.py
@@ -96,6 +96,17 @@
     return totals
 
 
+def test_know_what_others_have_added_up() -> None:
+    """One that began to lead in the end ended it by sums that lacked half of all."""
+    totals = Totals(bounds=BOUNDS)
+    known = Exposure(requests=3000, exposed=460, attempts=4000)
+    totals.note([Exposure(requests=1600, exposed=170, attempts=2100)], 10.0)
+    assert totals.may_take_over(elapsed_s=14.0, left_s=0.2)
+    totals.note([Exposure(requests=1600, exposed=170)], 10.1, known=known)
+    assert totals.total == known
+    assert not totals.may_take_over(elapsed_s=14.0, left_s=0.2)
+
+
 def test_take_over_only_what_the_sum_bears() -> None:
     totals = add_up(requests=1000, exposed=50)
     assert totals.per_s(14.0) == pytest.approx(1000 / 14)
