--- a/bench/_rollout_days.py
+++ b/bench/_rollout_days.py
@@ -5,6 +5,8 @@
 import math
 import random
 from collections import Counter
+from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -289,17 +291,36 @@
     return day
 
 
-def _draw_members(day: Day, rng: random.Random) -> tuple[int, ...]:
+Add = Callable[[Day, random.Random], Day]
+TROUBLES: list[Add] = []
+"""What `draw_day` draws from; whatever stands here twice comes twice as often."""
+
+
+def _often(times: int) -> Callable[[Add], Add]:
+    """Let a trouble be drawn so often."""
+
+    def enter(add: Add) -> Add:
+        TROUBLES.extend([add] * times)
+        return add
+
+    return enter
+
+
+def _draw_trouble(
+    day: Day, rng: random.Random, *, least_s: float, most_s: float
+) -> dict[str, Any]:
+    """Return when some members are hit, for how long, and which."""
+    at_s, for_s = rng.uniform(0.0, day.end_s), rng.uniform(least_s, most_s)
     count = max(1, int(day.members * rng.choice(PARTS)))
-    return tuple(sorted(rng.sample(range(day.members), count)))
+    members = tuple(sorted(rng.sample(range(day.members), count)))
+    return {"at_s": at_s, "for_s": for_s, "members": members}
 
 
+@_often(2)
 def _add_cut(day: Day, rng: random.Random) -> Day:
     from_peers = rng.random() < 0.6
     cut = Cut(
-        at_s=rng.uniform(0.0, day.end_s),
-        for_s=rng.uniform(0.5, 8.0),
-        members=_draw_members(day, rng),
+        **_draw_trouble(day, rng, least_s=0.5, most_s=8.0),
         from_peers=from_peers,
         apart=rng.random() < 0.5,
         from_store=not from_peers or rng.random() < 0.5,
@@ -307,53 +328,33 @@
     return msgspec.structs.replace(day, cuts=(*day.cuts, cut))
 
 
+@_often(1)
 def _add_kill(day: Day, rng: random.Random) -> Day:
-    kill = Kill(
-        at_s=rng.uniform(0.0, day.end_s),
-        for_s=rng.uniform(0.3, 2.0),
-        members=_draw_members(day, rng),
-    )
+    kill = Kill(**_draw_trouble(day, rng, least_s=0.3, most_s=2.0))
     return msgspec.structs.replace(day, kills=(*day.kills, kill))
 
 
+@_often(1)
 def _add_slow(day: Day, rng: random.Random) -> Day:
-    slow = Slow(
-        at_s=rng.uniform(0.0, day.end_s),
-        for_s=rng.uniform(0.5, 8.0),
-        members=_draw_members(day, rng),
-        lag_s=rng.choice((0.1, 0.5, 2.0)),
-    )
+    drawn = _draw_trouble(day, rng, least_s=0.5, most_s=8.0)
+    slow = Slow(**drawn, lag_s=rng.choice((0.1, 0.5, 2.0)))
     return msgspec.structs.replace(day, slow=(*day.slow, slow))
 
 
-def _add_freeze(day: Day, rng: random.Random) -> Day:
-    freeze = Freeze(
-        at_s=rng.uniform(0.0, day.end_s),
-        for_s=rng.uniform(1.0, 6.0),
-        members=_draw_members(day, rng),
-    )
-    return msgspec.structs.replace(day, freezes=(*day.freezes, freeze))
-
-
+@_often(1)
 def _add_burst(day: Day, rng: random.Random) -> Day:
-    burst = Burst(
-        at_s=rng.uniform(0.0, day.end_s),
-        for_s=rng.uniform(0.5, 4.0),
-        factor=rng.choice((1.4, 2.0, 2.5)),
-    )
+    at_s, for_s = rng.uniform(0.0, day.end_s), rng.uniform(0.5, 4.0)
+    burst = Burst(at_s=at_s, for_s=for_s, factor=rng.choice((1.4, 2.0, 2.5)))
     return msgspec.structs.replace(day, bursts=(*day.bursts, burst))
 
 
+@_often(1)
 def _add_hot_session(day: Day, rng: random.Random) -> Day:
-    burst = Burst(
-        at_s=rng.uniform(0.0, day.end_s), for_s=rng.uniform(0.5, 8.0), hot_share=0.11
-    )
+    at_s, for_s = rng.uniform(0.0, day.end_s), rng.uniform(0.5, 8.0)
+    burst = Burst(at_s=at_s, for_s=for_s, hot_share=0.11)
     return msgspec.structs.replace(day, bursts=(*day.bursts, burst))
 
 
-TROUBLES = (_add_cut, _add_cut, _add_kill, _add_slow, _add_burst, _add_hot_session)
-
-
 def draw_views(members: int, seed: int, *, limit_s: float) -> Day:
     """Return a day on which most members see the roll-out in a way of their own."""
     rng = random.Random(f"views/{members}/{seed}/{limit_s}")
