--- a/tests/routing/test_budget.py
+++ b/tests/routing/test_budget.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import bisect
+import heapq
+import itertools
 import random
 
 import msgspec
@@ -319,3 +321,153 @@
     for number in range(10):
         arrivals.tick(8.2 + number / 10)
     assert arrivals.estimate_arrival(8.2 + BACKLOG_S) == 8.2 + BACKLOG_S
+
+
+class Partition(msgspec.Struct, frozen=True, kw_only=True):
+    """A partition between instances and some of the backend servers."""
+
+    name: str
+    length_s: float
+    share: float = 1.0
+    """Fraction of the instances that it affects."""
+    restarts: bool = False
+    """Whether affected instances restart in the middle of it."""
+    rates: tuple[float, ...] = (1.0,)
+    """Request rate in steps of two seconds before and after its end, repeated; a
+    fraction of the usual rate."""
+
+
+PARTITIONS = (
+    Partition(name="none", length_s=0.0),
+    Partition(name="short", length_s=3.0),
+    Partition(name="long", length_s=8.0),
+    Partition(name="half of the instances", length_s=5.0, share=0.5),
+    Partition(name="with restarts", length_s=5.0, restarts=True),
+    Partition(
+        name="bursts, then idle", length_s=5.0, rates=(2.0, 2.0, 2.0, 2.0, 0.1, 0.1)
+    ),
+)
+SILENCE_TIMEOUT_S = 1.0
+RESPONSE_S = 0.05
+DEADLINE_S = 8.0
+MAX_ATTEMPTS = 3
+
+
+class PartitionedInstance:
+    """An instance whose retries go to servers that it can't reach for a while.
+
+    The first attempts reach a server, which fails them.
+    """
+
+    def __init__(
+        self,
+        *,
+        known: int,
+        bounds: RoutingBounds,
+        unreachable: tuple[float, float],
+        outcome: Outcome,
+    ) -> None:
+        self._known = known
+        self._bounds = bounds
+        self._unreachable = unreachable
+        self._outcome = outcome
+        self.budget = make_budget(bounds, known=known)
+        self._events: list[tuple[float, int, str, float, int]] = []
+        self._numbers = itertools.count()
+
+    def schedule(self, at: float, event: str, deadline: float, attempts: int) -> None:
+        """Schedule an event of a request that has made some attempts."""
+        number = next(self._numbers)
+        heapq.heappush(self._events, (at, number, event, deadline, attempts))
+
+    def run(self) -> None:
+        """Process all events in order."""
+        while self._events:
+            at, _, event, deadline, attempts = heapq.heappop(self._events)
+            getattr(self, f"_{event}")(at, deadline, attempts)
+
+    def _request(self, now: float, deadline: float, attempts: int) -> None:
+        self.budget.record_request(now)
+        self._outcome.requests.append(now)
+        self.schedule(now + RESPONSE_S, "fail", deadline, 1)
+
+    def _restart(self, now: float, deadline: float, attempts: int) -> None:
+        # The requests in flight end with the process, and their connections are reset.
+        self._events = [e for e in self._events if e[2] in ("request", "restart")]
+        heapq.heapify(self._events)
+        self.budget = make_budget(self._bounds, known=self._known, started_at=now)
+
+    def _fail(self, now: float, deadline: float, attempts: int) -> None:
+        if now < deadline and attempts < MAX_ATTEMPTS and self.budget.try_spend(now):
+            self._send_retry(now, deadline, attempts + 1)
+
+    def _send_retry(self, now: float, deadline: float, attempts: int) -> None:
+        begin, end = self._unreachable
+        if not begin <= now < end:
+            self.schedule(now, "arrive", deadline, attempts)
+        else:
+            silent_at = now + SILENCE_TIMEOUT_S
+            self.schedule(min(silent_at, end, deadline), "wait", deadline, attempts)
+
+    def _wait(self, now: float, deadline: float, attempts: int) -> None:
+        end = self._unreachable[1]
+        if now >= deadline:
+            return
+        if now >= end:
+            self.schedule(now, "arrive", deadline, attempts)
+        elif attempts < MAX_ATTEMPTS and self.budget.try_spend(now):
+            # The connection of the abandoned attempt is reset.
+            self._send_retry(now, deadline, attempts + 1)
+        else:
+            self.schedule(min(end, deadline), "wait", deadline, attempts)
+
+    def _arrive(self, now: float, deadline: float, attempts: int) -> None:
+        self._outcome.retries.append(now)
+        self.schedule(now + RESPONSE_S, "fail", deadline, attempts)
+
+
+def simulate_partition(
+    partition: Partition, *, count: int, rate: float, bounds: RoutingBounds, seed: int
+) -> Outcome:
+    """Simulate instances at which all attempts fail around a partition."""
+    rng = random.Random(seed)
+    outcome = Outcome(requests=[], retries=[])
+    end = rng.uniform(15.0, 25.0)
+    for number in range(count):
+        affected = number < partition.share * count
+        instance = PartitionedInstance(
+            known=count,
+            bounds=bounds,
+            unreachable=(end - partition.length_s if affected else end, end),
+            outcome=outcome,
+        )
+        if affected and partition.restarts:
+            instance.schedule(end - partition.length_s / 2, "restart", 0.0, 0)
+        sent = 0.0
+        while sent < RUN_S:
+            step = int((sent - end) // 2.0) % len(partition.rates)
+            sent += rng.expovariate(rate * partition.rates[step] / count)
+            instance.schedule(sent, "request", sent + DEADLINE_S, 0)
+        instance.run()
+    outcome.requests.sort()
+    outcome.retries.sort()
+    return outcome
+
+
+@pytest.mark.parametrize("count", [1, 6, 59, 195, 400])
+@pytest.mark.parametrize("partition", PARTITIONS, ids=lambda partition: partition.name)
+def test_retries_held_up_by_a_partition_stay_within_the_common_budget(
+    partition: Partition, count: int
+) -> None:
+    """Retries that were sent into a partition arrive together when it ends.
+
+    The bound counts them on arrival, beside the retries that follow: counted when sent,
+    those of a whole window and of the partition before it may arrive in one window.
+    """
+    bounds = msgspec.structs.replace(BOUNDS, retry_extra=45.0 + 2.0 * count)
+    for seed in range(3):
+        outcome = simulate_partition(
+            partition, count=count, rate=45.0 + 2.0 * count, bounds=bounds, seed=seed
+        )
+        assert outcome.retries
+        assert find_excess(outcome, bounds) <= 0.0
