Reset the connection of an abandoned request

Callers saw nothing; a service got more arrivals beyond the first of their request than is allowed, after servers had been out of reach.

Cause: the instance closed the connection of an attempt that it gave up, but what the server had not accepted stayed in the socket, and the kernel went on sending it for as long as it took. All attempts given up during a partition arrived together when it ended, beside the retries that had replaced them, which are charged to the same budget.

--- a/src/baobabthread/instance/connections.py
+++ b/src/baobabthread/instance/connections.py
@@ -10,6 +10,8 @@
 import asyncio
 import enum
 import re
+import socket
+import struct
 from collections.abc import Callable, Sequence
 from typing import TypeAlias
 
@@ -31,6 +33,9 @@
 IDLE_MARGIN_S = 0.75
 """Margin before the server's idle timeout at which a connection is no longer used: a
 request that is sent while the server closes it may or may not have run."""
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
+"""Values of `SO_LINGER`."""
 _KEEP_ALIVE = re.compile(r"timeout=(\d+)")
 
 HeaderList: TypeAlias = Sequence[tuple[str, str]]
@@ -67,6 +72,25 @@
         self.idle_until = 0.0
         self.request_count = 0
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Make every end of the connection a reset, also that of the process."""
+        # Otherwise the kernel keeps sending a request that was abandoned. Behind a
+        # partition, all those abandoned meanwhile would arrive when it ends, in
+        # addition to their retries.
+        super().connection_made(transport)
+        self._set_linger(_RESET_ON_CLOSE)
+
+    def close_idle(self) -> None:
+        """Close the connection without a reset, as no request is in flight."""
+        self._set_linger(_CLOSE_GRACEFULLY)
+        self.abort()
+
+    def _set_linger(self, value: bytes) -> None:
+        transport = self.transport
+        if transport is not None:
+            raw = transport.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser and report that bytes were received."""
         self._on_bytes()
@@ -229,37 +253,41 @@
         """Return a connection to the pool after its response was read, if possible."""
         # Unsent bytes of a request that was answered early would be sent in front of
         # the next request.
-        if connection.should_close or not connection.is_flushed:
+        if not connection.is_flushed:
             self.discard(connection)
             return
+        if connection.should_close:
+            connection.close_idle()
+            return
         connection.idle_until = now() + idle_s - IDLE_MARGIN_S
         self._idle.append(connection)
 
     def discard(self, connection: Connection) -> None:
-        """Close a connection at once."""
-        if connection in self._idle:
-            self._idle.remove(connection)
+        """Reset a connection, so that the server stops processing its request."""
         if connection.transport is not None:
             connection.abort()
 
     def close(self) -> None:
         """Close idle connections; those in use are closed with their requests."""
         for connection in self._idle:
-            connection.abort()
+            connection.close_idle()
         self._idle.clear()
 
     def prune(self) -> None:
         """Close idle connections that can't be used any more."""
-        for connection in [c for c in self._idle if not c.is_usable]:
-            self.discard(connection)
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            if connection.is_usable:
+                self._idle.append(connection)
+            else:
+                connection.close_idle()
 
     def _take_idle(self) -> Connection | None:
         while self._idle:
             connection = self._idle.pop()
             if connection.is_usable:
                 return connection
-            if connection.transport is not None:
-                connection.abort()
+            connection.close_idle()
         return None
 
     async def _connect(self) -> Connection:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -167,7 +167,8 @@
                 )
                 while not work.done():
                     await asyncio.wait({work}, timeout=0.02)
-                    if reader.at_eof() and not work.done():
+                    is_gone = reader.at_eof() or reader.exception() is not None
+                    if is_gone and not work.done():
                         request.was_aborted = True
                         work.cancel()
                         return
