Charge a retry until it has arrived or no longer can

A service got more arrivals beyond the first of their request than is allowed.

Cause: the retry budget dated a retry by when it was sent; the bound counts it when it arrives. Behind a partition the two differ by its length: the retries of a whole window of the sender, and those sent before, arrived in one window of the service. The class: a count taken at sending, of what is judged on arrival.

Fix: a charge stays in transit until its attempt has a response, was reset, or was not made, and counts for a window from then on. So whatever can arrive within one window is charged at the moment of the last of these. A charge of an attempt whose connection could not be opened passes to the attempt that follows it.

The other tests of the budget settle each charge at once, as the retries in them arrive when they are sent.

New metric baobabthread_repeats_in_transit.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -91,6 +91,7 @@
     """An attempt of a request at one backend server."""
 
     __slots__ = (
+        "_charge",
         "_connection",
         "_event_timeout_s",
         "_may_give_up",
@@ -126,6 +127,7 @@
         )
         self._connection: Connection | None = None
         self._response: Response | None = None
+        self._charge = context.take_retry_charge()
 
     async def open(self, wire: WireFormat) -> ResponseHead:
         """Send the request and return the head of its response.
@@ -150,11 +152,13 @@
             self._connection = await self.link.pool.send(head, request.body)
         except NotSentError:
             self.link.mark_suspect()
+            context.retry_charge, self._charge = self._charge, None
             raise
         self.sent_at = now()
         context.record_sent()
         response = await self._wait_for(self.link.pool.receive(self._connection))
         self._ensure_open()
+        self._settle_charge()
         self._response = response
         metadata = wire.decode_response(response.status, response.headers)
         self._validate(metadata, response.status)
@@ -191,6 +195,11 @@
         if self._connection is not None:
             self.link.pool.discard(self._connection)
             self._connection = None
+        self._settle_charge()
+
+    def _settle_charge(self) -> None:
+        if self._charge is not None:
+            self._charge.settle(now())
 
     def _ensure_open(self) -> None:
         # A response without a length ends with its connection: what was received before
--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
+from baobabthread.instance.clock import now
 from baobabthread.instance.wire import RawHeaders
+from baobabthread.routing.budget import RetryBudget, RetryCharge
 from baobabthread.routing.configuration import Account, Route
 from baobabthread.routing.exposure import ExposureBudget
 from baobabthread.routing.fingerprints import fingerprint
@@ -107,6 +109,7 @@
         "reason",
         "reply",
         "request",
+        "retry_charge",
         "route",
         "runs",
         "service",
@@ -145,6 +148,8 @@
         """Number of attempts made, including those that were rejected or never sent."""
         self.runs = 0
         """Number of attempts that may have run."""
+        self.retry_charge: RetryCharge | None = None
+        """Charge for the next attempt, until that attempt takes it over."""
         self.lost_connections = 0
         """Number of attempts whose connection ended before the response."""
         self.excluded: set[str] = set()
@@ -192,6 +197,21 @@
             self.exposure.release()
         self.has_reserved_exposure = False
 
+    def charge_retry(self, budget: RetryBudget) -> bool:
+        """Charge the next attempt to a budget; return whether a retry was left."""
+        self.retry_charge = budget.try_spend(now())
+        return self.retry_charge is not None
+
+    def take_retry_charge(self) -> RetryCharge | None:
+        """Return the charge for the attempt that begins; None for the first one."""
+        charge, self.retry_charge = self.retry_charge, None
+        return charge
+
+    def settle_retry(self) -> None:
+        """Settle the charge for an attempt that was not made."""
+        if self.retry_charge is not None:
+            self.retry_charge.settle(now())
+
     def record_sent(self) -> None:
         """Record that an attempt was sent."""
         self.runs += 1
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -185,6 +185,7 @@
             await self._run_attempts(context, state)
         finally:
             context.release_exposure()
+            context.settle_retry()
             self.scheduler.finish(ticket, context, state)
 
     async def _reject_quarantined(self, context: RequestContext) -> bool:
@@ -349,7 +350,7 @@
         # Retries of attempts that were never sent are free, and those of abandoned ones
         # are already charged.
         needs_no_charge = isinstance(error, NotSentError | SilenceTimeoutError)
-        if not needs_no_charge and not state.spend_retry():
+        if not needs_no_charge and not context.charge_retry(state.budget):
             await self._error_responses.give_up(context, "retry_budget")
             return
         raise RetryRequested(classify_outcome(error))
@@ -368,7 +369,9 @@
             return False
         if context.attempts >= MAX_BACKENDS_TRIED:
             return False
-        return self.selection.has_alternative(context, link) and state.spend_retry()
+        return self.selection.has_alternative(context, link) and context.charge_retry(
+            state.budget
+        )
 
 
 def _find_departure(error: Exception) -> Departure:
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -67,6 +67,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.retries_in_transit = Gauge(
+            "baobabthread_repeats_in_transit",
+            "Repeats that were sent and may still reach their backend server",
+            ["service"],
+            registry=self.registry,
+        )
         self.exposed_requests = Gauge(
             "baobabthread_exposed_requests",
             "Attempts at the version on trial since the newest order",
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -222,6 +222,8 @@
         for state in self.services:
             left = self.metrics.retries_left.labels(service=state.name)
             left.set(state.budget.remaining(now()))
+            in_transit = self.metrics.retries_in_transit.labels(service=state.name)
+            in_transit.set(state.budget.in_transit)
             exposed = self.metrics.exposed_requests.labels(service=state.name)
             exposed.set(state.plan.exposure.report().exposed)
         return web.Response(body=self.metrics.render(), content_type="text/plain")
--- a/src/baobabthread/instance/responses.py
+++ b/src/baobabthread/instance/responses.py
@@ -95,7 +95,7 @@
         has_alternative = may_retry and self._selection.has_alternative(
             context, attempt.link
         )
-        if has_alternative and state.spend_retry():
+        if has_alternative and context.charge_retry(state.budget):
             context.excluded.add(attempt.link.name)
             raise RetryRequested(Outcome.FAILED)
         await self._forward(context, attempt, head, body)
@@ -147,7 +147,7 @@
         expected_s = self._estimates.total_s(context, context.route.models[larger])
         if now() + LENGTH_MARGIN * expected_s > context.deadline:
             return "deadline"
-        return None if state.spend_retry() else "budget"
+        return None if context.charge_retry(state.budget) else "budget"
 
     async def _estimate_escalation(
         self, context: RequestContext, head: ResponseHead, pending: PendingResponse
--- a/src/baobabthread/instance/services.py
+++ b/src/baobabthread/instance/services.py
@@ -28,10 +28,6 @@
         self.plan = VersionPlan(service=name, bounds=bounds)
         self.budget = RetryBudget(bounds=bounds, members=members)
 
-    def spend_retry(self) -> bool:
-        """Spend a retry of the budget; return whether one was available."""
-        return self.budget.try_spend(now())
-
 
 class Services:
     """State of all services, with capacity and retries divided among instances."""
--- a/src/baobabthread/routing/budget.py
+++ b/src/baobabthread/routing/budget.py
@@ -121,14 +121,37 @@
         return SINGLE_INSTANCE_FRACTION if self._is_single else 0.0
 
 
+class RetryCharge:
+    """A retry charged to a budget, which may reach its server until it is settled."""
+
+    __slots__ = ("_budget",)
+
+    def __init__(self, *, budget: RetryBudget) -> None:
+        self._budget: RetryBudget | None = budget
+
+    def settle(self, now: float) -> None:
+        """Record that the retry has arrived by now, or no longer can."""
+        if self._budget is not None:
+            self._budget.record_settled(now)
+            self._budget = None
+
+
 class RetryBudget:
     """Budget of retries per window: a ratio of the requests plus a fixed number.
 
     Each instance counts only its own requests and retries, so that the common bound
-    holds without communication.
+    holds without communication. The bound counts retries on arrival, which a partition
+    may delay: a retry in transit counts until it is settled, and for a window after.
     """
 
-    __slots__ = ("_extra", "_members", "_ratio", "_requests", "_retries")
+    __slots__ = (
+        "_extra",
+        "_members",
+        "_ratio",
+        "_requests",
+        "_settled",
+        "in_transit",
+    )
 
     def __init__(self, *, bounds: RoutingBounds, members: MemberCount) -> None:
         self._ratio = bounds.retry_ratio * USABLE_FRACTION
@@ -138,7 +161,9 @@
         # and retries up to one bucket too late, so that rounding never exceeds the
         # bound.
         self._requests = _SlidingWindow(length_s=bounds.retry_window_s - BUCKET_S)
-        self._retries = _SlidingWindow(length_s=bounds.retry_window_s + BUCKET_S)
+        self._settled = _SlidingWindow(length_s=bounds.retry_window_s + BUCKET_S)
+        self.in_transit = 0
+        """Number of retries that are not settled yet."""
 
     def record_request(self, arrived_at: float) -> None:
         """Count a request, which earns retries for any request."""
@@ -146,8 +171,8 @@
 
     def remaining(self, now: float) -> float:
         """Return how many retries are left."""
-        self._retries.expire(now)
-        return self.limit(now) - self._retries.total
+        self._settled.expire(now)
+        return self.limit(now) - self._settled.total - self.in_transit
 
     def limit(self, now: float) -> float:
         """Return how many retries are allowed in the current window."""
@@ -156,9 +181,14 @@
         earned = min(requests, INITIAL_RETRIES + self._ratio * requests)
         return earned + self._extra * self._members.compute_share(now)
 
-    def try_spend(self, now: float) -> bool:
-        """Take one retry from the budget; return whether one was left."""
+    def try_spend(self, now: float) -> RetryCharge | None:
+        """Take one retry from the budget; return None if none was left."""
         if self.remaining(now) < 1.0:
-            return False
-        self._retries.add(now)
-        return True
+            return None
+        self.in_transit += 1
+        return RetryCharge(budget=self)
+
+    def record_settled(self, now: float) -> None:
+        """Record that a retry in transit has arrived or no longer can."""
+        self.in_transit -= 1
+        self._settled.add(now)
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -354,3 +354,33 @@
                 assert float(response.headers["retry-after"]) > 0
 
     run(case())
+
+
+def test_charge_a_retry_that_a_silent_server_holds_until_it_ends() -> None:
+    """One server fails, the other one is silent, and a third refuses connections.
+
+    A charge dropped before its attempt has ended would not cover an attempt that
+    arrives late; one kept for good would use up the budget.
+    """
+
+    async def case() -> None:
+        async with open_site("p1", "p2", "p3") as site:
+            site.backends[0].behaviour = "fail"
+            site.backends[1].behaviour = "mute"
+            site.backends[2].close()
+            budget = site.instances[0].services.get("plain").budget
+            in_transit = 0
+            for number in range(3):
+                call = asyncio.ensure_future(
+                    site.call("/safe/x", X_Attempt_Id=f"a{number}", X_Timeout_Ms="1500")
+                )
+                while not call.done():
+                    in_transit = max(in_transit, budget.in_transit)
+                    await asyncio.sleep(0.01)
+                await call
+            arrivals = sum(len(backend.seen) for backend in site.backends)
+            assert arrivals > 3
+            assert in_transit == 1
+            assert budget.in_transit == 0
+
+    run(case())
--- a/tests/routing/test_budget.py
+++ b/tests/routing/test_budget.py
@@ -17,6 +17,7 @@
     ArrivalEstimator,
     MemberCount,
     RetryBudget,
+    RetryCharge,
 )
 
 BOUNDS = RoutingBounds(retry_ratio=0.9, retry_extra=52, retry_window_s=10.0)
@@ -36,6 +37,14 @@
     return RetryBudget(bounds=bounds, members=members)
 
 
+def spend(budget: RetryBudget, now: float) -> bool:
+    """Charge a retry that arrives at once; return whether one was left."""
+    charge = budget.try_spend(now)
+    if charge is not None:
+        charge.settle(now)
+    return charge is not None
+
+
 class Outcome(msgspec.Struct):
     """Times of requests and of retries, each in order."""
 
@@ -89,7 +98,7 @@
         if rate:
             budget.record_request(now)
             outcome.requests.append(now)
-        while is_retrying and budget.try_spend(now):
+        while is_retrying and spend(budget, now):
             outcome.retries.append(now)
 
 
@@ -188,7 +197,7 @@
         retries_due.sort()
         while retries_due and retries_due[0] <= read:
             due = retries_due.pop(0)
-            if budget.try_spend(max(due, read)):
+            if spend(budget, max(due, read)):
                 outcome.retries.append(max(due, read))
 
 
@@ -239,14 +248,14 @@
     budget = make_budget(MANY, started_at=0.0)
     for number in range(12):
         budget.record_request(number * 0.5)
-    assert sum(budget.try_spend(6.0) for _ in range(20)) >= 9
+    assert sum(spend(budget, 6.0) for _ in range(20)) >= 9
 
 
 def test_earned_retries_expire_after_a_window() -> None:
     budget = make_budget(MANY, known=195)
     for _ in range(100):
         budget.record_request(0.0)
-    assert not budget.try_spend(10.0)
+    assert not spend(budget, 10.0)
 
 
 def test_spent_retries_count_across_membership_changes() -> None:
@@ -259,11 +268,11 @@
         members.record(counts[0])
         budget = RetryBudget(bounds=BOUNDS, members=members)
         spent = 0
-        while budget.try_spend(1.0):
+        while spend(budget, 1.0):
             spent += 1
         assert spent
         members.record(counts[1])
-        assert sum(budget.try_spend(1.0) for _ in range(20)) <= 1
+        assert sum(spend(budget, 1.0) for _ in range(20)) <= 1
 
 
 def test_retries_never_exceed_requests_right_after_a_start() -> None:
@@ -275,14 +284,14 @@
         budget = make_budget(MANY, known=195, started_at=0.0)
         for _ in range(requests):
             budget.record_request(0.1)
-        spent = sum(budget.try_spend(0.2) for _ in range(20))
+        spent = sum(spend(budget, 0.2) for _ in range(20))
         assert spent <= requests
         assert spent <= MANY.retry_ratio * requests + 0.4
 
 
 def count_fixed(members: MemberCount, now: float) -> int:
     budget = RetryBudget(bounds=MANY, members=members)
-    return sum(budget.try_spend(now) for _ in range(500))
+    return sum(spend(budget, now) for _ in range(500))
 
 
 def test_fixed_allowance_is_used_only_once_members_are_known() -> None:
@@ -305,7 +314,7 @@
     """
     budget = make_budget(MANY, started_at=0.0)
     budget.record_request(0.1)
-    assert budget.try_spend(0.1)
+    assert spend(budget, 0.1)
 
 
 def test_requests_read_after_a_stall_are_backdated() -> None:
@@ -346,6 +355,9 @@
     Partition(
         name="bursts, then idle", length_s=5.0, rates=(2.0, 2.0, 2.0, 2.0, 0.1, 0.1)
     ),
+    Partition(
+        name="idle, then a burst", length_s=5.0, rates=(0.1, 0.1, 0.1, 0.1, 2.0, 2.0)
+    ),
 )
 SILENCE_TIMEOUT_S = 1.0
 RESPONSE_S = 0.05
@@ -353,6 +365,20 @@
 MAX_ATTEMPTS = 3
 
 
+class RequestInFlight(msgspec.Struct):
+    """A request at a partitioned instance."""
+
+    deadline: float
+    attempts: int = 0
+    charge: RetryCharge | None = None
+    """Charge of its current attempt; None for the first one."""
+
+    def settle(self, now: float) -> None:
+        """Settle the charge of the current attempt."""
+        if self.charge is not None:
+            self.charge.settle(now)
+
+
 class PartitionedInstance:
     """An instance whose retries go to servers that it can't reach for a while.
 
@@ -372,58 +398,64 @@
         self._unreachable = unreachable
         self._outcome = outcome
         self.budget = make_budget(bounds, known=known)
-        self._events: list[tuple[float, int, str, float, int]] = []
+        self._events: list[tuple[float, int, str, RequestInFlight]] = []
         self._numbers = itertools.count()
 
-    def schedule(self, at: float, event: str, deadline: float, attempts: int) -> None:
-        """Schedule an event of a request that has made some attempts."""
-        number = next(self._numbers)
-        heapq.heappush(self._events, (at, number, event, deadline, attempts))
+    def schedule(self, at: float, event: str, request: RequestInFlight) -> None:
+        """Schedule an event of a request."""
+        heapq.heappush(self._events, (at, next(self._numbers), event, request))
 
     def run(self) -> None:
         """Process all events in order."""
         while self._events:
-            at, _, event, deadline, attempts = heapq.heappop(self._events)
-            getattr(self, f"_{event}")(at, deadline, attempts)
+            at, _, event, request = heapq.heappop(self._events)
+            getattr(self, f"_{event}")(at, request)
 
-    def _request(self, now: float, deadline: float, attempts: int) -> None:
+    def _receive(self, now: float, request: RequestInFlight) -> None:
         self.budget.record_request(now)
         self._outcome.requests.append(now)
-        self.schedule(now + RESPONSE_S, "fail", deadline, 1)
+        request.attempts = 1
+        self.schedule(now + RESPONSE_S, "fail", request)
 
-    def _restart(self, now: float, deadline: float, attempts: int) -> None:
+    def _restart(self, now: float, request: RequestInFlight) -> None:
         # The requests in flight end with the process, and their connections are reset.
-        self._events = [e for e in self._events if e[2] in ("request", "restart")]
+        self._events = [e for e in self._events if e[2] in ("receive", "restart")]
         heapq.heapify(self._events)
         self.budget = make_budget(self._bounds, known=self._known, started_at=now)
 
-    def _fail(self, now: float, deadline: float, attempts: int) -> None:
-        if now < deadline and attempts < MAX_ATTEMPTS and self.budget.try_spend(now):
-            self._send_retry(now, deadline, attempts + 1)
-
-    def _send_retry(self, now: float, deadline: float, attempts: int) -> None:
+    def _fail(self, now: float, request: RequestInFlight) -> None:
+        request.settle(now)
+        if now < request.deadline and request.attempts < MAX_ATTEMPTS:
+            self._retry(now, request)
+
+    def _retry(self, now: float, request: RequestInFlight) -> bool:
+        charge = self.budget.try_spend(now)
+        if charge is None:
+            return False
+        # The connection of an attempt that was abandoned is reset.
+        request.settle(now)
+        request.charge = charge
+        request.attempts += 1
         begin, end = self._unreachable
-        if not begin <= now < end:
-            self.schedule(now, "arrive", deadline, attempts)
-        else:
+        if begin <= now < end:
             silent_at = now + SILENCE_TIMEOUT_S
-            self.schedule(min(silent_at, end, deadline), "wait", deadline, attempts)
-
-    def _wait(self, now: float, deadline: float, attempts: int) -> None:
-        end = self._unreachable[1]
-        if now >= deadline:
-            return
-        if now >= end:
-            self.schedule(now, "arrive", deadline, attempts)
-        elif attempts < MAX_ATTEMPTS and self.budget.try_spend(now):
-            # The connection of the abandoned attempt is reset.
-            self._send_retry(now, deadline, attempts + 1)
+            self.schedule(min(silent_at, end, request.deadline), "wait", request)
         else:
-            self.schedule(min(end, deadline), "wait", deadline, attempts)
+            self.schedule(now, "arrive", request)
+        return True
 
-    def _arrive(self, now: float, deadline: float, attempts: int) -> None:
+    def _wait(self, now: float, request: RequestInFlight) -> None:
+        end = self._unreachable[1]
+        if now >= request.deadline:
+            request.settle(now)
+        elif now >= end:
+            self.schedule(now, "arrive", request)
+        elif request.attempts == MAX_ATTEMPTS or not self._retry(now, request):
+            self.schedule(min(end, request.deadline), "wait", request)
+
+    def _arrive(self, now: float, request: RequestInFlight) -> None:
         self._outcome.retries.append(now)
-        self.schedule(now + RESPONSE_S, "fail", deadline, attempts)
+        self.schedule(now + RESPONSE_S, "fail", request)
 
 
 def simulate_partition(
@@ -442,12 +474,14 @@
             outcome=outcome,
         )
         if affected and partition.restarts:
-            instance.schedule(end - partition.length_s / 2, "restart", 0.0, 0)
+            restarted_at = end - partition.length_s / 2
+            instance.schedule(restarted_at, "restart", RequestInFlight(deadline=0.0))
         sent = 0.0
         while sent < RUN_S:
             step = int((sent - end) // 2.0) % len(partition.rates)
             sent += rng.expovariate(rate * partition.rates[step] / count)
-            instance.schedule(sent, "request", sent + DEADLINE_S, 0)
+            request = RequestInFlight(deadline=sent + DEADLINE_S)
+            instance.schedule(sent, "receive", request)
         instance.run()
     outcome.requests.sort()
     outcome.retries.sort()
@@ -471,3 +505,24 @@
         )
         assert outcome.retries
         assert find_excess(outcome, bounds) <= 0.0
+
+
+def test_a_retry_in_transit_is_charged_until_a_window_after_it_was_settled() -> None:
+    """A retry is sent into a partition that lasts longer than a window.
+
+    Dropped from the budget while it is on its way, it would arrive uncounted.
+    """
+    budget = make_budget(BOUNDS)
+    budget.record_request(0.0)
+    charge = budget.try_spend(0.0)
+    assert charge is not None
+    for now in (11.0, 22.0):
+        budget.record_request(now)
+        assert not budget.try_spend(now)
+    charge.settle(23.0)
+    charge.settle(24.0)
+    assert budget.in_transit == 0
+    budget.record_request(32.5)
+    assert not budget.try_spend(32.5)
+    budget.record_request(43.0)
+    assert budget.try_spend(43.0)
