--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -24,6 +24,8 @@
         """Whether the client closed its connection before the response was complete."""
         self.cold_left_s = 0.0
         """Remaining warm-up time that the response reports, in seconds."""
+        self.limits: tuple[str, ...] = ()
+        """Values of the limit that the response states."""
 
 
 Behaviour = Callable[
@@ -69,6 +71,10 @@
         """Arrival times of requests that arrived while it was cold."""
         self.reports_cold = False
         """Whether its responses report the remaining warm-up time."""
+        self.limits: tuple[str, ...] = ()
+        """Values of the limit that its responses state, in requests per second."""
+        self.arrivals: list[float] = []
+        """Arrival times of all requests."""
         self.behaviour = "answer"
         self.confidence: dict[str, int] = {}
         """Confidence of responses by model; 100 for models not listed."""
@@ -116,6 +122,13 @@
         times = sorted(self.cold_arrivals)
         return max((sum(t <= u < t + 1.0 for u in times) for t in times), default=0)
 
+    def count_peak_arrivals(self, since: float, window_s: float) -> int:
+        """Return the highest number of requests in a window from a time on."""
+        times = [at for at in self.arrivals if at >= since]
+        return max(
+            (sum(t <= u < t + window_s for u in times) for t in times), default=0
+        )
+
     async def start(self, port: int = 0) -> FakeBackend:
         """Listen on a port; 0 picks a free one."""
         host, port = self._network.give_host(1), port or self._network.give_port()
@@ -157,6 +170,8 @@
             while True:
                 request = await _read_request(reader)
                 self.seen.append(request)
+                self.arrivals.append(time.monotonic())
+                request.limits = self.limits
                 behaviour = self._choose_behaviour(request)
                 if self.cold_left_s and behaviour != "misdirected":
                     self.cold_arrivals.append(time.monotonic())
@@ -200,8 +215,9 @@
         fields["X-Response-Signature"] = SIGNATURE
     if request.cold_left_s:
         fields["X-Cold-Ms"] = str(round(request.cold_left_s * 1000))
+    lines = [f"Server-Limit: {limit}" for limit in request.limits]
     fields |= {name.replace("_", "-"): value for name, value in more.items()}
-    lines = [f"HTTP/1.1 {status} X"]
+    lines.insert(0, f"HTTP/1.1 {status} X")
     lines += [f"{name}: {value}" for name, value in fields.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
--- /dev/null
+++ b/tests/platform/test_limits.py
@@ -0,0 +1,110 @@
+"""Limits that backend servers state, kept by all instances together."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+from tests.platform.fakecallers import CallerResponse
+from tests.platform.fakes import FakeBackend
+from tests.platform.site import Site, open_site, run
+
+WINDOW_S = 4.0
+LIMIT_PER_S = 2.0
+MAX_IN_WINDOW = 1.5 * WINDOW_S * LIMIT_PER_S + 5.0
+"""Requests in any window that a server with this limit may receive."""
+SPREAD_S = 1.0
+"""Time for the first responses with a limit to arrive and for word of it to spread."""
+
+
+async def send_many(
+    site: Site, seconds: float, *, interval_s: float = 0.03, path: str = "/safe/x"
+) -> list[CallerResponse]:
+    """Send many requests to all instances and return the responses."""
+    calls = []
+    for number in range(int(seconds / interval_s)):
+        for index in range(len(site.instances)):
+            call = site.call(path, index=index, X_Attempt_Id=f"{index}-{number}")
+            calls.append(asyncio.ensure_future(call))
+        await asyncio.sleep(interval_s)
+    return list(await asyncio.gather(*calls))
+
+
+def set_limit(server: FakeBackend, *limits: str) -> None:
+    """Make a server state limits in its responses."""
+    server.limits = limits
+
+
+def test_keep_to_the_limit_that_a_server_states() -> None:
+    """A server in need states a limit; one instance sends it several times as much."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            server = site.backends[0]
+            set_limit(server, str(LIMIT_PER_S))
+            started_at = time.monotonic()
+            responses = await send_many(site, 6.0)
+            since = started_at + SPREAD_S
+            peak = server.count_peak_arrivals(since, WINDOW_S)
+            assert 0.7 * LIMIT_PER_S * WINDOW_S <= peak <= MAX_IN_WINDOW
+            rejected = [response for response in responses if response.status == 503]
+            assert rejected
+            for response in rejected:
+                assert json.loads(response.body)["kind"] == "backends_limited"
+                assert float(response.headers["retry-after"]) > 0
+
+    run(case())
+
+
+def test_keep_to_a_limit_with_all_instances_together() -> None:
+    """Three instances send a limited server requests; their sum counts."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            for number in (2, 3):
+                await site.add_instance(f"i{number}", ip=f"127.0.0.{number}")
+            for index in range(3):
+                await site.wait_ready(index)
+            server = site.backends[0]
+            set_limit(server, str(LIMIT_PER_S))
+            started_at = time.monotonic()
+            await send_many(site, 6.0, interval_s=0.06)
+            peak = server.count_peak_arrivals(started_at + SPREAD_S, WINDOW_S)
+            assert 0.7 * LIMIT_PER_S * WINDOW_S <= peak <= MAX_IN_WINDOW
+
+    run(case())
+
+
+def test_use_other_servers_beside_a_limited_one() -> None:
+    """No request is rejected for a limit while another server can take it."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            server = site.backends[0]
+            set_limit(server, str(LIMIT_PER_S))
+            started_at = time.monotonic()
+            responses = await send_many(site, 5.0)
+            assert {response.status for response in responses} == {200}
+            peak = server.count_peak_arrivals(started_at + SPREAD_S, WINDOW_S)
+            assert 0 < peak <= MAX_IN_WINDOW
+
+    run(case())
+
+
+def test_end_a_limit_that_a_server_no_longer_states() -> None:
+    """A server recovers; its next response ends the limit for all requests."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            server = site.backends[0]
+            set_limit(server, str(LIMIT_PER_S))
+            await send_many(site, 1.0)
+            set_limit(server)
+            await send_many(site, 1.5)
+            before = len(server.arrivals)
+            responses = await send_many(site, 1.0)
+            assert {response.status for response in responses} == {200}
+            assert len(server.arrivals) - before == len(responses)
+
+    run(case())
