Count what is in transit in a module of its own

No change of behaviour: the sliding window and the charges of the retry budget move to routing/transit.py, where another bound on arrivals can use them.

--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -9,13 +9,14 @@
 
 from baobabthread.instance.clock import now
 from baobabthread.instance.wire import RawHeaders
-from baobabthread.routing.budget import RetryBudget, RetryCharge
+from baobabthread.routing.budget import RetryBudget
 from baobabthread.routing.configuration import Account, Route
 from baobabthread.routing.exposure import ExposureBudget
 from baobabthread.routing.fingerprints import fingerprint
 from baobabthread.routing.reasons import VersionReason
 from baobabthread.routing.regions import find_allowed_regions
 from baobabthread.routing.table import Envelope
+from baobabthread.routing.transit import Transit
 
 
 class Reply(Protocol):
@@ -148,7 +149,7 @@
         """Number of attempts made, including those that were rejected or never sent."""
         self.runs = 0
         """Number of attempts that may have run."""
-        self.retry_charge: RetryCharge | None = None
+        self.retry_charge: Transit | None = None
         """Charge for the next attempt, until that attempt takes it over."""
         self.lost_connections = 0
         """Number of attempts whose connection ended before the response."""
@@ -202,7 +203,7 @@
         self.retry_charge = budget.try_spend(now())
         return self.retry_charge is not None
 
-    def take_retry_charge(self) -> RetryCharge | None:
+    def take_retry_charge(self) -> Transit | None:
         """Return the charge for the attempt that begins; None for the first one."""
         charge, self.retry_charge = self.retry_charge, None
         return charge
--- a/src/baobabthread/routing/budget.py
+++ b/src/baobabthread/routing/budget.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
-
-import msgspec
-
 from baobabthread.routing.bounds import RoutingBounds
+from baobabthread.routing.transit import (
+    BUCKET_S,
+    SlidingWindow,
+    Transit,
+    TransitWindow,
+)
 
 USABLE_FRACTION = 0.85
 """Fraction of the common bound that is used; the rest covers what only some instances
@@ -19,8 +21,6 @@
 it is killed and restarted, it can spend that fraction twice within a window."""
 INITIAL_RETRIES = 1.0
 """Retries allowed in addition to the ratio, but never more than there were requests."""
-BUCKET_S = 0.1
-"""Time over which requests and retries are counted in one bucket."""
 STALL_S = 0.5
 """Gap between two ticks from which on the process counts as stalled."""
 BACKLOG_S = 1.0
@@ -58,36 +58,6 @@
         self._backlog_until = now + BACKLOG_S
 
 
-class _Bucket(msgspec.Struct):
-    at: float
-    """Time of its first event."""
-    number: int = 0
-
-
-class _SlidingWindow:
-    """Counter over a sliding window."""
-
-    __slots__ = ("_buckets", "_length_s", "total")
-
-    def __init__(self, *, length_s: float) -> None:
-        self._length_s = length_s
-        self._buckets: deque[_Bucket] = deque()
-        self.total = 0
-
-    def add(self, now: float) -> None:
-        """Count one event."""
-        self.expire(now)
-        if not self._buckets or now - self._buckets[-1].at >= BUCKET_S:
-            self._buckets.append(_Bucket(at=now))
-        self._buckets[-1].number += 1
-        self.total += 1
-
-    def expire(self, now: float) -> None:
-        """Drop buckets that are older than the window."""
-        while self._buckets and now - self._buckets[0].at >= self._length_s:
-            self.total -= self._buckets.popleft().number
-
-
 class MemberCount:
     """Number of instances among which the fixed allowance is divided.
 
@@ -121,21 +91,6 @@
         return SINGLE_INSTANCE_FRACTION if self._is_single else 0.0
 
 
-class RetryCharge:
-    """A retry charged to a budget, which may reach its server until it is settled."""
-
-    __slots__ = ("_budget",)
-
-    def __init__(self, *, budget: RetryBudget) -> None:
-        self._budget: RetryBudget | None = budget
-
-    def settle(self, now: float) -> None:
-        """Record that the retry has arrived by now, or no longer can."""
-        if self._budget is not None:
-            self._budget.record_settled(now)
-            self._budget = None
-
-
 class RetryBudget:
     """Budget of retries per window: a ratio of the requests plus a fixed number.
 
@@ -144,14 +99,7 @@
     may delay: a retry in transit counts until it is settled, and for a window after.
     """
 
-    __slots__ = (
-        "_extra",
-        "_members",
-        "_ratio",
-        "_requests",
-        "_settled",
-        "in_transit",
-    )
+    __slots__ = ("_extra", "_members", "_ratio", "_requests", "_retries")
 
     def __init__(self, *, bounds: RoutingBounds, members: MemberCount) -> None:
         self._ratio = bounds.retry_ratio * USABLE_FRACTION
@@ -160,10 +108,13 @@
         # A bucket is dated by its start: requests expire one to two buckets too early
         # and retries up to one bucket too late, so that rounding never exceeds the
         # bound.
-        self._requests = _SlidingWindow(length_s=bounds.retry_window_s - BUCKET_S)
-        self._settled = _SlidingWindow(length_s=bounds.retry_window_s + BUCKET_S)
-        self.in_transit = 0
-        """Number of retries that are not settled yet."""
+        self._requests = SlidingWindow(length_s=bounds.retry_window_s - BUCKET_S)
+        self._retries = TransitWindow(length_s=bounds.retry_window_s + BUCKET_S)
+
+    @property
+    def in_transit(self) -> int:
+        """Number of retries that may still arrive."""
+        return self._retries.in_transit
 
     def record_request(self, arrived_at: float) -> None:
         """Count a request, which earns retries for any request."""
@@ -171,8 +122,7 @@
 
     def remaining(self, now: float) -> float:
         """Return how many retries are left."""
-        self._settled.expire(now)
-        return self.limit(now) - self._settled.total - self.in_transit
+        return self.limit(now) - self._retries.count(now)
 
     def limit(self, now: float) -> float:
         """Return how many retries are allowed in the current window."""
@@ -181,14 +131,6 @@
         earned = min(requests, INITIAL_RETRIES + self._ratio * requests)
         return earned + self._extra * self._members.compute_share(now)
 
-    def try_spend(self, now: float) -> RetryCharge | None:
+    def try_spend(self, now: float) -> Transit | None:
         """Take one retry from the budget; return None if none was left."""
-        if self.remaining(now) < 1.0:
-            return None
-        self.in_transit += 1
-        return RetryCharge(budget=self)
-
-    def record_settled(self, now: float) -> None:
-        """Record that a retry in transit has arrived or no longer can."""
-        self.in_transit -= 1
-        self._settled.add(now)
+        return self._retries.start() if self.remaining(now) >= 1.0 else None
--- a/tests/routing/test_budget.py
+++ b/tests/routing/test_budget.py
@@ -17,8 +17,8 @@
     ArrivalEstimator,
     MemberCount,
     RetryBudget,
-    RetryCharge,
 )
+from baobabthread.routing.transit import Transit
 
 BOUNDS = RoutingBounds(retry_ratio=0.9, retry_extra=52, retry_window_s=10.0)
 MANY = RoutingBounds(retry_ratio=0.9, retry_extra=430, retry_window_s=10.0)
@@ -370,7 +370,7 @@
 
     deadline: float
     attempts: int = 0
-    charge: RetryCharge | None = None
+    charge: Transit | None = None
     """Charge of its current attempt; None for the first one."""
 
     def settle(self, now: float) -> None:
