Keep to the limits that backend servers state

Cause: nothing read the header Server-Limit. The class: a bound per server over all instances that no instance can keep by itself.

Design: the header is decoded into a type with a unit. One instance, by rendezvous, owns a limited server and grants each request to it, at the even rate of the limit; a granted request counts until it has arrived or can't any more, and for a window after, so that a partition doesn't add up what it holds back. Where the owner doesn't reply, instances send in windows of their own, as to cold servers, sized for what the owner's part leaves of the bound. A new owner grants half at first. Only a response to a request that was sent after the limit was last stated ends or raises it. Owners report their limits by gossip, for instances that have not been told and those that start. Denied requests go to other servers; where there are none, they wait for half of what is left of their objective at most, the less urgent ones less, or are rejected at once with the time until there is room (backends_limited). A session keeps its version.

Why it holds: arrivals of granted requests are bounded by the owner's count at the last grant, those of the windows by chance; both fit under the bound together.

Evidence: tests/platform/test_limits.py, before 91 to 198 requests in 4 s where 17 are allowed; now within, with 0.7 of the limit used at least. New: metrics baobabthread_limited_backends and baobabthread_send_permits.

--- a/bench/_rollout_members.py
+++ b/bench/_rollout_members.py
@@ -14,6 +14,7 @@
 from baobabthread.instance.canaries import CanaryCoordinator
 from baobabthread.instance.clock import now
 from baobabthread.instance.context import CallerRequest, Reply, RequestContext
+from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.instance.peers import PeerLink
 from baobabthread.instance.rollouts import RolloutController
 from baobabthread.instance.selection import Selection
@@ -198,6 +199,13 @@
             backends=backends,
             estimates=nothing,
             placement=nothing,
+            limits=LimitCoordinator(
+                me=self.name,
+                bounds=self.world.day.bounds,
+                send=lambda to, message: None,
+                publish=lambda topic, value: None,
+                received=lambda topic: iter(()),
+            ),
             disabled=frozenset(),
         )
         self._tasks = [
--- a/bench/coldstart.py
+++ b/bench/coldstart.py
@@ -50,7 +50,7 @@
 ) -> Times:
     """Send in windows of its own that begin at random, by all that ever were."""
     windows = SendWindows(me=view.me)
-    gap_s = compute_interval_s(max_per_s=MOST, members=view.counted)
+    gap_s = compute_interval_s(max_requests=MOST, members=view.counted)
     clock_s = rng.uniform(0.0, 1e5)
     sent = []
     for moment in moments:
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -95,6 +95,7 @@
         "_connection",
         "_event_timeout_s",
         "_may_give_up",
+        "_permit",
         "_response",
         "context",
         "link",
@@ -128,6 +129,7 @@
         self._connection: Connection | None = None
         self._response: Response | None = None
         self._charge = context.take_retry_charge()
+        self._permit = context.take_permit()
 
     async def open(self, wire: WireFormat) -> ResponseHead:
         """Send the request and return the head of its response.
@@ -158,9 +160,9 @@
         context.record_sent()
         response = await self._wait_for(self.link.pool.receive(self._connection))
         self._ensure_open()
-        self._settle_charge()
         self._response = response
         metadata = wire.decode_response(response.status, response.headers)
+        self._record_arrival(metadata)
         self._validate(metadata, response.status)
         self.link.record_response(self.sent_at)
         if context.route.is_stream:
@@ -195,11 +197,22 @@
         if self._connection is not None:
             self.link.pool.discard(self._connection)
             self._connection = None
-        self._settle_charge()
+        if self._charge is not None:
+            self._charge.settle(now())
+        if self._permit is not None:
+            self._permit.settle(responded=False)
 
-    def _settle_charge(self) -> None:
+    def _record_arrival(self, metadata: ResponseMetadata) -> None:
+        """Record that the request has arrived, and the limit that the server states."""
         if self._charge is not None:
             self._charge.settle(now())
+        is_own = not metadata.is_other_server and (
+            metadata.request_id == self.context.request.envelope.request_id
+        )
+        if is_own:
+            self.link.record_limit(metadata.limit, self.sent_at)
+        if self._permit is not None:
+            self._permit.settle(metadata.limit, responded=is_own)
 
     def _ensure_open(self) -> None:
         # A response without a length ends with its connection: what was received before
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -30,6 +30,7 @@
 from baobabthread.routing.configuration import BackendRecord
 from baobabthread.routing.regions import AllowedRegions
 from baobabthread.routing.replica import StateReplica
+from baobabthread.routing.serverlimits import StatedLimit
 
 CONNECT_TIMEOUT_S = 0.4
 """Timeout for opening a connection, which usually takes a few milliseconds. A lost
@@ -61,15 +62,22 @@
         "received_at",
         "record",
         "record_cold",
+        "record_limit",
         "suspect_until",
     )
 
     def __init__(
-        self, *, record: BackendRecord, record_cold: Callable[[float], object]
+        self,
+        *,
+        record: BackendRecord,
+        record_cold: Callable[[float], object],
+        record_limit: Callable[[StatedLimit | None, float], object],
     ) -> None:
         self.record = record
         self.record_cold = record_cold
         """Called with the seconds for which the server says it will still be cold."""
+        self.record_limit = record_limit
+        """Called with the limit that a response states and when it was requested."""
         self.received_at = -1e9
         self.suspect_until = -1e9
         self.is_replaced = False
@@ -156,9 +164,13 @@
                 self._links[name] = BackendLink(
                     record=record,
                     record_cold=functools.partial(self._record_cold, record),
+                    record_limit=functools.partial(
+                        self._restrictions.limits.record_response, name
+                    ),
                 )
             else:
                 link.record = record
+        self._restrictions.limits.retain(set(records))
         usable = {n: r for n, r in records.items() if self._is_usable(r)}
         self.table.rebuild(_build_balancer_configuration(usable), now())
 
@@ -188,13 +200,19 @@
         shared_tokens: int,
         loads: Mapping[str, Load],
         candidates: Collection[str],
+        may_wait: bool = False,
     ) -> BackendLink | None:
-        """Return the backend server for an attempt, or None if none is available."""
+        """Return the backend server for an attempt, or None if none is available.
+
+        `may_wait` includes limited servers that take no request at present.
+        """
         timestamp = now()
         suspects = {
             name for name, link in self._links.items() if timestamp < link.suspect_until
         }
-        restricted = self._restrictions.list_restricted(allowed_regions, timestamp)
+        restricted = self._restrictions.list_restricted(
+            allowed_regions, timestamp, may_wait=may_wait
+        )
         excluded = _Union(exclude, restricted) if restricted else exclude
         for exclusions in (_Union(excluded, suspects), excluded):
             name = self.table.pick(
--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from baobabthread.instance.clock import now
+from baobabthread.instance.limits import SendPermit
 from baobabthread.instance.wire import RawHeaders
 from baobabthread.routing.budget import RetryBudget
 from baobabthread.routing.configuration import Account, Route
@@ -92,6 +93,7 @@
         "attempts",
         "confidence",
         "deadline",
+        "denied_by",
         "excluded",
         "exposure",
         "has_reserved_exposure",
@@ -107,6 +109,7 @@
         "model",
         "non_canaries",
         "on_new_version",
+        "permit",
         "reason",
         "reply",
         "request",
@@ -151,6 +154,10 @@
         """Number of attempts that may have run."""
         self.retry_charge: Transit | None = None
         """Charge for the next attempt, until that attempt takes it over."""
+        self.permit: SendPermit | None = None
+        """Permission to send the next attempt to a limited server, until it begins."""
+        self.denied_by: str | None = None
+        """Incarnation of the limited server that denied the next attempt, if any."""
         self.lost_connections = 0
         """Number of attempts whose connection ended before the response."""
         self.excluded: set[str] = set()
@@ -208,10 +215,17 @@
         charge, self.retry_charge = self.retry_charge, None
         return charge
 
-    def settle_retry(self) -> None:
-        """Settle the charge for an attempt that was not made."""
+    def take_permit(self) -> SendPermit | None:
+        """Return the permission for the attempt that begins, if it needs one."""
+        permit, self.permit = self.permit, None
+        return permit
+
+    def settle_unsent(self) -> None:
+        """Settle the charge and the permission for an attempt that was not made."""
         if self.retry_charge is not None:
             self.retry_charge.settle(now())
+        if self.permit is not None:
+            self.permit.settle(responded=False)
 
     def record_sent(self) -> None:
         """Record that an attempt was sent."""
--- a/src/baobabthread/instance/errorresponses.py
+++ b/src/baobabthread/instance/errorresponses.py
@@ -48,10 +48,13 @@
         else:
             await self._fail(context, 504, "timeout")
 
-    async def give_up(self, context: RequestContext, kind: str) -> None:
+    async def give_up(
+        self, context: RequestContext, kind: str, retry_after_s: float | None = None
+    ) -> None:
         """End a request for which no attempt is left."""
         if self._has_not_run(context):
-            await self.reject(context, kind, RETRY_AFTER_S * (1 + self._rng.random()))
+            after_s = RETRY_AFTER_S if retry_after_s is None else retry_after_s
+            await self.reject(context, kind, after_s * (1 + self._rng.random()))
         else:
             await self._fail(context, 502, kind)
 
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -27,6 +27,7 @@
 from baobabthread.instance.crashes import ActiveRequest, CrashDetector, Departure
 from baobabthread.instance.errorresponses import ErrorResponses
 from baobabthread.instance.estimates import Estimates
+from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.instance.placement import Placement
 from baobabthread.instance.quarantine import QuarantineCoordinator
 from baobabthread.instance.requestlog import RequestLog
@@ -64,6 +65,7 @@
         log: RequestLog,
         sessions: SessionCoordinator,
         placement: Placement,
+        limits: LimitCoordinator,
         crashes: CrashDetector,
         quarantine: QuarantineCoordinator,
         disabled: DisabledMechanisms = NONE_DISABLED,
@@ -85,6 +87,7 @@
             backends=backends,
             estimates=self._estimates,
             placement=placement,
+            limits=limits,
             disabled=disabled,
         )
         self._error_responses = ErrorResponses(log=log, rng=rng)
@@ -185,7 +188,7 @@
             await self._run_attempts(context, state)
         finally:
             context.release_exposure()
-            context.settle_retry()
+            context.settle_unsent()
             self.scheduler.finish(ticket, context, state)
 
     async def _reject_quarantined(self, context: RequestContext) -> bool:
@@ -219,7 +222,9 @@
             self._log.record_version_choice(context, state.plan)
             if link is None:
                 await self._error_responses.give_up(
-                    context, self.selection.explain_unavailable(context)
+                    context,
+                    self.selection.explain_unavailable(context),
+                    self.selection.find_retry_after(context),
                 )
                 return
             try:
--- /dev/null
+++ b/src/baobabthread/instance/gauges.py
@@ -0,0 +1,35 @@
+"""Gauges that are read from the parts of an instance when metrics are served."""
+
+from __future__ import annotations
+
+from baobabthread.instance.clock import now
+from baobabthread.instance.metrics import Metrics
+from baobabthread.instance.peers import PeerLink
+from baobabthread.instance.services import Services
+from baobabthread.routing.replica import StateReplica
+
+
+def update_gauges(
+    metrics: Metrics,
+    *,
+    in_flight: int,
+    replica: StateReplica,
+    peers: PeerLink,
+    services: Services,
+) -> None:
+    """Set all gauges to the current state."""
+    timestamp = now()
+    metrics.in_flight.set(in_flight)
+    metrics.replica_age.set(replica.operators_age(timestamp))
+    metrics.members.set(len(peers.membership.alive()))
+    metrics.quarantined.set(len(peers.quarantine.quarantine.quarantined(timestamp)))
+    metrics.limited_backends.set(len(peers.limits.limited))
+    for outcome, number in peers.limits.outcomes.items():
+        metrics.send_permits.labels(outcome=outcome).set(number)
+    for state in services:
+        left = metrics.retries_left.labels(service=state.name)
+        left.set(state.budget.remaining(timestamp))
+        in_transit = metrics.retries_in_transit.labels(service=state.name)
+        in_transit.set(state.budget.in_transit)
+        exposed = metrics.exposed_requests.labels(service=state.name)
+        exposed.set(state.plan.exposure.report().exposed)
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -79,6 +79,17 @@
             ["service"],
             registry=self.registry,
         )
+        self.limited_backends = Gauge(
+            "baobabthread_limited_backends",
+            "Backend servers that state a limit on their requests",
+            registry=self.registry,
+        )
+        self.send_permits = Gauge(
+            "baobabthread_send_permits",
+            "Permissions to send to limited backend servers since the start",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.version_choices = Counter(
             "baobabthread_version_choices",
             "Choices of a version for a request of a session while a roll-out runs",
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -31,8 +31,16 @@
     ConnectionPool,
     IncompleteResponseError,
     NotSentError,
-    encode_head,
 )
+from baobabthread.instance.limitmessages import (
+    LIMIT_MESSAGES,
+    GrantReply,
+    GrantRequest,
+    LimitStated,
+    SendEnded,
+)
+from baobabthread.instance.limits import LimitCoordinator
+from baobabthread.instance.peersnapshots import request_snapshot
 from baobabthread.instance.placement import (
     LOAD_MESSAGES,
     LoadsReply,
@@ -68,9 +76,6 @@
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.snapshots import Snapshot
 
-SNAPSHOT_PATH = "/peer/knowledge"
-KNOWN_END_PARAMETER = "known_end"
-"""Query parameter: end of the operators' records known to the requesting instance."""
 TICK_INTERVAL_S = 0.05
 MAX_DATAGRAM_BYTES = 60_000
 CONNECT_TIMEOUT_S = 0.4
@@ -83,7 +88,6 @@
 STALE_FRACTION = 0.8
 """Fraction of the largest permitted age at which a peer's snapshot is fetched; by then
 the store has not responded for longer than one read takes."""
-MAX_SNAPSHOT_BYTES = 32_000_000
 MEMBERSHIP_SETTINGS = MembershipSettings(
     small_period_s=0.2,
     suspicion_factor=0.5,
@@ -119,8 +123,16 @@
                 *LOAD_MESSAGES,
                 *CANARY_MESSAGES,
                 *QUARANTINE_MESSAGES,
+                *LIMIT_MESSAGES,
             )
         )
+        self.limits = LimitCoordinator(
+            me=settings.name,
+            bounds=settings.bounds,
+            send=self._send,
+            publish=self.publish,
+            received=self.received,
+        )
         self.quarantine = QuarantineCoordinator(me=settings.name, send=self._send)
         self.placement = Placement(me=settings.name, send=self._send)
         self.canaries = CanaryCoordinator(me=settings.name, send=self._send)
@@ -192,6 +204,8 @@
                 self.placement.handle_ended(sender, message)
             case CanaryReport() | CanaryPermit() | CanaryVerdict():
                 self.canaries.handle(sender, message)
+            case GrantRequest() | GrantReply() | SendEnded() | LimitStated():
+                self.limits.handle(sender, message)
             case Crash():
                 self.quarantine.handle_crash(message)
             case QuarantineDigest():
@@ -222,6 +236,7 @@
         self.replica_sync.tick()
         self.sessions.tick()
         self.placement.tick()
+        self.limits.tick()
         self.canaries.tick()
         self.quarantine.tick()
 
@@ -278,6 +293,7 @@
         self.replica_sync.set_members(names)
         self.sessions.set_members(names)
         self.placement.set_members(names)
+        self.limits.set_members(names)
         self.canaries.set_members(names)
         self.quarantine.set_members(names)
         log_event(
@@ -325,7 +341,7 @@
         requested_at = now()
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
-                body = await _request_snapshot(
+                body = await request_snapshot(
                     pool, address, self._replica.operators_end
                 )
             snapshot = msgspec.json.decode(body, type=Snapshot)
@@ -373,21 +389,3 @@
         for payload in self.membership.gossip.topic(topic):
             if payload.origin != self.incarnation:
                 yield payload
-
-
-async def _request_snapshot(
-    pool: ConnectionPool, address: str, known_end: int
-) -> bytes:
-    target = f"{SNAPSHOT_PATH}?{KNOWN_END_PARAMETER}={known_end}"
-    head = encode_head("GET", target, [("Host", address)])
-    connection = await pool.send(head, b"")
-    try:
-        response = await pool.receive(connection)
-        body = await response.read(MAX_SNAPSHOT_BYTES)
-    except BaseException:
-        pool.discard(connection)
-        raise
-    response.finish()
-    if response.status != 200:
-        raise IncompleteResponseError(f"peer responded with status {response.status}")
-    return body
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -19,9 +19,11 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.crashes import CrashDetector
 from baobabthread.instance.forwarder import Forwarder
+from baobabthread.instance.gauges import update_gauges
 from baobabthread.instance.logoutput import configure_logging, run_log_flusher
 from baobabthread.instance.metrics import Metrics
-from baobabthread.instance.peers import KNOWN_END_PARAMETER, SNAPSHOT_PATH, PeerLink
+from baobabthread.instance.peers import PeerLink
+from baobabthread.instance.peersnapshots import KNOWN_END_PARAMETER, SNAPSHOT_PATH
 from baobabthread.instance.quarantinerecords import QuarantineRecords
 from baobabthread.instance.requestlog import RequestLog
 from baobabthread.instance.restrictions import Restrictions
@@ -90,11 +92,20 @@
         self.metrics = Metrics()
         self.replica = StateReplica(bounds=settings.bounds)
         self._regions = Regions(by_domain=settings.regions)
+        self.peers = PeerLink(
+            settings=settings,
+            incarnation=uuid.uuid4().hex[:12],
+            started_at=round(now(), 3),
+            replica=self.replica,
+            rng=rng,
+            find_plan=lambda name: self.services.get(name).plan,
+        )
         self.restrictions = Restrictions(
             me=settings.name,
             replica=self.replica,
             regions=self._regions,
             bounds=settings.bounds,
+            limits=self.peers.limits,
         )
         self.backends = Backends(
             replica=self.replica,
@@ -107,14 +118,6 @@
             bounds=settings.bounds,
             is_single=not settings.has_other_seeds,
         )
-        self.peers = PeerLink(
-            settings=settings,
-            incarnation=uuid.uuid4().hex[:12],
-            started_at=round(now(), 3),
-            replica=self.replica,
-            rng=rng,
-            find_plan=lambda name: self.services.get(name).plan,
-        )
         self.crashes = CrashDetector(
             backends=self.backends, report=self.peers.quarantine.report_crash
         )
@@ -127,6 +130,7 @@
             log=RequestLog(replica=self.replica, metrics=self.metrics),
             sessions=self.peers.sessions,
             placement=self.peers.placement,
+            limits=self.peers.limits,
             crashes=self.crashes,
             quarantine=self.peers.quarantine,
             disabled=settings.off,
@@ -213,19 +217,13 @@
         """Serve the metrics as text."""
         if request.path != self._adapters.metrics_path:
             return web.Response(status=404)
-        self.metrics.in_flight.set(self.forwarder.in_flight)
-        self.metrics.replica_age.set(self.replica.operators_age(now()))
-        self.metrics.members.set(len(self.peers.membership.alive()))
-        self.metrics.quarantined.set(
-            len(self.peers.quarantine.quarantine.quarantined(now()))
+        update_gauges(
+            self.metrics,
+            in_flight=self.forwarder.in_flight,
+            replica=self.replica,
+            peers=self.peers,
+            services=self.services,
         )
-        for state in self.services:
-            left = self.metrics.retries_left.labels(service=state.name)
-            left.set(state.budget.remaining(now()))
-            in_transit = self.metrics.retries_in_transit.labels(service=state.name)
-            in_transit.set(state.budget.in_transit)
-            exposed = self.metrics.exposed_requests.labels(service=state.name)
-            exposed.set(state.plan.exposure.report().exposed)
         return web.Response(body=self.metrics.render(), content_type="text/plain")
 
     async def run(self) -> int:
--- a/src/baobabthread/instance/restrictions.py
+++ b/src/baobabthread/instance/restrictions.py
@@ -1,9 +1,8 @@
-"""Backend servers excluded by evacuation, by allowed regions or during warm-up."""
+"""Backend servers excluded by evacuation, regions, warm-up or their own limit."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
+from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.logs import log_event
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import BackendRecord, ServiceConfiguration
@@ -31,11 +30,19 @@
         "_replica",
         "_senders",
         "_windows",
+        "limits",
     )
 
     def __init__(
-        self, *, me: str, replica: StateReplica, regions: Regions, bounds: RoutingBounds
+        self,
+        *,
+        me: str,
+        replica: StateReplica,
+        regions: Regions,
+        bounds: RoutingBounds,
+        limits: LimitCoordinator,
     ) -> None:
+        self.limits = limits
         self._replica = replica
         self._regions = regions
         self._bounds = bounds
@@ -48,9 +55,10 @@
         self._checked_version = -1
         """Version of the configuration whose allowed regions were checked."""
 
-    def update_members(self, names: Iterable[str], now: float) -> None:
+    def update_members(self, names: list[str], now: float) -> None:
         """Update the known instances, whatever their state."""
         self._senders.record(names, now)
+        self.limits.update_senders(names)
 
     def refresh(self, now: float) -> None:
         """Apply the current evacuations, allowed regions and cold servers."""
@@ -82,12 +90,17 @@
         return record.incarnation in self._cold
 
     def list_restricted(
-        self, allowed_regions: AllowedRegions, now: float
+        self, allowed_regions: AllowedRegions, now: float, *, may_wait: bool = False
     ) -> frozenset[str]:
-        """Return incarnations that must not get a request with these regions now."""
-        if not self._cold:
-            return self._list_outside_regions(allowed_regions)
+        """Return incarnations that must not get a request with these regions now.
+
+        `may_wait` leaves out limited servers, which may get it later.
+        """
         closed = [name for name in self._cold if not self._is_window_open(name, now)]
+        if not may_wait:
+            closed.extend(self.limits.list_closed(now))
+        if not closed:
+            return self._list_outside_regions(allowed_regions)
         return self._list_outside_regions(allowed_regions).union(closed)
 
     def record_sent(self, name: str, now: float) -> None:
@@ -133,7 +146,9 @@
         max_per_s = (
             self._cold[name].warmup_rate * bounds.cold_factor + bounds.cold_extra
         )
-        return compute_interval_s(max_per_s=max_per_s, members=self._senders.count(now))
+        return compute_interval_s(
+            max_requests=max_per_s, members=self._senders.count(now)
+        )
 
     def _list_outside_regions(self, allowed_regions: AllowedRegions) -> frozenset[str]:
         if allowed_regions is None:
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 
 import msgspec
@@ -12,12 +13,19 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.context import RequestContext
 from baobabthread.instance.estimates import Estimates
+from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.instance.placement import PlacedPrompt, Placement
 from baobabthread.routing.mechanisms import DisabledMechanisms, Mechanism
+from baobabthread.routing.queues import classify
 from baobabthread.routing.reasons import VersionReason
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.versions import VersionPlan
 
+PATIENCE_FRACTION = 0.5
+"""Fraction of the time left until the latency objective for which a request may wait
+for a limited server; the rest is for its response."""
+ENDED_MARGIN_S = 1.0
+"""Time after its deadline by which an attempt has certainly ended."""
 NO_VERSION = ""
 """A version that no backend server runs."""
 PART_KEY_BITS = 48
@@ -35,7 +43,14 @@
 class Selection:
     """Select the version and the backend server for each attempt."""
 
-    __slots__ = ("_backends", "_disabled", "_estimates", "_placement", "_replica")
+    __slots__ = (
+        "_backends",
+        "_disabled",
+        "_estimates",
+        "_limits",
+        "_placement",
+        "_replica",
+    )
 
     def __init__(
         self,
@@ -44,30 +59,85 @@
         backends: Backends,
         estimates: Estimates,
         placement: Placement,
+        limits: LimitCoordinator,
         disabled: DisabledMechanisms,
     ) -> None:
         self._replica = replica
         self._backends = backends
         self._estimates = estimates
         self._placement = placement
+        self._limits = limits
         self._disabled = disabled
 
     async def select(
         self, context: RequestContext, plan: VersionPlan
     ) -> BackendLink | None:
         """Return the backend server for the next attempt, if one is available."""
-        link = await self._select(context, plan)
+        context.denied_by = None
+        link = await self._select_permitted(context, plan)
         if link is None and context.is_canary and not context.is_sessionless:
             # A session stays on the new version, if necessary beyond the canaries.
             context.may_use_non_canaries = True
-            link = await self._select(context, plan)
-        if link is None and context.is_canary:
+            link = await self._select_permitted(context, plan)
+        if link is None and context.is_canary and not self._must_wait(context):
             # Busy canaries are no reason to reject a request that others can serve.
             context.may_use_new_version = False
-            link = await self._select(context, plan)
+            link = await self._select_permitted(context, plan)
             context.version_reason = VersionReason.NO_SERVER
+        return link or await self._wait_for_permit(context)
+
+    async def _select_permitted(
+        self, context: RequestContext, plan: VersionPlan
+    ) -> BackendLink | None:
+        """Return a backend server whose own limit, if any, permits the attempt."""
+        while True:
+            link = await self._select(context, plan)
+            if link is None or await self._acquire(context, link, patience_s=0.0):
+                return link
+
+    async def _wait_for_permit(self, context: RequestContext) -> BackendLink | None:
+        """Return a limited server once it can take the attempt, if that is soon."""
+        link = self._pick_limited(context)
+        if link is None:
+            return None
+        objective_left_s = context.started_at + context.route.objective_s - now()
+        patience_s = max(0.0, objective_left_s * PATIENCE_FRACTION)
+        if not await self._acquire(context, link, patience_s=patience_s):
+            context.denied_by = link.name
+            return None
+        if context.permit is not None:
+            await asyncio.sleep(context.permit.wait_s)
         return link
 
+    def _must_wait(self, context: RequestContext) -> bool:
+        """Return whether a session's version has servers that are only limited."""
+        return (
+            context.session_on_new_version and self._pick_limited(context) is not None
+        )
+
+    def _pick_limited(self, context: RequestContext) -> BackendLink | None:
+        if not self._limits.limited:
+            return None
+        return self._pick(
+            context, context.excluded, {}, [], version=context.version, may_wait=True
+        )
+
+    async def _acquire(
+        self, context: RequestContext, link: BackendLink, *, patience_s: float
+    ) -> bool:
+        """Acquire the permission that a limited server needs; return if it is given."""
+        if self._limits.stated(link.name) is None:
+            return True
+        context.permit = await self._limits.acquire(
+            link.name,
+            priority=classify(context.priority),
+            patience_s=patience_s,
+            lasts_s=context.deadline - now() + ENDED_MARGIN_S,
+        )
+        if context.permit is None:
+            context.timeline.append(f"{link.record.id}:limited")
+        return context.permit is not None
+
     async def _select(
         self, context: RequestContext, plan: VersionPlan
     ) -> BackendLink | None:
@@ -89,15 +159,26 @@
             context.kept_tokens = loads[link.name].kept_tokens
         return link
 
+    def find_retry_after(self, context: RequestContext) -> float | None:
+        """Return when a denied request may be sent again; None if it wasn't denied."""
+        if context.denied_by is None:
+            return None
+        return self._limits.find_retry_after(
+            context.denied_by, classify(context.priority)
+        )
+
     def explain_unavailable(self, context: RequestContext) -> str:
         """Return the reason why no backend server is available for a request."""
+        if context.denied_by is not None:
+            return "backends_limited"
         return self._backends.explain_unavailable(
             context.service, context.allowed_regions
         )
 
     def has_alternative(self, context: RequestContext, link: BackendLink) -> bool:
         """Return whether another backend server could take the request."""
-        excluded = context.excluded | {link.name}
+        # A limited server may deny the request when it is asked.
+        excluded = context.excluded | {link.name} | self._limits.limited.keys()
         # What fails on a canary is retried on the current version.
         version = None if context.is_canary else context.version
         return self._pick(context, excluded, {}, [], version=version) is not None
@@ -182,6 +263,7 @@
         candidates: list[str],
         *,
         version: str | None,
+        may_wait: bool = False,
     ) -> BackendLink | None:
         return self._backends.pick(
             context.service,
@@ -194,6 +276,7 @@
             shared_tokens=context.request.envelope.shared_tokens,
             loads=loads,
             candidates=candidates,
+            may_wait=may_wait,
         )
 
     def _hash_prefix(self, context: RequestContext) -> int | None:
--- a/src/baobabthread/instance/wire.py
+++ b/src/baobabthread/instance/wire.py
@@ -6,7 +6,9 @@
 from typing import Protocol, TypeAlias
 
 import msgspec
+from multidict import MultiMapping
 
+from baobabthread.routing.serverlimits import StatedLimit
 from baobabthread.routing.table import Envelope
 
 RawHeaders: TypeAlias = Sequence[tuple[bytes, bytes]]
@@ -42,6 +44,8 @@
     retry_after_s: float | None = None
     cold_left_s: float = 0.0
     """Remaining warm-up time that the backend server reports, in seconds."""
+    limit: StatedLimit | None = None
+    """Limit on the requests that the backend server can take; None if it has none."""
 
 
 class WireFormat(Protocol):
@@ -61,7 +65,7 @@
         """Return the head of the request to a backend server."""
 
     def decode_response(
-        self, status: int, headers: Mapping[str, str]
+        self, status: int, headers: MultiMapping[str]
     ) -> ResponseMetadata:
         """Decode the head of a backend server's response."""
 
--- a/src/baobabthread/platform/headers.py
+++ b/src/baobabthread/platform/headers.py
@@ -5,7 +5,10 @@
 import re
 from collections.abc import Mapping
 
+from multidict import MultiMapping
+
 from baobabthread.instance.wire import BackendCall, RawHeaders, ResponseMetadata
+from baobabthread.routing.serverlimits import StatedLimit
 from baobabthread.routing.table import Envelope, PromptPart
 
 REQUEST_ID = "X-Attempt-Id"
@@ -21,6 +24,7 @@
 PRIORITY = "X-Request-Priority"
 CONFIDENCE = "X-Confidence"
 COLD_MS = "X-Cold-Ms"
+LIMIT = "Server-Limit"
 LAST_EVENT = "Last-Event-Id"
 SESSION = "Session"
 AUTHORIZATION = "Authorization"
@@ -57,6 +61,7 @@
     b"kv-from",
     b"kv-fetch",
 }
+_DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?([eE][+-]?\d{1,4})?", re.ASCII)
 _TOKEN_COUNTS = re.compile(r"\s*(\d+)\s*,\s*(\d+)\s*$")
 
 
@@ -110,7 +115,7 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
     def decode_response(
-        self, status: int, headers: Mapping[str, str]
+        self, status: int, headers: MultiMapping[str]
     ) -> ResponseMetadata:
         """Decode the head of a backend server's response."""
         confidence = _parse_number(headers.get(CONFIDENCE))
@@ -123,6 +128,7 @@
             encoded=headers.get("Content-Encoding", "identity").lower() != "identity",
             retry_after_s=_parse_number(headers.get("Retry-After")),
             cold_left_s=_parse_ms(headers.get(COLD_MS)) or 0.0,
+            limit=_parse_limit(headers),
         )
 
     def filter_response_headers(self, headers: RawHeaders) -> list[tuple[str, str]]:
@@ -180,6 +186,17 @@
         return None
 
 
+def _parse_limit(headers: MultiMapping[str]) -> StatedLimit | None:
+    """Return the smallest limit that is given, None if there is no such field."""
+    fields = headers.getall(LIMIT, ())
+    values = [value.strip() for field in fields for value in field.split(",")]
+    if not values:
+        return None
+    if not all(_DECIMAL_NUMBER.fullmatch(value) for value in values):
+        return StatedLimit(per_s=None)
+    return StatedLimit(per_s=min(float(value) for value in values))
+
+
 def _parse_token_counts(value: str | None) -> tuple[int, int]:
     match = _TOKEN_COUNTS.match(value or "")
     return (int(match.group(1)), int(match.group(2))) if match else (0, 0)
--- a/src/baobabthread/routing/bounds.py
+++ b/src/baobabthread/routing/bounds.py
@@ -38,3 +38,9 @@
     """Multiple of its configured warm-up rate that a cold server may get per second."""
     cold_extra: float = 5.0
     """Additional requests that a cold server may get in that second."""
+    limit_factor: float = 1.5
+    """Multiple of the limit that a backend server states that it may get."""
+    limit_extra: float = 5.0
+    """Additional requests that such a server may get in a window."""
+    limit_window_s: float = 4.0
+    """Length of the window over which they are counted, wherever it begins."""
--- a/src/baobabthread/routing/warmup.py
+++ b/src/baobabthread/routing/warmup.py
@@ -26,6 +26,9 @@
 OVERRUN_PROBABILITY = 1e-6
 """Probability that the requests in a second exceed the bound if all instances use every
 window."""
+MAX_POISSON_LIMIT = 500
+"""Bound above which the windows are not made more frequent: the exponential of larger
+means underflows."""
 MEMBER_RETENTION_S = 7200.0
 """Time for which a silent member is still counted. Regions are occasionally partitioned
 for an hour, and each side would otherwise use the other side's share as well."""
@@ -143,21 +146,25 @@
         return number, position - number * interval_s
 
 
-def compute_interval_s(*, max_per_s: float, members: int) -> float:
-    """Return the time between two windows of one instance for one cold server.
+def compute_interval_s(
+    *, max_requests: float, members: int, period_s: float = 1.0
+) -> float:
+    """Return the time between two windows of one instance for one server.
 
-    `max_per_s` is how many requests the server may get in any second from all members.
+    `max_requests` is how many requests the server may get in any period from all
+    members.
     """
-    return members / compute_window_rate(max_per_s)
+    return members / compute_window_rate(max_requests, period_s)
 
 
 @functools.lru_cache
-def compute_window_rate(max_per_s: float) -> float:
+def compute_window_rate(max_requests: float, period_s: float = 1.0) -> float:
     """Return the windows per second, of all members, at which a server's bound holds.
 
-    A second overlaps the windows that start in it or up to a window's length before.
+    A period overlaps the windows that start in it or up to a window's length before.
     """
-    return _find_poisson_mean(math.floor(max_per_s)) / (1.0 + SEND_WINDOW_S)
+    limit = math.floor(min(max_requests, MAX_POISSON_LIMIT))
+    return _find_poisson_mean(limit) / (period_s + SEND_WINDOW_S)
 
 
 def _find_poisson_mean(limit: int) -> float:
--- a/tests/instance/test_selection.py
+++ b/tests/instance/test_selection.py
@@ -11,6 +11,7 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.context import RequestContext
 from baobabthread.instance.estimates import Estimates
+from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.instance.selection import Selection
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import RolloutOrder
@@ -51,6 +52,13 @@
         backends=any_backends,
         estimates=Estimates(),
         placement=unused,
+        limits=LimitCoordinator(
+            me="i1",
+            bounds=RoutingBounds(),
+            send=lambda to, message: None,
+            publish=lambda topic, value: None,
+            received=lambda topic: iter(()),
+        ),
         disabled=frozenset({Mechanism.LOAD_QUERIES, Mechanism.PROMPT_AFFINITY}),
     )
 
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -8,7 +8,7 @@
 
 from tests.platform.fakecallers import CallerResponse
 from tests.platform.fakes import FakeBackend
-from tests.platform.site import Site, open_site, run
+from tests.platform.site import Site, open_site, run, wait_for
 
 WINDOW_S = 4.0
 LIMIT_PER_S = 2.0
@@ -41,6 +41,8 @@
 
     async def case() -> None:
         async with open_site("p1") as site:
+            # A new owner grants half of the limit at first.
+            await asyncio.sleep(WINDOW_S)
             server = site.backends[0]
             set_limit(server, str(LIMIT_PER_S))
             started_at = time.monotonic()
@@ -66,6 +68,7 @@
                 await site.add_instance(f"i{number}", ip=f"127.0.0.{number}")
             for index in range(3):
                 await site.wait_ready(index)
+            await asyncio.sleep(WINDOW_S)
             server = site.backends[0]
             set_limit(server, str(LIMIT_PER_S))
             started_at = time.monotonic()
@@ -108,3 +111,21 @@
             assert len(server.arrivals) - before == len(responses)
 
     run(case())
+
+
+def test_tell_other_instances_of_a_limit() -> None:
+    """An instance that the server has not told yet keeps to its limit as well."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            await site.add_instance("i2", ip="127.0.0.2")
+            await site.wait_ready(1)
+            set_limit(site.backends[0], str(LIMIT_PER_S))
+            assert (await site.call("/safe/x")).status == 200
+            told = site.instances[1].peers.limits
+            await wait_for(lambda: told.stated("p1") == LIMIT_PER_S, 2.0)
+            await site.add_instance("i3", ip="127.0.0.3")
+            started = site.instances[2].peers.limits
+            await wait_for(lambda: started.stated("p1") == LIMIT_PER_S, 4.0)
+
+    run(case())
--- a/tests/routing/test_warmup.py
+++ b/tests/routing/test_warmup.py
@@ -36,7 +36,7 @@
     sent = []
     for number, members in enumerate(member_counts):
         windows = SendWindows(me=f"front-{number}-{rng.random()}")
-        interval_s = compute_interval_s(max_per_s=max_per_s, members=members)
+        interval_s = compute_interval_s(max_requests=max_per_s, members=members)
         clock_s = rng.uniform(0.0, 1e5)
         steps = int(COLD_S / STEP_S)
         for step in range(steps):
@@ -125,7 +125,7 @@
     sent = 0
     for number in range(300):
         windows = SendWindows(me=f"i{number}")
-        interval_s = compute_interval_s(max_per_s=27.5, members=300)
+        interval_s = compute_interval_s(max_requests=27.5, members=300)
         now = rng.uniform(0.0, 1e4)
         sent += windows.is_open("s", interval_s, now)
     assert sent <= 12
