Tests, soak and experiment of the limits that servers state

- Soak: fault 'limited backend', promise 'limited servers', mutant and press 'forget limits'. python -m bench limits [--instances N] [--limit N] [--seed N].

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -32,6 +32,13 @@
         Path | None, cappa.Arg(long=True, help="Draw a PNG or SVG plot.")
     ] = None
     seed: Annotated[int, cappa.Arg(long=True, help="Seed of all randomness.")] = 1
+    instances: Annotated[
+        int | None, cappa.Arg(long=True, help="Number of instances, for `limits`.")
+    ] = None
+    limit: Annotated[
+        float | None,
+        cappa.Arg(long=True, help="Requests a second of the server, for `limits`."),
+    ] = None
 
 
 def load_experiments() -> None:
@@ -53,6 +60,8 @@
                 json=chosen.json,
                 plot=chosen.plot,
                 seed=chosen.seed,
+                instances=chosen.instances,
+                limit=chosen.limit,
             )
         )
     except BaobabthreadError as error:
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -20,6 +20,8 @@
     json: Path | None = None
     plot: Path | None = None
     seed: int = 1
+    instances: int | None = None
+    limit: float | None = None
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -242,6 +242,18 @@
         await asyncio.sleep(COLD_S + 0.5)
 
 
+@FAULTS.register("limited backend")
+async def limit_backend(site: Site) -> None:
+    """Let one backend server name a limit for some seconds."""
+    backend = site.pick_backend()
+    if backend is None:
+        return
+    with site.note("limited backend"):
+        backend.fake.limits = (f"{site.rng.uniform(0.5, 3.0):.1f}",)
+        await asyncio.sleep(site.rng.uniform(4.0, 9.0))
+        backend.fake.limits = ()
+
+
 @FAULTS.register("evacuation")
 async def evacuate_domain(site: Site) -> None:
     """Evacuate one failure domain and take that back."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -78,6 +78,8 @@
     failure_domain: str = ""
     is_cold: bool = False
     """Whether the backend server had told that it is cold."""
+    limit: float | None = None
+    """Requests a second that its answer names as the server's limit."""
 
 
 class Fault(msgspec.Struct, kw_only=True):
--- a/soak/pressing.py
+++ b/soak/pressing.py
@@ -17,7 +17,14 @@
 from baobabthread.core.registry import Registry
 from soak.callers import Caller
 from soak.history import Kind, now
-from soak.promises import CONTACT_S, ENOUGH_CRASHES, MOST_LATER
+from soak.promises import (
+    CONTACT_S,
+    ENOUGH_CRASHES,
+    LIMIT_EXTRA,
+    LIMIT_FACTOR,
+    LIMIT_WINDOW_S,
+    MOST_LATER,
+)
 from soak.site import COLD_S, ENGINE, PLAIN, Site
 
 MOST_S = 20.0
@@ -37,6 +44,8 @@
 """Callers that come on top to a cold server."""
 CROWD_FACTOR = 3.0
 """Times what a cold server bears that its callers ask for in a second."""
+LIMIT_PER_S = 0.5
+"""Limit that the servers of a service name while it is pressed."""
 LEAVES_S = 1.0
 """Time in which servers that leave are still there."""
 FIRST_NUMBER = 2000
@@ -251,15 +260,34 @@
         await asyncio.gather(*asking)
 
 
-def _find_most_sent(site: Site, start: float, end: float) -> int:
-    """Return the most requests for the plain service that ended within a second."""
+def _find_most_sent(site: Site, start: float, end: float, window_s: float = 1.0) -> int:
+    """Return the most requests for the plain service that ended within a window."""
     plain = (Kind.SAFE, Kind.UNSAFE, Kind.OPEN)
     times = [
         call.ended_at
         for call in site.history.calls
         if call.kind in plain and start < call.sent_at and call.ended_at < end
     ]
-    return max((sum(t <= u < t + 1.0 for u in times) for t in times), default=0)
+    return max((sum(t <= u < t + window_s for u in times) for t in times), default=0)
+
+
+@PRESSES.register("forget limits")
+async def press_limits(site: Site) -> Pressed:
+    """Let all plain servers name a small limit, and send a crowd there."""
+    plain = [b for b in site.backends.values() if b.fake.service == PLAIN]
+    allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * LIMIT_PER_S + LIMIT_EXTRA
+    with site.note("limited backend"):
+        for backend in plain:
+            backend.fake.limits = (str(LIMIT_PER_S),)
+        async with _open_crowd(site):
+            await asyncio.sleep(CONTACT_S + SLACK_S)
+            since = now()
+            await asyncio.sleep(LIMIT_WINDOW_S + SLACK_S)
+            count = _find_most_sent(site, since, now(), LIMIT_WINDOW_S)
+        for backend in plain:
+            backend.fake.limits = ()
+    enough = int(CROWD_FACTOR * allowed * len(plain))
+    return Pressed(count=count, enough=enough)
 
 
 @PRESSES.register("forget crashes")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -26,6 +26,12 @@
 
 CONTACT_S = 3.0
 """Time after which a request that crashed three servers is known to all in touch."""
+TOLD_S = 1.0
+"""Time after a server's answer names a limit in which its instance may not know it."""
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5.0
+"""What a limited server may get in a window: a multiple of its limit, and some more."""
 ENOUGH_CRASHES = 3
 MOST_LATER = 3
 """Requests of that kind that may still reach servers after it."""
@@ -217,6 +223,34 @@
             yield f"{server}: {most} requests within a second while cold"
 
 
+@PROMISES.register("limited servers")
+def check_limited(history: History) -> Iterator[str]:
+    """Find servers that got more than their limit from instances that were told."""
+    instances = {call.id: call.instance for call in history.calls}
+    by_server: dict[str, list[Run]] = {}
+    for run in history.runs:
+        if run.limit is not None and run.id in instances:
+            by_server.setdefault(run.backend, []).append(run)
+    for server, runs in by_server.items():
+        told: dict[int, float] = {}
+        times: list[float] = []
+        for run in runs:
+            instance = instances[run.id]
+            told_at = told.setdefault(instance, run.at)
+            begun = history.disturbed(instance, told_at, run.at)
+            if any(name in ("term", "kill", "pause") for name in begun):
+                continue
+            if run.at >= max(told_at + TOLD_S, runs[0].at + CONTACT_S):
+                times.append(run.at)
+        limit = runs[0].limit or 0.0
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit + LIMIT_EXTRA
+        most = max(
+            (sum(t <= u < t + LIMIT_WINDOW_S for u in times) for t in times), default=0
+        )
+        if most > allowed:
+            yield f"{server}: {most} requests in a window, {allowed:g} allowed"
+
+
 @PROMISES.register("homes")
 def check_homes(history: History) -> Iterator[str]:
     """Find requests that were served in an area in which no configuration allows it."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -325,6 +325,7 @@
                 leaked="authorization" in headers,
                 failure_domain=backend.zone,
                 is_cold=bool(backend.cold_left_s),
+                limit=float(seen.limits[0]) if seen.limits else None,
             )
         )
 
--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -20,7 +20,7 @@
 from baobabthread.logs import log_event
 from baobabthread.platform import __main__ as program
 from baobabthread.platform import headers
-from baobabthread.routing import configuration, replica, warmup
+from baobabthread.routing import configuration, replica, serverlimits, warmup
 
 DECIDED_EVENT = "safeguard_decided"
 WATCH = "watch"
@@ -177,6 +177,18 @@
     warmup.ColdServers.left_s = left_s  # type: ignore
 
 
+@WEAKENED.register("forget limits")
+def forget_limits(safeguard: Safeguard) -> None:
+    """Take every backend server for one without a limit of its own."""
+    ask = serverlimits.StatedLimits.find
+
+    def find(self: serverlimits.StatedLimits, name: str) -> float | None:
+        limit = ask(self, name)
+        return limit if safeguard.stands(limit is not None) else None
+
+    serverlimits.StatedLimits.find = find  # type: ignore
+
+
 @WEAKENED.register("forget homes")
 def forget_homes(safeguard: Safeguard) -> None:
     """Let every request be served anywhere."""
--- a/src/baobabthread/routing/serverlimits.py
+++ b/src/baobabthread/routing/serverlimits.py
@@ -27,7 +27,7 @@
 instances know of the change, some still ask the previous owner."""
 DENIAL_WINDOW_S = 1.0
 """Window over which denied instances are counted, to spread when they ask again."""
-ASKS_PER_GRANT = 2.0
+ASKS_PER_GRANT = 1.0
 """Number of instances that ask per request that the server can take: enough to use its
 whole limit, and few enough for its owner."""
 MIN_RETRY_S = 0.05
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -6,6 +6,8 @@
 import json
 import time
 
+import pytest
+
 from tests.platform.fakecallers import CallerResponse
 from tests.platform.fakes import FakeBackend
 from tests.platform.site import Site, open_site, run, wait_for
@@ -84,7 +86,9 @@
 
     async def case() -> None:
         async with open_site("p1", "p2") as site:
-            server = site.backends[0]
+            server, other = site.backends
+            # Being the slower one, the other server gets only what is denied.
+            other.pause_s = 0.03
             set_limit(server, str(LIMIT_PER_S))
             started_at = time.monotonic()
             responses = await send_many(site, 5.0)
@@ -129,3 +133,59 @@
             await wait_for(lambda: started.stated("p1") == LIMIT_PER_S, 4.0)
 
     run(case())
+
+
+@pytest.mark.parametrize("limits", [("abc",), ("-1",), ("nan",), ("",), ("4", "x")])
+def test_an_unreadable_limit_changes_nothing(limits: tuple[str, ...]) -> None:
+    """A server's limit is not a number: it neither ends nor changes the known one."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            server = site.backends[0]
+            known = site.instances[0].peers.limits
+            set_limit(server, *limits)
+            assert (await site.call("/safe/x")).status == 200
+            assert known.stated("p1") is None
+            set_limit(server, "5")
+            assert (await site.call("/safe/x")).status == 200
+            set_limit(server, *limits)
+            assert (await site.call("/safe/x")).status == 200
+            assert known.stated("p1") == 5.0
+
+    run(case())
+
+
+@pytest.mark.parametrize(
+    ("limits", "stated"),
+    [(("0",), 0.0), (("4.5", "2"), 2.0), (("4.5, 2",), 2.0), (("1e300",), None)],
+)
+def test_read_unusual_limits(limits: tuple[str, ...], stated: float | None) -> None:
+    """The smallest limit counts, and requests go on with any of them."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            set_limit(site.backends[0], *limits)
+            assert (await site.call("/safe/x")).status == 200
+            assert site.instances[0].peers.limits.stated("p1") == stated
+            response = await site.call("/safe/x")
+            assert response.status == 200
+            assert response.headers["server-limit"]
+
+    run(case())
+
+
+def test_use_another_engine_beside_a_limited_one() -> None:
+    """Streams go to an idle engine when the one that they would go to is limited."""
+
+    async def case() -> None:
+        async with open_site("e1", "e2") as site:
+            server = site.backends[0]
+            set_limit(server, "0")
+            statuses = []
+            for number in range(6):
+                response = await site.call_model(X_Attempt_Id=f"s{number}")
+                statuses.append(response.status)
+            assert set(statuses) == {200}
+            assert len(server.arrivals) <= 5
+
+    run(case())
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -127,6 +127,13 @@
             [make_run(f"c{n}", at=50.0 + 0.1 * n, is_cold=True) for n in range(9)],
         ),
     ),
+    (
+        "limited servers",
+        make_history(
+            [make_call(f"c{n}") for n in range(40)],
+            [make_run(f"c{n}", at=50.0 + 0.2 * n, limit=1.0) for n in range(40)],
+        ),
+    ),
     (
         "homes",
         make_history(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -62,6 +62,7 @@
     "forget evacuations": "evacuation",
     "forget the cold": "cold backend",
     "forget homes": "homes",
+    "forget limits": "limited backend",
 }
 """Fault that shows that a safeguard is missing, where it isn't the usual one."""
 
@@ -74,7 +75,9 @@
     assert outcome.served > outcome.calls / 3
 
 
-@pytest.mark.parametrize("fault", ["evacuation", "cold backend", "homes"])
+@pytest.mark.parametrize(
+    "fault", ["evacuation", "cold backend", "homes", "limited backend"]
+)
 def test_keep_requests_away_from_where_they_must_not_go(fault: str) -> None:
     """Callers ask all the while; a domain is evacuated, servers are cold, homes change.
 
@@ -107,6 +110,7 @@
         ("forget evacuations", "evacuated domains"),
         ("forget the cold", "cold servers"),
         ("forget homes", "homes"),
+        ("forget limits", "limited servers"),
     ],
 )
 def test_find_a_safeguard_that_was_taken_out(weaken: str, promise: str) -> None:
