Reopen a server when its owner reports the end of its limit

An owner reports a change at once, and whoever gets a report without a server it held before asks again with the next request.

--- a/bench/_limit_days.py
+++ b/bench/_limit_days.py
@@ -27,6 +27,8 @@
 TOLD_S = 0.5
 """Time after which an instance that was told must keep to a limit."""
 ENDS_S = 25.0
+DATAGRAM_BYTES = 30
+"""Size of a datagram without its message."""
 DEADLINE_S = 8.0
 SILENCE_S = 1.0
 """Silence after which a request that may be retried is abandoned."""
@@ -123,7 +125,8 @@
         self.names = [f"front-{number}" for number in range(day.members)]
         self.members: dict[str, Member] = {}
         self.arrivals: list[Arrival] = []
-        self.messages = 0
+        self.bytes = 0
+        """Size of all messages between instances once the limit is known."""
         self._began_at = 0.0
         self._sequence = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -170,7 +173,8 @@
 
     def send(self, sender: str, to: str, message: msgspec.Struct) -> None:
         """Deliver a message after a moment, unless it is lost."""
-        self.messages += 1
+        if self.elapsed_s >= STATED_AT_S + CONTACT_S:
+            self.bytes += len(msgspec.json.encode(message)) + DATAGRAM_BYTES
         if self.rng.random() >= self.day.loss:
             self._start(self._deliver(sender, to, message))
 
--- a/src/baobabthread/instance/limits.py
+++ b/src/baobabthread/instance/limits.py
@@ -44,6 +44,8 @@
 """Time for which such an owner isn't asked."""
 REPORT_INTERVAL_S = 1.5
 """Interval between reports of an owner, for instances that started meanwhile."""
+MIN_REPORT_INTERVAL_S = 0.2
+"""The same for reports of a change."""
 MIN_CALLER_RETRY_S = 0.2
 MAX_CALLER_RETRY_S = 5.0
 """Bounds of the time after which callers may send a denied request again."""
@@ -53,6 +55,11 @@
 Received = Callable[[str], Iterator[GossipPayload]]
 
 
+class _ReceivedReport(msgspec.Struct, frozen=True, kw_only=True):
+    sequence: int
+    servers: frozenset[str]
+
+
 class SendPermit:
     """Permission to send one request to a limited server, until it has arrived."""
 
@@ -80,7 +87,6 @@
         "_bounds",
         "_closed_until",
         "_full_until",
-        "_has_reported",
         "_issuer",
         "_limits",
         "_me",
@@ -90,6 +96,7 @@
         "_pending",
         "_publish",
         "_received",
+        "_reported",
         "_reported_at",
         "_reports",
         "_send",
@@ -132,12 +139,12 @@
         self._senders = SenderCount()
         self._unowned: dict[str, TransitWindow] = {}
         """Requests that were sent without asking an owner."""
-        self._reports: dict[str, int] = {}
-        """Sequence number of the newest report of each origin."""
+        self._reports: dict[str, _ReceivedReport] = {}
+        """Newest report of each origin."""
         self._number = 0
         self._reported_at = -1e9
-        self._has_reported = False
-        """Whether the last report named any limit."""
+        self._reported: dict[str, float] = {}
+        """Limits in the last report of this instance."""
         self._sequence = 0
         self.outcomes = dict.fromkeys(("granted", "denied", "unanswered"), 0)
         """Number of permissions asked for, by outcome."""
@@ -358,24 +365,32 @@
 
     def _publish_report(self) -> None:
         timestamp = now()
-        if timestamp - self._reported_at < REPORT_INTERVAL_S:
+        if timestamp - self._reported_at < MIN_REPORT_INTERVAL_S:
             return
         owned = {
             name: per_s
             for name, per_s in self._limits.all.items()
             if self.find_owner(name) == self._me
         }
-        if owned or self._has_reported:
-            self._has_reported = bool(owned)
+        is_due = timestamp - self._reported_at >= REPORT_INTERVAL_S
+        if owned != self._reported or (owned and is_due):
+            self._reported = owned
             self._reported_at = timestamp
             self._number += 1
             self._publish(TOPIC, LimitReport(limits=owned, number=self._number))
 
     def _learn_report(self, payload: GossipPayload) -> None:
-        if payload.sequence <= self._reports.get(payload.origin, 0):
+        previous = self._reports.get(payload.origin)
+        if previous is not None and payload.sequence <= previous.sequence:
             return
-        self._reports[payload.origin] = payload.sequence
         report = msgspec.json.decode(payload.body, type=LimitReport)
+        self._reports[payload.origin] = _ReceivedReport(
+            sequence=payload.sequence, servers=frozenset(report.limits)
+        )
+        if previous is not None:
+            # The limit may have ended, which the owner tells when it is asked.
+            for server in previous.servers - report.limits.keys():
+                self._reopen(server)
         told_at = now() - REPORT_INTERVAL_S
         for server, per_s in report.limits.items():
             self._limits.learn(server, per_s, payload.origin, told_at=told_at)
--- a/src/baobabthread/routing/serverlimits.py
+++ b/src/baobabthread/routing/serverlimits.py
@@ -15,7 +15,7 @@
 
 MIN_RATE_PER_S = 0.5
 """Rate granted at least: only a response can tell that a server has recovered."""
-MIN_BURST = 2.0
+MIN_BURST = 3.0
 BURST_S = 0.2
 """Requests that may be granted at once after a pause: at least `MIN_BURST`, and those
 of this time. Instances that were denied ask again only after a while."""
@@ -27,7 +27,7 @@
 instances know of the change, some still ask the previous owner."""
 DENIAL_WINDOW_S = 1.0
 """Window over which denied instances are counted, to spread when they ask again."""
-ASKS_PER_GRANT = 1.0
+ASKS_PER_GRANT = 1.5
 """Number of instances that ask per request that the server can take: enough to use its
 whole limit, and few enough for its owner."""
 MIN_RETRY_S = 0.05
