--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -209,7 +209,9 @@
         is_own = not metadata.is_other_server and (
             metadata.request_id == self.context.request.envelope.request_id
         )
-        if is_own:
+        # A stray response may be an earlier one, so it can't end a limit.
+        states_limit = metadata.limit is not None and not metadata.is_other_server
+        if is_own or states_limit:
             self.link.record_limit(metadata.limit, self.sent_at)
         if self._permit is not None:
             self._permit.settle(metadata.limit, responded=is_own)
