--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from baobabthread.instance.clock import now
-from baobabthread.instance.limits import SendPermit
+from baobabthread.instance.sendpermits import SendPermit
 from baobabthread.instance.wire import RawHeaders
 from baobabthread.routing.budget import RetryBudget
 from baobabthread.routing.configuration import Account, Route
--- a/src/baobabthread/instance/limits.py
+++ b/src/baobabthread/instance/limits.py
@@ -24,6 +24,7 @@
     SendEnded,
 )
 from baobabthread.instance.limittable import LimitTable
+from baobabthread.instance.sendpermits import SendPermit
 from baobabthread.logs import log_event
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.serverlimits import (
@@ -60,25 +61,6 @@
     servers: frozenset[str]
 
 
-class SendPermit:
-    """Permission to send one request to a limited server, until it has arrived."""
-
-    __slots__ = ("_on_end", "wait_s")
-
-    def __init__(
-        self, *, wait_s: float, on_end: Callable[[StatedLimit | None, bool], None]
-    ) -> None:
-        self.wait_s = wait_s
-        """Time to wait before sending, in seconds."""
-        self._on_end: Callable[[StatedLimit | None, bool], None] | None = on_end
-
-    def settle(self, limit: StatedLimit | None = None, *, responded: bool) -> None:
-        """Report that the request has arrived or no longer can."""
-        if self._on_end is not None:
-            self._on_end(limit, responded)
-            self._on_end = None
-
-
 class LimitCoordinator:
     """Ask for permission to send to limited servers, and give it for those owned."""
 
@@ -214,6 +196,14 @@
         """Return the servers that have no capacity at once."""
         return [name for name, at in self._closed_until.items() if timestamp < at]
 
+    def pause(self) -> None:
+        """Treat all limited servers as without capacity for a moment."""
+        until = now() + MIN_RETRY_S
+        for server in self._limits.all:
+            self._closed_until[server] = max(
+                until, self._closed_until.get(server, until)
+            )
+
     def find_retry_after(self, server: str, priority: Priority) -> float:
         """Return the time in seconds after which a denied request may be sent again."""
         left_s = self._full_until.get((server, priority), 0.0) - now()
@@ -229,7 +219,7 @@
         """
         per_s = self._limits.find(server)
         assert per_s is not None
-        if now() < self._full_until.get((server, priority), 0.0):
+        if patience_s > 0.0 and now() < self._full_until.get((server, priority), 0.0):
             return None
         self._sequence += 1
         request = GrantRequest(
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -24,6 +24,8 @@
 PATIENCE_FRACTION = 0.5
 """Fraction of the time left until the latency objective for which a request may wait
 for a limited server; the rest is for its response."""
+MAX_DENIALS = 3
+"""Limited servers that are asked for one attempt before only others are used."""
 ENDED_MARGIN_S = 1.0
 """Time after its deadline by which an attempt has certainly ended."""
 NO_VERSION = ""
@@ -90,10 +92,12 @@
         self, context: RequestContext, plan: VersionPlan
     ) -> BackendLink | None:
         """Return a backend server whose own limit, if any, permits the attempt."""
-        while True:
+        for _ in range(MAX_DENIALS):
             link = await self._select(context, plan)
             if link is None or await self._acquire(context, link, patience_s=0.0):
                 return link
+        self._limits.pause()
+        return await self._select(context, plan)
 
     async def _wait_for_permit(self, context: RequestContext) -> BackendLink | None:
         """Return a limited server once it can take the attempt, if that is soon."""
