End a server's limit only after three responses without one

A server in need fails part of its requests, and nothing says that its failures name the limit, too. One response without the header ended the limit, and all that waited went to the server until its next response.

--- a/bench/_limit_days.py
+++ b/bench/_limit_days.py
@@ -126,6 +126,8 @@
         self.names = [f"front-{number}" for number in range(day.members)]
         self.members: dict[str, Member] = {}
         self.arrivals: list[Arrival] = []
+        self.asked: list[float] = []
+        """When callers sent a request for the server."""
         self.bytes = 0
         """Size of all messages between instances once the limit is known."""
         self._began_at = 0.0
@@ -170,6 +172,11 @@
         number = sum(since <= arrival.at < until for arrival in self.arrivals)
         return number / (self.day.per_s * (until - since))
 
+    def compute_served(self, since: float, until: float) -> float:
+        """Return the fraction of the requests between two times that were sent on."""
+        arrived = sum(since <= arrival.at < until for arrival in self.arrivals)
+        return arrived / sum(since <= at < until for at in self.asked)
+
     # -- between instances --
 
     def send(self, sender: str, to: str, message: msgspec.Struct) -> None:
@@ -255,6 +262,7 @@
     async def _call(self) -> None:
         while True:
             await asyncio.sleep(self.rng.expovariate(self.day.demand_s))
+            self.asked.append(self.elapsed_s)
             name = self.names[0]
             if self.rng.random() >= self.day.skew:
                 name = self.rng.choice(self.names)
--- a/src/baobabthread/routing/serverlimits.py
+++ b/src/baobabthread/routing/serverlimits.py
@@ -13,6 +13,9 @@
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.transit import BUCKET_S, Transit, TransitWindow
 
+END_RESPONSES = 3
+"""Consecutive responses without a limit that end one: a failure of the server may lack
+the header, and without the limit all waiting requests would go there at once."""
 MIN_RATE_PER_S = 0.5
 """Rate granted at least: only a response can tell that a server has recovered."""
 MIN_BURST = 3.0
@@ -54,6 +57,8 @@
     """When the newest response with this limit, or word of it, was received."""
     told_at: float | None
     """When this instance itself received a response with a limit."""
+    unlimited: int = 0
+    """Number of newer responses without a limit since then."""
 
 
 class StatedLimits:
@@ -87,11 +92,12 @@
         # was last stated is certainly newer, and may end or raise it.
         is_newer = entry is None or sent_at >= entry.stated_at
         if per_s is None:
-            return is_newer and self.end(name, sent_at)
+            return is_newer and self._record_unlimited(name, sent_at)
         if entry is None:
             self._entries[name] = _Entry(per_s=per_s, stated_at=now, told_at=now)
             return True
         entry.told_at = now
+        entry.unlimited = 0
         if per_s > entry.per_s and not is_newer:
             return False
         has_changed = per_s != entry.per_s
@@ -99,6 +105,13 @@
         entry.stated_at = now
         return has_changed
 
+    def _record_unlimited(self, name: str, sent_at: float) -> bool:
+        entry = self._entries.get(name)
+        if entry is None:
+            return False
+        entry.unlimited += 1
+        return entry.unlimited >= END_RESPONSES and self.end(name, sent_at)
+
     def learn(self, name: str, per_s: float, *, told_at: float, now: float) -> bool:
         """Record the word of an instance that was told at a time; return if it is new.
 
--- a/tests/instance/test_limits.py
+++ b/tests/instance/test_limits.py
@@ -13,7 +13,7 @@
 from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.instance.sendpermits import SendPermit
 from baobabthread.routing.bounds import RoutingBounds
-from baobabthread.routing.serverlimits import StatedLimit
+from baobabthread.routing.serverlimits import END_RESPONSES, StatedLimit
 
 SERVER = "s"
 
@@ -96,10 +96,12 @@
         state(other, 4.0, 0.0)
         await asyncio.sleep(0.01)
         assert owner.stated(SERVER) == 4.0
-        permit = await acquire(other)
-        assert permit is not None
-        permit.settle(None, responded=True)
-        await asyncio.sleep(0.01)
+        for _ in range(END_RESPONSES):
+            assert owner.stated(SERVER) == 4.0
+            permit = await acquire(other)
+            assert permit is not None
+            permit.settle(None, responded=True)
+            await asyncio.sleep(0.01)
         assert owner.stated(SERVER) is None
         assert await acquire(other) is not None
         assert other.stated(SERVER) is None
