--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import msgspec
+from soak.partitions import Cut, Path
 
 from baobabthread.instance.process import Adapters, Instance
 from baobabthread.instance.settings import InstanceSettings
@@ -83,6 +84,8 @@
         self.zones = {"a": "north", "b": "north", "c": "south", "d": "east"}
         """Region by failure domain."""
         self.gossip_port = own_network().give_port()
+        self.paths: list[dict[str, Path]] = []
+        """Paths of each instance by backend server; none where they are direct."""
 
     def configure(self, version: int = 1, **more: object) -> None:
         """Publish a configuration."""
@@ -110,8 +113,12 @@
         ip: str = "127.0.0.1",
         off: DisabledMechanisms = NONE_DISABLED,
         zone: str = "a",
+        has_own_paths: bool = False,
     ) -> int:
-        """Start an instance, with some mechanisms disabled; return its index."""
+        """Start an instance, with some mechanisms disabled; return its index.
+
+        With its own paths it can be cut off from the backend servers that exist now.
+        """
         ports = own_network().give_ports(4)
         # Only the last byte of the address is used: each test run has its own network.
         ip = own_network().give_host(int(ip.rpartition(".")[2]))
@@ -129,7 +136,7 @@
             },
             "internal_ports": [self.gossip_port, self.gossip_port],
             "seeds": [s.control_address for s in self.settings],
-            "provider": {"address": self.store.address},
+            "provider": {"address": await self._open_store(has_own_paths)},
             "guarantees": {"revoke_ms": 2000, "grace_s": 3},
         }
         settings = msgspec.structs.replace(
@@ -151,6 +158,30 @@
         self.stacks.append(stack)
         return len(self.instances) - 1
 
+    async def _open_store(self, has_own_paths: bool) -> str:
+        """Return the address of the store for an instance."""
+        paths: dict[str, Path] = {}
+        self.paths.append(paths)
+        if not has_own_paths:
+            return self.store.address
+        for backend in self.backends:
+            path = Path(target=backend.address, network=own_network())
+            paths[backend.id] = await path.start()
+        return await self.store.open_view(
+            {path.target: path.address for path in paths.values()}
+        )
+
+    def cut_paths(self, index: int, cut: Cut, *backends: str) -> None:
+        """Cut an instance off from some backend servers, or from all."""
+        for name, path in self.paths[index].items():
+            if name in (backends or self.paths[index]):
+                path.interrupt(cut)
+
+    async def heal_paths(self, index: int) -> None:
+        """Reconnect an instance with all backend servers."""
+        for path in self.paths[index].values():
+            await path.heal()
+
     def control_port(self, default: int) -> int:
         """Return the control port, which is the same on all instances."""
         return self.settings[0].control_port if self.settings else default
@@ -189,6 +220,7 @@
 async def open_site(
     *backends: FakeBackend | str,
     off: DisabledMechanisms = NONE_DISABLED,
+    has_own_paths: bool = False,
     **more: object,
 ) -> AsyncIterator[Site]:
     """Open an installation with one ready instance.
@@ -203,12 +235,15 @@
             service = "engine" if str(each).startswith("e") else "plain"
             name, _, zone = str(each).partition("@")
             await site.add_backend(name, service=service, zone=zone or "a")
-        await site.add_instance(off=off)
+        await site.add_instance(off=off, has_own_paths=has_own_paths)
         await site.wait_ready()
         yield site
     finally:
         for stack in site.stacks:
             await stack.aclose()
+        for paths in site.paths:
+            for path in paths.values():
+                path.close()
         for backend in site.backends:
             backend.close()
         site.store.close()
