Reach backend servers through peers where the own path is lost

What callers saw: instances that were partitioned from all backend servers rejected most requests (22 of 106 first tries served, the others 362 of 365; then 0 of 53 against 429 of 432), though each server was in reach of an instance that they reached.

Cause: what one instance can reach was taken for what can be reached. A server had an address and no path, so an instance went through all servers of the service, found each connection refused, and rejected.

The state of the path to each server is now tracked apart from the server. A connection that fails, or is not there after 0.2 s, is opened by a peer that reaches the server, below the pool: attempts, budget, permits, sessions and deadlines are decided by the asked instance alone, as before. Silence of a server has its path checked by a connection of its own, so that no request is sent on one that a partition has cut.

The gossip on stale instances carries the new condition, too, under its old field name.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -32,6 +32,8 @@
 SILENCE_TIMEOUT_FACTOR = 5.0
 """Multiple of the usual time to the first part after which an attempt is abandoned."""
 MAX_SILENCE_TIMEOUT_S = 3.0
+PATH_CHECK_FRACTION = 0.5
+"""Fraction of the silence timeout after which the path to the server is checked."""
 
 T = TypeVar("T")
 
@@ -158,6 +160,8 @@
             raise
         self.sent_at = now()
         context.record_sent()
+        context.relay = self._connection.relay
+        self.link.count_sent(self._connection)
         response = await self._wait_for(self.link.pool.receive(self._connection))
         self._ensure_open()
         self._response = response
@@ -268,7 +272,10 @@
     def _find_silence(self, started_at: float) -> str | None:
         """Return why the response is unlikely to arrive; None if it is expected."""
         timestamp = now()
-        if timestamp - max(started_at, self.link.received_at) >= self.silence_timeout_s:
+        silent_s = timestamp - max(started_at, self.link.received_at)
+        if silent_s >= self.silence_timeout_s * PATH_CHECK_FRACTION:
+            self.link.check_path(self._connection)
+        if silent_s >= self.silence_timeout_s:
             self.link.mark_suspect()
             return "no sign of life"
         waited_s = timestamp - started_at
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -24,7 +24,8 @@
 from baobabthread.core.limits.limits import Outcome
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
-from baobabthread.instance.connections import ConnectionPool
+from baobabthread.instance.connections import Connection, ConnectionPool
+from baobabthread.instance.paths import Paths
 from baobabthread.instance.restrictions import Restrictions
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import BackendRecord
@@ -32,15 +33,13 @@
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.serverlimits import StatedLimit
 
-CONNECT_TIMEOUT_S = 0.4
-"""Timeout for opening a connection, which usually takes a few milliseconds. A lost
-first packet is retransmitted only after a second; another backend server is tried
-before that."""
 OVERTAKING_RESPONSES = 4
 """Responses to later requests after which an earlier response counts as lost."""
 SUSPECT_DURATION_S = 2.0
 """Time for which an unresponsive backend server gets no new requests while others have
 free capacity."""
+SILENT_S = 0.3
+"""Time without bytes from a server after which the path to it may be lost."""
 REPLACED_DURATION_S = 6.0
 """Time for which a server gets no requests after another one was found at its address:
 its record lapses after three heartbeats, about four seconds, and the list of records is
@@ -57,6 +56,7 @@
 
     __slots__ = (
         "_answered_sent_at",
+        "_paths",
         "is_replaced",
         "pool",
         "received_at",
@@ -70,9 +70,11 @@
         self,
         *,
         record: BackendRecord,
+        paths: Paths,
         record_cold: Callable[[float], object],
         record_limit: Callable[[StatedLimit | None, float], object],
     ) -> None:
+        self._paths = paths
         self.record = record
         self.record_cold = record_cold
         """Called with the seconds for which the server says it will still be cold."""
@@ -84,9 +86,7 @@
         """Whether another server was found at its address."""
         self._answered_sent_at: deque[float] = deque(maxlen=OVERTAKING_RESPONSES)
         self.pool = ConnectionPool(
-            address=record.address,
-            connect_s=CONNECT_TIMEOUT_S,
-            on_bytes=self._record_bytes,
+            connector=paths.make_connector(record), on_bytes=self._record_bytes
         )
 
     @property
@@ -98,6 +98,17 @@
         """Mark the server as unresponsive for `SUSPECT_DURATION_S`."""
         self.suspect_until = now() + SUSPECT_DURATION_S
 
+    def check_path(self, connection: Connection | None) -> None:
+        """Check the path that a connection uses, which has been silent for a while."""
+        if connection is not None and connection.relay:
+            self._paths.avoid_relay(connection.relay, self.name)
+        else:
+            self._paths.check(self.name, self.pool.probe)
+
+    def count_sent(self, connection: Connection) -> None:
+        """Count a request by the path of its connection."""
+        self._paths.count_sent(connection)
+
     def mark_replaced(self) -> None:
         """Record that another server answers at the address of this one.
 
@@ -125,16 +136,26 @@
 class Backends:
     """Choose among the known backend servers and hold their connections."""
 
-    __slots__ = ("_applied_revision", "_links", "_replica", "_restrictions", "table")
+    __slots__ = (
+        "_applied_revision",
+        "_links",
+        "_paths",
+        "_replica",
+        "_restrictions",
+        "table",
+    )
 
     def __init__(
         self,
         *,
         replica: StateReplica,
         restrictions: Restrictions,
+        paths: Paths,
         failure_domain: str,
         rng: random.Random,
     ) -> None:
+        self._paths = paths
+        paths.on_first_lost = self._check_silent_paths
         self._replica = replica
         self._restrictions = restrictions
         self._links: dict[str, BackendLink] = {}
@@ -156,6 +177,7 @@
         # Keyed by incarnation: connections, load, delays and ejection do not carry over
         # to a restarted server.
         records = {r.incarnation: r for r in self._replica.backends.values()}
+        self._paths.retain(records.values())
         for name in [name for name in self._links if name not in records]:
             self._links.pop(name).pool.close()
         for name, record in records.items():
@@ -163,6 +185,7 @@
             if link is None:
                 self._links[name] = BackendLink(
                     record=record,
+                    paths=self._paths,
                     record_cold=functools.partial(self._record_cold, record),
                     record_limit=functools.partial(
                         self._restrictions.limits.record_response, name
@@ -311,6 +334,22 @@
             table=self.table, name=link.name, work=work_ms, first_s=first_s
         )
 
+    def find_record(self, name: str) -> BackendRecord | None:
+        """Return the record of a listed server by its incarnation."""
+        link = self._links.get(name)
+        return link.record if link is not None else None
+
+    def _check_silent_paths(self) -> None:
+        """Check the paths of all servers with connections from which nothing arrives.
+
+        Whatever cut one path may have cut others. A request that is sent on an open
+        connection of such a path may have run, so it can't be sent again.
+        """
+        silent_since = now() - SILENT_S
+        for link in self._links.values():
+            if link.pool.has_idle and link.received_at < silent_since:
+                link.check_path(None)
+
     def prune(self) -> None:
         """Close connections that have been idle for too long."""
         for link in self._links.values():
--- a/src/baobabthread/instance/connections.py
+++ b/src/baobabthread/instance/connections.py
@@ -13,7 +13,7 @@
 import socket
 import struct
 from collections.abc import Callable, Sequence
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -33,8 +33,8 @@
 IDLE_MARGIN_S = 0.75
 """Margin before the server's idle timeout at which a connection is no longer used: a
 request that is sent while the server closes it may or may not have run."""
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
 """Values of `SO_LINGER`."""
 _KEEP_ALIVE = re.compile(r"timeout=(\d+)")
 
@@ -44,6 +44,11 @@
 class NotSentError(Exception):
     """Raised if no byte of the request was sent."""
 
+    def __init__(self, message: str, *, is_refused: bool = False) -> None:
+        super().__init__(message)
+        self.is_refused = is_refused
+        """Whether nothing listens at the server's address."""
+
 
 class IncompleteResponseError(Exception):
     """Raised if a response is incomplete or invalid; the request may have run."""
@@ -71,6 +76,8 @@
         self.was_reset = False
         self.idle_until = 0.0
         self.request_count = 0
+        self.relay = ""
+        """Peer that carries the connection; empty if it is direct."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Make every end of the connection a reset, also that of the process."""
@@ -78,11 +85,11 @@
         # partition, all those abandoned meanwhile would arrive when it ends, in
         # addition to their retries.
         super().connection_made(transport)
-        self._set_linger(_RESET_ON_CLOSE)
+        self._set_linger(RESET_ON_CLOSE)
 
     def close_idle(self) -> None:
         """Close the connection without a reset, as no request is in flight."""
-        self._set_linger(_CLOSE_GRACEFULLY)
+        self._set_linger(CLOSE_GRACEFULLY)
         self.abort()
 
     def _set_linger(self, value: bytes) -> None:
@@ -178,27 +185,70 @@
         self._pool.discard(self._connection)
 
 
+class Connector(Protocol):
+    """Open the connections of a pool."""
+
+    async def open(self, make: Callable[[], Connection]) -> Connection:
+        """Return a new connection; raise `NotSentError` if there is none."""
+
+    def may_reuse(self, connection: Connection) -> bool:
+        """Return whether an idle connection may carry another request."""
+
+
+class DirectConnector:
+    """Connect to an address without any alternative."""
+
+    __slots__ = ("_connect_s", "_host", "_port")
+
+    def __init__(self, *, address: str, connect_s: float) -> None:
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._connect_s = connect_s
+
+    async def open(self, make: Callable[[], Connection]) -> Connection:
+        """Return a new connection; raise `NotSentError` if there is none."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_s):
+                _, connection = await loop.create_connection(
+                    make, self._host, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(
+                f"no connection to {self._host}:{self._port}: "
+                f"{error or type(error).__name__}",
+                is_refused=isinstance(error, ConnectionRefusedError),
+            ) from error
+        return connection
+
+    def may_reuse(self, connection: Connection) -> bool:
+        """Return whether an idle connection may carry another request."""
+        return True
+
+
 class ConnectionPool:
-    """Pool of connections to one address, most recently used first."""
+    """Pool of connections to one server, most recently used first."""
 
-    __slots__ = ("_connect_s", "_host", "_idle", "_on_bytes", "_port", "open", "opened")
+    __slots__ = ("_connector", "_idle", "_on_bytes", "open", "opened")
 
     def __init__(
         self,
         *,
-        address: str,
-        connect_s: float,
+        connector: Connector,
         on_bytes: Callable[[], None] = lambda: None,
     ) -> None:
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
-        self._connect_s = connect_s
+        self._connector = connector
         self._on_bytes = on_bytes
         self._idle: list[Connection] = []
         self.open = 0
         self.opened = 0
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether idle connections are kept."""
+        return bool(self._idle)
+
     async def send(self, head: bytes, body: bytes) -> Connection:
         """Send a request and return its connection.
 
@@ -243,8 +293,7 @@
         try:
             connection = await self._connect()
         except NotSentError as error:
-            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
-            return Listening.NO if is_refused else Listening.UNKNOWN
+            return Listening.NO if error.is_refused else Listening.UNKNOWN
         connection.idle_until = now() + PROBE_IDLE_TIMEOUT_S
         self._idle.append(connection)
         return Listening.YES
@@ -277,7 +326,7 @@
         """Close idle connections that can't be used any more."""
         idle, self._idle = self._idle, []
         for connection in idle:
-            if connection.is_usable:
+            if self._may_reuse(connection):
                 self._idle.append(connection)
             else:
                 connection.close_idle()
@@ -285,23 +334,18 @@
     def _take_idle(self) -> Connection | None:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable:
+            if self._may_reuse(connection):
                 return connection
             connection.close_idle()
         return None
 
+    def _may_reuse(self, connection: Connection) -> bool:
+        return connection.is_usable and self._connector.may_reuse(connection)
+
     async def _connect(self) -> Connection:
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(self._connect_s):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(on_bytes=self._on_bytes), self._host, self._port
-                )
-        except (OSError, TimeoutError) as error:
-            raise NotSentError(
-                f"no connection to {self._host}:{self._port}: "
-                f"{error or type(error).__name__}"
-            ) from error
+        connection = await self._connector.open(
+            lambda: Connection(on_bytes=self._on_bytes)
+        )
         self.opened += 1
         return connection
 
--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -111,6 +111,7 @@
         "on_new_version",
         "permit",
         "reason",
+        "relay",
         "reply",
         "request",
         "retry_charge",
@@ -194,6 +195,8 @@
         """Seconds until the caller got the head of a response; 0 before that."""
         self.admitted_at_stop: AdmittedAtStop | None = None
         self.work_ms = 1
+        self.relay = ""
+        """Peer that carried the last attempt; empty if its path was direct."""
         self.reason = ""
         self.timeline: list[str] = []
         """Backend server and result of each attempt, for the log."""
--- a/src/baobabthread/instance/gauges.py
+++ b/src/baobabthread/instance/gauges.py
@@ -4,7 +4,9 @@
 
 from baobabthread.instance.clock import now
 from baobabthread.instance.metrics import Metrics
+from baobabthread.instance.paths import Paths
 from baobabthread.instance.peers import PeerLink
+from baobabthread.instance.relay import RelayServer
 from baobabthread.instance.services import Services
 from baobabthread.routing.replica import StateReplica
 
@@ -16,6 +18,8 @@
     replica: StateReplica,
     peers: PeerLink,
     services: Services,
+    paths: Paths,
+    relay: RelayServer,
 ) -> None:
     """Set all gauges to the current state."""
     timestamp = now()
@@ -24,6 +28,11 @@
     metrics.members.set(len(peers.membership.alive()))
     metrics.quarantined.set(len(peers.quarantine.quarantine.quarantined(timestamp)))
     metrics.limited_backends.set(len(peers.limits.limited))
+    metrics.lost_paths.set(len(paths.table.lost))
+    metrics.open_tunnels.set(relay.open_tunnels)
+    metrics.relayed_connections.set(relay.carried)
+    for path, number in paths.sent.items():
+        metrics.sent_requests.labels(path=path).set(number)
     for outcome, number in peers.limits.outcomes.items():
         metrics.send_permits.labels(outcome=outcome).set(number)
     for state in services:
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -90,6 +90,27 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.lost_paths = Gauge(
+            "baobabthread_lost_paths",
+            "Backend servers that only other instances reach",
+            registry=self.registry,
+        )
+        self.sent_requests = Gauge(
+            "baobabthread_sent_requests",
+            "Attempts sent since the start, directly or through another instance",
+            ["path"],
+            registry=self.registry,
+        )
+        self.open_tunnels = Gauge(
+            "baobabthread_open_tunnels",
+            "Connections that are carried for other instances",
+            registry=self.registry,
+        )
+        self.relayed_connections = Gauge(
+            "baobabthread_relayed_connections",
+            "Connections carried for other instances since the start",
+            registry=self.registry,
+        )
         self.version_choices = Counter(
             "baobabthread_version_choices",
             "Choices of a version for a request of a session while a roll-out runs",
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -29,6 +29,7 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import (
     ConnectionPool,
+    DirectConnector,
     IncompleteResponseError,
     NotSentError,
 )
@@ -336,7 +337,9 @@
         address = f"{host}:{self._settings.control_port}"
         pool = self._pools.get(address)
         if pool is None:
-            pool = ConnectionPool(address=address, connect_s=CONNECT_TIMEOUT_S)
+            pool = ConnectionPool(
+                connector=DirectConnector(address=address, connect_s=CONNECT_TIMEOUT_S)
+            )
             self._pools[address] = pool
         requested_at = now()
         try:
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -17,20 +17,22 @@
 from baobabthread.instance.backends import Backends
 from baobabthread.instance.callers import CallerServer, create_server, listen
 from baobabthread.instance.clock import now
+from baobabthread.instance.conditions import PARTITIONED, STALE, ConditionGossip
 from baobabthread.instance.crashes import CrashDetector
 from baobabthread.instance.forwarder import Forwarder
 from baobabthread.instance.gauges import update_gauges
 from baobabthread.instance.logoutput import configure_logging, run_log_flusher
 from baobabthread.instance.metrics import Metrics
+from baobabthread.instance.paths import Paths
 from baobabthread.instance.peers import PeerLink
 from baobabthread.instance.peersnapshots import KNOWN_END_PARAMETER, SNAPSHOT_PATH
 from baobabthread.instance.quarantinerecords import QuarantineRecords
+from baobabthread.instance.relay import RelayServer
 from baobabthread.instance.requestlog import RequestLog
 from baobabthread.instance.restrictions import Restrictions
 from baobabthread.instance.rollouts import RolloutController
 from baobabthread.instance.services import Services
 from baobabthread.instance.settings import InstanceSettings
-from baobabthread.instance.staleness import StalenessGossip
 from baobabthread.instance.store import RecordFormat, Store
 from baobabthread.instance.tasks import Work, keep_running, start_task
 from baobabthread.instance.topicreaders import BackendTopicReader, OperatorTopicReader
@@ -107,9 +109,20 @@
             bounds=settings.bounds,
             limits=self.peers.limits,
         )
+        self.paths = Paths(
+            me=settings.name,
+            ip=settings.ip,
+            failure_domain=settings.failure_domain,
+            find_backend=lambda name: self.backends.find_record(name),
+        )
+        self.relay = RelayServer(
+            is_member=lambda host: host in self._member_hosts,
+            open_connection=self.paths.open_direct,
+        )
         self.backends = Backends(
             replica=self.replica,
             restrictions=self.restrictions,
+            paths=self.paths,
             failure_domain=settings.failure_domain,
             rng=rng,
         )
@@ -145,13 +158,18 @@
             formats=self._formats,
         )
         self.replica.on_update = self._handle_replica_update
-        self.staleness = StalenessGossip(
-            publish=self.peers.publish, received=self.peers.received
+        self.staleness = ConditionGossip(
+            topic=STALE, publish=self.peers.publish, received=self.peers.received
+        )
+        self.partitions = ConditionGossip(
+            topic=PARTITIONED, publish=self.peers.publish, received=self.peers.received
         )
+        self._member_hosts: frozenset[str] = frozenset()
         self._stop_plan: StopPlan | None = None
         self._caller_server: asyncio.Server | None = None
         self._capacity_inputs: tuple[int, int] | None = None
         self._membership_version = -1
+        self._relay_inputs: tuple[int, frozenset[str]] | None = None
         self._stalls = StallDetector(now=now())
 
     def _connect_quarantine(self) -> None:
@@ -193,7 +211,7 @@
             # When a whole failure domain fails, its members that have not been probed
             # yet would otherwise be listed for seconds.
             is_stale=lambda member: (
-                member.failure_domain in failed or self.staleness.is_stale(member)
+                member.failure_domain in failed or self.staleness.holds_at(member)
             ),
             failure_domain=failure_domain,
             max_lifetime_s=self._settings.bounds.max_lifetime_s,
@@ -223,6 +241,8 @@
             replica=self.replica,
             peers=self.peers,
             services=self.services,
+            paths=self.paths,
+            relay=self.relay,
         )
         return web.Response(body=self.metrics.render(), content_type="text/plain")
 
@@ -244,6 +264,7 @@
         """Open the listeners and start the tasks; closing the stack ends them."""
         stack.callback(self.backends.close)
         stack.callback(self.crashes.close)
+        stack.callback(self.paths.close)
         await self._open(stack)
         for work in self._list_tasks():
             start_task(stack, keep_running(work))
@@ -263,6 +284,7 @@
         plan = plan_stop(grace_s=grace_s, now=now(), signalled_at=signalled_at)
         self._stop_plan = plan
         self.peers.leave()
+        self.relay.is_leaving = True
         log_event(
             "instance_leaving",
             in_flight=self.forwarder.in_flight,
@@ -276,7 +298,12 @@
         if self._caller_server is not None:
             self._caller_server.close()
         await self.forwarder.wait_idle(plan.ends_at - now())
-        log_event("instance_stopped", in_flight=self.forwarder.in_flight)
+        await self.relay.wait_idle(plan.ends_at - now())
+        log_event(
+            "instance_stopped",
+            in_flight=self.forwarder.in_flight,
+            relayed=self.relay.open_tunnels,
+        )
         await self.forwarder.shut_down()
 
     async def _open(self, stack: AsyncExitStack) -> None:
@@ -286,6 +313,11 @@
             lambda: self.peers, local_addr=(settings.ip, settings.gossip_port)
         )
         stack.callback(self.peers.close)
+        relay_server = await loop.create_server(
+            self.relay.make_protocol, settings.ip, settings.gossip_port
+        )
+        stack.callback(self.relay.close)
+        stack.callback(relay_server.close)
         interface = self._adapters.make_interface(
             lambda: self.is_ready, self.find_addresses
         )
@@ -336,6 +368,8 @@
             OperatorTopicReader(**common).run,
             BackendTopicReader(**common).run,
             self.peers.run,
+            self.paths.run,
+            self.relay.run,
             self.rollouts.run,
             QuarantineRecords(
                 coordinator=self.peers.quarantine,
@@ -359,15 +393,29 @@
                 self._capacity_inputs = inputs
                 self.services.set_instance_count(inputs[0])
             self.forwarder.scheduler.tick()
-            self.staleness.tick(is_stale=not self.replica.is_fresh(now()))
+            self.staleness.tick(holds=not self.replica.is_fresh(now()))
+            self._update_relays()
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _update_members(self) -> None:
         membership = self.peers.membership
         if self._membership_version != membership.version:
             self._membership_version = membership.version
-            names = [member.name for member in membership.members()]
+            members = membership.members()
+            names = [member.name for member in members]
             self.restrictions.update_members(names, now())
+            self._member_hosts = frozenset(
+                member.peer_address.rpartition(":")[0] for member in members
+            )
+
+    def _update_relays(self) -> None:
+        self.partitions.tick(holds=self.paths.table.is_partitioned)
+        members = self.peers.membership.alive()
+        partitioned = {m.name for m in members if self.partitions.holds_at(m)}
+        inputs = (self._membership_version, frozenset(partitioned))
+        if inputs != self._relay_inputs:
+            self._relay_inputs = inputs
+            self.paths.set_members(members, partitioned)
 
     async def _prune(self) -> None:
         while True:
--- a/src/baobabthread/instance/requestlog.py
+++ b/src/baobabthread/instance/requestlog.py
@@ -184,6 +184,7 @@
             "hint": context.request.envelope.expected_tokens,
             "objective_ms": round(context.route.objective_s * 1000),
             "first_ms": round(context.head_s * 1000),
+            "relay": context.relay,
             "attempts": context.attempts,
             "runs": context.runs,
             "trail": ",".join(context.timeline),
--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -13,6 +13,7 @@
 
 from baobabthread.instance.connections import (
     ConnectionPool,
+    DirectConnector,
     IncompleteResponseError,
     NotSentError,
     Response,
@@ -71,7 +72,9 @@
 
     def __init__(self, *, address: str, connect_s: float) -> None:
         self._address = address
-        self._pool = ConnectionPool(address=address, connect_s=connect_s)
+        self._pool = ConnectionPool(
+            connector=DirectConnector(address=address, connect_s=connect_s)
+        )
 
     async def newest(self, topic: str, timeout_s: float) -> Page:
         """Return the newest record of each key of a topic."""
--- a/tests/instance/test_staleness.py
+++ b/tests/instance/test_conditions.py
@@ -1,4 +1,4 @@
-"""Tests of the gossip on stale instances."""
+"""Tests of the gossip on conditions of instances."""
 
 from __future__ import annotations
 
@@ -6,11 +6,12 @@
 import pytest
 
 from baobabthread.core.membership.messages import GossipPayload, MemberInfo
-from baobabthread.instance import staleness
-from baobabthread.instance.staleness import (
+from baobabthread.instance import conditions
+from baobabthread.instance.conditions import (
     REPORT_INTERVAL_S,
     REPORT_TTL_S,
-    StalenessGossip,
+    STALE,
+    ConditionGossip,
 )
 
 OTHER = MemberInfo(
@@ -29,11 +30,12 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.time = 100.0
         self.reports: list[GossipPayload] = []
-        monkeypatch.setattr(staleness, "now", lambda: self.time)
-        self.publisher = StalenessGossip(
-            publish=self._publish, received=lambda topic: iter(())
+        monkeypatch.setattr(conditions, "now", lambda: self.time)
+        self.publisher = ConditionGossip(
+            topic=STALE, publish=self._publish, received=lambda topic: iter(())
         )
-        self.receiver = StalenessGossip(
+        self.receiver = ConditionGossip(
+            topic=STALE,
             publish=lambda topic, message: None,
             received=lambda topic: iter(self.reports[-1:]),
         )
@@ -51,24 +53,24 @@
     def run(self, seconds: float, *, is_stale: bool) -> None:
         for _ in range(round(seconds / 0.1)):
             self.time += 0.1
-            self.publisher.tick(is_stale=is_stale)
-            self.receiver.tick(is_stale=False)
+            self.publisher.tick(holds=is_stale)
+            self.receiver.tick(holds=False)
 
 
 def test_publish_nothing_while_fresh(monkeypatch: pytest.MonkeyPatch) -> None:
     pair = Pair(monkeypatch)
     pair.run(5.0, is_stale=False)
     assert not pair.reports
-    assert not pair.receiver.is_stale(OTHER)
+    assert not pair.receiver.holds_at(OTHER)
 
 
 def test_repeat_reports_while_stale(monkeypatch: pytest.MonkeyPatch) -> None:
     pair = Pair(monkeypatch)
     pair.run(10.0, is_stale=True)
     assert len(pair.reports) == pytest.approx(10.0 / REPORT_INTERVAL_S, abs=1)
-    assert pair.receiver.is_stale(OTHER)
+    assert pair.receiver.holds_at(OTHER)
     pair.run(0.2, is_stale=False)
-    assert not pair.receiver.is_stale(OTHER)
+    assert not pair.receiver.holds_at(OTHER)
 
 
 def test_expire_an_old_report(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -80,5 +82,5 @@
     pair.run(1.0, is_stale=True)
     for _ in range(round(REPORT_TTL_S / 0.1) + 1):
         pair.time += 0.1
-        pair.receiver.tick(is_stale=False)
-    assert not pair.receiver.is_stale(OTHER)
+        pair.receiver.tick(holds=False)
+    assert not pair.receiver.holds_at(OTHER)
--- a/tests/instance/test_connections.py
+++ b/tests/instance/test_connections.py
@@ -7,12 +7,16 @@
 
 import pytest
 
-from baobabthread.instance.connections import ConnectionPool
+from baobabthread.instance.connections import ConnectionPool, DirectConnector
 from baobabthread.standins.loopback import own_network
 
 BODY_BYTES = 200_000
 
 
+def open_pool(address: str) -> ConnectionPool:
+    return ConnectionPool(connector=DirectConnector(address=address, connect_s=1.0))
+
+
 def open_listener() -> socket.socket:
     """Return a listening socket that takes in little before it is read."""
     listener = socket.socket()
@@ -49,7 +53,7 @@
         loop = asyncio.get_running_loop()
         with open_listener() as listener:
             host, port = listener.getsockname()
-            pool = ConnectionPool(address=f"{host}:{port}", connect_s=1.0)
+            pool = open_pool(f"{host}:{port}")
             connection = await pool.send(b"POST / HTTP/1.1\r\n\r\n", bytes(BODY_BYTES))
             accepted, _ = await loop.sock_accept(listener)
             with accepted:
@@ -70,7 +74,7 @@
         loop = asyncio.get_running_loop()
         with open_listener() as listener:
             host, port = listener.getsockname()
-            pool = ConnectionPool(address=f"{host}:{port}", connect_s=1.0)
+            pool = open_pool(f"{host}:{port}")
             await pool.probe()
             accepted, _ = await loop.sock_accept(listener)
             with accepted:
--- a/tests/instance/test_messages.py
+++ b/tests/instance/test_messages.py
@@ -7,6 +7,7 @@
 
 from baobabthread.adapters.codec import PeerCodec, expand
 from baobabthread.instance.canaries import CanaryPermit, CanaryReport, CanaryVerdict
+from baobabthread.instance.conditions import ConditionReport
 from baobabthread.instance.placement import (
     LoadsReply,
     LoadsRequest,
@@ -21,7 +22,6 @@
     VersionQuery,
     VersionReply,
 )
-from baobabthread.instance.staleness import StalenessReport
 from baobabthread.routing.configuration import RolloutStatus
 from baobabthread.routing.crashes import Crash
 from baobabthread.routing.progress import Progress
@@ -122,7 +122,7 @@
         b':47,"cold_left_s":48.5}],"evacuations":[{"number":49,"failure_domain":'
         b'"s50","is_on":true}]}'
     ),
-    StalenessReport: (b'{"is_stale":true,"number":2}'),
+    ConditionReport: (b'{"is_stale":true,"number":2}'),
     Progress: (
         b'{"service":"s1","number":2,"elapsed_s":3.5,"share":4.5,"old_running":5'
         b',"alarm":"s6","is_suspicious":true,"is_final":true,"base":"s9","has_be'
