Soak: partitions of single instances from all backend servers

The stand-in of the store now names each instance addresses of its own; the fault "partition" cuts some instances in three ways for up to 9 s, the promise "partitions" holds their first tries to two thirds of what the others serve, and the mutant "keep to own paths" with its press shows that the promise is seen to break.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from baobabthread.core.registry import Registry
 from soak.callers import Caller
 from soak.instances import APPLY_S, EVACUATION_S, SERVER_DOMAINS
+from soak.partitions import Cut
 from soak.proxies import Mode, Proxy
 from soak.site import COLD_S, ENGINE, PLAIN, Backend, Site
 
@@ -17,6 +18,9 @@
 LONG_S = 2.5
 LEAST_OPEN = 1
 """Failure domains that are not evacuated, so that callers can be served."""
+LEAST_REACHING = 1
+"""Instances that reach the backend servers while others don't."""
+LONGEST_PARTITION_S = 9.0
 LEAVE_S = 2.5
 """How long a backend server that leaves works on."""
 
@@ -182,6 +186,19 @@
     backend.troubles -= 1
 
 
+@FAULTS.register("partition")
+async def cut_from_backends(site: Site) -> None:
+    """Cut some instances off from all backend servers; the others reach these."""
+    whole = [index for index in site.paths if not site.is_partitioned(index)]
+    if not site.has_own_paths or len(whole) < LEAST_REACHING + 1:
+        return
+    count = site.rng.randint(1, len(whole) - LEAST_REACHING)
+    cut = site.rng.choice(list(Cut))
+    async with site.partition(cut, *site.rng.sample(whole, count)):
+        await asyncio.sleep(site.rng.uniform(SHORT_S, LONGEST_PARTITION_S))
+    await asyncio.sleep(1.0)
+
+
 @FAULTS.register("backend leaves")
 async def let_backend_leave(site: Site) -> None:
     """Replace one backend server; it says so and works on for a while."""
--- a/soak/partitions.py
+++ b/soak/partitions.py
@@ -9,6 +9,8 @@
 from baobabthread.standins.loopback import LoopbackNetwork
 from soak.proxies import Mode, Proxy
 
+PARTITION = "partition"
+"""Begins the names of faults that cut instances off from all backend servers."""
 FILLERS = 3
 """Connections that fill the accept queue of a socket with the smallest backlog."""
 
@@ -24,8 +26,8 @@
     """Open connections are silent, and new ones are never established."""
 
 
-class Path(Proxy):
-    """Path of one instance to one backend server."""
+class BackendPath(Proxy):
+    """BackendPath of one instance to one backend server."""
 
     __slots__ = ("_blocked", "_fillers", "_host", "_port", "cut")
 
@@ -37,7 +39,7 @@
         self._blocked: socket.socket | None = None
         self._fillers: list[socket.socket] = []
 
-    async def start(self) -> Path:
+    async def start(self) -> BackendPath:
         """Listen at a port of the run's network."""
         await super().start()
         host, _, port = self.address.rpartition(":")
--- a/soak/play.py
+++ b/soak/play.py
@@ -67,6 +67,9 @@
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
     site = Site(seed=plan.seed, instances=plan.instances, folder=folder)
     safeguard = plan.weaken or plan.press
+    site.has_own_paths = "partition" in (plan.faults or FAULTS) or (
+        safeguard == "keep to own paths"
+    )
     if safeguard is not None:
         site.counted = (WEAKEN if plan.weaken else WATCH, safeguard)
     callers = [
--- a/soak/pressing.py
+++ b/soak/pressing.py
@@ -17,6 +17,7 @@
 from baobabthread.core.registry import Registry
 from soak.callers import Caller
 from soak.history import Kind, now
+from soak.partitions import Cut
 from soak.promises import (
     CONTACT_S,
     ENOUGH_CRASHES,
@@ -40,6 +41,8 @@
 as all requests share these."""
 ENOUGH_EVACUATED = 60
 """Requests while a failure domain is evacuated, of which a third would go there."""
+ENOUGH_PARTITIONED = 40
+"""Requests at a partitioned instance: of fewer than ten that fail nobody is told."""
 CROWD = 12
 """Callers that come on top to a cold server."""
 CROWD_FACTOR = 3.0
@@ -290,6 +293,22 @@
     return Pressed(count=count, enough=enough)
 
 
+@PRESSES.register("keep to own paths")
+async def press_paths(site: Site) -> Pressed:
+    """Cut one instance off from all backend servers, and go on asking it."""
+    index = site.rng.choice(list(site.paths))
+    async with site.partition(Cut.RESET, index):
+        late_from = now() + CONTACT_S + SLACK_S
+
+        def count_there() -> int:
+            return sum(
+                call.instance == index and call.sent_at > late_from
+                for call in site.history.calls
+            )
+
+        return await _wait_until(count_there, ENOUGH_PARTITIONED)
+
+
 @PRESSES.register("forget crashes")
 async def press_crashes(site: Site) -> Pressed:
     """Ask for what crashes every server, well beyond the time in which all know it."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -9,6 +9,7 @@
 
 from baobabthread.core.registry import Registry
 from soak.history import Call, History, Homes, Run
+from soak.partitions import PARTITION
 
 WINDOW_S = 10.0
 """Length of the window in which repeats are counted."""
@@ -35,6 +36,11 @@
 ENOUGH_CRASHES = 3
 MOST_LATER = 3
 """Requests of that kind that may still reach servers after it."""
+LEAST_OF_OTHERS = 2.0 / 3.0
+"""Part of what others serve that an instance without paths serves at least."""
+UNSERVED_EXTRA = 10.0
+UNSERVED_FRACTION = 1.0 / 50.0
+"""Requests that may fail there for all that, and part of all requests."""
 OUT_OF_TOUCH = ("term", "kill", "pause", "store")
 """Faults of which an instance may know nothing new for a while."""
 
@@ -251,6 +257,51 @@
             yield f"{server}: {most} requests in a window, {allowed:g} allowed"
 
 
+@PROMISES.register("partitions")
+def check_partitions(history: History) -> Iterator[str]:
+    """Find instances without paths to servers that served far less than the others."""
+    cuts = [f for f in history.faults if f.name.startswith(PARTITION)]
+    for cut in cuts:
+        start, end = cut.began_at + CONTACT_S, cut.ended_at
+        calls = [
+            call
+            for call in history.calls
+            if start < call.sent_at and call.ended_at < end and call.ended_at > 0.0
+        ]
+        calls = [c for c in calls if not _may_fail_anywhere(history, c)]
+        there = [c for c in calls if c.instance == cut.instance]
+        whole = {c.instance for c in calls} - {
+            f.instance for f in cuts if f.began_at < end and f.ended_at > cut.began_at
+        }
+        others = [c for c in calls if c.instance in whole]
+        failed = len(there) - _count_served(there)
+        if failed <= UNSERVED_EXTRA + UNSERVED_FRACTION * len(calls) or not others:
+            continue
+        if _count_served(there) / len(there) < (
+            LEAST_OF_OTHERS * _count_served(others) / len(others)
+        ):
+            yield (
+                f"i{cut.instance} served {_count_served(there)} of {len(there)} "
+                f"while partitioned, others {_count_served(others)} of {len(others)}"
+            )
+
+
+def _count_served(calls: list[Call]) -> int:
+    return sum(200 <= call.status < 300 and call.whole for call in calls)
+
+
+def _may_fail_anywhere(history: History, call: Call) -> bool:
+    """Return whether a request fails whatever the paths are, or may lack a peer."""
+    if call.mark or call.key in history.revoked:
+        return True
+    return any(
+        fault.name.startswith(OUT_OF_TOUCH)
+        and fault.began_at <= call.ended_at
+        and fault.ended_at >= call.sent_at - CONTACT_S
+        for fault in history.faults
+    )
+
+
 @PROMISES.register("homes")
 def check_homes(history: History) -> Iterator[str]:
     """Find requests that were served in an area in which no configuration allows it."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -6,7 +6,7 @@
 import contextlib
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 
 import msgspec
@@ -29,6 +29,7 @@
     Machine,
     Ports,
 )
+from soak.partitions import PARTITION, BackendPath, Cut
 from soak.proxies import Proxy
 
 SOUND = ("answer", "fail", "shed")
@@ -97,6 +98,12 @@
         self.machines: list[Machine] = []
         self.backends: dict[str, Backend] = {}
         self.store_proxies: list[Proxy] = []
+        self.has_own_paths = False
+        """Whether single instances can be partitioned from backend servers."""
+        self.paths: dict[int, dict[str, BackendPath]] = {}
+        """Paths of each instance by backend server."""
+        self._views: dict[int, dict[str, str]] = {}
+        """Addresses of the backend servers that the store names to each instance."""
         self.added_routes: list[str] = []
         self.counted: tuple[str, ...] = ()
         """Whether a safeguard is watched or weakened, and which; else empty."""
@@ -118,6 +125,8 @@
         await self.store.start()
         self._stack.callback(self.store.close)
         self.configure()
+        for index in range(self._instances):
+            self.paths[index], self._views[index] = {}, {}
         for _ in range(3):
             await self.add_backend(PLAIN)
         for _ in range(3):
@@ -129,7 +138,8 @@
         ips = [self.network.give_host(n + 2) for n in range(self._instances)]
         ports = Ports(self.network.give_ports(5))
         for index, ip in enumerate(ips):
-            proxy = Proxy(target=self.store.address, network=self.network)
+            store_address = await self.store.open_view(self._views[index])
+            proxy = Proxy(target=store_address, network=self.network)
             await proxy.start()
             self._stack.callback(proxy.close)
             self.store_proxies.append(proxy)
@@ -156,6 +166,9 @@
         for backend in self.backends.values():
             backend.proxy.close()
             backend.fake.close()
+        for paths in self.paths.values():
+            for path in paths.values():
+                path.close()
         await self._stack.aclose()
 
     # -- operators --
@@ -265,9 +278,22 @@
         proxy = await Proxy(target=fake.address, network=self.network).start()
         backend = Backend(fake=fake, proxy=proxy)
         self.backends[id] = backend
+        if self.has_own_paths:
+            await self._open_paths(backend)
         self.publish_backend(backend)
         return backend
 
+    async def _open_paths(self, backend: Backend) -> None:
+        """Give each instance a path of its own to a backend server."""
+        target = backend.proxy.address
+        for index, paths in self.paths.items():
+            path = await BackendPath(target=target, network=self.network).start()
+            cut = next((each.cut for each in paths.values() if each.cut), None)
+            if cut is not None:
+                path.interrupt(cut)
+            paths[backend.fake.id] = path
+            self._views[index][target] = path.address
+
     def publish_backend(self, backend: Backend, **more: object) -> None:
         """Write a backend server's record, which names its proxy's address."""
         record = backend.fake.record | {"address": backend.proxy.address} | more
@@ -279,6 +305,10 @@
         backend.fake.close()
         backend.proxy.close()
         self.backends.pop(backend.fake.id, None)
+        for paths in self.paths.values():
+            path = paths.pop(backend.fake.id, None)
+            if path is not None:
+                path.close()
 
     def pick_backend(self, service: str | None = None) -> Backend | None:
         """Return a backend server whose loss leaves two of its service."""
@@ -331,6 +361,25 @@
 
     # -- faults --
 
+    def is_partitioned(self, index: int) -> bool:
+        """Tell whether an instance is cut off from backend servers."""
+        return any(path.cut for path in self.paths[index].values())
+
+    @contextlib.asynccontextmanager
+    async def partition(self, cut: Cut, *indexes: int) -> AsyncIterator[None]:
+        """Cut instances off from all backend servers while the block runs."""
+        with contextlib.ExitStack() as notes:
+            for index in indexes:
+                notes.enter_context(self.note(f"{PARTITION} {cut}", index))
+                for path in self.paths[index].values():
+                    path.interrupt(cut)
+            try:
+                yield
+            finally:
+                for index in indexes:
+                    for path in list(self.paths[index].values()):
+                        await path.heal()
+
     @contextlib.contextmanager
     def note(self, name: str, instance: int | None = None) -> Iterator[None]:
         """Note that a fault is on while the block runs."""
--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -20,7 +20,13 @@
 from baobabthread.logs import log_event
 from baobabthread.platform import __main__ as program
 from baobabthread.platform import headers
-from baobabthread.routing import configuration, replica, serverlimits, warmup
+from baobabthread.routing import (
+    configuration,
+    paths,
+    replica,
+    serverlimits,
+    warmup,
+)
 
 DECIDED_EVENT = "safeguard_decided"
 WATCH = "watch"
@@ -189,6 +195,20 @@
     serverlimits.StatedLimits.find = find  # type: ignore
 
 
+@WEAKENED.register("keep to own paths")
+def keep_to_own_paths(safeguard: Safeguard) -> None:
+    """Ask no peer for a connection to a backend server."""
+    ask = paths.RelayTable.choose
+
+    def choose(
+        self: paths.RelayTable, server: str, failure_domain: str, now: float
+    ) -> list[paths.Relay]:
+        relays = ask(self, server, failure_domain, now)
+        return relays if safeguard.stands(bool(relays)) else []
+
+    paths.RelayTable.choose = choose  # type: ignore
+
+
 @WEAKENED.register("forget homes")
 def forget_homes(safeguard: Safeguard) -> None:
     """Let every request be served anywhere."""
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import msgspec
-from soak.partitions import Cut, Path
+from soak.partitions import BackendPath, Cut
 
 from baobabthread.instance.process import Adapters, Instance
 from baobabthread.instance.settings import InstanceSettings
@@ -84,7 +84,7 @@
         self.zones = {"a": "north", "b": "north", "c": "south", "d": "east"}
         """Region by failure domain."""
         self.gossip_port = own_network().give_port()
-        self.paths: list[dict[str, Path]] = []
+        self.paths: list[dict[str, BackendPath]] = []
         """Paths of each instance by backend server; none where they are direct."""
 
     def configure(self, version: int = 1, **more: object) -> None:
@@ -160,12 +160,12 @@
 
     async def _open_store(self, has_own_paths: bool) -> str:
         """Return the address of the store for an instance."""
-        paths: dict[str, Path] = {}
+        paths: dict[str, BackendPath] = {}
         self.paths.append(paths)
         if not has_own_paths:
             return self.store.address
         for backend in self.backends:
-            path = Path(target=backend.address, network=own_network())
+            path = BackendPath(target=backend.address, network=own_network())
             paths[backend.id] = await path.start()
         return await self.store.open_view(
             {path.target: path.address for path in paths.values()}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -63,6 +63,7 @@
     "forget the cold": "cold backend",
     "forget homes": "homes",
     "forget limits": "limited backend",
+    "keep to own paths": "partition",
 }
 """Fault that shows that a safeguard is missing, where it isn't the usual one."""
 
@@ -76,7 +77,7 @@
 
 
 @pytest.mark.parametrize(
-    "fault", ["evacuation", "cold backend", "homes", "limited backend"]
+    "fault", ["evacuation", "cold backend", "homes", "limited backend", "partition"]
 )
 def test_keep_requests_away_from_where_they_must_not_go(fault: str) -> None:
     """Callers ask all the while; a domain is evacuated, servers are cold, homes change.
@@ -111,6 +112,7 @@
         ("forget the cold", "cold servers"),
         ("forget homes", "homes"),
         ("forget limits", "limited servers"),
+        ("keep to own paths", "partitions"),
     ],
 )
 def test_find_a_safeguard_that_was_taken_out(weaken: str, promise: str) -> None:
