--- a/src/baobabthread/instance/limits.py
+++ b/src/baobabthread/instance/limits.py
@@ -6,14 +6,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Iterator
 
 import msgspec
 
 from baobabthread.core.configuration.configuration import Priority
 from baobabthread.core.membership.messages import GossipPayload
-from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
 from baobabthread.instance.grants import GrantIssuer
 from baobabthread.instance.limitmessages import (
@@ -24,8 +22,8 @@
     SendEnded,
 )
 from baobabthread.instance.limittable import LimitTable
+from baobabthread.instance.owners import Owners, SendMessage
 from baobabthread.instance.sendpermits import SendPermit
-from baobabthread.logs import log_event
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.serverlimits import (
     MIN_RETRY_S,
@@ -36,13 +34,6 @@
 from baobabthread.routing.warmup import SenderCount, SendWindows, compute_interval_s
 
 TOPIC = "limits"
-REPLY_TIMEOUT_S = 0.02
-"""Time for an owner's reply: several round trips between failure domains."""
-MAX_SILENCES = 2
-"""Consecutive requests without a reply after which an owner is paused or down rather
-than a datagram lost."""
-OWNER_BACKOFF_S = 1.0
-"""Time for which such an owner isn't asked."""
 REPORT_INTERVAL_S = 1.5
 """Interval between reports of an owner, for instances that started meanwhile."""
 MIN_REPORT_INTERVAL_S = 0.2
@@ -51,7 +42,6 @@
 MAX_CALLER_RETRY_S = 5.0
 """Bounds of the time after which callers may send a denied request again."""
 
-SendMessage = Callable[[str, msgspec.Struct], None]
 Publish = Callable[[str, msgspec.Struct], None]
 Received = Callable[[str], Iterator[GossipPayload]]
 
@@ -65,17 +55,14 @@
     """Ask for permission to send to limited servers, and give it for those owned."""
 
     __slots__ = (
-        "_backoff_until",
         "_bounds",
         "_closed_until",
         "_full_until",
         "_issuer",
         "_limits",
         "_me",
-        "_members",
         "_number",
         "_owners",
-        "_pending",
         "_publish",
         "_received",
         "_reported",
@@ -83,8 +70,6 @@
         "_reports",
         "_send",
         "_senders",
-        "_sequence",
-        "_silences",
         "_unowned",
         "_windows",
         "outcomes",
@@ -104,15 +89,16 @@
         self._send = send
         self._publish = publish
         self._received = received
-        self._members: list[str] = [me]
-        self._owners: dict[str, str] = {}
         self._limits = LimitTable()
         self._limits.on_end = self._reopen
         self._issuer = GrantIssuer(bounds=bounds, limits=self._limits)
-        self._pending: dict[int, asyncio.Future[GrantReply]] = {}
-        self._backoff_until: dict[str, float] = {}
-        self._silences: dict[str, int] = {}
-        """Number of consecutive requests that an owner has not replied to."""
+        self._owners: Owners[GrantRequest, GrantReply] = Owners(
+            me=me,
+            prefix="limits",
+            silence_event="limit_owner_silent",
+            send=send,
+            decide=self._issuer.decide,
+        )
         self._closed_until: dict[str, float] = {}
         """Until when a server has no capacity at once."""
         self._full_until: dict[tuple[str, Priority], float] = {}
@@ -127,19 +113,14 @@
         self._reported_at = -1e9
         self._reported: dict[str, float] = {}
         """Limits in the last report of this instance."""
-        self._sequence = 0
         self.outcomes = dict.fromkeys(("granted", "denied", "unanswered"), 0)
         """Number of permissions asked for, by outcome."""
 
     def set_members(self, names: list[str]) -> None:
         """Set the instances that serve, including this one."""
-        self._members = names or [self._me]
-        self._owners.clear()
-        owned = {s for s in self._issuer.servers if self.find_owner(s) == self._me}
+        self._owners.set_members(names)
+        owned = {s for s in self._issuer.servers if self._owners.is_own(s)}
         self._issuer.change_owned(owned)
-        self._backoff_until = {
-            name: at for name, at in self._backoff_until.items() if name in names
-        }
 
     def update_senders(self, names: list[str]) -> None:
         """Update the known instances, whatever their state."""
@@ -149,7 +130,8 @@
         """Drop the state of all servers except for these incarnations."""
         self._limits.retain(servers)
         self._issuer.retain(servers)
-        for known in (self._closed_until, self._unowned, self._owners):
+        self._owners.retain(servers)
+        for known in (self._closed_until, self._unowned):
             for name in [name for name in known if name not in servers]:
                 del known[name]
                 self._windows.forget(name)
@@ -221,9 +203,8 @@
         assert per_s is not None
         if patience_s > 0.0 and now() < self._full_until.get((server, priority), 0.0):
             return None
-        self._sequence += 1
         request = GrantRequest(
-            sequence=self._sequence,
+            sequence=self._owners.next_sequence(),
             server=server,
             per_s=per_s,
             told_age_s=self._limits.told_age(server),
@@ -232,7 +213,7 @@
             lasts_s=lasts_s,
         )
         owner = self.find_owner(server)
-        reply = await self._ask(owner, request)
+        reply = await self._owners.ask(request)
         if reply is None:
             return self._use_window(server, per_s)
         self._limits.adopt(server, reply.per_s)
@@ -251,33 +232,6 @@
             ),
         )
 
-    async def _ask(self, owner: str, request: GrantRequest) -> GrantReply | None:
-        """Return an owner's reply, or None if there is none."""
-        if owner == self._me:
-            return self._issuer.decide(self._me, request)
-        if now() < self._backoff_until.get(owner, 0.0):
-            return None
-        future = asyncio.get_running_loop().create_future()
-        self._pending[request.sequence] = future
-        self._send(owner, request)
-        try:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
-                reply: GrantReply = await future
-        except TimeoutError:
-            self._record_silence(owner, request.server)
-            return None
-        finally:
-            self._pending.pop(request.sequence, None)
-        self._silences.pop(owner, None)
-        return reply if reply.is_owner else None
-
-    def _record_silence(self, owner: str, server: str) -> None:
-        silences = self._silences[owner] = self._silences.get(owner, 0) + 1
-        if silences >= MAX_SILENCES:
-            del self._silences[owner]
-            self._backoff_until[owner] = now() + OWNER_BACKOFF_S
-            log_event("limit_owner_silent", owner=owner, backend=server)
-
     def _use_window(self, server: str, per_s: float) -> SendPermit | None:
         """Return permission without an owner, in this instance's own windows."""
         self.outcomes["unanswered"] += 1
@@ -330,26 +284,20 @@
             case GrantRequest():
                 self._send(sender, self._reply(sender, message))
             case GrantReply():
-                future = self._pending.get(message.sequence)
-                if future is not None and not future.done():
-                    future.set_result(message)
+                self._owners.handle_reply(message)
             case SendEnded():
                 self._issuer.handle_ended(sender, message)
             case LimitStated():
                 self._limits.learn(message.server, message.per_s, sender, told_at=now())
 
     def _reply(self, sender: str, request: GrantRequest) -> GrantReply:
-        if self.find_owner(request.server) != self._me:
+        if not self._owners.is_own(request.server):
             return GrantReply(sequence=request.sequence, is_owner=False)
         return self._issuer.decide(sender, request)
 
     def find_owner(self, server: str) -> str:
         """Return the instance that grants requests to a server, as seen from here."""
-        owner = self._owners.get(server)
-        if owner is None:
-            owner = rank(f"limits/{server}", self._members)[0]
-            self._owners[server] = owner
-        return owner
+        return self._owners.find(server)
 
     # -- reports --
 
@@ -360,7 +308,7 @@
         owned = {
             name: per_s
             for name, per_s in self._limits.all.items()
-            if self.find_owner(name) == self._me
+            if self._owners.is_own(name)
         }
         is_due = timestamp - self._reported_at >= REPORT_INTERVAL_S
         if owned != self._reported or (owned and is_due):
