--- a/bench/_rollout_members.py
+++ b/bench/_rollout_members.py
@@ -16,6 +16,7 @@
 from baobabthread.instance.context import CallerRequest, Reply, RequestContext
 from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.instance.peers import PeerLink
+from baobabthread.instance.places import PlaceCoordinator
 from baobabthread.instance.rollouts import RolloutController
 from baobabthread.instance.selection import Selection
 from baobabthread.instance.services import Services
@@ -199,6 +200,9 @@
             backends=backends,
             estimates=nothing,
             placement=nothing,
+            places=PlaceCoordinator(
+                me=self.name, incarnation=self.name, send=lambda to, message: None
+            ),
             limits=LimitCoordinator(
                 me=self.name,
                 bounds=self.world.day.bounds,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -271,6 +271,16 @@
         backend.fake.limits = ()
 
 
+@FAULTS.register("brittle backends")
+async def make_brittle(site: Site) -> None:
+    """Let the plain backend servers be brittle for some seconds."""
+    if site.is_brittle(PLAIN):
+        return
+    with site.note("brittle backends"):
+        async with site.make_brittle(PLAIN):
+            await asyncio.sleep(site.rng.uniform(2.0, 6.0))
+
+
 @FAULTS.register("evacuation")
 async def evacuate_domain(site: Site) -> None:
     """Evacuate one failure domain and take that back."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -108,6 +108,17 @@
     """None at all where the requests may be served anywhere."""
 
 
+class Brittle(msgspec.Struct, kw_only=True):
+    """Hold when a service said that its servers are brittle, and their falls."""
+
+    service: str
+    servers: int
+    from_s: float
+    to_s: float = math.inf
+    falls: list[str] = []
+    """Servers that fell over because they had to reject too often."""
+
+
 class History(msgspec.Struct, kw_only=True):
     """Hold all that happened in one run."""
 
@@ -123,6 +134,7 @@
     """When the last fault had ended and the time to recover was over."""
     evacuated: list[Evacuated] = []
     homes: list[Homes] = []
+    brittle: list[Brittle] = []
     areas: dict[str, str] = {}
     """Areas by failure domain."""
     evacuation_s: float = 3.0
--- a/soak/pressing.py
+++ b/soak/pressing.py
@@ -49,6 +49,8 @@
 """Times what a cold server bears that its callers ask for in a second."""
 LIMIT_PER_S = 0.5
 """Limit that the servers of a service name while it is pressed."""
+BRITTLE_S = 4.0
+"""Time for which brittle servers are crowded."""
 LEAVES_S = 1.0
 """Time in which servers that leave are still there."""
 FIRST_NUMBER = 2000
@@ -293,6 +295,17 @@
     return Pressed(count=count, enough=enough)
 
 
+@PRESSES.register("forget brittleness")
+async def press_brittleness(site: Site) -> Pressed:
+    """Let the plain servers be brittle, and send a crowd there."""
+    with site.note("brittle backends"):
+        async with _open_crowd(site), site.make_brittle(PLAIN):
+            since = now()
+            await asyncio.sleep(BRITTLE_S)
+            count = _find_most_sent(site, since, now())
+    return Pressed(count=count, enough=ENOUGH_FAILED)
+
+
 @PRESSES.register("keep to own paths")
 async def press_paths(site: Site) -> Pressed:
     """Cut one instance off from all backend servers, and go on asking it."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -36,6 +36,9 @@
 ENOUGH_CRASHES = 3
 MOST_LATER = 3
 """Requests of that kind that may still reach servers after it."""
+FALLS_EXTRA = 2.0
+FALLS_FRACTION = 0.1
+"""Falls of brittle servers that are allowed, and part of their number."""
 LEAST_OF_OTHERS = 2.0 / 3.0
 """Part of what others serve that an instance without paths serves at least."""
 UNSERVED_EXTRA = 10.0
@@ -257,6 +260,15 @@
             yield f"{server}: {most} requests in a window, {allowed:g} allowed"
 
 
+@PROMISES.register("brittle servers")
+def check_brittle(history: History) -> Iterator[str]:
+    """Find services whose servers fell over more often than they may."""
+    for each in history.brittle:
+        allowed = FALLS_EXTRA + FALLS_FRACTION * each.servers
+        if len(each.falls) > allowed:
+            yield f"{each.service}: {len(each.falls)} falls, {allowed:g} allowed"
+
+
 @PROMISES.register("partitions")
 def check_partitions(history: History) -> Iterator[str]:
     """Find instances without paths to servers that served far less than the others."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -15,7 +15,7 @@
 from tests.platform.site import TIME_LIMIT_MS, make_configuration, route
 
 from baobabthread.standins.loopback import claim_network
-from soak.history import Evacuated, Fault, History, Homes, Kind, Run, now
+from soak.history import Brittle, Evacuated, Fault, History, Homes, Kind, Run, now
 from soak.instances import (
     APPLY_S,
     AREAS,
@@ -41,6 +41,13 @@
 ENGINE = "engine"
 
 
+BRITTLE_SLOTS = 2
+"""Requests that a brittle server runs at the same time."""
+BRITTLE_BORNE = 2
+"""Rejections within a second that it bears."""
+BRITTLE_AFTER_S = 3.0
+"""Time from the first word of it to the first rejection."""
+UNLIMITED_ROOM = 10_000
 COLD_S = 3.0
 """Time for which a server is cold after a start that is played as one."""
 COLD_RATE = 2.0
@@ -102,6 +109,8 @@
         """Whether single instances can be partitioned from backend servers."""
         self.paths: dict[int, dict[str, BackendPath]] = {}
         """Paths of each instance by backend server."""
+        self._brittle: dict[str, Brittle] = {}
+        """Services whose servers are brittle now."""
         self._views: dict[int, dict[str, str]] = {}
         """Addresses of the backend servers that the store names to each instance."""
         self.added_routes: list[str] = []
@@ -278,6 +287,8 @@
         proxy = await Proxy(target=fake.address, network=self.network).start()
         backend = Backend(fake=fake, proxy=proxy)
         self.backends[id] = backend
+        if service in self._brittle:
+            self._make_brittle(backend)
         if self.has_own_paths:
             await self._open_paths(backend)
         self.publish_backend(backend)
@@ -297,8 +308,44 @@
     def publish_backend(self, backend: Backend, **more: object) -> None:
         """Write a backend server's record, which names its proxy's address."""
         record = backend.fake.record | {"address": backend.proxy.address} | more
+        if backend.fake.service in self._brittle:
+            record["slots"] = BRITTLE_SLOTS
         self.store.put(BACKENDS, backend.fake.id, record)
 
+    def is_brittle(self, service: str) -> bool:
+        """Tell whether the servers of a service are brittle now."""
+        return service in self._brittle
+
+    @contextlib.asynccontextmanager
+    async def make_brittle(self, service: str) -> AsyncIterator[None]:
+        """Let the servers of a service be brittle, and strict once all know of it."""
+        backends = [b for b in self.backends.values() if b.fake.service == service]
+        word = Brittle(service=service, servers=len(backends), from_s=now())
+        self.history.brittle.append(word)
+        self._brittle[service] = word
+        for backend in backends:
+            self._make_brittle(backend)
+            self.publish_backend(backend, seq=2)
+        await asyncio.sleep(BRITTLE_AFTER_S)
+        for backend in self.backends.values():
+            if backend.fake.service == service:
+                backend.fake.room = BRITTLE_SLOTS
+        try:
+            yield
+        finally:
+            word.to_s = now()
+            del self._brittle[service]
+            for backend in self.backends.values():
+                if backend.fake.service == service:
+                    backend.fake.brittle = None
+                    self.publish_backend(backend, seq=3)
+
+    def _make_brittle(self, backend: Backend) -> None:
+        backend.fake.brittle = BRITTLE_BORNE
+        word = self._brittle[backend.fake.service]
+        is_strict = now() - word.from_s >= BRITTLE_AFTER_S
+        backend.fake.room = BRITTLE_SLOTS if is_strict else UNLIMITED_ROOM
+
     def remove_backend(self, backend: Backend) -> None:
         """Let a backend server and its record go."""
         self.store.put(BACKENDS, backend.fake.id, b"")
@@ -327,6 +374,8 @@
     def _take_crash(self, fake: FakeBackend) -> None:
         backend = self.backends.get(fake.id)
         if backend is not None:
+            if fake.falls:
+                self.history.brittle[-1].falls.append(fake.id)
             backend.troubles += 1
             backend.proxy.close()
             self._returns.add(asyncio.ensure_future(self._bring_back(backend)))
--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -23,6 +23,7 @@
 from baobabthread.routing import (
     configuration,
     paths,
+    places,
     replica,
     serverlimits,
     warmup,
@@ -195,6 +196,18 @@
     serverlimits.StatedLimits.find = find  # type: ignore
 
 
+@WEAKENED.register("forget brittleness")
+def forget_brittleness(safeguard: Safeguard) -> None:
+    """Take no service for brittle."""
+    ask = places.BrittleServices.find
+
+    def find(self: places.BrittleServices, service: str) -> float | None:
+        rejections = ask(self, service)
+        return rejections if safeguard.stands(rejections is not None) else None
+
+    places.BrittleServices.find = find  # type: ignore
+
+
 @WEAKENED.register("keep to own paths")
 def keep_to_own_paths(safeguard: Safeguard) -> None:
     """Ask no peer for a connection to a backend server."""
--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -35,6 +35,8 @@
 PATH_CHECK_FRACTION = 0.5
 """Fraction of the silence timeout after which the path to the server is checked."""
 
+UNAVAILABLE_STATUS = 503
+
 T = TypeVar("T")
 
 
@@ -98,6 +100,7 @@
         "_event_timeout_s",
         "_may_give_up",
         "_permit",
+        "_place",
         "_response",
         "context",
         "link",
@@ -132,6 +135,7 @@
         self._response: Response | None = None
         self._charge = context.take_retry_charge()
         self._permit = context.take_permit()
+        self._place = context.take_place()
 
     async def open(self, wire: WireFormat) -> ResponseHead:
         """Send the request and return the head of its response.
@@ -205,6 +209,8 @@
             self._charge.settle(now())
         if self._permit is not None:
             self._permit.settle(responded=False)
+        if self._place is not None:
+            self._place.end()
 
     def _record_arrival(self, metadata: ResponseMetadata) -> None:
         """Record that the request has arrived, and the limit that the server states."""
@@ -217,6 +223,8 @@
         states_limit = metadata.limit is not None and not metadata.is_other_server
         if is_own or states_limit:
             self.link.record_limit(metadata.limit, self.sent_at)
+        if is_own or (metadata.brittleness and not metadata.is_other_server):
+            self.link.record_brittleness(metadata.brittleness, self.sent_at)
         if self._permit is not None:
             self._permit.settle(metadata.limit, responded=is_own)
 
@@ -237,6 +245,8 @@
             self.context.runs -= 1
             if metadata.is_other_server:
                 self.link.mark_replaced()
+            elif _lacks_room(metadata, status):
+                self.link.record_no_room(self.link.record.capacity)
             raise RejectedError(status, is_other_server=metadata.is_other_server)
         if metadata.encoded:
             raise IncompleteResponseError(
@@ -291,6 +301,12 @@
         return self.silence_timeout_s / 2
 
 
+def _lacks_room(metadata: ResponseMetadata, status: int) -> bool:
+    """Return whether a brittle server rejected a request for lack of room."""
+    is_brittle = metadata.brittleness is not None
+    return is_brittle and status == UNAVAILABLE_STATUS and metadata.limit is None
+
+
 def classify_outcome(error: BaseException | None) -> Outcome:
     """Return the outcome of an attempt for its backend server."""
     if error is None:
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -29,6 +29,7 @@
 from baobabthread.instance.restrictions import Restrictions
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import BackendRecord
+from baobabthread.routing.places import StatedBrittleness
 from baobabthread.routing.regions import AllowedRegions
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.serverlimits import StatedLimit
@@ -61,8 +62,10 @@
         "pool",
         "received_at",
         "record",
+        "record_brittleness",
         "record_cold",
         "record_limit",
+        "record_no_room",
         "suspect_until",
     )
 
@@ -73,6 +76,8 @@
         paths: Paths,
         record_cold: Callable[[float], object],
         record_limit: Callable[[StatedLimit | None, float], object],
+        record_brittleness: Callable[[StatedBrittleness | None, float], object],
+        record_no_room: Callable[[int], object],
     ) -> None:
         self._paths = paths
         self.record = record
@@ -80,6 +85,10 @@
         """Called with the seconds for which the server says it will still be cold."""
         self.record_limit = record_limit
         """Called with the limit that a response states and when it was requested."""
+        self.record_brittleness = record_brittleness
+        """Called with what a response states of it and when it was requested."""
+        self.record_no_room = record_no_room
+        """Called with its capacity when it is brittle and lacks room for a request."""
         self.received_at = -1e9
         self.suspect_until = -1e9
         self.is_replaced = False
@@ -190,10 +199,19 @@
                     record_limit=functools.partial(
                         self._restrictions.limits.record_response, name
                     ),
+                    record_brittleness=functools.partial(
+                        self._restrictions.places.record_response, record.service
+                    ),
+                    record_no_room=functools.partial(
+                        self._restrictions.places.record_rejection,
+                        name,
+                        record.service,
+                    ),
                 )
             else:
                 link.record = record
         self._restrictions.limits.retain(set(records))
+        self._restrictions.places.retain(set(records))
         usable = {n: r for n, r in records.items() if self._is_usable(r)}
         self.table.rebuild(_build_balancer_configuration(usable), now())
 
--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from baobabthread.instance.clock import now
+from baobabthread.instance.places import Place
 from baobabthread.instance.sendpermits import SendPermit
 from baobabthread.instance.wire import RawHeaders
 from baobabthread.routing.budget import RetryBudget
@@ -110,6 +111,7 @@
         "non_canaries",
         "on_new_version",
         "permit",
+        "place",
         "reason",
         "relay",
         "reply",
@@ -157,8 +159,10 @@
         """Charge for the next attempt, until that attempt takes it over."""
         self.permit: SendPermit | None = None
         """Permission to send the next attempt to a limited server, until it begins."""
+        self.place: Place | None = None
+        """Place at a brittle server for the next attempt, until it begins."""
         self.denied_by: str | None = None
-        """Incarnation of the limited server that denied the next attempt, if any."""
+        """Incarnation of the server whose limit or room denied the next attempt."""
         self.lost_connections = 0
         """Number of attempts whose connection ended before the response."""
         self.excluded: set[str] = set()
@@ -223,12 +227,19 @@
         permit, self.permit = self.permit, None
         return permit
 
+    def take_place(self) -> Place | None:
+        """Return the place for the attempt that begins, if its server is brittle."""
+        place, self.place = self.place, None
+        return place
+
     def settle_unsent(self) -> None:
-        """Settle the charge and the permission for an attempt that was not made."""
+        """Settle what was charged and granted for an attempt that was not made."""
         if self.retry_charge is not None:
             self.retry_charge.settle(now())
         if self.permit is not None:
             self.permit.settle(responded=False)
+        if self.place is not None:
+            self.place.end()
 
     def record_sent(self) -> None:
         """Record that an attempt was sent."""
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -29,6 +29,7 @@
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.instance.placement import Placement
+from baobabthread.instance.places import PlaceCoordinator
 from baobabthread.instance.quarantine import QuarantineCoordinator
 from baobabthread.instance.requestlog import RequestLog
 from baobabthread.instance.responses import ResponseForwarder
@@ -66,6 +67,7 @@
         sessions: SessionCoordinator,
         placement: Placement,
         limits: LimitCoordinator,
+        places: PlaceCoordinator,
         crashes: CrashDetector,
         quarantine: QuarantineCoordinator,
         disabled: DisabledMechanisms = NONE_DISABLED,
@@ -88,6 +90,7 @@
             estimates=self._estimates,
             placement=placement,
             limits=limits,
+            places=places,
             disabled=disabled,
         )
         self._error_responses = ErrorResponses(log=log, rng=rng)
--- a/src/baobabthread/instance/gauges.py
+++ b/src/baobabthread/instance/gauges.py
@@ -35,6 +35,9 @@
         metrics.sent_requests.labels(path=path).set(number)
     for outcome, number in peers.limits.outcomes.items():
         metrics.send_permits.labels(outcome=outcome).set(number)
+    metrics.brittle_services.set(peers.places.brittle_services)
+    for outcome, number in peers.places.outcomes.items():
+        metrics.places.labels(outcome=outcome).set(number)
     for state in services:
         left = metrics.retries_left.labels(service=state.name)
         left.set(state.budget.remaining(timestamp))
--- a/src/baobabthread/instance/limits.py
+++ b/src/baobabthread/instance/limits.py
@@ -24,6 +24,7 @@
 from baobabthread.instance.limittable import LimitTable
 from baobabthread.instance.owners import Owners, SendMessage
 from baobabthread.instance.sendpermits import SendPermit
+from baobabthread.logs import log_event
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.serverlimits import (
     MIN_RETRY_S,
@@ -34,6 +35,9 @@
 from baobabthread.routing.warmup import SenderCount, SendWindows, compute_interval_s
 
 TOPIC = "limits"
+REPLY_TIMEOUT_S = 0.02
+"""Time for an owner's reply: several round trips between failure domains."""
+OWNER_BACKOFF_S = 1.0
 REPORT_INTERVAL_S = 1.5
 """Interval between reports of an owner, for instances that started meanwhile."""
 MIN_REPORT_INTERVAL_S = 0.2
@@ -95,7 +99,11 @@
         self._owners: Owners[GrantRequest, GrantReply] = Owners(
             me=me,
             prefix="limits",
-            silence_event="limit_owner_silent",
+            timeout_s=REPLY_TIMEOUT_S,
+            backoff_s=OWNER_BACKOFF_S,
+            log_silence=lambda owner, server: log_event(
+                "limit_owner_silent", owner=owner, backend=server
+            ),
             send=send,
             decide=self._issuer.decide,
         )
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -90,6 +90,17 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.brittle_services = Gauge(
+            "baobabthread_brittle_services",
+            "Services whose backend servers state that they are brittle",
+            registry=self.registry,
+        )
+        self.places = Gauge(
+            "baobabthread_places",
+            "Places at brittle backend servers asked for since the start",
+            ["outcome"],
+            registry=self.registry,
+        )
         self.lost_paths = Gauge(
             "baobabthread_lost_paths",
             "Backend servers that only other instances reach",
--- a/src/baobabthread/instance/owners.py
+++ b/src/baobabthread/instance/owners.py
@@ -14,15 +14,10 @@
 
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
-from baobabthread.logs import log_event
 
-REPLY_TIMEOUT_S = 0.02
-"""Time for an owner's reply: several round trips between failure domains."""
 MAX_SILENCES = 2
 """Consecutive requests without a reply after which an owner is paused or down rather
 than a datagram lost."""
-OWNER_BACKOFF_S = 1.0
-"""Time for which such an owner isn't asked."""
 
 SendMessage = Callable[[str, msgspec.Struct], None]
 
@@ -59,10 +54,11 @@
     """Find the owners of servers, and ask them."""
 
     __slots__ = (
+        "_backoff_s",
         "_backoff_until",
         "_decide",
-        "_event",
         "_known",
+        "_log_silence",
         "_me",
         "_members",
         "_pending",
@@ -70,6 +66,7 @@
         "_send",
         "_sequence",
         "_silences",
+        "_timeout_s",
     )
 
     def __init__(
@@ -77,13 +74,20 @@
         *,
         me: str,
         prefix: str,
-        silence_event: str,
+        timeout_s: float,
+        backoff_s: float,
+        log_silence: Callable[[str, str], None],
         send: SendMessage,
         decide: Callable[[str, RequestT], ReplyT],
     ) -> None:
         self._me = me
         self._prefix = prefix
-        self._event = silence_event
+        self._timeout_s = timeout_s
+        """Time for the reply of an owner."""
+        self._backoff_s = backoff_s
+        """Time for which an owner isn't asked that does not reply."""
+        self._log_silence = log_silence
+        """Called with an owner that does not reply, and the server."""
         self._send = send
         self._decide = decide
         """Decides the requests for servers that this instance owns."""
@@ -136,7 +140,7 @@
         self._pending[request.sequence] = future
         self._send(owner, request)  # type: ignore[arg-type]
         try:
-            async with asyncio.timeout(REPLY_TIMEOUT_S):
+            async with asyncio.timeout(self._timeout_s):
                 reply = await future
         except TimeoutError:
             self._record_silence(owner, request.server)
@@ -156,5 +160,5 @@
         silences = self._silences[owner] = self._silences.get(owner, 0) + 1
         if silences >= MAX_SILENCES:
             del self._silences[owner]
-            self._backoff_until[owner] = now() + OWNER_BACKOFF_S
-            log_event(self._event, owner=owner, backend=server)
+            self._backoff_until[owner] = now() + self._backoff_s
+            self._log_silence(owner, server)
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -50,6 +50,15 @@
     PromptEnded,
     PromptPlaced,
 )
+from baobabthread.instance.placemessages import (
+    PLACE_MESSAGES,
+    PlaceEnded,
+    PlaceHeld,
+    PlaceRejected,
+    PlaceReply,
+    PlaceRequest,
+)
+from baobabthread.instance.places import PlaceCoordinator
 from baobabthread.instance.quarantine import (
     QUARANTINE_MESSAGES,
     QuarantineCoordinator,
@@ -125,6 +134,7 @@
                 *CANARY_MESSAGES,
                 *QUARANTINE_MESSAGES,
                 *LIMIT_MESSAGES,
+                *PLACE_MESSAGES,
             )
         )
         self.limits = LimitCoordinator(
@@ -134,6 +144,9 @@
             publish=self.publish,
             received=self.received,
         )
+        self.places = PlaceCoordinator(
+            me=settings.name, incarnation=incarnation, send=self._send
+        )
         self.quarantine = QuarantineCoordinator(me=settings.name, send=self._send)
         self.placement = Placement(me=settings.name, send=self._send)
         self.canaries = CanaryCoordinator(me=settings.name, send=self._send)
@@ -207,6 +220,14 @@
                 self.canaries.handle(sender, message)
             case GrantRequest() | GrantReply() | SendEnded() | LimitStated():
                 self.limits.handle(sender, message)
+            case (
+                PlaceRequest()
+                | PlaceReply()
+                | PlaceEnded()
+                | PlaceHeld()
+                | PlaceRejected()
+            ):
+                self.places.handle(sender, message)
             case Crash():
                 self.quarantine.handle_crash(message)
             case QuarantineDigest():
@@ -295,6 +316,7 @@
         self.sessions.set_members(names)
         self.placement.set_members(names)
         self.limits.set_members(names)
+        self.places.set_members(names)
         self.canaries.set_members(names)
         self.quarantine.set_members(names)
         log_event(
--- /dev/null
+++ b/src/baobabthread/instance/places.py
@@ -0,0 +1,335 @@
+"""Places at brittle backend servers, granted for all instances together."""
+
+from __future__ import annotations
+
+import msgspec
+
+from baobabthread.core.configuration.configuration import Priority
+from baobabthread.instance.clock import now
+from baobabthread.instance.owners import Owners, SendMessage
+from baobabthread.instance.placemessages import (
+    PlaceEnded,
+    PlaceHeld,
+    PlaceRejected,
+    PlaceReply,
+    PlaceRequest,
+)
+from baobabthread.logs import log_event
+from baobabthread.routing.places import (
+    MIN_RETRY_S,
+    BrittleServices,
+    PlaceLedger,
+    StatedBrittleness,
+    compute_unowned_rate,
+)
+from baobabthread.routing.warmup import SenderCount, SendWindows
+
+REPLY_TIMEOUT_S = 0.06
+"""Time for an owner's reply. Without it hardly a request is sent, so that an owner that
+is held up for a moment is waited for."""
+OWNER_BACKOFF_S = 0.2
+
+
+class Place:
+    """A place at a brittle server, until its request has ended."""
+
+    __slots__ = ("_coordinator", "_ended", "is_owned", "request")
+
+    def __init__(
+        self, *, request: PlaceRequest, coordinator: PlaceCoordinator, is_owned: bool
+    ) -> None:
+        self.request = request
+        self.is_owned = is_owned
+        """Whether the server's owner granted it."""
+        self._coordinator = coordinator
+        self._ended = False
+
+    def end(self) -> None:
+        """Free the place; later calls change nothing."""
+        if not self._ended:
+            self._ended = True
+            self._coordinator.end(self)
+
+
+class _HeldPlace(msgspec.Struct):
+    place: Place
+    ends_at: float
+
+
+class PlaceCoordinator:
+    """Ask for places at brittle servers, and grant those of the servers owned."""
+
+    __slots__ = (
+        "_brittle",
+        "_closed_until",
+        "_held",
+        "_incarnation",
+        "_incarnations",
+        "_ledgers",
+        "_me",
+        "_owned_since",
+        "_owners",
+        "_reachable",
+        "_send",
+        "_senders",
+        "_unowned",
+        "_windows",
+        "outcomes",
+    )
+
+    def __init__(self, *, me: str, incarnation: str, send: SendMessage) -> None:
+        self._me = me
+        self._incarnation = incarnation
+        self._send = send
+        self._brittle = BrittleServices()
+        self._owners: Owners[PlaceRequest, PlaceReply] = Owners(
+            me=me,
+            prefix="places",
+            timeout_s=REPLY_TIMEOUT_S,
+            backoff_s=OWNER_BACKOFF_S,
+            log_silence=lambda owner, server: log_event(
+                "place_owner_silent", owner=owner, backend=server
+            ),
+            send=send,
+            decide=self._decide,
+        )
+        self._incarnations: dict[str, str] = {}
+        """Incarnation in the last reply of each owner."""
+        self._ledgers: dict[str, PlaceLedger] = {}
+        self._owned_since = now()
+        self._reachable = 1
+        """Instances that are believed to serve."""
+        self._held: dict[int, _HeldPlace] = {}
+        """Places that requests of this instance hold, by number."""
+        self._closed_until: dict[str, float] = {}
+        """Until when a server has no place."""
+        self._windows = SendWindows(me=me)
+        self._senders = SenderCount()
+        self._unowned: set[str] = set()
+        """Servers to which a request was sent without a place of their owner."""
+        self.outcomes = dict.fromkeys(("granted", "denied", "unanswered"), 0)
+        """Number of places asked for, by outcome."""
+
+    def set_members(self, names: list[str]) -> None:
+        """Set the instances that serve, including this one."""
+        before = {
+            place.request.server: self._owners.find(place.request.server)
+            for place in self._list_held()
+        }
+        self._owners.set_members(names)
+        self._owned_since = now()
+        self._reachable = len(names)
+        for server in [s for s in self._ledgers if not self._owners.is_own(s)]:
+            del self._ledgers[server]
+        for place in self._list_held():
+            owner = self._owners.find(place.request.server)
+            if owner != before[place.request.server]:
+                self._report_held(owner, place)
+
+    def update_senders(self, names: list[str]) -> None:
+        """Update the known instances, whatever their state."""
+        self._senders.record(names, now())
+
+    def retain(self, servers: set[str]) -> None:
+        """Drop the state of all servers except for these incarnations."""
+        self._owners.retain(servers)
+        self._unowned &= servers
+        for known in (self._ledgers, self._closed_until):
+            for name in [name for name in known if name not in servers]:
+                del known[name]
+                self._windows.forget(name)
+
+    # -- brittle services --
+
+    def is_brittle(self, service: str) -> bool:
+        """Return whether the servers of a service state that they are brittle."""
+        return self._brittle.find(service) is not None
+
+    @property
+    def brittle_services(self) -> int:
+        """Number of services whose servers state that they are brittle."""
+        return len(self._brittle)
+
+    def record_response(
+        self, service: str, stated: StatedBrittleness | None, sent_at: float
+    ) -> None:
+        """Record what a response states to a request that was sent at a time."""
+        if not self._brittle.record(service, stated, sent_at=sent_at, now=now()):
+            return
+        rejections = self._brittle.find(service)
+        if rejections is None:
+            self._closed_until.clear()
+            log_event("service_brittle_ended", service=service)
+        else:
+            log_event("service_brittle", service=service, rejections=rejections)
+
+    def record_rejection(self, server: str, service: str, capacity: int) -> None:
+        """Record that a brittle server rejected a request for lack of room."""
+        borne = self._brittle.find(service) or 0.0
+        self._closed_until[server] = now() + MIN_RETRY_S
+        owner = self._owners.find(server)
+        if owner == self._me:
+            self._find_ledger(server).record_rejection(capacity, borne, now())
+        else:
+            message = PlaceRejected(server=server, capacity=capacity, borne=borne)
+            self._send(owner, message)
+
+    # -- places --
+
+    def list_closed(self, timestamp: float) -> list[str]:
+        """Return the servers that have no place."""
+        return [name for name, at in self._closed_until.items() if timestamp < at]
+
+    async def acquire(
+        self,
+        server: str,
+        *,
+        service: str,
+        capacity: int,
+        priority: Priority,
+        lasts_s: float,
+    ) -> Place | None:
+        """Return a place at a server of a brittle service, if there is one.
+
+        `lasts_s` is the time after which the request has certainly ended.
+        """
+        request = PlaceRequest(
+            sequence=self._owners.next_sequence(),
+            server=server,
+            capacity=capacity,
+            priority=priority,
+            lasts_s=lasts_s,
+        )
+        reply = await self._owners.ask(request)
+        if reply is None:
+            return self._use_window(service, request)
+        if not reply.is_granted:
+            self._close(server, reply.wait_s)
+            return None
+        self.outcomes["granted"] += 1
+        self._check_incarnation(self._owners.find(server), reply.incarnation)
+        place = Place(request=request, coordinator=self, is_owned=True)
+        self._held[request.sequence] = _HeldPlace(place=place, ends_at=now() + lasts_s)
+        return place
+
+    def end(self, place: Place) -> None:
+        """Free a place that a request of this instance held."""
+        request = place.request
+        if not place.is_owned:
+            self._unowned.discard(request.server)
+            return
+        self._held.pop(request.sequence, None)
+        message = PlaceEnded(sequence=request.sequence, server=request.server)
+        owner = self._owners.find(request.server)
+        if owner == self._me:
+            self._end_owned(self._me, message)
+        else:
+            self._send(owner, message)
+
+    def _use_window(self, service: str, request: PlaceRequest) -> Place | None:
+        """Return a place without an owner, in this instance's own windows."""
+        self.outcomes["unanswered"] += 1
+        timestamp = now()
+        server = request.server
+        rate = compute_unowned_rate(self._brittle.find(service) or 0.0)
+        interval_s = self._senders.count(timestamp) / rate
+        is_open = self._windows.is_open(server, interval_s, timestamp)
+        if server in self._unowned or not is_open:
+            self._close(server, MIN_RETRY_S)
+            return None
+        self._windows.mark_used(server, interval_s, timestamp)
+        self._unowned.add(server)
+        return Place(request=request, coordinator=self, is_owned=False)
+
+    def _close(self, server: str, wait_s: float) -> None:
+        self.outcomes["denied"] += 1
+        self._closed_until[server] = now() + wait_s
+
+    def _check_incarnation(self, owner: str, incarnation: str) -> None:
+        """Tell an owner that has restarted of the places that it granted before."""
+        previous = self._incarnations.get(owner, incarnation)
+        self._incarnations[owner] = incarnation
+        if previous == incarnation:
+            return
+        for place in self._list_held():
+            if self._owners.find(place.request.server) == owner:
+                self._report_held(owner, place)
+
+    def _report_held(self, owner: str, place: Place) -> None:
+        request = place.request
+        message = PlaceHeld(
+            sequence=request.sequence,
+            server=request.server,
+            lasts_s=max(0.0, self._held[request.sequence].ends_at - now()),
+        )
+        if owner == self._me:
+            self._hold(self._me, message)
+        else:
+            self._send(owner, message)
+
+    def _list_held(self) -> list[Place]:
+        return [held.place for held in self._held.values()]
+
+    # -- owned servers --
+
+    def _find_ledger(self, server: str) -> PlaceLedger:
+        ledger = self._ledgers.get(server)
+        if ledger is None:
+            ledger = PlaceLedger(owned_since=self._owned_since)
+            self._ledgers[server] = ledger
+        return ledger
+
+    def _decide(self, sender: str, request: PlaceRequest) -> PlaceReply:
+        wait_s = self._find_ledger(request.server).request(
+            sender,
+            request.sequence,
+            capacity=self._find_share(request.capacity),
+            priority=request.priority,
+            ends_at=now() + request.lasts_s,
+            now=now(),
+        )
+        return PlaceReply(
+            sequence=request.sequence,
+            is_granted=wait_s is None,
+            wait_s=round(wait_s or 0.0, 3),
+            incarnation=self._incarnation,
+        )
+
+    def _find_share(self, capacity: int) -> int:
+        """Return the part of a server's capacity that this side of a partition has.
+
+        Instances that are not reached may be down, or grant places of their own.
+        """
+        known = max(self._reachable, self._senders.seen)
+        return max(1, capacity * self._reachable // known)
+
+    def _end_owned(self, sender: str, message: PlaceEnded) -> None:
+        ledger = self._ledgers.get(message.server)
+        if ledger is not None:
+            ledger.end(sender, message.sequence)
+
+    def _hold(self, sender: str, message: PlaceHeld) -> None:
+        ledger = self._find_ledger(message.server)
+        ledger.hold(sender, message.sequence, now() + message.lasts_s)
+
+    # -- messages --
+
+    def handle(self, sender: str, message: msgspec.Struct) -> None:
+        """Process a message of another instance."""
+        match message:
+            case PlaceRequest():
+                self._send(sender, self._reply(sender, message))
+            case PlaceReply():
+                self._owners.handle_reply(message)
+            case PlaceEnded():
+                self._end_owned(sender, message)
+            case PlaceHeld():
+                self._hold(sender, message)
+            case PlaceRejected():
+                ledger = self._find_ledger(message.server)
+                ledger.record_rejection(message.capacity, message.borne, now())
+
+    def _reply(self, sender: str, request: PlaceRequest) -> PlaceReply:
+        if not self._owners.is_own(request.server):
+            return PlaceReply(sequence=request.sequence, is_owner=False)
+        return self._decide(sender, request)
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -108,6 +108,7 @@
             regions=self._regions,
             bounds=settings.bounds,
             limits=self.peers.limits,
+            places=self.peers.places,
         )
         self.paths = Paths(
             me=settings.name,
@@ -144,6 +145,7 @@
             sessions=self.peers.sessions,
             placement=self.peers.placement,
             limits=self.peers.limits,
+            places=self.peers.places,
             crashes=self.crashes,
             quarantine=self.peers.quarantine,
             disabled=settings.off,
--- a/src/baobabthread/instance/restrictions.py
+++ b/src/baobabthread/instance/restrictions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from baobabthread.instance.limits import LimitCoordinator
+from baobabthread.instance.places import PlaceCoordinator
 from baobabthread.logs import log_event
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import BackendRecord, ServiceConfiguration
@@ -31,6 +32,7 @@
         "_senders",
         "_windows",
         "limits",
+        "places",
     )
 
     def __init__(
@@ -41,8 +43,10 @@
         regions: Regions,
         bounds: RoutingBounds,
         limits: LimitCoordinator,
+        places: PlaceCoordinator,
     ) -> None:
         self.limits = limits
+        self.places = places
         self._replica = replica
         self._regions = regions
         self._bounds = bounds
@@ -59,6 +63,7 @@
         """Update the known instances, whatever their state."""
         self._senders.record(names, now)
         self.limits.update_senders(names)
+        self.places.update_senders(names)
 
     def refresh(self, now: float) -> None:
         """Apply the current evacuations, allowed regions and cold servers."""
@@ -99,6 +104,7 @@
         closed = [name for name in self._cold if not self._is_window_open(name, now)]
         if not may_wait:
             closed.extend(self.limits.list_closed(now))
+            closed.extend(self.places.list_closed(now))
         if not closed:
             return self._list_outside_regions(allowed_regions)
         return self._list_outside_regions(allowed_regions).union(closed)
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -15,6 +15,7 @@
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.limits import LimitCoordinator
 from baobabthread.instance.placement import PlacedPrompt, Placement
+from baobabthread.instance.places import PlaceCoordinator
 from baobabthread.routing.mechanisms import DisabledMechanisms, Mechanism
 from baobabthread.routing.queues import classify
 from baobabthread.routing.reasons import VersionReason
@@ -24,6 +25,8 @@
 PATIENCE_FRACTION = 0.5
 """Fraction of the time left until the latency objective for which a request may wait
 for a limited server; the rest is for its response."""
+PLACE_POLL_INTERVAL_S = 0.03
+"""Interval at which a request that waits for a place at brittle servers asks again."""
 MAX_DENIALS = 3
 """Limited servers that are asked for one attempt before only others are used."""
 ENDED_MARGIN_S = 1.0
@@ -51,6 +54,7 @@
         "_estimates",
         "_limits",
         "_placement",
+        "_places",
         "_replica",
     )
 
@@ -62,6 +66,7 @@
         estimates: Estimates,
         placement: Placement,
         limits: LimitCoordinator,
+        places: PlaceCoordinator,
         disabled: DisabledMechanisms,
     ) -> None:
         self._replica = replica
@@ -69,6 +74,7 @@
         self._estimates = estimates
         self._placement = placement
         self._limits = limits
+        self._places = places
         self._disabled = disabled
 
     async def select(
@@ -86,8 +92,24 @@
             context.may_use_new_version = False
             link = await self._select_permitted(context, plan)
             context.version_reason = VersionReason.NO_SERVER
+        if link is None and self._places.is_brittle(context.service):
+            return await self._wait_for_place(context, plan)
         return link or await self._wait_for_permit(context)
 
+    async def _wait_for_place(
+        self, context: RequestContext, plan: VersionPlan
+    ) -> BackendLink | None:
+        """Return a brittle server once it has a place, if that is soon."""
+        until = now() + self._find_patience(context)
+        while now() < until:
+            await asyncio.sleep(PLACE_POLL_INTERVAL_S)
+            link = await self._select_permitted(context, plan)
+            if link is not None:
+                return link
+        full = self._pick_limited(context)
+        context.denied_by = full.name if full is not None else None
+        return None
+
     async def _select_permitted(
         self, context: RequestContext, plan: VersionPlan
     ) -> BackendLink | None:
@@ -97,15 +119,16 @@
             if link is None or await self._acquire(context, link, patience_s=0.0):
                 return link
         self._limits.pause()
-        return await self._select(context, plan)
+        link = await self._select(context, plan)
+        is_brittle = self._places.is_brittle(context.service)
+        return link if link is None or not is_brittle else None
 
     async def _wait_for_permit(self, context: RequestContext) -> BackendLink | None:
         """Return a limited server once it can take the attempt, if that is soon."""
         link = self._pick_limited(context)
         if link is None:
             return None
-        objective_left_s = context.started_at + context.route.objective_s - now()
-        patience_s = max(0.0, objective_left_s * PATIENCE_FRACTION)
+        patience_s = self._find_patience(context)
         if not await self._acquire(context, link, patience_s=patience_s):
             context.denied_by = link.name
             return None
@@ -113,6 +136,11 @@
             await asyncio.sleep(context.permit.wait_s)
         return link
 
+    def _find_patience(self, context: RequestContext) -> float:
+        """Return how long a request may wait for a server, in seconds."""
+        objective_left_s = context.started_at + context.route.objective_s - now()
+        return max(0.0, objective_left_s * PATIENCE_FRACTION)
+
     def _must_wait(self, context: RequestContext) -> bool:
         """Return whether a session's version has servers that are only limited."""
         return (
@@ -120,7 +148,8 @@
         )
 
     def _pick_limited(self, context: RequestContext) -> BackendLink | None:
-        if not self._limits.limited:
+        is_brittle = self._places.is_brittle(context.service)
+        if not self._limits.limited and not is_brittle:
             return None
         return self._pick(
             context, context.excluded, {}, [], version=context.version, may_wait=True
@@ -129,7 +158,34 @@
     async def _acquire(
         self, context: RequestContext, link: BackendLink, *, patience_s: float
     ) -> bool:
-        """Acquire the permission that a limited server needs; return if it is given."""
+        """Acquire what the server's state requires; return whether it is given."""
+        if not await self._acquire_permit(context, link, patience_s=patience_s):
+            return False
+        return await self._acquire_place(context, link)
+
+    async def _acquire_place(self, context: RequestContext, link: BackendLink) -> bool:
+        """Acquire a place at a brittle server."""
+        if not self._places.is_brittle(context.service):
+            return True
+        context.place = await self._places.acquire(
+            link.name,
+            service=context.service,
+            capacity=link.record.capacity,
+            priority=classify(context.priority),
+            lasts_s=context.deadline - now() + ENDED_MARGIN_S,
+        )
+        if context.place is not None:
+            return True
+        context.timeline.append(f"{link.record.id}:full")
+        if context.permit is not None:
+            context.permit.settle(responded=False)
+            context.permit = None
+        return False
+
+    async def _acquire_permit(
+        self, context: RequestContext, link: BackendLink, *, patience_s: float
+    ) -> bool:
+        """Acquire the permission that a limited server needs."""
         if self._limits.stated(link.name) is None:
             return True
         context.permit = await self._limits.acquire(
@@ -174,14 +230,18 @@
     def explain_unavailable(self, context: RequestContext) -> str:
         """Return the reason why no backend server is available for a request."""
         if context.denied_by is not None:
-            return "backends_limited"
+            is_limited = self._limits.stated(context.denied_by) is not None
+            return "backends_limited" if is_limited else "backends_full"
         return self._backends.explain_unavailable(
             context.service, context.allowed_regions
         )
 
     def has_alternative(self, context: RequestContext, link: BackendLink) -> bool:
         """Return whether another backend server could take the request."""
-        # A limited server may deny the request when it is asked.
+        # A limited server may deny the request when it is asked, a brittle one may
+        # lack a place.
+        if self._places.is_brittle(context.service):
+            return False
         excluded = context.excluded | {link.name} | self._limits.limited.keys()
         # What fails on a canary is retried on the current version.
         version = None if context.is_canary else context.version
--- a/src/baobabthread/instance/wire.py
+++ b/src/baobabthread/instance/wire.py
@@ -8,6 +8,7 @@
 import msgspec
 from multidict import MultiMapping
 
+from baobabthread.routing.places import StatedBrittleness
 from baobabthread.routing.serverlimits import StatedLimit
 from baobabthread.routing.table import Envelope
 
@@ -46,6 +47,8 @@
     """Remaining warm-up time that the backend server reports, in seconds."""
     limit: StatedLimit | None = None
     """Limit on the requests that the backend server can take; None if it has none."""
+    brittleness: StatedBrittleness | None = None
+    """What the backend server bears to reject; None if it states nothing."""
 
 
 class WireFormat(Protocol):
--- a/src/baobabthread/platform/headers.py
+++ b/src/baobabthread/platform/headers.py
@@ -8,6 +8,7 @@
 from multidict import MultiMapping
 
 from baobabthread.instance.wire import BackendCall, RawHeaders, ResponseMetadata
+from baobabthread.routing.places import StatedBrittleness
 from baobabthread.routing.serverlimits import StatedLimit
 from baobabthread.routing.table import Envelope, PromptPart
 
@@ -25,6 +26,7 @@
 CONFIDENCE = "X-Confidence"
 COLD_MS = "X-Cold-Ms"
 LIMIT = "Server-Limit"
+BRITTLE = "Server-Brittle"
 LAST_EVENT = "Last-Event-Id"
 SESSION = "Session"
 AUTHORIZATION = "Authorization"
@@ -129,6 +131,7 @@
             retry_after_s=_parse_number(headers.get("Retry-After")),
             cold_left_s=_parse_ms(headers.get(COLD_MS)) or 0.0,
             limit=_parse_limit(headers),
+            brittleness=_parse_brittleness(headers),
         )
 
     def filter_response_headers(self, headers: RawHeaders) -> list[tuple[str, str]]:
@@ -188,13 +191,28 @@
 
 def _parse_limit(headers: MultiMapping[str]) -> StatedLimit | None:
     """Return the smallest limit that is given, None if there is no such field."""
-    fields = headers.getall(LIMIT, ())
-    values = [value.strip() for field in fields for value in field.split(",")]
+    values = _split_values(headers, LIMIT)
+    return StatedLimit(per_s=_find_smallest(values)) if values else None
+
+
+def _parse_brittleness(headers: MultiMapping[str]) -> StatedBrittleness | None:
+    """Return the smallest number that is given, None if there is no such field."""
+    values = _split_values(headers, BRITTLE)
     if not values:
         return None
+    return StatedBrittleness(rejections=_find_smallest(values))
+
+
+def _split_values(headers: MultiMapping[str], name: str) -> list[str]:
+    fields = headers.getall(name, ())
+    return [value.strip() for field in fields for value in field.split(",")]
+
+
+def _find_smallest(values: list[str]) -> float | None:
+    """Return the smallest of decimal numbers; None if any of them is none."""
     if not all(_DECIMAL_NUMBER.fullmatch(value) for value in values):
-        return StatedLimit(per_s=None)
-    return StatedLimit(per_s=min(float(value) for value in values))
+        return None
+    return min(float(value) for value in values)
 
 
 def _parse_token_counts(value: str | None) -> tuple[int, int]:
--- a/src/baobabthread/routing/warmup.py
+++ b/src/baobabthread/routing/warmup.py
@@ -106,6 +106,11 @@
             else max(ASSUMED_MEMBERS, len(self._last_seen))
         )
 
+    @property
+    def seen(self) -> int:
+        """Number of instances that are or were members, without any assumed."""
+        return len(self._last_seen)
+
     def _forget_silent(self, now: float) -> None:
         recent = now - MEMBER_RETENTION_S
         self._last_seen = {
--- a/tests/instance/test_selection.py
+++ b/tests/instance/test_selection.py
@@ -12,6 +12,7 @@
 from baobabthread.instance.context import RequestContext
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.limits import LimitCoordinator
+from baobabthread.instance.places import PlaceCoordinator
 from baobabthread.instance.selection import Selection
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import RolloutOrder
@@ -52,6 +53,9 @@
         backends=any_backends,
         estimates=Estimates(),
         placement=unused,
+        places=PlaceCoordinator(
+            me="i1", incarnation="one", send=lambda to, message: None
+        ),
         limits=LimitCoordinator(
             me="i1",
             bounds=RoutingBounds(),
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -26,6 +26,8 @@
         """Remaining warm-up time that the response reports, in seconds."""
         self.limits: tuple[str, ...] = ()
         """Values of the limit that the response states."""
+        self.brittle: int | None = None
+        """Rejections within a second that the response says the server bears."""
 
 
 Behaviour = Callable[
@@ -34,6 +36,8 @@
 OnCrash = Callable[["FakeBackend"], None]
 OnArrival = Callable[["FakeBackend", ReceivedRequest, bool], None]
 """Called with each request on arrival, and whether it is executed."""
+SLOTS = 8
+"""Requests that each server runs at the same time, by its record."""
 NOT_EXECUTED = ("shed", "misdirected")
 BEHAVIOURS: dict[str, Behaviour] = {}
 
@@ -73,6 +77,15 @@
         """Whether its responses report the remaining warm-up time."""
         self.limits: tuple[str, ...] = ()
         """Values of the limit that its responses state, in requests per second."""
+        self.brittle: int | None = None
+        """Rejections within a second under which it falls; None if it never does."""
+        self.room = SLOTS
+        """Requests that it lets in at the same time while it is brittle."""
+        self.running = 0
+        self.peak_running = 0
+        self.rejected_at: list[float] = []
+        """When it rejected requests for lack of room."""
+        self.falls = 0
         self.arrivals: list[float] = []
         """Arrival times of all requests."""
         self.behaviour = "answer"
@@ -102,7 +115,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": self.version,
-            "slots": 8,
+            "slots": SLOTS,
             "state": "ready",
             "cold_left_ms": round(self.cold_left_s * 1000),
             "seq": 1,
@@ -160,8 +173,29 @@
         target = request.headers.get("x-target-instance", self.id)
         if target != self.id:
             return "misdirected"
+        if self.brittle is not None and self.running >= self.room:
+            return self._reject(self.brittle)
         return "crash" if self._crashes_under(request) else self.behaviour
 
+    async def _run(
+        self, behaviour: str, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        self.running += 1
+        self.peak_running = max(self.peak_running, self.running)
+        try:
+            await BEHAVIOURS[behaviour](self, request, writer)
+        finally:
+            self.running -= 1
+
+    def _reject(self, borne: int) -> str:
+        """Reject for lack of room, or fall if that is once too often."""
+        at = time.monotonic()
+        self.rejected_at.append(at)
+        if sum(at - each < 1.0 for each in self.rejected_at) <= borne:
+            return "shed"
+        self.falls += 1
+        return "crash"
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -172,14 +206,13 @@
                 self.seen.append(request)
                 self.arrivals.append(time.monotonic())
                 request.limits = self.limits
+                request.brittle = self.brittle
                 behaviour = self._choose_behaviour(request)
                 if self.cold_left_s and behaviour != "misdirected":
                     self.cold_arrivals.append(time.monotonic())
                 request.cold_left_s = self.cold_left_s if self.reports_cold else 0.0
                 self.on_arrival(self, request, behaviour not in NOT_EXECUTED)
-                work = asyncio.ensure_future(
-                    BEHAVIOURS[behaviour](self, request, writer)
-                )
+                work = asyncio.ensure_future(self._run(behaviour, request, writer))
                 while not work.done():
                     await asyncio.wait({work}, timeout=0.02)
                     is_gone = reader.at_eof() or reader.exception() is not None
@@ -216,6 +249,8 @@
     if request.cold_left_s:
         fields["X-Cold-Ms"] = str(round(request.cold_left_s * 1000))
     lines = [f"Server-Limit: {limit}" for limit in request.limits]
+    if request.brittle is not None:
+        lines.append(f"Server-Brittle: {request.brittle}")
     fields |= {name.replace("_", "-"): value for name, value in more.items()}
     lines.insert(0, f"HTTP/1.1 {status} X")
     lines += [f"{name}: {value}" for name, value in fields.items()]
--- /dev/null
+++ b/tests/routing/test_places.py
@@ -0,0 +1,151 @@
+"""Tests of brittle services and of the places at their servers."""
+
+from __future__ import annotations
+
+import pytest
+
+from baobabthread.core.configuration.configuration import Priority
+from baobabthread.routing.places import (
+    MAX_REGROWTH_PER_S,
+    MAX_RETRY_S,
+    MIN_REGROWTH_PER_S,
+    MIN_RETRY_S,
+    TAKEOVER_S,
+    BrittleServices,
+    PlaceLedger,
+    StatedBrittleness,
+)
+from baobabthread.routing.serverlimits import END_RESPONSES
+
+STATED = StatedBrittleness(rejections=4.0)
+CAPACITY = 20
+
+
+def fill(ledger: PlaceLedger, now: float, priority: Priority = Priority.URGENT) -> int:
+    """Take all places that are granted at a time and return their number."""
+    number = 0
+    while (
+        ledger.request(
+            "i1",
+            1000 * int(priority.value == Priority.URGENT.value) + number,
+            capacity=CAPACITY,
+            priority=priority,
+            ends_at=now + 100.0,
+            now=now,
+        )
+        is None
+    ):
+        number += 1
+    return number
+
+
+def test_end_only_after_newer_responses_without_it() -> None:
+    """Responses that were sent before arrive later, and a failure may lack it."""
+    services = BrittleServices()
+    assert services.record("s", STATED, sent_at=0.0, now=1.0)
+    assert not services.record("s", STATED, sent_at=1.0, now=2.0)
+    for _ in range(END_RESPONSES + 1):
+        assert not services.record("s", None, sent_at=1.5, now=3.0)
+    for _ in range(END_RESPONSES - 1):
+        assert not services.record("s", None, sent_at=2.5, now=3.0)
+    assert services.record("s", STATED, sent_at=0.0, now=3.5) is False
+    for _ in range(END_RESPONSES - 1):
+        assert not services.record("s", None, sent_at=4.0, now=5.0)
+    assert services.record("s", None, sent_at=4.0, now=5.0)
+    assert services.find("s") is None
+
+
+def test_an_unreadable_number_still_makes_a_service_brittle() -> None:
+    services = BrittleServices()
+    assert services.record(
+        "s", StatedBrittleness(rejections=None), sent_at=0.0, now=0.0
+    )
+    assert services.find("s") == 0.0
+    assert services.record("s", STATED, sent_at=0.0, now=1.0)
+    assert not services.record(
+        "s", StatedBrittleness(rejections=None), sent_at=2.0, now=2.0
+    )
+    assert services.find("s") == 4.0
+
+
+def test_grant_as_many_places_as_the_server_runs() -> None:
+    ledger = PlaceLedger(owned_since=-TAKEOVER_S)
+    assert fill(ledger, 0.0) == CAPACITY
+    ledger.end("i1", 1000)
+    assert fill(ledger, 0.1) == 0 or ledger.held == CAPACITY
+
+
+def test_a_new_owner_leaves_room_for_places_that_it_has_not_granted() -> None:
+    ledger = PlaceLedger(owned_since=0.0)
+    assert fill(ledger, 0.1) == CAPACITY // 2
+    ledger = PlaceLedger(owned_since=0.0)
+    for number in range(CAPACITY - 2):
+        ledger.hold("i2", number, 50.0)
+    assert fill(ledger, 0.1) == 0
+    assert fill(ledger, TAKEOVER_S + 0.1) == 2
+
+
+def test_leave_the_last_places_to_the_urgent() -> None:
+    ledger = PlaceLedger(owned_since=-TAKEOVER_S)
+    batch = fill(ledger, 0.0, Priority.BATCH)
+    assert batch < CAPACITY
+    assert fill(ledger, 0.0, Priority.URGENT) == CAPACITY - batch
+
+
+def test_a_rejection_lowers_the_room_until_it_grows_again() -> None:
+    """A server that is brittle may let fewer in than it has slots."""
+    ledger = PlaceLedger(owned_since=-TAKEOVER_S)
+    for number in range(10):
+        ledger.hold("i2", number, 50.0)
+    ledger.record_rejection(CAPACITY, 6.0, 0.0)
+    assert ledger.compute_room(CAPACITY, 0.0) == 9.0
+    assert fill(ledger, 0.0) == 0
+    assert ledger.compute_room(CAPACITY, 5.0 / MAX_REGROWTH_PER_S) == 14.0
+    assert ledger.compute_room(CAPACITY, 100.0) == CAPACITY
+
+
+def test_lower_the_room_at_once_before_a_server_falls() -> None:
+    """Whoever takes back one place for each rejection is too slow for a server."""
+    ledger = PlaceLedger(owned_since=-TAKEOVER_S)
+    for number in range(16):
+        ledger.hold("i2", number, 50.0)
+    for _ in range(3):
+        ledger.record_rejection(CAPACITY, 3.0, 0.0)
+    assert ledger.compute_room(CAPACITY, 0.0) <= 10.0
+
+
+def test_a_server_that_bears_no_rejection_regains_room_slowly() -> None:
+    ledger = PlaceLedger(owned_since=-TAKEOVER_S)
+    for number in range(10):
+        ledger.hold("i2", number, 50.0)
+    ledger.record_rejection(CAPACITY, 0.0, 0.0)
+    room = ledger.compute_room(CAPACITY, 0.0)
+    assert ledger.compute_room(CAPACITY, 1.0) == room + MIN_REGROWTH_PER_S
+
+
+def test_places_expire_whose_end_was_not_reported() -> None:
+    ledger = PlaceLedger(owned_since=-TAKEOVER_S)
+    ledger.hold("i2", 1, 5.0)
+    assert fill(ledger, 6.0) == CAPACITY
+
+
+@pytest.mark.parametrize("instances", [1, 6, 59, 195, 400])
+def test_denied_instances_ask_the_later_the_more_they_are(instances: int) -> None:
+    """An owner answers a few hundred requests a second, not each of 400 instances'."""
+    ledger = PlaceLedger(owned_since=-TAKEOVER_S)
+    fill(ledger, 0.0)
+    waits = [
+        ledger.request(
+            f"i{number}",
+            1,
+            capacity=CAPACITY,
+            priority=Priority.URGENT,
+            ends_at=5.0,
+            now=0.1,
+        )
+        for number in range(2, instances + 2)
+    ]
+    last = waits[-1]
+    assert last is not None
+    assert MIN_RETRY_S <= last <= MAX_RETRY_S
+    assert instances / last <= 401.0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -64,6 +64,7 @@
     "forget homes": "homes",
     "forget limits": "limited backend",
     "keep to own paths": "partition",
+    "forget brittleness": "brittle backends",
 }
 """Fault that shows that a safeguard is missing, where it isn't the usual one."""
 
@@ -77,7 +78,15 @@
 
 
 @pytest.mark.parametrize(
-    "fault", ["evacuation", "cold backend", "homes", "limited backend", "partition"]
+    "fault",
+    [
+        "evacuation",
+        "cold backend",
+        "homes",
+        "limited backend",
+        "partition",
+        "brittle backends",
+    ],
 )
 def test_keep_requests_away_from_where_they_must_not_go(fault: str) -> None:
     """Callers ask all the while; a domain is evacuated, servers are cold, homes change.
@@ -113,6 +122,7 @@
         ("forget homes", "homes"),
         ("forget limits", "limited servers"),
         ("keep to own paths", "partitions"),
+        ("forget brittleness", "brittle servers"),
     ],
 )
 def test_find_a_safeguard_that_was_taken_out(weaken: str, promise: str) -> None:
