Don't eject backend servers that are silent for a moment

What callers saw: nothing at once, but a plain server that was silent for 1.2 s under 24 requests was ejected and got less than its part for seconds after, so that the others took its load. Cause: an attempt that was abandoned for silence counted as a failure of its server, and five in a row eject it. A silent server is suspect already, gets no new requests while others have room, and is used again with its first byte.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -317,4 +317,8 @@
         # A timed-out request may have queued behind others. Ejecting servers for it
         # would shift their load to the remaining ones, which would then fail as well.
         return Outcome.CANCELLED
+    if isinstance(error, SilenceTimeoutError):
+        # A sound server may pause for a second. While it is silent it is suspect, which
+        # ends with its first byte; an ejection would outlast the pause.
+        return Outcome.CANCELLED
     return Outcome.FAILED
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -86,6 +86,9 @@
         self.rejected_at: list[float] = []
         """When it rejected requests for lack of room."""
         self.falls = 0
+        self.awake = asyncio.Event()
+        """Cleared while it falls silent though it is sound."""
+        self.awake.set()
         self.arrivals: list[float] = []
         """Arrival times of all requests."""
         self.behaviour = "answer"
@@ -183,10 +186,17 @@
         self.running += 1
         self.peak_running = max(self.peak_running, self.running)
         try:
+            await self.awake.wait()
             await BEHAVIOURS[behaviour](self, request, writer)
         finally:
             self.running -= 1
 
+    async def fall_silent(self, seconds: float) -> None:
+        """Send nothing for a while, and go on."""
+        self.awake.clear()
+        await asyncio.sleep(seconds)
+        self.awake.set()
+
     def _reject(self, borne: int) -> str:
         """Reject for lack of room, or fall if that is once too often."""
         at = time.monotonic()
@@ -300,6 +310,7 @@
             await asyncio.sleep(0.02)
             writer.transport.abort()
             return
+        await backend.awake.wait()
         writer.write(_chunk(event))
         await writer.drain()
         await asyncio.sleep(backend.pause_s)
