Don't avoid peers that had no time left to relay

A server that is silent for everybody takes the whole time for a connection, so the peer that is asked last had none and was avoided for all servers for two seconds, though it was never asked. tests/platform/test_partitions.py::test_a_silent_server_makes_no_peer_suspect failed before (i3 may not be used) and passes.

--- a/src/baobabthread/instance/paths.py
+++ b/src/baobabthread/instance/paths.py
@@ -300,6 +300,8 @@
     async def _open_relayed(
         self, relay: Relay, name: str, make: MakeConnection, deadline: float
     ) -> Connection:
+        if now() >= deadline:
+            raise RelayError(relay, None, "no time left")
         host, _, port = relay.address.rpartition(":")
         loop = asyncio.get_running_loop()
         handshake = _Handshake(name)
--- a/tests/platform/test_partitions.py
+++ b/tests/platform/test_partitions.py
@@ -158,6 +158,22 @@
     run(case())
 
 
+def test_a_silent_server_makes_no_peer_suspect() -> None:
+    """Peers that were asked last had no time left, and are no worse for that."""
+
+    async def case() -> None:
+        async with open_partitionable(4) as site:
+            for index in range(4):
+                site.cut_paths(index, Cut.HANGING, "p1", "p2")
+            assert (await site.call("/unsafe/x")).status == 503
+            relays = site.instances[0].paths.relays
+            now = asyncio.get_running_loop().time()
+            for name in ("i2", "i3", "i4"):
+                assert relays.may_use(name, "another server", now)
+
+    run(case())
+
+
 def test_a_partition_is_no_crash_of_servers() -> None:
     """Requests whose connections a partition resets must not pass for its cause."""
 
