--- a/src/baobabthread/instance/placemessages.py
+++ b/src/baobabthread/instance/placemessages.py
@@ -38,6 +38,8 @@
 
     sequence: int
     server: str
+    earlier: tuple[int, ...] = ()
+    """Places that ended before, whose reports may be lost."""
 
 
 class PlaceHeld(msgspec.Struct, frozen=True, kw_only=True, tag="places.held"):
--- a/src/baobabthread/instance/places.py
+++ b/src/baobabthread/instance/places.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import msgspec
 
 from baobabthread.core.configuration.configuration import Priority
@@ -27,6 +29,8 @@
 """Time for an owner's reply. Without it hardly a request is sent, so that an owner that
 is held up for a moment is waited for."""
 OWNER_BACKOFF_S = 0.2
+REPEATED_ENDS = 4
+"""Ends that each report of an end repeats: places of lost ones stay taken for long."""
 REJECTED_CLOSE_S = 0.05
 """Time for which a server gets no request after a rejection, or without an owner."""
 
@@ -63,6 +67,7 @@
     __slots__ = (
         "_brittle",
         "_closed_until",
+        "_ended",
         "_held",
         "_incarnation",
         "_incarnations",
@@ -102,6 +107,8 @@
         """Instances that are believed to serve."""
         self._held: dict[int, _HeldPlace] = {}
         """Places that requests of this instance hold, by number."""
+        self._ended: dict[str, deque[int]] = {}
+        """Places that ended most recently, by server."""
         self._closed_until: dict[str, float] = {}
         """Until when a server has no place."""
         self._windows = SendWindows(me=me)
@@ -135,7 +142,7 @@
         """Drop the state of all servers except for these incarnations."""
         self._owners.retain(servers)
         self._unowned &= servers
-        for known in (self._ledgers, self._closed_until):
+        for known in (self._ledgers, self._closed_until, self._ended):
             for name in [name for name in known if name not in servers]:
                 del known[name]
                 self._windows.forget(name)
@@ -207,6 +214,8 @@
         )
         reply = await self._owners.ask(request)
         if reply is None:
+            # A lost reply may have granted a place.
+            self._report_ended(request)
             return self._use_window(service, request)
         if not reply.is_granted:
             self._close(server, reply.wait_s)
@@ -224,8 +233,16 @@
             self._unowned.discard(request.server)
             return
         self._held.pop(request.sequence, None)
-        message = PlaceEnded(sequence=request.sequence, server=request.server)
-        owner = self._owners.find(request.server)
+        self._report_ended(request)
+
+    def _report_ended(self, request: PlaceRequest) -> None:
+        server = request.server
+        earlier = self._ended.setdefault(server, deque(maxlen=REPEATED_ENDS))
+        message = PlaceEnded(
+            sequence=request.sequence, server=server, earlier=tuple(earlier)
+        )
+        earlier.append(request.sequence)
+        owner = self._owners.find(server)
         if owner == self._me:
             self._end_owned(self._me, message)
         else:
@@ -311,7 +328,8 @@
     def _end_owned(self, sender: str, message: PlaceEnded) -> None:
         ledger = self._ledgers.get(message.server)
         if ledger is not None:
-            ledger.end(sender, message.sequence, now())
+            for sequence in (message.sequence, *message.earlier):
+                ledger.end(sender, sequence, now())
 
     def _hold(self, sender: str, message: PlaceHeld) -> None:
         ledger = self._find_ledger(message.server)
--- a/tests/bench/test_places.py
+++ b/tests/bench/test_places.py
@@ -30,6 +30,13 @@
         assert World(day, seed=seed).play().count_peak_rejections() <= BORNE
 
 
+@pytest.mark.parametrize("members", [6, 59, 195])
+def test_lost_messages_take_no_places_for_long(members: int) -> None:
+    """The place of a request whose end is not reported stays taken for seconds."""
+    world = World(PlaceDay(members=members, loss=0.02), seed=1).play()
+    assert world.compute_use() >= 0.75
+
+
 @pytest.mark.parametrize("members", MEMBERS)
 @pytest.mark.parametrize("capacity", [4, 8, 64])
 def test_use_most_of_a_brittle_server(capacity: int, members: int) -> None:
