--- a/soak/site.py
+++ b/soak/site.py
@@ -352,6 +352,10 @@
         backend.fake.close()
         backend.proxy.close()
         self.backends.pop(backend.fake.id, None)
+        self._close_paths(backend)
+
+    def _close_paths(self, backend: Backend) -> None:
+        # An open one would accept connections for a server that refuses them.
         for paths in self.paths.values():
             path = paths.pop(backend.fake.id, None)
             if path is not None:
@@ -378,6 +382,7 @@
                 self.history.brittle[-1].falls.append(fake.id)
             backend.troubles += 1
             backend.proxy.close()
+            self._close_paths(backend)
             self._returns.add(asyncio.ensure_future(self._bring_back(backend)))
 
     async def _bring_back(self, backend: Backend) -> None:
