Log the prompt parts of requests on crashed backend servers

The logs could not tell whether requests that share a prompt part, and nothing else, are on each server that crashes: no line held a part. The lines backend_crashed and those of requests whose connection was lost now list the fingerprints of the parts that other requests may share (the id of a part is a caller's text, so it is hashed; the last part belongs to the request itself). No decision uses them.

--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -14,7 +14,7 @@
 from baobabthread.routing.budget import RetryBudget
 from baobabthread.routing.configuration import Account, Route
 from baobabthread.routing.exposure import ExposureBudget
-from baobabthread.routing.fingerprints import fingerprint
+from baobabthread.routing.fingerprints import fingerprint, fingerprint_parts
 from baobabthread.routing.reasons import VersionReason
 from baobabthread.routing.regions import find_allowed_regions
 from baobabthread.routing.table import Envelope
@@ -88,6 +88,7 @@
 
     __slots__ = (
         "_fingerprint",
+        "_parts",
         "account",
         "admitted_at_stop",
         "allowed_regions",
@@ -205,6 +206,7 @@
         self.timeline: list[str] = []
         """Backend server and result of each attempt, for the log."""
         self._fingerprint: str | None = None
+        self._parts: tuple[str, ...] | None = None
 
     def release_exposure(self) -> None:
         """Release the exposure reserved for an attempt that was not sent."""
@@ -273,6 +275,13 @@
             )
         return self._fingerprint
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Fingerprints of the parts of its prompt that other requests may share."""
+        if self._parts is None:
+            self._parts = fingerprint_parts(self.request.envelope.prompt_parts)
+        return self._parts
+
     @property
     def has_attempts_left(self) -> bool:
         """Return whether its route allows another attempt."""
--- a/src/baobabthread/instance/crashes.py
+++ b/src/baobabthread/instance/crashes.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import enum
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 
 import msgspec
@@ -49,6 +49,8 @@
 runs on it concurrently."""
 MAX_LOGGED_REQUESTS = 8
 """Requests listed in one log line."""
+MAX_LOGGED_PARTS = 24
+"""Parts of their prompts listed in one log line, the most frequent ones."""
 
 ReportCrash = Callable[[Crash], None]
 """Report a crash to the instances that evaluate it."""
@@ -69,6 +71,8 @@
     """Metadata of a request, without its body, for the analysis of a crash."""
 
     fingerprint: str
+    parts: tuple[str, ...]
+    """Fingerprints of the parts of its prompt that other requests may share."""
     request_id: str
     began_at: float | None
     """When its response started."""
@@ -107,6 +111,7 @@
         """Return its metadata, with the current time as the time of departure."""
         return RequestTrace(
             fingerprint=self.context.fingerprint,
+            parts=self.context.parts,
             request_id=self.context.request.envelope.request_id,
             began_at=self.began_at,
             left_at=now(),
@@ -248,6 +253,7 @@
             older=sorted(older),
         )
         ids = [trace.request_id for trace in candidates]
+        parts = Counter(part for trace in candidates for part in trace.parts)
         log_event(
             "backend_crashed",
             level="warning",
@@ -259,6 +265,7 @@
             fresh=len(fresh),
             older=len(older),
             fingerprints=",".join(crash.fresh[:MAX_LOGGED_REQUESTS]),
+            parts=",".join(part for part, _ in parts.most_common(MAX_LOGGED_PARTS)),
         )
         self._report(crash)
 
--- a/src/baobabthread/instance/requestlog.py
+++ b/src/baobabthread/instance/requestlog.py
@@ -165,6 +165,7 @@
         logged_at = now()
         if context.lost_connections:
             fields.setdefault("fingerprint", context.fingerprint)
+            fields.setdefault("parts", ",".join(context.parts))
         if context.admitted_at_stop is not None:
             fields.setdefault("until_end_ms", context.admitted_at_stop.until_end_ms)
             fields.setdefault("usual_ms", context.admitted_at_stop.usual_ms)
