Failing tests of a prompt part that crashes backend servers

Callers' requests share one part of their prompts and nothing else; each backend server crashes as it begins to answer one. Three instances, four servers that restart, sound requests beside them that share the callers and all other parts.

--- a/tests/platform/crashes.py
+++ b/tests/platform/crashes.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
-from tests.platform.fakes import FakeBackend, ReceivedRequest
+from tests.platform.fakes import CrashMoment, FakeBackend, Framing, ReceivedRequest
 from tests.platform.fakestore import BACKENDS
 from tests.platform.site import Site
 
@@ -37,7 +38,12 @@
         self.crashes: list[Crash] = []
         self.crash_on = CRASH_MARK
         self.crash_account = ""
+        self.crash_part = ""
+        self.crash_moment = CrashMoment.BETWEEN_EVENTS
+        self.framing = Framing.CHUNKED
         self.work_s = 0.02
+        self.on_start: Callable[[FakeBackend], None] = lambda backend: None
+        """Called with each process before it listens."""
 
     async def add(self, id: str) -> FakeBackend:
         """Start one more backend server."""
@@ -57,7 +63,11 @@
         backend = FakeBackend(id, **self._settings)
         backend.crash_on = self.crash_on
         backend.crash_account = self.crash_account
+        backend.crash_part = self.crash_part
+        backend.crash_moment = self.crash_moment
+        backend.framing = self.framing
         backend.pause_s = self.work_s
+        self.on_start(backend)
         backend.on_arrival = self._record_arrival
         backend.on_crash = self._handle_crash
         await backend.start(port)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import struct
 import time
 from collections.abc import Awaitable, Callable
@@ -29,6 +30,28 @@
         self.brittle: int | None = None
         """Rejections within a second that the response says the server bears."""
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """The parts of the prompt except for the last one."""
+        prefix = self.headers.get("x-prompt-prefix", "")
+        return [part.partition(":")[0] for part in prefix.split(",")[:-1]]
+
+
+class CrashMoment(enum.StrEnum):
+    """How far the response to a request gets that crashes the server."""
+
+    BEFORE_HEAD = "before the head"
+    AFTER_HEAD = "after the head"
+    BETWEEN_EVENTS = "between events"
+    INSIDE_EVENT = "inside an event"
+
+
+class Framing(enum.StrEnum):
+    """How the end of a stream is marked."""
+
+    CHUNKED = "chunked"
+    CLOSE = "by the end of the connection"
+
 
 Behaviour = Callable[
     ["FakeBackend", ReceivedRequest, asyncio.StreamWriter], Awaitable[None]
@@ -104,6 +127,12 @@
         """Only requests of this account crash the server; empty for all accounts."""
         self.crash_s = 0.03
         """Delay from the start of such a request to the crash."""
+        self.crash_part = ""
+        """Part of a prompt, never the last one, that crashes the server as well."""
+        self.crash_moment = CrashMoment.BETWEEN_EVENTS
+        """How far the response to such a request gets, if it is a stream."""
+        self.framing = Framing.CHUNKED
+        """How the ends of streams are marked."""
         self.is_down = False
         self.on_crash: OnCrash = lambda backend: None
         self.address = ""
@@ -168,6 +197,8 @@
         self.on_crash(self)
 
     def _crashes_under(self, request: ReceivedRequest) -> bool:
+        if self.crash_part and self.crash_part in request.shared_parts:
+            return True
         if self.crash_account not in ("", request.headers.get("x-tenant")):
             return False
         return bool(self.crash_on) and self.crash_on in request.body
@@ -292,29 +323,38 @@
     """Send the events after the last received one; reset within event `cut`."""
     model = request.headers["x-model"]
     confidence = str(backend.confidence.get(model, 100))
-    writer.write(
-        render_response_head(
-            request,
-            200,
-            Content_Type="text/event-stream",
-            Transfer_Encoding="chunked",
-            X_Confidence=confidence,
-        )
-    )
+    encode = _write_stream_head(backend, request, writer, X_Confidence=confidence)
     start = int(request.headers.get("last-event-id", "0"))
     for number in range(start + 1, backend.events + 1):
         event = f"id: {number}\ndata: {model} piece {number}\n\n".encode()
         if number == cut:
-            writer.write(_chunk(event[:10]))
+            writer.write(encode(event[:10]))
             await writer.drain()
             await asyncio.sleep(0.02)
             writer.transport.abort()
             return
         await backend.awake.wait()
-        writer.write(_chunk(event))
+        writer.write(encode(event))
         await writer.drain()
         await asyncio.sleep(backend.pause_s)
-    writer.write(b"0\r\n\r\n")
+    if backend.framing is Framing.CHUNKED:
+        writer.write(b"0\r\n\r\n")
+    else:
+        writer.close()
+
+
+def _write_stream_head(
+    backend: FakeBackend,
+    request: ReceivedRequest,
+    writer: asyncio.StreamWriter,
+    **more: str,
+) -> Callable[[bytes], bytes]:
+    """Begin a stream and return the function that encodes its events."""
+    fields = {"Content_Type": "text/event-stream", **more}
+    if backend.framing is Framing.CHUNKED:
+        fields["Transfer_Encoding"] = "chunked"
+    writer.write(render_response_head(request, 200, **fields))
+    return _chunk if backend.framing is Framing.CHUNKED else bytes
 
 
 def _chunk(data: bytes) -> bytes:
@@ -432,15 +472,15 @@
 async def crash_under(
     backend: FakeBackend, request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
-    """Start the request, send a first event if it is a stream, and crash."""
-    if "x-model" in request.headers:
-        head = render_response_head(
-            request,
-            200,
-            Content_Type="text/event-stream",
-            Transfer_Encoding="chunked",
-            X_Confidence="100",
-        )
-        writer.write(head + _chunk(b"id: 1\ndata: first\n\n"))
+    """Start the request, send as much of a stream as is set, and crash."""
+    moment = backend.crash_moment
+    if "x-model" in request.headers and moment is not CrashMoment.BEFORE_HEAD:
+        encode = _write_stream_head(backend, request, writer, X_Confidence="100")
+        number = int(request.headers.get("last-event-id", "0")) + 1
+        event = f"id: {number}\ndata: first\n\n".encode()
+        if moment is not CrashMoment.AFTER_HEAD:
+            writer.write(encode(event))
+        if moment is CrashMoment.INSIDE_EVENT:
+            writer.write(encode(f"id: {number + 1}\nda".encode()))
     await asyncio.sleep(backend.crash_s)
     backend.crash()
