Quarantine prompt parts that crash backend servers

What callers saw: requests that share one part of their prompts, and nothing else, crash each backend server that begins to answer them.

Cause: a failure was remembered under an identity narrower than its cause. A request was known by account, method, host, target and body only, so that each of these counted as a new one and none reached the three crashes of a quarantine.

Now a request has features, itself and each shared part of its prompt, and any of them may be the cause. Crash reports name them. Three crashes with a feature quarantine it for all accounts, routes and models, if - no request with it that began after the first of these crashes was answered at any instance: owners ask all instances, which also report the next such answer. An answer of before clears nothing any more; nor do failures; - a request with it was sent on after one crash and met the next one, as parts that everybody uses are on all servers that are lost together; - no other request explains the crashes. Parts that always come together are quarantined together, and the entry is reduced once some of them are answered alone. After its time only the first owner lets one request through at a time.

A request with a suspected part isn't sent on to another server after a crash.

Why it works: the part is the only feature that all crashes share and that is never answered; sound requests lack it, so that no other part, account or route is held.

--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -125,6 +125,7 @@
         "session_on_new_version",
         "started_at",
         "timeline",
+        "trial",
         "version",
         "version_reason",
         "work_ms",
@@ -205,6 +206,8 @@
         self.reason = ""
         self.timeline: list[str] = []
         """Backend server and result of each attempt, for the log."""
+        self.trial: str | None = None
+        """Quarantined features that it puts on trial."""
         self._fingerprint: str | None = None
         self._parts: tuple[str, ...] | None = None
 
@@ -282,6 +285,11 @@
             self._parts = fingerprint_parts(self.request.envelope.prompt_parts)
         return self._parts
 
+    @property
+    def features(self) -> tuple[str, ...]:
+        """Fingerprints of all that may make it crash a backend server."""
+        return (self.fingerprint, *self.parts)
+
     @property
     def has_attempts_left(self) -> bool:
         """Return whether its route allows another attempt."""
--- a/src/baobabthread/instance/crashes.py
+++ b/src/baobabthread/instance/crashes.py
@@ -9,7 +9,7 @@
 import asyncio
 import enum
 from collections import Counter, OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -18,7 +18,8 @@
 from baobabthread.instance.connections import Listening
 from baobabthread.instance.context import RequestContext
 from baobabthread.logs import log_event
-from baobabthread.routing.crashes import Crash
+from baobabthread.routing.crashes import MAX_REPORTED_PARTS, Crash, CrashedRequest
+from baobabthread.routing.quarantine import QuarantineEntry
 
 CHECK_DELAY_S = 0.02
 """Delay from a lost connection to the first probe of the server, by which a process
@@ -39,11 +40,9 @@
 PROVEN_WINDOW_S = 60.0
 """Time for which a response proves that a version works. A version that crashes on
 every request never responds; its requests must not be quarantined for that."""
-ANSWERED_WINDOW_S = 10.0
-"""Time after a response during which a request isn't suspected: popular requests are
-present at every crash and keep being answered."""
-MAX_ANSWERED = 4096
-"""Recently answered requests to remember: 400 a second for `ANSWERED_WINDOW_S`."""
+MAX_ANSWERED = 8192
+"""Features of recently answered requests to remember: some 400 requests a second, with
+two new features each, for ten seconds."""
 MAX_DEPARTED = 512
 """Unanswered requests to remember per server: several times the number that an instance
 runs on it concurrently."""
@@ -60,6 +59,10 @@
     """How a request left a backend server."""
 
     ANSWERED = "answered"
+    """It got a whole successful response."""
+    FAILED = "failed"
+    """It got a whole response of another kind, which shows only that its version
+    works."""
     LOST = "lost"
     """Its connection ended before the response."""
     CANCELLED = "cancelled"
@@ -74,10 +77,16 @@
     parts: tuple[str, ...]
     """Fingerprints of the parts of its prompt that other requests may share."""
     request_id: str
+    sent_at: float
     began_at: float | None
     """When its response started."""
     left_at: float
 
+    @property
+    def features(self) -> tuple[str, ...]:
+        """Fingerprints of all that may make it crash a server."""
+        return (self.fingerprint, *self.parts)
+
     def is_older(self, timestamp: float) -> bool:
         """Return whether its response had started long before a time."""
         return self.began_at is not None and timestamp - self.began_at > FRESH_WINDOW_S
@@ -90,13 +99,23 @@
 class ActiveRequest:
     """A request while it is on a backend server."""
 
-    __slots__ = ("_abort", "began_at", "context", "is_cancelled")
+    __slots__ = (
+        "_abort",
+        "began_at",
+        "context",
+        "has_survived",
+        "is_cancelled",
+        "sent_at",
+    )
 
     def __init__(self, *, context: RequestContext, abort: Callable[[], None]) -> None:
         self.context = context
         self._abort = abort
         self.is_cancelled = False
+        self.sent_at = now()
         self.began_at: float | None = None
+        self.has_survived = False
+        """Whether its server lived on after its response had started."""
 
     def record_begin(self) -> None:
         """Record that its response has started."""
@@ -113,6 +132,7 @@
             fingerprint=self.context.fingerprint,
             parts=self.context.parts,
             request_id=self.context.request.envelope.request_id,
+            sent_at=self.sent_at,
             began_at=self.began_at,
             left_at=now(),
         )
@@ -142,7 +162,10 @@
     def __init__(self, *, backends: Backends, report: ReportCrash) -> None:
         self._backends = backends
         self._report = report
-        self.on_answered: Callable[[RequestContext], None] = lambda context: None
+        self.on_answered: Callable[[Sequence[str], float], None] = (
+            lambda features, began_at: None
+        )
+        """Called with the features of an answered request, and when it began."""
         self._servers: dict[str, _WatchedServer] = {}
         self._answered: OrderedDict[str, float] = OrderedDict()
         self._proven: dict[tuple[str, str], float] = {}
@@ -162,8 +185,8 @@
         if server is None or request not in server.active:
             return
         server.active.discard(request)
-        if departure is Departure.ANSWERED:
-            self._record_answered(request.context, link)
+        if departure in (Departure.ANSWERED, Departure.FAILED):
+            self._record_response(request, link, departure)
         elif departure is not Departure.NEVER_SENT:
             server.departed.append(request.trace())
         is_lost = departure is Departure.LOST and not request.is_cancelled
@@ -171,18 +194,36 @@
             server.broke_at = now()
             server.check = asyncio.ensure_future(self._check(server))
 
-    def was_answered(self, fingerprint: str) -> bool:
-        """Return whether this instance recently got a whole response to a request."""
-        return now() - self._answered.get(fingerprint, -1e9) < ANSWERED_WINDOW_S
+    def find_answered(self, feature: str) -> float:
+        """Return when the newest answered response with a feature began."""
+        return self._answered.get(feature, -1e9)
+
+    def cancel(self, entry: QuarantineEntry) -> None:
+        """Cancel requests on all backend servers that may not have started them.
 
-    def cancel(self, fingerprint: str) -> None:
-        """Cancel a request on all backend servers that may not have started it."""
+        If the entry is tentative, those that have started are left alone.
+        """
+        features = entry.features
         for server in self._servers.values():
             for request in list(server.active):
                 trace = request.trace()
-                if trace.fingerprint == fingerprint and not trace.is_older(now()):
+                if not features <= set(trace.features) or trace.is_older(now()):
+                    continue
+                if not entry.is_tentative or request.began_at is None:
                     request.cancel()
 
+    def record_survivors(self) -> None:
+        """Record requests whose servers still respond long after these began."""
+        since = now() - FRESH_WINDOW_S
+        for server in self._servers.values():
+            for request in server.active:
+                began_at = request.began_at
+                if began_at is None or began_at > since or request.has_survived:
+                    continue
+                if server.link.received_at > began_at + FRESH_WINDOW_S:
+                    request.has_survived = True
+                    self._record_answered(request.trace().features, began_at)
+
     def prune(self) -> None:
         """Drop removed servers that have no active requests."""
         for name, server in list(self._servers.items()):
@@ -196,14 +237,21 @@
             if server.check is not None:
                 server.check.cancel()
 
-    def _record_answered(self, context: RequestContext, link: BackendLink) -> None:
-        timestamp = now()
-        self._proven[(link.record.service, link.record.version)] = timestamp
-        self._answered[context.fingerprint] = timestamp
-        self._answered.move_to_end(context.fingerprint)
-        if len(self._answered) > MAX_ANSWERED:
+    def _record_response(
+        self, request: ActiveRequest, link: BackendLink, departure: Departure
+    ) -> None:
+        self._proven[(link.record.service, link.record.version)] = now()
+        if departure is Departure.ANSWERED and request.began_at is not None:
+            self._record_answered(request.trace().features, request.began_at)
+
+    def _record_answered(self, features: Sequence[str], began_at: float) -> None:
+        for feature in features:
+            if began_at > self.find_answered(feature):
+                self._answered[feature] = began_at
+                self._answered.move_to_end(feature)
+        while len(self._answered) > MAX_ANSWERED:
             self._answered.popitem(last=False)
-        self.on_answered(context)
+        self.on_answered(features, began_at)
 
     def _may_have_crashed(self, server: _WatchedServer) -> bool:
         # A planned shutdown closes the connections as well.
@@ -237,21 +285,9 @@
 
     def _report_termination(self, server: _WatchedServer) -> None:
         candidates = self._collect_candidates(server)
-        broke_at = server.broke_at
-        fresh = {
-            trace.fingerprint for trace in candidates if not trace.is_older(broke_at)
-        }
-        older = {trace.fingerprint for trace in candidates} - fresh
         record = server.link.record
         proven_at = self._proven.get((record.service, record.version), -1e9)
-        crash = Crash(
-            backend=server.link.name,
-            service=record.service,
-            version=record.version,
-            is_proven=now() - proven_at < PROVEN_WINDOW_S,
-            fresh=sorted(fresh),
-            older=sorted(older),
-        )
+        crash = self._make_report(server, candidates, now() - proven_at)
         ids = [trace.request_id for trace in candidates]
         parts = Counter(part for trace in candidates for part in trace.parts)
         log_event(
@@ -262,13 +298,56 @@
             version=record.version,
             version_proven=crash.is_proven,
             requests=",".join(ids[:MAX_LOGGED_REQUESTS]),
-            fresh=len(fresh),
-            older=len(older),
+            fresh=len(crash.fresh),
+            older=len(crash.older),
             fingerprints=",".join(crash.fresh[:MAX_LOGGED_REQUESTS]),
             parts=",".join(part for part, _ in parts.most_common(MAX_LOGGED_PARTS)),
         )
         self._report(crash)
 
+    def _make_report(
+        self, server: _WatchedServer, candidates: list[RequestTrace], proven_s: float
+    ) -> Crash:
+        record = server.link.record
+        broke_at = server.broke_at
+        fresh: dict[str, RequestTrace] = {}
+        older: dict[str, RequestTrace] = {}
+        for trace in candidates:
+            group = older if trace.is_older(broke_at) else fresh
+            group[trace.fingerprint] = trace
+        for fingerprint in fresh:
+            older.pop(fingerprint, None)
+        traces = [*sorted(fresh.values(), key=_get_fingerprint)]
+        traces += sorted(older.values(), key=_get_fingerprint)
+        parts = list(dict.fromkeys(part for trace in traces for part in trace.parts))
+        positions = {part: n for n, part in enumerate(parts[:MAX_REPORTED_PARTS])}
+        timestamp = now()
+        answered = {
+            feature: timestamp - self.find_answered(feature)
+            for feature in (*fresh, *older, *positions)
+            if feature in self._answered
+        }
+        return Crash(
+            backend=server.link.name,
+            service=record.service,
+            version=record.version,
+            is_proven=proven_s < PROVEN_WINDOW_S,
+            fresh=[trace.fingerprint for trace in traces[: len(fresh)]],
+            older=[trace.fingerprint for trace in traces[len(fresh) :]],
+            age_s=timestamp - broke_at,
+            parts=list(positions),
+            requests=[
+                CrashedRequest(
+                    sent_s=round(broke_at - trace.sent_at, 4),
+                    parts=[
+                        positions[part] for part in trace.parts if part in positions
+                    ],
+                )
+                for trace in traces
+            ],
+            answered=answered,
+        )
+
     def _collect_candidates(self, server: _WatchedServer) -> list[RequestTrace]:
         """Return requests that may have crashed a server, and drop the departed."""
         candidates = [
@@ -276,6 +355,8 @@
         ]
         candidates += [request.trace() for request in server.active]
         server.departed.clear()
-        return [
-            trace for trace in candidates if not self.was_answered(trace.fingerprint)
-        ]
+        return candidates
+
+
+def _get_fingerprint(trace: RequestTrace) -> str:
+    return trace.fingerprint
--- a/src/baobabthread/instance/errorresponses.py
+++ b/src/baobabthread/instance/errorresponses.py
@@ -24,8 +24,15 @@
     "Backend servers ended while this request, with the same path, query and body, was "
     "on them, and no other request explains it."
 )
+QUARANTINE_PART_REASON = (
+    "Backend servers ended while requests were on them whose prompts shared parts with "
+    "this one, and no other request explains it."
+)
 NOT_RUN = "It has not been run this time."
 MAY_HAVE_RUN = "It may have been run in part."
+QUARANTINE_PART_ADVICE = (
+    "Send it again without these parts, or in {left_s} s. Other requests are served."
+)
 QUARANTINE_ADVICE = (
     "Do not send it again unchanged; change it, or send it again in {left_s} s. Other "
     "requests are served."
@@ -73,16 +80,16 @@
     ) -> None:
         """Reject a quarantined request, with advice for the caller."""
         left_s = max(MIN_QUARANTINE_S, entry.left_s)
-        self._log.record_quarantined(context)
+        self._log.record_quarantined(context, entry)
         if context.reply.has_begun:
             context.reply.abort()
             return
         has_not_run = self._has_not_run(context)
         status, execution = (503, NOT_RUN) if has_not_run else (502, MAY_HAVE_RUN)
-        detail = (
-            f"{QUARANTINE_REASON} {execution} "
-            f"{QUARANTINE_ADVICE.format(left_s=round(left_s))}"
-        )
+        reason, advice = QUARANTINE_REASON, QUARANTINE_ADVICE
+        if entry.is_of_parts:
+            reason, advice = QUARANTINE_PART_REASON, QUARANTINE_PART_ADVICE
+        detail = f"{reason} {execution} {advice.format(left_s=round(left_s))}"
         await context.reply.reject(status, QUARANTINED_KIND, left_s, detail)
 
     async def reject(
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -136,8 +136,11 @@
                     admitted.status, admitted.kind, admitted.retry_after_s
                 )
                 return
-            if not await self._reject_quarantined(admitted):
-                await self._serve(admitted)
+            try:
+                if not await self._reject_quarantined(admitted):
+                    await self._serve(admitted)
+            finally:
+                self._end_trial(admitted)
         finally:
             self._running.discard(task)
             if not self._running and self._idle is not None:
@@ -202,12 +205,22 @@
         """
         if not self._quarantine.has_entries:
             return False
-        entry = self._quarantine.find(context.fingerprint)
+        features = context.features
+        entry = self._quarantine.match(features, on_trial=context.trial)
         if entry is None:
             return False
+        is_untried = context.attempts == 0 and context.trial is None
+        if is_untried and self._quarantine.begin_trial(entry, features):
+            context.trial = entry.fingerprint
+            return False
         await self._error_responses.reject_quarantined(context, entry)
         return True
 
+    def _end_trial(self, context: RequestContext) -> None:
+        if context.trial is not None:
+            self._quarantine.end_trial(context.trial)
+            context.trial = None
+
     async def _run_attempts(self, context: RequestContext, state: ServiceState) -> None:
         if not context.is_sessionless and state.plan.needs_owner_decision(
             context.session, now()
@@ -273,7 +286,7 @@
                 prompt.end(ReadingEnd.BEGUN)
             await self._responses.handle(context, state, attempt, head)
             outcome = Outcome.FAILED if head.is_failure else Outcome.OK
-            departure = Departure.ANSWERED
+            departure = Departure.ANSWERED if head.is_success else Departure.FAILED
         except RetryRequested as retry:
             outcome = retry.outcome
             raise
@@ -341,10 +354,12 @@
         if isinstance(error, TimeoutError):
             await self._error_responses.time_out(context)
             return
+        certainly_not_run = isinstance(error, NotSentError | RejectedError)
+        if not certainly_not_run:
+            self._end_trial(context)
         if await self._reject_quarantined(context):
             return
         context.lost_connections += isinstance(error, ConnectionLostError)
-        certainly_not_run = isinstance(error, NotSentError | RejectedError)
         may_retry = context.route.may_retry and context.has_attempts_left
         if not certainly_not_run and not may_retry:
             await self._error_responses.give_up(context, "backend_failed")
@@ -355,6 +370,11 @@
         if context.lost_connections >= MAX_LOST_CONNECTIONS:
             await self._error_responses.give_up(context, "connections_lost")
             return
+        # The next server would be the next one to crash.
+        is_suspected = self._quarantine.watch.is_suspected(context.parts)
+        if context.lost_connections and is_suspected:
+            await self._error_responses.give_up(context, "suspected_part")
+            return
         # Retries of attempts that were never sent are free, and those of abandoned ones
         # are already charged.
         needs_no_charge = isinstance(error, NotSentError | SilenceTimeoutError)
--- a/src/baobabthread/instance/gauges.py
+++ b/src/baobabthread/instance/gauges.py
@@ -27,6 +27,7 @@
     metrics.replica_age.set(replica.operators_age(timestamp))
     metrics.members.set(len(peers.membership.alive()))
     metrics.quarantined.set(len(peers.quarantine.quarantine.quarantined(timestamp)))
+    metrics.suspected_parts.set(peers.quarantine.watch.count_parts())
     metrics.limited_backends.set(len(peers.limits.limited))
     metrics.lost_paths.set(len(paths.table.lost))
     metrics.open_tunnels.set(relay.open_tunnels)
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -61,6 +61,11 @@
             "Requests that are held back as backend servers crash under them",
             registry=self.registry,
         )
+        self.suspected_parts = Gauge(
+            "baobabthread_suspected_parts",
+            "Prompt parts that were present at several crashes and not answered since",
+            registry=self.registry,
+        )
         self.retries_left = Gauge(
             "baobabthread_repeats_left",
             "Repeats that this instance may still send in the present window",
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -81,6 +81,7 @@
     VersionReply,
 )
 from baobabthread.instance.settings import InstanceSettings
+from baobabthread.instance.suspicion import FeaturesAnswered, SuspectsQuery
 from baobabthread.logs import log_event
 from baobabthread.routing.crashes import Crash
 from baobabthread.routing.replica import StateReplica
@@ -234,6 +235,10 @@
                 self.quarantine.handle_digest(sender, message)
             case QuarantineEntries():
                 self.quarantine.handle_entries(sender, message)
+            case SuspectsQuery():
+                self.quarantine.watch.handle_query(message)
+            case FeaturesAnswered():
+                self.quarantine.handle_answered(message)
             case _:
                 self._apply_effects(self.membership.handle(sender, message, now()))
 
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -179,11 +179,12 @@
         coordinator.is_canary = self.services.is_canary
         coordinator.on_unproven_crash = self.services.record_crash
         coordinator.find_versions = self.backends.versions
-        coordinator.was_answered = self.crashes.was_answered
-        coordinator.on_quarantined = self.crashes.cancel
-        self.crashes.on_answered = lambda context: coordinator.release_answered(
-            context.fingerprint
+        coordinator.count_backends = lambda service: sum(
+            self.backends.versions(service).values()
         )
+        coordinator.watch.find_answered = self.crashes.find_answered
+        coordinator.on_quarantined = self.crashes.cancel
+        self.crashes.on_answered = coordinator.record_answered
 
     @property
     def is_leaving(self) -> bool:
@@ -423,6 +424,7 @@
         while True:
             await asyncio.sleep(PRUNE_INTERVAL_S)
             self.backends.prune()
+            self.crashes.record_survivors()
             self.crashes.prune()
 
     def _handle_signals(self, stop_requested: asyncio.Event) -> None:
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -1,23 +1,42 @@
-"""Shared quarantine of requests that crash backend servers.
+"""Shared quarantine of requests and prompt parts that crash backend servers.
 
 An instance that detects a crash reports it to the few instances that own the service's
-crashes. The first owner to reach a conclusion publishes it to all instances and writes
-it to the store. Neighbours then compare their lists once a second, so that an instance
-that has just started, or was partitioned, is up to date within about three seconds.
-Nothing is sent while no request is quarantined and no server crashes.
+crashes. They ask all instances for answers to requests that were present at several
+crashes, which clears innocent ones. The first owner to reach a conclusion publishes it
+to all instances and writes it to the store. Neighbours then compare their lists once a
+second, so that an instance that has just started, or was partitioned, is up to date
+within about three seconds. Nothing is sent while nothing is quarantined and no server
+crashes.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 import msgspec
 
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
+from baobabthread.instance.probation import Trials
+from baobabthread.instance.suspicion import (
+    REPLY_DELAY_S,
+    SUSPICION_MESSAGES,
+    FeaturesAnswered,
+    SuspectsQuery,
+    SuspectWatch,
+    Suspicion,
+)
 from baobabthread.logs import log_event
-from baobabthread.routing.crashes import Crash, CrashAnalysis, IsCanary, Suspect
+from baobabthread.routing.crashes import (
+    CountBackends,
+    Crash,
+    CrashAnalysis,
+    IsCanary,
+    Suspect,
+    SuspectedFeature,
+)
+from baobabthread.routing.fingerprints import is_part, join_features, split_features
 from baobabthread.routing.quarantine import FindVersions, Quarantine, QuarantineEntry
 
 OWNER_COUNT = 3
@@ -61,7 +80,12 @@
     wants_reply: bool = False
 
 
-QUARANTINE_MESSAGES = (Crash, QuarantineDigest, QuarantineEntries)
+QUARANTINE_MESSAGES = (
+    Crash,
+    QuarantineDigest,
+    QuarantineEntries,
+    *SUSPICION_MESSAGES,
+)
 
 SendMessage = Callable[[str, msgspec.Struct], None]
 
@@ -82,7 +106,13 @@
         self._members: list[str] = [me]
         self._neighbours: list[str] = []
         self._owners: dict[str, list[str]] = {}
-        self._analysis = CrashAnalysis(find_delay=self._find_delay)
+        self._analysis = CrashAnalysis(
+            find_delay=self._find_delay,
+            count_backends=lambda service: self.count_backends(service),
+        )
+        self._evaluate_at = float("inf")
+        """When crashes are evaluated again, as replies have arrived by then."""
+        self._trials = Trials()
         self._publications: dict[str, _Publication] = {}
         self._compared_at = -1e9
         self._queried_at = -1e9
@@ -94,12 +124,13 @@
         """Whether the stored entries are known, from the store or an informed peer."""
         self.is_canary: IsCanary = lambda service, version: False
         self.find_versions: FindVersions = lambda service: ()
-        self.was_answered: Callable[[str], bool] = lambda fingerprint: False
+        self.count_backends: CountBackends = lambda service: 0
+        self.watch = SuspectWatch(send_to_owners=self._send_to_owners)
         self.on_unproven_crash: Callable[[str, str], None] = lambda service, version: (
             None
         )
         """Called with the service and the unproven version of a server that crashed."""
-        self.on_quarantined: Callable[[str], None] = lambda fingerprint: None
+        self.on_quarantined: Callable[[QuarantineEntry], None] = lambda entry: None
 
     def set_members(self, names: Sequence[str]) -> None:
         """Set the instances that serve, including this one."""
@@ -116,9 +147,35 @@
         return len(self.quarantine) > 0
 
     def find(self, fingerprint: str) -> QuarantineEntry | None:
-        """Return the entry of a request that is quarantined now."""
+        """Return the entry with these features that is in force now."""
         return self.quarantine.find(fingerprint, self.find_versions, now())
 
+    def match(
+        self, features: Collection[str], *, on_trial: str | None = None
+    ) -> QuarantineEntry | None:
+        """Return an entry that applies to a request, except for the one on trial."""
+        return self.quarantine.match(
+            features, self.find_versions, now(), except_for=on_trial
+        )
+
+    def begin_trial(self, entry: QuarantineEntry, features: Collection[str]) -> bool:
+        """Begin to let one request through; return whether it may be sent."""
+        if not self.quarantine.is_on_probation(entry.fingerprint, now()):
+            return False
+        if self._find_owners(entry.service)[:1] != [self._me]:
+            return False
+        # If other entries applied as well, a crash would not tell which one is right.
+        if self.match(features, on_trial=entry.fingerprint) is not None:
+            return False
+        if not self._trials.begin(entry.service, entry.fingerprint):
+            return False
+        log_event("quarantine_trial", fingerprint=entry.fingerprint, times=entry.times)
+        return True
+
+    def end_trial(self, fingerprint: str) -> None:
+        """End a trial whose request has ended."""
+        self._trials.end(fingerprint)
+
     @property
     def must_read_store(self) -> bool:
         """Return whether no peer has sent the complete list in time."""
@@ -140,9 +197,21 @@
     def handle_crash(self, crash: Crash) -> None:
         """Record a crash that another instance detected."""
         self._analysis.record(crash, now())
-        for fingerprint in (*crash.fresh, *crash.older):
-            if self.was_answered(fingerprint):
-                self._analysis.clear(fingerprint)
+        for feature in (*crash.fresh, *crash.older, *crash.parts):
+            self._analysis.clear(feature, self.watch.find_answered(feature))
+
+    def handle_answered(self, message: FeaturesAnswered) -> None:
+        """Record that another instance has seen suspected features answered."""
+        timestamp = now()
+        for feature, began_s in message.began_s.items():
+            self._analysis.clear(feature, timestamp - began_s)
+
+    def _send_to_owners(self, service: str, message: msgspec.Struct) -> None:
+        for name in self._find_owners(service):
+            if name != self._me:
+                self._send(name, message)
+            elif isinstance(message, FeaturesAnswered):
+                self.handle_answered(message)
 
     def _find_owners(self, service: str) -> list[str]:
         owners = self._owners.get(service)
@@ -157,16 +226,23 @@
         return OWNER_STAGGER_S * position
 
     def _evaluate_crashes(self, timestamp: float) -> None:
-        if not self._analysis.is_due(timestamp):
+        if not self._analysis.is_due(timestamp) and timestamp < self._evaluate_at:
             return
+        self._evaluate_at = float("inf")
         suspects = self._analysis.find_suspects(
             timestamp,
             quarantined=self.quarantine.quarantined(timestamp),
             previously_quarantined=self.quarantine.previously_quarantined(timestamp),
             is_canary=self.is_canary,
+            tentative=self.quarantine.tentative(),
         )
+        self._query_answers(timestamp)
         for suspect in suspects:
-            self._quarantine_suspect(suspect, timestamp)
+            if self._is_confirmed(suspect):
+                self._quarantine_suspect(suspect, timestamp)
+            else:
+                self._evaluate_at = timestamp + REPLY_DELAY_S
+        self._drop_answered_features(timestamp)
         quarantined = self.quarantine.quarantined(timestamp)
         for service, version in self._analysis.list_unproven_crashes(
             timestamp, quarantined
@@ -176,10 +252,78 @@
             if self._find_owners(service)[:1] == [self._me]:
                 self.on_unproven_crash(service, version)
 
+    def _drop_answered_features(self, timestamp: float) -> None:
+        """Reduce entries to the features that were not answered since the crashes.
+
+        Parts that always came together are quarantined together; once one of them is
+        answered without the others, only these can be the cause.
+        """
+        for entry in self.quarantine.list(timestamp):
+            since = timestamp - entry.first_crash_s
+            left = {
+                feature
+                for feature in entry.features
+                if not self._analysis.was_cleared(feature, since)
+            }
+            if entry.is_cleared or not left or left == entry.features:
+                continue
+            name = join_features(left)
+            if self.quarantine.get(name, timestamp) is not None:
+                continue
+            reduced = msgspec.structs.replace(entry, fingerprint=name)
+            log_event(
+                "request_held",
+                level="warning",
+                fingerprint=name,
+                service=entry.service,
+                instead_of=entry.fingerprint,
+                times=entry.times,
+                hold_s=entry.left_s,
+            )
+            self.quarantine.apply(reduced, timestamp)
+            self._publish(reduced)
+
+    def _is_confirmed(self, suspect: Suspect) -> bool:
+        """Return whether no instance knows of an answer that clears a suspect."""
+        name = suspect.fingerprint
+        # What was quarantined before was confirmed then, and each crash costs a server.
+        if not is_part(name) or self.quarantine.get(name, now()) is not None:
+            return True
+        return self.watch.judge(split_features(name)) is Suspicion.CONFIRMED
+
+    def _query_answers(self, timestamp: float) -> None:
+        """Ask all instances for answers with newly suspected features."""
+        suspected = self.watch.select_unasked(
+            self._analysis.list_suspected(
+                timestamp, self.quarantine.quarantined(timestamp)
+            )
+        )
+        by_service: dict[str, list[SuspectedFeature]] = {}
+        for each in suspected:
+            by_service.setdefault(each.service, []).append(each)
+        for service, features in by_service.items():
+            if self._me not in self._find_owners(service):
+                continue
+            query = SuspectsQuery(
+                service=service,
+                features=[each.feature for each in features],
+                first_crash_s=[timestamp - each.first_crash_at for each in features],
+                repeated=[each.is_repeated for each in features],
+            )
+            for name in self._members:
+                if name != self._me:
+                    self._send(name, query)
+            self.watch.handle_query(query)
+
     def _quarantine_suspect(self, suspect: Suspect, timestamp: float) -> None:
         fingerprint = suspect.fingerprint
         entry = self.quarantine.add(
-            fingerprint, suspect.service, suspect.versions, timestamp
+            fingerprint,
+            suspect.service,
+            suspect.versions,
+            timestamp,
+            is_tentative=suspect.is_tentative,
+            first_crash_at=suspect.first_crash_at,
         )
         log_event(
             "request_held",
@@ -190,24 +334,40 @@
             times=entry.times,
             hold_s=entry.left_s,
             only_versions=",".join(suspect.versions),
+            is_tentative=suspect.is_tentative,
         )
         self._publish(entry)
 
     # -- the list --
 
-    def release_answered(self, fingerprint: str) -> None:
-        """Release a request that was answered although it is quarantined."""
-        if self.has_entries and self.find(fingerprint) is not None:
-            self.release(fingerprint)
+    def record_answered(self, features: Sequence[str], began_at: float) -> None:
+        """Record that a request was answered, and release what applies to it."""
+        self.watch.record_answered(features, began_at)
+        if not self.has_entries:
+            return
+        entry = self.match(features)
+        while entry is not None and began_at > now() - entry.first_crash_s:
+            self._trials.end_answered(entry.fingerprint)
+            self.release(entry.fingerprint)
+            entry = self.match(features)
 
     def release(self, fingerprint: str) -> None:
-        """Release a request and publish the release."""
-        self._analysis.clear(fingerprint)
+        """Release a request or parts and publish the release."""
         released = self.quarantine.release(fingerprint, now())
         if released is not None:
+            self._clear(released)
             log_event("request_let_go", fingerprint=fingerprint, why="answered")
             self._publish(released)
 
+    def _clear(self, entry: QuarantineEntry) -> None:
+        for feature in entry.features:
+            self._analysis.clear(feature, now())
+
+    def _was_answered(self, entry: QuarantineEntry) -> bool:
+        """Return whether all features were answered here since the first crash."""
+        since = now() - entry.first_crash_s
+        return all(self.watch.find_answered(each) > since for each in entry.features)
+
     def handle_entries(self, sender: str, message: QuarantineEntries) -> None:
         """Apply entries, and reply with those that the sender lacks."""
         timestamp = now()
@@ -250,6 +410,7 @@
                 fingerprint=entry.fingerprint,
                 times=entry.times,
                 left_s=entry.left_s,
+                is_tentative=entry.is_tentative,
                 is_cleared=entry.is_cleared,
                 source=source,
             )
@@ -269,6 +430,7 @@
         if timestamp - self._compared_at < COMPARE_INTERVAL_S:
             return
         self._compared_at = timestamp
+        self.watch.expire()
         for entry in self.quarantine.expire(timestamp):
             self._schedule_write(entry.fingerprint, entry.service)
         if len(self.quarantine):
@@ -284,12 +446,12 @@
 
     def _process_change(self, entry: QuarantineEntry) -> None:
         if entry.is_cleared:
-            self._analysis.clear(entry.fingerprint)
-        elif self.was_answered(entry.fingerprint):
+            self._clear(entry)
+        elif self._was_answered(entry):
             self.release(entry.fingerprint)
             return
         else:
-            self.on_quarantined(entry.fingerprint)
+            self.on_quarantined(entry)
         self._schedule_write(entry.fingerprint, entry.service)
 
     def _publish(self, entry: QuarantineEntry) -> None:
--- a/src/baobabthread/instance/requestlog.py
+++ b/src/baobabthread/instance/requestlog.py
@@ -7,6 +7,7 @@
 from baobabthread.instance.metrics import Metrics
 from baobabthread.logs import log_event, write_event
 from baobabthread.routing.configuration import BackendRecord
+from baobabthread.routing.quarantine import QuarantineEntry
 from baobabthread.routing.reasons import VersionReason
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.versions import VersionPlan
@@ -111,11 +112,22 @@
                 "request_given_up", self._describe(context, status, None, kind=kind)
             )
 
-    def record_quarantined(self, context: RequestContext) -> None:
+    def record_quarantined(
+        self, context: RequestContext, entry: QuarantineEntry
+    ) -> None:
         """Record a request rejected because it is quarantined for crashing servers."""
-        self._metrics.rejected.labels(kind="quarantined").inc()
+        kind = "quarantined_part" if entry.is_of_parts else "quarantined"
+        self._metrics.rejected.labels(kind=kind).inc()
         if self._failure_limiter.try_acquire():
-            fields = self._describe(context, 0, None, fingerprint=context.fingerprint)
+            fields = self._describe(
+                context,
+                0,
+                None,
+                fingerprint=context.fingerprint,
+                held=entry.fingerprint,
+                times=entry.times,
+                hold_left_s=entry.left_s,
+            )
             write_event("request_held_back", fields)
 
     def record_rejection(self, request: CallerRequest, kind: str, status: int) -> None:
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -155,6 +155,7 @@
     """Unix time in milliseconds."""
     cleared: bool = False
     versions: tuple[str, ...] = ()
+    tentative: bool = False
 
 
 class PlatformRecordFormat:
@@ -217,6 +218,7 @@
             left_s=entry.until_ms / MS_PER_S - unix_now,
             is_cleared=entry.cleared,
             versions=entry.versions,
+            is_tentative=entry.tentative,
         )
 
     def encode_quarantined(
@@ -229,6 +231,7 @@
             until_ms=round((unix_now + entry.left_s) * MS_PER_S),
             cleared=entry.is_cleared,
             versions=entry.versions,
+            tentative=entry.is_tentative,
         )
         return msgspec.structs.replace(
             self.encode_release(entry.fingerprint, expected_end),
--- a/src/baobabthread/routing/fingerprints.py
+++ b/src/baobabthread/routing/fingerprints.py
@@ -5,7 +5,7 @@
 import base64
 import functools
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from baobabthread.routing.table import PromptPart
 
@@ -15,6 +15,7 @@
 LENGTH_BYTES = 8
 PART_PREFIX = "p."
 """Start of the fingerprints of prompt parts; those of requests have no dot."""
+FEATURE_SEPARATOR = "+"
 MAX_PARTS = 32
 """Parts of one prompt that are considered, from its start: a prompt may list any number
 of them."""
@@ -49,3 +50,18 @@
         id.encode(errors="surrogatepass"), digest_size=DIGEST_BYTES
     )
     return PART_PREFIX + base64.urlsafe_b64encode(digest.digest()).decode()
+
+
+def is_part(feature: str) -> bool:
+    """Return whether a fingerprint is that of a prompt part."""
+    return feature.startswith(PART_PREFIX)
+
+
+def join_features(features: Iterable[str]) -> str:
+    """Return the name of a set of fingerprints."""
+    return FEATURE_SEPARATOR.join(sorted(features))
+
+
+def split_features(name: str) -> frozenset[str]:
+    """Return the fingerprints that a name stands for."""
+    return frozenset(name.split(FEATURE_SEPARATOR))
--- /dev/null
+++ b/src/baobabthread/routing/suspects.py
@@ -0,0 +1,182 @@
+"""Search for the features that requests on crashed backend servers have in common.
+
+Any feature of a request may crash servers: the request as such, or one part of its
+prompt that other requests share. A feature is known by its fingerprint.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterable, Sequence
+
+import msgspec
+
+from baobabthread.routing.fingerprints import is_part, join_features
+
+MIN_WAVE_S = 0.02
+"""Shortest time from sending a request until its server crashes under it. Connections
+to servers that are lost together break within milliseconds of each other, and requests
+are sent on to the next one in between."""
+MAX_FEATURES = 8
+"""Features that one suspect has at most. With fewer features it applies to more
+requests."""
+MAX_SETS = 64
+"""Sets of features that are compared at most."""
+
+
+class PresentRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that was on a backend server when it crashed."""
+
+    features: frozenset[str]
+    """All of its features."""
+    suspected: frozenset[str]
+    """Those under which no request was answered since the crash."""
+    sent_at: float
+
+
+class Hold(msgspec.Struct, frozen=True, kw_only=True):
+    """Features that are quarantined together."""
+
+    features: frozenset[str]
+    is_tentative: bool
+
+
+class ObservedCrash:
+    """A crash with the requests that may have caused it."""
+
+    __slots__ = ("broke_at", "features", "holds", "name", "requests", "service")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        broke_at: float,
+        requests: Sequence[PresentRequest],
+        holds: Iterable[Hold],
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.broke_at = broke_at
+        self.requests = requests
+        self.features = frozenset().union(*(each.suspected for each in requests))
+        self.holds = [hold for hold in holds if self.had(hold.features)]
+        """Quarantined features that explain the crash."""
+
+    def had(self, features: frozenset[str]) -> bool:
+        """Return whether a request with all of these features was present."""
+        return any(features <= request.features for request in self.requests)
+
+    def counts_for(self, feature: str) -> bool:
+        """Return whether a feature may have caused the crash.
+
+        Once it is explained it counts for other features only while that is tentative.
+        """
+        if feature not in self.features:
+            return False
+        if any(feature in hold.features for hold in self.holds):
+            return True
+        return all(hold.is_tentative for hold in self.holds)
+
+    def list_with(self, feature: str) -> list[PresentRequest]:
+        """Return the requests with a suspected feature."""
+        return [each for each in self.requests if feature in each.suspected]
+
+
+class Explanation(msgspec.Struct, frozen=True, kw_only=True):
+    """A feature, and the crashes at each of which it was present."""
+
+    feature: str
+    features: frozenset[str]
+    """The features that always came with it, in one request."""
+    crashes: list[ObservedCrash]
+    is_ambiguous: bool
+    """Whether other requests, or all of them, could explain the crashes as well."""
+
+    @property
+    def key(self) -> str:
+        """Name of what is suspected: a single request rather than its parts."""
+        for feature in self.features:
+            if not is_part(feature):
+                return feature
+        others = sorted(self.features - {self.feature})
+        return join_features([self.feature, *others[: MAX_FEATURES - 1]])
+
+    @property
+    def span_s(self) -> float:
+        """Time from the first crash to the last one."""
+        return self.crashes[-1].broke_at - self.crashes[0].broke_at
+
+    def count_waves(self) -> int:
+        """Return how many crashes followed a request that was sent after the last one.
+
+        Servers that are lost together crash under the same requests as well.
+        """
+        waves = 1
+        last_at = self.crashes[0].broke_at
+        for crash in self.crashes[1:]:
+            if any(
+                last_at < request.sent_at <= crash.broke_at - MIN_WAVE_S
+                for request in crash.list_with(self.feature)
+            ):
+                waves += 1
+                last_at = crash.broke_at
+        return waves
+
+
+def count_features(crashes: Iterable[ObservedCrash]) -> Counter[str]:
+    """Return for how many crashes each feature counts."""
+    return Counter(
+        feature
+        for crash in crashes
+        for feature in crash.features
+        if crash.counts_for(feature)
+    )
+
+
+def explain(feature: str, crashes: Iterable[ObservedCrash]) -> Explanation:
+    """Return how a feature explains the crashes for which it counts."""
+    involved = [crash for crash in crashes if crash.counts_for(feature)]
+    involved.sort(key=lambda crash: crash.broke_at)
+    common = frozenset.intersection(*(crash.features for crash in involved))
+    features = _find_companions(feature, common, involved)
+    return Explanation(
+        feature=feature,
+        features=features,
+        crashes=involved,
+        is_ambiguous=not common <= features or _is_universal(feature, involved),
+    )
+
+
+def rank_suspects(
+    candidates: Collection[str], counts: Counter[str], crashes: Iterable[ObservedCrash]
+) -> list[str]:
+    """Return features by their number of crashes, those of few requests first."""
+    requests = Counter(
+        feature
+        for crash in crashes
+        for request in crash.requests
+        for feature in request.suspected
+        if feature in candidates
+    )
+    return sorted(candidates, key=lambda each: (-counts[each], requests[each], each))
+
+
+def _find_companions(
+    feature: str, common: frozenset[str], crashes: Sequence[ObservedCrash]
+) -> frozenset[str]:
+    """Return the largest set of features that one request had at each crash."""
+    found: set[frozenset[str]] = set()
+    for number, crash in enumerate(crashes):
+        present = {each.suspected & common for each in crash.list_with(feature)}
+        found = {a & b for a in found for b in present} if number else present
+        if len(found) > MAX_SETS:
+            found = set(sorted(found, key=len, reverse=True)[:MAX_SETS])
+    return max(found, key=lambda each: (len(each), sorted(each)))
+
+
+def _is_universal(feature: str, crashes: Sequence[ObservedCrash]) -> bool:
+    """Return whether all requests at all crashes had a prompt part."""
+    return is_part(feature) and all(
+        feature in request.features for crash in crashes for request in crash.requests
+    )
