Confirm the end of responses without a length or chunks

What callers saw: a response without framing ends with its connection, and so does the process that sends it. A stream whose server crashed between two events ended as complete, the part of a body passed for the whole, also for requests that must not be repeated; and the part of the prompt that had crashed the server counted as answered, so that it was cleared at all instances.

Cause: the end of a connection was taken for the end of its response. Only a reset was told from it; a process that ends closes its connections as well.

Such a response is now only whole once its server has accepted another connection, 20 ms after the end. That connection stays open for the next request, which needs one in any case. If the server is gone the response counts as lost: a resumable stream goes on elsewhere, what must not be repeated ends broken off or with 502, and the crash is reported with the request on it. A stream that ends within an event is looked into in the same way.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -13,7 +13,9 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import (
     Connection,
+    ConnectionLostError,
     IncompleteResponseError,
+    Listening,
     NotSentError,
     Response,
 )
@@ -35,6 +37,10 @@
 PATH_CHECK_FRACTION = 0.5
 """Fraction of the silence timeout after which the path to the server is checked."""
 
+END_CHECK_DELAY_S = 0.02
+"""Time from the end of a response without a length until its server is probed: by then
+a process that terminated has closed its other sockets."""
+
 UNAVAILABLE_STATUS = 503
 
 T = TypeVar("T")
@@ -191,9 +197,28 @@
         assert self._response is not None
         body = await self._wait_for(self._response.read(limit))
         self._ensure_open()
+        await self.confirm_end()
         self.finish()
         return body
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether nothing but the end of the connection marks the end of the body."""
+        return self._response is not None and self._response.ends_with_connection
+
+    async def confirm_end(self) -> None:
+        """Raise `ConnectionLostError` if a body may have ended because its server did.
+
+        The end of a connection looks the same if the server has crashed.
+        """
+        if not self.ends_with_connection:
+            return
+        await self._wait_for(asyncio.sleep(END_CHECK_DELAY_S))
+        listening = await self._wait_for(self.link.pool.probe())
+        self._ensure_open()
+        if listening is not Listening.YES or self.link.is_replaced:
+            raise ConnectionLostError("response ended without a length, server gone")
+
     def finish(self) -> None:
         """Release the connection after the whole body was read."""
         assert self._response is not None
--- a/src/baobabthread/instance/connections.py
+++ b/src/baobabthread/instance/connections.py
@@ -36,6 +36,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
 """Values of `SO_LINGER`."""
+BODILESS_STATUSES = (204, 304)
 _KEEP_ALIVE = re.compile(r"timeout=(\d+)")
 
 HeaderList: TypeAlias = Sequence[tuple[str, str]]
@@ -144,6 +145,13 @@
         self.status = message.code
         self.headers = message.headers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether nothing but the end of the connection marks the end of the body."""
+        has_length = "Content-Length" in self.headers
+        is_empty = self.status in BODILESS_STATUSES
+        return not (has_length or is_empty or self._message.chunked)
+
     @property
     def raw_headers(self) -> Sequence[tuple[bytes, bytes]]:
         """The header fields as received."""
--- a/src/baobabthread/instance/responses.py
+++ b/src/baobabthread/instance/responses.py
@@ -7,7 +7,10 @@
 from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.attempts import Attempt, ResponseHead, RetryRequested
 from baobabthread.instance.clock import now
-from baobabthread.instance.connections import IncompleteResponseError
+from baobabthread.instance.connections import (
+    ConnectionLostError,
+    IncompleteResponseError,
+)
 from baobabthread.instance.context import RequestContext
 from baobabthread.instance.estimates import Estimates
 from baobabthread.instance.events import EventSplitter
@@ -192,7 +195,8 @@
             if events.last_id is not None:
                 context.last_event = events.last_id
         if not splitter.is_drained:
-            raise IncompleteResponseError("stream ended within an event")
+            raise _find_break(attempt)
+        await attempt.confirm_end()
         attempt.finish()
         self._estimates.observe_stream(context, head.latency_s, now() - first_at)
         self._log.record_response(context, attempt.link.record, head.status)
@@ -207,3 +211,10 @@
             return await attempt.read_chunk()
         finally:
             self._estimates.observe_event_gap(context, now() - started_at)
+
+
+def _find_break(attempt: Attempt) -> IncompleteResponseError:
+    """Return the error for a stream that ended within an event."""
+    if attempt.ends_with_connection:
+        return ConnectionLostError("connection ended within an event")
+    return IncompleteResponseError("stream ended within an event")
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -439,6 +439,17 @@
     writer.close()
 
 
+@register_behaviour("unframed_crash")
+async def crash_in_unframed(
+    backend: FakeBackend, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send a part of a body without a length and crash without a reset."""
+    writer.write(render_response_head(request, 200) + b"half of a body")
+    await writer.drain()
+    await asyncio.sleep(backend.crash_s)
+    backend.crash()
+
+
 @register_behaviour("extra")
 async def respond_twice(
     backend: FakeBackend, request: ReceivedRequest, writer: asyncio.StreamWriter
