--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -33,12 +33,16 @@
     ] = None
     seed: Annotated[int, cappa.Arg(long=True, help="Seed of all randomness.")] = 1
     instances: Annotated[
-        int | None, cappa.Arg(long=True, help="Number of instances, for `limits`.")
+        int | None,
+        cappa.Arg(long=True, help="Number of instances, for `limits`, `quarantine`."),
     ] = None
     limit: Annotated[
         float | None,
         cappa.Arg(long=True, help="Requests a second of the server, for `limits`."),
     ] = None
+    parts: Annotated[
+        bool, cappa.Arg(long=True, help="Crash by a prompt part, for `quarantine`.")
+    ] = False
 
 
 def load_experiments() -> None:
@@ -62,6 +66,7 @@
                 seed=chosen.seed,
                 instances=chosen.instances,
                 limit=chosen.limit,
+                parts=chosen.parts,
             )
         )
     except BaobabthreadError as error:
@@ -73,6 +78,8 @@
         write_figures(chosen.json, report)
     for failure in report.failures:
         print(f"FAILED: {failure}", file=sys.stderr)
+    if report.verdict and not report.failures:
+        print(report.verdict)
     return 1 if report.failures else 0
 
 
--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -168,14 +168,18 @@
         seed: int = 1,
         domains: int = 6,
         bounds: RoutingBounds | None = None,
+        loss: float = LOSS,
     ) -> None:
         self.rng = random.Random(seed)
+        self._loss = loss
         self.bounds = bounds or RoutingBounds()
         self.domains = domains
         self.store = MemoryStore()
         self.metrics = Metrics()
         self.sent: Counter[str] = Counter()
         """Bytes by kind of message."""
+        self.sent_by: Counter[tuple[str, str]] = Counter()
+        """Bytes by sender and kind of message."""
         self.messages: Counter[str] = Counter()
         self.far_bytes = 0
         """Bytes between failure domains."""
@@ -186,6 +190,7 @@
     def count(self, sender: Member, domain: str, kind: str, size: int) -> None:
         """Count bytes that one member sends to a failure domain."""
         self.sent[kind] += size
+        self.sent_by[sender.name, kind] += size
         self.messages[kind] += 1
         if sender.domain != domain:
             self.far_bytes += size
@@ -198,7 +203,7 @@
         found = KIND.search(expand(data))
         kind = found.group(1).decode() if found else "other"
         self.count(sender, to.domain, kind, len(data))
-        if not to.is_up or self.rng.random() < LOSS:
+        if not to.is_up or self.rng.random() < self._loss:
             return
         delay_s = NEAR_S if to.domain == sender.domain else FAR_S
         loop = asyncio.get_running_loop()
@@ -207,6 +212,7 @@
     def reset_counts(self) -> None:
         """Begin to count anew."""
         self.sent.clear()
+        self.sent_by.clear()
         self.messages.clear()
         self.store.calls.clear()
         self.far_bytes = 0
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -22,6 +22,7 @@
     seed: int = 1
     instances: int | None = None
     limit: float | None = None
+    parts: bool = False
 
 
 class Table(msgspec.Struct, frozen=True, kw_only=True):
@@ -40,6 +41,8 @@
     tables: Sequence[Table]
     failures: Sequence[str] = ()
     """Invariants that did not hold; any makes the exit code 1."""
+    verdict: str = ""
+    """Last line of the output if there are no failures."""
 
 
 Experiment = Callable[[Options], Report]
--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -7,12 +7,14 @@
 import tracemalloc
 
 import msgspec
+from msgspec.structs import asdict
 
 from baobabthread.instance.clock import now
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.crashes import MAX_CRASHES, Crash, CrashAnalysis
 from baobabthread.routing.quarantine import MAX_ENTRIES, Quarantine
 from bench._fleet import Fleet, quiet_logs
+from bench._parts import Outcome, play
 from bench._virtual import run_virtually
 from bench.experiment import EXPERIMENTS, Options, Report, Table
 
@@ -138,9 +140,42 @@
     return size / 1e3
 
 
+PART_COUNTS = (6, 59, 195, 400)
+PART_RUNS = 12
+"""Runs of the smallest number of instances; larger ones get fewer."""
+
+
+def _measure_parts(options: Options) -> Report:
+    """Let callers share a prompt part that crashes servers."""
+    counts = [options.instances] if options.instances else list(PART_COUNTS)
+    if options.quick:
+        counts = counts[:2]
+    found = []
+    with quiet_logs():
+        for count in counts:
+            runs = max(1, PART_RUNS * PART_COUNTS[0] // count)
+            for seed in range(options.seed, options.seed + runs):
+                found.append(run_virtually(play(count, seed)))
+    fields = Outcome.__struct_fields__
+    return Report(
+        figures={f"{each.instances}/{each.seed}": asdict(each) for each in found},
+        tables=[
+            Table(
+                title="A prompt part that crashes servers, in virtual time",
+                columns=fields,
+                rows=[[getattr(each, field) for field in fields] for each in found],
+            )
+        ],
+        failures=[failure for each in found for failure in each.list_failures()],
+        verdict="holds",
+    )
+
+
 @EXPERIMENTS.register("quarantine")
 def measure_quarantine(options: Options) -> Report:
     """Let numbers of instances agree on a request that crashes servers."""
+    if options.parts:
+        return _measure_parts(options)
     counts = (23, 195) if options.quick else (6, 23, 195, 400)
     with quiet_logs():
         found = [run_virtually(_measure(count, options.seed)) for count in counts]
@@ -152,9 +187,7 @@
         for costs in found
         if costs.known_s > MOST_KNOWN_S or costs.row_kb_s > MOST_KB_S
     ]
-    figures: dict[str, object] = {
-        str(costs.members): msgspec.structs.asdict(costs) for costs in found
-    }
+    figures: dict[str, object] = {str(costs.members): asdict(costs) for costs in found}
     return Report(
         figures=figures | {"memory_kb": memory_kb},
         tables=[
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -47,6 +47,8 @@
 PUBLISH_ATTEMPTS = 3
 PUBLISH_INTERVAL_S = 0.15
 """How often, and at which interval, an entry is sent to all: datagrams may get lost."""
+REPORT_INTERVAL_S = 0.05
+"""Time after which a crash is reported once more."""
 COMPARE_INTERVAL_S = 1.0
 NEIGHBOUR_COUNT = 2
 """Interval and number of neighbours of list comparisons: 80 bytes/s per neighbour."""
@@ -90,6 +92,11 @@
 SendMessage = Callable[[str, msgspec.Struct], None]
 
 
+class _Report(msgspec.Struct, frozen=True):
+    crash: Crash
+    sent_at: float
+
+
 class _Publication(msgspec.Struct):
     entry: QuarantineEntry
     sent_count: int
@@ -113,6 +120,8 @@
         self._evaluate_at = float("inf")
         """When crashes are evaluated again, as replies have arrived by then."""
         self._trials = Trials()
+        self._reports: list[_Report] = []
+        """Reports of crashes that were sent only once."""
         self._publications: dict[str, _Publication] = {}
         self._compared_at = -1e9
         self._queried_at = -1e9
@@ -188,12 +197,23 @@
 
     def report_crash(self, crash: Crash) -> None:
         """Send a crash detected by this instance to the owners."""
+        if self._me in self._find_owners(crash.service):
+            self._analysis.record(crash, now())
+        self._send_report(crash)
+        self._reports.append(_Report(crash=crash, sent_at=now()))
+
+    def _send_report(self, crash: Crash) -> None:
         for name in self._find_owners(crash.service):
-            if name == self._me:
-                self._analysis.record(crash, now())
-            else:
+            if name != self._me:
                 self._send(name, crash)
 
+    def _repeat_reports(self, timestamp: float) -> None:
+        """Send reports once more, as a lost one hides the cause of a crash."""
+        due = [r for r in self._reports if timestamp - r.sent_at >= REPORT_INTERVAL_S]
+        for report in due:
+            self._reports.remove(report)
+            self._send_report(report.crash.age(timestamp - report.sent_at))
+
     def handle_crash(self, crash: Crash) -> None:
         """Record a crash that another instance detected."""
         self._analysis.record(crash, now())
@@ -235,6 +255,7 @@
             previously_quarantined=self.quarantine.previously_quarantined(timestamp),
             is_canary=self.is_canary,
             tentative=self.quarantine.tentative(),
+            imposed_at=self.quarantine.imposed_at(),
         )
         self._query_answers(timestamp)
         for suspect in suspects:
@@ -419,6 +440,7 @@
     def tick(self) -> None:
         """Run all periodic work that is due."""
         timestamp = now()
+        self._repeat_reports(timestamp)
         self._evaluate_crashes(timestamp)
         self._publish_due(timestamp)
         if (
--- a/src/baobabthread/instance/suspicion.py
+++ b/src/baobabthread/instance/suspicion.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from baobabthread.instance.clock import now
-from baobabthread.routing.crashes import SuspectedFeature
+from baobabthread.routing.crashes import KNOWN_S, SuspectedFeature
 from baobabthread.routing.fingerprints import is_part
 
 WATCH_S = 120.0
@@ -46,7 +46,7 @@
 class FeaturesAnswered(
     msgspec.Struct, frozen=True, kw_only=True, tag="quarantine.answered"
 ):
-    """Report answers to requests with suspected features."""
+    """Report answers to requests with suspected features, also of before."""
 
     began_s: dict[str, float]
     """Time since the newest of these responses began, by feature."""
@@ -131,8 +131,9 @@
         for feature, first_crash_s, is_repeated in asked:
             first_crash_at = timestamp - first_crash_s
             began_at = self.find_answered(feature)
-            if began_at > first_crash_at:
+            if began_at > first_crash_at - KNOWN_S:
                 answered[feature] = timestamp - began_at
+            if began_at > first_crash_at:
                 continue
             # Another entry would take the place of an older one in the order.
             self._watched.pop(feature, None)
--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -12,6 +12,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import NamedTuple
 
 import msgspec
@@ -31,10 +32,12 @@
 """Crashes that one request must explain before it is quarantined. Two coincide by
 chance when several servers are lost in a row, and each further one costs callers
 another server."""
-MIN_CRASHES_IF_AMBIGUOUS = 5
+MIN_CRASHES_IF_AMBIGUOUS = 6
 """Crashes from which on a request is quarantined even if others were present at each of
 them too. An innocent request does not get that far: its route limits its attempts, and
 one of them succeeds."""
+MIN_CRASHES_IF_PART_AMBIGUOUS = 5
+"""The same for a prompt part, of which any number of requests may come."""
 MIN_WAVES = 2
 """Crashes of which each followed a request with the prompt part that was sent after the
 one before. Popular parts are on all servers of a failure domain that is lost."""
@@ -54,6 +57,9 @@
 MAX_CRASHES = 128
 """Number of crashes kept, the newest ones: twice the engines of one large service. With
 128 requests on each that is some 2 MB at the service's owners."""
+KNOWN_S = 60.0
+"""Time before crashes in which an answer makes a feature less suspicious than another
+one, though no less than that."""
 MAX_ANSWERED = 4096
 """Features of which it is kept when a request with them was answered."""
 MAX_SUSPECTED = 64
@@ -63,6 +69,7 @@
 
 FindDelay = Callable[[str], float]
 """Return by how many seconds this owner of a service waits longer than the first."""
+EMPTY: Mapping[str, float] = MappingProxyType({})
 CountBackends = Callable[[str], int]
 """Return the number of backend servers of a service."""
 IsCanary = Callable[[str, str], bool]
@@ -103,6 +110,14 @@
     """Features of these requests that the sender saw answered, and how long ago the
     newest such response began."""
 
+    def age(self, seconds: float) -> Crash:
+        """Return the same report with its times as of some seconds later."""
+        return msgspec.structs.replace(
+            self,
+            age_s=self.age_s + seconds,
+            answered={each: s + seconds for each, s in self.answered.items()},
+        )
+
 
 class Suspect(msgspec.Struct, frozen=True, kw_only=True):
     """Request, or prompt parts, that explain a series of crashes."""
@@ -251,11 +266,13 @@
         previously_quarantined: Collection[str],
         is_canary: IsCanary,
         tentative: Collection[str] = (),
+        imposed_at: Mapping[str, float] = EMPTY,
     ) -> list[Suspect]:
         """Return what explains crashes that are not explained by `quarantined`.
 
-        One crash is enough for what has been quarantined before. Crashes that only the
-        entries in `tentative` explain are evidence against others as well.
+        One crash after `imposed_at` is enough for what has been quarantined before.
+        Crashes that only the entries in `tentative` explain are evidence against others
+        as well.
         """
         self._drop_old(now)
         settled = [name for name in self._crashes if self._is_settled(name, now)]
@@ -266,24 +283,28 @@
             for name in quarantined
         ]
         observed = [self._observe(name, holds) for name in settled]
-        unexplained = [crash for crash in observed if not crash.holds]
+        lapsed = {
+            split_features(name): imposed_at.get(name, -math.inf)
+            for name in previously_quarantined
+        }
+        for name in previously_quarantined:
+            hold = Hold(features=split_features(name), is_tentative=name in tentative)
+            _explain_until(observed, hold, imposed_at.get(name, -math.inf))
+        unexplained = [crash for crash in observed if not crash.is_explained]
         self._exclude_bad_versions(unexplained)
-        lapsed = [split_features(name) for name in previously_quarantined]
         suspects: list[Suspect] = []
         while unexplained:
             found = self._find_explanation(observed, unexplained, lapsed, is_canary)
             if found is None:
                 break
-            suspect = self._make_suspect(found)
+            suspect = self._make_suspect(found, tentative)
             suspects.append(suspect)
             hold = Hold(
                 features=split_features(suspect.fingerprint),
                 is_tentative=suspect.is_tentative,
             )
-            for crash in observed:
-                if crash.had(hold.features):
-                    crash.holds.append(hold)
-            unexplained = [crash for crash in unexplained if not crash.holds]
+            _explain_until(observed, hold, math.inf)
+            unexplained = [crash for crash in unexplained if not crash.is_explained]
         return suspects
 
     def list_suspected(
@@ -416,33 +437,44 @@
         self,
         observed: Sequence[ObservedCrash],
         unexplained: Sequence[ObservedCrash],
-        lapsed: Sequence[frozenset[str]],
+        lapsed: Mapping[frozenset[str], float],
         is_canary: IsCanary,
     ) -> Explanation | None:
         counts = count_features(observed)
+        held = {hold.features for crash in observed for hold in crash.holds}
         candidates = {
             feature
             for crash in unexplained
             for feature in crash.features
-            if counts[feature] >= MIN_CRASHES
+            if counts[feature] >= MIN_CRASHES and frozenset([feature]) not in held
         }
-        for feature in rank_suspects(candidates, counts, observed):
-            found = explain(feature, observed)
+        known = self._list_known(candidates, observed)
+        for feature in rank_suspects(candidates, counts, observed, known):
+            found = explain(feature, observed, known)
             if self._is_sufficient(found) and not self._blames_canary(found, is_canary):
                 return found
-        for features in lapsed:
-            involved = [crash for crash in unexplained if crash.had(features)]
+        for features, since in lapsed.items():
+            # Requests that were sent before may still run on servers that crash.
+            involved = [c for c in unexplained if c.had(features, since)]
             if involved:
                 found = Explanation(
                     feature=min(features),
                     features=features,
                     crashes=involved,
                     is_ambiguous=False,
+                    is_relapse=True,
                 )
                 if not self._blames_canary(found, is_canary):
                     return found
         return None
 
+    def _list_known(
+        self, features: Collection[str], crashes: Sequence[ObservedCrash]
+    ) -> set[str]:
+        """Return the features that were answered shortly before they were suspected."""
+        first_at = min((crash.broke_at for crash in crashes), default=0.0)
+        return {each for each in features if self.was_cleared(each, first_at - KNOWN_S)}
+
     def _is_sufficient(self, found: Explanation) -> bool:
         """Return whether an explanation is evidence enough for a quarantine."""
         of_parts = is_part(found.key)
@@ -450,25 +482,34 @@
             return False
         if not found.is_ambiguous:
             return True
-        if len(found.crashes) < MIN_CRASHES_IF_AMBIGUOUS:
-            return False
-        return not of_parts or found.span_s >= MIN_AMBIGUOUS_SPAN_S
+        if not of_parts:
+            return len(found.crashes) >= MIN_CRASHES_IF_AMBIGUOUS
+        return (
+            len(found.crashes) >= MIN_CRASHES_IF_PART_AMBIGUOUS
+            and found.span_s >= MIN_AMBIGUOUS_SPAN_S
+        )
 
     def _blames_canary(self, found: Explanation, is_canary: IsCanary) -> bool:
         involved = [self._crashes[crash.name] for crash in found.crashes]
         return all(is_canary(crash.service, crash.version) for crash in involved)
 
-    def _make_suspect(self, found: Explanation) -> Suspect:
+    def _make_suspect(self, found: Explanation, tentative: Collection[str]) -> Suspect:
         involved = [self._crashes[crash.name] for crash in found.crashes]
         is_proven = any(crash.is_proven for crash in involved)
         versions = () if is_proven else tuple(sorted({c.version for c in involved}))
-        is_coincidence = found.is_ambiguous or self._is_burst(found)
+        if found.is_relapse:
+            is_tentative = found.key in tentative
+        elif is_part(found.key):
+            is_burst = self._is_burst(found)
+            is_tentative = found.is_ambiguous or is_burst or not is_proven
+        else:
+            is_tentative = found.is_ambiguous
         return Suspect(
             fingerprint=found.key,
             service=involved[0].service,
             versions=versions,
             backends=tuple(crash.name for crash in found.crashes),
-            is_tentative=is_part(found.key) and (is_coincidence or not is_proven),
+            is_tentative=is_tentative,
             first_crash_at=found.crashes[0].broke_at,
         )
 
@@ -484,6 +525,13 @@
         )
 
 
+def _explain_until(crashes: Iterable[ObservedCrash], hold: Hold, until: float) -> None:
+    """Let quarantined features explain the crashes up to a time."""
+    for crash in crashes:
+        if crash.broke_at <= until and crash.had(hold.features):
+            crash.holds.append(hold)
+
+
 def _count_in_window(times: Sequence[float], window_s: float) -> int:
     """Return the highest number of sorted times within a window."""
     return max(sum(t <= u < t + window_s for u in times) for t in times)
--- a/src/baobabthread/routing/quarantine.py
+++ b/src/baobabthread/routing/quarantine.py
@@ -19,8 +19,8 @@
 """Time of the first quarantine of a request: longer than callers keep retrying, and
 short enough that a repaired service soon serves it again without intervention."""
 TENTATIVE_S = (2.0, 30.0)
-"""Times of the first quarantines on evidence that a simultaneous loss of servers could
-explain as well."""
+"""Times of the first quarantines of prompt parts on evidence that a simultaneous loss
+of servers could explain as well."""
 PROBATION_S = 60.0
 """Time after a quarantine in which one request at a time is let through, until one is
 answered: without it all instances would send such requests at the same moment."""
@@ -76,12 +76,13 @@
 
 
 class _Stored:
-    __slots__ = ("entry", "features", "first_crash_at", "until")
+    __slots__ = ("entry", "features", "first_crash_at", "imposed_at", "until")
 
     def __init__(self, *, entry: QuarantineEntry, until: float, now: float) -> None:
         self.entry = entry
         self.features = entry.features
         self.until = until
+        self.imposed_at = now
         self.first_crash_at = now - entry.first_crash_s
 
     def read(self, now: float) -> QuarantineEntry:
@@ -175,7 +176,7 @@
             fingerprint=fingerprint,
             service=service,
             times=times,
-            left_s=_find_duration(times, is_tentative),
+            left_s=_find_duration(times, is_tentative and is_part(fingerprint)),
             versions=versions,
             is_tentative=is_tentative,
             first_crash_s=0.0 if first_crash_at is None else now - first_crash_at,
@@ -261,6 +262,10 @@
             if now < stored.until and not stored.entry.is_cleared
         }
 
+    def imposed_at(self) -> dict[str, float]:
+        """Return when each entry was imposed, as far as this instance knows."""
+        return {name: stored.imposed_at for name, stored in self._entries.items()}
+
     def tentative(self) -> set[str]:
         """Return the fingerprints whose quarantine is tentative."""
         return {
--- a/src/baobabthread/routing/suspects.py
+++ b/src/baobabthread/routing/suspects.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
 
@@ -63,20 +64,49 @@
         self.holds = [hold for hold in holds if self.had(hold.features)]
         """Quarantined features that explain the crash."""
 
-    def had(self, features: frozenset[str]) -> bool:
-        """Return whether a request with all of these features was present."""
-        return any(features <= request.features for request in self.requests)
+    def had(self, features: frozenset[str], since: float = -math.inf) -> bool:
+        """Return whether a request with all of these features was present.
+
+        It was sent after `since`.
+        """
+        return any(
+            features <= request.features and request.sent_at >= since
+            for request in self.requests
+        )
 
     def counts_for(self, feature: str) -> bool:
         """Return whether a feature may have caused the crash.
 
-        Once it is explained it counts for other features only while that is tentative.
+        Once it is explained it counts for other features only while that is tentative,
+        or if they belong to the same request: any of its features may be the cause.
         """
         if feature not in self.features:
             return False
-        if any(feature in hold.features for hold in self.holds):
+        if all(hold.is_tentative for hold in self.holds):
             return True
-        return all(hold.is_tentative for hold in self.holds)
+        return any(
+            hold.features <= request.features
+            for hold in self.holds
+            for request in self.list_with(feature)
+        )
+
+    @property
+    def is_explained(self) -> bool:
+        """Return whether no further feature needs to be found.
+
+        If one request explains it, any part of its prompt may still be the cause.
+        """
+        return any(
+            all(is_part(feature) for feature in hold.features)
+            or not self._has_suspected_parts(hold)
+            for hold in self.holds
+        )
+
+    def _has_suspected_parts(self, hold: Hold) -> bool:
+        return any(
+            hold.features <= request.features and any(map(is_part, request.suspected))
+            for request in self.requests
+        )
 
     def list_with(self, feature: str) -> list[PresentRequest]:
         """Return the requests with a suspected feature."""
@@ -92,14 +122,16 @@
     crashes: list[ObservedCrash]
     is_ambiguous: bool
     """Whether other requests, or all of them, could explain the crashes as well."""
+    is_relapse: bool = False
+    """Whether the features were quarantined before."""
 
     @property
     def key(self) -> str:
-        """Name of what is suspected: a single request rather than its parts."""
-        for feature in self.features:
-            if not is_part(feature):
-                return feature
-        others = sorted(self.features - {self.feature})
+        """Name of what is suspected: one request, or parts that came together."""
+        if not is_part(self.feature):
+            return self.feature
+        others = sorted(each for each in self.features if is_part(each))
+        others.remove(self.feature)
         return join_features([self.feature, *others[: MAX_FEATURES - 1]])
 
     @property
@@ -134,24 +166,41 @@
     )
 
 
-def explain(feature: str, crashes: Iterable[ObservedCrash]) -> Explanation:
-    """Return how a feature explains the crashes for which it counts."""
+def explain(
+    feature: str, crashes: Iterable[ObservedCrash], known: Collection[str] = ()
+) -> Explanation:
+    """Return how a feature explains the crashes for which it counts.
+
+    Features in `known` were answered shortly before the crashes. They are no
+    alternative to one that was not.
+    """
     involved = [crash for crash in crashes if crash.counts_for(feature)]
     involved.sort(key=lambda crash: crash.broke_at)
     common = frozenset.intersection(*(crash.features for crash in involved))
     features = _find_companions(feature, common, involved)
+    others = common if feature in known else common.difference(known)
+    if is_part(feature):
+        # A request that is retried follows the crashes whatever their cause is.
+        others = frozenset(filter(is_part, others))
     return Explanation(
         feature=feature,
         features=features,
         crashes=involved,
-        is_ambiguous=not common <= features or _is_universal(feature, involved),
+        is_ambiguous=not others <= features or _is_universal(feature, involved),
     )
 
 
 def rank_suspects(
-    candidates: Collection[str], counts: Counter[str], crashes: Iterable[ObservedCrash]
+    candidates: Collection[str],
+    counts: Counter[str],
+    crashes: Iterable[ObservedCrash],
+    known: Collection[str],
 ) -> list[str]:
-    """Return features by their number of crashes, those of few requests first."""
+    """Return features by their number of crashes.
+
+    Of those with equal numbers, features that were not answered shortly before come
+    first, then those of few requests.
+    """
     requests = Counter(
         feature
         for crash in crashes
@@ -159,7 +208,10 @@
         for feature in request.suspected
         if feature in candidates
     )
-    return sorted(candidates, key=lambda each: (-counts[each], requests[each], each))
+    return sorted(
+        candidates,
+        key=lambda each: (-counts[each], each in known, requests[each], each),
+    )
 
 
 def _find_companions(
