Soak: parts of prompts that crash servers, their promises, presses and mutants

Why the soak missed it: every caller of its crashing requests repeats one body. The new fault sends requests that share a part and nothing else, with other bodies, accounts and routes, beside sound callers that share every other part. Two promises: at most three reach servers later than three seconds after the fifth crash; sound streams begin at least half as often as usual beside it. Three mutants, each found by its press: known by the body only, cleared by any end, cleared by an answer of before. Servers that crash close their connections as a process that ends does, no longer with a reset, and one in three sends streams without chunks.

With up to three parts at once on three servers it found, and this mends: - a part that all requests have (the first one) was picked as it explains most crashes. Those come last now, need five crashes that nothing explains, and stay tentative; - requests that differ only in their prompts had one fingerprint, so that a quarantine of one held all of them: the fingerprint was too wide as well. It covers the prompt now; - records of crashed servers counted as servers left: three of three crashed and the entry was firm. Servers that are known to have crashed don't count; - a trial beside another suspected part convicted a sound one; an entry and the one that it was reduced to blocked each other's trials; a cleared part kept its number of times.

--- a/bench/_parts.py
+++ b/bench/_parts.py
@@ -200,7 +200,9 @@
         coordinator = member.link.quarantine
         backends: Any = _AnyBackend()
         detector = CrashDetector(backends=backends, report=coordinator.report_crash)
-        coordinator.count_backends = lambda service: len(self.servers)
+        coordinator.count_backends = lambda service, crashed: sum(
+            not server.is_down for server in self.servers
+        )
         coordinator.watch.find_answered = detector.find_answered
         coordinator.on_quarantined = detector.cancel
         detector.on_answered = coordinator.record_answered
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from tests.platform.fakecallers import HOST, read_response
 
 from soak.history import Call, Kind, now
-from soak.site import Crashing, Site
+from soak.site import Crashing, CrashingPart, Site
 
 PAUSE_S = 0.04
 CRASH_PAUSE_S = 0.4
@@ -18,6 +18,8 @@
 TIMEOUT_S = 4.0
 ADDRESSES_S = 2.0
 """How long addresses are kept; one caller in three keeps them three times as long."""
+FIRST_PART = "aa"
+"""First part of all prompts, also of those with a part that crashes servers."""
 SMALL_BODY = b"{}"
 UNANSWERED = (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError)
 """How a connection ends before a whole answer, or with bytes that are none."""
@@ -33,7 +35,7 @@
         site: Site,
         number: int,
         seed: int,
-        crashing: Crashing | None = None,
+        crashing: Crashing | CrashingPart | None = None,
         pause_s: float = PAUSE_S,
     ) -> None:
         self._site = site
@@ -85,17 +87,26 @@
     def _make_call(self, address: str) -> Call:
         self._count += 1
         crashing = self._crashing
+        part = ""
+        if isinstance(crashing, CrashingPart):
+            # Nothing but the part is the same in each request.
+            part, crashing = crashing.id, None
         machines = self._site.machines
         index = next((m.index for m in machines if m.front == address), -1)
         return Call(
             id=f"c{self._number}-{self._count}",
-            kind=crashing.kind if crashing else self._rng.choice(list(Kind)),
+            kind=crashing.kind if crashing else self._choose_kind(part),
             instance=index,
             key=self._site.find_key(crashing) if crashing else self._choose_key(),
             sent_at=now(),
             mark=crashing.mark if crashing else "",
+            part=part,
         )
 
+    def _choose_kind(self, part: str) -> Kind:
+        kinds = [kind for kind in Kind if kind.is_stream or not part]
+        return self._rng.choice(kinds)
+
     def _choose_key(self) -> str:
         revoked = list(self._site.history.revoked)
         if revoked and self._rng.random() < 0.15:
@@ -133,6 +144,8 @@
     def _render(self, call: Call) -> bytes:
         body = SMALL_BODY if call.kind in WORDS else b""
         body = call.mark.encode() or body
+        if call.part:
+            body = f"{{{call.id}}}".encode()
         fields = {
             "Host": HOST,
             "X-Attempt-Id": call.id,
@@ -144,7 +157,10 @@
         if call.kind.is_stream:
             fields["X-Model"] = "*"
             fields["X-Token-Usage"] = "100,20"
-            fields["X-Prompt-Prefix"] = f"aa:50,bb{self._rng.randrange(9)}:30,cc:20"
+            parts = [FIRST_PART, f"bb{self._rng.randrange(9)}"]
+            if call.part:
+                parts.insert(self._rng.randrange(len(parts) + 1), call.part)
+            fields["X-Prompt-Prefix"] = ",".join(f"{p}:30" for p in (*parts, call.id))
         if body:
             fields["Content-Length"] = str(len(body))
         lines = [f"{WORDS.get(call.kind, 'GET')} /{call.kind}/x HTTP/1.1"]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.callers import Caller
 from soak.instances import APPLY_S, EVACUATION_S, SERVER_DOMAINS
 from soak.partitions import Cut
+from soak.parts import CRASHING_PART, crash_by_part
 from soak.proxies import Mode, Proxy
 from soak.site import COLD_S, ENGINE, PLAIN, Backend, Site
 
@@ -248,6 +249,13 @@
         await asyncio.sleep(1.5)
 
 
+@FAULTS.register(CRASHING_PART)
+async def crash_under_new_requests(site: Site) -> None:
+    """Let callers send ever new requests that share a part that crashes servers."""
+    async with crash_by_part(site, site.make_crashing_part()):
+        await asyncio.sleep(site.rng.uniform(9.0, 14.0))
+
+
 @FAULTS.register("cold backend")
 async def replace_by_cold_one(site: Site) -> None:
     """Replace one backend server of a service by one that is cold for some seconds."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -58,6 +58,8 @@
     """Whether it went out on a connection that had carried another one."""
     mark: str = ""
     """Names what every server crashes under; requests with the same one are alike."""
+    part: str = ""
+    """Part of its prompt under which every server crashes; no two of them are alike."""
 
 
 class Run(msgspec.Struct, frozen=True, kw_only=True):
@@ -78,6 +80,8 @@
     failure_domain: str = ""
     is_cold: bool = False
     """Whether the backend server had told that it is cold."""
+    crashes: bool = False
+    """Whether the backend server crashes under it."""
     limit: float | None = None
     """Requests a second that its answer names as the server's limit."""
 
--- a/soak/pressing.py
+++ b/soak/pressing.py
@@ -73,7 +73,7 @@
 PRESSES: Registry[Press] = Registry(what="press")
 
 
-async def _wait_until(count: Callable[[], int], enough: int) -> Pressed:
+async def wait_until(count: Callable[[], int], enough: int) -> Pressed:
     """Wait until something was counted often enough, or for the longest time."""
     for _ in range(int(MOST_S / LOOK_S)):
         if count() >= enough:
@@ -119,7 +119,7 @@
         )
 
     async with _harm_all(site, service, behaviour):
-        return await _wait_until(count_runs, enough)
+        return await wait_until(count_runs, enough)
 
 
 @PRESSES.register("take any answer")
@@ -154,7 +154,7 @@
 async def press_headers(site: Site) -> Pressed:
     """Wait for requests: each one carries a key and a forged account."""
     before = len(site.history.runs)
-    return await _wait_until(lambda: len(site.history.runs) - before, ENOUGH)
+    return await wait_until(lambda: len(site.history.runs) - before, ENOUGH)
 
 
 @PRESSES.register("serve on stale knowledge")
@@ -175,7 +175,7 @@
                 if call.sent_at > late_from
             )
 
-        pressed = await _wait_until(count_late, ENOUGH)
+        pressed = await wait_until(count_late, ENOUGH)
         site.store.fault = ""
         await asyncio.sleep(1.0)
     return pressed
@@ -188,7 +188,7 @@
     domain = max(sorted(set(domains)), key=domains.count)
     with site.note("configuration: evacuation"), site.evacuate(domain):
         late_from = now() + site.history.evacuation_s + SLACK_S
-        return await _wait_until(
+        return await wait_until(
             lambda: _count_answered(site, late_from), ENOUGH_EVACUATED
         )
 
@@ -209,7 +209,7 @@
         for area in ("south", "north"):
             site.change_homes(area)
             late_from = now() + site.history.apply_s + SLACK_S
-            pressed = await _wait_until(
+            pressed = await wait_until(
                 lambda since=late_from: _count_answered(site, since, Kind.SAFE),  # type: ignore[misc]
                 ENOUGH,
             )
@@ -319,7 +319,7 @@
                 for call in site.history.calls
             )
 
-        return await _wait_until(count_there, ENOUGH_PARTITIONED)
+        return await wait_until(count_there, ENOUGH_PARTITIONED)
 
 
 @PRESSES.register("forget crashes")
@@ -337,7 +337,7 @@
     ]
     with site.note("crashing request"):
         asking = [asyncio.ensure_future(caller.run()) for caller in callers]
-        pressed = await _wait_until(
+        pressed = await wait_until(
             lambda: _count_known(site, crashing.mark), 3 * MOST_LATER
         )
         for caller in callers:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -209,7 +209,7 @@
     calls = {call.id: call for call in history.calls}
     for run in history.runs:
         call = calls.get(run.id)
-        if call is None or _is_out_of_touch(history, call, run.at):
+        if call is None or is_out_of_touch(history, call, run.at):
             continue
         for each in history.evacuated:
             if each.failure_domain != run.failure_domain:
@@ -304,7 +304,7 @@
 
 def _may_fail_anywhere(history: History, call: Call) -> bool:
     """Return whether a request fails whatever the paths are, or may lack a peer."""
-    if call.mark or call.key in history.revoked:
+    if call.mark or call.part or call.key in history.revoked:
         return True
     return any(
         fault.name.startswith(OUT_OF_TOUCH)
@@ -320,7 +320,7 @@
     calls = {call.id: call for call in history.calls}
     for run in history.runs:
         call = calls.get(run.id)
-        if call is None or _is_out_of_touch(history, call, run.at):
+        if call is None or is_out_of_touch(history, call, run.at):
             continue
         allowed = _list_allowed(history, call, run.at)
         area = history.areas.get(run.failure_domain, "")
@@ -340,7 +340,8 @@
     return found
 
 
-def _is_out_of_touch(history: History, call: Call, at: float) -> bool:
+def is_out_of_touch(history: History, call: Call, at: float) -> bool:
+    """Return whether an instance may know nothing new when a request runs."""
     faults = history.disturbed(call.instance, call.sent_at - CONTACT_S, at)
     return any(name.startswith(OUT_OF_TOUCH) for name in faults)
 
@@ -374,7 +375,8 @@
 def check_recovery(history: History) -> Iterator[str]:
     """Find a run in which callers still go unanswered after the last fault."""
     late = [call for call in history.calls if call.sent_at >= history.calm_from]
-    late = [c for c in late if c.key not in history.revoked and not c.mark]
+    late = [c for c in late if c.key not in history.revoked]
+    late = [call for call in late if not (call.mark or call.part)]
     served = sum(call.status == 200 and call.whole for call in late)
     if not late:
         yield "nobody asked after the last fault"
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -65,10 +65,14 @@
         for link in list(self._links):
             link.abort()
 
-    def close(self) -> None:
-        """Stop listening and end what is open."""
+    def stop_listening(self) -> None:
+        """Refuse new connections, and pass on how the open ones end."""
         if self._server is not None:
             self._server.close()
+
+    def close(self) -> None:
+        """Stop listening and end what is open."""
+        self.stop_listening()
         self.reset_all()
 
     async def _serve(
--- a/soak/site.py
+++ b/soak/site.py
@@ -10,7 +10,12 @@
 from pathlib import Path
 
 import msgspec
-from tests.platform.fakes import FakeBackend, ReceivedRequest
+from tests.platform.fakes import (
+    CrashMoment,
+    FakeBackend,
+    Framing,
+    ReceivedRequest,
+)
 from tests.platform.fakestore import BACKENDS, OPERATORS, FakeStore
 from tests.platform.site import TIME_LIMIT_MS, make_configuration, route
 
@@ -55,6 +60,11 @@
 """Requests a second that a cold server bears."""
 CRASH_MARK = "crash"
 """Begins the bodies under which every server crashes."""
+CRASH_PART = "dead"
+"""Begins the parts of prompts under which every server crashes."""
+CRASH_MOMENTS: tuple[CrashMoment, ...] = tuple(CrashMoment)
+FRAMINGS: tuple[Framing, ...] = (Framing.CHUNKED, Framing.CHUNKED, Framing.CLOSE)
+"""Taken in turn by the servers, so that a run has all of them."""
 BACK_S = 0.7
 """Time after which a server that crashed is back, as another start of it."""
 LAPSE_S = 0.8
@@ -69,6 +79,12 @@
     mark: str
 
 
+class CrashingPart(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a part of prompts under which every server crashes."""
+
+    id: str
+
+
 class Backend:
     """Hold one backend server and the proxy before it."""
 
@@ -102,6 +118,10 @@
             apply_s=APPLY_S,
             most_cold=COLD_RATE * COLD_FACTOR + COLD_EXTRA,
         )
+        self.framings = FRAMINGS
+        self.crash_moments = CRASH_MOMENTS
+        self.crash_part = CRASH_PART
+        """Start of the parts under which servers crash now; empty for none."""
         self._homes: tuple[str, ...] = ()
         self.machines: list[Machine] = []
         self.backends: dict[str, Backend] = {}
@@ -201,6 +221,17 @@
             mark=f"{CRASH_MARK} {self._number}",
         )
 
+    def make_crashing_part(self) -> CrashingPart:
+        """Return a part of prompts under which every server crashes."""
+        self._number += 1
+        return CrashingPart(id=f"{CRASH_PART}{self._number:04x}")
+
+    def set_crash_part(self, prefix: str) -> None:
+        """Let all servers crash under parts that begin so; under none if empty."""
+        self.crash_part = prefix
+        for backend in self.backends.values():
+            backend.fake.crash_part = prefix
+
     def configure(self) -> None:
         """Publish a configuration with the accounts and routes of now."""
         self._version += 1 + self.rng.randrange(3)
@@ -283,6 +314,9 @@
         fake.pause_s = EVENT_PAUSE_S if service == ENGINE else WORK_S
         fake.on_arrival = self._note_run
         fake.crash_on = CRASH_MARK.encode()
+        fake.crash_part = self.crash_part
+        fake.crash_moment = self.crash_moments[self._number % len(self.crash_moments)]
+        fake.framing = self.framings[self._number % len(self.framings)]
         fake.on_crash = self._take_crash
         await fake.start()
         proxy = await Proxy(target=fake.address, network=self.network).start()
@@ -384,8 +418,12 @@
             if fake.falls:
                 self.history.brittle[-1].falls.append(fake.id)
             backend.troubles += 1
-            backend.proxy.close()
-            self._close_paths(backend)
+            # The kernel closes the connections of a process that ends, as it would
+            # after a whole response.
+            backend.proxy.stop_listening()
+            for paths in self.paths.values():
+                if fake.id in paths:
+                    paths[fake.id].stop_listening()
             self._returns.add(asyncio.ensure_future(self._bring_back(backend)))
 
     async def _bring_back(self, backend: Backend) -> None:
@@ -412,6 +450,7 @@
                 leaked="authorization" in headers,
                 failure_domain=backend.zone,
                 is_cold=bool(backend.cold_left_s),
+                crashes=executed and backend.crashes_under(seen),
                 limit=float(seen.limits[0]) if seen.limits else None,
             )
         )
--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -28,6 +28,7 @@
     serverlimits,
     warmup,
 )
+from baobabthread.routing import crashes as analysis
 
 DECIDED_EVENT = "safeguard_decided"
 WATCH = "watch"
@@ -161,6 +162,42 @@
     crashes.CrashDetector._report_termination = tell_nobody  # type: ignore
 
 
+@WEAKENED.register("know crashes by the body")
+def know_crashes_by_the_body(safeguard: Safeguard) -> None:
+    """Know what crashed servers by whole requests alone."""
+    ask = context.fingerprint_parts
+
+    def fingerprint_parts(parts: Any) -> tuple[str, ...]:
+        found = ask(parts)
+        return found if safeguard.stands(bool(found)) else ()
+
+    context.fingerprint_parts = fingerprint_parts
+
+
+@WEAKENED.register("clear by any end")
+def clear_by_any_end(safeguard: Safeguard) -> None:
+    """Take the end of a connection for the end of its response."""
+    ask = connections.Response.ends_with_connection.fget  # type: ignore
+
+    def ends_with_connection(self: connections.Response) -> bool:
+        return safeguard.stands(ask(self))
+
+    connections.Response.ends_with_connection = property(ends_with_connection)  # type: ignore
+
+
+@WEAKENED.register("clear by earlier answers")
+def clear_by_earlier_answers(safeguard: Safeguard) -> None:
+    """Take every answer for one that began after the crashes."""
+    ask = analysis.CrashAnalysis.was_cleared
+
+    def was_cleared(self: analysis.CrashAnalysis, feature: str, since: float) -> bool:
+        was_answered = feature in self._answered_at
+        is_later = ask(self, feature, since)
+        return is_later or (not safeguard.stands(was_answered) and was_answered)
+
+    analysis.CrashAnalysis.was_cleared = was_cleared  # type: ignore
+
+
 @WEAKENED.register("forget evacuations")
 def forget_evacuations(safeguard: Safeguard) -> None:
     """Take no failure domain for evacuated."""
--- a/src/baobabthread/instance/backends.py
+++ b/src/baobabthread/instance/backends.py
@@ -301,6 +301,15 @@
         """Return the number of a service's backend servers per version."""
         return self._count_versions(service, lambda record: not record.leaving)
 
+    def count_left(self, service: str, crashed: Collection[str]) -> int:
+        """Return the number of a service's servers, except for those that crashed."""
+        return sum(
+            self._count_versions(
+                service,
+                lambda record: not record.leaving and record.incarnation not in crashed,
+            ).values()
+        )
+
     def usable_versions(self, service: str) -> dict[str, int]:
         """Return the number per version of servers that may get new requests."""
         return self._count_versions(service, self._is_usable)
--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -275,6 +275,7 @@
                 host=self.route.host,
                 target=request.target,
                 body=request.body,
+                prompt=request.envelope.prompt_parts,
             )
         return self._fingerprint
 
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -179,9 +179,7 @@
         coordinator.is_canary = self.services.is_canary
         coordinator.on_unproven_crash = self.services.record_crash
         coordinator.find_versions = self.backends.versions
-        coordinator.count_backends = lambda service: sum(
-            self.backends.versions(service).values()
-        )
+        coordinator.count_backends = self.backends.count_left
         coordinator.watch.find_answered = self.crashes.find_answered
         coordinator.on_quarantined = self.crashes.cancel
         self.crashes.on_answered = coordinator.record_answered
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -115,7 +115,9 @@
         self._owners: dict[str, list[str]] = {}
         self._analysis = CrashAnalysis(
             find_delay=self._find_delay,
-            count_backends=lambda service: self.count_backends(service),
+            count_backends=lambda service, crashed: self.count_backends(
+                service, crashed
+            ),
         )
         self._evaluate_at = float("inf")
         """When crashes are evaluated again, as replies have arrived by then."""
@@ -133,7 +135,7 @@
         """Whether the stored entries are known, from the store or an informed peer."""
         self.is_canary: IsCanary = lambda service, version: False
         self.find_versions: FindVersions = lambda service: ()
-        self.count_backends: CountBackends = lambda service: 0
+        self.count_backends: CountBackends = lambda service, crashed: 0
         self.watch = SuspectWatch(send_to_owners=self._send_to_owners)
         self.on_unproven_crash: Callable[[str, str], None] = lambda service, version: (
             None
--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -45,10 +45,8 @@
 """Time between the first and the last crash from which on an ambiguous prompt part is
 quarantined: sound parts are answered in between, if any server is left."""
 BURST_S = 3.0
-"""Time within which crashes may leave no server that could answer sound requests."""
-MAX_BURST_FRACTION = 0.5
-"""Fraction of a service's servers, above which crashes within `BURST_S` are no proof
-against prompt parts that were present at all of them."""
+"""Time within which crashes may leave too few servers to answer sound requests. If more
+crash than are left, it is no proof against parts that were present at all of them."""
 SETTLE_S = 0.15
 """Time from the first report of a crash until it is analyzed. Instances that detect it
 later report more requests, without which the wrong one could be the only suspect."""
@@ -70,8 +68,8 @@
 FindDelay = Callable[[str], float]
 """Return by how many seconds this owner of a service waits longer than the first."""
 EMPTY: Mapping[str, float] = MappingProxyType({})
-CountBackends = Callable[[str], int]
-"""Return the number of backend servers of a service."""
+CountBackends = Callable[[str, Collection[str]], int]
+"""Return the number of a service's backend servers, except for some incarnations."""
 IsCanary = Callable[[str, str], bool]
 """Return whether a version of a service is a canary beside another version."""
 
@@ -212,7 +210,7 @@
         self,
         *,
         find_delay: FindDelay = lambda service: 0.0,
-        count_backends: CountBackends = lambda service: 0,
+        count_backends: CountBackends = lambda service, crashed: 0,
     ) -> None:
         self._find_delay = find_delay
         self._count_backends = count_backends
@@ -449,13 +447,24 @@
             if counts[feature] >= MIN_CRASHES and frozenset([feature]) not in held
         }
         known = self._list_known(candidates, observed)
+        universal = []
         for feature in rank_suspects(candidates, counts, observed, known):
             found = explain(feature, observed, known)
-            if self._is_sufficient(found) and not self._blames_canary(found, is_canary):
+            if not self._is_sufficient(found) or self._blames_canary(found, is_canary):
+                continue
+            if not found.is_universal:
                 return found
+            universal.append(found)
+        if universal:
+            return universal[0]
         for features, since in lapsed.items():
             # Requests that were sent before may still run on servers that crash.
-            involved = [c for c in unexplained if c.had(features, since)]
+            involved = [
+                crash
+                for crash in unexplained
+                if crash.had(features, since)
+                and not self._has_other_suspects(crash, features)
+            ]
             if involved:
                 found = Explanation(
                     feature=min(features),
@@ -468,6 +477,13 @@
                     return found
         return None
 
+    def _has_other_suspects(
+        self, crash: ObservedCrash, features: frozenset[str]
+    ) -> bool:
+        """Return whether a crash may have been caused by another part."""
+        others = {each for each in crash.features - features if is_part(each)}
+        return bool(others - self._list_known(others, [crash]))
+
     def _list_known(
         self, features: Collection[str], crashes: Sequence[ObservedCrash]
     ) -> set[str]:
@@ -480,12 +496,15 @@
         of_parts = is_part(found.key)
         if of_parts and found.count_waves() < MIN_WAVES:
             return False
-        if not found.is_ambiguous:
+        if not found.is_ambiguous and not found.is_universal:
             return True
         if not of_parts:
             return len(found.crashes) >= MIN_CRASHES_IF_AMBIGUOUS
+        count = len(found.crashes)
+        if found.is_universal:
+            count = found.count_unexplained()
         return (
-            len(found.crashes) >= MIN_CRASHES_IF_PART_AMBIGUOUS
+            count >= MIN_CRASHES_IF_PART_AMBIGUOUS
             and found.span_s >= MIN_AMBIGUOUS_SPAN_S
         )
 
@@ -501,7 +520,8 @@
             is_tentative = found.key in tentative
         elif is_part(found.key):
             is_burst = self._is_burst(found)
-            is_tentative = found.is_ambiguous or is_burst or not is_proven
+            is_doubtful = found.is_ambiguous or found.is_universal
+            is_tentative = is_doubtful or is_burst or not is_proven
         else:
             is_tentative = found.is_ambiguous
         return Suspect(
@@ -515,12 +535,12 @@
 
     def _is_burst(self, found: Explanation) -> bool:
         """Return whether most servers of a service crashed at about the same time."""
+        crashed = self._crashes.keys()
         by_service: dict[str, list[float]] = {}
         for crash in found.crashes:
             by_service.setdefault(crash.service, []).append(crash.broke_at)
         return any(
-            _count_in_window(times, BURST_S)
-            > MAX_BURST_FRACTION * self._count_backends(service)
+            _count_in_window(times, BURST_S) > self._count_backends(service, crashed)
             for service, times in by_service.items()
         )
 
--- a/src/baobabthread/routing/fingerprints.py
+++ b/src/baobabthread/routing/fingerprints.py
@@ -23,7 +23,13 @@
 
 
 def fingerprint(
-    *, account: str, method: str, host: str, target: str, body: bytes
+    *,
+    account: str,
+    method: str,
+    host: str,
+    target: str,
+    body: bytes,
+    prompt: Sequence[PromptPart] = (),
 ) -> str:
     """Return a fingerprint that is the same for equal requests of one account."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
@@ -32,6 +38,11 @@
         digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
         digest.update(part)
     digest.update(body)
+    # The parts of a prompt are not in the body, and requests may differ in them alone.
+    for each in prompt:
+        id = each.id.encode(errors="surrogatepass")
+        digest.update(len(id).to_bytes(LENGTH_BYTES, "big"))
+        digest.update(id)
     return base64.urlsafe_b64encode(digest.digest()).decode()
 
 
--- a/src/baobabthread/routing/quarantine.py
+++ b/src/baobabthread/routing/quarantine.py
@@ -138,18 +138,20 @@
     ) -> QuarantineEntry | None:
         """Return an entry that applies to a request with these features, if any.
 
-        Entries on probation apply as well.
+        Entries on probation apply as well. Those that have all features of the one in
+        `except_for`, or only such features, don't: they have the same cause.
         """
         if self._by_feature is None:
             self._index()
         assert self._by_feature is not None
         present = frozenset(features)
+        exempt = split_features(except_for) if except_for is not None else frozenset()
         for feature in features:
             for stored in self._by_feature.get(feature, ()):
                 if (
                     stored.features <= present
                     and now < stored.until + PROBATION_S
-                    and stored.entry.fingerprint != except_for
+                    and not _are_nested(stored.features, exempt)
                     and _is_in_force(stored, find_versions)
                 ):
                     return stored.read(now)
@@ -172,11 +174,16 @@
     ) -> QuarantineEntry:
         """Quarantine a request or parts, longer each time, and return the entry."""
         times = 1 + self._count_previous(fingerprint)
+        previous = self._entries.get(fingerprint)
+        was_cleared = previous is not None and previous.entry.is_cleared
         entry = QuarantineEntry(
             fingerprint=fingerprint,
             service=service,
             times=times,
-            left_s=_find_duration(times, is_tentative and is_part(fingerprint)),
+            left_s=_find_duration(
+                1 if is_tentative and was_cleared else times,
+                is_tentative=is_tentative and is_part(fingerprint),
+            ),
             versions=versions,
             is_tentative=is_tentative,
             first_crash_s=0.0 if first_crash_at is None else now - first_crash_at,
@@ -281,6 +288,10 @@
         }
 
 
+def _are_nested(features: frozenset[str], others: frozenset[str]) -> bool:
+    return bool(others) and (features <= others or features >= others)
+
+
 def _is_in_force(stored: _Stored, find_versions: FindVersions) -> bool:
     entry = stored.entry
     if entry.is_cleared:
@@ -289,7 +300,7 @@
     return not (entry.versions and others)
 
 
-def _find_duration(times: int, is_tentative: bool) -> float:
+def _find_duration(times: int, *, is_tentative: bool) -> float:
     """Return for how long a quarantine lasts that is imposed for the n-th time."""
     if is_tentative:
         if times <= len(TENTATIVE_S):
--- a/src/baobabthread/routing/suspects.py
+++ b/src/baobabthread/routing/suspects.py
@@ -122,6 +122,9 @@
     crashes: list[ObservedCrash]
     is_ambiguous: bool
     """Whether other requests, or all of them, could explain the crashes as well."""
+    is_universal: bool = False
+    """Whether all requests at all of the crashes had it, as they have a system prompt
+    in common."""
     is_relapse: bool = False
     """Whether the features were quarantined before."""
 
@@ -134,6 +137,10 @@
         others.remove(self.feature)
         return join_features([self.feature, *others[: MAX_FEATURES - 1]])
 
+    def count_unexplained(self) -> int:
+        """Return for how many of the crashes nothing is quarantined."""
+        return sum(not crash.holds for crash in self.crashes)
+
     @property
     def span_s(self) -> float:
         """Time from the first crash to the last one."""
@@ -186,7 +193,8 @@
         feature=feature,
         features=features,
         crashes=involved,
-        is_ambiguous=not others <= features or _is_universal(feature, involved),
+        is_ambiguous=not others <= features,
+        is_universal=_is_universal(feature, involved),
     )
 
 
@@ -196,10 +204,10 @@
     crashes: Iterable[ObservedCrash],
     known: Collection[str],
 ) -> list[str]:
-    """Return features by their number of crashes.
+    """Return features with those that are most likely the cause first.
 
-    Of those with equal numbers, features that were not answered shortly before come
-    first, then those of few requests.
+    Features that were not answered shortly before go before others, then those of
+    more crashes, then those of fewer requests.
     """
     requests = Counter(
         feature
@@ -210,7 +218,7 @@
     )
     return sorted(
         candidates,
-        key=lambda each: (-counts[each], each in known, requests[each], each),
+        key=lambda each: (each in known, -counts[each], requests[each], each),
     )
 
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -128,7 +128,8 @@
         self.crash_s = 0.03
         """Delay from the start of such a request to the crash."""
         self.crash_part = ""
-        """Part of a prompt, never the last one, that crashes the server as well."""
+        """Start of the parts of prompts, except for the last one, that crash the server
+        as well; empty for none."""
         self.crash_moment = CrashMoment.BETWEEN_EVENTS
         """How far the response to such a request gets, if it is a stream."""
         self.framing = Framing.CHUNKED
@@ -196,8 +197,11 @@
             writer.transport.abort()
         self.on_crash(self)
 
-    def _crashes_under(self, request: ReceivedRequest) -> bool:
-        if self.crash_part and self.crash_part in request.shared_parts:
+    def crashes_under(self, request: ReceivedRequest) -> bool:
+        """Return whether a request crashes the server."""
+        if self.crash_part and any(
+            part.startswith(self.crash_part) for part in request.shared_parts
+        ):
             return True
         if self.crash_account not in ("", request.headers.get("x-tenant")):
             return False
@@ -209,7 +213,7 @@
             return "misdirected"
         if self.brittle is not None and self.running >= self.room:
             return self._reject(self.brittle)
-        return "crash" if self._crashes_under(request) else self.behaviour
+        return "crash" if self.crashes_under(request) else self.behaviour
 
     async def _run(
         self, behaviour: str, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -17,6 +17,7 @@
     Quarantine,
     QuarantineEntry,
 )
+from baobabthread.routing.table import PromptPart
 
 NO_VERSIONS: tuple[str, ...] = ()
 
@@ -127,6 +128,9 @@
         {"body": b"c"},
         {"account": "", "body": b"metro"},
         {"target": "/x/1?yb", "body": b""},
+        {"prompt": (PromptPart(id="a", tokens=1),)},
+        {"prompt": (PromptPart(id="b", tokens=1),)},
+        {"prompt": (PromptPart(id="b", tokens=1), PromptPart(id="a", tokens=1))},
     ]
     found = [fingerprint(**(same | other)) for other in others]  # type: ignore[arg-type]
     assert fingerprint(**same) not in found  # type: ignore[arg-type]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -59,6 +59,9 @@
 ever broke a promise, with the cause."""
 FAULT_OF = {
     "forget crashes": "crashing request",
+    "know crashes by the body": "crashing part",
+    "clear by any end": "crashing part",
+    "clear by earlier answers": "crashing part",
     "forget evacuations": "evacuation",
     "forget the cold": "cold backend",
     "forget homes": "homes",
@@ -111,12 +114,26 @@
     assert outcome.served > outcome.calls / 2
 
 
+def test_stop_parts_that_crash_servers() -> None:
+    """Requests that share nothing but a part of their prompts crash all servers.
+
+    Sound ones share their callers and all their other parts.
+    """
+    plan = Plan(seed=11, seconds=2.0, faults=("crashing part",))
+    outcome = asyncio.run(play(plan))
+    assert not outcome.breaches
+    assert outcome.served > outcome.calls / 2
+
+
 @pytest.mark.parametrize(
     ("weaken", "promise"),
     [
         ("take any answer", "whole"),
         ("refuse what ran", "true refusals"),
         ("forget crashes", "crashing requests"),
+        ("know crashes by the body", "crashing parts"),
+        ("clear by any end", "crashing parts"),
+        ("clear by earlier answers", "crashing parts"),
         ("forget evacuations", "evacuated domains"),
         ("forget the cold", "cold servers"),
         ("forget homes", "homes"),
