Tell a trial that failed from rare parts beside it

Cause: with rare parts in the prompts of others the trial of a part convicted nothing, as any part that was not answered within a minute counted as another suspect; a second trial followed a second later, and a server crashed under each.

--- a/bench/_parts.py
+++ b/bench/_parts.py
@@ -69,7 +69,7 @@
     return Traffic(
         depth=depth,
         bad_position=rng.randrange(depth),
-        subjects=rng.choice([1, 3, 12]),
+        subjects=rng.choice([1, 3, 12, 400]),
         burst=rng.choice([1, 3, 6]),
         pause_s=rng.choice([0.8, 3.0, 9.0]),
     )
@@ -447,7 +447,7 @@
         held_after=held_after,
         held_s=max(0.0, held_at - third_at),
         late=late,
-        begun=statistics.mean(after) / statistics.mean(usual),
+        begun=statistics.mean(after or usual) / statistics.mean(usual),
         rejected=site.rejected / max(1, len(site.sound)),
         kb_s=statistics.mean(by_member) / CRASHING_S / 1e3,
         max_kb_s=max(by_member) / CRASHING_S / 1e3,
--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from types import MappingProxyType
 from typing import NamedTuple
@@ -47,6 +47,9 @@
 BURST_S = 3.0
 """Time within which crashes may leave too few servers to answer sound requests. If more
 crash than are left, it is no proof against parts that were present at all of them."""
+RIVAL_FRACTION = 0.6
+"""Fraction of the crashes of one prompt part from which on another one is an
+alternative to it. Parts of requests that are retried are at up to three of them."""
 SETTLE_S = 0.15
 """Time from the first report of a crash until it is analyzed. Instances that detect it
 later report more requests, without which the wrong one could be the only suspect."""
@@ -463,7 +466,7 @@
                 crash
                 for crash in unexplained
                 if crash.had(features, since)
-                and not self._has_other_suspects(crash, features)
+                and not self._has_other_suspects(crash, features, counts)
             ]
             if involved:
                 found = Explanation(
@@ -478,10 +481,17 @@
         return None
 
     def _has_other_suspects(
-        self, crash: ObservedCrash, features: frozenset[str]
+        self, crash: ObservedCrash, features: frozenset[str], counts: Counter[str]
     ) -> bool:
-        """Return whether a crash may have been caused by another part."""
-        others = {each for each in crash.features - features if is_part(each)}
+        """Return whether another part of almost as many crashes was present."""
+        least = max(
+            float(MIN_CRASHES), RIVAL_FRACTION * min(counts[each] for each in features)
+        )
+        others = {
+            each
+            for each in crash.features - features
+            if is_part(each) and counts[each] >= least
+        }
         return bool(others - self._list_known(others, [crash]))
 
     def _list_known(
--- a/src/baobabthread/routing/quarantine.py
+++ b/src/baobabthread/routing/quarantine.py
@@ -138,8 +138,8 @@
     ) -> QuarantineEntry | None:
         """Return an entry that applies to a request with these features, if any.
 
-        Entries on probation apply as well. Those that have all features of the one in
-        `except_for`, or only such features, don't: they have the same cause.
+        Entries on probation apply as well, but not if they have all features of the one
+        in `except_for`, or only such features: a trial of it is one of them, too.
         """
         if self._by_feature is None:
             self._index()
@@ -151,7 +151,9 @@
                 if (
                     stored.features <= present
                     and now < stored.until + PROBATION_S
-                    and not _are_nested(stored.features, exempt)
+                    and not (
+                        now >= stored.until and _are_nested(stored.features, exempt)
+                    )
                     and _is_in_force(stored, find_versions)
                 ):
                     return stored.read(now)
