--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -47,6 +47,8 @@
 PUBLISH_ATTEMPTS = 3
 PUBLISH_INTERVAL_S = 0.15
 """How often, and at which interval, an entry is sent to all: datagrams may get lost."""
+EVALUATION_INTERVAL_S = 0.1
+"""Shortest time between two evaluations, which many crashes and answers call for."""
 REPORT_INTERVAL_S = 0.05
 """Time after which a crash is reported once more."""
 COMPARE_INTERVAL_S = 1.0
@@ -121,6 +123,7 @@
         )
         self._evaluate_at = float("inf")
         """When crashes are evaluated again, as replies have arrived by then."""
+        self._evaluated_at = -1e9
         self._trials = Trials()
         self._reports: list[_Report] = []
         """Reports of crashes that were sent only once."""
@@ -250,6 +253,9 @@
     def _evaluate_crashes(self, timestamp: float) -> None:
         if not self._analysis.is_due(timestamp) and timestamp < self._evaluate_at:
             return
+        if timestamp - self._evaluated_at < EVALUATION_INTERVAL_S:
+            return
+        self._evaluated_at = timestamp
         self._evaluate_at = float("inf")
         suspects = self._analysis.find_suspects(
             timestamp,
--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -55,6 +55,9 @@
 later report more requests, without which the wrong one could be the only suspect."""
 RETENTION_S = 600.0
 """Time for which a crash is kept as evidence."""
+MAX_ANALYZED = 48
+"""Crashes that are compared with each other, the newest ones: an evaluation holds up
+all requests of its instance."""
 MAX_CRASHES = 128
 """Number of crashes kept, the newest ones: twice the engines of one large service. With
 128 requests on each that is some 2 MB at the service's owners."""
@@ -283,7 +286,7 @@
             Hold(features=split_features(name), is_tentative=name in tentative)
             for name in quarantined
         ]
-        observed = [self._observe(name, holds) for name in settled]
+        observed = [self._observe(name, holds) for name in settled[-MAX_ANALYZED:]]
         lapsed = {
             split_features(name): imposed_at.get(name, -math.inf)
             for name in previously_quarantined
@@ -317,7 +320,7 @@
             for name in quarantined
         ]
         settled = [name for name in self._crashes if self._is_settled(name, now)]
-        observed = [self._observe(name, holds) for name in settled]
+        observed = [self._observe(name, holds) for name in settled[-MAX_ANALYZED:]]
         found = []
         for feature, count in count_features(observed).most_common(MAX_SUSPECTED):
             if count < 2:
