Keep answers when a crash is reported

An owner looks up when each feature of a reported crash was answered here, and noted also those that never were: a few crashes with many requests pushed out what other instances had told of sound parts, which would count as suspects again. Features that were never answered are left out now.

--- a/src/baobabthread/instance/crashes.py
+++ b/src/baobabthread/instance/crashes.py
@@ -17,6 +17,7 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.connections import Listening
 from baobabthread.instance.context import RequestContext
+from baobabthread.instance.suspicion import NEVER
 from baobabthread.logs import log_event
 from baobabthread.routing.crashes import MAX_REPORTED_PARTS, Crash, CrashedRequest
 from baobabthread.routing.quarantine import QuarantineEntry
@@ -196,7 +197,7 @@
 
     def find_answered(self, feature: str) -> float:
         """Return when the newest answered response with a feature began."""
-        return self._answered.get(feature, -1e9)
+        return self._answered.get(feature, NEVER)
 
     def cancel(self, entry: QuarantineEntry) -> None:
         """Cancel requests on all backend servers that may not have started them.
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -20,6 +20,7 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.probation import Trials
 from baobabthread.instance.suspicion import (
+    NEVER,
     REPLY_DELAY_S,
     SUSPICION_MESSAGES,
     FeaturesAnswered,
@@ -223,7 +224,9 @@
         """Record a crash that another instance detected."""
         self._analysis.record(crash, now())
         for feature in (*crash.fresh, *crash.older, *crash.parts):
-            self._analysis.clear(feature, self.watch.find_answered(feature))
+            began_at = self.watch.find_answered(feature)
+            if began_at > NEVER:
+                self._analysis.clear(feature, began_at)
 
     def handle_answered(self, message: FeaturesAnswered) -> None:
         """Record that another instance has seen suspected features answered."""
--- a/src/baobabthread/instance/suspicion.py
+++ b/src/baobabthread/instance/suspicion.py
@@ -24,6 +24,8 @@
 """Features in one query: some 1 KB, sent to each instance."""
 REPLY_DELAY_S = 0.1
 """Time after a query in which replies arrive."""
+NEVER = -1e9
+"""When a feature was answered that never was."""
 SAME_CRASH_S = 0.1
 """Difference between two estimates of the time of one crash."""
 
@@ -57,7 +59,7 @@
 SendToOwners = Callable[[str, msgspec.Struct], None]
 """Send a message to the owners of a service's crashes."""
 FindAnswered = Callable[[str], float]
-"""Return when the newest answered response with a feature began here."""
+"""Return when the newest answered response with a feature began here, or `NEVER`."""
 
 
 class Watched(msgspec.Struct, frozen=True, kw_only=True):
@@ -90,7 +92,7 @@
     def __init__(self, *, send_to_owners: SendToOwners) -> None:
         self._send_to_owners = send_to_owners
         self._watched: dict[str, Watched] = {}
-        self.find_answered: FindAnswered = lambda feature: -1e9
+        self.find_answered: FindAnswered = lambda feature: NEVER
 
     def __len__(self) -> int:
         return len(self._watched)
--- a/tests/instance/test_quarantine.py
+++ b/tests/instance/test_quarantine.py
@@ -13,9 +13,10 @@
     QuarantineDigest,
     QuarantineEntries,
 )
+from baobabthread.instance.suspicion import FeaturesAnswered
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import RolloutOrder, RolloutState, RolloutStatus
-from baobabthread.routing.crashes import SETTLE_S, Crash
+from baobabthread.routing.crashes import MAX_ANSWERED, SETTLE_S, Crash
 from baobabthread.routing.quarantine import QuarantineEntry
 from baobabthread.routing.versions import VersionPlan
 
@@ -169,3 +170,20 @@
     time.sleep(SETTLE_S + quarantine.OWNER_STAGGER_S + 0.05)
     coordinator.tick()
     assert [entry.is_cleared for entry in sent.entries()] == [True]
+
+
+def test_keep_answers_of_others_when_a_crash_is_reported() -> None:
+    """Features that were never answered push out those that were."""
+    coordinator, _ = make_coordinator()
+    coordinator.handle_answered(FeaturesAnswered(began_s={"p.sound": 0.0}))
+    for number in range(MAX_ANSWERED // 100 + 1):
+        crash = Crash(
+            backend=f"b{number}",
+            service="s",
+            version="v1",
+            is_proven=True,
+            fresh=[f"{number}/{n}" for n in range(100)],
+            older=[],
+        )
+        coordinator.handle_crash(crash)
+    assert coordinator._analysis.was_cleared("p.sound", now() - 60.0)
