End an evaluation that finds the same request again

A request whose quarantine was over, and whose prompt has parts that may be the cause as well, crashed a server: the crash stayed open for its parts, and the evaluation found the request again for ever, so that the instance answered nobody any more. What already explains a crash is not found for it again. The test does not end within 20 s on the commit before.

--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -469,6 +469,7 @@
                 crash
                 for crash in unexplained
                 if crash.had(features, since)
+                and all(hold.features != features for hold in crash.holds)
                 and not self._has_other_suspects(crash, features, counts)
             ]
             if involved:
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -211,3 +211,15 @@
     parts = tuple(PromptPart(id=id, tokens=1) for id in ("a", "b", "own"))
     assert fingerprint_parts(parts) == (name("a"), name("b"))
     assert fingerprint_parts(parts[-1:]) == ()
+
+
+def test_suspect_a_request_again_whose_parts_are_suspected_too() -> None:
+    """An evaluation never ends as a request explains a crash and its parts may, too."""
+    analysis = make_analysis(make_crash("e1", "a/b"))
+    suspects = analysis.find_suspects(
+        100.0,
+        quarantined=(),
+        previously_quarantined={"e1-0"},
+        is_canary=lambda service, version: False,
+    )
+    assert list_names(suspects) == ["e1-0"]
