--- a/soak/callers.py
+++ b/soak/callers.py
@@ -157,16 +157,23 @@
         if call.kind.is_stream:
             fields["X-Model"] = "*"
             fields["X-Token-Usage"] = "100,20"
-            parts = [FIRST_PART, f"bb{self._rng.randrange(9)}"]
-            if call.part:
-                parts.insert(self._rng.randrange(len(parts) + 1), call.part)
-            fields["X-Prompt-Prefix"] = ",".join(f"{p}:30" for p in (*parts, call.id))
+            parts = self._draw_parts(call)
+            fields["X-Prompt-Prefix"] = ",".join(f"{part}:30" for part in parts)
         if body:
             fields["Content-Length"] = str(len(body))
         lines = [f"{WORDS.get(call.kind, 'GET')} /{call.kind}/x HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
+    def _draw_parts(self, call: Call) -> list[str]:
+        """Return the parts of a prompt; requests that are alike have the same ones."""
+        if call.mark:
+            return [FIRST_PART, "bb0", call.mark.replace(" ", "")]
+        parts = [FIRST_PART, f"bb{self._rng.randrange(9)}"]
+        if call.part:
+            parts.insert(self._rng.randrange(len(parts) + 1), call.part)
+        return [*parts, call.id]
+
     def _drop(self, address: str) -> None:
         stream = self._streams.pop(address, None)
         if stream is not None:
