--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -6,6 +6,7 @@
 
 import pytest
 from soak.history import Brittle, Call, Evacuated, Fault, History, Homes, Kind, Run
+from soak.parts import CRASHING_PART
 from soak.promises import PROMISES, check_all
 
 BODY = b"answer of p1"
@@ -65,6 +66,37 @@
     assert find(history) == set()
 
 
+def make_crashing_part(*, late: int = 3, status: int = 200) -> History:
+    """Return a history in which five servers crash under a part of prompts.
+
+    Requests with it are sent for 30 s; `late` of them reach servers late, and sound
+    streams beside it end with `status`.
+    """
+    calls = [
+        make_call(f"c{n}", Kind.STREAM, sent_at=50.0 + n, part="dead")
+        for n in range(30)
+    ]
+    runs = [
+        make_run(f"c{n}", backend=f"e{n}", at=50.05 + n, crashes=True)
+        for n in (*range(5), *range(8, 8 + late))
+    ]
+    sound = {"event_ids": [1, 2, 3], "kind": Kind.STREAM}
+    calls += [make_call(f"u{n}", sent_at=10.0 + n / 10, **sound) for n in range(20)]
+    calls += [
+        make_call(f"b{n}", sent_at=61.0 + n / 10, status=status, **sound)
+        for n in range(20)
+    ]
+    for call in calls:
+        call.ended_at = call.sent_at + 0.1
+    fault = Fault(name=CRASHING_PART, began_at=50.0, ended_at=80.0)
+    return make_history(calls, runs, faults=[fault])
+
+
+def test_excuse_few_requests_with_a_crashing_part() -> None:
+    found = find(make_crashing_part())
+    assert not {"crashing parts", "beside crashing parts"} & found
+
+
 def make_partitioned(*, served: int) -> History:
     """Return a history in which one of two instances is cut off from all servers."""
     calls = [
@@ -137,6 +169,8 @@
             ],
         ),
     ),
+    ("crashing parts", make_crashing_part(late=4)),
+    ("beside crashing parts", make_crashing_part(status=503)),
     (
         "evacuated domains",
         make_history(
