Read the era of the store from each of its responses, and log a new one

The logs of the incident can't tell a store that was restored from a copy from one that dropped its history: both show as store_history_gone. The adapter reads the field Store-Era of each response, whatever its status; an instance logs store_era_learned with both eras and the source, and counts them. A field that is missing or can't be read counts as era 0. Nothing is decided by it yet.

The fake store sends the field and can be restored from an older copy: it drops the newest records, by age or by number, answers 410 beyond its end, and the lost records can be written again.

--- a/bench/_fleet_store.py
+++ b/bench/_fleet_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 
 import msgspec
 
@@ -111,6 +112,7 @@
         self.topics: dict[str, list[Record]] = {}
         self.calls: Counter[str] = Counter()
         self.is_away = False
+        self.on_era: Callable[[int], None] = lambda era: None
         self._first: dict[str, int] = {}
 
     def write(self, topic: str, key: str, value: msgspec.Struct | None) -> None:
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -41,6 +41,11 @@
             ["topic", "outcome"],
             registry=self.registry,
         )
+        self.store_eras = Counter(
+            "baobabthread_store_eras",
+            "Eras of the store that were learned, the first one included",
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "baobabthread_in_flight",
             "Requests that are being handled",
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -34,6 +34,7 @@
 from baobabthread.instance.services import Services
 from baobabthread.instance.settings import InstanceSettings
 from baobabthread.instance.store import RecordFormat, Store
+from baobabthread.instance.storeeras import EraTracker
 from baobabthread.instance.tasks import Work, keep_running, start_task
 from baobabthread.instance.topicreaders import BackendTopicReader, OperatorTopicReader
 from baobabthread.instance.wire import WireFormat
@@ -92,6 +93,8 @@
         rng = random.Random()
         self._rng = rng
         self.metrics = Metrics()
+        self.store_eras = EraTracker(metrics=self.metrics)
+        self._store.on_era = self.store_eras.observe
         self.replica = StateReplica(bounds=settings.bounds)
         self._regions = Regions(by_domain=settings.regions)
         self.peers = PeerLink(
--- a/src/baobabthread/instance/store.py
+++ b/src/baobabthread/instance/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -117,6 +118,9 @@
 class Store(Protocol):
     """Read and append records of keyed topics; each call may raise `StoreError`."""
 
+    on_era: Callable[[int], None]
+    """Called with the era that a response names, whatever its status; 0 if none."""
+
     async def newest(self, topic: str, timeout_s: float) -> Page:
         """Return the newest record of each key."""
 
--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -5,7 +5,7 @@
 import asyncio
 import base64
 import struct
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -39,6 +39,8 @@
 routes takes one second over a 5 Mbit/s link, a few of them in a row several seconds."""
 LENGTH_BYTES = 4
 OFFSETS_BYTES = 16
+ERA_FIELD = "Store-Era"
+MAX_ERA_DIGITS = 15
 EMPTY_RECORD = b"\0"
 """Content of a record with neither key nor value."""
 
@@ -68,10 +70,11 @@
 class PlatformStore:
     """The platform's `Store`: reads and appends records of keyed topics."""
 
-    __slots__ = ("_address", "_pool")
+    __slots__ = ("_address", "_pool", "on_era")
 
     def __init__(self, *, address: str, connect_s: float) -> None:
         self._address = address
+        self.on_era: Callable[[int], None] = lambda era: None
         self._pool = ConnectionPool(
             connector=DirectConnector(address=address, connect_s=connect_s)
         )
@@ -157,6 +160,7 @@
             async with asyncio.timeout(timeout_s):
                 connection = await self._pool.send(head, body)
                 response: Response = await self._pool.receive(connection)
+            self.on_era(_parse_era(response.headers.get(ERA_FIELD)))
             content = await _read_body(response)
             response.finish()
             connection = None
@@ -168,6 +172,13 @@
         return _StoreResponse(status=response.status, body=content)
 
 
+def _parse_era(value: str | None) -> int:
+    """Return the era that a response names; 0 if it names none that can be read."""
+    if value is None or len(value) > MAX_ERA_DIGITS:
+        return 0
+    return int(value) if value.isascii() and value.isdigit() else 0
+
+
 async def _read_body(response: Response) -> bytes:
     """Read the body of a response for as long as it makes progress.
 
--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -7,7 +7,9 @@
 import contextlib
 import json
 import struct
-from typing import Any
+import time
+from collections.abc import Mapping
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
@@ -16,6 +18,15 @@
 OPERATORS = "keyed.op"
 BACKENDS = "keyed.servers"
 STATUS = "keyed.status"
+ERA_FIELD = "Store-Era"
+
+
+class LostRecord(NamedTuple):
+    """A record that the store no longer has after it was restored from a copy."""
+
+    topic: str
+    key: str
+    value: bytes
 
 
 class FakeStore:
@@ -29,6 +40,9 @@
         self.fault = ""
         """One of busy, silent, lost, trickle; empty for none."""
         self.calls: list[str] = []
+        self.era: int | str | None = 1
+        """Value of the field that names the era; None to send none."""
+        self._written_at: dict[str, list[float]] = {}
         self._appended = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.address = ""
@@ -51,9 +65,43 @@
         raw = value if isinstance(value, bytes) else json.dumps(value).encode()
         records = self.topics.setdefault(topic, [])
         records.append((key, raw))
+        self._written_at.setdefault(topic, []).append(time.monotonic())
+        self._notify_readers()
+        return len(records) - 1
+
+    def _notify_readers(self) -> None:
         self._appended.set()
         self._appended = asyncio.Event()
-        return len(records) - 1
+
+    def restore(
+        self, *, age_s: float = 0.0, lost: Mapping[str, int] | None = None
+    ) -> list[LostRecord]:
+        """Go on from a copy, in a new era; return the records that it lacks.
+
+        The copy lacks what was written in the last `age_s` seconds or, for the topics
+        in `lost`, so many of the newest records.
+        """
+        since = time.monotonic() - age_s
+        dropped = []
+        for topic, records in self.topics.items():
+            times = self._written_at[topic]
+            end = sum(written_at < since for written_at in times)
+            if lost is not None:
+                end = len(records) - lost.get(topic, 0)
+            dropped += [LostRecord(topic, *record) for record in records[end:]]
+            del records[end:], times[end:]
+            first = self.first_offsets.get(topic, 0)
+            self.first_offsets[topic] = min(first, end)
+        if isinstance(self.era, int):
+            self.era += 1
+        self._notify_readers()
+        return dropped
+
+    def write_again(self, records: list[LostRecord]) -> None:
+        """Write what operators and backend servers wrote and a restore lost."""
+        for record in records:
+            if record.topic != STATUS:
+                self.put(record.topic, record.key, record.value)
 
     def newest(self, topic: str) -> dict[str, tuple[bytes, int]]:
         """Return the newest value of each key that is not deleted, and its offset."""
@@ -72,18 +120,25 @@
         if self.fault == "silent":
             await asyncio.sleep(30)
         if self.fault == "busy":
-            return web.Response(status=503)
+            return self._add_era(web.Response(status=503))
         query = request.query
         if request.path == "/-/log-newest":
             response = self._serve_newest(query["topic"])
         elif request.path == "/-/log-read":
             response = await self._serve_read(query)
         else:
-            return await self._serve_append(query, await request.read())
+            appended = await self._serve_append(query, await request.read())
+            return self._add_era(appended)
+        self._add_era(response)
         if self.fault == "trickle":
             return await self._trickle(request, response)
         return response
 
+    def _add_era(self, response: web.Response) -> web.Response:
+        if self.era is not None:
+            response.headers[ERA_FIELD] = str(self.era)
+        return response
+
     async def _trickle(
         self, request: web.BaseRequest, response: web.Response
     ) -> web.StreamResponse:
@@ -92,6 +147,9 @@
         assert isinstance(body, bytes)
         slow = web.StreamResponse(status=response.status)
         slow.content_length = len(body)
+        slow.headers.update(
+            {k: v for k, v in response.headers.items() if k == ERA_FIELD}
+        )
         await slow.prepare(request)
         size = max(1, len(body) // 12)
         for start in range(0, len(body), size):
@@ -123,13 +181,17 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(appended.wait(), wait_s)
         records = self.topics.get(topic, [])
+        if start > len(records):
+            return web.json_response(
+                {"first_offset": self.first_offsets.get(topic, 0)}, status=410
+            )
         body = struct.pack(">QQ", len(records), self.first_offsets.get(topic, 0))
         for key, value in records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
         return web.Response(body=body)
 
-    async def _serve_append(self, query: Any, body: bytes) -> web.StreamResponse:
+    async def _serve_append(self, query: Any, body: bytes) -> web.Response:
         topic = query["topic"]
         end = len(self.topics.get(topic, []))
         if "at" in query and int(query["at"]) != end:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,4 @@
-"""Cancellation while a response of the store is read."""
+"""Responses of the store: eras, and cancellation while one is read."""
 
 from __future__ import annotations
 
@@ -7,7 +7,9 @@
 
 import pytest
 
-from baobabthread.platform.store import _read_body
+from baobabthread.instance.store import StoreError
+from baobabthread.platform.store import PlatformStore, _read_body
+from tests.platform.fakestore import OPERATORS, FakeStore
 from tests.platform.site import run
 
 STEPS = 12
@@ -46,3 +48,25 @@
         assert reader.cancelled()
 
     run(case())
+
+
+@pytest.mark.parametrize(
+    ("value", "era"),
+    [(1, 1), ("7", 7), (None, 0), ("", 0), ("-1", 0), ("1.5", 0), ("9" * 40, 0)],
+)
+def test_read_the_era_of_each_response(value: int | str | None, era: int) -> None:
+    async def case() -> None:
+        fake = await FakeStore().start()
+        store = PlatformStore(address=fake.address, connect_s=0.3)
+        eras: list[int] = []
+        store.on_era = eras.append
+        fake.era = value
+        await store.newest(OPERATORS, 0.5)
+        fake.fault = "busy"
+        with pytest.raises(StoreError):
+            await store.newest(OPERATORS, 0.5)
+        assert eras == [era, era]
+        store.close()
+        fake.close()
+
+    run(case())
