--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -171,26 +171,30 @@
 
     async def _serve_read(self, query: Any) -> web.Response:
         topic, start = query["topic"], int(query["from"])
-        if start < self.first_offsets.get(topic, 0):
-            return web.json_response(
-                {"first_offset": self.first_offsets[topic]}, status=410
-            )
+        if not self._has_offset(topic, start):
+            return self._refuse_offset(topic)
         wait_s = int(query.get("wait_ms", 0)) / 1000
         if wait_s and start >= len(self.topics.get(topic, [])):
             appended = self._appended
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(appended.wait(), wait_s)
         records = self.topics.get(topic, [])
-        if start > len(records):
-            return web.json_response(
-                {"first_offset": self.first_offsets.get(topic, 0)}, status=410
-            )
+        if not self._has_offset(topic, start):
+            return self._refuse_offset(topic)
         body = struct.pack(">QQ", len(records), self.first_offsets.get(topic, 0))
         for key, value in records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
         return web.Response(body=body)
 
+    def _has_offset(self, topic: str, offset: int) -> bool:
+        end = len(self.topics.get(topic, []))
+        return self.first_offsets.get(topic, 0) <= offset <= end
+
+    def _refuse_offset(self, topic: str) -> web.Response:
+        first = self.first_offsets.get(topic, 0)
+        return web.json_response({"first_offset": first}, status=410)
+
     async def _serve_append(self, query: Any, body: bytes) -> web.Response:
         topic = query["topic"]
         end = len(self.topics.get(topic, []))
