--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -19,11 +19,12 @@
 from baobabthread.instance.peers import PeerLink
 from baobabthread.instance.quarantinerecords import QuarantineRecords
 from baobabthread.instance.settings import InstanceSettings
+from baobabthread.instance.storeeras import CurrentStore, EraTracker
 from baobabthread.instance.topicreaders import BackendTopicReader, OperatorTopicReader
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.versions import VersionPlan
-from bench._fleet_store import Formats, MemoryStore
+from bench._fleet_store import Formats, MemoryStore, StoreLink
 
 NEAR_S = 0.0002
 FAR_S = 0.0005
@@ -46,12 +47,14 @@
 
     async def _fetch(self, peer: str) -> None:
         asked_at = now()
-        known_end = self._replica.operators_end
+        known_end, known_version = self._replica.operators_end, self._replica.version
         await asyncio.sleep(2 * FAR_S)
         other = self.fleet.members.get(peer)
         if other is None or not other.is_up:
             return
-        snapshot = other.knowledge.snapshot(now(), known_end=known_end)
+        snapshot = other.knowledge.snapshot(
+            now(), known_end=known_end, known_version=known_version
+        )
         size = len(msgspec.json.encode(snapshot))
         self.fleet.count(other, self._settings.failure_domain, "fetch", size)
         await asyncio.sleep(FAR_S)
@@ -70,6 +73,8 @@
         self._fleet = fleet
         self._number = number
         self._tasks: list[asyncio.Task[None]] = []
+        self.store = StoreLink(store=fleet.store)
+        self.eras = EraTracker(metrics=fleet.metrics)
         self.knowledge = StateReplica(bounds=fleet.bounds)
         self.link = self._make_link()
 
@@ -94,6 +99,7 @@
             incarnation=f"{fleet.rng.getrandbits(48):012x}",
             started_at=round(now(), 3),
             replica=self.knowledge,
+            eras=self.eras,
             rng=random.Random(fleet.rng.random()),
             find_plan=self._find_plan,
         )
@@ -108,8 +114,9 @@
     def start(self) -> None:
         """Begin to follow the store and the others."""
         self.is_up = True
+        store = CurrentStore(store=self.store, eras=self.eras)
         common: dict[str, Any] = {
-            "store": self._fleet.store,
+            "store": store,
             "formats": Formats(),
             "replica": self.knowledge,
             "metrics": self._fleet.metrics,
@@ -124,7 +131,7 @@
             QuarantineRecords(
                 coordinator=self.link.quarantine,
                 replica_sync=self.link.replica_sync,
-                store=self._fleet.store,
+                store=store,
                 formats=Formats(),
             ).run(),
         )
@@ -138,6 +145,7 @@
 
     def restart(self) -> None:
         """Start again knowing nothing."""
+        self.eras = EraTracker(metrics=self._fleet.metrics)
         self.knowledge = StateReplica(bounds=self._fleet.bounds)
         self.link = self._make_link()
         self.start()
--- a/bench/_fleet_store.py
+++ b/bench/_fleet_store.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from baobabthread.core.positions import Position
+from baobabthread.instance.clock import now
 from baobabthread.instance.store import (
     Append,
     Appended,
@@ -55,7 +57,8 @@
         """Decode a configuration or an evacuation."""
         if record.key.startswith(EVACUATION_PREFIX):
             return Evacuation(
-                number=record.offset,
+                offset=record.position.offset,
+                era=record.position.era,
                 failure_domain=record.key.removeprefix(EVACUATION_PREFIX),
                 is_on=bool(record.value),
             )
@@ -69,7 +72,7 @@
         """Decode how far a roll-out has come."""
         return msgspec.json.decode(record.value, type=RolloutStatus)
 
-    def encode_status(self, status: RolloutStatus, expected_end: int) -> Append:
+    def encode_status(self, status: RolloutStatus, expected_end: Position) -> Append:
         """Return the record that says how far a roll-out has come."""
         return Append(
             topic=self.status_topic,
@@ -87,7 +90,7 @@
         return msgspec.json.decode(record.value, type=QuarantineEntry)
 
     def encode_quarantined(
-        self, entry: QuarantineEntry, expected_end: int, *, unix_now: float
+        self, entry: QuarantineEntry, expected_end: Position, *, unix_now: float
     ) -> Append:
         """Return the record of a request that is held."""
         return msgspec.structs.replace(
@@ -95,7 +98,7 @@
             value=msgspec.json.encode(entry),
         )
 
-    def encode_release(self, fingerprint: str, expected_end: int) -> Append:
+    def encode_release(self, fingerprint: str, expected_end: Position) -> Append:
         """Return the record that removes a request that is held no more."""
         return Append(
             topic=self.status_topic,
@@ -112,14 +115,20 @@
         self.topics: dict[str, list[Record]] = {}
         self.calls: Counter[str] = Counter()
         self.is_away = False
+        self.era = 1
         self.on_era: Callable[[int], None] = lambda era: None
         self._first: dict[str, int] = {}
+        self._written_at: dict[str, list[float]] = {}
 
     def write(self, topic: str, key: str, value: msgspec.Struct | None) -> None:
         """Append a record."""
+        self._append(topic, key, msgspec.json.encode(value) if value else b"")
+
+    def _append(self, topic: str, key: str, value: bytes) -> None:
         records = self.topics.setdefault(topic, [])
-        body = msgspec.json.encode(value) if value is not None else b""
-        records.append(Record(key=key, value=body, offset=len(records)))
+        position = Position(self.era, len(records))
+        records.append(Record(key=key, value=value, position=position))
+        self._written_at.setdefault(topic, []).append(now())
 
     def write_configuration(self, version: int) -> None:
         """Write a configuration without routes."""
@@ -151,37 +160,64 @@
         for topic, records in self.topics.items():
             self._first[topic] = len(records)
 
+    def restore(self, age_s: float) -> list[tuple[str, Record]]:
+        """Go on from a copy of that age, in a new era; return the lost records."""
+        self.era += 1
+        since = now() - age_s
+        lost = []
+        for topic, records in self.topics.items():
+            times = self._written_at[topic]
+            end = sum(written_at < since for written_at in times)
+            lost += [(topic, record) for record in records[end:]]
+            del records[end:], times[end:]
+            self._first[topic] = min(self._first.get(topic, 0), end)
+            records[:] = [
+                msgspec.structs.replace(
+                    record, position=Position(self.era, record.position.offset)
+                )
+                for record in records
+            ]
+        return lost
+
+    def write_again(self, lost: list[tuple[str, Record]]) -> None:
+        """Write what operators and backend servers wrote and a restore lost."""
+        for topic, record in lost:
+            if topic != Formats.status_topic:
+                self._append(topic, record.key, record.value)
+
+    def _find_end(self, topic: str) -> Position:
+        return Position(self.era, len(self.topics.get(topic, [])))
+
     async def newest(self, topic: str, timeout_s: float) -> Page:
         """Return the newest record of each key."""
         await self._answer(f"newest {topic}", timeout_s)
         records = self.topics.get(topic, [])
         newest = {record.key: record for record in records}
         held = [record for record in newest.values() if record.value]
-        return Page(records=held, end=len(records))
+        return Page(records=held, end=self._find_end(topic))
 
     async def read(
-        self, topic: str, start: int, *, wait_s: float, timeout_s: float
+        self, topic: str, start: Position, *, wait_s: float, timeout_s: float
     ) -> Tail | Trimmed:
-        """Return the records from an offset on, at once when there are any."""
+        """Return the records from a position on, at once when there are any."""
         await self._answer(f"read {topic}", timeout_s)
         for _ in range(int(wait_s / LOOK_S)):
-            if len(self.topics.get(topic, [])) > start:
+            if len(self.topics.get(topic, [])) != start.offset:
                 break
             await asyncio.sleep(LOOK_S)
-        if start < self._first.get(topic, 0):
+        end = self._find_end(topic)
+        if not self._first.get(topic, 0) <= start.offset <= end.offset:
             return Trimmed()
         records = self.topics.get(topic, [])
-        return Tail(records=records[start:], next=len(records), end=len(records))
+        return Tail(records=records[start.offset :], next=end, end=end)
 
     async def append(self, append: Append, timeout_s: float) -> Appended | Conflict:
         """Append one record where the topic ends as expected."""
         await self._answer(f"append {append.topic}", timeout_s)
-        records = self.topics.setdefault(append.topic, [])
-        offset = len(records)
-        if offset != append.expected_end:
+        if self._find_end(append.topic).offset != append.expected_end.offset:
             return Conflict()
-        records.append(Record(key=append.key, value=append.value, offset=offset))
-        return Appended(end=len(records))
+        self._append(append.topic, append.key, append.value)
+        return Appended(end=self._find_end(append.topic))
 
     async def _answer(self, call: str, timeout_s: float) -> None:
         self.calls[call] += 1
@@ -189,3 +225,40 @@
             await asyncio.sleep(timeout_s)
             raise StoreError("no answer in time")
         await asyncio.sleep(ANSWER_S)
+
+
+class StoreLink:
+    """Let one instance reach the store, or not."""
+
+    def __init__(self, *, store: MemoryStore) -> None:
+        self._store = store
+        self.is_refused = False
+        self.on_era: Callable[[int], None] = lambda era: None
+
+    async def newest(self, topic: str, timeout_s: float) -> Page:
+        """Return the newest record of each key."""
+        await self._check()
+        page = await self._store.newest(topic, timeout_s)
+        self.on_era(page.end.era)
+        return page
+
+    async def read(
+        self, topic: str, start: Position, *, wait_s: float, timeout_s: float
+    ) -> Tail | Trimmed:
+        """Return the records from a position on, at once when there are any."""
+        await self._check()
+        tail = await self._store.read(topic, start, wait_s=wait_s, timeout_s=timeout_s)
+        self.on_era(self._store.era)
+        return tail
+
+    async def append(self, append: Append, timeout_s: float) -> Appended | Conflict:
+        """Append one record where the topic ends as expected."""
+        await self._check()
+        outcome = await self._store.append(append, timeout_s)
+        self.on_era(self._store.era)
+        return outcome
+
+    async def _check(self) -> None:
+        if self.is_refused:
+            await asyncio.sleep(ANSWER_S)
+            raise StoreError("connection reset")
--- a/bench/_rollouts.py
+++ b/bench/_rollouts.py
@@ -51,7 +51,10 @@
         self.watcher = Watcher(day=day)
         self.has_order = asyncio.Event()
         self.order = RolloutOrder(
-            number=1, service=SERVICE, target=NEW, time_limit_s=day.limit_s
+            offset=1,
+            service=SERVICE,
+            target=NEW,
+            time_limit_s=day.limit_s,
         )
         self.members = [Member(world=self, number=n) for n in range(day.members)]
         self._by_name = {member.name: member for member in self.members}
--- a/src/baobabthread/core/configuration/control.py
+++ b/src/baobabthread/core/configuration/control.py
@@ -38,6 +38,7 @@
     LogRead,
     Send,
 )
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.errors import Kind, Problem, Ran
 
 PUBLISH_LIMIT_S = 10.0
@@ -126,7 +127,9 @@
         before = self.fold.generation
         self.fold.read(event)
         self.head = max(self.head, event.head)
-        self.freshness.read_head(head=event.head, started_at=event.started_at)
+        self.freshness.read_head(
+            head=OperatorsPosition(offset=event.head), started_at=event.started_at
+        )
         self._planner.note_read(event, now=now)
         return self._after_fold(before, now)
 
@@ -204,9 +207,10 @@
         return self._send_fetches(self.membership.handle(sender, message, now))
 
     def _after_fold(self, before: int, now: float) -> Effects:
-        self.freshness.fold_to(self.fold.read_offset)
+        self.freshness.fold_to(OperatorsPosition(offset=self.fold.read_offset))
         self.membership.report(
-            generation=self.fold.generation, read_offset=self.fold.read_offset
+            generation=self.fold.generation,
+            read_position=self.freshness.folded,
         )
         effects = self._settle(now)
         configuration = self.fold.configuration
--- a/src/baobabthread/core/configuration/freshness.py
+++ b/src/baobabthread/core/configuration/freshness.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from baobabthread.core.configuration.configuration import OnStale
+from baobabthread.core.positions import OperatorsPosition
 
 NEVER_S = 1e9
 """Age, in seconds, of a head that nobody ever read."""
@@ -54,7 +55,7 @@
 class _Claim(msgspec.Struct, frozen=True, kw_only=True):
     """Hold a head read that counts once the fold has come as far."""
 
-    offset: int
+    position: OperatorsPosition
     time: float
 
 
@@ -73,7 +74,7 @@
 
     def __init__(self, *, settings: FreshnessSettings | None = None) -> None:
         self._settings = settings or FreshnessSettings()
-        self._folded = 0
+        self._folded = OperatorsPosition()
         self._head_time = -NEVER_S
         self._best = -NEVER_S
         self._claims: deque[_Claim] = deque(maxlen=MAX_CLAIMS)
@@ -86,31 +87,33 @@
         return self._settings.bound_s
 
     @property
-    def folded(self) -> int:
-        """Give the offset up to which the log is held here: what the age is about."""
+    def folded(self) -> OperatorsPosition:
+        """Give the position to which the log is held here: what the age is about."""
         return self._folded
 
-    def read_head(self, *, head: int, started_at: float) -> None:
+    def read_head(self, *, head: OperatorsPosition, started_at: float) -> None:
         """Note that this entry read the log's head.
 
         `started_at` is when the read was sent: the head may have moved while its
         reply was under way.
         """
-        self._note(_Claim(offset=head, time=started_at))
+        self._note(_Claim(position=head, time=started_at))
 
-    def hear(self, *, head_age_s: float, read_offset: int, asked_at: float) -> None:
+    def hear(
+        self, *, head_age_s: float, read_position: OperatorsPosition, asked_at: float
+    ) -> None:
         """Note what a peer answered about its own state.
 
         `asked_at` is when the question was sent. Counting from the answer's arrival
         would make an answer look fresh that waited while this process was paused.
         """
-        self._note(_Claim(offset=read_offset, time=asked_at - head_age_s))
+        self._note(_Claim(position=read_position, time=asked_at - head_age_s))
 
-    def fold_to(self, offset: int) -> None:
+    def fold_to(self, position: OperatorsPosition) -> None:
         """Note how far the fold of the configuration has come."""
-        if offset <= self._folded:
+        if position <= self._folded:
             return
-        self._folded = offset
+        self._folded = position
         claims = list(self._claims)
         self._claims.clear()
         for claim in claims:
@@ -154,7 +157,7 @@
         # Hearing a peer that read the head is no news of what stands there: an entry
         # that lacks those records would go on offering a withdrawn version and call
         # itself fresh. The time counts once the same records are folded here.
-        return claim.offset <= self._folded
+        return claim.position <= self._folded
 
     def _is_within_bound(self, now: float) -> bool:
         # Without a bound an entry cut off for hours would serve a version withdrawn
--- a/src/baobabthread/core/membership/detector.py
+++ b/src/baobabthread/core/membership/detector.py
@@ -121,7 +121,7 @@
         if message.subject == sender.name:
             self._freshness.hear(
                 head_age_s=sender.head_age_s,
-                read_offset=sender.read_offset,
+                read_position=sender.read_position,
                 asked_at=question.asked_at,
             )
         errand = self._probes.take_errand(message.sequence)
--- a/src/baobabthread/core/membership/membership.py
+++ b/src/baobabthread/core/membership/membership.py
@@ -33,6 +33,7 @@
 from baobabthread.core.membership.table import MemberTable
 from baobabthread.core.membership.updates import UpdateQueue
 from baobabthread.core.messages import Effects, Send
+from baobabthread.core.positions import OperatorsPosition
 
 __all__ = ["Membership", "MembershipSettings"]
 
@@ -156,10 +157,13 @@
         member = self.table.get(to)
         return member.peer_address if member else to
 
-    def report(self, *, generation: int, read_offset: int) -> None:
+    def report(self, *, generation: int, read_position: OperatorsPosition) -> None:
         """Note what this entry serves, to be told to the others."""
         self._me = msgspec.structs.replace(
-            self._me, generation=generation, read_offset=read_offset
+            self._me,
+            generation=generation,
+            read_era=read_position.era,
+            read_offset=read_position.offset,
         )
 
     def publish(self, payload: GossipPayload) -> None:
@@ -228,7 +232,7 @@
                 )
             effects += self._synchronise(now)
             self._forget(now)
-        effects += self._source.fetch(self.table, self._me.read_offset, now)
+        effects += self._source.fetch(self.table, self._me.read_position, now)
         if now >= self._next_reach:
             # It looks at every member; a fifth of a second is short beside the bound.
             self._next_reach = now + REACH_S
@@ -258,7 +262,7 @@
             case Members():
                 return self._take_members(name, message, now)
             case Announce():
-                return self._source.fetch(self.table, self._me.read_offset, now)
+                return self._source.fetch(self.table, self._me.read_position, now)
 
     def failed(self, to: str, message: MembershipMessage, now: float) -> Effects:
         """Note a message that could not be delivered; probes go through helpers."""
@@ -335,11 +339,13 @@
         # Failure: this entry folds a record that takes a key away, and is asked before
         # its next report. The new age beside the offset before would tell an entry that
         # lacks the record that nothing is missing: it would go on to honour the key.
+        furthest = max(self._me.read_position, self._freshness.folded)
         self._me = msgspec.structs.replace(
             self._me,
             # Rounded up: an age that is told too low would let a key live longer.
             head_age_s=math.ceil(self._freshness.head_age(now) * AGE_STEPS) / AGE_STEPS,
-            read_offset=max(self._me.read_offset, self._freshness.folded),
+            read_era=furthest.era,
+            read_offset=furthest.offset,
         )
         repeats = self._repeats()
         limit = self._settings.update_count
@@ -367,7 +373,7 @@
             self._merge(info, now)
         for payload in digest.gossip:
             self.gossip.put(payload)
-        self._source.note(sender, self._me.read_offset, now)
+        self._source.note(sender, self._me.read_position, now)
 
     def _merge(self, info: MemberInfo, now: float) -> None:
         if info.name == self._me.name:
--- a/src/baobabthread/core/membership/messages.py
+++ b/src/baobabthread/core/membership/messages.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from baobabthread.core.positions import OperatorsPosition
+
 
 class MemberState(enum.StrEnum):
     """Order what is believed about an entry; on a tie the later one holds."""
@@ -42,6 +44,13 @@
     read_offset: int = 0
     head_age_s: float = 0.0
     """Age of its configuration when it sent this."""
+    read_era: int = 0
+    """Era of the log that `read_offset` counts in."""
+
+    @property
+    def read_position(self) -> OperatorsPosition:
+        """Give how far it has read the log."""
+        return OperatorsPosition(self.read_era, self.read_offset)
 
     @property
     def order(self) -> Order:
--- a/src/baobabthread/core/membership/table.py
+++ b/src/baobabthread/core/membership/table.py
@@ -80,11 +80,13 @@
             self._raise_offsets(info, held)
             return False
         if info.started_at == held.started_at:
+            furthest = max(info.read_position, held.read_position)
             info = msgspec.structs.replace(
                 info,
                 leaving=info.leaving or held.leaving,
                 generation=max(info.generation, held.generation),
-                read_offset=max(info.read_offset, held.read_offset),
+                read_era=furthest.era,
+                read_offset=furthest.offset,
             )
         self._set(info, now)
         return True
@@ -184,11 +186,14 @@
         return info.order > held.order
 
     def _raise_offsets(self, info: MemberInfo, held: MemberInfo) -> None:
-        if info.incarnation != held.incarnation or info.read_offset < held.read_offset:
+        if info.incarnation != held.incarnation:
+            return
+        if info.read_position < held.read_position:
             return
         self._members[info.name] = msgspec.structs.replace(
             held,
             generation=max(info.generation, held.generation),
+            read_era=info.read_era,
             read_offset=info.read_offset,
             head_age_s=info.head_age_s,
         )
--- a/src/baobabthread/instance/canaries.py
+++ b/src/baobabthread/instance/canaries.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
 from baobabthread.routing.canary import Evidence
@@ -86,7 +87,7 @@
 SendMessage = Callable[[str, msgspec.Struct], None]
 HandleVerdict = Callable[[Progress], None]
 HandlePermit = Callable[[CanaryPermit], None]
-FindPermit = Callable[[str, int], Progress | None]
+FindPermit = Callable[[str, OperatorsPosition], Progress | None]
 
 
 class _Verdict(msgspec.Struct):
@@ -171,7 +172,7 @@
         """Return whether this instance leads the roll-outs of a service."""
         return self.leaders(service)[:1] == [self._me]
 
-    def reports(self, service: str, number: int) -> list[CanaryReport]:
+    def reports(self, service: str, number: OperatorsPosition) -> list[CanaryReport]:
         """Return the newest report of each other instance on an order."""
         by_origin = self._reports.get(service, {})
         return [
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -46,7 +46,7 @@
     SendEnded,
 )
 from baobabthread.instance.limits import LimitCoordinator
-from baobabthread.instance.peersnapshots import request_snapshot
+from baobabthread.instance.peersnapshots import KnownState, request_snapshot
 from baobabthread.instance.placement import (
     LOAD_MESSAGES,
     LoadsReply,
@@ -87,6 +87,7 @@
     VersionReply,
 )
 from baobabthread.instance.settings import InstanceSettings
+from baobabthread.instance.storeeras import EraTracker
 from baobabthread.instance.suspicion import FeaturesAnswered, SuspectsQuery
 from baobabthread.logs import log_event
 from baobabthread.routing.crashes import Crash
@@ -126,11 +127,13 @@
         incarnation: str,
         started_at: float,
         replica: StateReplica,
+        eras: EraTracker,
         rng: random.Random,
         find_plan: FindPlan,
     ) -> None:
         self._settings = settings
         self._replica = replica
+        self._eras = eras
         self._rng = rng
         self._codec = PeerCodec(
             types=(
@@ -175,6 +178,7 @@
             replica=replica,
             send=self._send,
             fetch=self.fetch,
+            eras=eras,
             bounds=settings.bounds,
             has_seeds=settings.has_other_seeds,
         )
@@ -261,6 +265,7 @@
                 self.quarantine.handle_answered(message)
             case _:
                 self._apply_effects(self.membership.handle(sender, message, now()))
+                self._compare_version(message.digest.sender)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore errors such as an unreachable port; probes detect failed members."""
@@ -273,13 +278,14 @@
 
     def _step(self) -> None:
         replica = self._replica
-        table = replica.table
         self.membership.report(
-            generation=table.configuration.version if table is not None else 0,
-            read_offset=replica.operators_end,
+            generation=replica.version, read_position=replica.operators_end
         )
         self._apply_effects(self.membership.tick(now()))
         self._update_members()
+        if not self._replica.is_compared:
+            for member in self.membership.alive():
+                self._compare_version(member)
         self.replica_sync.tick()
         self.sessions.tick()
         self.placement.tick()
@@ -288,6 +294,12 @@
         self.canaries.tick()
         self.quarantine.tick()
 
+    def _compare_version(self, member: MemberInfo) -> None:
+        if member.generation > self._replica.version:
+            self.replica_sync.compare_version(
+                member.name, member.generation, member.read_position
+            )
+
     def leave(self) -> None:
         """Announce that this instance accepts no new callers."""
         self._apply_effects(self.membership.leave(now()))
@@ -305,9 +317,8 @@
                 self._send_datagram(effect)
             elif isinstance(effect, FetchRecords):
                 member = self.membership.table.get(effect.peer)
-                self.replica_sync.record_operators_end(
-                    member.read_offset if member is not None else 0
-                )
+                if member is not None:
+                    self.replica_sync.record_operators_end(member.read_position)
 
     def _send(self, to: str, message: msgspec.Struct) -> None:
         self._send_datagram(Send(to=to, message=message))
@@ -394,7 +405,11 @@
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 body = await request_snapshot(
-                    pool, address, self._replica.operators_end
+                    pool,
+                    address,
+                    KnownState(
+                        end=self._replica.operators_end, version=self._replica.version
+                    ),
                 )
             snapshot = msgspec.json.decode(body, type=Snapshot)
         except (
@@ -405,6 +420,7 @@
         ) as error:
             log_event("peer_unreachable", peer=peer, error=str(error) or "timeout")
             return
+        self._eras.observe(snapshot.operators_end.era, source=peer)
         revision = self._replica.revision
         self._replica.merge(snapshot, requested_at=requested_at, now=now())
         log_event(
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -25,7 +25,7 @@
 from baobabthread.instance.metrics import Metrics
 from baobabthread.instance.paths import Paths
 from baobabthread.instance.peers import PeerLink
-from baobabthread.instance.peersnapshots import KNOWN_END_PARAMETER, SNAPSHOT_PATH
+from baobabthread.instance.peersnapshots import SNAPSHOT_PATH, parse_known_state
 from baobabthread.instance.quarantinerecords import QuarantineRecords
 from baobabthread.instance.relay import RelayServer
 from baobabthread.instance.requestlog import RequestLog
@@ -34,7 +34,7 @@
 from baobabthread.instance.services import Services
 from baobabthread.instance.settings import InstanceSettings
 from baobabthread.instance.store import RecordFormat, Store
-from baobabthread.instance.storeeras import EraTracker
+from baobabthread.instance.storeeras import CurrentStore, EraTracker
 from baobabthread.instance.tasks import Work, keep_running, start_task
 from baobabthread.instance.topicreaders import BackendTopicReader, OperatorTopicReader
 from baobabthread.instance.wire import WireFormat
@@ -87,14 +87,13 @@
     def __init__(self, *, settings: InstanceSettings, adapters: Adapters) -> None:
         self._settings = settings
         self._adapters = adapters
-        self._store: Store = adapters.store
         self._formats: RecordFormat = adapters.formats
         self._wire: WireFormat = adapters.wire
         rng = random.Random()
         self._rng = rng
         self.metrics = Metrics()
         self.store_eras = EraTracker(metrics=self.metrics)
-        self._store.on_era = self.store_eras.observe
+        self._store: Store = CurrentStore(store=adapters.store, eras=self.store_eras)
         self.replica = StateReplica(bounds=settings.bounds)
         self._regions = Regions(by_domain=settings.regions)
         self.peers = PeerLink(
@@ -102,6 +101,7 @@
             incarnation=uuid.uuid4().hex[:12],
             started_at=round(now(), 3),
             replica=self.replica,
+            eras=self.store_eras,
             rng=rng,
             find_plan=lambda name: self.services.get(name).plan,
         )
@@ -233,9 +233,9 @@
         """Serve a snapshot of the replica to a peer."""
         if request.path != SNAPSHOT_PATH:
             return web.Response(status=404)
-        known_end = request.query.get(KNOWN_END_PARAMETER, "0")
+        known = parse_known_state(request.query)
         snapshot = self.replica.snapshot(
-            now(), known_end=int(known_end) if known_end.isdigit() else 0
+            now(), known_end=known.end, known_version=known.version
         )
         body = msgspec.json.encode(snapshot)
         return web.Response(body=body, content_type="application/json")
--- a/src/baobabthread/instance/quarantinerecords.py
+++ b/src/baobabthread/instance/quarantinerecords.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import Position
 from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.clock import now
 from baobabthread.instance.quarantine import QuarantineCoordinator
@@ -66,7 +67,7 @@
             if now_s >= due_at:
                 await self._write(fingerprint)
 
-    async def _load(self) -> tuple[dict[str, QuarantineEntry], int]:
+    async def _load(self) -> tuple[dict[str, QuarantineEntry], Position]:
         """Apply the stored entries; return them with the end of the topic."""
         page = await self._store.newest(self._formats.status_topic, STORE_TIMEOUT_S)
         stored = self._decode(page)
--- a/src/baobabthread/instance/replicasync.py
+++ b/src/baobabthread/instance/replicasync.py
@@ -10,12 +10,15 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 import msgspec
 
+from baobabthread.core.positions import BackendsPosition, OperatorsPosition
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
+from baobabthread.instance.storeeras import EraTracker
 from baobabthread.logs import log_event
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import BackendRecord
@@ -46,6 +49,15 @@
 MAX_READ_STAGGER_S = 0.7
 """Longest such delay: with a bound of four seconds, a change that can only be read from
 the store is then known within nine tenths of the bound."""
+START_COMPARISON_S = 0.5
+"""Time after the start within which peers are expected to answer. Until one has, the
+store may hold an older configuration than theirs, with keys that were revoked."""
+FIRST_CONTACT_S = 0.1
+"""Time from the first contact with a peer until the members' versions are known."""
+LOST_VERSION_GRACE_S = 0.5
+"""Time to fetch a configuration that the store lost before keys are rejected."""
+REQUIRED_VERSION_S = 2.0
+"""Time for which a peer's word of a newer configuration counts without a new one."""
 SUBSCRIPTION_INTERVALS = 5.0
 """Number of query intervals for which a reader pushes changes to an instance after its
 last query."""
@@ -56,33 +68,95 @@
 would fall back to the store."""
 
 
-class ReplicaQuery(msgspec.Struct, frozen=True, kw_only=True, tag="knowledge.ask"):
+class ReplicaQuery(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="knowledge.ask"
+):
     """Request the staleness and the latest changes of a reader's replica."""
 
     sequence: int
-    backends_end: int = 0
-    """Offset up to which the sender knows the backend servers' records."""
-    operators_end: int = 0
-    """Offset up to which the sender knows the operators' records."""
+    backends_offset: int = msgspec.field(default=0, name="backends_end")
+    operators_offset: int = msgspec.field(default=0, name="operators_end")
+    backends_era: int = 0
+    operators_era: int = 0
+    version: int = 0
+    """Version of the sender's configuration."""
+    era: int = 0
+    """Newest era of the store that the sender knows; 0 if it knows none."""
 
+    @property
+    def backends_end(self) -> BackendsPosition:
+        """Position up to which the sender knows the backend servers' records."""
+        return BackendsPosition(self.backends_era, self.backends_offset)
+
+    @property
+    def operators_end(self) -> OperatorsPosition:
+        """Position up to which the sender knows the operators' records."""
+        return OperatorsPosition(self.operators_era, self.operators_offset)
+
+    def place_in(self, era: int) -> ReplicaQuery:
+        """Return the query of an instance that doesn't know eras as one of `era`."""
+        return msgspec.structs.replace(self, backends_era=era, operators_era=era)
 
-class ReplicaReply(msgspec.Struct, frozen=True, kw_only=True, tag="knowledge.is"):
+
+class ReplicaReply(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="knowledge.is"
+):
     """Report the staleness of the sender's replica and its latest changes."""
 
     sequence: int
     """Sequence of the query; 0 if unsolicited, in which case the ages are not used."""
-    operators_end: int
+    operators_offset: int = msgspec.field(name="operators_end")
     operators_age_s: float
-    backends_end: int
-    backends_changed_at: int
-    """Offset of the last read that changed a backend server's record."""
+    backends_offset: int = msgspec.field(name="backends_end")
+    changed_offset: int = msgspec.field(name="backends_changed_at")
     backends_age_s: float
-    since: int = -1
-    """Offset since which all changes are included; -1 if too many or not known."""
+    since_offset: int = msgspec.field(default=-1, name="since")
+    """-1 if the sender has too many changes or doesn't know them."""
     changed: list[BackendRecord] = []
     gone: list[str] = []
     steps: list[OperatorDelta] = []
-    """Changes to the operators' state since the offset in the receiver's last query."""
+    """Changes to the operators' state since the receiver's last query."""
+    operators_era: int = 0
+    backends_era: int = 0
+    changed_era: int = 0
+    since_era: int = 0
+    version: int = 0
+    """Version of the sender's configuration."""
+    era: int = 0
+    """Newest era of the store that the sender knows; 0 if it knows none."""
+
+    @property
+    def operators_end(self) -> OperatorsPosition:
+        """Position up to which the sender knows the operators' records."""
+        return OperatorsPosition(self.operators_era, self.operators_offset)
+
+    @property
+    def backends_end(self) -> BackendsPosition:
+        """Position up to which the sender knows the backend servers' records."""
+        return BackendsPosition(self.backends_era, self.backends_offset)
+
+    @property
+    def backends_changed_at(self) -> BackendsPosition:
+        """Position of the last read that changed a backend server's record."""
+        return BackendsPosition(self.changed_era, self.changed_offset)
+
+    @property
+    def since(self) -> BackendsPosition | None:
+        """Position since which all changes are included; None if they aren't."""
+        if self.since_offset < 0:
+            return None
+        return BackendsPosition(self.since_era, self.since_offset)
+
+    def place_in(self, era: int) -> ReplicaReply:
+        """Return the reply of an instance that doesn't know eras as one of `era`."""
+        return msgspec.structs.replace(
+            self,
+            operators_era=era,
+            backends_era=era,
+            changed_era=era,
+            since_era=era,
+            steps=[],
+        )
 
 
 REPLICA_MESSAGES = (ReplicaQuery, ReplicaReply)
@@ -95,8 +169,8 @@
 
 class _Subscriber(msgspec.Struct):
     queried_at: float
-    backends_end: int
-    operators_end: int
+    backends_end: BackendsPosition
+    operators_end: OperatorsPosition
 
 
 class ReplicaSync:
@@ -106,7 +180,9 @@
         "_alive",
         "_assignment",
         "_behind_since",
+        "_compared_at",
         "_discovery_until",
+        "_eras",
         "_fetch",
         "_me",
         "_misses",
@@ -116,6 +192,7 @@
         "_queried_at",
         "_replica",
         "_reported_end",
+        "_required",
         "_send",
         "_sequence",
         "_subscribers",
@@ -129,6 +206,7 @@
         replica: StateReplica,
         send: SendMessage,
         fetch: FetchSnapshot,
+        eras: EraTracker,
         bounds: RoutingBounds | None = None,
         has_seeds: bool = False,
     ) -> None:
@@ -136,6 +214,8 @@
         self._replica = replica
         self._send = send
         self._fetch = fetch
+        self._eras = eras
+        eras.subscribe(self._announce_era)
         self.limits: StalenessLimits = derive_staleness_limits(
             bounds or RoutingBounds()
         )
@@ -144,20 +224,27 @@
         self._others: list[str] = []
         self._pending: dict[int, float] = {}
         self._queried_at = -1e9
-        self._reported_end = 0
+        self._reported_end = OperatorsPosition()
         self._behind_since: float | None = None
         """Time since which a peer has reported operators' records unknown here."""
         self._misses = 0
         self._sequence = 0
         self._discovery_until = now() + DISCOVERY_TIMEOUT_S if has_seeds else 0.0
         self._subscribers: dict[str, _Subscriber] = {}
-        self._notified_state = (0, 0)
+        self._notified_state: tuple[object, ...] = ()
+        self._required = (0, 0.0)
+        """Version that a peer has and the store lost, and until when that counts."""
+        self._compared_at = now() + START_COMPARISON_S if has_seeds else 0.0
+        """When this instance may rely on the store alone."""
+        replica.is_compared = not has_seeds
 
     def set_members(self, names: Sequence[str]) -> None:
         """Update the names of the serving instances, including this one."""
         self._alive = list(names) or [self._me]
         self._assignment = ReaderAssignment(me=self._me, names=self._alive)
         self._others = []
+        if len(self._alive) > 1:
+            self._compared_at = min(self._compared_at, now() + FIRST_CONTACT_S)
 
     @property
     def members(self) -> int:
@@ -165,7 +252,7 @@
         return len(self._alive)
 
     @property
-    def reported_end(self) -> int:
+    def reported_end(self) -> OperatorsPosition:
         """Highest end of the operators' log that any peer has reported."""
         return self._reported_end
 
@@ -183,7 +270,7 @@
         """Whether peers know operators' records that this instance does not."""
         return self._reported_end > self._replica.operators_end
 
-    def record_operators_end(self, operators_end: int) -> None:
+    def record_operators_end(self, operators_end: OperatorsPosition) -> None:
         """Record the end of the operators' log as reported by a peer."""
         # A configuration may be several hundred kilobytes. Twenty instances that fetch
         # it from a reader on a slow link would have it only after ten seconds, so it is
@@ -220,6 +307,7 @@
     def tick(self) -> None:
         """Query a reader or notify subscribers of changes, as due."""
         now_s = now()
+        self._update_trust(now_s)
         self._notify_subscribers(now_s)
         if self._assignment.is_reader:
             return
@@ -232,15 +320,65 @@
         self._queried_at = now_s
         self._sequence += 1
         self._pending[self._sequence] = now_s
-        query = ReplicaQuery(
-            sequence=self._sequence,
-            backends_end=self._replica.backends_end,
-            operators_end=self._replica.operators_end,
+        self._send(peer, self._make_query(self._sequence))
+
+    def _make_query(self, sequence: int) -> ReplicaQuery:
+        return ReplicaQuery(
+            sequence=sequence,
+            backends_offset=self._replica.backends_end.offset,
+            backends_era=self._replica.backends_end.era,
+            operators_offset=self._replica.operators_end.offset,
+            operators_era=self._replica.operators_end.era,
+            version=self._replica.version,
+            era=self._eras.current,
         )
-        self._send(peer, query)
+
+    def _announce_era(self) -> None:
+        """Tell the readers of a new era, who tell their subscribers."""
+        self._replica.begin_era(now())
+        for name in (*self._assignment.readers, *self._assignment.standbys):
+            if name != self._me:
+                self._send(name, self._make_query(0))
+
+    # -- configurations that the store lost --
+
+    def compare_version(
+        self, peer: str, version: int, operators_end: OperatorsPosition
+    ) -> None:
+        """Fetch the configuration of a peer that the store no longer holds.
+
+        The store was restored from a copy without it: this instance has read as far as
+        the peer, but lacks its version.
+        """
+        if version <= self._replica.version:
+            return
+        if operators_end > self._replica.operators_end:
+            return
+        now_s = now()
+        self._required = (version, now_s + REQUIRED_VERSION_S)
+        self._update_trust(now_s)
+        self._fetch(peer)
+
+    def _update_trust(self, now_s: float) -> None:
+        """Update from when on peers are taken to have a newer configuration."""
+        replica = self._replica
+        version, until = self._required
+        if replica.version < version and now_s < until:
+            replica.distrusted_from = min(
+                replica.distrusted_from, now_s + LOST_VERSION_GRACE_S
+            )
+            return
+        replica.distrusted_from = math.inf
+        if not replica.is_compared and now_s >= self._compared_at:
+            replica.is_compared = True
+            replica.on_update()
 
     def handle_query(self, sender: str, query: ReplicaQuery) -> None:
         """Reply to a query and subscribe its sender to changes."""
+        self._eras.observe(query.era, source=sender)
+        if not query.era:
+            query = query.place_in(self._eras.current)
+        self.compare_version(sender, query.version, query.operators_end)
         subscriber = _Subscriber(
             queried_at=now(),
             backends_end=query.backends_end,
@@ -252,6 +390,9 @@
     def handle_reply(self, sender: str, reply: ReplicaReply) -> None:
         """Apply a reader's reply to the replica."""
         replica = self._replica
+        self._eras.observe(reply.era, source=sender)
+        if not reply.era:
+            reply = reply.place_in(self._eras.current)
         self._apply_deltas(sender, reply)
         if reply.operators_end > replica.operators_end:
             # The sender knows later records but sent no deltas for them, so they have
@@ -262,11 +403,14 @@
             self._record_reply(reply)
             replica.freshness.hear(
                 head_age_s=reply.operators_age_s,
-                read_offset=reply.operators_end,
+                read_position=reply.operators_end,
                 asked_at=queried_at,
             )
         self.record_operators_end(reply.operators_end)
-        has_all_changes = 0 <= reply.since <= replica.backends_end
+        self.compare_version(sender, reply.version, reply.operators_end)
+        has_all_changes = (
+            reply.since is not None and reply.since <= replica.backends_end
+        )
         if reply.backends_changed_at > replica.backends_end:
             if not has_all_changes:
                 self._fetch(sender)
@@ -292,7 +436,8 @@
             log_event(
                 "configuration_read",
                 version=replica.table.configuration.version,
-                offset=replica.operators_end,
+                offset=replica.operators_end.offset,
+                era=replica.operators_end.era,
                 news=True,
                 source=sender,
             )
@@ -330,7 +475,12 @@
 
     def _notify_subscribers(self, now_s: float) -> None:
         replica = self._replica
-        state = (replica.operators_end, replica.backends_changed_at)
+        state = (
+            replica.operators_end,
+            replica.backends_changed_at,
+            replica.version,
+            self._eras.current,
+        )
         if state == self._notified_state:
             return
         self._notified_state = state
@@ -352,13 +502,19 @@
         )
         return ReplicaReply(
             sequence=sequence,
-            operators_end=replica.operators_end,
+            operators_offset=replica.operators_end.offset,
+            operators_era=replica.operators_end.era,
             operators_age_s=round(replica.operators_age(now_s) + 0.0005, 3),
-            backends_end=replica.settled_end,
-            backends_changed_at=replica.backends_changed_at,
+            backends_offset=replica.settled_end.offset,
+            backends_era=replica.settled_end.era,
+            changed_offset=replica.backends_changed_at.offset,
+            changed_era=replica.backends_changed_at.era,
             backends_age_s=round(replica.backends_age(now_s) + 0.0005, 3),
-            since=known_end if changes is not None else -1,
+            since_offset=known_end.offset if changes is not None else -1,
+            since_era=known_end.era,
             changed=changes.changed if changes is not None else [],
             gone=changes.removed if changes is not None else [],
             steps=replica.deltas.list_since(subscriber.operators_end),
+            version=replica.version,
+            era=self._eras.current,
         )
--- a/src/baobabthread/instance/rollouts.py
+++ b/src/baobabthread/instance/rollouts.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.backends import Backends
 from baobabthread.instance.canaries import CanaryPermit, CanaryReport
@@ -51,7 +52,7 @@
         self._store = store
         self._formats = formats
         self._stored: dict[str, RolloutStatus] = {}
-        self._initial_orders: frozenset[int] | None = None
+        self._initial_orders: frozenset[OperatorsPosition] | None = None
         """Numbers of the orders that came with this instance's first configuration."""
         self._has_loaded_statuses = False
         self._logged_shares: dict[str, float] = {}
@@ -207,7 +208,7 @@
         plan.permit(requested_at=permit.sent_at, admits=permit.progress.admits)
         self._peers.canaries.record_permit(plan.service, permit.sent_at)
 
-    def _find_permit(self, service: str, number: int) -> Progress | None:
+    def _find_permit(self, service: str, number: OperatorsPosition) -> Progress | None:
         """Return the progress to permit; None if the store has not confirmed it."""
         plan = self._services.get(service).plan
         if plan.order is None or plan.order.number != number:
@@ -216,7 +217,8 @@
             # An instance that still sends reports has missed the final state.
             return Progress(
                 service=service,
-                number=number,
+                offset=number.offset,
+                era=number.era or msgspec.UNSET,
                 elapsed_s=round(plan.elapsed(now()), 2),
                 share=plan.share(now()),
                 old_running=0,
@@ -336,7 +338,8 @@
             service=plan.service,
             target=order.target,
             state=state,
-            number=order.number,
+            offset=order.offset,
+            era=order.era,
             elapsed_s=plan.elapsed(now_s),
         )
         await self._write_status(plan, status)
--- a/src/baobabthread/instance/sessions.py
+++ b/src/baobabthread/instance/sessions.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance.clock import now
 from baobabthread.routing.versions import VersionPlan
@@ -39,14 +40,21 @@
 within the idle time after which a session counts as ended."""
 
 
-class VersionQuery(msgspec.Struct, frozen=True, kw_only=True, tag="session.ask"):
+class VersionQuery(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="session.ask"
+):
     """Request the decision whether a session's request goes to the new version."""
 
     sequence: int
     service: str
-    number: int
-    """Number of the roll-out order."""
+    offset: int = msgspec.field(name="number")
     session: str
+    era: int = 0
+
+    @property
+    def number(self) -> OperatorsPosition:
+        """Number of the roll-out order."""
+        return OperatorsPosition(self.era, self.offset)
 
 
 class VersionReply(msgspec.Struct, frozen=True, kw_only=True, tag="session.is"):
@@ -57,16 +65,24 @@
     """None if the queried instance has too little information."""
 
 
-class SessionUseReport(msgspec.Struct, frozen=True, kw_only=True, tag="session.uses"):
+class SessionUseReport(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="session.uses"
+):
     """Report which sessions are in use, and on which version."""
 
     sequence: int
     service: str
-    number: int
+    offset: int = msgspec.field(name="number")
     ages: dict[str, float]
     """Seconds since the last request of each session on the old version."""
     moved: list[str] = []
     """Sessions with a request on the new version."""
+    era: int = 0
+
+    @property
+    def number(self) -> OperatorsPosition:
+        """Number of the roll-out order."""
+        return OperatorsPosition(self.era, self.offset)
 
 
 class SessionUseAck(msgspec.Struct, frozen=True, kw_only=True, tag="session.noted"):
@@ -122,7 +138,7 @@
         self._find_plan = find_plan
         self._alive: list[str] = [me]
         self._pending: dict[int, asyncio.Future[VersionReply]] = {}
-        self._reported_orders: dict[str, int] = {}
+        self._reported_orders: dict[str, OperatorsPosition] = {}
         self._sequence = 0
         self._renewed_at = now()
         self._notified_owners: dict[str, dict[str, set[str]]] = {}
@@ -196,7 +212,8 @@
         query = VersionQuery(
             sequence=self._sequence,
             service=plan.service,
-            number=plan.order.number,
+            offset=plan.order.offset,
+            era=plan.order.era,
             session=session,
         )
         try:
@@ -318,7 +335,8 @@
         report = SessionUseReport(
             sequence=self._sequence,
             service=plan.service,
-            number=plan.order.number,
+            offset=plan.order.offset,
+            era=plan.order.era,
             ages=ages,
             moved=moved,
         )
--- a/src/baobabthread/instance/store.py
+++ b/src/baobabthread/instance/store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import Position
 from baobabthread.routing.configuration import (
     BackendRecord,
     Evacuation,
@@ -26,28 +27,28 @@
 
     key: str
     value: bytes
-    offset: int
+    position: Position
 
 
 class Page(msgspec.Struct, frozen=True, kw_only=True):
     """The newest record of each key, and the offset to continue reading from."""
 
     records: list[Record]
-    end: int
+    end: Position
 
 
 class Tail(msgspec.Struct, frozen=True, kw_only=True):
     """Records in offset order, and the end of the topic."""
 
     records: list[Record]
-    next: int
-    """Offset after the last record read."""
-    end: int
-    """Offset at which the topic ends."""
+    next: Position
+    """Position after the last record read."""
+    end: Position
+    """Position at which the topic ends."""
 
 
 class Trimmed(msgspec.Struct, frozen=True):
-    """The requested records are no longer in the topic."""
+    """The topic has no record at the requested position, nor ends there."""
 
 
 class Append(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,13 +61,13 @@
     topic: str
     key: str
     value: bytes
-    expected_end: int
+    expected_end: Position
 
 
 class Appended(msgspec.Struct, frozen=True, kw_only=True):
     """A record was appended; the topic now ends at `end`."""
 
-    end: int
+    end: Position
 
 
 class Conflict(msgspec.Struct, frozen=True):
@@ -98,7 +99,7 @@
     def decode_status(self, record: Record) -> RolloutStatus | None:
         """Decode the status of a roll-out; return None for other records."""
 
-    def encode_status(self, status: RolloutStatus, expected_end: int) -> Append:
+    def encode_status(self, status: RolloutStatus, expected_end: Position) -> Append:
         """Return the append that writes the status of a roll-out."""
 
     def decode_quarantined(
@@ -107,11 +108,11 @@
         """Decode a quarantined request; return None for other records."""
 
     def encode_quarantined(
-        self, entry: QuarantineEntry, expected_end: int, *, unix_now: float
+        self, entry: QuarantineEntry, expected_end: Position, *, unix_now: float
     ) -> Append:
         """Return the append that writes a quarantined request."""
 
-    def encode_release(self, fingerprint: str, expected_end: int) -> Append:
+    def encode_release(self, fingerprint: str, expected_end: Position) -> Append:
         """Return the append that removes a request from quarantine."""
 
 
@@ -125,9 +126,9 @@
         """Return the newest record of each key."""
 
     async def read(
-        self, topic: str, start: int, *, wait_s: float, timeout_s: float
+        self, topic: str, start: Position, *, wait_s: float, timeout_s: float
     ) -> Tail | Trimmed:
-        """Return the records from an offset on.
+        """Return the records from a position on.
 
         Waits up to `wait_s` only while there are none.
         """
--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -6,9 +6,11 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from typing import Generic, TypeVar
 
 import msgspec
 
+from baobabthread.core.positions import BackendsPosition, OperatorsPosition, Position
 from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.clock import now
 from baobabthread.instance.metrics import Metrics
@@ -54,12 +56,15 @@
 several large configurations only the last one matters, and reading all of them would
 occupy a slow link."""
 
+P = TypeVar("P", bound=Position)
 QueryPeer = Callable[[], Awaitable[None]]
 
 
-class TopicReader(abc.ABC):
+class TopicReader(abc.ABC, Generic[P]):
     """Repeatedly read one topic of the store to its end."""
 
+    _position_type: type[P]
+
     def __init__(
         self,
         *,
@@ -78,7 +83,8 @@
         self._rng = rng
         self._query_peer = query_peer
         self._replica_sync = replica_sync
-        self._next_offset: int | None = None
+        self._next: P | None = None
+        """Position to read from; None if the newest records have to be read first."""
         self._failures = 0
 
     async def run(self) -> None:
@@ -97,24 +103,30 @@
                 await asyncio.sleep(self._choose_backoff())
 
     async def _step(self) -> None:
-        if self._next_offset is None:
+        if self._next is None:
             await self._read_newest()
             return
         # A peer may have sent the records since this instance's last read.
-        start = max(self._next_offset, self._known_end)
-        if self._reported_end - start >= MIN_RELOAD_LAG:
+        start = max(self._next, self._known_end)
+        lag = self._reported_end.count_since(start)
+        if lag is not None and lag >= MIN_RELOAD_LAG:
             await self._read_newest()
         else:
             await self._read_tail(start)
 
     async def _read_newest(self) -> None:
         requested_at = now()
+        known_end = self._known_end
         page = await self._store.newest(self._topic, self._response_timeout_s)
+        end = self._position_type.at(page.end)
+        if (end.count_since(known_end) or 0) < 0:
+            # What else the store lost can't be told.
+            raise StoreError(f"{self._topic} ended at {known_end}, and ends at {end}")
         self._apply_page(page)
-        self._next_offset = page.end
-        self._record_read(page.end, requested_at)
+        self._next = end
+        self._record_read(end, requested_at)
 
-    async def _read_tail(self, start: int) -> None:
+    async def _read_tail(self, start: P) -> None:
         requested_at = now()
         wait_s = 0.0 if self._failures else self._wait_s
         tail = await self._store.read(
@@ -124,15 +136,22 @@
             timeout_s=wait_s + self._response_timeout_s,
         )
         if isinstance(tail, Trimmed):
-            log_event("store_history_gone", topic=self._topic, start=start)
-            self._next_offset = None
+            log_event(
+                "store_history_gone",
+                topic=self._topic,
+                start=start.offset,
+                era=start.era,
+            )
+            self._next = None
+            # The next read may be rejected for the same reason.
+            await asyncio.sleep(self._choose_backoff())
             await self._read_newest()
             return
         for record in tail.records:
             self._apply_or_skip(record)
-        self._next_offset = tail.next
+        self._next = self._position_type.at(tail.next)
         if tail.next >= tail.end:
-            self._record_read(tail.end, requested_at)
+            self._record_read(self._position_type.at(tail.end), requested_at)
 
     def _apply_page(self, page: Page) -> None:
         for record in page.records:
@@ -149,7 +168,8 @@
                 level="error",
                 topic=self._topic,
                 key=record.key,
-                offset=record.offset,
+                offset=record.position.offset,
+                era=record.position.era,
                 error=str(error),
             )
             self._skip(record)
@@ -165,20 +185,20 @@
 
     @property
     @abc.abstractmethod
-    def _known_end(self) -> int:
-        """Offset up to which the topic is known, from the store or from peers."""
+    def _known_end(self) -> P:
+        """Position up to which the topic is known, from the store or from peers."""
 
     @property
-    def _reported_end(self) -> int:
-        """End of the topic as reported by peers; 0 if they don't report it."""
-        return 0
+    def _reported_end(self) -> P:
+        """End of the topic as reported by peers; the first if they don't report it."""
+        return self._position_type()
 
     @abc.abstractmethod
     def _apply(self, record: Record) -> None:
         """Apply one record to the replica."""
 
     @abc.abstractmethod
-    def _record_read(self, end: int, requested_at: float) -> None:
+    def _record_read(self, end: P, requested_at: float) -> None:
         """Record that the topic was read to its end."""
 
     @abc.abstractmethod
@@ -226,9 +246,11 @@
         return limit_s * (0.5 + 0.5 * self._rng.random())
 
 
-class OperatorTopicReader(TopicReader):
+class OperatorTopicReader(TopicReader[OperatorsPosition]):
     """Follow configurations, roll-out orders and evacuations."""
 
+    _position_type = OperatorsPosition
+
     def __init__(self, *, formats: RecordFormat, **common: object) -> None:
         super().__init__(topic=formats.operators_topic, **common)  # type: ignore[arg-type]
         self._formats = formats
@@ -237,14 +259,14 @@
 
     @property
     def _must_read(self) -> bool:
-        return self._next_offset is None or self._replica_sync.must_read_operators()
+        return self._next is None or self._replica_sync.must_read_operators()
 
     @property
-    def _known_end(self) -> int:
+    def _known_end(self) -> OperatorsPosition:
         return self._replica.operators_end
 
     @property
-    def _reported_end(self) -> int:
+    def _reported_end(self) -> OperatorsPosition:
         return self._replica_sync.reported_end
 
     @property
@@ -263,18 +285,20 @@
     def _apply_page(self, page: Page) -> None:
         self._evacuated.clear()
         super()._apply_page(page)
-        self._replica.reconcile_evacuations(self._evacuated, page.end)
+        end = OperatorsPosition.at(page.end)
+        self._replica.reconcile_evacuations(self._evacuated, end)
 
     def _apply(self, record: Record) -> None:
         match self._formats.decode_operator_record(record):
             case RoutingConfiguration() as found:
-                self._apply_configuration(found, record.offset)
+                self._apply_configuration(found, record.position)
             case RolloutOrder() as found if self._replica.apply_order(found):
                 log_event(
                     "rollout_ordered",
                     service=found.service,
                     target=found.target,
-                    number=found.number,
+                    number=found.number.offset,
+                    era=found.number.era,
                     limit_s=found.time_limit_s,
                 )
             case Evacuation() as found:
@@ -288,17 +312,19 @@
                 "evacuation_read",
                 failure_domain=evacuation.failure_domain,
                 on=evacuation.is_on,
-                offset=evacuation.number,
+                offset=evacuation.number.offset,
+                era=evacuation.number.era,
             )
 
     def _apply_configuration(
-        self, configuration: RoutingConfiguration, offset: int
+        self, configuration: RoutingConfiguration, position: Position
     ) -> None:
         is_new = self._replica.apply_configuration(configuration)
         log_event(
             "configuration_read",
             version=configuration.version,
-            offset=offset,
+            offset=position.offset,
+            era=position.era,
             news=is_new,
             source="store",
         )
@@ -306,23 +332,25 @@
     def _skip(self, record: Record) -> None:
         """Change nothing: the last state that could be decoded stays in force."""
 
-    def _record_read(self, end: int, requested_at: float) -> None:
+    def _record_read(self, end: OperatorsPosition, requested_at: float) -> None:
         self._replica.record_operators_read(end=end, requested_at=requested_at)
 
 
-class BackendTopicReader(TopicReader):
+class BackendTopicReader(TopicReader[BackendsPosition]):
     """Follow which backend servers are running, leaving or removed."""
 
+    _position_type = BackendsPosition
+
     def __init__(self, *, formats: RecordFormat, **common: object) -> None:
         super().__init__(topic=formats.backends_topic, **common)  # type: ignore[arg-type]
         self._formats = formats
 
     @property
     def _must_read(self) -> bool:
-        return self._next_offset is None or self._replica_sync.must_read_backends()
+        return self._next is None or self._replica_sync.must_read_backends()
 
     @property
-    def _known_end(self) -> int:
+    def _known_end(self) -> BackendsPosition:
         return self._replica.backends_end
 
     async def _wait(self) -> None:
@@ -338,7 +366,12 @@
     def _apply(self, record: Record) -> None:
         if not record.value:
             self._replica.remove_backend(record.key, now())
-            log_event("backend_gone", backend=record.key, offset=record.offset)
+            log_event(
+                "backend_gone",
+                backend=record.key,
+                offset=record.position.offset,
+                era=record.position.era,
+            )
             return
         backend = self._formats.decode_backend(record)
         if self._replica.apply_backend(backend):
@@ -348,7 +381,8 @@
                 service=backend.service,
                 version=backend.version,
                 leaving=backend.leaving,
-                offset=record.offset,
+                offset=record.position.offset,
+                era=record.position.era,
             )
         self._apply_warmup(backend)
 
@@ -371,7 +405,7 @@
         # heartbeat.
         self._replica.discard_backend(record.key)
 
-    def _record_read(self, end: int, requested_at: float) -> None:
+    def _record_read(self, end: BackendsPosition, requested_at: float) -> None:
         self._replica.record_backends_read(
             end=end, requested_at=requested_at, now=now()
         )
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import Position
 from baobabthread.errors import ConfigurationError
 from baobabthread.instance.store import Append, Record
 from baobabthread.routing.configuration import (
@@ -145,6 +146,8 @@
     target: str
     state: RolloutState
     number: int = 0
+    """Offset of the order in its era."""
+    era: int = 0
     elapsed_s: float = 0.0
 
 
@@ -173,7 +176,8 @@
         """Decode an operators' record; return None for keys that are not used here."""
         if record.key.startswith(EVACUATION_PREFIX):
             return Evacuation(
-                number=record.offset,
+                offset=record.position.offset,
+                era=record.position.era,
                 failure_domain=record.key.removeprefix(EVACUATION_PREFIX),
                 is_on=bool(record.value),
             )
@@ -182,7 +186,7 @@
         if record.key == CONFIGURATION_KEY:
             return decode_configuration(record.value)
         if record.key.startswith(ROLLOUT_PREFIX):
-            return decode_rollout_order(record.offset, record.value)
+            return decode_rollout_order(record.position, record.value)
         return None
 
     def decode_backend(self, record: Record) -> BackendRecord:
@@ -195,7 +199,7 @@
             return None
         return decode_status(record.value)
 
-    def encode_status(self, status: RolloutStatus, expected_end: int) -> Append:
+    def encode_status(self, status: RolloutStatus, expected_end: Position) -> Append:
         """Return the append that writes the status of a roll-out."""
         return Append(
             topic=self.status_topic,
@@ -222,7 +226,7 @@
         )
 
     def encode_quarantined(
-        self, entry: QuarantineEntry, expected_end: int, *, unix_now: float
+        self, entry: QuarantineEntry, expected_end: Position, *, unix_now: float
     ) -> Append:
         """Return the append that writes a quarantined request."""
         record = _Quarantined(
@@ -238,7 +242,7 @@
             value=msgspec.json.encode(record),
         )
 
-    def encode_release(self, fingerprint: str, expected_end: int) -> Append:
+    def encode_release(self, fingerprint: str, expected_end: Position) -> Append:
         """Return the append that removes a request from quarantine."""
         return Append(
             topic=self.status_topic,
@@ -358,11 +362,12 @@
         raise ValueError(f"port {port!r} is not between 1 and {MAX_PORT}")
 
 
-def decode_rollout_order(number: int, value: bytes) -> RolloutOrder:
+def decode_rollout_order(position: Position, value: bytes) -> RolloutOrder:
     """Decode an order to roll out another version of a service."""
     order = msgspec.json.decode(value, type=_Order)
     return RolloutOrder(
-        number=number,
+        offset=position.offset,
+        era=position.era,
         service=order.service,
         target=order.target,
         time_limit_s=order.deadline_s,
@@ -376,7 +381,8 @@
             service=status.service,
             target=status.target,
             state=status.state,
-            number=status.number,
+            number=status.offset,
+            era=status.era,
             elapsed_s=round(status.elapsed_s, 2),
         )
     )
@@ -389,6 +395,7 @@
         service=status.service,
         target=status.target,
         state=status.state,
-        number=status.number,
+        offset=status.number,
+        era=status.era,
         elapsed_s=status.elapsed_s,
     )
--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import Position
 from baobabthread.instance.connections import (
     ConnectionPool,
     DirectConnector,
@@ -83,43 +84,46 @@
         """Return the newest record of each key of a topic."""
         records: list[Record] = []
         after: str | None = None
-        end: int | None = None
+        end: Position | None = None
         while True:
             query = {"topic": topic, "part": PARTITION}
             if after is not None:
                 query["after"] = after
-            body = await self._get("/-/log-newest", query, timeout_s)
-            page = _decode(body, _Newest)
+            response = await self._call("GET", "/-/log-newest", query, b"", timeout_s)
+            page = _decode(_expect_ok(response), _Newest)
+            page_end = Position(response.era, page.end_offset)
+            if end is not None and page_end.era != end.era:
+                raise StoreError("store was restored between two pages")
             records.extend(
                 Record(
                     key=item.key,
                     value=base64.b64decode(item.value),
-                    offset=item.offset,
+                    position=Position(response.era, item.offset),
                 )
                 for item in page.items
             )
             # Pages are not a consistent snapshot: only records up to the end seen by
             # the first page are surely included, so reading continues from there.
-            end = page.end_offset if end is None else min(end, page.end_offset)
+            end = page_end if end is None else min(end, page_end)
             if not page.has_more or not page.items:
                 return Page(records=records, end=end)
             after = page.items[-1].key
 
     async def read(
-        self, topic: str, start: int, *, wait_s: float, timeout_s: float
+        self, topic: str, start: Position, *, wait_s: float, timeout_s: float
     ) -> Tail | Trimmed:
-        """Return the records from an offset on, or `Trimmed` if they are deleted."""
+        """Return the records from a position on; `Trimmed` if the topic lacks it."""
         query = {
             "topic": topic,
             "part": PARTITION,
-            "from": start,
+            "from": start.offset,
             "max_kb": MAX_READ_KB,
             "wait_ms": int(wait_s * 1000),
         }
         response = await self._call("GET", "/-/log-read", query, b"", timeout_s)
         if response.status == 410:
             return Trimmed()
-        return _decode_tail(_expect_ok(response), start)
+        return _decode_tail(_expect_ok(response), Position(response.era, start.offset))
 
     async def append(self, append: Append, timeout_s: float) -> Appended | Conflict:
         """Append one keyed record if the topic ends at the expected offset."""
@@ -129,22 +133,18 @@
         query = {
             "topic": append.topic,
             "part": PARTITION,
-            "at": append.expected_end,
+            "at": append.expected_end.offset,
         }
         response = await self._call("POST", "/-/log-append", query, body, timeout_s)
         if response.status in (409, 412):
             return Conflict()
-        return Appended(end=_decode(_expect_ok(response), _Appended).end_offset)
+        end_offset = _decode(_expect_ok(response), _Appended).end_offset
+        return Appended(end=Position(response.era, end_offset))
 
     def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
 
-    async def _get(
-        self, path: str, query: Mapping[str, object], timeout_s: float
-    ) -> bytes:
-        return _expect_ok(await self._call("GET", path, query, b"", timeout_s))
-
     async def _call(
         self,
         method: str,
@@ -160,7 +160,8 @@
             async with asyncio.timeout(timeout_s):
                 connection = await self._pool.send(head, body)
                 response: Response = await self._pool.receive(connection)
-            self.on_era(_parse_era(response.headers.get(ERA_FIELD)))
+            era = _parse_era(response.headers.get(ERA_FIELD))
+            self.on_era(era)
             content = await _read_body(response)
             response.finish()
             connection = None
@@ -169,7 +170,7 @@
         finally:
             if connection is not None:
                 self._pool.discard(connection)
-        return _StoreResponse(status=response.status, body=content)
+        return _StoreResponse(status=response.status, body=content, era=era)
 
 
 def _parse_era(value: str | None) -> int:
@@ -208,6 +209,7 @@
 class _StoreResponse(msgspec.Struct, frozen=True, kw_only=True):
     status: int
     body: bytes
+    era: int
 
 
 def _expect_ok(response: _StoreResponse) -> bytes:
@@ -223,7 +225,7 @@
         raise StoreError(f"response can't be decoded: {error}") from error
 
 
-def _decode_tail(body: bytes, start: int) -> Tail:
+def _decode_tail(body: bytes, start: Position) -> Tail:
     if len(body) < OFFSETS_BYTES:
         raise StoreError(
             f"response truncated: got {len(body)} of {OFFSETS_BYTES} bytes of offsets"
@@ -231,7 +233,7 @@
     end, _first = struct.unpack_from(">QQ", body)
     records = []
     position = OFFSETS_BYTES
-    offset = start
+    offset = start.offset
     while position + LENGTH_BYTES <= len(body):
         (length,) = struct.unpack_from(">I", body, position)
         position += LENGTH_BYTES
@@ -248,8 +250,12 @@
             Record(
                 key=content[1:key_end].decode(errors="replace"),
                 value=content[key_end:],
-                offset=offset,
+                position=Position(start.era, offset),
             )
         )
         offset += 1
-    return Tail(records=records, next=offset, end=end)
+    return Tail(
+        records=records,
+        next=Position(start.era, offset),
+        end=Position(start.era, end),
+    )
--- a/src/baobabthread/routing/canary.py
+++ b/src/baobabthread/routing/canary.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.core.rollouts.wealth import Wealth
 
 SLOW_FACTOR = 2.0
@@ -65,12 +66,17 @@
     bad: int
 
 
-class Evidence(msgspec.Struct, frozen=True, kw_only=True):
+class Evidence(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """All counts of one instance; they only grow."""
 
-    number: int
-    """Number of the roll-out order."""
+    offset: int = msgspec.field(name="number")
     counts: list[Count]
+    era: int = 0
+
+    @property
+    def number(self) -> OperatorsPosition:
+        """Number of the roll-out order."""
+        return OperatorsPosition(self.era, self.offset)
 
 
 class SentAttempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -150,7 +156,7 @@
     )
 
     def __init__(
-        self, *, number: int, baselines: LatencyBaselines | None = None
+        self, *, number: OperatorsPosition, baselines: LatencyBaselines | None = None
     ) -> None:
         self.number = number
         self.baselines = baselines or LatencyBaselines()
@@ -241,7 +247,8 @@
     def evidence(self) -> Evidence:
         """Return the counts of this instance, to be sent to the others."""
         return Evidence(
-            number=self.number,
+            offset=self.number.offset,
+            era=self.number.era,
             counts=[
                 Count(key.is_canary, key.call, key.metric, tally.seen, tally.bad)
                 for key, tally in self._own.items()
--- a/src/baobabthread/routing/configuration.py
+++ b/src/baobabthread/routing/configuration.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from baobabthread.core.positions import OperatorsPosition
+
 ANY_MODEL = "*"
 """Model name by which callers leave the choice of the model to the router."""
 
@@ -141,26 +143,36 @@
         return f"{self.id}@{self.started_ms}" if self.started_ms else self.id
 
 
-class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
+class Evacuation(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Start or end of an evacuation.
 
     The backend servers of an evacuated failure domain get no new requests.
     """
 
-    number: int
-    """Position in the operators' log; a later record replaces an earlier one."""
+    offset: int = msgspec.field(name="number")
     failure_domain: str
     is_on: bool
+    era: int = 0
+
+    @property
+    def number(self) -> OperatorsPosition:
+        """Position in the operators' log; a later record replaces an earlier one."""
+        return OperatorsPosition(self.era, self.offset)
 
 
-class RolloutOrder(msgspec.Struct, frozen=True, kw_only=True):
+class RolloutOrder(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Order to move a service's traffic to another version."""
 
-    number: int
-    """Position in the operators' log; a later order replaces an earlier one."""
+    offset: int = msgspec.field(name="number")
     service: str
     target: str
     time_limit_s: float
+    era: int = 0
+
+    @property
+    def number(self) -> OperatorsPosition:
+        """Position in the operators' log; a later order replaces an earlier one."""
+        return OperatorsPosition(self.era, self.offset)
 
 
 class RolloutState(enum.StrEnum):
@@ -171,13 +183,20 @@
     REVERTED = "reverted"
 
 
-class RolloutStatus(msgspec.Struct, frozen=True, kw_only=True):
+class RolloutStatus(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Progress of a roll-out."""
 
     service: str
     target: str
     state: RolloutState
-    number: int = 0
-    """Number of the order that started the roll-out."""
+    offset: int = msgspec.field(default=0, name="number")
     elapsed_s: float = 0.0
     """Time from the order until this status was written."""
+    era: int = 0
+
+    @property
+    def number(self) -> OperatorsPosition | None:
+        """Number of the order that started the roll-out; None if not given."""
+        if not self.offset and not self.era:
+            return None
+        return OperatorsPosition(self.era, self.offset)
--- a/src/baobabthread/routing/deltas.py
+++ b/src/baobabthread/routing/deltas.py
@@ -14,6 +14,7 @@
 import msgspec
 import xxhash
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.routing.configuration import (
     Account,
     Evacuation,
@@ -56,18 +57,30 @@
     """None if unchanged."""
 
 
-class OperatorDelta(msgspec.Struct, frozen=True, kw_only=True):
-    """Changes between two offsets of the operators' log."""
+class OperatorDelta(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Changes between two positions in the operators' log."""
 
-    since: int
-    end: int
+    since_offset: int = msgspec.field(name="since")
+    end_offset: int = msgspec.field(name="end")
     configuration: ConfigurationDelta | None = None
     orders: list[RolloutOrder] = []
     evacuations: list[Evacuation] = []
+    since_era: int = 0
+    end_era: int = 0
+
+    @property
+    def since(self) -> OperatorsPosition:
+        """Position that the delta leads on from."""
+        return OperatorsPosition(self.since_era, self.since_offset)
+
+    @property
+    def end(self) -> OperatorsPosition:
+        """Position that the delta leads to."""
+        return OperatorsPosition(self.end_era, self.end_offset)
 
 
 class OperatorState(msgspec.Struct, frozen=True, kw_only=True):
-    """The operators' state at one offset of their log."""
+    """The operators' state at one position in their log."""
 
     configuration: RoutingConfiguration | None
     orders: dict[str, RolloutOrder]
@@ -91,13 +104,13 @@
         else:
             self._deltas.append((delta, size))
 
-    def list_since(self, offset: int) -> list[OperatorDelta]:
-        """Return the deltas that lead on from an offset.
+    def list_since(self, position: OperatorsPosition) -> list[OperatorDelta]:
+        """Return the deltas that lead on from a position.
 
         Empty if the log doesn't reach back that far or the deltas are too large.
         """
-        found = [(delta, size) for delta, size in self._deltas if delta.end > offset]
-        if not found or found[0][0].since > offset:
+        found = [(delta, size) for delta, size in self._deltas if delta.end > position]
+        if not found or found[0][0].since > position:
             return []
         if sum(size for _, size in found) > MAX_DELTA_BYTES:
             return []
@@ -105,7 +118,11 @@
 
 
 def make_operator_delta(
-    before: OperatorState, after: OperatorState, *, since: int, end: int
+    before: OperatorState,
+    after: OperatorState,
+    *,
+    since: OperatorsPosition,
+    end: OperatorsPosition,
 ) -> OperatorDelta | None:
     """Return the delta between two states; None if it can't be expressed."""
     change = None
@@ -118,8 +135,10 @@
     orders = [o for name, o in after.orders.items() if before.orders.get(name) != o]
     evacuations = [e for e in after.evacuations if e not in before.evacuations]
     return OperatorDelta(
-        since=since,
-        end=end,
+        since_offset=since.offset,
+        since_era=since.era,
+        end_offset=end.offset,
+        end_era=end.era,
         configuration=change,
         orders=orders,
         evacuations=evacuations,
--- a/src/baobabthread/routing/evacuations.py
+++ b/src/baobabthread/routing/evacuations.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection, Iterable
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.routing.configuration import Evacuation
 
 
@@ -34,17 +35,23 @@
         changes = [self.apply(evacuation) for evacuation in evacuations]
         return any(changes)
 
-    def reconcile(self, listed: Collection[str], end: int) -> bool:
+    def reconcile(self, listed: Collection[str], end: OperatorsPosition) -> bool:
         """End evacuations that a listing of all records up to `end` does not contain.
 
         The record that ended them may have been trimmed from the store's history. An
         instance that was partitioned meanwhile would otherwise never use the domain
-        again.
+        again. Those of an earlier era stay: the store may have lost their records.
         """
+        last = OperatorsPosition(end.era, end.offset - 1)
         return self.apply_all(
-            Evacuation(number=end - 1, failure_domain=domain, is_on=False)
+            Evacuation(
+                offset=last.offset, era=last.era, failure_domain=domain, is_on=False
+            )
             for domain, latest in list(self._latest.items())
-            if latest.is_on and latest.number < end - 1 and domain not in listed
+            if latest.is_on
+            and latest.number.era == end.era
+            and latest.number < last
+            and domain not in listed
         )
 
     def list(self) -> list[Evacuation]:
--- a/src/baobabthread/routing/progress.py
+++ b/src/baobabthread/routing/progress.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.routing.configuration import RolloutState
 from baobabthread.routing.exposure import Exposure
 
@@ -12,7 +13,7 @@
     """Progress of a roll-out at one instance."""
 
     service: str
-    number: int
+    offset: int = msgspec.field(name="number")
     elapsed_s: float
     share: float
     old_running: int
@@ -33,3 +34,10 @@
     final_quota: float | None = msgspec.field(default=None, name="end_part")
     """Requests that each instance may admit in the final phase."""
     state: RolloutState = RolloutState.RUNNING
+    era: int | msgspec.UnsetType = msgspec.UNSET
+    """Era of the order; left out if the store names none."""
+
+    @property
+    def number(self) -> OperatorsPosition:
+        """Position of the order in the operators' log."""
+        return OperatorsPosition(self.era or 0, self.offset)
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import msgspec
 
 from baobabthread.core.configuration.freshness import Freshness, FreshnessSettings
+from baobabthread.core.positions import BackendsPosition, OperatorsPosition
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.changelog import ChangeLog
 from baobabthread.routing.configuration import (
@@ -35,6 +37,7 @@
 from baobabthread.routing.warmup import ColdServers
 
 NEVER_S = 1e9
+START = OperatorsPosition()
 REVOCATION_MARGIN_S = 0.5
 """Safety margin below the revocation bound, for clock drift and reads that are
 timestamped late."""
@@ -63,8 +66,10 @@
         "backends_end",
         "cold_servers",
         "deltas",
+        "distrusted_from",
         "evacuations",
         "freshness",
+        "is_compared",
         "on_update",
         "operators_end",
         "orders",
@@ -81,14 +86,14 @@
         self.evacuations = Evacuations()
         self.cold_servers = ColdServers()
         self.backends: dict[str, BackendRecord] = {}
-        self.operators_end = 0
+        self.operators_end = OperatorsPosition()
         self.deltas = DeltaLog()
         """Recent changes of the operators' state, for peers that are behind."""
         self._last_state = OperatorState(configuration=None, orders={}, evacuations=[])
-        self.backends_end = 0
+        self.backends_end = BackendsPosition()
         self._change_log = ChangeLog()
-        self._last_settled_end = 0
-        """Backend offset as of the last time at which no removal was pending."""
+        self._last_settled_end = BackendsPosition()
+        """End of the backend records when last no removal was pending."""
         self.on_update: Callable[[], None] = lambda: None
         """Called after each update from the store or from a peer."""
         self.revision = 0
@@ -98,6 +103,13 @@
         self._starts = NewestStarts()
         self._departures = Departures()
         self._grace_until = 0.0
+        self.is_compared = True
+        """Whether the peers that serve are known to have no newer configuration."""
+        self.distrusted_from = math.inf
+        """Time from which a peer is taken to have a configuration that the store lost.
+
+        A replica that has read the store to its end may still be behind.
+        """
 
     # -- operators --
 
@@ -124,7 +136,7 @@
         """Apply an evacuation record; return whether anything changed."""
         return self._record_change(self.evacuations.apply(evacuation))
 
-    def reconcile_evacuations(self, listed: set[str], end: int) -> bool:
+    def reconcile_evacuations(self, listed: set[str], end: OperatorsPosition) -> bool:
         """End evacuations missing from a full listing; return whether any ended."""
         return self._record_change(self.evacuations.reconcile(listed, end))
 
@@ -132,7 +144,9 @@
         self.revision += has_changed
         return has_changed
 
-    def record_operators_read(self, *, end: int, requested_at: float) -> None:
+    def record_operators_read(
+        self, *, end: OperatorsPosition, requested_at: float
+    ) -> None:
         """Record a read of the operators' log up to `end`, sent at `requested_at`."""
         self._advance_operators_end(end)
         self.freshness.read_head(head=end, started_at=requested_at)
@@ -145,13 +159,13 @@
                 return
 
     def _apply(self, delta: OperatorDelta) -> bool:
-        """Apply one delta; return whether its end offset was reached."""
+        """Apply one delta; return whether its end was reached."""
         change = delta.configuration
         table = self.table
         if change is not None:
             if table is None:
                 return False
-            if table.configuration.version != change.after:
+            if table.configuration.version < change.after:
                 after = apply_configuration_delta(table.configuration, change)
                 if after is None:
                     return False
@@ -163,8 +177,8 @@
         self.on_update()
         return True
 
-    def _advance_operators_end(self, end: int) -> None:
-        """Advance the operators' offset and log the delta from the previous one."""
+    def _advance_operators_end(self, end: OperatorsPosition) -> None:
+        """Advance the operators' end and log the delta from the previous one."""
         if end > self.operators_end:
             before, self._last_state = self._last_state, self._operator_state()
             delta = make_operator_delta(
@@ -183,8 +197,12 @@
 
     # -- backend servers --
 
+    def begin_era(self, now: float) -> None:
+        """Keep servers whose records are missing from a restored store for a while."""
+        self._grace_until = now + LAPSED_RECORD_GRACE_S
+
     def record_backends_read(
-        self, *, end: int, requested_at: float, now: float
+        self, *, end: BackendsPosition, requested_at: float, now: float
     ) -> None:
         """Record a read of the backend records up to `end`, sent at `requested_at`."""
         if requested_at - self._backends_read_at > STORE_OUTAGE_GAP_S:
@@ -194,23 +212,23 @@
         self._stamp_changes()
         self.on_update()
 
-    def confirm_backends(self, *, end: int, read_at: float) -> None:
+    def confirm_backends(self, *, end: BackendsPosition, read_at: float) -> None:
         """Record a reader's confirmation that nothing changed up to `end`."""
         self.backends_end = max(self.backends_end, end)
         self._backends_read_at = max(self._backends_read_at, read_at)
         self._update_settled_end()
 
     @property
-    def backends_changed_at(self) -> int:
-        """Offset of the last read that changed any backend server."""
+    def backends_changed_at(self) -> BackendsPosition:
+        """Position of the last read that changed any backend server."""
         return self._change_log.newest
 
     @property
-    def settled_end(self) -> int:
-        """Offset up to which peers may treat the published state as complete.
+    def settled_end(self) -> BackendsPosition:
+        """Position up to which peers may treat the published state as complete.
 
         A server whose record lapsed is kept for a grace period and removed later, at an
-        offset that has already been read. A peer that was given that offset would miss
+        position that has already been read. A peer that was given it would miss
         the removal and keep sending requests to the server.
         """
         return self._last_settled_end if self._has_pending else self.backends_end
@@ -312,8 +330,8 @@
         changed: list[BackendRecord],
         removed: list[str],
         *,
-        end: int,
-        changed_at: int,
+        end: BackendsPosition,
+        changed_at: BackendsPosition,
         now: float,
     ) -> None:
         """Apply a peer's complete list of changes up to `end`.
@@ -329,9 +347,9 @@
         self.on_update()
 
     def list_backend_changes(
-        self, since: int, now: float, *, limit: int
+        self, since: BackendsPosition, now: float, *, limit: int
     ) -> BackendChanges | None:
-        """Return the changes since an offset; None if unknown or above `limit`."""
+        """Return the changes since a position; None if unknown or above `limit`."""
         ids = self._change_log.list_since(since, limit=limit)
         if ids is None:
             return None
@@ -354,8 +372,8 @@
         self.revision += 1
         self._change_log.add(id)
 
-    def _stamp_changes(self, at: int | None = None) -> None:
-        """Assign pending changes to an offset; by default, to the backends' end."""
+    def _stamp_changes(self, at: BackendsPosition | None = None) -> None:
+        """Assign pending changes to a position; by default, to the backends' end."""
         self._change_log.record_read(self.backends_end if at is None else at)
         self._update_settled_end()
 
@@ -372,22 +390,44 @@
     @property
     def is_complete(self) -> bool:
         """Whether both the configuration and the backend servers are known."""
-        return self.table is not None and self._backends_read_at > -NEVER_S
+        has_read = self.table is not None and self._backends_read_at > -NEVER_S
+        return has_read and self.is_compared
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the replica is recent enough to accept its keys."""
+        if not self.is_compared or now >= self.distrusted_from:
+            return False
         return self.operators_age(now) <= self.freshness.bound_s
 
-    def snapshot(self, now: float, *, known_end: int = 0) -> Snapshot:
-        """Return the state for a peer that has the operators' log up to `known_end`."""
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 if there is none."""
+        return 0 if self.table is None else self.table.configuration.version
+
+    def snapshot(
+        self,
+        now: float,
+        *,
+        known_end: OperatorsPosition = START,
+        known_version: int = 0,
+    ) -> Snapshot:
+        """Return the state for a peer.
+
+        The configuration and the orders are left out if the peer has read as far and
+        has this version, which the store may have lost.
+        """
         table = self.table
-        is_newer = table is not None and known_end < self.operators_end
+        is_newer = table is not None and (
+            known_end < self.operators_end or known_version < self.version
+        )
         return Snapshot(
-            operators_end=self.operators_end,
+            operators_offset=self.operators_end.offset,
+            operators_era=self.operators_end.era,
             operators_age_s=self.operators_age(now),
             configuration=table.configuration if table and is_newer else None,
             orders=list(self.orders.values()) if is_newer else [],
-            backends_end=self.settled_end,
+            backends_offset=self.settled_end.offset,
+            backends_era=self.settled_end.era,
             backends_age_s=self.backends_age(now),
             backends=[self._with_warmup(r, now) for r in self.backends.values()],
             evacuations=self.evacuations.list(),
@@ -396,6 +436,7 @@
     def merge(self, snapshot: Snapshot, *, requested_at: float, now: float) -> None:
         """Merge a peer's newer state; `requested_at` is when it was requested."""
         has_configuration = snapshot.configuration is not None
+        revision = self.revision
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration)
             for order in snapshot.orders:
@@ -406,6 +447,9 @@
                 end=snapshot.operators_end,
                 requested_at=requested_at - snapshot.operators_age_s,
             )
+        if self.revision != revision and snapshot.operators_end <= self.operators_end:
+            # What the store lost came from the peer: the next delta begins from here.
+            self._last_state = self._operator_state()
         read_at = requested_at - snapshot.backends_age_s
         if snapshot.backends_end < self.backends_end:
             for record in snapshot.backends:
--- a/src/baobabthread/routing/rollouttotals.py
+++ b/src/baobabthread/routing/rollouttotals.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.routing.exposure import Exposure, ExposureTotals
 from baobabthread.routing.progress import Progress
 from baobabthread.routing.versions import VersionPlan
@@ -37,12 +38,12 @@
     def __init__(self) -> None:
         self._population = SenderCount()
         self._serving = 1
-        self._totals: dict[int, ExposureTotals] = {}
-        self._max_serving: dict[int, int] = {}
+        self._totals: dict[OperatorsPosition, ExposureTotals] = {}
+        self._max_serving: dict[OperatorsPosition, int] = {}
         """Maximum number of instances serving at once since an order."""
-        self._reporting: dict[int, int] = {}
+        self._reporting: dict[OperatorsPosition, int] = {}
         """Number of other instances that have reported on an order."""
-        self._with_target_servers: dict[int, int] = {}
+        self._with_target_servers: dict[OperatorsPosition, int] = {}
         """Number of those that know servers of the new version."""
 
     def update_members(self, names: Sequence[str], now: float) -> None:
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -11,6 +11,9 @@
 
 from collections.abc import Mapping
 
+import msgspec
+
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.core.requests.attempts import draw
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.canary import CanaryAnalysis
@@ -72,7 +75,7 @@
         self.order: RolloutOrder | None = None
         self.state = RolloutState.SUCCEEDED
         self.lineage = Lineage()
-        self.analysis = CanaryAnalysis(number=-1)
+        self.analysis = CanaryAnalysis(number=OperatorsPosition())
         self._started_at = 0.0
         self._target_servers = 1
         self.canary_share = 0.0
@@ -146,7 +149,7 @@
         """Apply the status of the current order, from the store or its writer."""
         if self.order is None or status.target != self.order.target:
             return
-        if status.number not in (0, self.order.number):
+        if status.number not in (None, self.order.number):
             return
         if self.state is RolloutState.RUNNING:
             self.state = status.state
@@ -346,7 +349,7 @@
 
     def _admit_in_final_phase(self, session: str, now: float) -> bool:
         assert self.order is not None
-        drawn = draw(f"{self.service}/{self.order.number}/end", session)
+        drawn = draw(f"{self.service}/{self.order.offset}/end", session)
         if self.left_s(now) > 0.0 and not self.final_budget.has_remaining(drawn):
             return False
         self.final_budget.spend()
@@ -382,7 +385,8 @@
             return None
         return Progress(
             service=self.service,
-            number=self.order.number,
+            offset=self.order.offset,
+            era=self.order.era or msgspec.UNSET,
             elapsed_s=round(self.elapsed(now), 2),
             share=self.share(now),
             old_running=self._old_running,
@@ -397,4 +401,4 @@
 
     def _is_selected(self, session: str, share: float) -> bool:
         assert self.order is not None
-        return draw(f"{self.service}/{self.order.number}", session) < share
+        return draw(f"{self.service}/{self.order.offset}", session) < share
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -27,12 +27,12 @@
 def tell(count: int) -> ReplicaReply:
     return ReplicaReply(
         sequence=0,
-        operators_end=3,
+        operators_offset=3,
         operators_age_s=0.5,
-        backends_end=90,
-        backends_changed_at=90,
+        backends_offset=90,
+        changed_offset=90,
         backends_age_s=0.5,
-        since=10,
+        since_offset=10,
         changed=[
             BackendRecord(
                 id=f"i-{n * 7919:010x}",
--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -132,7 +132,7 @@
         fleet.store.write_configuration(2)
         await asyncio.sleep(2.0)
         end = len(fleet.store.topics[Formats.operators_topic])
-        assert all(m.knowledge.operators_end == end for m in fleet.up())
+        assert all(m.knowledge.operators_end.offset == end for m in fleet.up())
         assert fleet.calls <= 2 * 195
 
     play(195, case)
--- a/tests/core/test_freshness.py
+++ b/tests/core/test_freshness.py
@@ -11,6 +11,7 @@
     FreshnessState,
     Reach,
 )
+from baobabthread.core.positions import OperatorsPosition
 
 BOUND_S = 5.0
 ALL = Reach(heard=5, asked=5, pool=5, known=5)
@@ -19,8 +20,8 @@
 
 def _make(*, read_at: float = 0.0) -> Freshness:
     freshness = Freshness(settings=FreshnessSettings(bound_s=BOUND_S))
-    freshness.fold_to(3)
-    freshness.read_head(head=3, started_at=read_at)
+    freshness.fold_to(OperatorsPosition(offset=3))
+    freshness.read_head(head=OperatorsPosition(offset=3), started_at=read_at)
     return freshness
 
 
@@ -44,9 +45,11 @@
     """
     freshness = _make()
     freshness.observe(ALL, now=8.0)
-    freshness.hear(head_age_s=0.5, read_offset=4, asked_at=8.0)
+    freshness.hear(
+        head_age_s=0.5, read_position=OperatorsPosition(offset=4), asked_at=8.0
+    )
     assert freshness.state(8.0) is FreshnessState.CUT_OFF
-    freshness.fold_to(4)
+    freshness.fold_to(OperatorsPosition(offset=4))
     assert freshness.state(8.0) is FreshnessState.FRESH
     assert freshness.head_age(8.0) == 0.5
 
@@ -59,7 +62,9 @@
     """
     freshness = _make()
     freshness.observe(ALL, now=1.0)
-    freshness.hear(head_age_s=0.1, read_offset=3, asked_at=1.0)
+    freshness.hear(
+        head_age_s=0.1, read_position=OperatorsPosition(offset=3), asked_at=1.0
+    )
     assert freshness.state(61.0) is FreshnessState.CUT_OFF
 
 
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -26,6 +26,7 @@
 )
 from baobabthread.core.membership.table import ENOUGH_SILENT, MemberTable
 from baobabthread.core.messages import Effects, Send
+from baobabthread.core.positions import OperatorsPosition
 
 DELAY_S = 0.001
 START_S = 10.0
@@ -77,7 +78,9 @@
             self.now, _, action = heapq.heappop(self._heap)
             for name, freshness in self.freshness.items():
                 if self.side[name] in log_sides:
-                    freshness.read_head(head=0, started_at=self.now)
+                    freshness.read_head(
+                        head=OperatorsPosition(offset=0), started_at=self.now
+                    )
             action()
         self.now = end
 
@@ -203,7 +206,7 @@
 
 def test_fetch_what_a_peer_has() -> None:
     net = _joined(6)
-    net.members["e0"].report(generation=7, read_offset=9)
+    net.members["e0"].report(generation=7, read_position=OperatorsPosition(offset=9))
     net.do("e0", net.members["e0"].announce(7, net.now))
     net.run(0.5)
     assert {fetch.after for fetch in net.fetches} == {0}
@@ -276,11 +279,11 @@
     """
     net = Net(2)
     for name, member in net.members.items():
-        net.freshness[name].fold_to(2)
-        member.report(generation=1, read_offset=2)
+        net.freshness[name].fold_to(OperatorsPosition(offset=2))
+        member.report(generation=1, read_position=OperatorsPosition(offset=2))
     net.run(3.0, log_sides=())
-    net.freshness["e1"].read_head(head=3, started_at=net.now)
-    net.freshness["e1"].fold_to(3)
+    net.freshness["e1"].read_head(head=OperatorsPosition(offset=3), started_at=net.now)
+    net.freshness["e1"].fold_to(OperatorsPosition(offset=3))
     net.run(3.0, log_sides=())
     assert net.freshness["e1"].head_age(net.now) < 4.0
     assert net.freshness["e0"].head_age(net.now) > 5.0
--- a/tests/failures/configuration_scenario.py
+++ b/tests/failures/configuration_scenario.py
@@ -35,6 +35,7 @@
     Send,
     Stream,
 )
+from baobabthread.core.positions import OperatorsPosition
 from tests.failures.matrix import (
     FAULT_S,
     OVERTAKEN_S,
@@ -109,7 +110,7 @@
 
     def handle(self, event: Any, now: float) -> Effects:
         effects = self._react(event, now)
-        self.freshness.fold_to(self.fold.read_offset)
+        self.freshness.fold_to(OperatorsPosition(offset=self.fold.read_offset))
         effects += self.publisher.repeat(head=self._head, now=now)
         for record_id in list(self._open):
             outcome = self.publisher.settle(record_id=record_id, now=now)
@@ -157,7 +158,9 @@
         self.fold.read(event)
         self._head = max(self._head, event.head)
         if self._reading is not None:
-            self.freshness.read_head(head=event.head, started_at=self._reading)
+            self.freshness.read_head(
+                head=OperatorsPosition(offset=event.head), started_at=self._reading
+            )
         self._reading = None
         self.planner.note_read(event, now=now)
 
--- a/tests/instance/test_canaries.py
+++ b/tests/instance/test_canaries.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.core.rendezvous import rank
 from baobabthread.instance import canaries
 from baobabthread.instance.canaries import (
@@ -21,6 +22,8 @@
 from baobabthread.routing.configuration import RolloutState
 from baobabthread.routing.progress import Progress
 
+ORDER = OperatorsPosition(offset=1)
+
 
 class Clock:
     """A clock that only advances when a test sets it."""
@@ -77,11 +80,11 @@
 
 
 def make_report(origin: str, **more: Any) -> CanaryReport:
-    progress = Progress(service="s", number=1, elapsed_s=1.0, share=0.05, old_running=3)
+    progress = Progress(service="s", offset=1, elapsed_s=1.0, share=0.05, old_running=3)
     return CanaryReport(
         origin=origin,
         progress=msgspec.structs.replace(progress, **more),
-        evidence=Evidence(number=1, counts=[]),
+        evidence=Evidence(offset=1, counts=[]),
     )
 
 
@@ -97,8 +100,8 @@
             coordinator.send_report(make_report(name, elapsed_s=clock.time))
         clock.time += 0.25
     leader, standby = coordinators.all["i0"].leaders("s")
-    assert len(coordinators.all[leader].reports("s", 1)) == 199
-    assert len(coordinators.all[standby].reports("s", 1)) == 199
+    assert len(coordinators.all[leader].reports("s", ORDER)) == 199
+    assert len(coordinators.all[standby].reports("s", ORDER)) == 199
     assert len(coordinators.sent) <= 5 * 2 * 200
 
 
@@ -121,7 +124,7 @@
     for name in remaining:
         coordinators.all[name].send_report(make_report(name))
     third = coordinators.all[remaining[0]].leaders("s")[1]
-    assert len(coordinators.all[third].reports("s", 1)) == 18
+    assert len(coordinators.all[third].reports("s", ORDER)) == 18
 
 
 def test_send_the_verdict_to_all(clock: Clock) -> None:
@@ -158,7 +161,7 @@
     coordinator.send_report(make_report("i0", share=1.0))
     clock.time += 0.3
     coordinator.send_report(make_report("i0", share=1.0, old_running=0))
-    (report,) = coordinators.all[leader].reports("s", 1)
+    (report,) = coordinators.all[leader].reports("s", ORDER)
     assert report.progress.old_running == 0
 
 
@@ -180,7 +183,7 @@
     progress = make_report(leader).progress
     for coordinator in coordinators.all.values():
         coordinator.find_permit = lambda service, number: (
-            progress if number == 1 else None
+            progress if number == ORDER else None
         )
     clock.time += 2.1
     coordinators.all[name].send_report(make_report(name))
@@ -222,9 +225,9 @@
     coordinator.send_report(
         make_report(name, elapsed_s=1.3, old_running=2), permit_left_s=1.1
     )
-    assert [report.origin for report in coordinators.all[leader].reports("s", 1)] == [
-        name
-    ]
+    assert [
+        report.origin for report in coordinators.all[leader].reports("s", ORDER)
+    ] == [name]
     sent = len(coordinators.sent)
     clock.time += 0.35
     coordinator.send_report(
--- a/tests/instance/test_quarantine.py
+++ b/tests/instance/test_quarantine.py
@@ -69,7 +69,7 @@
     """
     coordinator, _ = make_coordinator()
     plan = VersionPlan(service="s", bounds=RoutingBounds())
-    order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=60.0)
+    order = RolloutOrder(offset=1, service="s", target="v2", time_limit_s=60.0)
     plan.apply_order(order, now())
     coordinator.is_canary = lambda service, version: plan.is_unproven(version)
     for number in range(3):
@@ -84,7 +84,7 @@
             )
         )
     status = RolloutStatus(
-        service="s", target="v2", state=RolloutState.REVERTED, number=1
+        service="s", target="v2", state=RolloutState.REVERTED, offset=1
     )
     plan.apply_status(status, now())
     time.sleep(SETTLE_S + quarantine.OWNER_COUNT * quarantine.OWNER_STAGGER_S)
--- a/tests/instance/test_replicasync.py
+++ b/tests/instance/test_replicasync.py
@@ -7,8 +7,11 @@
 import msgspec
 import pytest
 
+from baobabthread.core.positions import BackendsPosition, OperatorsPosition
 from baobabthread.instance import replicasync
+from baobabthread.instance.metrics import Metrics
 from baobabthread.instance.replicasync import ReplicaQuery, ReplicaReply, ReplicaSync
+from baobabthread.instance.storeeras import EraTracker
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import BackendRecord
 from baobabthread.routing.readers import ReaderAssignment
@@ -43,6 +46,7 @@
             replica=self.replica,
             send=self._send,
             fetch=self.fetched.append,
+            eras=EraTracker(metrics=Metrics()),
         )
         self.sync.set_members(names)
 
@@ -51,8 +55,12 @@
 
     def read(self, end: int, at: float) -> None:
         """Record that this instance has read both topics itself."""
-        self.replica.record_operators_read(end=end, requested_at=at)
-        self.replica.record_backends_read(end=end, requested_at=at, now=at)
+        self.replica.record_operators_read(
+            end=OperatorsPosition(offset=end), requested_at=at
+        )
+        self.replica.record_backends_read(
+            end=BackendsPosition(offset=end), requested_at=at, now=at
+        )
 
 
 @pytest.fixture
@@ -107,10 +115,10 @@
     member.read(5, clock.time - 10)
     reply = ReplicaReply(
         sequence=0,
-        operators_end=5,
+        operators_offset=5,
         operators_age_s=0.1,
-        backends_end=5,
-        backends_changed_at=5,
+        backends_offset=5,
+        changed_offset=5,
         backends_age_s=0.1,
     )
     member.sync.handle_reply("reader", reply)
@@ -155,10 +163,10 @@
     assert not member.sync.must_read_operators()
     reply = ReplicaReply(
         sequence=0,
-        operators_end=6,
+        operators_offset=6,
         operators_age_s=0.1,
-        backends_end=5,
-        backends_changed_at=5,
+        backends_offset=5,
+        changed_offset=5,
         backends_age_s=0.1,
     )
     member.sync.handle_reply("reader", reply)
@@ -225,9 +233,12 @@
         replica=replica,
         send=lambda to, message: None,
         fetch=lambda name: None,
+        eras=EraTracker(metrics=Metrics()),
         has_seeds=True,
     )
-    replica.record_operators_read(end=5, requested_at=clock.time)
+    replica.record_operators_read(
+        end=OperatorsPosition(offset=5), requested_at=clock.time
+    )
     assert not sync.must_read_operators()
     clock.time += 3.0
     assert sync.is_reader
@@ -273,7 +284,7 @@
     assert member.fetched == []
     assert member.replica.backends["b1"].leaving
     assert set(member.replica.backends) == {"b1"}
-    assert member.replica.backends_end == 7
+    assert member.replica.backends_end == BackendsPosition(offset=7)
 
 
 def query_reader(member: Member, reader: Member) -> ReplicaReply:
@@ -359,7 +370,7 @@
     ((_, reply),) = reader.sent
     member.sync.handle_reply("reader", reply)
     assert member.fetched == ["reader"]
-    assert member.replica.backends_end == 5
+    assert member.replica.backends_end == BackendsPosition(offset=5)
 
 
 def test_query_other_members_when_the_readers_are_stale(clock: Clock) -> None:
@@ -379,10 +390,10 @@
             queried.add(to)
             stale = ReplicaReply(
                 sequence=query.sequence,
-                operators_end=5,
+                operators_offset=5,
                 operators_age_s=clock.time - 100.0,
-                backends_end=5,
-                backends_changed_at=5,
+                backends_offset=5,
+                changed_offset=5,
                 backends_age_s=clock.time - 100.0,
             )
             member.sync.handle_reply(to, stale)
--- a/tests/instance/test_selection.py
+++ b/tests/instance/test_selection.py
@@ -82,7 +82,7 @@
 def make_plan() -> VersionPlan:
     plan = VersionPlan(service="content", bounds=RoutingBounds(exposure_share=0.1))
     plan.update_versions({"v1": 2})
-    order = RolloutOrder(number=1, service="content", target="v2", time_limit_s=60.0)
+    order = RolloutOrder(offset=1, service="content", target="v2", time_limit_s=60.0)
     plan.apply_order(order, now() - 10.0)
     plan.update_target(usable=True, now=now() - 9.0)
     plan.permit(requested_at=now())
--- a/tests/instance/test_sessions.py
+++ b/tests/instance/test_sessions.py
@@ -24,7 +24,7 @@
 from baobabthread.routing.versions import VersionPlan
 
 NAMES = ["i1", "i2", "i3"]
-ORDER = RolloutOrder(number=1, service="s", target="v2", time_limit_s=60.0)
+ORDER = RolloutOrder(offset=1, service="s", target="v2", time_limit_s=60.0)
 
 
 class Network:
@@ -330,7 +330,7 @@
         plan.record_old_started(session, now())
         network.coordinators[second].handle(
             "i1",
-            SessionUseReport(sequence=1, service="s", number=1, ages={session: 0.0}),
+            SessionUseReport(sequence=1, service="s", offset=1, ages={session: 0.0}),
         )
         permission = Permission()
         permission.permit(requested_at=now() - 9.0, admits=True)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -263,14 +263,17 @@
     *backends: FakeBackend | str,
     off: DisabledMechanisms = NONE_DISABLED,
     has_own_paths: bool = False,
+    era: int | None = 1,
     **more: object,
 ) -> AsyncIterator[Site]:
     """Open an installation with one ready instance.
 
     Backend servers are given as the initial of their service and a number, followed by
-    `@` and their failure domain unless it is `a`. `more` is added to the configuration.
+    `@` and their failure domain unless it is `a`. The store names no era if `era` is
+    None. `more` is added to the configuration.
     """
     site = Site(await FakeStore().start())
+    site.store.era = era
     try:
         site.configure(**more)
         for each in backends:
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -6,6 +6,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 
+from baobabthread.core.positions import Position
 from baobabthread.instance.backends import Backends
 from baobabthread.platform.store import OFFSETS_BYTES, PlatformStore
 from tests.platform.fakes import FakeBackend
@@ -62,7 +63,9 @@
             old.address = "127.0.0.1:9"
             late = {**old.record, "born": 1, "state": "draining"}
             end = site.store.put(BACKENDS, "p1", late)
-            await wait_for(lambda: site.instances[0].replica.backends_end > end, 2.0)
+            await wait_for(
+                lambda: site.instances[0].replica.backends_end.offset > end, 2.0
+            )
             assert (await site.call("/unsafe/x")).status == 200
             assert len(new.seen) == 1
 
@@ -128,7 +131,7 @@
         server = await asyncio.start_server(serve_once(body), "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         store = PlatformStore(address=f"127.0.0.1:{port}", connect_s=1.0)
-        tail = await store.read("t", 0, wait_s=0.0, timeout_s=2.0)
+        tail = await store.read("t", Position(), wait_s=0.0, timeout_s=2.0)
         assert [record.key for record in tail.records] == ["", "p1"]
         store.close()
         server.close()
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -135,8 +135,7 @@
     """The end of a topic falls though no response names another era."""
 
     async def case() -> None:
-        async with open_site("p1") as site:
-            site.store.era = None
+        async with open_site("p1", era=None) as site:
             for version in range(2, 9):
                 site.configure(version)
             await wait_version(site, 8)
--- a/tests/platform/test_streams.py
+++ b/tests/platform/test_streams.py
@@ -158,7 +158,7 @@
             await site.add_backend("n1", service="engine", version="v2")
             await site.wait_ready()
             order = RolloutOrder(
-                number=1, service="engine", target="v2", time_limit_s=60
+                offset=1, service="engine", target="v2", time_limit_s=60
             )
             plan.apply_order(order, now() - 10.0)
             plan.update_target(usable=True, now=now() - 9.0)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -11,8 +11,16 @@
 import msgspec
 import pytest
 
+from baobabthread.core.positions import Position
 from baobabthread.errors import ConfigurationError, UsageError
-from baobabthread.instance.store import Conflict, Record, StoreError, Tail, Trimmed
+from baobabthread.instance.store import (
+    Appended,
+    Conflict,
+    Record,
+    StoreError,
+    Tail,
+    Trimmed,
+)
 from baobabthread.instance.wire import BackendCall
 from baobabthread.platform.headers import PlatformWireFormat
 from baobabthread.platform.records import (
@@ -123,18 +131,21 @@
         Record(
             key="rollout/s",
             value=b'{"service":"s","target":"v2","deadline_s":12}',
-            offset=8,
+            position=Position(2, 8),
         )
     )
-    assert order == RolloutOrder(number=8, service="s", target="v2", time_limit_s=12)
-    assert formats.decode_operator_record(Record(key="x", value=b"?", offset=1)) is None
+    assert order == RolloutOrder(
+        offset=8, era=2, service="s", target="v2", time_limit_s=12
+    )
+    other = Record(key="x", value=b"?", position=Position(2, 1))
+    assert formats.decode_operator_record(other) is None
     status = RolloutStatus(
-        service="s", target="v2", state=RolloutState.REVERTED, number=8, elapsed_s=1.5
+        service="s", target="v2", state=RolloutState.REVERTED, offset=8, elapsed_s=1.5
     )
     append = formats.encode_status(status, 4)
     assert (append.key, append.expected_end) == ("rollout/s", 4)
     assert b'"state":"reverted"' in append.value
-    record = Record(key=append.key, value=append.value, offset=4)
+    record = Record(key=append.key, value=append.value, position=Position(1, 4))
     assert formats.decode_status(record) == status
 
 
@@ -196,18 +207,20 @@
         fake.put("keyed.op", "gone", b"")
         page = await store.newest("keyed.op", 1.0)
         assert [record.key for record in page.records] == ["config"]
-        assert page.end == 3
-        tail = await store.read("keyed.op", 1, wait_s=0.0, timeout_s=1.0)
+        assert page.end == Position(1, 3)
+        tail = await store.read("keyed.op", Position(1, 1), wait_s=0.0, timeout_s=1.0)
         assert isinstance(tail, Tail)
         assert [(r.key, r.value) for r in tail.records][1] == ("gone", b"")
-        assert (tail.next, tail.end) == (3, 3)
+        assert (tail.next, tail.end) == (Position(1, 3), Position(1, 3))
         fake.first_offsets["keyed.op"] = 2
         assert isinstance(
-            await store.read("keyed.op", 1, wait_s=0.0, timeout_s=1.0), Trimmed
+            await store.read("keyed.op", Position(1, 1), wait_s=0.0, timeout_s=1.0),
+            Trimmed,
         )
         status = RolloutStatus(service="s", target="v", state=RolloutState.RUNNING)
-        append = PlatformRecordFormat().encode_status(status, 0)
-        assert (await store.append(append, 1.0)).end == 1  # type: ignore[union-attr]
+        append = PlatformRecordFormat().encode_status(status, Position(1, 0))
+        appended = await store.append(append, 1.0)
+        assert appended == Appended(end=Position(1, 1))
         assert isinstance(await store.append(append, 1.0), Conflict)
         store.close()
         fake.close()
@@ -299,14 +312,14 @@
         is_cleared=True,
         versions=("v1",),
     )
-    append = formats.encode_quarantined(entry, 7, unix_now=1000.0)
-    assert (append.topic, append.expected_end) == ("keyed.status", 7)
+    append = formats.encode_quarantined(entry, Position(1, 7), unix_now=1000.0)
+    assert (append.topic, append.expected_end) == ("keyed.status", Position(1, 7))
     assert json.loads(append.value)["until_ms"] == 1_060_000
-    record = Record(key=append.key, value=append.value, offset=7)
+    record = Record(key=append.key, value=append.value, position=Position(1, 7))
     later = formats.decode_quarantined(record, unix_now=1010.0)
     assert later == msgspec.structs.replace(entry, left_s=50.0)
-    release = formats.encode_release("f1", 8)
+    release = formats.encode_release("f1", Position(1, 8))
     assert (release.key, release.value) == (append.key, b"")
     for key, value in ((release.key, b""), ("rollout/s", b"{}")):
-        other = Record(key=key, value=value, offset=0)
+        other = Record(key=key, value=value, position=Position(1, 0))
         assert formats.decode_quarantined(other, unix_now=0.0) is None
--- a/tests/routing/rollouts.py
+++ b/tests/routing/rollouts.py
@@ -23,7 +23,7 @@
     *, ready_at: float | None = 1.0, permitted_at: float = FAR_FUTURE_S
 ) -> VersionPlan:
     plan = VersionPlan(service="s", bounds=BOUNDS)
-    order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
+    order = RolloutOrder(offset=1, service="s", target="v2", time_limit_s=LIMIT_S)
     assert plan.apply_order(order, 0.0)
     if ready_at is not None:
         plan.update_target(usable=True, now=ready_at)
--- a/tests/routing/test_canary.py
+++ b/tests/routing/test_canary.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.routing.canary import CanaryAnalysis, SentAttempt
 from baobabthread.routing.configuration import RolloutOrder
 from baobabthread.routing.versions import VersionPlan
@@ -41,7 +42,7 @@
 
 def make_analysis() -> CanaryAnalysis:
     """Return an analysis in which the old version takes twice the expected time."""
-    analysis = CanaryAnalysis(number=1)
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
     for _ in range(60):
         analysis.finish_attempt(
             start_attempt(analysis, is_canary=False, at=0.0), failed=False, now=0.2
@@ -50,20 +51,20 @@
 
 
 def test_alarm_on_a_version_that_fails_a_third_of_its_requests() -> None:
-    analysis = CanaryAnalysis(number=1)
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
     feed(analysis, is_canary=False, count=200, bad_every=0)
     assert feed(analysis, is_canary=True, count=60, bad_every=3) <= 30
 
 
 def test_no_alarm_on_failures_shared_with_the_old_version() -> None:
-    analysis = CanaryAnalysis(number=1)
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
     feed(analysis, is_canary=False, count=300, bad_every=7)
     feed(analysis, is_canary=True, count=300, bad_every=7)
     assert analysis.alarm is None
 
 
 def test_alarm_on_a_slow_version() -> None:
-    analysis = CanaryAnalysis(number=1)
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
     feed(analysis, is_canary=False, count=50, bad_every=0)
     for _ in range(12):
         analysis.observe_response(
@@ -93,7 +94,7 @@
     On a busy machine this takes more than twice the usual few milliseconds, which must
     not roll back a good version.
     """
-    analysis = CanaryAnalysis(number=1)
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
     respond_after(
         analysis, 0.003 if new_s < 0.02 else 0.0225, is_canary=False, count=200
     )
@@ -107,7 +108,7 @@
     The old version has as many late responses, spread out. In a cluster they would win
     the bet and roll the version back, although nine in ten responses are fast.
     """
-    analysis = CanaryAnalysis(number=1)
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
     for number in range(160):
         observe_latency(analysis, 2.0 if number % 8 == 7 else 0.1, is_canary=False)
     for _ in range(109):
@@ -179,7 +180,7 @@
 
     Their counts arrive by gossip, late and repeatedly.
     """
-    analyses = [CanaryAnalysis(number=1) for _ in range(3)]
+    analyses = [CanaryAnalysis(number=OperatorsPosition(offset=1)) for _ in range(3)]
     for analysis in analyses:
         feed(analysis, is_canary=False, count=30, bad_every=0)
         feed(analysis, is_canary=True, count=2, bad_every=1)
@@ -204,7 +205,7 @@
         plan.analysis.finish_attempt(
             start_attempt(plan.analysis, is_canary=False, at=0.0), failed=False, now=0.2
         )
-    order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
+    order = RolloutOrder(offset=1, service="s", target="v2", time_limit_s=LIMIT_S)
     plan.apply_order(order, 1.0)
     for _ in range(3):
         plan.analysis.finish_attempt(
--- a/tests/routing/test_deltas.py
+++ b/tests/routing/test_deltas.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import (
     Account,
@@ -29,6 +30,10 @@
 from baobabthread.routing.replica import StateReplica
 
 
+def at(offset: int) -> OperatorsPosition:
+    return OperatorsPosition(offset=offset)
+
+
 def make_route(name: str, timeout_s: float, service: str) -> Route:
     return Route(
         name=name,
@@ -147,7 +152,7 @@
                 replica.apply_order(record)
             case Evacuation():
                 replica.apply_evacuation(record)
-    replica.record_operators_read(end=end, requested_at=float(end))
+    replica.record_operators_read(end=at(end), requested_at=float(end))
 
 
 def test_peer_follows_by_deltas() -> None:
@@ -155,20 +160,23 @@
     reader, other = make_replica(), make_replica()
     for replica in (reader, other):
         read_from_store(replica, 1, make_configuration(1, "k1", "k2"))
-    order = RolloutOrder(number=2, service="s", target="v2", time_limit_s=9.0)
-    evacuation = Evacuation(number=3, failure_domain="a", is_on=True)
+    order = RolloutOrder(offset=2, service="s", target="v2", time_limit_s=9.0)
+    evacuation = Evacuation(offset=3, failure_domain="a", is_on=True)
     read_from_store(reader, 2, make_configuration(2, "k1"))
     read_from_store(reader, 4, order, evacuation)
     deltas = reader.deltas.list_since(other.operators_end)
-    assert [(delta.since, delta.end) for delta in deltas] == [(1, 2), (2, 4)]
+    assert [(each.since, each.end) for each in deltas] == [
+        (at(1), at(2)),
+        (at(2), at(4)),
+    ]
     other.apply_deltas(deltas)
     assert other.table is not None
     assert other.table.authenticate("k1")
     assert not other.table.authenticate("k2")
     assert other.orders == {"s": order}
     assert other.evacuations.domains == {"a"}
-    assert other.operators_end == other.freshness.folded == 4
-    assert other.deltas.list_since(1) == deltas
+    assert other.operators_end == other.freshness.folded == at(4)
+    assert other.deltas.list_since(at(1)) == deltas
 
 
 def test_delta_after_a_gap_is_ignored() -> None:
@@ -181,23 +189,23 @@
     for replica in (reader, other):
         read_from_store(replica, 1, make_configuration(1, "k1", "k2"))
     read_from_store(reader, 2, make_configuration(2, "k1"))
-    read_from_store(reader, 3, Evacuation(number=2, failure_domain="a", is_on=True))
-    other.apply_deltas(reader.deltas.list_since(2))
-    assert other.operators_end == other.freshness.folded == 1
-    other.apply_deltas(reader.deltas.list_since(1))
-    assert other.operators_end == 3
-    other.apply_deltas(reader.deltas.list_since(1))
-    assert other.operators_end == 3
+    read_from_store(reader, 3, Evacuation(offset=2, failure_domain="a", is_on=True))
+    other.apply_deltas(reader.deltas.list_since(at(2)))
+    assert other.operators_end == other.freshness.folded == at(1)
+    other.apply_deltas(reader.deltas.list_since(at(1)))
+    assert other.operators_end == at(3)
+    other.apply_deltas(reader.deltas.list_since(at(1)))
+    assert other.operators_end == at(3)
 
 
 def test_no_delta_is_applied_before_the_first_configuration() -> None:
     reader, other = make_replica(), make_replica()
     read_from_store(reader, 1, make_configuration(1, "k1"))
-    assert reader.deltas.list_since(0) == []
+    assert reader.deltas.list_since(at(0)) == []
     read_from_store(reader, 2, make_configuration(2, "k1", "k2"))
-    other.apply_deltas(reader.deltas.list_since(1))
+    other.apply_deltas(reader.deltas.list_since(at(1)))
     assert other.table is None
-    assert other.operators_end == 0
+    assert other.operators_end == at(0)
 
 
 def test_large_delta_is_not_kept() -> None:
@@ -207,12 +215,12 @@
     read_from_store(
         reader, 2, make_configuration(2, "k1", routes=MAX_DELTA_BYTES // 50)
     )
-    assert reader.deltas.list_since(1) == []
+    assert reader.deltas.list_since(at(1)) == []
     read_from_store(
         reader, 3, make_configuration(3, "k2", routes=MAX_DELTA_BYTES // 50)
     )
-    assert reader.deltas.list_since(1) == []
-    assert [delta.end for delta in reader.deltas.list_since(2)] == [3]
+    assert reader.deltas.list_since(at(1)) == []
+    assert [delta.end for delta in reader.deltas.list_since(at(2))] == [at(3)]
 
 
 def test_series_of_deltas_fits_a_datagram() -> None:
@@ -226,13 +234,13 @@
     for number in range(2, 8):
         added = make_configuration(number, "k1", routes=routes * (number % 2))
         read_from_store(reader, number, added)
-    assert len(reader.deltas.list_since(5)) == 2
-    assert reader.deltas.list_since(1) == []
+    assert len(reader.deltas.list_since(at(5))) == 2
+    assert reader.deltas.list_since(at(1)) == []
 
 
 def test_keep_only_the_last_deltas() -> None:
     reader = make_replica()
     for number in range(1, MAX_DELTAS + 5):
         read_from_store(reader, number, make_configuration(number, f"k{number}"))
-    assert reader.deltas.list_since(1) == []
-    assert len(reader.deltas.list_since(4)) == MAX_DELTAS
+    assert reader.deltas.list_since(at(1)) == []
+    assert len(reader.deltas.list_since(at(4))) == MAX_DELTAS
--- a/tests/routing/test_evacuations.py
+++ b/tests/routing/test_evacuations.py
@@ -5,12 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from baobabthread.core.positions import OperatorsPosition
 from baobabthread.routing.configuration import Evacuation
 from baobabthread.routing.evacuations import Evacuations
 
 
 def make_record(number: int, domain: str = "a", *, is_on: bool = True) -> Evacuation:
-    return Evacuation(number=number, failure_domain=domain, is_on=is_on)
+    return Evacuation(offset=number, failure_domain=domain, is_on=is_on)
 
 
 LOGS = st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=30).map(
@@ -42,7 +43,8 @@
     newest = {record.failure_domain: record for record in log}
     listed = [record for record in newest.values() if record.is_on]
     evacuations.apply_all(listed)
-    evacuations.reconcile({record.failure_domain for record in listed}, len(log))
+    end = OperatorsPosition(offset=len(log))
+    evacuations.reconcile({record.failure_domain for record in listed}, end)
     assert evacuations.domains == {record.failure_domain for record in listed}
     later = make_record(len(log), "b")
     assert evacuations.apply(later) == ("b" not in {e.failure_domain for e in listed})
--- a/tests/routing/test_evaluation.py
+++ b/tests/routing/test_evaluation.py
@@ -54,7 +54,7 @@
     plan.begin_final_phase(13.0)
     assert count_new(plan, 13.5) == len(SESSIONS)
     report = Progress(
-        service="s", number=1, elapsed_s=13.0, share=0.3, old_running=0, alarm="errors"
+        service="s", offset=1, elapsed_s=13.0, share=0.3, old_running=0, alarm="errors"
     )
     plan.apply_progress(report, 13.6)
     assert count_new(plan, 13.7) == 0
@@ -71,8 +71,8 @@
     now = LATE_S - 0.05
     plan.begin_final_phase(now - 1.0)
     plan.record_old_started("x", now - 0.9)
-    done = Progress(service="s", number=1, elapsed_s=15.0, share=1.0, old_running=0)
-    busy = Progress(service="s", number=1, elapsed_s=15.0, share=1.0, old_running=2)
+    done = Progress(service="s", offset=1, elapsed_s=15.0, share=1.0, old_running=0)
+    busy = Progress(service="s", offset=1, elapsed_s=15.0, share=1.0, old_running=2)
     assert evaluate(plan, [done], 1, now) is RolloutState.RUNNING
     plan.record_old_ended("x", now)
     assert evaluate(plan, [busy], 1, now) is RolloutState.RUNNING
@@ -84,7 +84,7 @@
     plan = begin_rollout()
     observe_responses(plan)
     plan.begin_final_phase(LATE_S - 1.0)
-    busy = Progress(service="s", number=1, elapsed_s=20.0, share=1.0, old_running=2)
+    busy = Progress(service="s", offset=1, elapsed_s=20.0, share=1.0, old_running=2)
     assert evaluate(plan, [busy], 1, LATE_S - 0.05) is RolloutState.RUNNING
     assert evaluate(plan, [busy], 1, LATE_S) is RolloutState.SUCCEEDED
 
--- a/tests/routing/test_exposure.py
+++ b/tests/routing/test_exposure.py
@@ -224,7 +224,7 @@
         self.limit_s = limit_s
         self.rate = rate
         self.order = RolloutOrder(
-            number=1, service="s", target="v2", time_limit_s=limit_s
+            offset=1, service="s", target="v2", time_limit_s=limit_s
         )
         self.requests = 0
         self.exposed = 0
@@ -261,7 +261,7 @@
                 service="s",
                 target="v2",
                 state=self.state,
-                number=1,
+                offset=1,
                 elapsed_s=elapsed_s,
             )
             plan.apply_status(status, applied_at)
@@ -329,7 +329,7 @@
                 view.plan.apply_verdict(progress, now)
             if self.state is not RolloutState.RUNNING:
                 status = RolloutStatus(
-                    service="s", target="v2", state=self.state, number=1
+                    service="s", target="v2", state=self.state, offset=1
                 )
                 view.plan.apply_status(status, now)
 
--- a/tests/routing/test_replica.py
+++ b/tests/routing/test_replica.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from baobabthread.core.positions import BackendsPosition, OperatorsPosition
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import (
     BackendRecord,
@@ -60,7 +61,7 @@
     A key may have been revoked right after the request, so the age includes that time.
     """
     replica = make_replica()
-    replica.record_operators_read(end=1, requested_at=10.0)
+    replica.record_operators_read(end=OperatorsPosition(offset=1), requested_at=10.0)
     assert replica.operators_age(13.0) == 3.0
     assert replica.is_fresh(14.4)
     assert not replica.is_fresh(14.6)
@@ -69,13 +70,19 @@
 def test_peer_age_counts_only_with_its_records() -> None:
     """A peer that has read further reports an age that does not cover older records."""
     replica = make_replica()
-    replica.record_operators_read(end=1, requested_at=0.0)
-    replica.freshness.hear(head_age_s=0.5, read_offset=2, asked_at=10.0)
+    replica.record_operators_read(end=OperatorsPosition(offset=1), requested_at=0.0)
+    replica.freshness.hear(
+        head_age_s=0.5, read_position=OperatorsPosition(offset=2), asked_at=10.0
+    )
     assert replica.operators_age(10.0) == 10.0
     peer = make_replica()
     peer.apply_configuration(make_configuration(7))
-    peer.record_operators_read(end=2, requested_at=9.0)
-    replica.merge(peer.snapshot(10.0, known_end=1), requested_at=10.0, now=10.1)
+    peer.record_operators_read(end=OperatorsPosition(offset=2), requested_at=9.0)
+    replica.merge(
+        peer.snapshot(10.0, known_end=OperatorsPosition(offset=1), known_version=7),
+        requested_at=10.0,
+        now=10.1,
+    )
     assert replica.operators_age(10.0) == 0.5
     assert replica.table is not None
     assert replica.table.configuration.version == 7
@@ -84,11 +91,20 @@
 def test_snapshot_omits_configuration_that_the_peer_has() -> None:
     peer = make_replica()
     peer.apply_configuration(make_configuration(7))
-    peer.record_operators_read(end=2, requested_at=9.0)
-    assert peer.snapshot(10.0, known_end=2).configuration is None
+    peer.record_operators_read(end=OperatorsPosition(offset=2), requested_at=9.0)
+    assert (
+        peer.snapshot(
+            10.0, known_end=OperatorsPosition(offset=2), known_version=7
+        ).configuration
+        is None
+    )
     replica = make_replica()
-    replica.merge(peer.snapshot(10.0, known_end=2), requested_at=10.0, now=10.0)
-    assert replica.operators_end == 0
+    replica.merge(
+        peer.snapshot(10.0, known_end=OperatorsPosition(offset=2), known_version=7),
+        requested_at=10.0,
+        now=10.0,
+    )
+    assert replica.operators_end == OperatorsPosition()
     assert replica.table is None
 
 
@@ -103,7 +119,9 @@
 def test_remove_backend_server_at_once_while_store_is_available() -> None:
     replica = make_replica()
     for read_at in (0.0, 1.0, 2.0, 3.0, 4.0):
-        replica.record_backends_read(end=1, requested_at=read_at, now=read_at)
+        replica.record_backends_read(
+            end=BackendsPosition(offset=1), requested_at=read_at, now=read_at
+        )
     replica.apply_backend(make_backend("b1"))
     replica.remove_backend("b1", 4.1)
     assert not replica.backends
@@ -118,8 +136,12 @@
     replica = make_replica()
     replica.apply_backend(make_backend("b1"))
     replica.apply_backend(make_backend("b2"))
-    replica.record_backends_read(end=1, requested_at=0.0, now=0.0)
-    replica.record_backends_read(end=4, requested_at=10.0, now=10.0)
+    replica.record_backends_read(
+        end=BackendsPosition(offset=1), requested_at=0.0, now=0.0
+    )
+    replica.record_backends_read(
+        end=BackendsPosition(offset=4), requested_at=10.0, now=10.0
+    )
     replica.remove_backend("b1", 10.0)
     replica.remove_backend("b2", 10.0)
     assert set(replica.backends) == {"b1", "b2"}
@@ -131,24 +153,28 @@
 def test_merge_backends_only_from_a_peer_that_read_as_far() -> None:
     replica = make_replica()
     for read_at in (0.0, 1.0, 2.0, 3.0, 4.0):
-        replica.record_backends_read(end=9, requested_at=read_at, now=read_at)
+        replica.record_backends_read(
+            end=BackendsPosition(offset=9), requested_at=read_at, now=read_at
+        )
     replica.apply_backend(make_backend("b1"))
     peer = make_replica()
     peer.apply_backend(make_backend("b2"))
-    peer.record_backends_read(end=8, requested_at=3.0, now=3.0)
+    peer.record_backends_read(end=BackendsPosition(offset=8), requested_at=3.0, now=3.0)
     replica.merge(peer.snapshot(4.0), requested_at=4.0, now=4.0)
     assert set(replica.backends) == {"b1"}
-    peer.record_backends_read(end=10, requested_at=4.0, now=4.0)
+    peer.record_backends_read(
+        end=BackendsPosition(offset=10), requested_at=4.0, now=4.0
+    )
     replica.merge(peer.snapshot(4.0), requested_at=4.0, now=4.0)
     assert set(replica.backends) == {"b2"}
 
 
 def test_newer_order_replaces_older_one() -> None:
     replica = make_replica()
-    order = RolloutOrder(number=3, service="s", target="v2", time_limit_s=9.0)
+    order = RolloutOrder(offset=3, service="s", target="v2", time_limit_s=9.0)
     assert replica.apply_order(order)
     assert not replica.apply_order(order)
-    older = RolloutOrder(number=2, service="s", target="v9", time_limit_s=9.0)
+    older = RolloutOrder(offset=2, service="s", target="v9", time_limit_s=9.0)
     assert not replica.apply_order(older)
     assert replica.orders["s"].target == "v2"
 
@@ -233,8 +259,10 @@
     replica, peer = make_replica(), make_replica()
     for each in (replica, peer):
         each.apply_backend(make_backend("b1"))
-    replica.record_backends_read(end=9, requested_at=1.0, now=1.0)
-    peer.record_backends_read(end=8, requested_at=1.0, now=1.0)
+    replica.record_backends_read(
+        end=BackendsPosition(offset=9), requested_at=1.0, now=1.0
+    )
+    peer.record_backends_read(end=BackendsPosition(offset=8), requested_at=1.0, now=1.0)
     peer.record_departure("b1")
     replica.merge(peer.snapshot(2.0), requested_at=2.0, now=2.0)
     assert replica.backends["b1"].leaving
@@ -274,7 +302,9 @@
                 replica.merge(older.snapshot(now), requested_at=now, now=now)
             case "outage":
                 now += 10.0
-                replica.record_backends_read(end=0, requested_at=now, now=now)
+                replica.record_backends_read(
+                    end=BackendsPosition(offset=0), requested_at=now, now=now
+                )
             case "lapsed":
                 replica.expire_lapsed(now + 9.0)
         is_leaving = is_leaving or step in ("leaving", "told")
--- a/tests/routing/test_rollouttotals.py
+++ b/tests/routing/test_rollouttotals.py
@@ -20,7 +20,7 @@
 def make_progress(*, has_target_servers: bool = True) -> Progress:
     return Progress(
         service="s",
-        number=1,
+        offset=1,
         elapsed_s=1.0,
         share=0.0,
         old_running=0,
--- a/tests/routing/test_versions.py
+++ b/tests/routing/test_versions.py
@@ -107,26 +107,26 @@
     """
     plan = VersionPlan(service="s", bounds=BOUNDS)
     plan.update_versions({"v1": 5})
-    bad = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
+    bad = RolloutOrder(offset=1, service="s", target="v2", time_limit_s=LIMIT_S)
     plan.apply_order(bad, 0.0)
     assert plan.lineage.find_base({"v1": 5, "v2": 7}) == "v1"
     plan.apply_status(
-        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, number=1),
+        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, offset=1),
         2.0,
     )
     listed = {"v1": 5, "v2": 5, "v3": 5}
     assert plan.lineage.find_base(listed) == "v1"
     plan.apply_order(
-        RolloutOrder(number=2, service="s", target="v3", time_limit_s=LIMIT_S), 3.0
+        RolloutOrder(offset=2, service="s", target="v3", time_limit_s=LIMIT_S), 3.0
     )
     assert plan.lineage.find_base(listed) == "v1"
     assert plan.lineage.find_base({"v2": 5, "v3": 5}) is None
     plan.apply_status(
-        RolloutStatus(service="s", target="v3", state=RolloutState.SUCCEEDED, number=2),
+        RolloutStatus(service="s", target="v3", state=RolloutState.SUCCEEDED, offset=2),
         9.0,
     )
     plan.apply_order(
-        RolloutOrder(number=3, service="s", target="v4", time_limit_s=LIMIT_S), 9.5
+        RolloutOrder(offset=3, service="s", target="v4", time_limit_s=LIMIT_S), 9.5
     )
     assert plan.lineage.find_base({"v1": 5, "v3": 5, "v4": 9}) == "v3"
 
@@ -137,16 +137,16 @@
     assert plan.is_unproven("v2")
     assert not plan.is_unproven("v1")
     plan.apply_status(
-        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, number=1),
+        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, offset=1),
         2.0,
     )
     assert plan.is_unproven("v2")
     plan.apply_order(
-        RolloutOrder(number=2, service="s", target="v3", time_limit_s=LIMIT_S), 3.0
+        RolloutOrder(offset=2, service="s", target="v3", time_limit_s=LIMIT_S), 3.0
     )
     assert plan.is_unproven("v2")
     plan.apply_status(
-        RolloutStatus(service="s", target="v3", state=RolloutState.SUCCEEDED, number=2),
+        RolloutStatus(service="s", target="v3", state=RolloutState.SUCCEEDED, offset=2),
         9.0,
     )
     assert not plan.is_unproven("v3")
@@ -156,10 +156,10 @@
     """An instance starts during a roll-out, with three versions listed."""
     plan = VersionPlan(service="s", bounds=BOUNDS)
     assert plan.lineage.find_base({"v9": 4, "v10": 4}) == "v9"
-    order = RolloutOrder(number=2, service="s", target="v3", time_limit_s=LIMIT_S)
+    order = RolloutOrder(offset=2, service="s", target="v3", time_limit_s=LIMIT_S)
     plan.apply_order(order, 0.0, served_before_order=False)
     report = Progress(
-        service="s", number=2, elapsed_s=4.0, share=0.1, old_running=0, base="v1"
+        service="s", offset=2, elapsed_s=4.0, share=0.1, old_running=0, base="v1"
     )
     plan.apply_verdict(report, 0.2)
     assert plan.lineage.find_base({"v1": 3, "v2": 5, "v3": 5}) == "v1"
@@ -167,26 +167,26 @@
 
 def test_restarted_instance_continues_a_rollout() -> None:
     plan = VersionPlan(service="s", bounds=BOUNDS)
-    order = RolloutOrder(number=1, service="s", target="v2", time_limit_s=LIMIT_S)
+    order = RolloutOrder(offset=1, service="s", target="v2", time_limit_s=LIMIT_S)
     plan.apply_order(order, 100.0)
     plan.apply_status(
         RolloutStatus(
             service="s",
             target="v2",
             state=RolloutState.RUNNING,
-            number=1,
+            offset=1,
             elapsed_s=9.0,
         ),
         100.0,
     )
     assert plan.elapsed(101.0) == 10.0
     plan.apply_status(
-        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, number=1),
+        RolloutStatus(service="s", target="v2", state=RolloutState.REVERTED, offset=1),
         102.0,
     )
     assert count_new(plan, 103.0) == 0
     plan.apply_status(
-        RolloutStatus(service="s", target="v2", state=RolloutState.SUCCEEDED, number=1),
+        RolloutStatus(service="s", target="v2", state=RolloutState.SUCCEEDED, offset=1),
         104.0,
     )
     assert plan.state is RolloutState.REVERTED
@@ -195,7 +195,7 @@
 def test_later_order_starts_a_new_rollout() -> None:
     plan = begin_rollout()
     plan.analysis.alarm = "errors"
-    order = RolloutOrder(number=2, service="s", target="v3", time_limit_s=LIMIT_S)
+    order = RolloutOrder(offset=2, service="s", target="v3", time_limit_s=LIMIT_S)
     assert plan.apply_order(order, 50.0)
     assert plan.analysis.alarm is None
     assert plan.is_running
@@ -265,7 +265,7 @@
     plan = begin_rollout()
     report = Progress(
         service="s",
-        number=1,
+        offset=1,
         elapsed_s=23.0,
         share=1.0,
         old_running=0,
