Write statuses and quarantine entries again that a restored store lost

Operators act on a status: at succeeded they stop the old servers. A verdict that the store had acknowledged and lost was never written again, as nobody leads a roll-out that has ended; another leader that had not heard of it found no final status and went on. Quarantine entries in the lost seconds were gone for instances that start later.

In a new era the candidates for a service's lead check the statuses of ended roll-outs and write missing ones again with the same verdict, the leader at once, the others 0.3 s later each, for 8 s: a call of the era before may be executed seconds later and overwrite one. A leader takes the lack of a final status for a confirmation only 1.5 s after it learned of an era. What it believes to be stored is forgotten, so that running statuses are written again, too. Owners of quarantine entries write theirs again; released ones stay released, as their entries remember it.

--- a/src/baobabthread/instance/canaries.py
+++ b/src/baobabthread/instance/canaries.py
@@ -155,6 +155,11 @@
         """Return the leader of a service's roll-outs and the instance next in line."""
         return self._list_candidates(service)[:LEADER_COUNT]
 
+    def find_rank(self, service: str) -> int | None:
+        """Return this instance's rank among the candidates for the lead, 0 first."""
+        candidates = self._list_candidates(service)
+        return candidates.index(self._me) if self._me in candidates else None
+
     def _list_candidates(self, service: str) -> list[str]:
         candidates = self._candidates.get(service)
         if candidates is None:
--- a/src/baobabthread/instance/confirmation.py
+++ b/src/baobabthread/instance/confirmation.py
@@ -19,6 +19,10 @@
 others continue without the leader's permit, a version that was rolled back anywhere
 gets no more requests after 4.5 s, even with two leaders that can't reach each other."""
 
+SETTLE_S = 1.5
+"""Time from the start of an era in which the lack of a final status proves nothing: the
+store may have lost it, and whoever knows it is about to write it again."""
+
 HandleFinalStatus = Callable[[VersionPlan, RolloutStatus], None]
 
 
@@ -30,6 +34,7 @@
         "_formats",
         "_handle_final_status",
         "_queried_at",
+        "_settles_at",
         "_store",
     )
 
@@ -46,6 +51,11 @@
         self._queried_at: dict[str, float] = {}
         self._confirmed_at: dict[str, float] = {}
         """Time of the last query that found no final status, by service."""
+        self._settles_at = 0.0
+
+    def begin_era(self) -> None:
+        """Wait until others have had time to write a lost final status again."""
+        self._settles_at = now() + SETTLE_S
 
     def is_fresh(self, service: str) -> bool:
         """Return whether the confirmation of a service's roll-out is recent enough."""
@@ -70,7 +80,8 @@
             log_event("rollout_unconfirmed", service=plan.service, error=str(error))
             return
         self.find_status(plan, page)
-        self._confirmed_at[plan.service] = queried_at
+        if queried_at >= self._settles_at:
+            self._confirmed_at[plan.service] = queried_at
 
     def find_status(self, plan: VersionPlan, page: Page) -> RolloutStatus | None:
         """Return the stored status of a plan's order, and handle it if it is final."""
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -167,6 +167,8 @@
             store=self._store,
             formats=self._formats,
         )
+        self.store_eras.subscribe(self.rollouts.begin_era)
+        self.store_eras.subscribe(self.peers.quarantine.schedule_all_writes)
         self.replica.on_update = self._handle_replica_update
         self.staleness = ConditionGossip(
             topic=STALE, publish=self.peers.publish, received=self.peers.received
--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -509,6 +509,11 @@
                 if name != self._me:
                     self._send(name, QuarantineEntries(entries=[publication.entry]))
 
+    def schedule_all_writes(self) -> None:
+        """Let the owners write all entries that a restored store may have lost."""
+        for entry in self.quarantine.list(now()):
+            self._schedule_write(entry.fingerprint, entry.service)
+
     def _schedule_write(self, fingerprint: str, service: str) -> None:
         owners = self._find_owners(service)
         if self._me in owners:
--- a/src/baobabthread/instance/rollouts.py
+++ b/src/baobabthread/instance/rollouts.py
@@ -15,6 +15,7 @@
 from baobabthread.instance.confirmation import STORE_TIMEOUT_S, RolloutConfirmation
 from baobabthread.instance.peers import PeerLink
 from baobabthread.instance.services import Services
+from baobabthread.instance.statusrecords import StatusRecords
 from baobabthread.instance.store import Conflict, RecordFormat, Store, StoreError
 from baobabthread.logs import log_event, write_event
 from baobabthread.routing.configuration import RolloutOrder, RolloutState, RolloutStatus
@@ -61,12 +62,23 @@
         self._confirmation = RolloutConfirmation(
             store=store, formats=formats, handle_final_status=self._record_stored
         )
+        self._status_records = StatusRecords(
+            store=store, formats=formats, find_rank=peers.canaries.find_rank
+        )
         self._totals = RolloutTotals()
         self._wake_up = asyncio.Event()
         peers.canaries.handle_verdict = self._handle_verdict
         peers.canaries.handle_permit = self._handle_permit
         peers.canaries.find_permit = self._find_permit
 
+    def begin_era(self) -> None:
+        """Write and read statuses again that the store may have lost."""
+        self._stored.clear()
+        self._has_loaded_statuses = False
+        self._confirmation.begin_era()
+        self._status_records.begin_era()
+        self._wake_up.set()
+
     async def run(self) -> None:
         """Advance the roll-outs until cancelled."""
         while True:
@@ -133,6 +145,9 @@
             plan = self._services.get(name).plan
             if plan.is_running and self._acts_as_leader(name):
                 await self._lead(plan)
+        await self._status_records.check(
+            self._services.get(name).plan for name in list(orders)
+        )
 
     def _log_permit(self, plan: VersionPlan, now_s: float) -> None:
         """Log when the canary is paused here without a permit, and when it resumes."""
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from baobabthread.instance.clock import now
+from baobabthread.routing.configuration import RolloutState
 from tests.platform.fakestore import BACKENDS, OPERATORS, STATUS
 from tests.platform.site import (
     Site,
@@ -346,3 +348,48 @@
                 assert not instance.replica.evacuations.domains
 
     run(case())
+
+
+def test_let_no_other_leader_go_on_without_a_lost_verdict() -> None:
+    """The store lost that a version was rolled back; one instance doesn't know it."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            await site.add_instances(3)
+            await wait_members(site)
+            put_rollout(site, "v2", 1.0)
+            await wait_for(
+                lambda: site.store.status("plain").get("state") == "reverted"
+            )
+            await asyncio.sleep(0.3)
+            ignorant = site.instances[0].services.get("plain").plan
+            ignorant.state = RolloutState.RUNNING
+            site.store.restore(lost={STATUS: 1})
+            for _ in range(60):
+                await asyncio.sleep(0.05)
+                assert site.store.status("plain").get("state") != "succeeded"
+            assert site.store.status("plain").get("state") == "reverted"
+            assert ignorant.is_reverted
+
+    run(case())
+
+
+def test_write_a_lost_quarantine_again() -> None:
+    """A request that crashes servers was quarantined in seconds that the copy lacks."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            await site.add_instances(2)
+            await wait_members(site)
+            for instance in site.instances:
+                coordinator = instance.peers.quarantine
+                coordinator.quarantine.add("f1", "plain", (), now())
+                coordinator.unwritten["f1"] = now()
+            key = "quarantine/f1"
+            await wait_for(lambda: key in site.store.newest(STATUS), 2.0)
+            await asyncio.sleep(1.0)
+            site.store.restore(lost={STATUS: len(site.store.topics[STATUS])})
+            assert key not in site.store.newest(STATUS)
+            await wait_for(lambda: key in site.store.newest(STATUS), 3.0)
+
+    run(case())
