Ignore the records of removed servers that a copy of the store still holds

A server whose record was removed in the seconds that the copy lacks came back into use at all instances until its record lapsed there; its address may be another server's by then. Instances remember the starts whose records were removed. In an era a record below the end that was read first may be the copy's: of a removed start it is ignored, with a line in the log, and counts once it is written anew, as a server that runs does within a heartbeat.

Before: test_ignore_a_removed_server_that_the_copy_lists failed. Instances that learn of servers from a reader follow that reader; one that was cut off when the record was removed and becomes the reader would still list the server: open.

--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -83,6 +83,8 @@
         self._rng = rng
         self._query_peer = query_peer
         self._replica_sync = replica_sync
+        self._copied_until: P | None = None
+        """End of the copy that the store was restored from, as far as known."""
         self._next: P | None = None
         """Position to read from; None if the newest records have to be read first."""
         self._failures = 0
@@ -122,6 +124,8 @@
         if (end.count_since(known_end) or 0) < 0:
             # What else the store lost can't be told.
             raise StoreError(f"{self._topic} ended at {known_end}, and ends at {end}")
+        if self._copied_until is None or self._copied_until.era != end.era:
+            self._copied_until = end
         self._apply_page(page)
         self._next = end
         self._record_read(end, requested_at)
@@ -374,6 +378,10 @@
             )
             return
         backend = self._formats.decode_backend(record)
+        if self._is_copied(record) and self._replica.was_removed(backend):
+            # The store lost the removal. A server that runs writes its record again.
+            log_event("backend_copy_ignored", backend=backend.id)
+            return
         if self._replica.apply_backend(backend):
             log_event(
                 "backend_changed",
@@ -386,6 +394,13 @@
             )
         self._apply_warmup(backend)
 
+    def _is_copied(self, record: Record) -> bool:
+        """Return whether a record may be older than the store's last restore."""
+        until = self._copied_until
+        if until is None or until.era != record.position.era:
+            return False
+        return BackendsPosition.at(record.position) < until
+
     def _apply_warmup(self, backend: BackendRecord) -> None:
         left_s = backend.warmup_left_s
         if not 0.0 <= left_s <= MAX_WARMUP_S:
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -219,7 +219,8 @@
 
     def begin_era(self, now: float) -> None:
         """Keep servers whose records are missing from a restored store for a while."""
-        self._grace_until = now + LAPSED_RECORD_GRACE_S
+        if self.backends:
+            self._grace_until = now + LAPSED_RECORD_GRACE_S
 
     def record_backends_read(
         self, *, end: BackendsPosition, requested_at: float, now: float
@@ -321,9 +322,13 @@
             # leave live servers without requests, so they get time to reappear.
             self._lapsed_until.setdefault(id, self._grace_until)
             return
-        del self.backends[id]
+        self._starts.record_removal(self.backends.pop(id))
         self._record_backend_change(id)
 
+    def was_removed(self, record: BackendRecord) -> bool:
+        """Return whether the record of this start of a server was removed before."""
+        return self._starts.was_removed(record)
+
     def replace_backends(self, records: list[BackendRecord], now: float) -> None:
         """Apply a full list of records; servers not listed are removed."""
         listed = {record.id for record in records}
@@ -340,7 +345,9 @@
         """Remove servers whose lapsed records did not reappear in time."""
         for id in [id for id, until in self._lapsed_until.items() if now >= until]:
             del self._lapsed_until[id]
-            if self.backends.pop(id, None) is not None:
+            record = self.backends.pop(id, None)
+            if record is not None:
+                self._starts.record_removal(record)
                 self._record_backend_change(id)
 
     # -- incremental changes --
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -350,6 +350,27 @@
     run(case())
 
 
+def test_ignore_a_removed_server_that_the_copy_lists() -> None:
+    """A server's record was removed in seconds that the copy lacks."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            await site.add_instances(3)
+            await wait_members(site)
+            site.store.put(BACKENDS, "p2", b"")
+            for instance in site.instances:
+                await wait_for(lambda i=instance: "p2" not in i.replica.backends, 3.5)
+            site.store.restore(lost={BACKENDS: 1})
+            for _ in range(20):
+                await asyncio.sleep(0.05)
+                assert not any("p2" in i.replica.backends for i in site.instances)
+            site.store.put(BACKENDS, "p2", site.backends[1].record)
+            for instance in site.instances:
+                await wait_for(lambda i=instance: "p2" in i.replica.backends, 2.0)
+
+    run(case())
+
+
 def test_let_no_other_leader_go_on_without_a_lost_verdict() -> None:
     """The store lost that a version was rolled back; one instance doesn't know it."""
 
