Soak: a store that is restored from a copy, two presses and two mutants

The fault restores the store once or twice in a row from a copy of 0.5 to 3.8 s before, after it was away; operators and backend servers write again, late, in any order, or have written something newer. The presses: many configurations are lost and a key is revoked at an offset that was given out before; a revocation is lost and all instances restart one after the other, with the others running. The mutants: who is behind is told by offsets alone; peers aren't asked.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,7 @@
 from soak.parts import CRASHING_PART, crash_by_part
 from soak.proxies import Mode, Proxy
 from soak.rejections import LONGEST_S, REJECTS, reject_all
+from soak.restores import OLDEST_S, RESTORED, restore_store, write_again
 from soak.site import COLD_S, ENGINE, PLAIN, Backend, Site
 
 SHORT_S = 0.4
@@ -141,6 +142,19 @@
         await asyncio.sleep(0.5)
 
 
+@FAULTS.register(RESTORED)
+async def restore_from_a_copy(site: Site) -> None:
+    """Let the store come back from a copy, also twice in a row, and change things."""
+    with site.note(RESTORED):
+        for _ in range(site.rng.randint(1, 2)):
+            lost = await restore_store(site, site.rng.uniform(0.5, OLDEST_S))
+            if site.rng.random() < 0.5:
+                site.add_route()
+            await write_again(site, lost)
+            await asyncio.sleep(site.rng.uniform(0.3, 1.5))
+        await asyncio.sleep(1.0)
+
+
 async def _harm_proxies(site: Site, name: str, proxies: list[Proxy]) -> None:
     mode = site.rng.choice([Mode.DELAY, Mode.SILENT, Mode.DEAF, Mode.RESET])
     with site.note(f"{name} {mode}"):
--- a/soak/pressing.py
+++ b/soak/pressing.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import msgspec
+from tests.platform.fakestore import OPERATORS
 
 from baobabthread.core.registry import Registry
 from soak.callers import Caller
@@ -27,6 +28,7 @@
     LIMIT_WINDOW_S,
     MOST_LATER,
 )
+from soak.restores import CHANGES, change_often, restore_store
 from soak.site import COLD_S, ENGINE, PLAIN, Site
 
 MOST_S = 20.0
@@ -171,19 +173,63 @@
         key = list(site.history.revoked)[-1]
         late_from = site.history.revoked[key] + site.history.revocation_s + SLACK_S
 
-        def count_late() -> int:
-            return sum(
-                call.key == key and call.kind is not Kind.OPEN and bool(call.ended_at)
-                for call in site.history.calls
-                if call.sent_at > late_from
-            )
-
-        pressed = await wait_until(count_late, ENOUGH)
+        pressed = await wait_until(lambda: _count_late(site, key, late_from), ENOUGH)
         site.store.fault = ""
         await asyncio.sleep(1.0)
     return pressed
 
 
+@PRESSES.register("ignore eras")
+async def press_eras(site: Site) -> Pressed:
+    """Lose many configurations, take a key away right after, and go on using it."""
+    await _wait_served(site)
+    await change_often(site)
+    with site.note("store restored"):
+        site.store.restore(lost={OPERATORS: CHANGES})
+        await asyncio.sleep(0.3)
+        site.revoke_key()
+        key = list(site.history.revoked)[-1]
+        late_from = site.history.revoked[key] + site.history.revocation_s + SLACK_S
+        return await wait_until(lambda: _count_late(site, key, late_from), ENOUGH)
+
+
+@PRESSES.register("ask no peer at the start")
+async def press_starts(site: Site) -> Pressed:
+    """Take a key away, lose that, and restart instances one after the other."""
+    await _wait_served(site)
+    with site.note("store restored"):
+        site.revoke_key()
+        key = list(site.history.revoked)[-1]
+        late_from = site.history.revoked[key] + site.history.revocation_s + SLACK_S
+        await asyncio.sleep(1.0)
+        await restore_store(site, 1.0)
+        await asyncio.sleep(site.history.revocation_s)
+        for machine in site.machines:
+            await machine.kill()
+            await asyncio.sleep(1.5)
+        pressed = await wait_until(lambda: _count_late(site, key, late_from), ENOUGH)
+        site.configure()
+        return pressed
+
+
+async def _wait_served(site: Site) -> None:
+    """Wait until each instance has served a caller, and so has read the store."""
+
+    def count_serving() -> int:
+        return len({call.instance for call in site.history.calls if call.status == 200})
+
+    await wait_until(count_serving, len(site.machines))
+
+
+def _count_late(site: Site, key: str, late_from: float) -> int:
+    """Return how many requests with a key that was taken away have ended."""
+    return sum(
+        call.key == key and call.kind is not Kind.OPEN and bool(call.ended_at)
+        for call in site.history.calls
+        if call.sent_at > late_from
+    )
+
+
 @PRESSES.register("forget evacuations")
 async def press_evacuations(site: Site) -> Pressed:
     """Evacuate the failure domain with most backend servers until callers asked on."""
--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import operator
 import sys
 from collections.abc import Callable
 from typing import Any
 
 from baobabthread.core.backends.backends import Server
+from baobabthread.core.positions import BackendsPosition, OperatorsPosition, Position
 from baobabthread.core.registry import Registry
 from baobabthread.instance import (
     attempts,
@@ -16,6 +18,7 @@
     departures,
     errorresponses,
     events,
+    replicasync,
     restrictions,
 )
 from baobabthread.instance.wire import ResponseMetadata
@@ -106,6 +109,50 @@
     replica.StateReplica.is_fresh = is_fresh  # type: ignore
 
 
+@WEAKENED.register("ignore eras")
+def ignore_eras(safeguard: Safeguard) -> None:
+    """Tell who is behind by offsets alone, neither by eras nor by versions."""
+    if safeguard.is_overruled:
+        replicasync.ReplicaSync.compare_version = lambda *_: None  # type: ignore
+        replicasync.ReplicaSync._compare_digest = lambda *_: None  # type: ignore
+    for kind in (Position, OperatorsPosition, BackendsPosition):
+        for name in ("__lt__", "__le__", "__gt__", "__ge__"):
+            setattr(kind, name, _compare_offsets(safeguard, kind, name))
+
+
+def _compare_offsets(
+    safeguard: Safeguard, kind: type[Position], name: str
+) -> Callable[[Position, Position], bool]:
+    ask = getattr(kind, name)
+    compare = getattr(operator, name)
+
+    def compare_offsets(self: Position, other: Position) -> bool:
+        decision = bool(ask(self, other))
+        by_offset = bool(compare(self.offset, other.offset))
+        return decision if safeguard.stands(decision != by_offset) else by_offset
+
+    return compare_offsets
+
+
+@WEAKENED.register("ask no peer at the start")
+def ask_no_peer(safeguard: Safeguard) -> None:
+    """Rely on the store alone, whatever newer configuration peers have."""
+    ask = replicasync.ReplicaSync.compare_version
+
+    def compare_version(
+        self: replicasync.ReplicaSync,
+        peer: str,
+        version: int,
+        operators_end: OperatorsPosition,
+    ) -> None:
+        is_behind = version > self._replica.version > 0
+        if not is_behind or safeguard.stands(True):
+            ask(self, peer, version, operators_end)
+
+    replicasync.ReplicaSync.compare_version = compare_version  # type: ignore
+    replicasync.ReplicaSync._compare_digest = lambda *_: None  # type: ignore
+
+
 @WEAKENED.register("pass parts of events")
 def pass_parts(safeguard: Safeguard) -> None:
     """Pass bytes of a stream on as they come, also what was passed before."""
