--- a/bench/restore.py
+++ b/bench/restore.py
@@ -75,7 +75,7 @@
 def restore_twice(fleet: Fleet) -> None:
     """Restore the store once more half a second after its return."""
     loop = asyncio.get_running_loop()
-    loop.call_later(2.0 + AWAY_S + 0.5, lambda: fleet.store.restore(0.4))
+    loop.call_later(LOST_S + 0.5, lambda: fleet.store.restore(0.4))
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True):
