Begin the order that replaced the one that a copy of the store showed

Found by reading: a plan that had begun the copy's order under a number of the new era, and then learned from a peer that another order had replaced it in the era before, took that one for a new name of its own, as its number is lower: the trial of one version would have gone on with the evidence and the budget of another. Only an order with the same target and time limit is a rename now. test_begin_the_order_that_replaced_the_one_of_the_copy guards against it.

--- a/src/baobabthread/routing/configuration.py
+++ b/src/baobabthread/routing/configuration.py
@@ -184,6 +184,14 @@
             return self.number
         return OperatorsPosition(self.written_era, self.written_offset)
 
+    def renames(self, known: RolloutOrder) -> bool:
+        """Return whether this is an order that was known by a number not below it."""
+        has_same_content = (self.target, self.time_limit_s) == (
+            known.target,
+            known.time_limit_s,
+        )
+        return has_same_content and self.number <= known.number
+
     def is_meant_by(self, status: RolloutStatus) -> bool:
         """Return whether a status is of this order."""
         if status.target != self.target:
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -101,7 +101,8 @@
         self, order: RolloutOrder, now: float, *, served_before_order: bool = True
     ) -> bool:
         """Start a roll-out; return whether the order is another one than before."""
-        if self.order is not None and order.number <= self.order.number:
+        current = self.order
+        if current is not None and order.renames(current):
             # Written again after the store lost it, or known to others by an earlier
             # number: its trial goes on.
             self.order = order
--- a/tests/routing/test_orders.py
+++ b/tests/routing/test_orders.py
@@ -9,12 +9,14 @@
 from hypothesis import strategies as st
 
 from baobabthread.core.positions import OperatorsPosition
+from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.configuration import (
     RolloutOrder,
     RolloutState,
     RolloutStatus,
 )
 from baobabthread.routing.orders import Orders
+from baobabthread.routing.versions import VersionPlan
 
 
 def make_order(era: int, offset: int, target: str = "v2") -> RolloutOrder:
@@ -80,6 +82,31 @@
     assert late.current["s"].target == "v3"
 
 
+def make_plan(order: RolloutOrder) -> VersionPlan:
+    """Return a plan on which an order has run into an alarm."""
+    plan = VersionPlan(service="s", bounds=RoutingBounds())
+    plan.apply_order(order, 0.0)
+    plan.analysis.alarm = "errors"
+    return plan
+
+
+def test_go_on_with_the_trial_of_an_order_that_is_known_by_another_number() -> None:
+    plan = make_plan(make_order(2, 6))
+    orders = Orders()
+    order = apply(orders, make_order(1, 8), make_order(2, 6))
+    assert not plan.apply_order(order, 1.0)
+    assert plan.order is not None
+    assert plan.order.number == plan.analysis.number == OperatorsPosition(1, 8)
+    assert plan.analysis.alarm == "errors"
+
+
+def test_begin_the_order_that_replaced_the_one_of_the_copy() -> None:
+    """The copy's order was begun; a peer knows that another one had replaced it."""
+    plan = make_plan(make_order(2, 9, "v2"))
+    assert plan.apply_order(make_order(1, 8, "v3"), 1.0)
+    assert plan.analysis.alarm is None
+
+
 def make_status(era: int, offset: int) -> RolloutStatus:
     return RolloutStatus(
         service="s", target="v2", state=RolloutState.REVERTED, era=era, offset=offset
