--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -157,7 +157,7 @@
             state = (
                 self.version,
                 sorted((o.number, o.written_at) for o in self.orders.values()),
-                sorted((e.failure_domain, e.is_on) for e in self.evacuations.list()),
+                sorted(self.evacuations.domains),
             )
             encoded = msgspec.json.encode(state)
             digest = xxhash.xxh3_64_intdigest(encoded) >> DIGEST_SHIFT
