Take no status of a restored store for a confirmation at its first read

Found by reading: in a new era all instances loaded the statuses again, and any status of an order confirmed for 2.2 s that its roll-out goes on, also a running one of the copy whose verdict was lost.

Checked: tests/platform/test_restores.py.

--- a/src/baobabthread/instance/rollouts.py
+++ b/src/baobabthread/instance/rollouts.py
@@ -72,9 +72,8 @@
         peers.canaries.find_permit = self._find_permit
 
     def begin_era(self) -> None:
-        """Write and read statuses again that the store may have lost."""
+        """Write statuses again that the store may have lost."""
         self._stored.clear()
-        self._has_loaded_statuses = False
         self._confirmation.begin_era()
         self._status_records.begin_era()
         self._wake_up.set()
