Begin the grace for lapsed servers before the first read after an outage is applied

Found while the postmortem was written: after an outage of the store in which the records of all servers lapsed, the first read removed all of them at once and only then began the time for which they are kept, so that each service answered 503 until its servers had written again.

Before: test_keep_servers_whose_records_lapsed_while_the_store_was_away failed (no server where two were expected). After: it passes, with the tests of restores, cold and leaving servers and of the replica (98 passed).

--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -128,6 +128,7 @@
         if (end.count_since(known_end) or 0) < 0:
             # What else the store lost can't be told.
             raise StoreError(f"{self._topic} ended at {known_end}, and ends at {end}")
+        self._begin_read(requested_at)
         if self._copied_until is None or self._copied_until.era != end.era:
             self._copied_until = end
         self._apply_page(page)
@@ -155,12 +156,16 @@
             await asyncio.sleep(self._choose_backoff())
             await self._read_newest()
             return
+        self._begin_read(requested_at)
         for record in tail.records:
             self._apply_or_skip(record)
         self._next = self._position_type.at(tail.next)
         if tail.next >= tail.end:
             self._record_read(self._position_type.at(tail.end), requested_at)
 
+    def _begin_read(self, requested_at: float) -> None:
+        """Prepare for the records of a read that was sent at `requested_at`."""
+
     def _apply_page(self, page: Page) -> None:
         for record in page.records:
             self._apply_or_skip(record)
@@ -405,6 +410,9 @@
             )
         self._apply_warmup(backend)
 
+    def _begin_read(self, requested_at: float) -> None:
+        self._replica.begin_backends_read(requested_at=requested_at, now=now())
+
     def _is_copied(self, record: Record) -> bool:
         """Return whether a record may be older than the store's last restore."""
         until = self._copied_until
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -222,12 +222,16 @@
         if self.backends:
             self._grace_until = now + LAPSED_RECORD_GRACE_S
 
+    def begin_backends_read(self, *, requested_at: float, now: float) -> None:
+        """Keep servers whose records lapsed while the store was unavailable."""
+        if requested_at - self._backends_read_at > STORE_OUTAGE_GAP_S:
+            self._grace_until = now + LAPSED_RECORD_GRACE_S
+
     def record_backends_read(
         self, *, end: BackendsPosition, requested_at: float, now: float
     ) -> None:
         """Record a read of the backend records up to `end`, sent at `requested_at`."""
-        if requested_at - self._backends_read_at > STORE_OUTAGE_GAP_S:
-            self._grace_until = now + LAPSED_RECORD_GRACE_S
+        self.begin_backends_read(requested_at=requested_at, now=now)
         self.backends_end = max(self.backends_end, end)
         self._backends_read_at = max(self._backends_read_at, requested_at)
         self._stamp_changes()
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -1,4 +1,4 @@
-"""A store that is restored from an older copy, and begins a new era."""
+"""A store that comes back: restored from an older copy, or after an outage."""
 
 from __future__ import annotations
 
@@ -390,6 +390,26 @@
     run(case())
 
 
+def test_keep_servers_whose_records_lapsed_while_the_store_was_away() -> None:
+    """The first read after an outage lists no server; all write again soon after."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            site.store.fault = "busy"
+            await asyncio.sleep(2.0)
+            for backend in site.backends:
+                site.store.put(BACKENDS, backend.id, b"")
+            site.store.fault = ""
+            await asyncio.sleep(1.0)
+            assert set(site.instances[0].replica.backends) == {"p1", "p2"}
+            for backend in site.backends:
+                site.store.put(BACKENDS, backend.id, backend.record)
+            await asyncio.sleep(2.5)
+            assert set(site.instances[0].replica.backends) == {"p1", "p2"}
+
+    run(case())
+
+
 def test_let_no_other_leader_go_on_without_a_lost_verdict() -> None:
     """The store lost that a version was rolled back; one instance doesn't know it."""
 
