Settle missing servers by a later listing, and restart their grace in each era

What callers saw: 503 no_backend for seconds, at one or two of three instances, after restores or outages in which the records of running servers were missing and then written again.

Only the reader saw the records return. Nothing had changed for it, so that it told nobody, and the others removed running servers when their time was over: an offset that has been read was taken to say that nothing happened. 2. The time of the first restore went on through the next ones, each of which lost the records again. 3. An instance that then ignored the copy's records of servers that it had removed read them again after 2.5 s only if it followed the store itself.

Now a server that an instance itself found missing is removed by a listing made after its grace, staggered by the member's position; an instance that isn't a reader makes that listing, too. A new era, the first read of it and a further outage restart the grace of all servers that are kept. Ignored records are read again by whoever ignored them. Servers that a peer removed are removed by time as before: the peer tells if they return. backends_missing and backend_expired are logged; before, no line told that a server was gone.

--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -396,7 +396,8 @@
         while True:
             self._stalls.tick(now())
             self.services.arrivals.tick(now())
-            self.replica.expire_lapsed(now())
+            for id in self.replica.expire_lapsed(now()):
+                log_event("backend_expired", backend=id)
             self._update_members()
             self.backends.refresh()
             inputs = (len(self.peers.membership.alive()), self.replica.revision)
--- a/src/baobabthread/instance/replicasync.py
+++ b/src/baobabthread/instance/replicasync.py
@@ -472,8 +472,12 @@
     @property
     def _direct_read_age_s(self) -> float:
         """Staleness above which this instance reads the store itself."""
-        delay_s = min(MAX_READ_STAGGER_S, READ_STAGGER_S * self._assignment.position)
-        return self.limits.operators_s + delay_s
+        return self.limits.operators_s + self.read_delay_s
+
+    @property
+    def read_delay_s(self) -> float:
+        """Delay of reads that many instances have to make at the same time."""
+        return min(MAX_READ_STAGGER_S, READ_STAGGER_S * self._assignment.position)
 
     def _drop_overdue(self, now_s: float) -> bool:
         overdue = [s for s, at in self._pending.items() if now_s - at > REPLY_TIMEOUT_S]
--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -128,9 +128,9 @@
         if (end.count_since(known_end) or 0) < 0:
             # What else the store lost can't be told.
             raise StoreError(f"{self._topic} ended at {known_end}, and ends at {end}")
-        self._begin_read(requested_at)
+        self._begin_read(end, requested_at)
         if self._copied_until is None or self._copied_until.era != end.era:
-            self._copied_until = end
+            self._begin_copy(end)
         self._apply_page(page)
         self._next = end
         self._record_read(end, requested_at)
@@ -156,15 +156,19 @@
             await asyncio.sleep(self._choose_backoff())
             await self._read_newest()
             return
-        self._begin_read(requested_at)
+        self._begin_read(self._position_type.at(tail.end), requested_at)
         for record in tail.records:
             self._apply_or_skip(record)
         self._next = self._position_type.at(tail.next)
         if tail.next >= tail.end:
             self._record_read(self._position_type.at(tail.end), requested_at)
 
-    def _begin_read(self, requested_at: float) -> None:
-        """Prepare for the records of a read that was sent at `requested_at`."""
+    def _begin_read(self, end: P, requested_at: float) -> None:
+        """Prepare for the records up to `end`, of a read sent at `requested_at`."""
+
+    def _begin_copy(self, end: P) -> None:
+        """Treat records before `end` as ones of the copy that began this era."""
+        self._copied_until = end
 
     def _apply_page(self, page: Page) -> None:
         for record in page.records:
@@ -362,32 +366,56 @@
 
     @property
     def _must_read(self) -> bool:
-        return self._next is None or self._replica_sync.must_read_backends()
+        if self._next is None or self._replica_sync.must_read_backends():
+            return True
+        return self._must_list
+
+    @property
+    def _must_list(self) -> bool:
+        """Whether only all newest records tell which servers there are."""
+        now_s = now() - self._replica_sync.read_delay_s
+        return now_s >= self._reload_at or self._replica.must_list_backends(now_s)
 
     @property
     def _known_end(self) -> BackendsPosition:
         return self._replica.backends_end
 
-    async def _wait(self) -> None:
-        if now() >= self._reload_at:
-            self._reload_at = math.inf
-            self._copied_until = BackendsPosition(self._replica.backends_end.era)
+    async def _step(self) -> None:
+        if self._must_list:
             self._next = None
+        await super()._step()
+
+    async def _wait(self) -> None:
         poll_s = self._replica_sync.limits.poll_interval_s
         await asyncio.sleep(poll_s * (0.8 + 0.4 * self._rng.random()))
 
+    def _begin_copy(self, end: BackendsPosition) -> None:
+        super()._begin_copy(end)
+        self._reload_at = math.inf
+
     def _apply_page(self, page: Page) -> None:
+        if now() >= self._reload_at:
+            self._begin_copy(BackendsPosition(page.end.era))
         listed = {record.key for record in page.records if record.value}
-        for id in [id for id in self._replica.backends if id not in listed]:
-            self._replica.remove_backend(id, now())
+        missing = [id for id in self._replica.backends if id not in listed]
+        removed = sum(self._replica.record_missing(id, now()) for id in missing)
+        if missing:
+            log_event(
+                "backends_missing",
+                count=len(missing),
+                removed=removed,
+                offset=page.end.offset,
+                era=page.end.era,
+            )
         super()._apply_page(page)
 
     def _apply(self, record: Record) -> None:
         if not record.value:
-            self._replica.remove_backend(record.key, now())
+            is_removed = self._replica.record_missing(record.key, now())
             log_event(
                 "backend_gone",
                 backend=record.key,
+                removed=is_removed,
                 offset=record.position.offset,
                 era=record.position.era,
             )
@@ -410,8 +438,8 @@
             )
         self._apply_warmup(backend)
 
-    def _begin_read(self, requested_at: float) -> None:
-        self._replica.begin_backends_read(requested_at=requested_at, now=now())
+    def _begin_read(self, end: BackendsPosition, requested_at: float) -> None:
+        self._replica.begin_backends_read(end=end, requested_at=requested_at, now=now())
 
     def _is_copied(self, record: Record) -> bool:
         """Return whether a record may be older than the store's last restore."""
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -66,6 +66,7 @@
         "_lapsed_until",
         "_last_settled_end",
         "_last_state",
+        "_missing_until",
         "_orders",
         "_starts",
         "backends",
@@ -105,6 +106,9 @@
         """Incremented on each change of content; ages don't count."""
         self._backends_read_at = -NEVER_S
         self._lapsed_until: dict[str, float] = {}
+        """Servers that a peer removed, and until when they are kept."""
+        self._missing_until: dict[str, float] = {}
+        """Servers that this instance found missing, kept until a later listing."""
         self._starts = NewestStarts()
         self._departures = Departures()
         self._grace_until = 0.0
@@ -219,19 +223,27 @@
 
     def begin_era(self, now: float) -> None:
         """Keep servers whose records are missing from a restored store for a while."""
-        if self.backends:
-            self._grace_until = now + LAPSED_RECORD_GRACE_S
+        self._begin_grace(now)
 
-    def begin_backends_read(self, *, requested_at: float, now: float) -> None:
+    def begin_backends_read(
+        self, *, end: BackendsPosition, requested_at: float, now: float
+    ) -> None:
         """Keep servers whose records lapsed while the store was unavailable."""
-        if requested_at - self._backends_read_at > STORE_OUTAGE_GAP_S:
-            self._grace_until = now + LAPSED_RECORD_GRACE_S
+        is_outage = requested_at - self._backends_read_at > STORE_OUTAGE_GAP_S
+        if is_outage or end.era != self.backends_end.era:
+            self._begin_grace(now)
+
+    def _begin_grace(self, now: float) -> None:
+        """Keep servers without a record, also those that were missing before."""
+        self._grace_until = until = now + LAPSED_RECORD_GRACE_S
+        self._lapsed_until = dict.fromkeys(self._lapsed_until, until)
+        self._missing_until = dict.fromkeys(self._missing_until, until)
 
     def record_backends_read(
         self, *, end: BackendsPosition, requested_at: float, now: float
     ) -> None:
         """Record a read of the backend records up to `end`, sent at `requested_at`."""
-        self.begin_backends_read(requested_at=requested_at, now=now)
+        self.begin_backends_read(end=end, requested_at=requested_at, now=now)
         self.backends_end = max(self.backends_end, end)
         self._backends_read_at = max(self._backends_read_at, requested_at)
         self._stamp_changes()
@@ -260,7 +272,8 @@
 
     @property
     def _has_pending(self) -> bool:
-        return bool(self._lapsed_until) or self._change_log.has_pending
+        is_kept = bool(self._lapsed_until or self._missing_until)
+        return is_kept or self._change_log.has_pending
 
     def _update_settled_end(self) -> None:
         if not self._has_pending:
@@ -276,7 +289,7 @@
             self._departures.add(record.incarnation)
         elif record.incarnation in self._departures:
             record = msgspec.structs.replace(record, leaving=True)
-        self._lapsed_until.pop(record.id, None)
+        self._settle(record.id)
         if self.backends.get(record.id) == record:
             return False
         if not self._starts.record_start(record):
@@ -313,21 +326,51 @@
 
     def discard_backend(self, id: str) -> None:
         """Remove a server immediately, as its newest record is unusable."""
-        self._lapsed_until.pop(id, None)
+        self._settle(id)
         if self.backends.pop(id, None) is not None:
             self._record_backend_change(id)
 
     def remove_backend(self, id: str, now: float) -> None:
-        """Remove a server without a record, after a grace period if in doubt."""
-        if id not in self.backends:
-            return
+        """Remove a server that a peer removed, after a grace period if in doubt."""
+        # Records lapse while the store is unavailable. Removing them at once would
+        # leave live servers without requests, so they get time to reappear.
         if now < self._grace_until:
-            # Records lapse while the store is unavailable. Removing them at once would
-            # leave live servers without requests, so they get time to reappear.
-            self._lapsed_until.setdefault(id, self._grace_until)
+            if id in self.backends and id not in self._missing_until:
+                self._lapsed_until.setdefault(id, self._grace_until)
             return
-        self._starts.record_removal(self.backends.pop(id))
-        self._record_backend_change(id)
+        self._remove(id)
+
+    def record_missing(self, id: str, now: float) -> bool:
+        """Remove a server that the store doesn't list; return whether it is gone.
+
+        In doubt it is kept until `must_list_backends` asks for another listing.
+        """
+        if id not in self.backends:
+            return False
+        if now < self._grace_until:
+            self._lapsed_until.pop(id, None)
+            self._missing_until.setdefault(id, self._grace_until)
+            return False
+        self._remove(id)
+        return True
+
+    def must_list_backends(self, now: float) -> bool:
+        """Return whether only another listing can settle which servers are missing.
+
+        A peer that saw a record return before it missed it has no change to pass on.
+        """
+        return any(until <= now for until in self._missing_until.values())
+
+    def _settle(self, id: str) -> None:
+        self._lapsed_until.pop(id, None)
+        self._missing_until.pop(id, None)
+
+    def _remove(self, id: str) -> None:
+        self._settle(id)
+        record = self.backends.pop(id, None)
+        if record is not None:
+            self._starts.record_removal(record)
+            self._record_backend_change(id)
 
     def was_removed(self, record: BackendRecord) -> bool:
         """Return whether the record of this start of a server was removed before."""
@@ -345,14 +388,12 @@
         self.apply_backend(record)
         self.record_warmup(record, record.warmup_left_s, now)
 
-    def expire_lapsed(self, now: float) -> None:
-        """Remove servers whose lapsed records did not reappear in time."""
-        for id in [id for id, until in self._lapsed_until.items() if now >= until]:
-            del self._lapsed_until[id]
-            record = self.backends.pop(id, None)
-            if record is not None:
-                self._starts.record_removal(record)
-                self._record_backend_change(id)
+    def expire_lapsed(self, now: float) -> list[str]:
+        """Remove servers that a peer removed and that did not reappear in time."""
+        expired = [id for id, until in self._lapsed_until.items() if now >= until]
+        for id in expired:
+            self._remove(id)
+        return expired
 
     # -- incremental changes --
 
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -194,6 +194,95 @@
     run(case())
 
 
+@pytest.mark.parametrize("away_s", [1.0, 1.6, 2.4])
+def test_keep_servers_that_several_instances_found_missing(away_s: float) -> None:
+    """After an outage all instances read a copy without servers, one the new records.
+
+    Nothing changes at the one that reads on, so that the others aren't told.
+    """
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            await site.add_instances(4)
+            await wait_members(site)
+            site.store.fault = "busy"
+            await asyncio.sleep(away_s)
+            lost = site.store.restore(lost={BACKENDS: 2})
+            site.store.fault = ""
+            asyncio.get_running_loop().call_later(1.2, site.store.write_again, lost)
+            await keep_servers(site, 5.0)
+
+    run(case())
+
+
+async def keep_servers(site: Site, seconds: float) -> None:
+    """Check for a while that no instance removes a server."""
+    names = {backend.id for backend in site.backends}
+    ends_at = now() + seconds
+    while now() < ends_at:
+        for instance in site.instances:
+            assert set(instance.replica.backends) == names
+        await asyncio.sleep(0.05)
+
+
+def test_keep_servers_through_restores_in_series() -> None:
+    """Each copy lacks the records that servers wrote after the one before."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            await site.add_instances(3)
+            await wait_members(site)
+            loop = asyncio.get_running_loop()
+            lost = site.store.restore(lost={BACKENDS: 2})
+            for _ in range(3):
+                loop.call_later(1.0, site.store.write_again, lost)
+                await keep_servers(site, 1.2)
+                lost = site.store.restore(lost={BACKENDS: 2})
+            loop.call_later(1.5, site.store.write_again, lost)
+            await keep_servers(site, 5.0)
+
+    run(case())
+
+
+def test_remove_a_server_that_stays_missing_from_a_restored_store() -> None:
+    """A server ended while the store was away; its record is never written again."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            await site.add_instances(4)
+            await wait_members(site)
+            site.store.fault = "busy"
+            await asyncio.sleep(1.6)
+            lost = site.store.restore(lost={BACKENDS: 2})
+            site.store.fault = ""
+            site.store.write_again([record for record in lost if record.key == "p1"])
+            for instance in site.instances:
+                await wait_for(
+                    lambda i=instance: set(i.replica.backends) == {"p1"}, 4.5
+                )
+
+    run(case())
+
+
+@pytest.mark.parametrize("index", [0, 1, 2])
+def test_read_ignored_records_again_at_each_instance(index: int) -> None:
+    """One instance took a running server for removed; the others have no news of it."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            await site.add_instances(3)
+            await wait_members(site)
+            replica = site.instances[index].replica
+            site.store.fault = "busy"
+            await asyncio.sleep(2.4)
+            assert replica.record_missing("p2", now() + 60.0)
+            site.store.restore(lost={})
+            site.store.fault = ""
+            await wait_for(lambda: "p2" in replica.backends, 5.0)
+
+    run(case())
+
+
 def test_keep_a_configuration_that_the_copy_lacks() -> None:
     """A route was added and a key revoked in seconds that the copy lacks."""
 
--- a/tests/routing/test_replica.py
+++ b/tests/routing/test_replica.py
@@ -150,6 +150,45 @@
     assert set(replica.backends) == {"b2"}
 
 
+def test_settle_missing_backend_servers_by_a_later_listing_only() -> None:
+    """A record returns unseen by an instance that doesn't follow the store."""
+    replica = make_replica()
+    replica.apply_backend(make_backend("b1"))
+    replica.apply_backend(make_backend("b2"))
+    end = BackendsPosition(offset=4)
+    replica.begin_backends_read(end=end, requested_at=10.0, now=10.0)
+    assert not replica.record_missing("b1", 10.0)
+    assert not replica.record_missing("b2", 10.0)
+    replica.record_backends_read(end=end, requested_at=10.0, now=10.0)
+    assert not replica.must_list_backends(10.0)
+    after = 10.0 + LAPSED_RECORD_GRACE_S + 0.1
+    assert replica.expire_lapsed(after) == []
+    assert replica.must_list_backends(after)
+    replica.apply_backend(make_backend("b2"))
+    assert replica.record_missing("b1", after)
+    assert set(replica.backends) == {"b2"}
+    assert not replica.must_list_backends(after)
+
+
+def test_a_new_era_restarts_the_grace_for_missing_backend_servers() -> None:
+    """The store is restored again before servers could write their records."""
+    replica = make_replica()
+    replica.apply_backend(make_backend("b1"))
+    replica.apply_backend(make_backend("b2"))
+    end = BackendsPosition(era=1)
+    replica.begin_backends_read(end=end, requested_at=10.0, now=10.0)
+    replica.record_missing("b1", 10.0)
+    replica.remove_backend("b2", 10.0)
+    replica.record_backends_read(end=end, requested_at=10.0, now=10.0)
+    replica.begin_era(12.0)
+    after = 10.0 + LAPSED_RECORD_GRACE_S + 0.1
+    assert replica.expire_lapsed(after) == []
+    assert not replica.must_list_backends(after)
+    after = 12.0 + LAPSED_RECORD_GRACE_S
+    assert replica.expire_lapsed(after) == ["b2"]
+    assert replica.must_list_backends(after)
+
+
 def test_merge_backends_only_from_a_peer_that_read_as_far() -> None:
     replica = make_replica()
     for read_at in (0.0, 1.0, 2.0, 3.0, 4.0):
