Compare the backend servers of instances that have read as far

What callers would have seen: 503 no_backend, or fewer servers than there are, at an instance that started while records of running servers were missing from the store, until these servers' records change.

Cause: the same class once more, an offset taken for knowledge. The reader had kept the server, so that its return was no change to it; the instance that had started meanwhile read a listing without it, and from then on both had read equally far.

Replies carry a digest of the sender's servers (ids and starts; who leaves is told by other means), 0 while some are in doubt. An instance that has read as far and knows other ones asks the store for a listing, once for each pair of digests. The digest is kept by XOR, so that a change costs one hash. Nothing is asked where all agree. backends_differ is logged.

Test: test_list_the_store_where_a_reader_knows_other_servers.

--- a/src/baobabthread/instance/replicasync.py
+++ b/src/baobabthread/instance/replicasync.py
@@ -128,6 +128,8 @@
     """Version of the sender's configuration."""
     digest: int = 0
     """Digest of the sender's operators' state; 0 if not given."""
+    backends_digest: int = 0
+    """Digest of the backend servers; 0 if not given, or while some are in doubt."""
     era: int = 0
     """Newest era of the store that the sender knows; 0 if it knows none."""
 
@@ -188,6 +190,7 @@
         "_behind_since",
         "_compare_at",
         "_compared_at",
+        "_compared_backends",
         "_discovery_until",
         "_eras",
         "_fetch",
@@ -241,6 +244,8 @@
         self._notified_state: tuple[object, ...] = ()
         self._required = (0, 0.0)
         """Version that a peer has and the store lost, and until when that counts."""
+        self._compared_backends = (0, 0)
+        """Digests of a peer's and the own backend servers that were looked into."""
         self._compare_at = 0.0
         """Time from which differences to a peer's state are looked into again."""
         self._compared_at = now() + START_COMPARISON_S if has_seeds else 0.0
@@ -453,6 +458,26 @@
             replica.confirm_backends(
                 end=reply.backends_end, read_at=queried_at - reply.backends_age_s
             )
+        self._compare_backends(reply)
+
+    def _compare_backends(self, reply: ReplicaReply) -> None:
+        """List the store's servers if a peer that has read as far knows other ones."""
+        replica = self._replica
+        digests = (reply.backends_digest, replica.digest_backends())
+        if not all(digests) or digests[0] == digests[1]:
+            return
+        if reply.backends_end != replica.backends_end:
+            return
+        # A listing that settles nothing is not repeated.
+        if digests != self._compared_backends:
+            self._compared_backends = digests
+            replica.list_backends_at = now()
+            log_event(
+                "backends_differ",
+                offset=reply.backends_end.offset,
+                era=reply.backends_end.era,
+                known=len(replica.backends),
+            )
 
     def _apply_deltas(self, sender: str, reply: ReplicaReply) -> None:
         """Apply the deltas of the operators' state that the reply contains."""
@@ -548,5 +573,6 @@
             steps=replica.deltas.list_since(subscriber.operators_end),
             version=replica.version,
             digest=replica.digest_operators(),
+            backends_digest=replica.digest_backends(),
             era=self._eras.current,
         )
--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -396,6 +396,7 @@
     def _apply_page(self, page: Page) -> None:
         if now() >= self._reload_at:
             self._begin_copy(BackendsPosition(page.end.era))
+        self._replica.list_backends_at = math.inf
         listed = {record.key for record in page.records if record.value}
         missing = [id for id in self._replica.backends if id not in listed]
         removed = sum(self._replica.record_missing(id, now()) for id in missing)
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -39,6 +39,8 @@
 from baobabthread.routing.warmup import ColdServers
 
 NEVER_S = 1e9
+EMPTY_DIGEST = 1
+"""Digest of no backend servers; 0 stands for one that isn't given."""
 START = OperatorsPosition()
 DIGEST_SHIFT = 16
 """Bits of the hash that digests leave out: 48 fit into any JSON number."""
@@ -57,6 +59,7 @@
     """Replica of the configuration, orders, evacuations and backend servers."""
 
     __slots__ = (
+        "_backends_digest",
         "_backends_read_at",
         "_bounds",
         "_change_log",
@@ -77,6 +80,7 @@
         "evacuations",
         "freshness",
         "is_compared",
+        "list_backends_at",
         "on_update",
         "operators_end",
         "revision",
@@ -92,6 +96,9 @@
         self.evacuations = Evacuations()
         self.cold_servers = ColdServers()
         self.backends: dict[str, BackendRecord] = {}
+        self._backends_digest = EMPTY_DIGEST
+        self.list_backends_at = math.inf
+        """When to list the store's backend servers, as a peer knows other ones."""
         self.operators_end = OperatorsPosition()
         self.deltas = DeltaLog()
         """Recent changes of the operators' state, for peers that are behind."""
@@ -294,10 +301,22 @@
             return False
         if not self._starts.record_start(record):
             return False
+        self._pop_backend(record.id)
         self.backends[record.id] = record
+        self._backends_digest ^= _digest_start(record)
         self._record_backend_change(record.id)
         return True
 
+    def _pop_backend(self, id: str) -> BackendRecord | None:
+        record = self.backends.pop(id, None)
+        if record is not None:
+            self._backends_digest ^= _digest_start(record)
+        return record
+
+    def digest_backends(self) -> int:
+        """Return a digest of the backend servers' starts; 0 while some are in doubt."""
+        return 0 if self._has_pending else self._backends_digest
+
     def record_warmup(self, record: BackendRecord, left_s: float, now: float) -> bool:
         """Record a cold server's warm-up time; return whether to notify peers."""
         current = self.backends.get(record.id)
@@ -327,7 +346,7 @@
     def discard_backend(self, id: str) -> None:
         """Remove a server immediately, as its newest record is unusable."""
         self._settle(id)
-        if self.backends.pop(id, None) is not None:
+        if self._pop_backend(id) is not None:
             self._record_backend_change(id)
 
     def remove_backend(self, id: str, now: float) -> None:
@@ -355,11 +374,12 @@
         return True
 
     def must_list_backends(self, now: float) -> bool:
-        """Return whether only another listing can settle which servers are missing.
+        """Return whether only a listing of the store can settle which servers run.
 
         A peer that saw a record return before it missed it has no change to pass on.
         """
-        return any(until <= now for until in self._missing_until.values())
+        is_overdue = any(until <= now for until in self._missing_until.values())
+        return is_overdue or now >= self.list_backends_at
 
     def _settle(self, id: str) -> None:
         self._lapsed_until.pop(id, None)
@@ -367,7 +387,7 @@
 
     def _remove(self, id: str) -> None:
         self._settle(id)
-        record = self.backends.pop(id, None)
+        record = self._pop_backend(id)
         if record is not None:
             self._starts.record_removal(record)
             self._record_backend_change(id)
@@ -533,3 +553,9 @@
         self.confirm_backends(end=snapshot.backends_end, read_at=read_at)
         self._stamp_changes()
         self.on_update()
+
+
+def _digest_start(record: BackendRecord) -> int:
+    # Which servers leave is told by other means, and at other times.
+    start = f"{record.id} {record.incarnation}".encode()
+    return xxhash.xxh3_64_intdigest(start) >> DIGEST_SHIFT
--- a/tests/instance/test_replicasync.py
+++ b/tests/instance/test_replicasync.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import msgspec
@@ -338,6 +339,26 @@
     assert query_reader(member, reader).gone == []
 
 
+def test_list_the_store_where_a_reader_knows_other_servers(clock: Clock) -> None:
+    """A server's record lapsed and returned; a member that started then missed it."""
+    readers, others = make_members()
+    reader, member = readers[0], others[0]
+    for each in (reader, member):
+        change_backend(each, 1)
+        each.read(5, clock.time)
+    change_backend(reader, 2)
+    reader.replica.record_backends_read(
+        end=BackendsPosition(offset=5), requested_at=clock.time, now=clock.time
+    )
+    member.read(6, clock.time)
+    reader.read(6, clock.time)
+    assert query_reader(member, reader).changed == []
+    assert member.replica.must_list_backends(clock.time)
+    member.replica.list_backends_at = math.inf
+    query_reader(member, reader)
+    assert not member.replica.must_list_backends(clock.time)
+
+
 def test_pass_on_a_change_while_a_removal_is_pending(clock: Clock) -> None:
     """Another server changes in the meantime; a third instance queries the second."""
     readers, others = make_members()
