Look for ends of evacuations that a listing of a new era leaves out

What callers would have seen: the servers of a failure domain get nothing for good, at all instances, though its evacuation has ended.

Cause: the first read of an era is a listing of the newest records, which doesn't contain removed keys. Whether the store lost the evacuation or holds its end, the listing is the same.

After such a listing the log is read from behind the newest known record of these evacuations, and ends found there are applied. A record at a higher offset than the evacuation was written after it whichever of the two the copy contains, so that no evacuation ends too early; one that was lost itself and ended at a lower offset before the first read still stays until a record of it comes.

--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -273,6 +273,8 @@
         self._formats = formats
         self._evacuated: set[str] = set()
         """Failure domains that the current page lists as evacuated."""
+        self._search_from: OperatorsPosition | None = None
+        """Position from which ends of evacuations are looked for that no page lists."""
 
     @property
     def _must_read(self) -> bool:
@@ -299,10 +301,34 @@
     async def _wait(self) -> None:
         """Return at once: the store holds a read that finds no new records."""
 
+    async def _step(self) -> None:
+        await super()._step()
+        if self._search_from is not None:
+            await self._find_ends(self._search_from)
+            self._search_from = None
+
+    async def _find_ends(self, start: OperatorsPosition) -> None:
+        """Apply the ends of evacuations that were written since the restore."""
+        tail = await self._store.read(
+            self._topic, start, wait_s=0.0, timeout_s=self._response_timeout_s
+        )
+        if isinstance(tail, Trimmed):
+            return
+        for record in tail.records:
+            if record.value:
+                continue
+            found = self._formats.decode_operator_record(record)
+            if isinstance(found, Evacuation) and self._replica.evacuations.is_after(
+                found
+            ):
+                self._apply_evacuation(found)
+
     def _apply_page(self, page: Page) -> None:
         self._evacuated.clear()
         super()._apply_page(page)
         end = OperatorsPosition.at(page.end)
+        evacuations = self._replica.evacuations
+        self._search_from = evacuations.find_unlisted(self._evacuated, end)
         self._replica.reconcile_evacuations(self._evacuated, end)
 
     def _apply(self, record: Record) -> None:
--- a/src/baobabthread/routing/evacuations.py
+++ b/src/baobabthread/routing/evacuations.py
@@ -72,6 +72,29 @@
             and domain not in listed
         )
 
+    def find_unlisted(
+        self, listed: Collection[str], end: OperatorsPosition
+    ) -> OperatorsPosition | None:
+        """Return from where to look for ends that a listing of a new era leaves out.
+
+        A listing tells nothing of evacuations that it doesn't contain: the store may
+        have lost them, or may hold the record that ended them.
+        """
+        offsets = [
+            latest.number.offset + 1
+            for domain, latest in self._latest.items()
+            if latest.is_on
+            and self._eras[domain] != end.era
+            and latest.number.offset + 1 < end.offset
+            and domain not in listed
+        ]
+        return OperatorsPosition(end.era, min(offsets)) if offsets else None
+
+    def is_after(self, end: Evacuation) -> bool:
+        """Return whether a record lies behind the newest known one of its domain."""
+        latest = self._latest.get(end.failure_domain)
+        return latest is not None and end.number.offset > latest.number.offset
+
     def list(self) -> list[Evacuation]:
         """Return the newest record of each failure domain, including ended ones."""
         return list(self._latest.values())
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -440,6 +440,31 @@
     run(case())
 
 
+@pytest.mark.parametrize("lost", [0, 2])
+def test_end_an_evacuation_before_the_first_read_of_an_era(lost: int) -> None:
+    """All instances find the evacuation missing, which none of them saw end."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2@b", "p3@c") as site:
+            await site.add_instances(3)
+            await wait_members(site)
+            site.evacuate("b")
+            for version in range(2, 6):
+                site.configure(version)
+            await wait_version(site, 5)
+            site.store.fault = "busy"
+            await asyncio.sleep(0.8)
+            site.store.restore(lost={OPERATORS: lost})
+            site.end_evacuation("b")
+            site.store.fault = ""
+            for instance in site.instances:
+                await wait_for(
+                    lambda i=instance: not i.replica.evacuations.domains, WITHIN_S
+                )
+
+    run(case())
+
+
 def test_ignore_a_removed_server_that_the_copy_lists() -> None:
     """A server's record was removed in seconds that the copy lacks."""
 
