Keep the order of servers when one changes, and name the search for ends

The digest had a changed server removed and added again, which moved it to the end of the dictionary; nothing depends on that order by design, and it stays as it was now. Unit tests of the digest and of the search for ends that a listing leaves out, whose tests so far ran whole instances.

--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -308,19 +308,18 @@
             self._search_from = None
 
     async def _find_ends(self, start: OperatorsPosition) -> None:
-        """Apply the ends of evacuations that were written since the restore."""
+        """Apply the ends of evacuations that no listing of this era shows."""
         tail = await self._store.read(
             self._topic, start, wait_s=0.0, timeout_s=self._response_timeout_s
         )
         if isinstance(tail, Trimmed):
             return
+        evacuations = self._replica.evacuations
         for record in tail.records:
             if record.value:
                 continue
             found = self._formats.decode_operator_record(record)
-            if isinstance(found, Evacuation) and self._replica.evacuations.is_after(
-                found
-            ):
+            if isinstance(found, Evacuation) and evacuations.is_after(found):
                 self._apply_evacuation(found)
 
     def _apply_page(self, page: Page) -> None:
--- a/src/baobabthread/routing/evacuations.py
+++ b/src/baobabthread/routing/evacuations.py
@@ -91,7 +91,7 @@
         return OperatorsPosition(end.era, min(offsets)) if offsets else None
 
     def is_after(self, end: Evacuation) -> bool:
-        """Return whether a record lies behind the newest known one of its domain."""
+        """Return whether a record follows the newest one of its domain in the log."""
         latest = self._latest.get(end.failure_domain)
         return latest is not None and end.number.offset > latest.number.offset
 
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -301,17 +301,20 @@
             return False
         if not self._starts.record_start(record):
             return False
-        self._pop_backend(record.id)
+        self._toggle_in_digest(self.backends.get(record.id))
         self.backends[record.id] = record
-        self._backends_digest ^= _digest_start(record)
+        self._toggle_in_digest(record)
         self._record_backend_change(record.id)
         return True
 
     def _pop_backend(self, id: str) -> BackendRecord | None:
         record = self.backends.pop(id, None)
+        self._toggle_in_digest(record)
+        return record
+
+    def _toggle_in_digest(self, record: BackendRecord | None) -> None:
         if record is not None:
             self._backends_digest ^= _digest_start(record)
-        return record
 
     def digest_backends(self) -> int:
         """Return a digest of the backend servers' starts; 0 while some are in doubt."""
--- a/tests/routing/test_evacuations.py
+++ b/tests/routing/test_evacuations.py
@@ -68,3 +68,17 @@
     assert not evacuations.apply(make_record(2))
     assert not evacuations.apply(make_record(1, is_on=False))
     assert evacuations.apply(make_record(3, is_on=False))
+
+
+def test_look_for_ends_that_a_listing_of_a_new_era_leaves_out() -> None:
+    """An evacuation is missing from the listing: it was lost, or it has ended."""
+    evacuations = Evacuations()
+    for record in (make_record(4, "a"), make_record(7, "b"), make_record(9, "c")):
+        evacuations.apply(record)
+    end = OperatorsPosition(era=1, offset=9)
+    assert evacuations.find_unlisted({"a", "b", "c"}, end) is None
+    assert evacuations.find_unlisted({"a"}, end) == OperatorsPosition(1, 8)
+    assert evacuations.find_unlisted((), end) == OperatorsPosition(1, 5)
+    for offset, is_after in ((6, False), (8, True)):
+        found = Evacuation(offset=offset, era=1, failure_domain="b", is_on=False)
+        assert evacuations.is_after(found) is is_after
--- a/tests/routing/test_replica.py
+++ b/tests/routing/test_replica.py
@@ -349,3 +349,24 @@
         is_leaving = is_leaving or step in ("leaving", "told")
         record = replica.backends.get("b1")
         assert record is None or record.leaving is is_leaving
+
+
+def test_digest_backend_servers_regardless_of_their_history() -> None:
+    """Equal servers have one digest, whatever came and went before, or leaves."""
+    replica, peer = make_replica(), make_replica()
+    empty = replica.digest_backends()
+    for id in ("b1", "b2", "b3"):
+        replica.apply_backend(make_backend(id))
+    for id in ("b3", "b1"):
+        peer.apply_backend(make_backend(id, leaving=id == "b1"))
+    for each in (replica, peer):
+        each.record_backends_read(
+            end=BackendsPosition(offset=3), requested_at=9.0, now=9.0
+        )
+    assert replica.digest_backends() != peer.digest_backends()
+    replica.discard_backend("b2")
+    assert replica.digest_backends() == 0
+    replica.record_backends_read(
+        end=BackendsPosition(offset=3), requested_at=9.1, now=9.1
+    )
+    assert replica.digest_backends() == peer.digest_backends() != empty
