--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -397,7 +397,7 @@
 
     @property
     def _must_list(self) -> bool:
-        """Whether only all newest records tell which servers there are."""
+        """Whether the newest record of each server has to be read."""
         now_s = now() - self._replica_sync.read_delay_s
         return now_s >= self._reload_at or self._replica.must_list_backends(now_s)
 
