Review: streams that a leaving worker finishes are cut

The end of an answer without a length is only believed if its worker still listens. A worker that leaves stops listening and finishes what runs; what may not be repeated is cut for its caller after the last event.

--- a/review/trial/worker.py
+++ b/review/trial/worker.py
@@ -79,11 +79,15 @@
         self.address = f"{host}:{port}"
         return self
 
+    def stop_listening(self) -> None:
+        """Accept no more connections, and serve on on those that are open."""
+        if self._server is not None:
+            self._server.close()
+
     def stop(self, *, resets: bool = False) -> None:
         """End: stop listening and end all connections."""
         self.is_gone = True
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
         for writer in list(self._open):
             writer.transport.abort() if resets else writer.close()
 
@@ -103,6 +107,7 @@
                 self._note("run", self, request)
                 self.running += 1
                 work = asyncio.ensure_future(self._behave(self, request, writer))
+                work.add_done_callback(_ignore_failure)
                 try:
                     while not work.done():
                         await asyncio.wait({work}, timeout=0.01)
@@ -137,6 +142,12 @@
         return False
 
 
+def _ignore_failure(work: asyncio.Future[None]) -> None:
+    """Take note of how a request ended whose connection had gone."""
+    if not work.cancelled():
+        work.exception()
+
+
 async def _read_request(reader: asyncio.StreamReader) -> Request:
     head = (await reader.readuntil(HEAD_END)).decode()
     line, *fields = head.strip().split("\r\n")
