Log what instances believe of servers that go, and why calls to the store fail

An incident's record could not tell its hypotheses apart: an instance that follows a reader logged nothing of a server that was gone or leaves, no line said that records are kept in doubt, and a call to the store that timed out had an empty error, as an exception is true even without a text.

backend_gone and backend_leaving now come with their source at followers too, backends_in_doubt says when a doubt begins and how old the knowledge was.

--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -27,6 +27,7 @@
     CanaryVerdict,
 )
 from baobabthread.instance.clock import now
+from baobabthread.instance.peerchanges import log_backend_changes
 from baobabthread.instance.peersnapshots import KnownState, request_snapshot
 from baobabthread.instance.quarantine import (
     QUARANTINE_MESSAGES,
@@ -457,7 +458,8 @@
             return
         self._eras.observe(snapshot.operators_end.era, source=peer)
         revision = self._replica.revision
-        self._replica.merge(snapshot, requested_at=requested_at, now=now())
+        with log_backend_changes(self._replica, peer):
+            self._replica.merge(snapshot, requested_at=requested_at, now=now())
         log_event(
             "peer_asked",
             peer=peer,
--- a/src/baobabthread/instance/replicasync.py
+++ b/src/baobabthread/instance/replicasync.py
@@ -17,6 +17,7 @@
 
 from baobabthread.core.positions import BackendsPosition, OperatorsPosition
 from baobabthread.instance.clock import now
+from baobabthread.instance.peerchanges import log_backend_changes
 from baobabthread.instance.storeeras import EraTracker
 from baobabthread.logs import log_event
 from baobabthread.routing.bounds import RoutingBounds
@@ -467,13 +468,14 @@
             if not has_all_changes:
                 self._fetch(sender)
                 return
-            replica.apply_backend_changes(
-                reply.changed,
-                reply.gone,
-                end=reply.backends_end,
-                changed_at=reply.backends_changed_at,
-                now=now(),
-            )
+            with log_backend_changes(replica, sender):
+                replica.apply_backend_changes(
+                    reply.changed,
+                    reply.gone,
+                    end=reply.backends_end,
+                    changed_at=reply.backends_changed_at,
+                    now=now(),
+                )
         if queried_at is not None:
             replica.confirm_backends(
                 end=reply.backends_end, read_at=queried_at - reply.backends_age_s
--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -24,6 +24,7 @@
     StoreError,
     Trimmed,
 )
+from baobabthread.instance.storeeras import FROM_STORE
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import (
     BackendRecord,
@@ -55,6 +56,7 @@
 COPY_DOUBT_S = 2.5
 """Time for which a restored store's record of a removed server is ignored. By then a
 server that runs has written it again, and that of another one has lapsed."""
+MAX_LOGGED_AGE_S = 1e6
 MIN_RELOAD_LAG = 2
 """Number of records behind from which only the newest record of each key is read: of
 several large configurations only the last one matters, and reading all of them would
@@ -444,6 +446,7 @@
                 removed=is_removed,
                 offset=record.position.offset,
                 era=record.position.era,
+                source=FROM_STORE,
             )
             return
         backend = self._formats.decode_backend(record)
@@ -465,7 +468,17 @@
         self._apply_warmup(backend)
 
     def _begin_read(self, end: BackendsPosition, requested_at: float) -> None:
-        self._replica.begin_backends_read(end=end, requested_at=requested_at, now=now())
+        age_s = self._replica.backends_age(requested_at)
+        if self._replica.begin_backends_read(
+            end=end, requested_at=requested_at, now=now()
+        ):
+            log_event(
+                "backends_in_doubt",
+                age_ms=round(min(age_s, MAX_LOGGED_AGE_S) * 1000),
+                known=len(self._replica.backends),
+                offset=end.offset,
+                era=end.era,
+            )
 
     def _is_copied(self, record: Record) -> bool:
         """Return whether a record may be older than the store's last restore."""
--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -167,7 +167,8 @@
             response.finish()
             connection = None
         except (IncompleteResponseError, NotSentError, TimeoutError) as error:
-            raise StoreError(f"{path}: {error or 'response timed out'}") from error
+            reason = str(error) or "response timed out"
+            raise StoreError(f"{path}: {reason}") from error
         finally:
             if connection is not None:
                 self._pool.discard(connection)
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -234,11 +234,16 @@
 
     def begin_backends_read(
         self, *, end: BackendsPosition, requested_at: float, now: float
-    ) -> None:
-        """Keep servers whose records lapsed while the store was unavailable."""
+    ) -> bool:
+        """Keep servers whose records lapsed while the store was unavailable.
+
+        Return whether records may have lapsed.
+        """
         is_outage = requested_at - self._backends_read_at > STORE_OUTAGE_GAP_S
         if is_outage or end.era != self.backends_end.era:
             self._begin_grace(now)
+            return True
+        return False
 
     def _begin_grace(self, now: float) -> None:
         """Keep servers without a record, also those that were missing before."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -70,3 +70,18 @@
         fake.close()
 
     run(case())
+
+
+def test_name_the_reason_of_a_call_that_timed_out() -> None:
+    """The error of a call without a response named its path and nothing else."""
+
+    async def case() -> None:
+        fake = await FakeStore().start()
+        store = PlatformStore(address=fake.address, connect_s=0.3)
+        fake.fault = "silent"
+        with pytest.raises(StoreError, match="/-/log-newest: response timed out"):
+            await store.newest(OPERATORS, 0.1)
+        store.close()
+        fake.close()
+
+    run(case())
