--- a/tests/platform/fakestore.py
+++ b/tests/platform/fakestore.py
@@ -8,6 +8,7 @@
 import json
 import struct
 import time
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
@@ -41,6 +42,10 @@
         """One of busy, silent, lost, trickle; empty for none."""
         self.pause_s = 0.0
         """Time that it takes before each response."""
+        self.silent_reads: Counter[str] = Counter()
+        """Number of reads by topic that get no response, from now on."""
+        self.reads: Counter[str] = Counter()
+        """Number of reads answered by topic."""
         self.calls: list[str] = []
         self.era: int | str | None = 1
         """Value of the field that names the era; None to send none."""
@@ -125,6 +130,9 @@
         if self.fault == "busy":
             return self._add_era(web.Response(status=503))
         query = request.query
+        if request.method == "GET" and self.silent_reads[query["topic"]]:
+            self.silent_reads[query["topic"]] -= 1
+            await asyncio.sleep(30)
         if request.path == "/-/log-newest":
             response = self._serve_newest(query["topic"])
         elif request.path == "/-/log-read":
@@ -133,6 +141,7 @@
             appended = await self._serve_append(query, await request.read())
             return self._add_era(appended)
         self._add_era(response)
+        self.reads[query["topic"]] += 1
         if self.fault == "trickle":
             return await self._trickle(request, response)
         return response
