Take only failed calls, not a gap in own reads, for an outage of the store

Callers' requests reached servers up to 5.45 s after a sound store had removed their records; 2.0 s are allowed.

Cause: records of running servers lapse while the store is away, so an instance kept servers whose records were gone for 2.2 s and until the next listing, and it took each gap of 1.5 s in what it had read for such an outage: its start, a standstill of its loop, a lost response. A reader withholds a removal while it is in doubt, so the doubt of one reader that started again became the use of all. The first era that an instance learns of did the same at each start. The class: the age of one's own knowledge taken for the state of its source.

Tests that let the clock jump to play an outage now also let a call fail: with the gap alone they described the fault. Their assertions are unchanged.

--- a/src/baobabthread/instance/store.py
+++ b/src/baobabthread/instance/store.py
@@ -21,6 +21,11 @@
 class StoreError(Exception):
     """A store call got no usable response; it may have taken effect."""
 
+    def __init__(self, message: str, *, is_refused: bool = False) -> None:
+        super().__init__(message)
+        self.is_refused = is_refused
+        """Whether the store itself answered that it can't serve the call."""
+
 
 class Record(msgspec.Struct, frozen=True, kw_only=True):
     """One keyed record; an empty value deletes the key."""
--- a/src/baobabthread/instance/topicreaders.py
+++ b/src/baobabthread/instance/topicreaders.py
@@ -34,6 +34,7 @@
 )
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.servers.warmup import MAX_WARMUP_S
+from baobabthread.routing.storeoutages import FailedCall
 
 RESPONSE_TIMEOUT_S = 0.8
 """Response timeout, in addition to the time that the store may hold a long poll."""
@@ -101,12 +102,13 @@
             if not self._must_read:
                 await asyncio.sleep(POLL_INTERVAL_S)
                 continue
+            started_at = now()
             try:
                 await self._step()
                 self._record_success()
                 await self._wait()
             except StoreError as error:
-                self._record_failure(error)
+                self._record_failure(error, started_at)
                 await self._query_peer()
                 await asyncio.sleep(self._choose_backoff())
 
@@ -238,7 +240,12 @@
             log_event("store_regained", topic=self._topic, failures=self._failures)
         self._failures = 0
 
-    def _record_failure(self, error: StoreError) -> None:
+    def _record_failure(self, error: StoreError, started_at: float) -> None:
+        self._replica.outages.record_failure(
+            FailedCall(
+                topic=self._topic, requested_at=started_at, is_refused=error.is_refused
+            )
+        )
         self._metrics.store_calls.labels(topic=self._topic, outcome="failed").inc()
         if not self._failures:
             log_event(
--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -216,7 +216,7 @@
 
 def _expect_ok(response: _StoreResponse) -> bytes:
     if response.status != 200:
-        raise StoreError(f"unexpected status {response.status}")
+        raise StoreError(f"unexpected status {response.status}", is_refused=True)
     return response.body
 
 
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -36,6 +36,7 @@
 from baobabthread.routing.servers.starts import NewestStarts
 from baobabthread.routing.servers.warmup import ColdServers
 from baobabthread.routing.snapshots import BackendChanges, Snapshot
+from baobabthread.routing.storeoutages import StoreOutages
 from baobabthread.routing.table import RoutingTable
 
 NEVER_S = 1e9
@@ -50,9 +51,9 @@
 LAPSED_RECORD_GRACE_S = 2.2
 """Time after an outage of the store within which records that lapsed during the outage
 are expected to reappear."""
-STORE_OUTAGE_GAP_S = 1.5
-"""Gap between two reads of the backend server records from which on the store is taken
-to have been unavailable."""
+MIN_OUTAGE_S = 1.5
+"""Age of the backend server records from which on an outage of the store since then may
+have let some of them lapse."""
 
 
 class StateReplica:
@@ -83,6 +84,7 @@
         "list_backends_at",
         "on_update",
         "operators_end",
+        "outages",
         "revision",
         "table",
     )
@@ -119,6 +121,8 @@
         self._starts = NewestStarts()
         self._departures = Departures()
         self._grace_until = 0.0
+        self.outages = StoreOutages()
+        """Failures of this instance's calls to the store."""
         self.is_compared = True
         """Whether the peers that serve are known to have no newer configuration."""
         self._digest: tuple[int, int] | None = None
@@ -229,8 +233,12 @@
     # -- backend servers --
 
     def begin_era(self, now: float) -> None:
-        """Keep servers whose records are missing from a restored store for a while."""
-        self._begin_grace(now)
+        """Keep servers whose records are missing from a restored store for a while.
+
+        The first era that an instance learns of at its start restores nothing.
+        """
+        if self._has_read_backends:
+            self._begin_grace(now)
 
     def begin_backends_read(
         self, *, end: BackendsPosition, requested_at: float, now: float
@@ -239,11 +247,16 @@
 
         Return whether records may have lapsed.
         """
-        is_outage = requested_at - self._backends_read_at > STORE_OUTAGE_GAP_S
-        if is_outage or end.era != self.backends_end.era:
+        is_restored = self._has_read_backends and end.era != self.backends_end.era
+        is_old = requested_at - self._backends_read_at > MIN_OUTAGE_S
+        is_outage = is_old and self.outages.has_outage_since(self._backends_read_at)
+        if is_restored or is_outage:
             self._begin_grace(now)
-            return True
-        return False
+        return is_restored or is_outage
+
+    @property
+    def _has_read_backends(self) -> bool:
+        return self._backends_read_at > -NEVER_S
 
     def _begin_grace(self, now: float) -> None:
         """Keep servers without a record, also those that were missing before."""
@@ -490,7 +503,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether both the configuration and the backend servers are known."""
-        has_read = self.table is not None and self._backends_read_at > -NEVER_S
+        has_read = self.table is not None and self._has_read_backends
         return has_read and self.is_compared
 
     def is_fresh(self, now: float) -> bool:
--- a/tests/instance/test_replicasync.py
+++ b/tests/instance/test_replicasync.py
@@ -18,9 +18,10 @@
 from baobabthread.routing.readers import ReaderAssignment
 from baobabthread.routing.replica import (
     LAPSED_RECORD_GRACE_S,
-    STORE_OUTAGE_GAP_S,
+    MIN_OUTAGE_S,
     StateReplica,
 )
+from baobabthread.routing.storeoutages import FailedCall
 
 NAMES = ["i1", "i2", "i3", "i4", "i5", "i6"]
 
@@ -63,6 +64,11 @@
             end=BackendsPosition(offset=end), requested_at=at, now=at
         )
 
+    def refuse_call(self, at: float) -> None:
+        """Let the store refuse a call of this instance."""
+        call = FailedCall(topic="servers", requested_at=at, is_refused=True)
+        self.replica.outages.record_failure(call)
+
 
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
@@ -304,7 +310,7 @@
 
 @pytest.mark.parametrize("by_snapshot", [False, True])
 def test_pass_on_a_delayed_removal(clock: Clock, by_snapshot: bool) -> None:
-    """A server crashes and its record lapses while the reader's reads are slow.
+    """A server crashes and its record lapses while the store is away.
 
     The reader keeps the server for two seconds, since records also lapse when the store
     is unavailable, and reports the end that it has read. If the later removal counted
@@ -317,7 +323,8 @@
         change_backend(each, 1)
         change_backend(each, 2)
         each.read(5, clock.time)
-    clock.time += STORE_OUTAGE_GAP_S + 0.5
+    reader.refuse_call(clock.time + 0.5)
+    clock.time += MIN_OUTAGE_S + 0.5
     reader.read(5, clock.time)
     reader.replica.remove_backend("b2", clock.time)
     reader.read(7, clock.time)
@@ -367,7 +374,8 @@
         change_backend(each, 1)
         change_backend(each, 2)
         each.read(5, clock.time)
-    clock.time += STORE_OUTAGE_GAP_S + 0.5
+    reader.refuse_call(clock.time + 0.5)
+    clock.time += MIN_OUTAGE_S + 0.5
     reader.read(5, clock.time)
     reader.replica.remove_backend("b2", clock.time)
     change_backend(reader, 1, leaving=True)
--- a/tests/routing/test_replica.py
+++ b/tests/routing/test_replica.py
@@ -14,7 +14,12 @@
     RolloutOrder,
     RoutingConfiguration,
 )
-from baobabthread.routing.replica import LAPSED_RECORD_GRACE_S, StateReplica
+from baobabthread.routing.replica import (
+    LAPSED_RECORD_GRACE_S,
+    MIN_OUTAGE_S,
+    StateReplica,
+)
+from baobabthread.routing.storeoutages import FailedCall
 
 BOUNDS = RoutingBounds(revocation_s=5.0)
 
@@ -116,6 +121,12 @@
     assert replica.backends["b1"].leaving
 
 
+def refuse_call(replica: StateReplica, at: float) -> None:
+    """Let the store refuse a call of this instance."""
+    call = FailedCall(topic="servers", requested_at=at, is_refused=True)
+    replica.outages.record_failure(call)
+
+
 def test_remove_backend_server_at_once_while_store_is_available() -> None:
     replica = make_replica()
     for read_at in (0.0, 1.0, 2.0, 3.0, 4.0):
@@ -139,6 +150,7 @@
     replica.record_backends_read(
         end=BackendsPosition(offset=1), requested_at=0.0, now=0.0
     )
+    refuse_call(replica, 1.0)
     replica.record_backends_read(
         end=BackendsPosition(offset=4), requested_at=10.0, now=10.0
     )
@@ -150,12 +162,51 @@
     assert set(replica.backends) == {"b2"}
 
 
+@pytest.mark.parametrize("gap_s", [0.5, MIN_OUTAGE_S + 0.1, 5.0])
+def test_a_gap_in_own_reads_delays_no_removal(gap_s: float) -> None:
+    """An instance that stood still, or whose reader ended, kept removed servers."""
+    replica = make_replica()
+    replica.apply_backend(make_backend("b1"))
+    replica.apply_backend(make_backend("b2"))
+    for read_at in (10.0, 10.5, 10.5 + gap_s):
+        replica.begin_backends_read(
+            end=BackendsPosition(offset=1), requested_at=read_at, now=read_at
+        )
+        replica.record_backends_read(
+            end=BackendsPosition(offset=1), requested_at=read_at, now=read_at
+        )
+    assert replica.record_missing("b1", 10.5 + gap_s)
+    replica.remove_backend("b2", 10.5 + gap_s)
+    assert not replica.backends
+
+
+def test_a_first_read_delays_no_removal() -> None:
+    """An instance that had just started kept servers that were removed since."""
+    replica = make_replica()
+    end = BackendsPosition(era=7, offset=1)
+    replica.begin_era(10.0)
+    replica.begin_backends_read(end=end, requested_at=10.0, now=10.0)
+    replica.apply_backend(make_backend("b1"))
+    replica.record_backends_read(end=end, requested_at=10.0, now=10.0)
+    assert replica.record_missing("b1", 10.1)
+
+
+def test_a_failure_before_the_last_read_is_no_outage() -> None:
+    """The store had refused a call, and has been read since."""
+    replica = make_replica()
+    refuse_call(replica, 9.0)
+    end = BackendsPosition(offset=1)
+    replica.record_backends_read(end=end, requested_at=10.0, now=10.0)
+    assert not replica.begin_backends_read(end=end, requested_at=12.0, now=12.0)
+
+
 def test_settle_missing_backend_servers_by_a_later_listing_only() -> None:
     """A record returns unseen by an instance that doesn't follow the store."""
     replica = make_replica()
     replica.apply_backend(make_backend("b1"))
     replica.apply_backend(make_backend("b2"))
     end = BackendsPosition(offset=4)
+    refuse_call(replica, 8.0)
     replica.begin_backends_read(end=end, requested_at=10.0, now=10.0)
     assert not replica.record_missing("b1", 10.0)
     assert not replica.record_missing("b2", 10.0)
@@ -175,6 +226,7 @@
     replica = make_replica()
     replica.apply_backend(make_backend("b1"))
     replica.apply_backend(make_backend("b2"))
+    replica.record_backends_read(end=BackendsPosition(), requested_at=9.5, now=9.5)
     end = BackendsPosition(era=1)
     replica.begin_backends_read(end=end, requested_at=10.0, now=10.0)
     replica.record_missing("b1", 10.0)
