Write no request to a server whose record was removed while it waited

A request that had chosen a server and waited (for a connection, a permit or a place) was written after the server's removal was known: the last check before the write asked only whether the server had said that it leaves. A server that isn't listed any more is an obstacle like the others, and the request goes to another server.

--- a/src/baobabthread/instance/servers/backends.py
+++ b/src/baobabthread/instance/servers/backends.py
@@ -483,6 +483,8 @@
 
     def find_obstacle(self, name: str) -> Obstacle | None:
         """Return why a server must get no new request, None if it may."""
+        if not self._replica.is_listed(name):
+            return Obstacle.GONE
         if self._replica.is_departing(name):
             return Obstacle.LEAVING
         return Obstacle.RESTING if self._restrictions.is_resting(name, now()) else None
--- a/src/baobabthread/instance/servers/connections.py
+++ b/src/baobabthread/instance/servers/connections.py
@@ -71,6 +71,8 @@
 class Obstacle(enum.StrEnum):
     """Reason to send a backend server no new request now."""
 
+    GONE = "gone"
+    """Its record was removed."""
     LEAVING = "leaving"
     RESTING = "resting"
 
--- a/src/baobabthread/instance/servers/relay.py
+++ b/src/baobabthread/instance/servers/relay.py
@@ -59,6 +59,7 @@
 
 
 STATUS_BY_OBSTACLE = {
+    Obstacle.GONE: RelayStatus.FORBIDDEN,
     Obstacle.LEAVING: RelayStatus.LEAVING,
     Obstacle.RESTING: RelayStatus.RESTING,
 }
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -67,6 +67,7 @@
         "_departures",
         "_digest",
         "_grace_until",
+        "_incarnations",
         "_lapsed_until",
         "_last_settled_end",
         "_last_state",
@@ -98,6 +99,8 @@
         self.evacuations = Evacuations()
         self.cold_servers = ColdServers()
         self.backends: dict[str, BackendRecord] = {}
+        self._incarnations: set[str] = set()
+        """Incarnations of the servers in use."""
         self._backends_digest = EMPTY_DIGEST
         self.list_backends_at = math.inf
         """When to list the store's backend servers, as a peer knows other ones."""
@@ -319,8 +322,12 @@
             return False
         if not self._starts.record_start(record):
             return False
-        self._toggle_in_digest(self.backends.get(record.id))
+        current = self.backends.get(record.id)
+        if current is not None:
+            self._incarnations.discard(current.incarnation)
+        self._toggle_in_digest(current)
         self.backends[record.id] = record
+        self._incarnations.add(record.incarnation)
         self._toggle_in_digest(record)
         self._record_backend_change(record.id)
         return True
@@ -328,6 +335,8 @@
     def _pop_backend(self, id: str) -> BackendRecord | None:
         record = self.backends.pop(id, None)
         self._toggle_in_digest(record)
+        if record is not None:
+            self._incarnations.discard(record.incarnation)
         return record
 
     def _toggle_in_digest(self, record: BackendRecord | None) -> None:
@@ -360,6 +369,10 @@
                 break
         return True
 
+    def is_listed(self, name: str) -> bool:
+        """Return whether a server is in use, by its incarnation."""
+        return name in self._incarnations
+
     def is_departing(self, name: str) -> bool:
         """Return whether a server is known to leave, by its incarnation."""
         return name in self._departures
--- a/tests/instance/test_relay.py
+++ b/tests/instance/test_relay.py
@@ -154,6 +154,7 @@
 @pytest.mark.parametrize(
     ("obstacle", "status"),
     [
+        (Obstacle.GONE, RelayStatus.FORBIDDEN),
         (Obstacle.LEAVING, RelayStatus.LEAVING),
         (Obstacle.RESTING, RelayStatus.RESTING),
     ],
--- a/tests/platform/test_removals.py
+++ b/tests/platform/test_removals.py
@@ -14,7 +14,14 @@
 
 from baobabthread.routing.bounds import RoutingBounds
 from tests.platform.fakestore import BACKENDS
-from tests.platform.site import Site, open_site, run, wait_for
+from tests.platform.site import (
+    Site,
+    delay_connections,
+    open_site,
+    run,
+    wait_for,
+    withhold_calls,
+)
 
 DRAIN_S = RoutingBounds().drain_s
 AFTER_READ_S = 0.05
@@ -165,3 +172,17 @@
             await check_removal(site, removed_at)
 
     run(case())
+
+
+def test_write_no_request_that_waited_past_a_removal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A record is removed while connections for requests are being opened."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            replica = site.instances[0].replica
+            delay_connections(monkeypatch, 0.2)
+            await withhold_calls(site, lambda: replica.record_missing("p1", 1e9))
+
+    run(case())
