Judge in the soak what reaches servers whose records were withdrawn

The soak judged departures by the servers' answers only: no promise looked at requests after a record said that its server leaves, or was removed.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,7 +33,8 @@
 from soak.proxies import Mode, Proxy
 from soak.rejections import LONGEST_S, REJECTS, reject_all
 from soak.restores import OLDEST_S, RESTORED, restore_store, write_again
-from soak.site import COLD_S, ENGINE, PLAIN, Backend, Site
+from soak.site import COLD_S, ENGINE, LEAVING, PLAIN, Backend, Site
+from soak.withdrawals import WITHDRAWN, withdraw_record
 
 SHORT_S = 0.4
 LONG_S = 2.5
@@ -247,7 +248,7 @@
         return
     with site.note("configuration: backend leaves"):
         await site.add_backend(backend.fake.service)
-        site.publish_backend(backend, state="draining", seq=2)
+        site.publish_backend(backend, state=LEAVING, seq=2)
         await asyncio.sleep(LEAVE_S)
         with site.note("backend gone"):
             backend.troubles += 1
@@ -255,6 +256,14 @@
             await asyncio.sleep(0.8)
 
 
+@FAULTS.register(WITHDRAWN)
+async def withdraw_one(site: Site) -> None:
+    """Remove the record of one backend server without a word; it serves on."""
+    backend = site.pick_backend()
+    if backend is not None:
+        await withdraw_record(site, backend)
+
+
 @FAULTS.register("backend crashes")
 async def crash_backend(site: Site) -> None:
     """Lose one backend server without a word; its record lapses later."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -156,6 +156,13 @@
     to_s: float = math.inf
 
 
+class Withdrawal(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold when the store had taken in that a server leaves or is gone."""
+
+    backend: str
+    at: float
+
+
 class History(msgspec.Struct, kw_only=True):
     """Hold all that happened in one run."""
 
@@ -174,6 +181,7 @@
     brittle: list[Brittle] = []
     rejecting: list[Rejecting] = []
     crowded: list[Crowded] = []
+    withdrawals: list[Withdrawal] = []
     endless: list[EndlessResponse] = []
     peak_mb: dict[int, float] = {}
     """Most memory that instances took, as seen after such responses."""
--- a/soak/site.py
+++ b/soak/site.py
@@ -20,7 +20,17 @@
 from tests.platform.site import TIME_LIMIT_MS, make_configuration, route
 
 from baobabthread.standins.loopback import claim_network
-from soak.history import Brittle, Evacuated, Fault, History, Homes, Kind, Run, now
+from soak.history import (
+    Brittle,
+    Evacuated,
+    Fault,
+    History,
+    Homes,
+    Kind,
+    Run,
+    Withdrawal,
+    now,
+)
 from soak.instances import (
     APPLY_S,
     AREAS,
@@ -42,6 +52,8 @@
 EVENTS = 8
 EVENT_PAUSE_S = 0.02
 WORK_S = 0.02
+LEAVING = "draining"
+"""State of a record whose server leaves."""
 PLAIN = "plain"
 ENGINE = "engine"
 
@@ -355,6 +367,17 @@
         elif backend.fake.service in self._narrow:
             record["slots"] = NARROW_SLOTS
         self.store.put(BACKENDS, backend.fake.id, record)
+        if record["state"] == LEAVING:
+            self._note_withdrawal(backend)
+
+    def withdraw_record(self, backend: Backend) -> None:
+        """Remove the record of a server that serves on."""
+        self.store.put(BACKENDS, backend.fake.id, b"")
+        self._note_withdrawal(backend)
+
+    def _note_withdrawal(self, backend: Backend) -> None:
+        word = Withdrawal(backend=backend.fake.id, at=now())
+        self.history.withdrawals.append(word)
 
     def is_changed(self, service: str) -> bool:
         """Tell whether the servers of a service are brittle or narrow now."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -20,6 +20,7 @@
     Kind,
     Rejecting,
     Run,
+    Withdrawal,
 )
 from soak.notices import DRAIN_S
 from soak.parts import CRASHING_PART
@@ -136,6 +137,38 @@
     return make_history(calls, runs, **more)
 
 
+def make_withdrawn(*, after_s: float, **more: Any) -> History:
+    """Return a history in which a server gets a request after its record is gone."""
+    word = Withdrawal(backend="p1", at=50.0)
+    call = make_call(sent_at=49.0 + after_s, ended_at=51.0 + after_s)
+    run = make_run(at=50.0 + after_s)
+    return make_history([call], [run], withdrawals=[word], **more)
+
+
+def test_excuse_requests_just_after_a_record_is_withdrawn() -> None:
+    assert "withdrawn records" not in find(make_withdrawn(after_s=DRAIN_S))
+
+
+@pytest.mark.parametrize(
+    ("fault", "instance", "ended_at", "is_excused"),
+    [
+        ("store busy", None, 47.5, True),
+        ("store busy", None, 46.5, False),
+        ("term", 0, 49.5, True),
+        ("term", 0, 48.5, False),
+        ("term", 1, 51.0, False),
+        ("backend gone", None, 51.0, False),
+    ],
+)
+def test_excuse_only_instances_out_of_touch_after_a_withdrawal(
+    fault: str, instance: int | None, ended_at: float, is_excused: bool
+) -> None:
+    """A fault of the store or of the instance lasts until shortly before."""
+    faults = [Fault(name=fault, began_at=46.0, ended_at=ended_at, instance=instance)]
+    broken = find(make_withdrawn(after_s=2.1, faults=faults))
+    assert ("withdrawn records" not in broken) is is_excused
+
+
 def make_rest(count: int, **more: Any) -> History:
     """Return a history in which a server asks for rest and gets requests in it."""
     ids = [f"r{n}" for n in range(count)]
@@ -257,6 +290,7 @@
         make_crowded(overrun=int(MAX_OVERRUN * MIN_COMPARED) + 1),
     ),
     ("departures told", make_told(sent_at=50.2 + DRAIN_S)),
+    ("withdrawn records", make_withdrawn(after_s=DRAIN_S + 0.1)),
     ("rests", make_rest(3)),
     ("partitions", make_partitioned(served=20)),
     (
