Judge a canary by what its callers get, to the end

Callers of a new version got truncated answers (half of them, 502 for calls that may run once), or streams whose events came six times slower; the version was promoted and kept.

Cause: an attempt was evidence once the head of its response was in, and one that ended before its head was none. The class: a response judged by its beginning.

Now a plain response counts with its whole body, a stream's latency with its first event, its end as an aspect of its own (endings), and the gaps between its events as another (pace, without the longest gap and without the time that a slow caller takes). A response that is broken off counts only if the server is found to live on, isn't leaving, and no other one broke off in the last 0.25 s here: a crash, a stop or a reset of a link is no evidence against a version. One that is lost on a kept connection before its head tells nothing either.

Instances of the code before can't read the new aspects: finish roll-outs before instances are replaced, as for eras.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -11,12 +11,14 @@
 from baobabthread.core.limits.limits import Outcome
 from baobabthread.instance.clock import now
 from baobabthread.instance.context import RequestContext
+from baobabthread.instance.observations import AttemptObservation
 from baobabthread.instance.servers.backends import BackendLink
 from baobabthread.instance.servers.connections import (
     Connection,
     ConnectionLostError,
     IncompleteResponseError,
     Listening,
+    MemoryShortageError,
     NotSentError,
     Response,
     WithheldError,
@@ -121,6 +123,7 @@
         "_response",
         "context",
         "link",
+        "observation",
         "sent_at",
         "silence_timeout_s",
     )
@@ -130,6 +133,7 @@
         *,
         context: RequestContext,
         link: BackendLink,
+        observation: AttemptObservation,
         usual_first_s: float,
         event_timeout_s: float,
         may_give_up: Callable[[], bool],
@@ -138,6 +142,7 @@
         self._event_timeout_s = event_timeout_s
         self.context = context
         self.link = link
+        self.observation = observation
         self.sent_at = now()
         min_timeout_s = (
             ENGINE_SILENCE_TIMEOUT_S
@@ -235,6 +240,18 @@
         if listening is not Listening.YES or self.link.is_replaced:
             raise ConnectionLostError("response ended without a length, server gone")
 
+    def was_broken_off(self, error: Exception) -> bool:
+        """Return whether a server, not this instance, ended a response too early.
+
+        A kept connection may be closed as a request is sent on it.
+        """
+        connection = self._connection
+        if connection is None or isinstance(error, MemoryShortageError):
+            return False
+        if not isinstance(error, IncompleteResponseError):
+            return False
+        return self._response is not None or connection.request_count == 1
+
     def finish(self) -> None:
         """Release the connection after the whole body was read."""
         assert self._response is not None
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -25,6 +25,7 @@
     ErrorResponses,
 )
 from baobabthread.instance.estimates import Estimates
+from baobabthread.instance.observations import AttemptObservation, BreakChecks
 from baobabthread.instance.quarantine import QuarantineCoordinator
 from baobabthread.instance.requestlog import RequestLog
 from baobabthread.instance.responses import ResponseForwarder
@@ -135,6 +136,7 @@
             log=log,
             rng=rng,
         )
+        self._breaks = BreakChecks()
         self._idle: asyncio.Event | None = None
         self._is_shutting_down = False
         """Whether requests in flight are being aborted."""
@@ -185,6 +187,7 @@
         for task in list(self._running):
             task.cancel()
         await self.wait_idle(FINAL_RESPONSE_TIMEOUT_S)
+        self._breaks.close()
 
     async def _serve(self, context: RequestContext) -> None:
         try:
@@ -291,9 +294,11 @@
         self, context: RequestContext, state: ServiceState, link: BackendLink
     ) -> None:
         """Run one attempt; raise `RetryRequested` if another one is to follow."""
+        observation = self._start_observation(context, state)
         attempt = Attempt(
             context=context,
             link=link,
+            observation=observation,
             usual_first_s=self._estimates.first_s(context),
             event_timeout_s=self._estimates.event_timeout_s(context),
             may_give_up=lambda: self._may_give_up(context, state, link),
@@ -315,11 +320,10 @@
         self._crashes.enter(active_request, link)
         departure = Departure.CANCELLED
         outcome = Outcome.CANCELLED
-        analysis = state.plan.analysis
-        ticket = self._start_observation(context, state)
         try:
             head = await attempt.open(self._wire)
-            analysis.finish_attempt(ticket, failed=head.is_failure, now=now())
+            if head.is_failure:
+                observation.record_answer(failed=True)
             active_request.record_begin()
             occupancy.begin(head.latency_s)
             if prompt is not None:
@@ -330,6 +334,8 @@
             outcome = Outcome.FAILED if head.is_failure else Outcome.OK
             departure = Departure.ANSWERED if head.is_success else Departure.FAILED
         except RetryRequested as retry:
+            # The response of a smaller model is dropped though its server is sound.
+            observation.record_answer(failed=False)
             outcome = retry.outcome
             raise
         except (
@@ -341,7 +347,10 @@
             outcome = classify_outcome(error)
             departure = _find_departure(error)
             if isinstance(error, SilenceTimeoutError | TimeoutError):
-                analysis.finish_attempt(ticket, failed=None, now=now())
+                observation.record_answer(failed=None)
+            elif attempt.was_broken_off(error):
+                in_stream = context.route.is_stream and context.reply.has_begun
+                self._breaks.start(observation, link, in_stream=in_stream)
             if _is_unavailable(error):
                 reading_end = ReadingEnd.SILENT
             context.timeline.append(f"{link.record.id}:{str(error) or 'timeout'}")
@@ -351,7 +360,7 @@
             await self._retry_or_fail(context, state, link, error)
         finally:
             attempt.abort()
-            analysis.cancel_attempt(ticket)
+            observation.close()
             self._crashes.leave(active_request, link, departure)
             occupancy.end(outcome, now() - attempt.sent_at)
             if prompt is not None:
@@ -362,20 +371,21 @@
                 state.plan.record_old_ended(context.session, now())
             self._report_session_use(context, state)
 
-    def _start_observation(self, context: RequestContext, state: ServiceState) -> int:
+    def _start_observation(
+        self, context: RequestContext, state: ServiceState
+    ) -> AttemptObservation:
         """Record an attempt for the analysis of a canary version.
 
         Without a roll-out it contributes to the usual latency of the current version.
         """
-        return state.plan.analysis.start_attempt(
-            SentAttempt(
-                is_canary=bool(context.on_new_version) and state.plan.is_running,
-                call=context.route.name,
-                kind=f"{context.route.name}/{context.model_name}",
-                at=now(),
-                expected_s=self._estimates.unloaded_first_s(context),
-            )
+        sent = SentAttempt(
+            is_canary=bool(context.on_new_version) and state.plan.is_running,
+            call=context.route.name,
+            kind=f"{context.route.name}/{context.model_name}",
+            at=now(),
+            expected_s=self._estimates.unloaded_first_s(context),
         )
+        return AttemptObservation(analysis=state.plan.analysis, sent=sent)
 
     def _report_session_use(self, context: RequestContext, state: ServiceState) -> None:
         """Report the version that a request uses to the owners of its session."""
--- a/src/baobabthread/instance/responses.py
+++ b/src/baobabthread/instance/responses.py
@@ -93,6 +93,7 @@
             await self._stream(context, attempt, head)
             return
         body = await attempt.read_body(MAX_RESPONSE_BYTES)
+        attempt.observation.record_answer(failed=False)
         if head.is_success:
             self._estimates.observe_response(context, now() - attempt.sent_at)
         await self._forward(context, attempt, head, body)
@@ -208,7 +209,12 @@
             await reply.begin(head.status, headers)
         splitter = EventSplitter(last_forwarded_id=context.last_event)
         first_at = now()
+        observation = attempt.observation
+        has_begun = False
         while chunk := await self._read_stream_chunk(context, attempt):
+            if not has_begun:
+                has_begun = True
+                observation.begin_stream()
             events = _split(splitter, chunk, context.request.held)
             if events.data:
                 await reply.write(events.data)
@@ -218,6 +224,7 @@
             raise _find_break(attempt)
         await attempt.confirm_end()
         attempt.finish()
+        observation.end_stream()
         self._estimates.observe_stream(context, head.latency_s, now() - first_at)
         self._log.record_response(context, attempt.link.record, head.status)
         await reply.finish()
@@ -227,10 +234,14 @@
     ) -> bytes:
         """Return the next bytes of a stream, and record how long they took."""
         started_at = now()
+        attempt.observation.begin_wait()
         try:
-            return await attempt.read_chunk()
+            chunk = await attempt.read_chunk()
         finally:
             self._estimates.observe_event_gap(context, now() - started_at)
+        if chunk:
+            attempt.observation.record_event()
+        return chunk
 
 
 def _split(splitter: EventSplitter, chunk: bytes, held: HeldBytes) -> CompleteEvents:
--- a/src/baobabthread/routing/canary.py
+++ b/src/baobabthread/routing/canary.py
@@ -10,9 +10,12 @@
 
 from baobabthread.core.positions import OperatorsPosition
 from baobabthread.core.rollouts.wealth import Wealth
+from baobabthread.routing.streampace import StreamPace
 
 SLOW_FACTOR = 2.0
 """Multiple of the old version's usual latency above which a response is slow."""
+SLOW_PACE_FACTOR = 3.0
+"""The same for the gaps between a stream's events, which grow with a server's load."""
 MIN_SLOW_EXCESS_S = 0.02
 """Excess over the usual latency up to which no response is slow. A server's first
 response includes connecting, which callers do not notice."""
@@ -43,16 +46,42 @@
 
     ERRORS = "errors"
     LATENCY = "latency"
-
-
-TOLERANCES = {CanaryMetric.ERRORS: 0.05, CanaryMetric.LATENCY: 0.03}
+    ENDINGS = "endings"
+    """Streams that their server broke off."""
+    PACE = "pace"
+    """Streams whose events arrive slowly."""
+
+
+GRADUAL_METRICS = frozenset({CanaryMetric.LATENCY, CanaryMetric.PACE})
+"""Metrics that depend on load as well as on the version."""
+TOLERANCES = {
+    CanaryMetric.ERRORS: 0.05,
+    CanaryMetric.LATENCY: 0.03,
+    CanaryMetric.ENDINGS: 0.05,
+    CanaryMetric.PACE: 0.03,
+}
 """Tolerated excess over the old version's rate of bad responses, for the bets."""
-PROMOTION_MARGINS = {CanaryMetric.ERRORS: 0.03, CanaryMetric.LATENCY: 0.04}
+PROMOTION_MARGINS = {
+    CanaryMetric.ERRORS: 0.03,
+    CanaryMetric.LATENCY: 0.04,
+    CanaryMetric.ENDINGS: 0.03,
+    CanaryMetric.PACE: 0.04,
+}
 """Tolerated excess when the promotion of a canary is decided."""
-FINAL_MARGINS = {CanaryMetric.ERRORS: 0.0, CanaryMetric.LATENCY: 0.12}
+FINAL_MARGINS = {
+    CanaryMetric.ERRORS: 0.0,
+    CanaryMetric.LATENCY: 0.12,
+    CanaryMetric.PACE: 0.12,
+}
 """Additional excess in the final phase, in which all servers of the version take part:
-those that received no canary traffic have no prompts cached."""
-BAD_RATE_LIFTS = {CanaryMetric.ERRORS: (0.08, 0.25), CanaryMetric.LATENCY: (0.2, 0.4)}
+those that received no canary traffic have no prompts cached. Metrics that are missing
+are judged by all responses only."""
+BAD_RATE_LIFTS = {
+    CanaryMetric.ERRORS: (0.08, 0.25),
+    CanaryMetric.LATENCY: (0.2, 0.4),
+    CanaryMetric.ENDINGS: (0.08, 0.25),
+    CanaryMetric.PACE: (0.2, 0.4),
+}
 """Assumed fractions of the otherwise good responses that a bad version spoils."""
 
 
@@ -125,13 +154,15 @@
         mean += step * (_find_log_ratio(sent, latency_s) - mean)
         self._baselines[sent.kind] = (mean, seen + 1)
 
-    def is_slow(self, sent: SentAttempt, latency_s: float) -> bool | None:
+    def is_slow(
+        self, sent: SentAttempt, latency_s: float, *, factor: float = SLOW_FACTOR
+    ) -> bool | None:
         """Return whether a response is slow, or `None` without enough responses."""
         mean, seen = self._baselines.get(sent.kind, (0.0, 0))
         if seen < MIN_LATENCIES:
             return None
         baseline_s = max(sent.expected_s, MIN_EXPECTED_S) * math.exp(mean)
-        return latency_s > max(SLOW_FACTOR * baseline_s, baseline_s + MIN_SLOW_EXCESS_S)
+        return latency_s > max(factor * baseline_s, baseline_s + MIN_SLOW_EXCESS_S)
 
 
 class CanaryAnalysis:
@@ -147,6 +178,7 @@
         "_own",
         "_pending",
         "_received",
+        "_streams",
         "_tickets",
         "_total",
         "_wealth",
@@ -170,6 +202,8 @@
         self._pending: dict[int, SentAttempt] = {}
         self._overdue: dict[int, SentAttempt] = {}
         """Unanswered attempts that were already counted as slow."""
+        self._streams: dict[int, tuple[SentAttempt, StreamPace]] = {}
+        """Streams whose pace is not decided yet."""
         self._is_final = False
         self._before_final: dict[_Key, tuple[int, int]] = {}
         """Responses seen, and bad ones, before the final phase."""
@@ -201,6 +235,42 @@
         """Discard an attempt that is no evidence for or against a version."""
         self._pending.pop(ticket, None)
         self._overdue.pop(ticket, None)
+        self._streams.pop(ticket, None)
+
+    def observe_break(self, sent: SentAttempt) -> None:
+        """Count an attempt that got no whole response from a server that lives on."""
+        self._count_own(_Key(sent.is_canary, sent.call, CanaryMetric.ERRORS), bad=True)
+
+    def observe_ending(self, sent: SentAttempt, *, is_whole: bool) -> None:
+        """Count a stream that ended, or that a server that lives on broke off."""
+        key = _Key(sent.is_canary, sent.call, CanaryMetric.ENDINGS)
+        self._count_own(key, bad=not is_whole)
+
+    def watch_stream(self, ticket: int, sent: SentAttempt, now: float) -> StreamPace:
+        """Watch the pace of a stream from its first event on."""
+        kind = f"{sent.kind}/{CanaryMetric.PACE}"
+        watched = msgspec.structs.replace(sent, kind=kind, expected_s=MIN_EXPECTED_S)
+        pace = StreamPace(now=now)
+        self._streams[ticket] = (watched, pace)
+        return pace
+
+    def judge_pace(self, ticket: int, now: float, *, is_over: bool) -> None:
+        """Count a stream as slow as soon as it is, otherwise once it `is_over`."""
+        if ticket not in self._streams:
+            return
+        sent, pace = self._streams[ticket]
+        mean_s = pace.find_mean_s(now)
+        is_slow = None
+        if mean_s is not None:
+            is_slow = self.baselines.is_slow(sent, mean_s, factor=SLOW_PACE_FACTOR)
+        if not is_over and not is_slow:
+            return
+        del self._streams[ticket]
+        if mean_s is not None and not sent.is_canary:
+            self.baselines.observe(sent, mean_s)
+        if is_slow is not None:
+            key = _Key(sent.is_canary, sent.call, CanaryMetric.PACE)
+            self._count_own(key, bad=is_slow)
 
     def observe_response(
         self,
@@ -231,6 +301,8 @@
                 self._count_own(
                     _Key(sent.is_canary, sent.call, CanaryMetric.LATENCY), bad=True
                 )
+        for ticket in list(self._streams):
+            self.judge_pace(ticket, now, is_over=False)
 
     def _count_latency(
         self, sent: SentAttempt, latency_s: float, *, is_complete: bool
@@ -310,12 +382,14 @@
         seen, bad = self._before_final.get(key, (0, 0))
         since = _Tally(seen=tally.seen - seen, bad=tally.bad - bad)
         baseline = self._find_baseline_rate(key, PROMOTION_MARGINS, prior_decays=True)
+        lifts = BAD_RATE_LIFTS[key.metric]
+        if any(_is_likelier_bad(baseline, lift, tally) for lift in lifts):
+            return True
+        if key.metric not in FINAL_MARGINS:
+            # Streams that break off end before whole ones that began with them.
+            return False
         final = min(MAX_BASELINE_RATE, baseline + FINAL_MARGINS[key.metric])
-        return any(
-            _is_likelier_bad(baseline, lift, tally)
-            or _is_likelier_bad(final, lift, since)
-            for lift in BAD_RATE_LIFTS[key.metric]
-        )
+        return any(_is_likelier_bad(final, lift, since) for lift in lifts)
 
     def _count_own(self, key: _Key, *, bad: bool) -> None:
         tally = self._own.setdefault(key, _Tally())
@@ -333,7 +407,7 @@
                 self._bet(counted, seen=seen, bad=bad)
 
     def _bet(self, key: _Key, *, seen: int, bad: int) -> None:
-        if self._is_final and key.metric is CanaryMetric.LATENCY:
+        if self._is_final and key.metric in GRADUAL_METRICS:
             # With all traffic moved, a burst or a lost server would count against the
             # new version, and the old one has no responses left to compare with.
             return
@@ -341,7 +415,7 @@
         rate = self._find_baseline_rate(key, TOLERANCES)
         wealth.bet(seen=seen, bad=bad, rate=rate, stake=1.0)
         total = self._total[key]
-        if key.metric is CanaryMetric.LATENCY and total.bad <= rate * total.seen:
+        if key.metric in GRADUAL_METRICS and total.bad <= rate * total.seen:
             # A lost server or a burst causes clusters of slow responses that would win
             # the bet, whereas a slow version is slow most of the time.
             return
--- a/tests/routing/test_canary.py
+++ b/tests/routing/test_canary.py
@@ -214,3 +214,67 @@
     assert "new_latency:3/3" in plan.analysis.describe()
     assert "old" not in plan.analysis.describe()
     assert plan.analysis.looks_worse
+
+
+def play_stream(
+    analysis: CanaryAnalysis, gap_s: float, *, is_canary: bool, gaps: int = 6
+) -> None:
+    """Let a stream arrive with equal gaps between its events."""
+    sent = SentAttempt(is_canary=is_canary, call="c", kind="c", at=0.0, expected_s=0.1)
+    ticket = analysis.start_attempt(sent)
+    analysis.finish_attempt(ticket, failed=False, now=0.1)
+    pace = analysis.watch_stream(ticket, sent, 0.1)
+    at = 0.1
+    for _ in range(gaps):
+        at += gap_s
+        analysis.count_overdue(at)
+        pace.end_wait(at)
+        pace.begin_wait(at)
+    analysis.judge_pace(ticket, at, is_over=True)
+    analysis.observe_ending(sent, is_whole=True)
+
+
+def test_alarm_for_streams_whose_events_arrive_slowly() -> None:
+    """A version was promoted whose streams began in time and went on slowly."""
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
+    for _ in range(30):
+        play_stream(analysis, 0.2, is_canary=False)
+    for _ in range(6):
+        play_stream(analysis, 0.2, is_canary=True)
+    assert analysis.alarm is None
+    assert not analysis.looks_worse
+    for number in range(20):
+        play_stream(analysis, 1.2 if number % 2 else 0.2, is_canary=True)
+    assert analysis.alarm is not None
+    assert analysis.alarm.startswith("pace")
+
+
+def test_accept_streams_that_are_slower_under_load() -> None:
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
+    for _ in range(30):
+        play_stream(analysis, 0.2, is_canary=False)
+    for _ in range(60):
+        play_stream(analysis, 0.45, is_canary=True)
+    assert analysis.alarm is None
+    assert not analysis.looks_worse
+
+
+@pytest.mark.parametrize("in_stream", [False, True])
+def test_alarm_for_responses_that_are_broken_off(in_stream: bool) -> None:
+    """A version was promoted that broke off half of its answers after their head."""
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
+    for is_canary in (False, True):
+        sent = SentAttempt(
+            is_canary=is_canary, call="c", kind="c", at=0.0, expected_s=0.1
+        )
+        for number in range(40):
+            is_bad = is_canary and number % 2 == 1
+            if in_stream:
+                analysis.observe_ending(sent, is_whole=not is_bad)
+            elif is_bad:
+                analysis.observe_break(sent)
+            else:
+                ticket = analysis.start_attempt(sent)
+                analysis.finish_attempt(ticket, failed=False, now=0.1)
+    assert analysis.alarm is not None
+    assert analysis.looks_worse
