Don't take a version whose outcome is unknown for rolled back

A leader was killed as it stored that a good version had succeeded, and a bad one was ordered 0.2 s later: the other instances sent half of all requests to it (234 to 347 where 131 to 170 are allowed) and, once it was rolled back, refused the service for good.

Cause: an order that replaced one still running here took that one for rolled back. Its version was never in force again, the one before was gone, and no version was left. The class: the lack of word taken for a negative answer.

An order that is replaced while it runs is now open until word of its end arrives; meanwhile the version in force shows in what is listed, as the platform stops the servers of the other one.

--- a/src/baobabthread/routing/lineage.py
+++ b/src/baobabthread/routing/lineage.py
@@ -33,7 +33,7 @@
         self.rolled_back.discard(target)
 
     def end_rollout(self, target: str, *, has_succeeded: bool) -> None:
-        """Record the outcome of the previous order."""
+        """Record the outcome of an order that was replaced."""
         if has_succeeded:
             self.base = target
         else:
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -52,6 +52,7 @@
         "_ready_at",
         "_started_at",
         "_target_servers",
+        "_unsettled",
         "analysis",
         "bounds",
         "bursts",
@@ -75,6 +76,9 @@
         self.order: RolloutOrder | None = None
         self.state = RolloutState.SUCCEEDED
         self.lineage = Lineage()
+        self._unsettled: RolloutOrder | None = None
+        """Order that was replaced while its outcome wasn't known here. Which version is
+        in force shows in what is listed: the platform stops the other one's servers."""
         self.analysis = CanaryAnalysis(number=OperatorsPosition())
         self._started_at = 0.0
         self._target_servers = 1
@@ -109,8 +113,10 @@
             self.analysis.number = order.number
             return False
         if self.order is not None:
-            has_succeeded = self.state is RolloutState.SUCCEEDED
-            self.lineage.end_rollout(self.order.target, has_succeeded=has_succeeded)
+            self._unsettled = self.order if self.is_running else None
+            if not self.is_running:
+                has_succeeded = self.state is RolloutState.SUCCEEDED
+                self.lineage.end_rollout(self.order.target, has_succeeded=has_succeeded)
         self.lineage.start_rollout(order.target)
         self.order = order
         self.served_before_order = served_before_order
@@ -153,12 +159,23 @@
     def apply_status(self, status: RolloutStatus, now: float) -> None:
         """Apply the status of the current order, from the store or its writer."""
         if self.order is None or not self.order.is_meant_by(status):
+            self._settle_previous(status)
             return
         if self.state is RolloutState.RUNNING:
             self.state = status.state
             # The record goes back further than the start of a restarted instance.
             self._started_at = min(self._started_at, now - status.elapsed_s)
 
+    def _settle_previous(self, status: RolloutStatus) -> None:
+        """Apply the final status of an order that was replaced before it was known."""
+        order = self._unsettled
+        if order is None or not order.is_meant_by(status):
+            return
+        if status.state is not RolloutState.RUNNING:
+            self._unsettled = None
+            has_succeeded = status.state is RolloutState.SUCCEEDED
+            self.lineage.end_rollout(order.target, has_succeeded=has_succeeded)
+
     def apply_progress(self, progress: Progress, now: float) -> None:
         """Apply the progress reported by another instance."""
         if self.order is None or progress.number != self.order.number:
--- a/tests/routing/test_versions.py
+++ b/tests/routing/test_versions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from baobabthread.routing.configuration import RolloutOrder, RolloutState, RolloutStatus
 from baobabthread.routing.exposure import find_canary_share
 from baobabthread.routing.permission import PERMIT_TTL_S
@@ -131,6 +133,49 @@
     assert plan.lineage.find_base({"v1": 5, "v3": 5, "v4": 9}) == "v3"
 
 
+def replace_running_order() -> VersionPlan:
+    """Return a plan whose order was replaced before its outcome was known."""
+    plan = VersionPlan(service="s", bounds=BOUNDS)
+    plan.update_versions({"v1": 5})
+    for offset, target in ((1, "v2"), (2, "v3")):
+        order = RolloutOrder(
+            offset=offset, service="s", target=target, time_limit_s=LIMIT_S
+        )
+        plan.apply_order(order, float(offset))
+    return plan
+
+
+def test_a_version_whose_outcome_is_unknown_is_not_rolled_back() -> None:
+    """The leader died as it stored that v2 succeeded, and v3 was ordered at once.
+
+    All others took v2 for rolled back, sent half of the requests to v3 and, once that
+    was rolled back, refused the service.
+    """
+    plan = replace_running_order()
+    assert plan.lineage.find_base({"v1": 4, "v2": 4, "v3": 4}) == "v1"
+    assert plan.lineage.find_base({"v2": 4, "v3": 4}) == "v2"
+    plan.apply_status(
+        RolloutStatus(service="s", target="v3", state=RolloutState.REVERTED, offset=2),
+        9.0,
+    )
+    assert plan.lineage.find_base({"v2": 4, "v3": 4}) == "v2"
+    assert not plan.is_unproven("v2")
+    assert plan.is_unproven("v3")
+
+
+@pytest.mark.parametrize(
+    ("state", "base"), [(RolloutState.SUCCEEDED, "v2"), (RolloutState.REVERTED, "v1")]
+)
+def test_learn_late_how_a_replaced_order_ended(state: RolloutState, base: str) -> None:
+    """Word of the end arrives after the next order, while all servers are listed."""
+    plan = replace_running_order()
+    plan.apply_status(
+        RolloutStatus(service="s", target="v2", state=state, offset=1), 3.0
+    )
+    assert plan.lineage.find_base({"v1": 4, "v2": 4, "v3": 4}) == base
+    assert plan.is_running
+
+
 def test_rolled_back_version_stays_unproven() -> None:
     """Crash reports of a bad version arrive after its roll-out has ended."""
     plan = begin_rollout()
