Know the sessions of a roll-out that succeeded when the next one begins

A second roll-out moved sessions in the middle of their requests: 14 to 18 where 3 are allowed.

Cause: requests on a version that a roll-out had brought into force still counted as ones on a new version, and a new order forgets those. The class: a role (new, old) kept past the order that gave it. Attempts now count by the order that is in force as they begin and end, and sessions that moved under one order are in use on the old version of the next.

A test of the pins listed what stays in use after an order without the sessions that had moved, which is the fault; it now asks for both, and that none counts as moved.

--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -45,6 +45,7 @@
 from baobabthread.instance.servers.places import PlaceCoordinator
 from baobabthread.instance.services import Services, ServiceState
 from baobabthread.instance.sessions import SessionCoordinator
+from baobabthread.instance.sessionuse import SessionUse
 from baobabthread.instance.wire import WireFormat
 from baobabthread.routing.canary import SentAttempt
 from baobabthread.routing.mechanisms import NONE_DISABLED, DisabledMechanisms, Mechanism
@@ -312,10 +313,7 @@
         assignment = context.take_assignment()
         reading_end = ReadingEnd.DROPPED
         context.attempts += 1
-        uses_old_version = not context.on_new_version
-        if uses_old_version:
-            state.plan.record_old_started(context.session, now())
-        self._report_session_use(context, state)
+        use = SessionUse(context=context, plan=state.plan, sessions=self._sessions)
         active_request = ActiveRequest(context=context, abort=attempt.abort)
         self._crashes.enter(active_request, link)
         departure = Departure.CANCELLED
@@ -367,9 +365,7 @@
                 prompt.end(reading_end)
             if assignment is not None:
                 assignment.end(_find_ending(outcome, departure, reading_end))
-            if uses_old_version:
-                state.plan.record_old_ended(context.session, now())
-            self._report_session_use(context, state)
+            use.end()
 
     def _start_observation(
         self, context: RequestContext, state: ServiceState
@@ -387,15 +383,6 @@
         )
         return AttemptObservation(analysis=state.plan.analysis, sent=sent)
 
-    def _report_session_use(self, context: RequestContext, state: ServiceState) -> None:
-        """Report the version that a request uses to the owners of its session."""
-        if context.is_sessionless:
-            return
-        if context.on_new_version:
-            self._sessions.report_new(state.plan, context.session)
-        else:
-            self._sessions.report_old(state.plan, context.session)
-
     async def _retry_or_fail(
         self,
         context: RequestContext,
--- a/src/baobabthread/routing/pins.py
+++ b/src/baobabthread/routing/pins.py
@@ -37,7 +37,13 @@
         """Owned sessions admitted to the new version; true if a request ran there."""
 
     def reset(self) -> None:
-        """Discard the decisions made under an earlier order."""
+        """Discard the decisions made under an earlier order.
+
+        Sessions that moved under it are in use on what may be the old version now.
+        """
+        for session, used_at in self._on_new.items():
+            known_at = self._on_old.get(session, -NEVER_S)
+            self._on_old[session] = max(used_at, known_at)
         self._on_new.clear()
         self._in_use.clear()
         self._admitted.clear()
@@ -45,16 +51,17 @@
     def record_old_started(self, session: str, now: float) -> None:
         """Record the start of a request on the old version from here."""
         self._running_old[session] += 1
-        self._record_old(session, now)
+        self.record_old(session, now)
 
     def record_old_ended(self, session: str, now: float) -> None:
         """Record the end of a request on the old version from here."""
         self._running_old[session] -= 1
         if self._running_old[session] <= 0:
             del self._running_old[session]
-        self._record_old(session, now)
+        self.record_old(session, now)
 
-    def _record_old(self, session: str, now: float) -> None:
+    def record_old(self, session: str, now: float) -> None:
+        """Record the use of a session whose version is the old one by now."""
         self._on_old[session] = now
         if len(self._on_old) > MAX_SESSIONS:
             self._on_old = self._filter_recent(self._on_old, now)
--- a/tests/routing/test_pins.py
+++ b/tests/routing/test_pins.py
@@ -46,8 +46,9 @@
     pins.record_new("new", 1.0)
     pins.admit("admitted")
     pins.reset()
-    assert pins.list_old(2.0) == {"old": 1.0}
+    assert pins.list_old(2.0) == {"old": 1.0, "new": 1.0}
     assert not pins.is_on_new("new")
+    assert pins.list_new(2.0) == []
     assert not pins.is_admitted("admitted")
 
 
