Let streams end whole that a leaving server finishes

Cause: the end of such a response counts as whole only once its server is found to listen on, and one that leaves listens no more while it finishes what runs. The class: a planned end taken for a crash. A server that is known to leave, or whose record is gone, may now end a response, unless all others that run there end with it within 0.1 s, as in a crash.

The test of a stream that a leaving server finishes fails on the code before; that of a crash while a server leaves holds on both.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -189,6 +189,7 @@
             context.retry_charge, self._charge = self._charge, None
             raise
         self.sent_at = now()
+        self.link.in_flight.add(self._connection)
         context.record_sent()
         context.relay = self._connection.relay
         self.link.count_sent(self._connection)
@@ -237,8 +238,12 @@
         await self._wait_for(asyncio.sleep(END_CHECK_DELAY_S))
         listening = await self._wait_for(self.link.pool.probe())
         self._ensure_open()
-        if listening is not Listening.YES or self.link.is_replaced:
-            raise ConnectionLostError("response ended without a length, server gone")
+        if listening is Listening.YES and not self.link.is_replaced:
+            return
+        # A server that leaves listens no more, and ends its responses one by one.
+        if self.link.is_departing and not self.link.has_lost_others(self._connection):
+            return
+        raise ConnectionLostError("response ended without a length, server gone")
 
     def was_broken_off(self, error: Exception) -> bool:
         """Return whether a server, not this instance, ended a response too early.
@@ -255,12 +260,15 @@
     def finish(self) -> None:
         """Release the connection after the whole body was read."""
         assert self._response is not None
+        assert self._connection is not None
+        self.link.in_flight.discard(self._connection)
         self._response.finish()
         self._connection = None
 
     def abort(self) -> None:
         """Close the connection if it is open, so that the server stops processing."""
         if self._connection is not None:
+            self.link.record_lost(self._connection)
             self.link.pool.discard(self._connection)
             self._connection = None
         if self._charge is not None:
--- a/src/baobabthread/instance/servers/backends.py
+++ b/src/baobabthread/instance/servers/backends.py
@@ -54,6 +54,8 @@
 """Time for which a server gets no requests after another one was found at its address:
 its record lapses after three heartbeats, about four seconds, and the list of records is
 read within two."""
+SIMULTANEOUS_S = 0.1
+"""Time within which connections of one server that end have the same cause."""
 REST_RAMP_S = 1.0
 """Time in which a server that has rested gets its whole share again."""
 BALANCER = earliest.NAME
@@ -72,8 +74,10 @@
 
     __slots__ = (
         "_answered_sent_at",
+        "_lost_at",
         "_paths",
         "find_obstacle",
+        "in_flight",
         "is_replaced",
         "pool",
         "received_at",
@@ -117,6 +121,9 @@
         peer that relayed it, if any."""
         self.find_obstacle = find_obstacle
         """Return why the server must get no new request, None if it may."""
+        self.in_flight: set[Connection] = set()
+        """Connections that carry an attempt."""
+        self._lost_at = -1e9
         self.received_at = -1e9
         self.suspect_until = -1e9
         self.is_replaced = False
@@ -156,6 +163,27 @@
         self.is_replaced = True
         self.suspect_until = now() + REPLACED_DURATION_S
 
+    @property
+    def is_departing(self) -> bool:
+        """Whether the server has said that it leaves, or its record is gone."""
+        return self.find_obstacle() in (Obstacle.LEAVING, Obstacle.GONE)
+
+    def record_lost(self, connection: Connection) -> None:
+        """Record the end of an attempt; it was lost if its connection has ended."""
+        self.in_flight.discard(connection)
+        if not connection.is_connected():
+            self._lost_at = now()
+
+    def has_lost_others(self, connection: Connection | None) -> bool:
+        """Return whether all other attempts ended with this connection.
+
+        A server that crashes ends all its connections at once.
+        """
+        others = self.in_flight - {connection}
+        if any(other.is_connected() for other in others):
+            return False
+        return bool(others) or now() - self._lost_at < SIMULTANEOUS_S
+
     def record_response(self, sent_at: float) -> None:
         """Record the response to a request that was sent at a time."""
         self._answered_sent_at.append(sent_at)
--- a/tests/platform/test_framing.py
+++ b/tests/platform/test_framing.py
@@ -119,3 +119,48 @@
             assert loop.time() - started_at < 1.0
 
     run(case())
+
+
+def leave(site: Site, backend: FakeBackend) -> None:
+    """Let a server that is known to leave listen no more."""
+    site.instances[0].replica.record_departure(backend.id)
+    backend.close()
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/once/x"])
+def test_pass_on_a_stream_that_a_leaving_server_finishes(path: str) -> None:
+    """A server stops to listen before its last streams end; they were cut."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            backend = site.backends[0]
+            backend.framing = Framing.CLOSE
+            backend.pause_s = 0.2
+            stream = asyncio.ensure_future(open_stream(site, path))
+            await asyncio.sleep(0.1)
+            leave(site, backend)
+            assert await stream == (200, True, [1, 2, 3], b"")
+
+    run(case())
+
+
+def test_break_off_streams_whose_server_crashes_as_it_leaves() -> None:
+    """All streams of a server end at the same moment, which none of them should."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            backend = site.backends[0]
+            backend.framing = Framing.CLOSE
+            backend.pause_s = 0.2
+            streams = [
+                asyncio.ensure_future(open_stream(site, "/once/x")) for _ in range(3)
+            ]
+            await asyncio.sleep(0.3)
+            leave(site, backend)
+            backend.crash()
+            for stream in streams:
+                _, is_complete, _, stray = await stream
+                assert not is_complete
+                assert stray == b""
+
+    run(case())
