--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -259,7 +259,7 @@
 
     @property
     def _has_read_backends(self) -> bool:
-        return self._backends_read_at > -NEVER_S
+        return self._backends_read_at > -NEVER_S / 2
 
     def _begin_grace(self, now: float) -> None:
         """Keep servers without a record, also those that were missing before."""
--- a/tests/platform/brokenfakes.py
+++ b/tests/platform/brokenfakes.py
@@ -11,56 +11,31 @@
     render_response_head,
 )
 
-CUTS = {
-    "status line": b"HTTP/1.1 200",
-    "field": b"Content-Le",
-    "length": b"Content-Length: 1",
-    "line": b"\r\nContent-Length: 12",
-    "empty line": b"Content-Length: 12\r\n\r",
+LENGTH = {"Content_Length": "12"}
+CHUNKS = {"Transfer_Encoding": "chunked"}
+BROKEN = {
+    "cut in the status line": (LENGTH, b"", b"HTTP/1.1 200"),
+    "cut in the field": (LENGTH, b"", b"Content-Le"),
+    "cut in the length": (LENGTH, b"", b"Content-Length: 1"),
+    "cut in the line": (LENGTH, b"", b"\r\nContent-Length: 12"),
+    "cut in the empty line": (LENGTH, b"", b"Content-Length: 12\r\n\r"),
+    "cut chunk size": (CHUNKS, b"6\r\nanswer\r\n1", b"answer\r\n1"),
+    "cut last chunk": (CHUNKS, b"6\r\nanswer\r\n0\r\n", b"answer\r\n0\r\n"),
 }
-"""Where a server stops: before, or at the end of, these bytes of the head."""
+"""Fields and body of a response by behaviour, and the last bytes that are sent."""
 
 
-def _cut_head(where: str) -> None:
-    @register_behaviour(f"cut in the {where}")
+def _register(name: str, fields: dict[str, str], body: bytes, last: bytes) -> None:
+    @register_behaviour(name)
     async def stop(
         backend: FakeBackend, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        """Execute the request, send a part of the head and close."""
-        head = render_response_head(request, 200, Content_Length="12")
-        end = head.index(CUTS[where]) + len(CUTS[where])
-        writer.write(head[:end])
+        """Execute the request, send a part of the response and close."""
+        response = render_response_head(request, 200, **fields) + body
+        writer.write(response[: response.index(last) + len(last)])
         await writer.drain()
         writer.close()
 
 
-for _where in CUTS:
-    _cut_head(_where)
-
-
-@register_behaviour("cut chunk size")
-async def cut_chunk_size(
-    backend: FakeBackend, request: ReceivedRequest, writer: asyncio.StreamWriter
-) -> None:
-    """Send a chunk and half of the next one's size, and close."""
-    head = render_response_head(request, 200, Transfer_Encoding="chunked")
-    writer.write(head + b"6\r\nanswer\r\n1")
-    await writer.drain()
-    writer.close()
-
-
-@register_behaviour("cut last chunk")
-async def cut_last_chunk(
-    backend: FakeBackend, request: ReceivedRequest, writer: asyncio.StreamWriter
-) -> None:
-    """Send all but the end of the last chunk, and close."""
-    head = render_response_head(request, 200, Transfer_Encoding="chunked")
-    writer.write(head + b"6\r\nanswer\r\n0\r\n")
-    await writer.drain()
-    writer.close()
-
-
-BROKEN = [f"cut in the {where}" for where in CUTS] + [
-    "cut chunk size",
-    "cut last chunk",
-]
+for _name, _parts in BROKEN.items():
+    _register(_name, *_parts)
