Notice an outage of the store also where a peer's word came first

Servers whose records lapsed while the store was away were dropped at some instances though the doubt of the others kept them: an instance that a peer told first had fresh knowledge, and took the lapsed records that it then read itself for removals. Each jump of the knowledge is judged now, whoever made it, and one unanswered call is enough evidence once nothing was known for 2.4 s.

--- a/src/baobabthread/instance/replicasync.py
+++ b/src/baobabthread/instance/replicasync.py
@@ -478,7 +478,9 @@
                 )
         if queried_at is not None:
             replica.confirm_backends(
-                end=reply.backends_end, read_at=queried_at - reply.backends_age_s
+                end=reply.backends_end,
+                read_at=queried_at - reply.backends_age_s,
+                now=now(),
             )
         self._compare_backends(reply)
 
--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -251,11 +251,23 @@
         Return whether records may have lapsed.
         """
         is_restored = self._has_read_backends and end.era != self.backends_end.era
-        is_old = requested_at - self._backends_read_at > MIN_OUTAGE_S
-        is_outage = is_old and self.outages.has_outage_since(self._backends_read_at)
-        if is_restored or is_outage:
+        if is_restored:
             self._begin_grace(now)
-        return is_restored or is_outage
+        return self._check_outage(requested_at, now) or is_restored
+
+    def _check_outage(self, read_at: float, now: float) -> bool:
+        """Keep servers for a while if the store was away until a read at `read_at`.
+
+        The read may be a peer's, which is then in doubt itself: what it withholds is
+        read from the store later, when the age tells nothing any more.
+        """
+        known_at = self._backends_read_at
+        is_outage = read_at - known_at > MIN_OUTAGE_S and (
+            self.outages.has_outage_between(known_at, read_at)
+        )
+        if is_outage:
+            self._begin_grace(now)
+        return is_outage
 
     @property
     def _has_read_backends(self) -> bool:
@@ -277,8 +289,11 @@
         self._stamp_changes()
         self.on_update()
 
-    def confirm_backends(self, *, end: BackendsPosition, read_at: float) -> None:
+    def confirm_backends(
+        self, *, end: BackendsPosition, read_at: float, now: float
+    ) -> None:
         """Record a reader's confirmation that nothing changed up to `end`."""
+        self._check_outage(read_at, now)
         self.backends_end = max(self.backends_end, end)
         self._backends_read_at = max(self._backends_read_at, read_at)
         self._update_settled_end()
@@ -583,8 +598,9 @@
                 if record.leaving:
                     self.record_departure(record.incarnation)
             return
+        self._check_outage(read_at, now)
         self.replace_backends(snapshot.backends, now)
-        self.confirm_backends(end=snapshot.backends_end, read_at=read_at)
+        self.confirm_backends(end=snapshot.backends_end, read_at=read_at, now=now)
         self._stamp_changes()
         self.on_update()
 
--- a/src/baobabthread/routing/storeoutages.py
+++ b/src/baobabthread/routing/storeoutages.py
@@ -10,6 +10,8 @@
 """Number of recent failures that are kept."""
 MIN_UNANSWERED = 2
 """Unanswered calls in a row that make an outage: a single response may be lost."""
+LONG_OUTAGE_S = 2.4
+"""Time without any knowledge from which on one unanswered call makes an outage."""
 
 
 class FailedCall(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,10 +39,12 @@
         """Record a failed call."""
         self._failures.append(call)
 
-    def has_outage_since(self, read_at: float) -> bool:
-        """Return whether the store was unavailable after a read sent at `read_at`."""
+    def has_outage_between(self, read_at: float, next_at: float) -> bool:
+        """Return whether the store was unavailable between two successive reads."""
         failures = [call for call in self._failures if call.requested_at > read_at]
         if any(call.is_refused for call in failures):
             return True
+        is_long = next_at - read_at >= LONG_OUTAGE_S
         unanswered = Counter(call.topic for call in failures)
-        return any(count >= MIN_UNANSWERED for count in unanswered.values())
+        least = 1 if is_long else MIN_UNANSWERED
+        return any(count >= least for count in unanswered.values())
--- a/tests/platform/test_removals.py
+++ b/tests/platform/test_removals.py
@@ -1,4 +1,4 @@
-"""Removals of backend servers' records while the store is sound.
+"""Records of backend servers that a store removes while it is sound, or away.
 
 Only the store's own unavailability lets records of running servers lapse. A gap in what
 an instance has read of it, whatever its cause, must not delay a removal.
@@ -174,6 +174,29 @@
     run(case())
 
 
+@pytest.mark.parametrize("count", COUNTS)
+@pytest.mark.parametrize("fault", ["busy", "silent"])
+@pytest.mark.parametrize("away_s", [2.6, 3.4, 5.0])
+def test_keep_servers_whose_records_lapsed_at_every_instance(
+    count: int, fault: str, away_s: float
+) -> None:
+    """Instances that a peer told first read the lapsed records as removals."""
+
+    async def case() -> None:
+        async with open_site("p1", GONE) as site:
+            await open_members(site, count)
+            site.store.fault = fault
+            await asyncio.sleep(away_s)
+            for backend in site.backends:
+                site.store.put(BACKENDS, backend.id, b"")
+            site.store.fault = ""
+            for _ in range(60):
+                await asyncio.sleep(0.02)
+                assert all(len(i.replica.backends) == 2 for i in site.instances)
+
+    run(case())
+
+
 def test_write_no_request_that_waited_past_a_removal(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/routing/test_storeoutages.py
+++ b/tests/routing/test_storeoutages.py
@@ -16,8 +16,8 @@
 def test_one_refusal_is_an_outage() -> None:
     outages = StoreOutages()
     outages.record_failure(FailedCall(topic="a", requested_at=5.0, is_refused=True))
-    assert outages.has_outage_since(4.0)
-    assert not outages.has_outage_since(6.0)
+    assert outages.has_outage_between(4.0, 6.0)
+    assert not outages.has_outage_between(6.0, 8.0)
 
 
 @pytest.mark.parametrize(
@@ -37,11 +37,11 @@
     outages = StoreOutages()
     for topic, at in calls:
         record(outages, at, topic)
-    assert outages.has_outage_since(4.0) is is_outage
+    assert outages.has_outage_between(4.0, 6.0) is is_outage
 
 
 def test_recognize_an_outage_of_many_calls() -> None:
     outages = StoreOutages()
     for number in range(500):
         record(outages, 5.0 + number)
-    assert outages.has_outage_since(4.0)
+    assert outages.has_outage_between(4.0, 6.0)
