--- a/soak/site.py
+++ b/soak/site.py
@@ -108,6 +108,8 @@
         self.proxy = proxy
         self.troubles = 0
         """Faults that are on at it now."""
+        self.is_withdrawn = False
+        """Whether it writes its record no more."""
 
     @property
     def is_sound(self) -> bool:
@@ -361,6 +363,8 @@
 
     def publish_backend(self, backend: Backend, **more: object) -> None:
         """Write a backend server's record, which names its proxy's address."""
+        if backend.is_withdrawn:
+            return
         record = backend.fake.record | {"address": backend.proxy.address} | more
         if backend.fake.service in self._brittle:
             record["slots"] = BRITTLE_SLOTS
@@ -372,6 +376,7 @@
 
     def withdraw_record(self, backend: Backend) -> None:
         """Remove the record of a server that serves on."""
+        backend.is_withdrawn = True
         self.store.put(BACKENDS, backend.fake.id, b"")
         self._note_withdrawal(backend)
 
