Know the version in force whatever ends of roll-outs were missed

An instance that missed how two orders in a row ended took the version with the most servers for the one in force, and sent it all requests beside the canary's; one that started under an order, or read it after the next, didn't use the status of the order before; a leader that read late wrote its final status over the next order's.

Cause: what is known of earlier orders was kept by each instance alone, for one replaced order, and judged by the listed servers otherwise. The class: the lack of word taken for an answer.

Each status and progress report now holds the version in force before its order and the newest order that this takes account of; the newest word wins. The first status of an order is written under the condition that nothing was added since the statuses were read, so it takes account of every end stored before. Where no version in force is found, requests go to the target instead of any version.

--- a/src/baobabthread/core/positions.py
+++ b/src/baobabthread/core/positions.py
@@ -43,5 +43,9 @@
     """Position in the operators' log."""
 
 
+NO_ORDER = OperatorsPosition(offset=-1)
+"""Position before all orders."""
+
+
 class BackendsPosition(Position, frozen=True, order=True):
     """Position in the log of the backend servers' records."""
--- a/src/baobabthread/instance/confirmation.py
+++ b/src/baobabthread/instance/confirmation.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from baobabthread.instance.clock import now
+from baobabthread.instance.statuspages import list_statuses
 from baobabthread.instance.store import Page, RecordFormat, Store, StoreError
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import RolloutState, RolloutStatus
@@ -85,10 +86,10 @@
 
     def find_status(self, plan: VersionPlan, page: Page) -> RolloutStatus | None:
         """Return the stored status of a plan's order, and handle it if it is final."""
-        for record in page.records:
-            status = self._formats.decode_status(record)
-            if status is None or status.service != plan.service:
+        for status in list_statuses(page, self._formats):
+            if status.service != plan.service:
                 continue
+            plan.learn_history(status)
             if plan.order is None or not plan.order.is_meant_by(status):
                 continue
             if status.state is not RolloutState.RUNNING:
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -388,6 +388,7 @@
             self.paths.run,
             self.relay.run,
             self.rollouts.run,
+            self.rollouts.histories.run,
             QuarantineRecords(
                 coordinator=self.peers.quarantine,
                 replica_sync=self.peers.replica_sync,
--- a/src/baobabthread/instance/rollouts.py
+++ b/src/baobabthread/instance/rollouts.py
@@ -8,15 +8,22 @@
 import msgspec
 
 from baobabthread.core.positions import OperatorsPosition
-from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.canaries import CanaryPermit, CanaryReport
 from baobabthread.instance.clock import now
 from baobabthread.instance.confirmation import STORE_TIMEOUT_S, RolloutConfirmation
 from baobabthread.instance.peers import PeerLink
+from baobabthread.instance.rollouthistories import RolloutHistories
 from baobabthread.instance.servers.backends import Backends
 from baobabthread.instance.services import Services
+from baobabthread.instance.statuspages import list_statuses
 from baobabthread.instance.statusrecords import StatusRecords
-from baobabthread.instance.store import Conflict, RecordFormat, Store, StoreError
+from baobabthread.instance.store import (
+    Conflict,
+    Page,
+    RecordFormat,
+    Store,
+    StoreError,
+)
 from baobabthread.logs import log_event, write_event
 from baobabthread.routing.configuration import RolloutOrder, RolloutState, RolloutStatus
 from baobabthread.routing.evaluation import evaluate_rollout, may_begin_final_phase
@@ -65,6 +72,9 @@
         self._status_records = StatusRecords(
             store=store, formats=formats, find_rank=peers.canaries.find_rank
         )
+        self.histories = RolloutHistories(
+            store=store, formats=formats, services=services
+        )
         self._totals = RolloutTotals()
         self._wake_up = asyncio.Event()
         peers.canaries.handle_verdict = self._handle_verdict
@@ -113,6 +123,7 @@
             is_initial = order.number in self._initial_orders
             if plan.apply_order(order, now(), served_before_order=not is_initial):
                 self._wake_up.set()
+                self.histories.wake_up()
 
     async def _step(self) -> None:
         now_s = now()
@@ -181,13 +192,8 @@
         requested_at = now()
         page = await self._store.newest(self._formats.status_topic, STORE_TIMEOUT_S)
         self._has_loaded_statuses = True
-        for record in page.records:
-            try:
-                status = self._formats.decode_status(record)
-            except (msgspec.MsgspecError, BaobabthreadError) as error:
-                log_event("status_unreadable", key=record.key, error=str(error))
-                continue
-            if status is None or status.service not in self._replica.orders:
+        for status in list_statuses(page, self._formats):
+            if status.service not in self._replica.orders:
                 continue
             plan = self._services.get(status.service).plan
             order = self._replica.orders[status.service]
@@ -381,6 +387,13 @@
     async def _write_status(self, plan: VersionPlan, status: RolloutStatus) -> None:
         page = await self._store.newest(self._formats.status_topic, STORE_TIMEOUT_S)
         stored = self._confirmation.find_status(plan, page)
+        if self._has_later_order(plan, page):
+            # The order was replaced, which this instance hasn't read yet.
+            return
+        # The page may have told how earlier orders ended.
+        status = msgspec.structs.replace(
+            status, base=plan.lineage.base, base_order=plan.lineage.settled
+        )
         if stored is not None:
             if stored.state is not RolloutState.RUNNING:
                 return
@@ -394,6 +407,16 @@
             return
         self._record_stored(plan, status)
 
+    def _has_later_order(self, plan: VersionPlan, page: Page) -> bool:
+        assert plan.order is not None
+        written_at = plan.order.written_at
+        return any(
+            status.service == plan.service
+            and status.number is not None
+            and status.number > written_at
+            for status in list_statuses(page, self._formats)
+        )
+
     def _record_stored(self, plan: VersionPlan, status: RolloutStatus) -> None:
         self._stored[plan.service] = status
         log_event(
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -527,7 +527,8 @@
         context.on_new_version = False
         base = plan.lineage.find_base(versions)
         if base is None and order.target in versions and not plan.is_reverted:
-            return None
+            # Others that are still listed were rolled back.
+            return order.target
         # If the old version has no servers, or all of them are evacuated, requests are
         # rejected while the new one is a canary: running all of them on an unproven
         # version would be worse.
--- a/src/baobabthread/instance/statusrecords.py
+++ b/src/baobabthread/instance/statusrecords.py
@@ -4,17 +4,9 @@
 
 from collections.abc import Callable, Iterable
 
-import msgspec
-
-from baobabthread.errors import BaobabthreadError
 from baobabthread.instance.clock import now
-from baobabthread.instance.store import (
-    Conflict,
-    Page,
-    Record,
-    RecordFormat,
-    Store,
-)
+from baobabthread.instance.statuspages import list_statuses
+from baobabthread.instance.store import Conflict, Page, RecordFormat, Store
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import RolloutState, RolloutStatus
 from baobabthread.routing.versions import VersionPlan
@@ -79,23 +71,14 @@
         return rank is not None and since_s >= RANK_DELAY_S * rank
 
     def _has_final(self, plan: VersionPlan, page: Page) -> bool:
-        statuses = (self._decode(record) for record in page.records)
         return any(
-            status is not None
-            and status.service == plan.service
+            status.service == plan.service
             and plan.order is not None
             and plan.order.is_meant_by(status)
             and status.state is not RolloutState.RUNNING
-            for status in statuses
+            for status in list_statuses(page, self._formats)
         )
 
-    def _decode(self, record: Record) -> RolloutStatus | None:
-        try:
-            return self._formats.decode_status(record)
-        except (msgspec.MsgspecError, BaobabthreadError) as error:
-            log_event("status_unreadable", key=record.key, error=str(error))
-            return None
-
     async def _write(self, plan: VersionPlan, page: Page) -> None:
         order = plan.order
         assert order is not None
@@ -106,6 +89,8 @@
             offset=order.written_at.offset,
             era=order.written_at.era,
             elapsed_s=plan.elapsed(now()),
+            base=plan.lineage.base,
+            base_order=plan.lineage.settled,
         )
         append = self._formats.encode_status(status, page.end)
         outcome = await self._store.append(append, STORE_TIMEOUT_S)
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from baobabthread.core.positions import Position
+from baobabthread.core.positions import NO_ORDER, OperatorsPosition, Position
 from baobabthread.errors import ConfigurationError
 from baobabthread.instance.store import Append, Record
 from baobabthread.routing.configuration import (
@@ -39,6 +39,7 @@
     "streaming": RequestKind.STREAM,
 }
 _BACKEND_REMEDY = "let only backend servers write to this topic, with all fields"
+_STATUS_REMEDY = "let only instances write to this topic"
 _CONFIGURATION_REMEDY = "publish a configuration in the platform's documented format"
 
 
@@ -149,6 +150,9 @@
     """Offset of the order in its era."""
     era: int = 0
     elapsed_s: float = 0.0
+    base: str | None = None
+    base_number: int = NO_ORDER.offset
+    base_era: int = 0
 
 
 class _Quarantined(msgspec.Struct, frozen=True, kw_only=True):
@@ -384,13 +388,24 @@
             number=status.offset,
             era=status.era,
             elapsed_s=round(status.elapsed_s, 2),
+            base=status.base,
+            base_number=status.base_order.offset,
+            base_era=status.base_order.era,
         )
     )
 
 
 def decode_status(value: bytes) -> RolloutStatus:
-    """Decode the status of a roll-out."""
-    status = msgspec.json.decode(value, type=_Status)
+    """Decode the status of a roll-out.
+
+    Raises `ConfigurationError` if it can't be decoded.
+    """
+    try:
+        status = msgspec.json.decode(value, type=_Status)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise ConfigurationError(
+            str(error), field=ROLLOUT_PREFIX, remedy=_STATUS_REMEDY
+        ) from error
     return RolloutStatus(
         service=status.service,
         target=status.target,
@@ -398,4 +413,6 @@
         offset=status.number,
         era=status.era,
         elapsed_s=status.elapsed_s,
+        base=status.base,
+        base_order=OperatorsPosition(status.base_era, status.base_number),
     )
--- a/src/baobabthread/routing/configuration.py
+++ b/src/baobabthread/routing/configuration.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from baobabthread.core.positions import OperatorsPosition
+from baobabthread.core.positions import NO_ORDER, OperatorsPosition
 
 ANY_MODEL = "*"
 """Model name by which callers leave the choice of the model to the router."""
@@ -221,6 +221,15 @@
     elapsed_s: float = 0.0
     """Time from the order until this status was written."""
     era: int = 0
+    base: str | None = None
+    """Version in force before the order, if known to the writer."""
+    base_order: OperatorsPosition = NO_ORDER
+    """Newest order that `base` takes account of."""
+
+    @property
+    def has_succeeded(self) -> bool:
+        """Whether the version is in force."""
+        return self.state is RolloutState.SUCCEEDED
 
     @property
     def number(self) -> OperatorsPosition | None:
--- a/src/baobabthread/routing/progress.py
+++ b/src/baobabthread/routing/progress.py
@@ -36,6 +36,8 @@
     state: RolloutState = RolloutState.RUNNING
     era: int | msgspec.UnsetType = msgspec.UNSET
     """Era of the order; left out if the store names none."""
+    base_order: OperatorsPosition | msgspec.UnsetType = msgspec.UNSET
+    """Newest order that `base` takes account of; left out if there is none."""
 
     @property
     def number(self) -> OperatorsPosition:
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from baobabthread.core.positions import OperatorsPosition
+from baobabthread.core.positions import NO_ORDER, OperatorsPosition
 from baobabthread.core.requests.attempts import draw
 from baobabthread.routing.bounds import RoutingBounds
 from baobabthread.routing.canary import CanaryAnalysis
@@ -52,7 +52,6 @@
         "_ready_at",
         "_started_at",
         "_target_servers",
-        "_unsettled",
         "analysis",
         "bounds",
         "bursts",
@@ -76,9 +75,6 @@
         self.order: RolloutOrder | None = None
         self.state = RolloutState.SUCCEEDED
         self.lineage = Lineage()
-        self._unsettled: RolloutOrder | None = None
-        """Order that was replaced while its outcome wasn't known here. Which version is
-        in force shows in what is listed: the platform stops the other one's servers."""
         self.analysis = CanaryAnalysis(number=OperatorsPosition())
         self._started_at = 0.0
         self._target_servers = 1
@@ -112,12 +108,9 @@
             self.order = order
             self.analysis.number = order.number
             return False
-        if self.order is not None:
-            self._unsettled = self.order if self.is_running else None
-            if not self.is_running:
-                has_succeeded = self.state is RolloutState.SUCCEEDED
-                self.lineage.end_rollout(self.order.target, has_succeeded=has_succeeded)
         self.lineage.start_rollout(order.target)
+        if current is not None:
+            self._end_order(current)
         self.order = order
         self.served_before_order = served_before_order
         self.state = RolloutState.RUNNING
@@ -141,6 +134,14 @@
         self.pins.reset()
         return True
 
+    def _end_order(self, order: RolloutOrder) -> None:
+        """Record what is known of the outcome of an order that is replaced."""
+        if self.is_running:
+            self.lineage.add_unsettled(order)
+            return
+        has_succeeded = self.state is RolloutState.SUCCEEDED
+        self.lineage.record_outcome(order.number, order.target, has_succeeded)
+
     def is_unproven(self, version: str) -> bool:
         """Return whether a version is a canary or was rolled back.
 
@@ -158,30 +159,38 @@
 
     def apply_status(self, status: RolloutStatus, now: float) -> None:
         """Apply the status of the current order, from the store or its writer."""
-        if self.order is None or not self.order.is_meant_by(status):
-            self._settle_previous(status)
+        if self.order is None:
             return
-        if self.state is RolloutState.RUNNING:
+        self.learn_history(status)
+        if self.order.is_meant_by(status) and self.state is RolloutState.RUNNING:
             self.state = status.state
             # The record goes back further than the start of a restarted instance.
             self._started_at = min(self._started_at, now - status.elapsed_s)
 
-    def _settle_previous(self, status: RolloutStatus) -> None:
-        """Apply the final status of an order that was replaced before it was known."""
-        order = self._unsettled
-        if order is None or not order.is_meant_by(status):
+    @property
+    def is_history_unknown(self) -> bool:
+        """Whether the version beside the target depends on an unknown outcome."""
+        return self.lineage.is_unknown and self.state is not RolloutState.SUCCEEDED
+
+    def learn_history(self, status: RolloutStatus) -> None:
+        """Learn from a status how the orders before the current one ended."""
+        current = self.order
+        if current is None:
+            return
+        is_current = current.is_meant_by(status)
+        if not is_current and status.number and status.number > current.number:
+            # The current order has ended, which this instance is about to learn.
             return
-        if status.state is not RolloutState.RUNNING:
-            self._unsettled = None
-            has_succeeded = status.state is RolloutState.SUCCEEDED
-            self.lineage.end_rollout(order.target, has_succeeded=has_succeeded)
+        self.lineage.adopt_base(status.base, status.base_order)
+        if not is_current and status.state is not RolloutState.RUNNING:
+            self.lineage.settle(status)
 
     def apply_progress(self, progress: Progress, now: float) -> None:
         """Apply the progress reported by another instance."""
         if self.order is None or progress.number != self.order.number:
             return
         self._started_at = min(self._started_at, now - progress.elapsed_s)
-        self.lineage.adopt_base(progress.base)
+        self.lineage.adopt_base(progress.base, progress.base_order or NO_ORDER)
         self.known_exposure = self.known_exposure.merge(progress.total)
         if progress.alarm is not None and self.analysis.alarm is None:
             self.analysis.alarm = progress.alarm
@@ -403,6 +412,7 @@
         """Return the progress to report to the others while a roll-out runs."""
         if self.order is None or self.state is not RolloutState.RUNNING:
             return None
+        settled = self.lineage.settled
         return Progress(
             service=self.service,
             offset=self.order.offset,
@@ -414,6 +424,7 @@
             is_suspicious=self.analysis.is_suspicious,
             is_final=self.is_final,
             base=self.lineage.base,
+            base_order=msgspec.UNSET if settled == NO_ORDER else settled,
             has_target_servers=self.has_target_servers,
             total=self.known_exposure,
             final_quota=self.final_budget.quota,
--- a/tests/platform/test_instances.py
+++ b/tests/platform/test_instances.py
@@ -10,7 +10,7 @@
 from baobabthread.instance import tasks
 from baobabthread.instance.replicasync import REPLICA_MESSAGES, ReplicaQuery
 from tests.platform.fakecallers import call
-from tests.platform.fakestore import OPERATORS
+from tests.platform.fakestore import OPERATORS, STATUS
 from tests.platform.site import (
     Site,
     make_configuration,
@@ -319,3 +319,18 @@
             assert (await site.call("/safe/x")).status == 200
 
     run(case())
+
+
+def test_write_no_status_of_an_order_that_was_replaced() -> None:
+    """A leader that reads late would overwrite the status of the next order."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            later = {"service": "engine", "target": "v3", "state": "running"}
+            later |= {"number": 99, "era": site.store.era, "elapsed_s": 0.1}
+            site.store.put(STATUS, "rollout/engine", later)
+            put_rollout(site, "v2", 1.0)
+            await asyncio.sleep(2.0)
+            assert site.store.status("engine")["target"] == "v3"
+
+    run(case())
