Keep sessions on their version when the next order comes meanwhile

A request that went on after the next order, as after a broken stream, ran on that order's canary without its session's owner being asked; and a session whose stream began in the final phase of one roll-out and outlasted its idle time wasn't known as in use at the next order, so that its next request could move.

Cause: "on the new version" was kept past the order that it was decided under. A request now keeps that order's analysis and belongs to the old version under another one; running requests are counted by version and change sides with the order.

--- a/src/baobabthread/instance/context.py
+++ b/src/baobabthread/instance/context.py
@@ -14,6 +14,7 @@
 from baobabthread.instance.servers.sendpermits import SendPermit
 from baobabthread.instance.wire import RawHeaders
 from baobabthread.routing.budget import RetryBudget
+from baobabthread.routing.canary import CanaryAnalysis
 from baobabthread.routing.configuration import Account, Route
 from baobabthread.routing.exposure import ExposureBudget
 from baobabthread.routing.fingerprints import fingerprint, fingerprint_parts
@@ -100,6 +101,7 @@
         "attempts",
         "confidence",
         "deadline",
+        "decided_under",
         "denied_by",
         "excluded",
         "exposure",
@@ -203,6 +205,8 @@
         self.may_use_new_version = True
         """Whether it may use the new version at all."""
         self.session_on_new_version = False
+        self.decided_under: CanaryAnalysis | None = None
+        """Analysis of the order under which the version was chosen."""
         """Whether its session is on the new version, as the session's owner decided."""
         self.may_use_non_canaries = False
         """Whether it may use any server of a canary version."""
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -245,6 +245,7 @@
             context.trial = None
 
     async def _run_attempts(self, context: RequestContext, state: ServiceState) -> None:
+        context.decided_under = state.plan.analysis
         if not context.is_sessionless and state.plan.needs_owner_decision(
             context.session, now()
         ):
--- a/src/baobabthread/instance/selection.py
+++ b/src/baobabthread/instance/selection.py
@@ -512,6 +512,7 @@
             # be lost if the new one is bad.
             context.on_new_version = False
             return plan.lineage.find_base(versions) if len(versions) > 1 else None
+        _discard_earlier_decision(context, plan)
         wanted = context.may_use_new_version and _wants_new_version(context, plan)
         # A request that started on the old version stays there while it has servers.
         may_change = (
@@ -535,6 +536,17 @@
         return base or plan.lineage.base or NO_VERSION
 
 
+def _discard_earlier_decision(context: RequestContext, plan: VersionPlan) -> None:
+    """Discard what was decided under an order that was replaced.
+
+    The version that was new then is the old one now, or was rolled back.
+    """
+    if context.decided_under not in (None, plan.analysis):
+        context.session_on_new_version = False
+        context.on_new_version = False if context.runs else None
+    context.decided_under = plan.analysis
+
+
 def _wants_new_version(context: RequestContext, plan: VersionPlan) -> bool:
     """Return whether a request should use the new version if it has servers."""
     timestamp = now()
--- a/src/baobabthread/instance/sessionuse.py
+++ b/src/baobabthread/instance/sessionuse.py
@@ -29,18 +29,21 @@
         self._sessions = sessions
         self._analysis = plan.analysis
         self._is_canary = bool(context.on_new_version) and plan.is_running
-        if not self._is_canary:
+        if self._is_canary:
+            plan.pins.record_new_started(context.session)
+        else:
             plan.record_old_started(context.session, now())
         self._report()
 
     def end(self) -> None:
         """Record the end of the attempt."""
-        if not self._is_canary:
-            self._plan.record_old_ended(self._context.session, now())
-        elif self._plan.analysis is not self._analysis:
+        if self._plan.analysis is not self._analysis:
             # Another order has come meanwhile.
             self._is_canary = False
-            self._plan.pins.record_old(self._context.session, now())
+        if self._is_canary:
+            self._plan.pins.record_new_ended(self._context.session)
+        else:
+            self._plan.record_old_ended(self._context.session, now())
         self._report()
 
     def _report(self) -> None:
--- a/src/baobabthread/routing/pins.py
+++ b/src/baobabthread/routing/pins.py
@@ -17,6 +17,7 @@
         "_in_use",
         "_on_new",
         "_on_old",
+        "_running_new",
         "_running_old",
         "idle_s",
     )
@@ -29,6 +30,8 @@
         before any order as well, which may come in the middle of a conversation."""
         self._running_old: Counter[str] = Counter()
         """Number of their requests that still run."""
+        self._running_new: Counter[str] = Counter()
+        """Number of running requests on the new version from here, by session."""
         self._on_new: dict[str, float] = {}
         """Last use of sessions whose requests went to the new version from here."""
         self._in_use: dict[str, float] = {}
@@ -44,28 +47,40 @@
         for session, used_at in self._on_new.items():
             known_at = self._on_old.get(session, -NEVER_S)
             self._on_old[session] = max(used_at, known_at)
+        self._running_old.update(self._running_new)
+        self._running_new.clear()
         self._on_new.clear()
         self._in_use.clear()
         self._admitted.clear()
 
+    @property
+    def running_old_count(self) -> int:
+        """Number of requests that run on the old version from here."""
+        return self._running_old.total()
+
     def record_old_started(self, session: str, now: float) -> None:
         """Record the start of a request on the old version from here."""
         self._running_old[session] += 1
-        self.record_old(session, now)
+        self._record_old(session, now)
 
     def record_old_ended(self, session: str, now: float) -> None:
         """Record the end of a request on the old version from here."""
-        self._running_old[session] -= 1
-        if self._running_old[session] <= 0:
-            del self._running_old[session]
-        self.record_old(session, now)
+        _count_down(self._running_old, session)
+        self._record_old(session, now)
 
-    def record_old(self, session: str, now: float) -> None:
-        """Record the use of a session whose version is the old one by now."""
+    def _record_old(self, session: str, now: float) -> None:
         self._on_old[session] = now
         if len(self._on_old) > MAX_SESSIONS:
             self._on_old = self._filter_recent(self._on_old, now)
 
+    def record_new_started(self, session: str) -> None:
+        """Record the start of a request on the new version from here."""
+        self._running_new[session] += 1
+
+    def record_new_ended(self, session: str) -> None:
+        """Record the end of a request on the new version from here."""
+        _count_down(self._running_new, session)
+
     def record_new(self, session: str, now: float) -> bool:
         """Record a request on the new version; return whether it is the first here."""
         is_first = session not in self._on_new
@@ -135,3 +150,9 @@
         return {
             session: used_at for session, used_at in seen.items() if used_at > cutoff
         }
+
+
+def _count_down(running: Counter[str], session: str) -> None:
+    running[session] -= 1
+    if running[session] <= 0:
+        del running[session]
--- a/src/baobabthread/routing/versions.py
+++ b/src/baobabthread/routing/versions.py
@@ -48,7 +48,6 @@
 
     __slots__ = (
         "_final_at",
-        "_old_running",
         "_ready_at",
         "_started_at",
         "_target_servers",
@@ -91,7 +90,6 @@
         """Lower bound of what all instances have sent, merged from their reports."""
         self.rate = Rate()
         """Rate at which this instance sends requests to the service."""
-        self._old_running = 0
         self.pins = SessionPins(idle_s=bounds.session_s + SESSION_MARGIN_S)
         self.served_before_order = True
         """Whether this instance served before the order and so was sent the sessions in
@@ -400,12 +398,10 @@
 
     def record_old_started(self, session: str, now: float) -> None:
         """Record the start of a session's request on the old version."""
-        self._old_running += 1
         self.pins.record_old_started(session, now)
 
     def record_old_ended(self, session: str, now: float) -> None:
         """Record the end of a session's request on the old version."""
-        self._old_running = max(0, self._old_running - 1)
         self.pins.record_old_ended(session, now)
 
     def progress(self, now: float) -> Progress | None:
@@ -419,7 +415,7 @@
             era=self.order.era or msgspec.UNSET,
             elapsed_s=round(self.elapsed(now), 2),
             share=self.share(now),
-            old_running=self._old_running,
+            old_running=self.pins.running_old_count,
             alarm=self.analysis.alarm,
             is_suspicious=self.analysis.is_suspicious,
             is_final=self.is_final,
--- a/tests/instance/test_sessionuse.py
+++ b/tests/instance/test_sessionuse.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any
 
+from bench._virtual import run_virtually
+
 from baobabthread.instance.clock import now
 from baobabthread.instance.sessions import SessionCoordinator
 from baobabthread.instance.sessionuse import SessionUse
@@ -98,3 +101,21 @@
     use.end()
     assert not site.plan.pins.is_on_new(SESSION)
     assert site.is_in_use
+
+
+def test_know_a_session_whose_stream_outlasts_its_idle_time() -> None:
+    """It began in the final phase of one roll-out and still runs at the next order."""
+
+    async def case() -> None:
+        site = Deployment()
+        site.order(1, "v2")
+        site.plan.begin_final_phase(now())
+        use = site.begin_attempt(on_new_version=True)
+        site.succeed(1, "v2")
+        await asyncio.sleep(site.plan.pins.idle_s + 1.0)
+        site.order(2, "v3")
+        assert site.is_in_use
+        use.end()
+        assert site.plan.pins.running_old_count == 0
+
+    run_virtually(case())
