Prove that a leaving server ended its stream on purpose

The only stream of a leaving server that died after one event of three ended as whole for its caller; three streams that a leaving server finished together were all cut.

Cause: an end without a length was judged by whether the server leaves and others ended with it, which proves nothing either way. The class: circumstances taken for a proof.

An end at a server that leaves and listens no more is whole if the last event is the one that the route's earlier streams let expect for the tokens asked for, if another connection to the server is still open 0.3 s later, or if its record is removed within 0.8 s.

The test of a single stream that a leaving server finishes passed one that nothing told from a crash; it now has the three streams before it that make its length known, and a new test beside it asks that the one without any sign is cut.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -20,6 +20,7 @@
     Listening,
     MemoryShortageError,
     NotSentError,
+    Obstacle,
     Response,
     WithheldError,
 )
@@ -44,6 +45,10 @@
 """Time from the end of a response without a length until its server is probed: by then
 a process that terminated has closed its other sockets."""
 
+EXIT_SIGN_S = 0.8
+"""Time for a server that leaves to show that it ended a response on purpose; shorter
+than the time between two heartbeats."""
+
 UNAVAILABLE_STATUS = 503
 BUSY_STATUSES = (429, UNAVAILABLE_STATUS)
 """Statuses of servers that have no room for a request now."""
@@ -228,23 +233,44 @@
         """Whether nothing but the end of the connection marks the end of the body."""
         return self._response is not None and self._response.ends_with_connection
 
-    async def confirm_end(self) -> None:
+    async def confirm_end(self, *, is_last_event: bool = False) -> None:
         """Raise `ConnectionLostError` if a body may have ended because its server did.
 
-        The end of a connection looks the same if the server has crashed.
+        The end of a connection looks the same if the server has crashed. Of a server
+        that leaves, which listens no more, another sign is required.
         """
         if not self.ends_with_connection:
             return
+        ended_at = now()
+        was_listed = self.link.find_obstacle() is not Obstacle.GONE
         await self._wait_for(asyncio.sleep(END_CHECK_DELAY_S))
         listening = await self._wait_for(self.link.pool.probe())
         self._ensure_open()
         if listening is Listening.YES and not self.link.is_replaced:
             return
-        # A server that leaves listens no more, and ends its responses one by one.
-        if self.link.is_departing and not self.link.has_lost_others(self._connection):
-            return
+        if self.link.is_departing:
+            if is_last_event:
+                return
+            exit = self._confirm_exit(ended_at, was_listed=was_listed)
+            if await self._wait_for(exit):
+                self._ensure_open()
+                return
         raise ConnectionLostError("response ended without a length, server gone")
 
+    async def _confirm_exit(self, ended_at: float, *, was_listed: bool) -> bool:
+        """Return whether a server that leaves did more after the end of a response.
+
+        One that exits as planned removes its record then; that of one that crashes
+        stays until several heartbeats are missing.
+        """
+        while now() - ended_at < EXIT_SIGN_S:
+            if self.link.has_outlived(self._connection, ended_at):
+                return True
+            if was_listed and self.link.find_obstacle() is Obstacle.GONE:
+                return True
+            await asyncio.sleep(END_CHECK_DELAY_S)
+        return False
+
     def was_broken_off(self, error: Exception) -> bool:
         """Return whether a server, not this instance, ended a response too early.
 
@@ -268,7 +294,7 @@
     def abort(self) -> None:
         """Close the connection if it is open, so that the server stops processing."""
         if self._connection is not None:
-            self.link.record_lost(self._connection)
+            self.link.in_flight.discard(self._connection)
             self.link.pool.discard(self._connection)
             self._connection = None
         if self._charge is not None:
--- a/src/baobabthread/instance/responses.py
+++ b/src/baobabthread/instance/responses.py
@@ -27,6 +27,7 @@
 from baobabthread.instance.wire import WireFormat
 from baobabthread.routing.mechanisms import DisabledMechanisms
 from baobabthread.routing.models import ModelChoice, PendingResponse
+from baobabthread.routing.streamlengths import StreamLengths
 
 LENGTH_MARGIN = 1.5
 """Multiple of the expected duration of a larger model's response that must be left
@@ -42,7 +43,15 @@
 class ResponseForwarder:
     """Forward responses to callers, whole or event by event."""
 
-    __slots__ = ("_disabled", "_estimates", "_log", "_models", "_selection", "_wire")
+    __slots__ = (
+        "_disabled",
+        "_estimates",
+        "_lengths",
+        "_log",
+        "_models",
+        "_selection",
+        "_wire",
+    )
 
     def __init__(
         self,
@@ -57,6 +66,7 @@
         self._wire = wire
         self._estimates = estimates
         self._models = models
+        self._lengths = StreamLengths()
         self._disabled = disabled
         self._selection = selection
         self._log = log
@@ -222,8 +232,12 @@
                 context.last_event = events.last_id
         if not splitter.is_drained:
             raise _find_break(attempt)
-        await attempt.confirm_end()
+        tokens = context.request.envelope.output_tokens
+        route, last_event = context.route.name, context.last_event
+        is_last = self._lengths.is_last(route, tokens, last_event)
+        await attempt.confirm_end(is_last_event=is_last)
         attempt.finish()
+        self._lengths.observe(route, tokens, last_event)
         observation.end_stream()
         self._estimates.observe_stream(context, head.latency_s, now() - first_at)
         self._log.record_response(context, attempt.link.record, head.status)
--- a/src/baobabthread/instance/servers/backends.py
+++ b/src/baobabthread/instance/servers/backends.py
@@ -54,8 +54,9 @@
 """Time for which a server gets no requests after another one was found at its address:
 its record lapses after three heartbeats, about four seconds, and the list of records is
 read within two."""
-SIMULTANEOUS_S = 0.1
-"""Time within which connections of one server that end have the same cause."""
+SURVIVAL_S = 0.3
+"""Time in which a process that ends closes all its connections, also if the packet that
+tells so is lost once."""
 REST_RAMP_S = 1.0
 """Time in which a server that has rested gets its whole share again."""
 BALANCER = earliest.NAME
@@ -74,7 +75,6 @@
 
     __slots__ = (
         "_answered_sent_at",
-        "_lost_at",
         "_paths",
         "find_obstacle",
         "in_flight",
@@ -123,7 +123,6 @@
         """Return why the server must get no new request, None if it may."""
         self.in_flight: set[Connection] = set()
         """Connections that carry an attempt."""
-        self._lost_at = -1e9
         self.received_at = -1e9
         self.suspect_until = -1e9
         self.is_replaced = False
@@ -168,21 +167,15 @@
         """Whether the server has said that it leaves, or its record is gone."""
         return self.find_obstacle() in (Obstacle.LEAVING, Obstacle.GONE)
 
-    def record_lost(self, connection: Connection) -> None:
-        """Record the end of an attempt; it was lost if its connection has ended."""
-        self.in_flight.discard(connection)
-        if not connection.is_connected():
-            self._lost_at = now()
+    def has_outlived(self, ended: Connection | None, ended_at: float) -> bool:
+        """Return whether the server's process runs on after a connection has ended.
 
-    def has_lost_others(self, connection: Connection | None) -> bool:
-        """Return whether all other attempts ended with this connection.
-
-        A server that crashes ends all its connections at once.
+        A process that ends closes all its connections at once.
         """
-        others = self.in_flight - {connection}
-        if any(other.is_connected() for other in others):
+        if now() - ended_at < SURVIVAL_S:
             return False
-        return bool(others) or now() - self._lost_at < SIMULTANEOUS_S
+        others = [*(self.in_flight - {ended}), *self.pool.idle]
+        return any(other.is_connected() for other in others)
 
     def record_response(self, sent_at: float) -> None:
         """Record the response to a request that was sent at a time."""
--- a/src/baobabthread/instance/servers/connections.py
+++ b/src/baobabthread/instance/servers/connections.py
@@ -387,6 +387,11 @@
         """Whether idle connections are kept."""
         return bool(self._idle)
 
+    @property
+    def idle(self) -> Sequence[Connection]:
+        """Idle connections, of which some may have ended."""
+        return self._idle
+
     async def send(
         self,
         head: bytes,
--- a/tests/platform/test_framing.py
+++ b/tests/platform/test_framing.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 
 from tests.platform.fakes import CrashMoment, FakeBackend, Framing
+from tests.platform.fakestore import BACKENDS
 from tests.platform.site import Site, open_site, run
 
 BAD_PART = "bad0"
@@ -127,6 +129,26 @@
     backend.close()
 
 
+WHOLE = (200, True, [1, 2, 3], b"")
+
+
+async def open_streams(site: Site, count: int) -> list[asyncio.Task[Any]]:
+    """Begin streams that may run once and last 0.6 s."""
+    backend = site.backends[0]
+    backend.pause_s = 0.2
+    streams = [open_stream(site, "/once/x") for _ in range(count)]
+    tasks = [asyncio.ensure_future(stream) for stream in streams]
+    await asyncio.sleep(0.1)
+    return tasks
+
+
+async def teach_length(site: Site, path: str) -> None:
+    """Let an instance see streams of a route end at a server that lives on."""
+    site.backends[0].framing = Framing.CLOSE
+    for _ in range(3):
+        assert await open_stream(site, path) == WHOLE
+
+
 @pytest.mark.parametrize("path", ["/stream/x", "/once/x"])
 def test_pass_on_a_stream_that_a_leaving_server_finishes(path: str) -> None:
     """A server stops to listen before its last streams end; they were cut."""
@@ -134,12 +156,94 @@
     async def case() -> None:
         async with open_site("e1") as site:
             backend = site.backends[0]
-            backend.framing = Framing.CLOSE
+            await teach_length(site, path)
             backend.pause_s = 0.2
             stream = asyncio.ensure_future(open_stream(site, path))
             await asyncio.sleep(0.1)
             leave(site, backend)
-            assert await stream == (200, True, [1, 2, 3], b"")
+            assert await stream == WHOLE
+
+    run(case())
+
+
+def test_pass_on_streams_that_a_leaving_server_finishes_together() -> None:
+    """They passed for streams of a server that had crashed."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            await teach_length(site, "/once/x")
+            streams = await open_streams(site, 3)
+            leave(site, site.backends[0])
+            assert await asyncio.gather(*streams) == [WHOLE] * 3
+
+    run(case())
+
+
+def test_pass_on_a_stream_that_another_one_outlives() -> None:
+    """A server that still sends has not crashed, whatever the length."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            site.backends[0].framing = Framing.CLOSE
+            [first] = await open_streams(site, 1)
+            await asyncio.sleep(0.3)
+            [second] = await open_streams(site, 1)
+            leave(site, site.backends[0])
+            assert await first == WHOLE
+            assert not (await second)[1]
+
+    run(case())
+
+
+def test_pass_on_a_stream_whose_server_then_removes_its_record() -> None:
+    """A server that has crashed removes no record; its last stream was cut."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            backend = site.backends[0]
+            backend.framing = Framing.CLOSE
+            [stream] = await open_streams(site, 1)
+            leave(site, backend)
+            await asyncio.sleep(0.7)
+            site.store.put(BACKENDS, backend.id, b"")
+            assert await stream == WHOLE
+
+    run(case())
+
+
+@pytest.mark.parametrize("has_history", [True, False])
+@pytest.mark.parametrize("moment", [CrashMoment.AFTER_HEAD, CrashMoment.BETWEEN_EVENTS])
+def test_break_off_the_only_stream_of_a_leaving_server_that_dies(
+    moment: CrashMoment, has_history: bool
+) -> None:
+    """One event of three passed for the whole stream."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            backend = site.backends[0]
+            if has_history:
+                await teach_length(site, "/once/x")
+            crash_in_streams(backend, moment)
+            backend.crash_s = 0.3
+            stream = asyncio.ensure_future(open_stream(site, "/once/x"))
+            await asyncio.sleep(0.1)
+            leave(site, backend)
+            _, is_complete, _, stray = await stream
+            assert not is_complete
+            assert stray == b""
+
+    run(case())
+
+
+def test_break_off_a_stream_without_any_sign_that_it_is_whole() -> None:
+    """A caller must not take a part for the whole, at the price of a whole cut."""
+
+    async def case() -> None:
+        async with open_site("e1") as site:
+            site.backends[0].framing = Framing.CLOSE
+            [stream] = await open_streams(site, 1)
+            leave(site, site.backends[0])
+            assert not (await stream)[1]
 
     run(case())
 
