Bound what records of other writers, header fields and replies may hold

One record with a huge number of slots beside those of two sound servers left nearly all requests without an answer, also at instances that were started later, for as long as it stood there: each request and each tick ended with an OverflowError.

Cause: a record was checked for its form, not its values. The class: a value from another writer that is bounded nowhere. Also of it: line breaks in ids, names and addresses that are sent in fields; ports in other digits; nesting that ends decoders of orders, statuses, quarantined requests, store replies and peers' messages with another error than callers catch; numbers in header fields and of events that can't be converted.

What a record may hold is declared with its fields, once, in platform/records.py; a record outside is rejected whole, and what was known before stays in force. Decoders raise one error. Names of routes are only shown, so that control characters in them are replaced.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,7 @@
     let_record_lapse,
     tell_departure,
 )
+from soak.oddrecords import ODD, write_odd_records
 from soak.outages import LOST_SERVERS, lose_servers
 from soak.partitions import Cut
 from soak.parts import CRASHING_PART, crash_by_part
@@ -264,6 +265,12 @@
         await withdraw_record(site, backend)
 
 
+@FAULTS.register(ODD)
+async def write_beside_servers(site: Site) -> None:
+    """Let another writer leave records among those of the servers."""
+    await write_odd_records(site)
+
+
 @FAULTS.register("backend crashes")
 async def crash_backend(site: Site) -> None:
     """Lose one backend server without a word; its record lapses later."""
--- a/src/baobabthread/adapters/codec.py
+++ b/src/baobabthread/adapters/codec.py
@@ -53,7 +53,10 @@
 
     def decode(self, body: bytes) -> tuple[str, list[msgspec.Struct]]:
         """Decode one batch or raise msgspec.DecodeError."""
-        batch: Any = self._decoder.decode(expand(body))
+        try:
+            batch: Any = self._decoder.decode(expand(body))
+        except RecursionError as error:
+            raise msgspec.DecodeError("message is nested too deeply") from error
         return batch.sender, batch.messages
 
 
--- a/src/baobabthread/instance/events.py
+++ b/src/baobabthread/instance/events.py
@@ -10,6 +10,7 @@
 """Size limit of an incomplete event, which is buffered."""
 _MAX_END_BYTES = 4
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_NUMBER = re.compile(r"\d{1,18}", re.ASCII)
 _ID_FIELD = re.compile(rb"(?:^|\n)id:[ \t]*([^\r\n]*)")
 
 
@@ -85,4 +86,5 @@
 
 
 def _parse_id(id: str | None) -> int | None:
-    return int(id) if id is not None and id.isdigit() else None
+    """Return the number of an event; None if it has none that can be counted."""
+    return int(id) if id is not None and _NUMBER.fullmatch(id) else None
--- a/src/baobabthread/instance/peers.py
+++ b/src/baobabthread/instance/peers.py
@@ -453,6 +453,7 @@
             IncompleteResponseError,
             TimeoutError,
             msgspec.MsgspecError,
+            RecursionError,
         ) as error:
             log_event("peer_unreachable", peer=peer, error=str(error) or "timeout")
             return
--- a/src/baobabthread/instance/store.py
+++ b/src/baobabthread/instance/store.py
@@ -82,8 +82,9 @@
 class RecordFormat(Protocol):
     """Name the topics and translate their records.
 
-    Decoders raise `msgspec.MsgspecError` or `BaobabthreadError` for records that
-    can't be decoded.
+    Decoders raise nothing but `ConfigurationError`, for records that can't be decoded.
+    What they return is bounded: names are short, and numbers are finite and small
+    enough to calculate with.
     """
 
     operators_topic: str
--- a/src/baobabthread/platform/headers.py
+++ b/src/baobabthread/platform/headers.py
@@ -71,8 +71,11 @@
     b"kv-from",
     b"kv-fetch",
 }
+MAX_NUMBER = 1e12
+"""Limit of numbers in header fields."""
 _DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?([eE][+-]?\d{1,4})?", re.ASCII)
-_TOKEN_COUNTS = re.compile(r"\s*(\d+)\s*,\s*(\d+)\s*$")
+_TOKEN_COUNTS = re.compile(r"\s*(\d{1,12})\s*,\s*(\d{1,12})\s*\Z", re.ASCII)
+_TOKENS = re.compile(r"\d{1,12}", re.ASCII)
 
 
 class PlatformWireFormat:
@@ -198,9 +201,10 @@
 
 def _parse_number(value: str | None) -> float | None:
     try:
-        return None if value is None else float(value)
+        number = None if value is None else float(value)
     except ValueError:
         return None
+    return number if number is not None and abs(number) <= MAX_NUMBER else None
 
 
 def _parse_rest(status: int, headers: MultiMapping[str]) -> float | None:
@@ -217,7 +221,7 @@
 def _parse_delay(value: str, sent: str | None) -> float | None:
     """Return a delay in seconds, which may be given as a date; None if unreadable."""
     if _DECIMAL_NUMBER.fullmatch(value):
-        return float(value)
+        return min(MAX_NUMBER, float(value))
     until = _parse_date(value)
     if until is None:
         return None
@@ -259,7 +263,7 @@
     """Return the smallest of decimal numbers; None if any of them is none."""
     if not all(_DECIMAL_NUMBER.fullmatch(value) for value in values):
         return None
-    return min(float(value) for value in values)
+    return min(MAX_NUMBER, *(float(value) for value in values))
 
 
 def _parse_token_counts(value: str | None) -> tuple[int, int]:
@@ -273,7 +277,7 @@
     parts = []
     for item in value.split(","):
         id, colon, tokens = item.strip().partition(":")
-        if not colon or not tokens.isdigit():
+        if not colon or not _TOKENS.fullmatch(tokens):
             return ()
         parts.append(PromptPart(id=id, tokens=int(tokens)))
     return tuple(parts)
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -4,8 +4,11 @@
 
 import enum
 import ipaddress
+import re
+from typing import Annotated, TypeVar
 
 import msgspec
+from msgspec import Meta
 
 from baobabthread.core.positions import NO_ORDER, OperatorsPosition, Position
 from baobabthread.errors import ConfigurationError
@@ -32,79 +35,107 @@
 EVACUATION_PREFIX = "evacuate/"
 QUARANTINE_PREFIX = "quarantine/"
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
 MS_PER_S = 1000.0
+MAX_NAME_CHARS = 200
+MAX_TEXT_CHARS = 8_192
+"""Length limit of paths and keys."""
+MAX_SLOTS = 100_000
+MAX_COUNT = 1_000_000_000
+MAX_NUMBER = 2**62
+"""Limit of versions, offsets and Unix times in milliseconds."""
+MAX_MS = 1e10
+"""Limit of durations in milliseconds, about four months."""
+MAX_REASON_CHARS = 200
+"""Length limit of the reason why a record is rejected."""
+_CONTROLS = re.compile(r"[\x00-\x1f\x7f]")
+_NO_CONTROLS = r"\A[^\x00-\x1f\x7f]*\Z"
+# Names end up in header fields, keys of the store, logs and metrics.
+Name = Annotated[str, Meta(max_length=MAX_NAME_CHARS, pattern=_NO_CONTROLS)]
+Text = Annotated[str, Meta(max_length=MAX_TEXT_CHARS, pattern=_NO_CONTROLS)]
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+Rank = Annotated[int, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+Number = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Milliseconds = Annotated[float, Meta(ge=0.0, le=MAX_MS)]
+Seconds = Annotated[float, Meta(ge=0.0, le=MAX_MS / MS_PER_S)]
+Amount = Annotated[float, Meta(ge=0.0, le=float(MAX_COUNT))]
 
 _REQUEST_KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "streaming": RequestKind.STREAM,
 }
 _BACKEND_REMEDY = "let only backend servers write to this topic, with all fields"
+_ORDER_REMEDY = "order a roll-out in the platform's documented format"
 _STATUS_REMEDY = "let only instances write to this topic"
 _CONFIGURATION_REMEDY = "publish a configuration in the platform's documented format"
 
 
+T = TypeVar("T")
+
+
 class _Split(msgspec.Struct, frozen=True, kw_only=True):
-    service: str
-    weight: float = 1.0
+    service: Name
+    weight: Amount = 1.0
 
 
 class _Route(msgspec.Struct, frozen=True, kw_only=True):
-    name: str = ""
-    host: str
-    path_prefix: str
-    kind: str
-    timeout_ms: float
-    slo_ms: float = 0.0
-    priority: int = 5
-    max_attempts: int = 1
-    sizes: list[str] = []
+    name: Annotated[str, Meta(max_length=MAX_TEXT_CHARS)] = ""
+    """Label that is only shown."""
+    host: Text
+    path_prefix: Text
+    kind: Name
+    timeout_ms: Milliseconds
+    slo_ms: Milliseconds = 0.0
+    priority: Rank = 5
+    max_attempts: Rank = 1
+    sizes: list[Name] = []
     """Model names, smallest model first."""
-    service: str | None = None
+    service: Name | None = None
     backends: list[_Split] = []
     """Weighted services, not backend servers."""
     public: bool = False
     sticky: bool = False
     """Whether requests list the parts of their prompt."""
     resumable: bool = False
-    gap_target_ms: float = 0.0
-    allowed_regions: list[str] = []
+    gap_target_ms: Milliseconds = 0.0
+    allowed_regions: list[Name] = []
 
 
 class _Model(msgspec.Struct, frozen=True, kw_only=True):
-    name: str
-    cost: float = 0.0
+    name: Name
+    cost: Amount = 0.0
 
 
 class _Engine(msgspec.Struct, frozen=True, kw_only=True):
-    slots: int = 0
-    kv_capacity_tokens: int = 0
+    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)] = 0
+    kv_capacity_tokens: Count = 0
     """Memory shared by running requests and cached prompt parts."""
     models: list[_Model] = []
 
 
 class _Service(msgspec.Struct, frozen=True, kw_only=True):
-    name: str
-    max_conns: int = 0
+    name: Name
+    max_conns: Count = 0
     engine: _Engine | None = None
-    cold_s: float = 0.0
-    cold_per_s: float = 0.0
+    cold_s: Seconds = 0.0
+    cold_per_s: Amount = 0.0
 
 
 class _Limits(msgspec.Struct, frozen=True, kw_only=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    idle_timeout_ms: Milliseconds = 15_000
 
 
 class _Tenant(msgspec.Struct, frozen=True, kw_only=True):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
-    allowed_regions: list[str] = []
+    name: Name
+    api_keys: list[Text] = []
+    priority: Rank | None = None
+    allowed_regions: list[Name] = []
 
 
 class _Configuration(msgspec.Struct, frozen=True, kw_only=True):
-    version: int
+    version: Number
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
@@ -119,14 +150,14 @@
 class _Server(msgspec.Struct, frozen=True, kw_only=True):
     """Record of a backend server; a record that lacks a field is another writer's."""
 
-    service: str
-    address: str
-    zone: str
-    version: str
-    slots: int
+    service: Name
+    address: Name
+    zone: Name
+    version: Name
+    slots: Annotated[int, Meta(le=MAX_SLOTS)]
     """Requests that it runs concurrently."""
     state: _ServerState
-    born: int = 0
+    born: Number = 0
     """Unix time of its start in milliseconds; omitted by deployments whose servers
     never restart under the same id."""
     cold_left_ms: float | str | None = None
@@ -135,33 +166,35 @@
 
 
 class _Order(msgspec.Struct, frozen=True, kw_only=True):
-    service: str
-    target: str
+    service: Name
+    target: Name
     """Version to roll out."""
-    deadline_s: float
+    deadline_s: Seconds
     """Time limit of the whole roll-out, counted from the order."""
 
 
 class _Status(msgspec.Struct, frozen=True, kw_only=True):
-    service: str
-    target: str
+    service: Name
+    target: Name
     state: RolloutState
-    number: int = 0
+    number: Number = 0
     """Offset of the order in its era."""
-    era: int = 0
-    elapsed_s: float = 0.0
-    base: str | None = None
-    base_number: int = NO_ORDER.offset
-    base_era: int = 0
+    era: Number = 0
+    elapsed_s: Seconds = 0.0
+    base: Name | None = None
+    """Version in force before the order."""
+    base_number: Number = NO_ORDER.offset
+    """Offset of the newest order that `base` takes account of, in its era."""
+    base_era: Number = 0
 
 
 class _Quarantined(msgspec.Struct, frozen=True, kw_only=True):
-    service: str
-    times: int
-    until_ms: float
+    service: Name
+    times: Count
+    until_ms: Annotated[float, Meta(ge=0.0, le=float(MAX_NUMBER))]
     """Unix time in milliseconds."""
     cleared: bool = False
-    versions: tuple[str, ...] = ()
+    versions: tuple[Name, ...] = ()
     tentative: bool = False
 
 
@@ -218,7 +251,9 @@
         """Decode a quarantined request; return None for other records."""
         if not record.key.startswith(QUARANTINE_PREFIX) or not record.value:
             return None
-        entry = msgspec.json.decode(record.value, type=_Quarantined)
+        entry = _decode(
+            record.value, _Quarantined, key=record.key, remedy=_STATUS_REMEDY
+        )
         return QuarantineEntry(
             fingerprint=record.key.removeprefix(QUARANTINE_PREFIX),
             service=entry.service,
@@ -261,12 +296,9 @@
 
     Raises `ConfigurationError` if it can't be decoded.
     """
-    try:
-        decoded = msgspec.json.decode(value, type=_Configuration)
-    except msgspec.MsgspecError as error:
-        raise ConfigurationError(
-            str(error), field=CONFIGURATION_KEY, remedy=_CONFIGURATION_REMEDY
-        ) from error
+    decoded = _decode(
+        value, _Configuration, key=CONFIGURATION_KEY, remedy=_CONFIGURATION_REMEDY
+    )
     return RoutingConfiguration(
         version=decoded.version,
         routes=tuple(_translate_route(route) for route in decoded.routes),
@@ -295,7 +327,7 @@
     if not targets and route.service is not None:
         targets = (Target(service=route.service),)
     return Route(
-        name=route.name or f"{route.host}{route.path_prefix}",
+        name=_CONTROLS.sub(" ", route.name) or f"{route.host}{route.path_prefix}",
         host=route.host,
         path_prefix=route.path_prefix,
         # Requests of an unknown kind must not run twice.
@@ -334,13 +366,12 @@
 
     Raises `ConfigurationError` if it describes no usable backend server.
     """
+    server = _decode(value, _Server, key=id, remedy=_BACKEND_REMEDY)
     try:
-        server = msgspec.json.decode(value, type=_Server)
+        _check_id(id)
         _check_address(server.address)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise ConfigurationError(
-            str(error), field=id, remedy=_BACKEND_REMEDY
-        ) from error
+    except ValueError as error:
+        raise _reject(error, key=id, remedy=_BACKEND_REMEDY) from error
     return BackendRecord(
         id=id,
         service=server.service,
@@ -355,20 +386,47 @@
 
 
 def _parse_warmup_left_s(left_ms: float | str | None) -> float:
-    return left_ms / MS_PER_S if isinstance(left_ms, float) else 0.0
+    if isinstance(left_ms, float) and 0.0 <= left_ms <= MAX_MS:
+        return left_ms / MS_PER_S
+    return 0.0
+
+
+def _check_id(id: str) -> None:
+    """Raise `ValueError` unless an id can be sent in a header field."""
+    if not id or not id.isascii() or not id.isprintable() or " " in id:
+        raise ValueError("id of a server holds other than visible ASCII characters")
 
 
 def _check_address(address: str) -> None:
     """Raise `ValueError` unless the address is an IP address and a port."""
     host, _, port = address.rpartition(":")
+    if "%" in host:
+        raise ValueError("address names a network interface")
     ipaddress.ip_address(host)
-    if not 0 < int(port) <= MAX_PORT:
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not is_number or not 0 < int(port) <= MAX_PORT:
         raise ValueError(f"port {port!r} is not between 1 and {MAX_PORT}")
 
 
+def _decode(value: bytes, type: type[T], *, key: str, remedy: str) -> T:
+    """Decode a record; raise `ConfigurationError` if that fails in any way."""
+    try:
+        return msgspec.json.decode(value, type=type)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise _reject(error, key=key, remedy=remedy) from error
+
+
+def _reject(error: Exception, *, key: str, remedy: str) -> ConfigurationError:
+    reason = str(error)[:MAX_REASON_CHARS]
+    return ConfigurationError(reason, field=key, remedy=remedy)
+
+
 def decode_rollout_order(position: Position, value: bytes) -> RolloutOrder:
-    """Decode an order to roll out another version of a service."""
-    order = msgspec.json.decode(value, type=_Order)
+    """Decode an order to roll out another version of a service.
+
+    Raises `ConfigurationError` if it can't be decoded.
+    """
+    order = _decode(value, _Order, key=ROLLOUT_PREFIX, remedy=_ORDER_REMEDY)
     return RolloutOrder(
         offset=position.offset,
         era=position.era,
@@ -400,12 +458,7 @@
 
     Raises `ConfigurationError` if it can't be decoded.
     """
-    try:
-        status = msgspec.json.decode(value, type=_Status)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise ConfigurationError(
-            str(error), field=ROLLOUT_PREFIX, remedy=_STATUS_REMEDY
-        ) from error
+    status = _decode(value, _Status, key=ROLLOUT_PREFIX, remedy=_STATUS_REMEDY)
     return RolloutStatus(
         service=status.service,
         target=status.target,
--- a/src/baobabthread/platform/store.py
+++ b/src/baobabthread/platform/store.py
@@ -43,6 +43,8 @@
 OFFSETS_BYTES = 16
 ERA_FIELD = "Store-Era"
 MAX_ERA_DIGITS = 15
+MAX_KEY_BYTES = 255
+"""Length limit of a key, which is stored in one byte."""
 EMPTY_RECORD = b"\0"
 """Content of a record with neither key nor value."""
 
@@ -98,7 +100,7 @@
             records.extend(
                 Record(
                     key=item.key,
-                    value=base64.b64decode(item.value),
+                    value=_decode_value(item.value),
                     position=Position(response.era, item.offset),
                 )
                 for item in page.items
@@ -129,6 +131,8 @@
     async def append(self, append: Append, timeout_s: float) -> Appended | Conflict:
         """Append one keyed record if the topic ends at the expected offset."""
         key = append.key.encode()
+        if len(key) > MAX_KEY_BYTES:
+            raise StoreError(f"key longer than {MAX_KEY_BYTES} bytes")
         record = bytes([len(key)]) + key + append.value
         body = struct.pack(">I", len(record)) + record
         query = {
@@ -223,10 +227,17 @@
 def _decode(body: bytes, message_type: type[T]) -> T:
     try:
         return msgspec.json.decode(body, type=message_type)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise StoreError(f"response can't be decoded: {error}") from error
 
 
+def _decode_value(text: str) -> bytes:
+    try:
+        return base64.b64decode(text)
+    except ValueError as error:
+        raise StoreError(f"record can't be decoded: {error}") from error
+
+
 def _decode_tail(body: bytes, start: Position) -> Tail:
     if len(body) < OFFSETS_BYTES:
         raise StoreError(
--- a/src/baobabthread/routing/streamlengths.py
+++ b/src/baobabthread/routing/streamlengths.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import math
+import re
 from fractions import Fraction
 
+_NUMBER = re.compile(r"\d{1,18}", re.ASCII)
 MIN_STREAMS = 3
 """Streams of a route that must agree before the end of one is predicted."""
 
@@ -68,6 +70,6 @@
 
 
 def _parse(last_event: str | None) -> int | None:
-    if last_event is None or not last_event.isdecimal():
+    if last_event is None or not _NUMBER.fullmatch(last_event):
         return None
     return int(last_event) or None
--- a/tests/adapters/test_codec.py
+++ b/tests/adapters/test_codec.py
@@ -91,3 +91,10 @@
     """
     assert zlib.crc32(USUAL_TEXT) == 2464787668
     assert expand(compress(b"a" * 1000)) == b"a" * 1000
+
+
+@pytest.mark.parametrize("body", [b"[" * 100_000, b'{"x":' * 10_000])
+def test_reject_a_message_that_is_nested_too_deeply(body: bytes) -> None:
+    """Only the error of the format is caught where datagrams arrive."""
+    with pytest.raises(msgspec.DecodeError):
+        CODEC.decode(body)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -54,6 +54,10 @@
         Plan(seed=32, seconds=10.0, faults=EARLY_FAULTS),
         "SIGHUP while an instance loads ended it",
     ),
+    (
+        Plan(seed=1, seconds=5.0, callers=8, faults=("odd records",)),
+        "one odd record of another writer left requests without a server",
+    ),
 )
 """What is played in each run of the tests, and why: two short seeds, and each plan that
 ever broke a promise, with the cause."""
