Give the bounds of records a module of their own

What a record may hold, and what decoding does with one that can't be used, is read by whoever adds a field; the translation of records is another matter. A broken response is built by its caller rather than passed through as four arguments, and the tests and the soak share one sound record.

--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -25,7 +25,11 @@
     ErrorResponses,
 )
 from baobabthread.instance.estimates import Estimates
-from baobabthread.instance.observations import AttemptObservation, BreakChecks
+from baobabthread.instance.observations import (
+    AttemptObservation,
+    BreakChecks,
+    BrokenResponse,
+)
 from baobabthread.instance.quarantine import QuarantineCoordinator
 from baobabthread.instance.requestlog import RequestLog
 from baobabthread.instance.responses import ResponseForwarder
@@ -349,9 +353,13 @@
                 observation.record_answer(failed=None)
             elif attempt.was_broken_off(error):
                 in_stream = context.route.is_stream and context.reply.has_begun
-                self._breaks.start(
-                    observation, link, sent_at=attempt.sent_at, in_stream=in_stream
+                broken = BrokenResponse(
+                    observation=observation,
+                    link=link,
+                    sent_at=attempt.sent_at,
+                    in_stream=in_stream,
                 )
+                self._breaks.start(broken)
             if _is_unavailable(error):
                 reading_end = ReadingEnd.SILENT
             context.timeline.append(f"{link.record.id}:{str(error) or 'timeout'}")
--- a/src/baobabthread/instance/observations.py
+++ b/src/baobabthread/instance/observations.py
@@ -80,7 +80,7 @@
         self._analysis.cancel_attempt(self._ticket)
 
 
-class _Break:
+class BrokenResponse:
     """Response that a server broke off."""
 
     __slots__ = ("at", "in_stream", "link", "observation", "others", "sent_at")
@@ -106,7 +106,7 @@
         """Whether another connection to the server has outlived the broken one."""
         return any(other.is_connected() for other in self.others)
 
-    def meets(self, other: _Break) -> bool:
+    def meets(self, other: BrokenResponse) -> bool:
         """Return whether responses of both versions broke off at one moment."""
         is_same_version = self.observation.is_canary is other.observation.is_canary
         return not is_same_version and abs(self.at - other.at) <= MOMENT_S
@@ -124,27 +124,17 @@
     def __init__(self) -> None:
         self._event_at = -1e9
         """Time of the last event that was counted once."""
-        self._recent: deque[_Break] = deque(maxlen=MAX_RECENT)
+        self._recent: deque[BrokenResponse] = deque(maxlen=MAX_RECENT)
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def start(
-        self,
-        observation: AttemptObservation,
-        link: BackendLink,
-        *,
-        sent_at: float,
-        in_stream: bool,
-    ) -> None:
+    def start(self, broken: BrokenResponse) -> None:
         """Count a broken response if its server is found to live on."""
-        broken = _Break(
-            observation=observation, link=link, sent_at=sent_at, in_stream=in_stream
-        )
         self._recent.append(broken)
         task = asyncio.ensure_future(self._check(broken))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _check(self, broken: _Break) -> None:
+    async def _check(self, broken: BrokenResponse) -> None:
         await asyncio.sleep(MOMENT_S)
         is_shared = any(broken.meets(other) for other in self._recent)
         if (is_shared or not broken.is_single) and not await self._is_new(broken):
@@ -153,7 +143,7 @@
             return
         broken.observation.record_break(in_stream=broken.in_stream)
 
-    async def _is_new(self, broken: _Break) -> bool:
+    async def _is_new(self, broken: BrokenResponse) -> bool:
         """Return whether a response was not ended by an event that was counted."""
         if broken.sent_at <= self._event_at:
             return False
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -3,16 +3,31 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
-import re
-from typing import Annotated, TypeVar
 
 import msgspec
-from msgspec import Meta
 
 from baobabthread.core.positions import NO_ORDER, OperatorsPosition, Position
-from baobabthread.errors import ConfigurationError
 from baobabthread.instance.store import Append, Record
+from baobabthread.platform.bounds import (
+    MAX_MS,
+    MS_PER_S,
+    Amount,
+    Count,
+    Label,
+    Milliseconds,
+    Name,
+    Number,
+    Rank,
+    Seconds,
+    Slots,
+    Text,
+    UnixMilliseconds,
+    check_address,
+    check_id,
+    clean_label,
+    decode_bounded,
+    reject_record,
+)
 from baobabthread.routing.configuration import (
     Account,
     BackendRecord,
@@ -34,32 +49,6 @@
 ROLLOUT_PREFIX = "rollout/"
 EVACUATION_PREFIX = "evacuate/"
 QUARANTINE_PREFIX = "quarantine/"
-MAX_PORT = 65_535
-MAX_PORT_DIGITS = 5
-MS_PER_S = 1000.0
-MAX_NAME_CHARS = 200
-MAX_TEXT_CHARS = 8_192
-"""Length limit of paths and keys."""
-MAX_SLOTS = 100_000
-MAX_COUNT = 1_000_000_000
-MAX_NUMBER = 2**62
-"""Limit of versions, offsets and Unix times in milliseconds."""
-MAX_MS = 1e10
-"""Limit of durations in milliseconds, about four months."""
-MAX_REASON_CHARS = 200
-"""Length limit of the reason why a record is rejected."""
-_CONTROLS = re.compile(r"[\x00-\x1f\x7f]")
-_NO_CONTROLS = r"\A[^\x00-\x1f\x7f]*\Z"
-# Names end up in header fields, keys of the store, logs and metrics.
-Name = Annotated[str, Meta(max_length=MAX_NAME_CHARS, pattern=_NO_CONTROLS)]
-Text = Annotated[str, Meta(max_length=MAX_TEXT_CHARS, pattern=_NO_CONTROLS)]
-Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
-Rank = Annotated[int, Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
-Number = Annotated[int, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
-Milliseconds = Annotated[float, Meta(ge=0.0, le=MAX_MS)]
-Seconds = Annotated[float, Meta(ge=0.0, le=MAX_MS / MS_PER_S)]
-Amount = Annotated[float, Meta(ge=0.0, le=float(MAX_COUNT))]
-
 _REQUEST_KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
     "streaming": RequestKind.STREAM,
@@ -70,17 +59,13 @@
 _CONFIGURATION_REMEDY = "publish a configuration in the platform's documented format"
 
 
-T = TypeVar("T")
-
-
 class _Split(msgspec.Struct, frozen=True, kw_only=True):
     service: Name
     weight: Amount = 1.0
 
 
 class _Route(msgspec.Struct, frozen=True, kw_only=True):
-    name: Annotated[str, Meta(max_length=MAX_TEXT_CHARS)] = ""
-    """Label that is only shown."""
+    name: Label = ""
     host: Text
     path_prefix: Text
     kind: Name
@@ -107,7 +92,7 @@
 
 
 class _Engine(msgspec.Struct, frozen=True, kw_only=True):
-    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)] = 0
+    slots: Slots = 0
     kv_capacity_tokens: Count = 0
     """Memory shared by running requests and cached prompt parts."""
     models: list[_Model] = []
@@ -154,7 +139,7 @@
     address: Name
     zone: Name
     version: Name
-    slots: Annotated[int, Meta(le=MAX_SLOTS)]
+    slots: Slots
     """Requests that it runs concurrently."""
     state: _ServerState
     born: Number = 0
@@ -191,7 +176,7 @@
 class _Quarantined(msgspec.Struct, frozen=True, kw_only=True):
     service: Name
     times: Count
-    until_ms: Annotated[float, Meta(ge=0.0, le=float(MAX_NUMBER))]
+    until_ms: UnixMilliseconds
     """Unix time in milliseconds."""
     cleared: bool = False
     versions: tuple[Name, ...] = ()
@@ -251,7 +236,7 @@
         """Decode a quarantined request; return None for other records."""
         if not record.key.startswith(QUARANTINE_PREFIX) or not record.value:
             return None
-        entry = _decode(
+        entry = decode_bounded(
             record.value, _Quarantined, key=record.key, remedy=_STATUS_REMEDY
         )
         return QuarantineEntry(
@@ -296,7 +281,7 @@
 
     Raises `ConfigurationError` if it can't be decoded.
     """
-    decoded = _decode(
+    decoded = decode_bounded(
         value, _Configuration, key=CONFIGURATION_KEY, remedy=_CONFIGURATION_REMEDY
     )
     return RoutingConfiguration(
@@ -327,7 +312,7 @@
     if not targets and route.service is not None:
         targets = (Target(service=route.service),)
     return Route(
-        name=_CONTROLS.sub(" ", route.name) or f"{route.host}{route.path_prefix}",
+        name=clean_label(route.name) or f"{route.host}{route.path_prefix}",
         host=route.host,
         path_prefix=route.path_prefix,
         # Requests of an unknown kind must not run twice.
@@ -351,7 +336,7 @@
     return ServiceConfiguration(
         name=service.name,
         max_connections=service.max_conns,
-        capacity=engine.slots,
+        capacity=max(0, engine.slots),
         memory_tokens=engine.kv_capacity_tokens,
         models=tuple(
             ModelCost(name=model.name, cost=model.cost) for model in engine.models
@@ -366,12 +351,12 @@
 
     Raises `ConfigurationError` if it describes no usable backend server.
     """
-    server = _decode(value, _Server, key=id, remedy=_BACKEND_REMEDY)
+    server = decode_bounded(value, _Server, key=id, remedy=_BACKEND_REMEDY)
     try:
-        _check_id(id)
-        _check_address(server.address)
+        check_id(id)
+        check_address(server.address)
     except ValueError as error:
-        raise _reject(error, key=id, remedy=_BACKEND_REMEDY) from error
+        raise reject_record(error, key=id, remedy=_BACKEND_REMEDY) from error
     return BackendRecord(
         id=id,
         service=server.service,
@@ -391,42 +376,12 @@
     return 0.0
 
 
-def _check_id(id: str) -> None:
-    """Raise `ValueError` unless an id can be sent in a header field."""
-    if not id or not id.isascii() or not id.isprintable() or " " in id:
-        raise ValueError("id of a server holds other than visible ASCII characters")
-
-
-def _check_address(address: str) -> None:
-    """Raise `ValueError` unless the address is an IP address and a port."""
-    host, _, port = address.rpartition(":")
-    if "%" in host:
-        raise ValueError("address names a network interface")
-    ipaddress.ip_address(host)
-    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
-    if not is_number or not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f"port {port!r} is not between 1 and {MAX_PORT}")
-
-
-def _decode(value: bytes, type: type[T], *, key: str, remedy: str) -> T:
-    """Decode a record; raise `ConfigurationError` if that fails in any way."""
-    try:
-        return msgspec.json.decode(value, type=type)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise _reject(error, key=key, remedy=remedy) from error
-
-
-def _reject(error: Exception, *, key: str, remedy: str) -> ConfigurationError:
-    reason = str(error)[:MAX_REASON_CHARS]
-    return ConfigurationError(reason, field=key, remedy=remedy)
-
-
 def decode_rollout_order(position: Position, value: bytes) -> RolloutOrder:
     """Decode an order to roll out another version of a service.
 
     Raises `ConfigurationError` if it can't be decoded.
     """
-    order = _decode(value, _Order, key=ROLLOUT_PREFIX, remedy=_ORDER_REMEDY)
+    order = decode_bounded(value, _Order, key=ROLLOUT_PREFIX, remedy=_ORDER_REMEDY)
     return RolloutOrder(
         offset=position.offset,
         era=position.era,
@@ -458,7 +413,7 @@
 
     Raises `ConfigurationError` if it can't be decoded.
     """
-    status = _decode(value, _Status, key=ROLLOUT_PREFIX, remedy=_STATUS_REMEDY)
+    status = decode_bounded(value, _Status, key=ROLLOUT_PREFIX, remedy=_STATUS_REMEDY)
     return RolloutStatus(
         service=status.service,
         target=status.target,
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -14,29 +14,22 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from multidict import CIMultiDict
+from soak.oddrecords import SOUND
 
 from baobabthread.core.positions import Position
 from baobabthread.errors import ConfigurationError
 from baobabthread.instance.events import EventSplitter
 from baobabthread.instance.store import Append, Record, StoreError
+from baobabthread.platform.bounds import MAX_NUMBER
 from baobabthread.platform.headers import PlatformWireFormat
-from baobabthread.platform.records import MAX_NUMBER, PlatformRecordFormat
+from baobabthread.platform.records import PlatformRecordFormat
 from baobabthread.platform.store import PlatformStore
 from tests.platform.fakestore import BACKENDS, OPERATORS, STATUS
 from tests.platform.site import Site, make_configuration, open_site, run, wait_for
 
 HUGE = 10**400
 DEEP = b"[" * 100_000
-SERVER: dict[str, Any] = {
-    "service": "plain",
-    "address": "127.0.0.1:9",
-    "zone": "a",
-    "version": "v1",
-    "slots": 6,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "born": 1700,
-}
+SERVER: dict[str, Any] = SOUND | {"born": 1700}
 ORDER = {"service": "plain", "target": "v2", "deadline_s": 24.0}
 STATUS_RECORD = {**ORDER, "state": "running", "number": 3, "era": 0, "elapsed_s": 0.5}
 QUARANTINED = {"service": "plain", "times": 2, "until_ms": 1.7e12, "versions": ["v1"]}
