Count refusals of sound requests against a version, by sessions

A version that answered half of its sound requests with a status 4xx was promoted (by reading; a refusal counted as a good answer).

A refusal is evidence only where one caller can't provoke it alone: it counts with the first response of each session, against the version in force. One caller with wrong requests is refused by any version and takes back none.

Evidence: the new tests fail without the metric.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -109,6 +109,11 @@
         """Return whether the status is a success."""
         return 200 <= self.status < 300
 
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether the backend server found fault with the request."""
+        return 400 <= self.status < 500
+
     @property
     def is_failure(self) -> bool:
         """Return whether the backend server itself failed."""
--- a/src/baobabthread/instance/forwarder.py
+++ b/src/baobabthread/instance/forwarder.py
@@ -391,6 +391,7 @@
             kind=f"{context.route.name}/{context.model_name}",
             at=now(),
             expected_s=self._estimates.unloaded_first_s(context),
+            session=context.session,
         )
         return AttemptObservation(analysis=state.plan.analysis, sent=sent)
 
--- a/src/baobabthread/instance/observations.py
+++ b/src/baobabthread/instance/observations.py
@@ -34,14 +34,18 @@
         """Whether the attempt went to a canary version."""
         return self._sent.is_canary
 
-    def record_answer(self, *, failed: bool | None) -> None:
+    def record_answer(self, *, failed: bool | None, refused: bool = False) -> None:
         """Count a whole response or the first event of a stream, the first time only.
 
-        `failed` is None if the attempt was given up without a response.
+        `failed` is None if the attempt was given up without a response, and `refused`
+        tells that the server found fault with the request.
         """
-        if not self._has_answered:
-            self._has_answered = True
-            self._analysis.finish_attempt(self._ticket, failed=failed, now=now())
+        if self._has_answered:
+            return
+        self._has_answered = True
+        self._analysis.finish_attempt(self._ticket, failed=failed, now=now())
+        if failed is False:
+            self._analysis.observe_refusal(self._sent, is_refused=refused)
 
     def begin_stream(self) -> None:
         """Record the first event of a stream."""
--- a/src/baobabthread/instance/responses.py
+++ b/src/baobabthread/instance/responses.py
@@ -103,7 +103,7 @@
             await self._stream(context, attempt, head)
             return
         body = await attempt.read_body(MAX_RESPONSE_BYTES)
-        attempt.observation.record_answer(failed=False)
+        attempt.observation.record_answer(failed=False, refused=head.is_refusal)
         if head.is_success:
             self._estimates.observe_response(context, now() - attempt.sent_at)
         await self._forward(context, attempt, head, body)
--- a/src/baobabthread/instance/rollouts.py
+++ b/src/baobabthread/instance/rollouts.py
@@ -414,6 +414,7 @@
             status.service == plan.service
             and status.number is not None
             and status.number > written_at
+            and not status.number.is_copy(written_at)
             for status in list_statuses(page, self._formats)
         )
 
--- a/src/baobabthread/routing/canary.py
+++ b/src/baobabthread/routing/canary.py
@@ -40,6 +40,8 @@
 """Odds that are required with fewer bad responses than `MIN_BAD`."""
 MAX_BASELINE_RATE = 0.9
 """Upper bound of the baseline rate of bad responses."""
+MAX_SESSIONS = 20_000
+"""Sessions whose first responses are counted in one roll-out."""
 ALL_CALLS = ""
 """Key of the counts over all calls."""
 
@@ -53,6 +55,8 @@
     """Streams that their server broke off."""
     PACE = "pace"
     """Streams whose events arrive slowly."""
+    REFUSALS = "refusals"
+    """Sessions whose first response was a refusal of the request, with status 4xx."""
 
 
 GRADUAL_METRICS = frozenset({CanaryMetric.LATENCY, CanaryMetric.PACE})
@@ -62,6 +66,7 @@
     CanaryMetric.LATENCY: 0.03,
     CanaryMetric.ENDINGS: 0.05,
     CanaryMetric.PACE: 0.03,
+    CanaryMetric.REFUSALS: 0.05,
 }
 """Tolerated excess over the old version's rate of bad responses, for the bets."""
 PROMOTION_MARGINS = {
@@ -69,6 +74,7 @@
     CanaryMetric.LATENCY: 0.04,
     CanaryMetric.ENDINGS: 0.03,
     CanaryMetric.PACE: 0.04,
+    CanaryMetric.REFUSALS: 0.03,
 }
 """Tolerated excess when the promotion of a canary is decided."""
 FINAL_MARGINS = {
@@ -84,6 +90,7 @@
     CanaryMetric.LATENCY: (0.2, 0.4),
     CanaryMetric.ENDINGS: (0.08, 0.25),
     CanaryMetric.PACE: (0.2, 0.4),
+    CanaryMetric.REFUSALS: (0.08, 0.25),
 }
 """Assumed fractions of the otherwise good responses that a bad version spoils."""
 
@@ -121,6 +128,7 @@
     at: float
     expected_s: float
     """Latency of the response without load."""
+    session: str = ""
 
 
 class _Key(msgspec.Struct, frozen=True):
@@ -181,6 +189,7 @@
         "_own",
         "_pending",
         "_received",
+        "_sessions",
         "_streams",
         "_tickets",
         "_total",
@@ -207,6 +216,8 @@
         """Unanswered attempts that were already counted as slow."""
         self._streams: dict[int, tuple[SentAttempt, StreamPace]] = {}
         """Streams whose pace is not decided yet."""
+        self._sessions: set[tuple[bool, str, str]] = set()
+        """Sessions whose first response was counted, by version and call."""
         self._is_final = False
         self._before_final: dict[_Key, tuple[int, int]] = {}
         """Responses seen, and bad ones, before the final phase."""
@@ -249,6 +260,18 @@
         key = _Key(sent.is_canary, sent.call, CanaryMetric.ENDINGS)
         self._count_own(key, bad=not is_whole)
 
+    def observe_refusal(self, sent: SentAttempt, *, is_refused: bool) -> None:
+        """Count whether the first response of a session was a refusal.
+
+        A single caller with wrong requests is refused again and again by any version.
+        """
+        session = (sent.is_canary, sent.call, sent.session)
+        if session in self._sessions or len(self._sessions) >= MAX_SESSIONS:
+            return
+        self._sessions.add(session)
+        key = _Key(sent.is_canary, sent.call, CanaryMetric.REFUSALS)
+        self._count_own(key, bad=is_refused)
+
     def watch_stream(self, ticket: int, sent: SentAttempt, now: float) -> StreamPace:
         """Watch the pace of a stream from its first event on."""
         kind = f"{sent.kind}/{CanaryMetric.PACE}"
--- a/src/baobabthread/routing/streamlengths.py
+++ b/src/baobabthread/routing/streamlengths.py
@@ -10,6 +10,8 @@
 import re
 from fractions import Fraction
 
+MAX_ROUTES = 10_000
+"""Routes whose streams are remembered; configurations rename them again and again."""
 _NUMBER = re.compile(r"\d{1,18}", re.ASCII)
 MIN_STREAMS = 3
 """Streams of a route that must agree before the end of one is predicted."""
@@ -52,6 +54,8 @@
             # Lengths that contradict each other begin anew with the newest one.
             low = Fraction(asked, number)
             high = Fraction(asked, number - 1) if number > 1 else None
+            if len(self._sizes) >= MAX_ROUTES:
+                self._sizes.clear()
             self._sizes[route] = _EventSize(low=low, high=high)
             return
         known.low, known.high = low, high
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -402,6 +402,14 @@
     )
 
 
+@register_behaviour("refuse")
+async def refuse(
+    backend: FakeBackend, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Execute the request and find fault with it."""
+    writer.write(render_response_head(request, 400, Content_Length="0"))
+
+
 @register_behaviour("large")
 async def send_large_body(
     backend: FakeBackend, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/tests/platform/test_observations.py
+++ b/tests/platform/test_observations.py
@@ -65,6 +65,21 @@
     run(case())
 
 
+def test_count_a_refusal_once_for_each_session() -> None:
+    """A version that refused sound requests passed for a good one."""
+
+    async def case() -> None:
+        async with open_site("p1") as site:
+            site.backends[0].behaviour = "refuse"
+            for session in ("a", "a", "a", "b"):
+                response = await site.call("/unsafe/x", Session=session)
+                assert response.status == 400
+            assert "old_refusals:2/2" in describe(site, "plain")
+            assert "old_errors:0/4" in describe(site, "plain")
+
+    run(case())
+
+
 def test_count_several_responses_that_end_at_once_as_one() -> None:
     """A reset of a link breaks off all that run, whatever their versions."""
 
--- a/tests/routing/test_canary.py
+++ b/tests/routing/test_canary.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import pytest
 
 from baobabthread.core.positions import OperatorsPosition
@@ -308,3 +310,39 @@
                 analysis.finish_attempt(ticket, failed=False, now=0.1)
     assert analysis.alarm is not None
     assert analysis.looks_worse
+
+
+def play_sessions(
+    analysis: CanaryAnalysis, *, is_canary: bool, refused: Sequence[bool], times: int
+) -> None:
+    """Let each session get so many responses, all of them refusals or none."""
+    for number, is_refused in enumerate(refused):
+        for _ in range(times):
+            sent = SentAttempt(
+                is_canary=is_canary,
+                call="c",
+                kind="c",
+                at=0.0,
+                expected_s=0.1,
+                session=f"s{number}",
+            )
+            analysis.observe_refusal(sent, is_refused=is_refused)
+
+
+def test_alarm_for_a_version_that_refuses_sound_requests() -> None:
+    """A version was promoted that answered half of its requests with a status 4xx."""
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
+    play_sessions(analysis, is_canary=False, refused=[False] * 60, times=1)
+    play_sessions(analysis, is_canary=True, refused=[True, False] * 15, times=1)
+    assert analysis.alarm is not None
+    assert analysis.alarm.startswith("refusals")
+
+
+def test_no_alarm_for_one_caller_with_wrong_requests() -> None:
+    """A good version would be taken back for a session that any version refuses."""
+    analysis = CanaryAnalysis(number=OperatorsPosition(offset=1))
+    play_sessions(analysis, is_canary=False, refused=[False] * 60, times=1)
+    refused = [True] + [False] * 20
+    play_sessions(analysis, is_canary=True, refused=refused, times=50)
+    assert analysis.alarm is None
+    assert not analysis.looks_worse
