--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -165,7 +165,8 @@
     number: Number = 0
     """Offset of the order in its era."""
     era: Number = 0
-    elapsed_s: Seconds = 0.0
+    elapsed_s: Amount = 0.0
+    """Written again after a restore, it is the time since an order of years ago."""
     base: Name | None = None
     """Version in force before the order."""
     base_number: Number = NO_ORDER.offset
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -24,6 +24,7 @@
 from baobabthread.platform.headers import PlatformWireFormat
 from baobabthread.platform.records import PlatformRecordFormat
 from baobabthread.platform.store import PlatformStore
+from baobabthread.routing.configuration import RolloutState, RolloutStatus
 from tests.platform.fakestore import BACKENDS, OPERATORS, STATUS
 from tests.platform.site import Site, make_configuration, open_site, run, wait_for
 
@@ -181,6 +182,15 @@
     check_bounds(decode(key, json.dumps(sound).encode()))
 
 
+def test_read_a_status_that_was_written_again_years_later() -> None:
+    """Instances would not find their own status, and write it again and again."""
+    status = RolloutStatus(
+        service="plain", target="v2", state=RolloutState.SUCCEEDED, elapsed_s=3e8
+    )
+    append = FORMAT.encode_status(status, Position(0, 7))
+    assert FORMAT.decode_status(make_record(append.key, append.value)) == status
+
+
 @pytest.mark.parametrize("id", ["", "s 1", "s1\r\nX-Evil: 1", "\ufffd", "\u0661"])
 def test_reject_a_server_whose_id_fits_no_header_field(id: str) -> None:
     """The id is sent in a field of each request."""
