--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PYTEST_ARGS ?=
 
-.PHONY: demo test lint binary binary-check proofs docs-check clean
+.PHONY: demo test test-hostile lint binary binary-check proofs docs-check clean
 
 $(VENV)/.ready: constraints.txt requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,7 +19,12 @@
 # test at a time, as tests/conftest.py begins the longest first.
 test: $(VENV)/.ready
 	$(BIN)/python -m pytest --hypothesis-profile=ci -n 4 --dist load --maxschedchunk=1 \
-		--durations=20 $(PYTEST_ARGS)
+		--ignore=tests/hostile --durations=20 $(PYTEST_ARGS)
+
+# Crowds of clients that ignore the limits fill a processor: one test at a time, with no
+# other tests beside it.
+test-hostile: $(VENV)/.ready
+	$(BIN)/python -m pytest --durations=5 $(PYTEST_ARGS) tests/hostile
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check src bench soak tests
--- /dev/null
+++ b/tests/hostile/__init__.py
@@ -0,0 +1,1 @@
+"""Clients that ignore the limits, one crowd at a time."""
