Free the place of a caller that leaves as another request ends

Callers saw 503 `waited_too_long` from an instance for good: eight clients that send a request and reset their connection, again and again for four seconds, ended a service there until its restart.

Cause: a caller that leaves cancels its future at once, while its entry stays queued until its task runs. If another request ends in the same turn of the loop, the scheduler takes that entry from the queue, counts it as running and finds nobody to wake; the withdrawal then takes it for one that never started. Nobody gave the place back. The mirror image: a request that expires as its caller leaves was counted as ended though it had no place.

Now whoever takes an entry from the queue gives its place back if nobody waits for it, and only what was started counts as ended.

--- a/src/baobabthread/instance/scheduler.py
+++ b/src/baobabthread/instance/scheduler.py
@@ -103,7 +103,7 @@
     def _withdraw(
         self, ticket: str, future: asyncio.Future[None], state: ServiceState
     ) -> None:
-        if future.done() and not future.cancelled():
+        if _was_started(future):
             # The request was started just as its caller disconnected.
             state.queue.finish(ticket, 0, now())
             self._start_ready(state)
@@ -113,13 +113,21 @@
 
     def _start_ready(self, state: ServiceState) -> None:
         while (entry := state.queue.pop(now())) is not None:
-            self._resolve(entry.request_id, rejected=False)
+            if not self._resolve(entry.request_id, rejected=False):
+                # Its caller disconnected, and its task has not withdrawn it yet.
+                state.queue.finish(entry.request_id, 0, now())
 
-    def _resolve(self, ticket: str, *, rejected: bool) -> None:
+    def _resolve(self, ticket: str, *, rejected: bool) -> bool:
+        """Wake the request of a ticket; return whether it still waits."""
         future = self._pending.pop(ticket, None)
         if future is None or future.done():
-            return
+            return False
         if rejected:
             future.set_exception(TimeoutError())
         else:
             future.set_result(None)
+        return True
+
+
+def _was_started(future: asyncio.Future[None]) -> bool:
+    return future.done() and not future.cancelled() and future.exception() is None
