Report the end of a grant or place whose request is abandoned

Callers who left while their instance waited for an owner's word took the grant or the place with them: the reply came, nobody held it, and nobody reported an end. An owner counted the place as taken until its overdue check, and the grant until the request's time limit, so that callers who leave often crowd out those who stay.

What is taken in one step is given back by whoever waits for it, and that task may be cancelled in between. Places reported an end only when cancelled while queued at the owner, grants never.

Now a cancelled request for either reports its end; owners ignore the end of what they never granted.

Read for the same cause and found sound: assignments of dispatch (report their end when cancelled), queries of placement, sessions and owners (hold nothing), retry charges and permits (settled with the request), held bytes (released with the request), trials of quarantines (ended with the request).

--- a/src/baobabthread/instance/servers/limits.py
+++ b/src/baobabthread/instance/servers/limits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -225,7 +226,12 @@
             lasts_s=lasts_s,
         )
         owner = self.find_owner(server)
-        reply = await self._owners.ask(request)
+        try:
+            reply = await self._owners.ask(request)
+        except asyncio.CancelledError:
+            # The owner may have granted it all the same.
+            self._report_ended(owner, request, None, responded=False)
+            raise
         if reply is None:
             return self._use_window(server, per_s)
         self._limits.adopt(server, reply.per_s)
--- a/src/baobabthread/instance/servers/places.py
+++ b/src/baobabthread/instance/servers/places.py
@@ -223,7 +223,12 @@
             lasts_s=lasts_s,
             patience_s=patience_s,
         )
-        reply = await self._owners.ask(request)
+        try:
+            reply = await self._owners.ask(request)
+        except asyncio.CancelledError:
+            # The owner may have granted it all the same.
+            self._report_ended(request)
+            raise
         if reply is None:
             # A lost reply may have granted a place.
             self._report_ended(request)
