Close a connection to a server that is established as its caller leaves

A caller that leaves while a connection to a backend server is being opened left that connection behind: open, in no pool, and closed only when the server did. Each takes a descriptor here and one of the connections that the server accepts.

Cause: the race of the ways to a server returns its winner to a task that may have been cancelled since. Nobody else knew the connection.

Now opening one remembers the connections that it has made, and closes them when it is cancelled.

--- a/src/baobabthread/instance/servers/paths.py
+++ b/src/baobabthread/instance/servers/paths.py
@@ -178,6 +178,24 @@
 
     async def open(self, record: BackendRecord, make: MakeConnection) -> Connection:
         """Return a connection to a server over the first path that is established."""
+        made: list[Connection] = []
+
+        def make_tracked() -> Connection:
+            connection = make()
+            made.append(connection)
+            return connection
+
+        try:
+            return await self._open_first(record, make_tracked)
+        except asyncio.CancelledError:
+            # One may have been established just as its request was cancelled.
+            for connection in made:
+                connection.abort()
+            raise
+
+    async def _open_first(
+        self, record: BackendRecord, make: MakeConnection
+    ) -> Connection:
         name = record.incarnation
         if self.table.is_unreachable(name, now()):
             raise NotSentError(
--- a/tests/instance/test_abandoned.py
+++ b/tests/instance/test_abandoned.py
@@ -10,7 +10,11 @@
 import pytest
 
 from baobabthread.core.configuration.configuration import Priority
+from baobabthread.instance.servers.connections import Connection
+from baobabthread.instance.servers.paths import Paths
 from baobabthread.instance.servers.places import PlaceCoordinator
+from baobabthread.routing.configuration import BackendRecord
+from baobabthread.standins.loopback import own_network
 from tests.instance.test_limits import SERVER, Peers, acquire, state
 
 STEPS = range(12)
@@ -91,3 +95,45 @@
             assert not owner._find_ledger(SERVER).held
 
     run(case())
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_close_a_connection_whose_request_is_abandoned(step: int) -> None:
+    """A connection established just as its caller left stayed open for good."""
+
+    async def case() -> None:
+        network = own_network()
+        host, port = network.give_host(1), network.give_port()
+        record = BackendRecord(
+            id="p1",
+            service="plain",
+            address=f"{host}:{port}",
+            failure_domain="a",
+            version="v1",
+            capacity=8,
+        )
+        paths = Paths(
+            me="i1",
+            ip=host,
+            failure_domain="a",
+            find_backend=lambda name: record,
+            find_obstacle=lambda name: None,
+        )
+        established = asyncio.Event()
+
+        class WatchedConnection(Connection):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                super().connection_made(transport)
+                established.set()
+
+        connection = WatchedConnection(on_bytes=lambda: None)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(asyncio.Protocol, host, port)
+        task = asyncio.ensure_future(paths.open(record, lambda: connection))
+        async with server:
+            await established.wait()
+            if await leave_after(task, step):
+                assert not connection.is_connected()
+            connection.abort()
+
+    run(case())
