Bound what connections hold, at every listener and in total

Clients that send heads over the limit, or without end, ended a process: 60 connections made it hold 921 MB of 120 (as seen from outside), at the callers' address as well as at the directory, control, readiness and metrics. Requests sent ahead with unread responses did the same with many connections.

Cause: aiohttp bounds a line and the number of fields, not the head; what is parsed ahead is bounded for one connection, not for all; `MemoryBudget` knows whole requests only.

When it is full, memory is taken from connections without a whole request first, the largest first, then from requests sent ahead, then from clients that don't take their responses; a request in work is kept, and new ones get 503 `no_memory`.

--- a/src/baobabthread/instance/callers.py
+++ b/src/baobabthread/instance/callers.py
@@ -18,15 +18,12 @@
 from baobabthread.instance.context import CallerRequest, Reply
 from baobabthread.instance.errorresponses import RETRY_AFTER_S
 from baobabthread.instance.heldbytes import FREE_BYTES, HeldBytes, MemoryBudget
-from baobabthread.instance.requestlog import LineRateLimiter
 from baobabthread.instance.wire import WireFormat
+from baobabthread.loglimits import LineRateLimiter
 from baobabthread.logs import log_event
+from baobabthread.serving.connections import BoundedConnection
+from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
 
-MAX_FIELD_BYTES = 65_536
-KEEP_ALIVE_TIMEOUT_S = 75.0
-"""Idle timeout of callers' connections. It is longer than any timeout that operators
-configure for callers, so that always the caller closes the connection."""
-LINGER_TIMEOUT_S = 1.0
 BODY_TIMEOUT_S = 60.0
 """Time to receive the whole body of a request: longer than any route's timeout."""
 STALL_TIMEOUT_S = 15.0
@@ -189,6 +186,7 @@
 
     __slots__ = (
         "_body_limit",
+        "_connection_memory",
         "_handle",
         "_is_leaving",
         "_log_limiter",
@@ -204,8 +202,10 @@
         is_leaving: Callable[[], bool],
         body_limit: Callable[[], int],
         memory: MemoryBudget,
+        connection_memory: ConnectionMemory,
     ) -> None:
         self._handle = handle
+        self._connection_memory = connection_memory
         self._wire = wire
         self._is_leaving = is_leaving
         self._body_limit = body_limit
@@ -233,6 +233,9 @@
         self, request: web.BaseRequest, reply: HttpReply, held: HeldBytes
     ) -> None:
         arrived_at = now()
+        if self._connection_memory.is_full:
+            await self._refuse_body(reply, 503, "no_memory")
+            return
         body = await self._read_body(request, reply, held)
         if body is None:
             return
@@ -272,7 +275,8 @@
             await self._refuse_body(reply, 408, "body_timeout")
             return None
         except web.RequestPayloadError as error:
-            log_event("body_unreadable", error=str(error))
+            if self._log_limiter.try_acquire():
+                log_event("body_unreadable", error=str(error))
             await self._refuse_body(reply, 400, "bad_request")
             return None
         return b"".join(chunks)
@@ -302,21 +306,14 @@
     ) -> web.BaseRequest:
         return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
-    return web.Server(
-        serve,
-        request_factory=make_request,
-        handler_cancellation=True,
-        access_log=None,
-        keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
-        lingering_time=LINGER_TIMEOUT_S,
-        max_line_size=MAX_FIELD_BYTES,
-        max_field_size=MAX_FIELD_BYTES,
-        auto_decompress=False,
-    )
+    return web.Server(serve, request_factory=make_request, handler_cancellation=True)
 
 
-async def listen(server: web.Server, address: str) -> asyncio.Server:
+async def listen(
+    server: web.Server, address: str, group: ConnectionGroup
+) -> asyncio.Server:
     """Listen at an address of the form IP:PORT."""
     host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(server, host, int(port), backlog=512)
+    return await asyncio.get_running_loop().create_server(
+        lambda: BoundedConnection(server, group=group), host, int(port), backlog=512
+    )
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -14,6 +14,7 @@
 import msgspec
 from aiohttp import web
 
+from baobabthread.instance.callerlimits import CallerLimits
 from baobabthread.instance.callers import CallerServer, create_server, listen
 from baobabthread.instance.clock import now
 from baobabthread.instance.conditions import PARTITIONED, STALE, ConditionGossip
@@ -45,6 +46,8 @@
 from baobabthread.routing.regions import Regions
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.stopping import StallDetector, StopPlan, plan_stop
+from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
+from baobabthread.serving.shares import ListenerName, derive_memory
 
 TICK_INTERVAL_S = 0.1
 PRUNE_INTERVAL_S = 1.0
@@ -122,6 +125,18 @@
             find_backend=lambda name: self.backends.find_record(name),
             find_obstacle=lambda name: self.backends.find_obstacle(name),
         )
+        self.caller_limits = CallerLimits(find_current=self._find_current_limits)
+        self.connection_memory = ConnectionMemory(
+            limit_bytes=derive_memory(settings.memory_mb)
+        )
+        self.connections = {
+            name: ConnectionGroup(
+                name=name,
+                memory=self.connection_memory,
+                find_limits=self.caller_limits.find_client_limits,
+            )
+            for name in ListenerName
+        }
         self.relay = RelayServer(
             is_member=lambda host: host in self._member_hosts,
             open_connection=self.paths.open_direct,
@@ -342,22 +357,40 @@
             handle=self.forwarder.handle,
             wire=self._wire,
             is_leaving=lambda: self.is_leaving,
-            body_limit=self._max_body_bytes,
+            body_limit=lambda: self.caller_limits.find().max_body_bytes,
             memory=self.memory,
+            connection_memory=self.connection_memory,
         )
         self._caller_server = await self._serve(
-            stack, caller_server.serve, settings.callers_address
+            stack, ListenerName.CALLERS, caller_server.serve, settings.callers_address
+        )
+        await self._serve(
+            stack, ListenerName.CONTROL, self.serve_peer, settings.control_address
+        )
+        await self._serve(
+            stack,
+            ListenerName.READINESS,
+            interface.serve_readiness,
+            settings.readiness_address,
+        )
+        await self._serve(
+            stack,
+            ListenerName.DIRECTORY,
+            interface.serve_directory,
+            settings.directory_address,
         )
-        await self._serve(stack, self.serve_peer, settings.control_address)
-        await self._serve(stack, interface.serve_readiness, settings.readiness_address)
-        await self._serve(stack, interface.serve_directory, settings.directory_address)
         if self._adapters.metrics_address is not None:
-            await self._serve(stack, self.serve_metrics, self._adapters.metrics_address)
+            await self._serve(
+                stack,
+                ListenerName.METRICS,
+                self.serve_metrics,
+                self._adapters.metrics_address,
+            )
 
     async def _serve(
-        self, stack: AsyncExitStack, serve: Any, address: str
+        self, stack: AsyncExitStack, name: ListenerName, serve: Any, address: str
     ) -> asyncio.Server:
-        server = await listen(create_server(serve), address)
+        server = await listen(create_server(serve), address, self.connections[name])
         stack.callback(server.close)
         return server
 
@@ -367,10 +400,9 @@
         if self.replica.is_complete:
             self.forwarder.admission.mark_ready()
 
-    def _max_body_bytes(self) -> int:
+    def _find_current_limits(self) -> RequestLimits | None:
         table = self.replica.table
-        limits = table.configuration.limits if table is not None else RequestLimits()
-        return limits.max_body_bytes
+        return table.configuration.limits if table is not None else None
 
     def _list_tasks(self) -> list[Work]:
         common: dict[str, Any] = {
--- a/src/baobabthread/instance/requestlog.py
+++ b/src/baobabthread/instance/requestlog.py
@@ -5,6 +5,7 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.context import CallerRequest, RequestContext
 from baobabthread.instance.metrics import Metrics
+from baobabthread.loglimits import LineRateLimiter
 from baobabthread.logs import log_event, write_event
 from baobabthread.routing.configuration import BackendRecord
 from baobabthread.routing.quarantine import QuarantineEntry
@@ -19,31 +20,6 @@
 """Log lines per second for a sample of the successful requests."""
 VERSION_CHOICE_LINES_PER_S = 10.0
 """Log lines per second for the versions chosen for session requests in a roll-out."""
-BURST_S = 5.0
-
-
-class LineRateLimiter:
-    """Token bucket that limits the log lines of one kind."""
-
-    __slots__ = ("_checked_at", "_level", "_rate", "suppressed")
-
-    def __init__(self, *, per_s: float) -> None:
-        self._rate = per_s
-        self._level = per_s * BURST_S
-        self._checked_at = now()
-        self.suppressed = 0
-
-    def try_acquire(self) -> bool:
-        """Return whether one more line may be written."""
-        checked_at = now()
-        level = self._level + (checked_at - self._checked_at) * self._rate
-        self._level = min(self._rate * BURST_S, level)
-        self._checked_at = checked_at
-        if self._level < 1.0:
-            self.suppressed += 1
-            return False
-        self._level -= 1.0
-        return True
 
 
 class RequestLog:
--- a/src/baobabthread/instance/servers/relay.py
+++ b/src/baobabthread/instance/servers/relay.py
@@ -15,7 +15,6 @@
 from typing import cast
 
 from baobabthread.instance.clock import now
-from baobabthread.instance.requestlog import LineRateLimiter
 from baobabthread.instance.servers.connections import (
     CLOSE_GRACEFULLY,
     RESET_ON_CLOSE,
@@ -23,6 +22,7 @@
     Obstacle,
     WithheldError,
 )
+from baobabthread.loglimits import LineRateLimiter
 from baobabthread.logs import log_event
 
 MAX_HEAD_BYTES = 256
--- /dev/null
+++ b/src/baobabthread/serving/groups.py
@@ -0,0 +1,196 @@
+"""Connections of the listeners, and which of them are closed when there are too many.
+
+A connection that holds no whole request is closed before one that does, and a request
+that is being processed is never cut off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+import msgspec
+
+from baobabthread.loglimits import LineRateLimiter
+from baobabthread.logs import write_event
+
+LINES_PER_S = 1.0
+"""Log lines per second of each kind for what clients send."""
+SHED_FRACTION = 0.9
+"""Part of the memory limit that is left when connections were closed for it."""
+MIN_SHED_INTERVAL_S = 0.02
+
+
+class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits on what a client may send."""
+
+    max_head_bytes: int = 16_384
+
+
+class HeldConnection(Protocol):
+    """Connection whose memory is counted."""
+
+    held_bytes: int
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that the client has not taken yet."""
+
+    def drop(self) -> None:
+        """Close the connection at once."""
+
+    def drop_ahead(self) -> None:
+        """Drop the requests that were sent ahead of the current response."""
+
+
+class ConnectionMemory:
+    """Memory that the connections of all listeners hold, bounded in total."""
+
+    __slots__ = (
+        "_groups",
+        "_is_shedding",
+        "_next_shed_at",
+        "held_bytes",
+        "limit_bytes",
+    )
+
+    def __init__(self, *, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+        self._groups: list[ConnectionGroup] = []
+        self._next_shed_at = 0.0
+        self._is_shedding = False
+
+    def add_group(self, group: ConnectionGroup) -> None:
+        """Close connections of a group, too, when memory runs out."""
+        self._groups.append(group)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request can be held."""
+        return self.held_bytes > self.limit_bytes
+
+    def resize(self, connection: HeldConnection, size: int) -> None:
+        """Count `size` bytes for a connection; close others if there are too many."""
+        self.held_bytes += size - connection.held_bytes
+        connection.held_bytes = size
+        if self.is_full and not self._is_shedding:
+            self._is_shedding = True
+            try:
+                self._shed()
+            finally:
+                self._is_shedding = False
+
+    def _shed(self) -> None:
+        """Close connections until the memory is well below its limit."""
+        time = asyncio.get_running_loop().time()
+        if time < self._next_shed_at:
+            return
+        target = int(SHED_FRACTION * self.limit_bytes)
+        for group in self._groups:
+            group.count_shed = 0
+        for connection, shed in self._list_sheddable():
+            if self.held_bytes <= target:
+                break
+            shed(connection)
+        if self.is_full:
+            self._next_shed_at = time + MIN_SHED_INTERVAL_S
+        for group in self._groups:
+            if group.count_shed:
+                group.log("connections_shed", count=group.count_shed, reason="memory")
+
+    def _list_sheddable(
+        self,
+    ) -> Iterator[tuple[HeldConnection, Callable[[HeldConnection], None]]]:
+        """List the connections in the order in which memory is taken from them."""
+        by_size = sorted(
+            ((each, group) for group in self._groups for each in group.idle),
+            key=lambda pair: -pair[0].held_bytes,
+        )
+        for connection, group in by_size:
+            yield connection, group.shed
+        for group in self._groups:
+            for connection in group.list_busy():
+                yield connection, _drop_ahead
+        unread = sorted(
+            ((each, group) for group in self._groups for each in group.connections),
+            key=lambda pair: -pair[0].unsent_bytes,
+        )
+        for connection, group in unread:
+            if not connection.unsent_bytes:
+                return
+            yield connection, group.shed
+
+
+class ConnectionGroup:
+    """Connections of one listener."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        memory: ConnectionMemory,
+        find_limits: Callable[[], ClientLimits] = ClientLimits,
+    ) -> None:
+        self.name = name
+        self.memory = memory
+        self.find_limits = find_limits
+        self.connections: dict[HeldConnection, None] = {}
+        """Connections that are open, including those that are being set up."""
+        self.idle: dict[HeldConnection, None] = {}
+        """Connections that hold no whole request, the longest idle first."""
+        self.count_shed = 0
+        """Connections closed for memory in the present round."""
+        self._limiters: dict[str, LineRateLimiter] = {}
+        memory.add_group(self)
+
+    def add(self, connection: HeldConnection) -> None:
+        """Track a connection that was accepted."""
+        self.connections[connection] = None
+        self.mark_idle(connection)
+
+    def remove(self, connection: HeldConnection) -> None:
+        """Forget a connection that was closed."""
+        if connection in self.connections:
+            del self.connections[connection]
+            self.idle.pop(connection, None)
+            self.memory.resize(connection, 0)
+
+    def mark_idle(self, connection: HeldConnection) -> None:
+        """Record that a connection holds no whole request from now on."""
+        self.idle[connection] = None
+
+    def mark_busy(self, connection: HeldConnection) -> None:
+        """Record that a connection holds a whole request."""
+        self.idle.pop(connection, None)
+
+    def list_busy(self) -> list[HeldConnection]:
+        """Return the connections that hold a whole request."""
+        return [each for each in self.connections if each not in self.idle]
+
+    def shed(self, connection: HeldConnection) -> None:
+        """Close a connection for the memory that it holds."""
+        self.count_shed += 1
+        self.idle.pop(connection, None)
+        self.memory.resize(connection, 0)
+        connection.drop()
+
+    def log(self, event: str, **fields: object) -> None:
+        """Log what a client did, up to a number of lines per second."""
+        limiter = self._limiters.get(event)
+        if limiter is None:
+            limiter = self._limiters[event] = LineRateLimiter(per_s=LINES_PER_S)
+        if limiter.try_acquire():
+            suppressed, limiter.suppressed = limiter.suppressed, 0
+            common = {
+                "listener": self.name,
+                "open": len(self.connections),
+                "held_bytes": self.memory.held_bytes,
+                "suppressed": suppressed,
+            }
+            write_event(event, common | fields)
+
+
+def _drop_ahead(connection: HeldConnection) -> None:
+    connection.drop_ahead()
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,103 @@
+"""Connections of listeners, and which of them go when there are too many."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
+
+
+class FakeConnection:
+    """A connection that records what becomes of it."""
+
+    def __init__(self, group: ConnectionGroup, name: str) -> None:
+        self._group = group
+        self.name = name
+        self.held_bytes = 0
+        self.unsent_bytes = 0
+        self.is_dropped = False
+        self.ahead_bytes = 0
+        """Bytes of requests that were sent ahead."""
+
+    def drop(self) -> None:
+        """Close it."""
+        self.is_dropped = True
+        self._group.remove(self)
+
+    def drop_ahead(self) -> None:
+        """Give up what was sent ahead."""
+        ahead_bytes, self.ahead_bytes = self.ahead_bytes, 0
+        self._group.memory.resize(self, self.held_bytes - ahead_bytes)
+
+
+def run(case: Callable[[], None]) -> None:
+    """Run a test case in an event loop."""
+
+    async def run_case() -> None:
+        case()
+
+    asyncio.run(run_case())
+
+
+def make_group() -> ConnectionGroup:
+    return ConnectionGroup(name="callers", memory=ConnectionMemory(limit_bytes=10_000))
+
+
+def add(group: ConnectionGroup, name: str, *, is_busy: bool = False) -> FakeConnection:
+    connection = FakeConnection(group, name)
+    group.add(connection)
+    if is_busy:
+        group.mark_busy(connection)
+    return connection
+
+
+def test_take_memory_from_connections_without_a_whole_request_first() -> None:
+    """Nothing counted what all connections hold before their requests are whole."""
+
+    def case() -> None:
+        group = make_group()
+        memory = group.memory
+        busy = add(group, "busy", is_busy=True)
+        small, large = add(group, "small"), add(group, "large")
+        memory.resize(busy, 5_000)
+        memory.resize(small, 1_000)
+        memory.resize(large, 4_000)
+        assert not large.is_dropped
+        memory.resize(small, 2_000)
+        assert (large.is_dropped, small.is_dropped) == (True, False)
+        assert memory.held_bytes == 7_000
+
+    run(case)
+
+
+def test_take_requests_sent_ahead_before_unread_responses() -> None:
+    """A request that is processed is kept, whatever the others hold."""
+
+    def case() -> None:
+        group = make_group()
+        memory = group.memory
+        ahead = add(group, "ahead", is_busy=True)
+        ahead.ahead_bytes = 3_000
+        memory.resize(ahead, 6_000)
+        unread = add(group, "unread", is_busy=True)
+        unread.unsent_bytes = 4_000
+        memory.resize(unread, 4_100)
+        assert not ahead.ahead_bytes
+        assert not unread.is_dropped
+        assert memory.held_bytes == 7_100
+
+    run(case)
+
+
+def test_refuse_requests_when_nothing_can_be_closed() -> None:
+    def case() -> None:
+        group = make_group()
+        busy = add(group, "busy", is_busy=True)
+        group.memory.resize(busy, 30_000)
+        assert group.memory.is_full
+        assert not busy.is_dropped
+        group.remove(busy)
+        assert not group.memory.is_full
+
+    run(case)
