Keep descriptors for servers, the store and peers, whatever clients do

600 connections that send nothing, a head or a body that never ends, or one request and then nothing, took all descriptors of an instance, at the callers' address, the directory and control. Ordinary callers timed out for as long as they stayed, and asyncio logged 16,000 lines with a traceback in six seconds (as seen from outside).

Cause: `max_fds` of the settings was parsed and used by nothing; nothing bounded the number of connections, and the event loop accepts up to 512 in one turn.

Now each listener has a share of the sockets that the settings leave beside the 200 descriptors for files, the relay's tunnels included; the rest is for outgoing connections. A listener accepts as many as there is room for, at most 16 in a turn. When its share is taken, the connection that has been without a whole request for longest is closed for a new one, if possible one whose client has taken its responses; a request in work is kept. If all are in work, the new connection is closed at once: its client may try elsewhere. If the system has no descriptor all the same, accepting pauses for 0.1 s, with one line a second.

The system keeps at most 32 KB of each connection until it is read, as unread bytes count as memory on the platform.

--- a/src/baobabthread/instance/callers.py
+++ b/src/baobabthread/instance/callers.py
@@ -23,6 +23,7 @@
 from baobabthread.logs import log_event
 from baobabthread.serving.connections import BoundedConnection
 from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
+from baobabthread.serving.listeners import Listener
 
 BODY_TIMEOUT_S = 60.0
 """Time to receive the whole body of a request: longer than any route's timeout."""
@@ -309,11 +310,10 @@
     return web.Server(serve, request_factory=make_request, handler_cancellation=True)
 
 
-async def listen(
-    server: web.Server, address: str, group: ConnectionGroup
-) -> asyncio.Server:
+def listen(server: web.Server, address: str, group: ConnectionGroup) -> Listener:
     """Listen at an address of the form IP:PORT."""
-    host, _, port = address.rpartition(":")
-    return await asyncio.get_running_loop().create_server(
-        lambda: BoundedConnection(server, group=group), host, int(port), backlog=512
+    return Listener(
+        address=address,
+        group=group,
+        make_protocol=lambda: BoundedConnection(server, group=group),
     )
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -47,7 +47,13 @@
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.stopping import StallDetector, StopPlan, plan_stop
 from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
-from baobabthread.serving.shares import ListenerName, derive_memory
+from baobabthread.serving.listeners import Listener
+from baobabthread.serving.shares import (
+    INSTANCE_LISTENERS,
+    ListenerName,
+    derive_connections,
+    derive_memory,
+)
 
 TICK_INTERVAL_S = 0.1
 PRUNE_INTERVAL_S = 1.0
@@ -132,14 +138,16 @@
         self.connections = {
             name: ConnectionGroup(
                 name=name,
+                max_connections=derive_connections(settings.max_descriptors, name),
                 memory=self.connection_memory,
                 find_limits=self.caller_limits.find_client_limits,
             )
-            for name in ListenerName
+            for name in INSTANCE_LISTENERS
         }
         self.relay = RelayServer(
             is_member=lambda host: host in self._member_hosts,
             open_connection=self.paths.open_direct,
+            group=self.connections[ListenerName.RELAY],
         )
         self.backends = Backends(
             replica=self.replica,
@@ -198,7 +206,7 @@
         )
         self._member_hosts: frozenset[str] = frozenset()
         self._stop_plan: StopPlan | None = None
-        self._caller_server: asyncio.Server | None = None
+        self._caller_listener: Listener | None = None
         self._capacity_inputs: tuple[int, int] | None = None
         self._membership_version = -1
         self._relay_inputs: tuple[int, frozenset[str]] | None = None
@@ -326,8 +334,8 @@
         )
         self.forwarder.admission.begin_stop(plan)
         await asyncio.sleep(plan.accepts_until - now())
-        if self._caller_server is not None:
-            self._caller_server.close()
+        if self._caller_listener is not None:
+            self._caller_listener.close()
         await self.forwarder.wait_idle(plan.ends_at - now())
         await self.relay.wait_idle(plan.ends_at - now())
         self.peers.sessions.hand_over(state.plan for state in self.services)
@@ -345,11 +353,13 @@
             lambda: self.peers, local_addr=(settings.ip, settings.gossip_port)
         )
         stack.callback(self.peers.close)
-        relay_server = await loop.create_server(
-            self.relay.make_protocol, settings.ip, settings.gossip_port
+        relay_listener = Listener(
+            address=settings.gossip_address,
+            group=self.connections[ListenerName.RELAY],
+            make_protocol=self.relay.make_protocol,
         )
         stack.callback(self.relay.close)
-        stack.callback(relay_server.close)
+        stack.callback(relay_listener.close)
         interface = self._adapters.make_interface(
             lambda: self.is_ready, self.find_addresses
         )
@@ -361,38 +371,38 @@
             memory=self.memory,
             connection_memory=self.connection_memory,
         )
-        self._caller_server = await self._serve(
+        self._caller_listener = self._serve(
             stack, ListenerName.CALLERS, caller_server.serve, settings.callers_address
         )
-        await self._serve(
+        self._serve(
             stack, ListenerName.CONTROL, self.serve_peer, settings.control_address
         )
-        await self._serve(
+        self._serve(
             stack,
             ListenerName.READINESS,
             interface.serve_readiness,
             settings.readiness_address,
         )
-        await self._serve(
+        self._serve(
             stack,
             ListenerName.DIRECTORY,
             interface.serve_directory,
             settings.directory_address,
         )
         if self._adapters.metrics_address is not None:
-            await self._serve(
+            self._serve(
                 stack,
                 ListenerName.METRICS,
                 self.serve_metrics,
                 self._adapters.metrics_address,
             )
 
-    async def _serve(
+    def _serve(
         self, stack: AsyncExitStack, name: ListenerName, serve: Any, address: str
-    ) -> asyncio.Server:
-        server = await listen(create_server(serve), address, self.connections[name])
-        stack.callback(server.close)
-        return server
+    ) -> Listener:
+        listener = listen(create_server(serve), address, self.connections[name])
+        stack.callback(listener.close)
+        return listener
 
     def _handle_replica_update(self) -> None:
         self.backends.refresh()
--- a/src/baobabthread/instance/servers/relay.py
+++ b/src/baobabthread/instance/servers/relay.py
@@ -24,6 +24,7 @@
 )
 from baobabthread.loglimits import LineRateLimiter
 from baobabthread.logs import log_event
+from baobabthread.serving.groups import ConnectionGroup
 
 MAX_HEAD_BYTES = 256
 HEAD_TIMEOUT_S = 1.0
@@ -188,10 +189,21 @@
         self._head = b""
         self._timeout: asyncio.TimerHandle | None = None
         self._connecting: asyncio.Task[None] | None = None
+        self.held_bytes = 0
+        self.unsent_bytes = 0
+
+    def drop(self) -> None:
+        """Close the tunnel at once."""
+        self._tunnel.close(reset=True)
+
+    def drop_ahead(self) -> None:
+        """Do nothing: a tunnel holds no requests."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept a request from a member only."""
         super().connection_made(transport)
+        if self._relay.group is not None:
+            self._relay.group.add(self)
         host = transport.get_extra_info("peername")[0]
         if not self._relay.accept(self._tunnel, host):
             self._reply(RelayStatus.FORBIDDEN)
@@ -211,6 +223,8 @@
             self._tunnel.close(reset=True)
         elif end:
             self._connecting = asyncio.ensure_future(self._connect(head))
+            if self._relay.group is not None:
+                self._relay.group.mark_busy(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up a connection that is not established yet."""
@@ -218,6 +232,8 @@
             self._timeout.cancel()
         if self._connecting is not None:
             self._connecting.cancel()
+        if self._relay.group is not None:
+            self._relay.group.remove(self)
         super().connection_lost(exc)
 
     async def _connect(self, head: bytes) -> None:
@@ -273,11 +289,16 @@
         "_tunnels",
         "carried",
         "denied",
+        "group",
         "is_leaving",
     )
 
     def __init__(
-        self, *, is_member: Callable[[str], bool], open_connection: OpenConnection
+        self,
+        *,
+        is_member: Callable[[str], bool],
+        open_connection: OpenConnection,
+        group: ConnectionGroup | None = None,
     ) -> None:
         self._is_member = is_member
         self._open = open_connection
@@ -287,6 +308,8 @@
         """Connections carried since the start."""
         self.denied = 0
         """Connections denied to senders that are no members."""
+        self.group = group
+        """Connections of peers, counted with those of the other listeners."""
         self.is_leaving = False
         self._log_limiter = LineRateLimiter(per_s=DENIED_LINES_PER_S)
 
--- a/src/baobabthread/instance/settings.py
+++ b/src/baobabthread/instance/settings.py
@@ -26,6 +26,7 @@
     """Control addresses of other instances."""
     store_address: str
     memory_mb: int = 300
+    max_descriptors: int = 4096
     bounds: RoutingBounds = RoutingBounds()
     off: DisabledMechanisms = NONE_DISABLED
     """Mechanisms that are disabled, to measure their benefit."""
--- a/src/baobabthread/platform/settings.py
+++ b/src/baobabthread/platform/settings.py
@@ -120,6 +120,7 @@
         seeds=tuple(file.seeds),
         store_address=file.provider.address,
         memory_mb=file.limits.memory_mb,
+        max_descriptors=file.limits.max_fds,
         bounds=RoutingBounds(
             revocation_s=bounds.revoke_ms / MS_PER_S,
             retry_ratio=bounds.retry_budget_ratio,
--- a/src/baobabthread/serving/groups.py
+++ b/src/baobabthread/serving/groups.py
@@ -124,16 +124,18 @@
 
 
 class ConnectionGroup:
-    """Connections of one listener."""
+    """Connections of one listener, bounded in number."""
 
     def __init__(
         self,
         *,
         name: str,
+        max_connections: int,
         memory: ConnectionMemory,
         find_limits: Callable[[], ClientLimits] = ClientLimits,
     ) -> None:
         self.name = name
+        self.max_connections = max_connections
         self.memory = memory
         self.find_limits = find_limits
         self.connections: dict[HeldConnection, None] = {}
@@ -145,6 +147,11 @@
         self._limiters: dict[str, LineRateLimiter] = {}
         memory.add_group(self)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further connection may be accepted."""
+        return len(self.connections) >= self.max_connections
+
     def add(self, connection: HeldConnection) -> None:
         """Track a connection that was accepted."""
         self.connections[connection] = None
@@ -169,6 +176,18 @@
         """Return the connections that hold a whole request."""
         return [each for each in self.connections if each not in self.idle]
 
+    def evict_one(self) -> bool:
+        """Close the longest idle connection; return False if there is none.
+
+        One whose client has not taken its response yet is kept if possible.
+        """
+        oldest = next(iter(self.idle), None)
+        if oldest is None:
+            return False
+        taken = (each for each in self.idle if not each.unsent_bytes)
+        self._close(next(taken, oldest), "connections")
+        return True
+
     def shed(self, connection: HeldConnection) -> None:
         """Close a connection for the memory that it holds."""
         self.count_shed += 1
@@ -176,6 +195,11 @@
         self.memory.resize(connection, 0)
         connection.drop()
 
+    def _close(self, connection: HeldConnection, reason: str) -> None:
+        self.idle.pop(connection, None)
+        connection.drop()
+        self.log("connection_closed", reason=reason)
+
     def log(self, event: str, **fields: object) -> None:
         """Log what a client did, up to a number of lines per second."""
         limiter = self._limiters.get(event)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -5,7 +5,16 @@
 import asyncio
 from collections.abc import Callable
 
+import pytest
+
 from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
+from baobabthread.serving.shares import (
+    INSTANCE_LISTENERS,
+    SOCKET_FRACTIONS,
+    ListenerName,
+    derive_connections,
+    derive_memory,
+)
 
 
 class FakeConnection:
@@ -40,8 +49,9 @@
     asyncio.run(run_case())
 
 
-def make_group() -> ConnectionGroup:
-    return ConnectionGroup(name="callers", memory=ConnectionMemory(limit_bytes=10_000))
+def make_group(limit: int = 100, *, memory_bytes: int = 10_000) -> ConnectionGroup:
+    memory = ConnectionMemory(limit_bytes=memory_bytes)
+    return ConnectionGroup(name="callers", max_connections=limit, memory=memory)
 
 
 def add(group: ConnectionGroup, name: str, *, is_busy: bool = False) -> FakeConnection:
@@ -52,6 +62,40 @@
     return connection
 
 
+def test_close_the_longest_idle_first() -> None:
+    """New connections were refused for the sake of old ones that did nothing."""
+
+    def case() -> None:
+        group = make_group(3)
+        busy = add(group, "busy", is_busy=True)
+        served = add(group, "served", is_busy=True)
+        silent = add(group, "silent")
+        group.mark_idle(served)
+        assert group.is_full
+        assert group.evict_one()
+        assert (silent.is_dropped, served.is_dropped) == (True, False)
+        assert group.evict_one()
+        assert served.is_dropped
+        assert not group.evict_one()
+        assert not busy.is_dropped
+        assert len(group.connections) == 1
+
+    run(case)
+
+
+def test_keep_a_response_that_is_not_taken_yet_if_possible() -> None:
+    def case() -> None:
+        group = make_group(2)
+        reading, silent = add(group, "reading"), add(group, "silent")
+        reading.unsent_bytes = 10
+        assert group.evict_one()
+        assert (reading.is_dropped, silent.is_dropped) == (False, True)
+        assert group.evict_one()
+        assert reading.is_dropped
+
+    run(case)
+
+
 def test_take_memory_from_connections_without_a_whole_request_first() -> None:
     """Nothing counted what all connections hold before their requests are whole."""
 
@@ -101,3 +145,13 @@
         assert not group.memory.is_full
 
     run(case)
+
+
+@pytest.mark.parametrize("descriptors", [300, 4_100, 8_192])
+def test_leave_descriptors_for_files_and_outgoing_connections(descriptors: int) -> None:
+    """Descriptors that clients take are missing for servers, the store and peers."""
+    taken = sum(derive_connections(descriptors, name) for name in INSTANCE_LISTENERS)
+    taken += derive_connections(descriptors, ListenerName.RELAY)
+    assert taken <= 0.85 * (descriptors - 200)
+    assert set(SOCKET_FRACTIONS) == set(ListenerName)
+    assert derive_memory(300) == 75_000_000
