Close connections whose head does not end, or that are idle beyond the limits

Connections on which nothing came, or part of a head, stayed open for 75 s or for good, whatever `header_timeout_ms` and `idle_timeout_ms` of the configuration said: the one was not read, the other not used.

Now a connection is closed when its head has not ended `header_timeout_ms` after its first byte, or when it has been without a request for `idle_timeout_ms`, each with 15 s added, as a partition may hold up what a client inside the limits has sent. The largest limits of the configurations that a client may have learnt count.

`RequestLimits` omits defaults on the wire, so that instances of an earlier build read what they read before; two builds side by side send each other whole configurations in place of deltas where `header_timeout_ms` is not the default (by reading).

Evidence: connections without a request, with part of one and after one are still open after 10 s on the code before (3 of 3 fail), closed now; one that is used again after four fifths of the limit stays open on both.

--- a/src/baobabthread/instance/callerlimits.py
+++ b/src/baobabthread/instance/callerlimits.py
@@ -7,9 +7,9 @@
 
 from baobabthread.instance.clock import now
 from baobabthread.routing.configuration import RequestLimits
-from baobabthread.serving.groups import ClientLimits
+from baobabthread.serving.groups import NETWORK_DELAY_S, ClientLimits
 
-SUPERSEDED_S = 15.0
+MIN_SUPERSEDED_S = 15.0
 """Time for which limits count after another configuration has replaced them."""
 UNKNOWN = RequestLimits(max_header_bytes=65_536)
 """Limits as long as no configuration is known."""
@@ -34,21 +34,32 @@
                 self._superseded.append((now(), self._last))
             self._last = current
             self._update()
-        elif self._superseded and self._superseded[0][0] < now() - SUPERSEDED_S:
+        elif self._superseded and self._superseded[0][0] < now() - self._kept_s:
             self._update()
         return self._widest
 
     def find_client_limits(self) -> ClientLimits:
-        """Return the limits on heads."""
-        return ClientLimits(max_head_bytes=self.find().max_header_bytes)
+        """Return the limits on heads and times."""
+        limits = self.find()
+        return ClientLimits(
+            max_head_bytes=limits.max_header_bytes,
+            head_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+
+    @property
+    def _kept_s(self) -> float:
+        """Time after which no connection is left that was opened under old limits."""
+        return max(MIN_SUPERSEDED_S, self._widest.idle_timeout_s + NETWORK_DELAY_S)
 
     def _update(self) -> None:
-        oldest = now() - SUPERSEDED_S
+        oldest = now() - self._kept_s
         while self._superseded and self._superseded[0][0] < oldest:
             self._superseded.popleft()
         known = [self._last, *(limits for _, limits in self._superseded)]
         self._widest = RequestLimits(
             max_header_bytes=max(each.max_header_bytes for each in known),
             max_body_bytes=max(each.max_body_bytes for each in known),
+            header_timeout_s=max(each.header_timeout_s for each in known),
             idle_timeout_s=max(each.idle_timeout_s for each in known),
         )
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -46,7 +46,7 @@
 from baobabthread.routing.regions import Regions
 from baobabthread.routing.replica import StateReplica
 from baobabthread.routing.stopping import StallDetector, StopPlan, plan_stop
-from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
+from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory, run_sweeps
 from baobabthread.serving.listeners import Listener
 from baobabthread.serving.shares import (
     INSTANCE_LISTENERS,
@@ -440,6 +440,7 @@
             ).run,
             self._tick,
             self._prune,
+            self._sweep_connections,
         ]
 
     async def _tick(self) -> None:
@@ -495,6 +496,9 @@
             self.crashes.record_survivors()
             self.crashes.prune()
 
+    async def _sweep_connections(self) -> None:
+        await run_sweeps(list(self.connections.values()))
+
     def _handle_signals(self, stop_requested: asyncio.Event) -> None:
         loop = asyncio.get_running_loop()
 
--- a/src/baobabthread/instance/servers/relay.py
+++ b/src/baobabthread/instance/servers/relay.py
@@ -190,6 +190,9 @@
         self._timeout: asyncio.TimerHandle | None = None
         self._connecting: asyncio.Task[None] | None = None
         self.held_bytes = 0
+        self.idle_since = 0.0
+        self.head_began_at: float | None = None
+        self.awaits_request = True
         self.unsent_bytes = 0
 
     def drop(self) -> None:
--- a/src/baobabthread/platform/records.py
+++ b/src/baobabthread/platform/records.py
@@ -110,6 +110,7 @@
 class _Limits(msgspec.Struct, frozen=True, kw_only=True):
     max_header_bytes: Count = 16_384
     max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Milliseconds = 5_000
     idle_timeout_ms: Milliseconds = 15_000
 
 
@@ -293,6 +294,7 @@
         limits=RequestLimits(
             max_header_bytes=decoded.limits.max_header_bytes,
             max_body_bytes=decoded.limits.max_body_bytes,
+            header_timeout_s=decoded.limits.header_timeout_ms / MS_PER_S,
             idle_timeout_s=decoded.limits.idle_timeout_ms / MS_PER_S,
         ),
         accounts=tuple(
--- a/src/baobabthread/routing/configuration.py
+++ b/src/baobabthread/routing/configuration.py
@@ -93,11 +93,12 @@
     """Requests per second that a cold backend server can serve; 0 for no limit."""
 
 
-class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits on request sizes and on the idle time of callers' connections."""
+class RequestLimits(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Limits on the sizes of requests, and on the time that callers may take."""
 
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
+    header_timeout_s: float = 5.0
     idle_timeout_s: float = 15.0
 
 
--- a/src/baobabthread/serving/connections.py
+++ b/src/baobabthread/serving/connections.py
@@ -44,9 +44,8 @@
 LINGER_TIMEOUT_S = 1.0
 MAX_DROPPED_BYTES = 1_048_576
 """Bytes that are read and ignored after a refusal, so that it reaches the client."""
-KEEP_ALIVE_TIMEOUT_S = 75.0
-"""Idle timeout of connections. It is longer than any timeout that operators configure
-for callers, so that always the caller closes the connection."""
+UNUSED_TIMEOUT_S = 86_400.0
+"""The keep-alive timeout of aiohttp; `ConnectionGroup` closes idle connections."""
 
 
 class BoundedConnection(web.RequestHandler):
@@ -65,7 +64,9 @@
         "_request_costs",
         "_requests_cost",
         "_unparsed",
+        "head_began_at",
         "held_bytes",
+        "idle_since",
     )
 
     def __init__(
@@ -79,7 +80,7 @@
             manager,
             loop=loop,
             access_log=None,  # type: ignore[arg-type]
-            keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
+            keepalive_timeout=UNUSED_TIMEOUT_S,
             lingering_time=LINGER_TIMEOUT_S,
             read_bufsize=READ_BUFFER_BYTES,
         )
@@ -104,6 +105,8 @@
         self._dropped_bytes = 0
         self._head_bytes = 0
         self._head_lines = 0
+        self.head_began_at: float | None = None
+        """When the first byte of an unfinished head arrived."""
         self._body: StreamReader | None = None
         """Body that has not ended yet."""
         self._body_received = 0
@@ -114,6 +117,7 @@
         self._is_refused = False
         """Whether whatever the client sends further is ignored."""
         self.held_bytes = 0
+        self.idle_since = 0.0
 
     # -- life of the connection --
 
@@ -214,6 +218,7 @@
         self._head_lines += piece.count(b"\n")
         cost = self._head_cost
         self._head_bytes = self._head_lines = 0
+        self.head_began_at = None
         self._request_costs.extend([cost // count] * count)
         self._requests_cost += cost // count * count
         message, payload = self._messages[-1]
@@ -249,6 +254,9 @@
 
     def _record_head(self, piece: bytes) -> None:
         """Count the bytes of a head, and refuse one that is too large."""
+        # Empty lines between requests are allowed and begin no head.
+        if self.head_began_at is None and piece.strip(b"\r\n"):
+            self.head_began_at = self._loop.time()
         self._head_bytes += len(piece)
         self._head_lines += piece.count(b"\n")
         limit = self._group.find_limits().max_head_bytes
--- a/src/baobabthread/serving/groups.py
+++ b/src/baobabthread/serving/groups.py
@@ -20,18 +20,31 @@
 SHED_FRACTION = 0.9
 """Part of the memory limit that is left when connections were closed for it."""
 MIN_SHED_INTERVAL_S = 0.02
+SWEEP_INTERVAL_S = 0.5
+MAX_SWEEP_DELAY_S = 1.0
+"""Delay of a sweep from which on requests may have arrived that were not read yet."""
+NETWORK_DELAY_S = 15.0
+"""Added to the time limits of clients: a partition may hold up what they have sent."""
 
 
 class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits on what a client may send."""
+    """Limits on what a client may send, and on the time that it may take."""
 
     max_head_bytes: int = 16_384
+    head_timeout_s: float = 5.0
+    idle_timeout_s: float = 60.0
 
 
 class HeldConnection(Protocol):
     """Connection whose memory is counted."""
 
     held_bytes: int
+    idle_since: float
+    head_began_at: float | None
+
+    @property
+    def awaits_request(self) -> bool:
+        """Whether no request has begun, apart from its head."""
 
     @property
     def unsent_bytes(self) -> int:
@@ -166,6 +179,7 @@
 
     def mark_idle(self, connection: HeldConnection) -> None:
         """Record that a connection holds no whole request from now on."""
+        connection.idle_since = asyncio.get_running_loop().time()
         self.idle[connection] = None
 
     def mark_busy(self, connection: HeldConnection) -> None:
@@ -195,10 +209,24 @@
         self.memory.resize(connection, 0)
         connection.drop()
 
-    def _close(self, connection: HeldConnection, reason: str) -> None:
+    def close_overdue(self) -> None:
+        """Close connections whose head does not end, or that are idle for too long."""
+        time = asyncio.get_running_loop().time()
+        limits = self.find_limits()
+        head_since = time - limits.head_timeout_s - NETWORK_DELAY_S
+        idle_since = time - limits.idle_timeout_s - NETWORK_DELAY_S
+        for connection in list(self.idle):
+            began_at = connection.head_began_at
+            if began_at is not None and began_at < head_since:
+                self._close(connection, "head_timeout")
+            elif connection.awaits_request and connection.idle_since < idle_since:
+                self._close(connection)
+
+    def _close(self, connection: HeldConnection, reason: str | None = None) -> None:
         self.idle.pop(connection, None)
         connection.drop()
-        self.log("connection_closed", reason=reason)
+        if reason is not None:
+            self.log("connection_closed", reason=reason)
 
     def log(self, event: str, **fields: object) -> None:
         """Log what a client did, up to a number of lines per second."""
@@ -218,3 +246,15 @@
 
 def _drop_ahead(connection: HeldConnection) -> None:
     connection.drop_ahead()
+
+
+async def run_sweeps(groups: list[ConnectionGroup]) -> None:
+    """Close overdue connections of some groups until cancelled."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due_at = loop.time() + SWEEP_INTERVAL_S
+        await asyncio.sleep(SWEEP_INTERVAL_S)
+        if loop.time() - due_at > MAX_SWEEP_DELAY_S:
+            continue
+        for group in groups:
+            group.close_overdue()
--- a/src/baobabthread/serving/listeners.py
+++ b/src/baobabthread/serving/listeners.py
@@ -28,11 +28,21 @@
 class _Handshake:
     """Connection that is being set up; with TLS, that depends on its client."""
 
-    __slots__ = ("held_bytes", "task", "unsent_bytes")
+    __slots__ = (
+        "awaits_request",
+        "head_began_at",
+        "held_bytes",
+        "idle_since",
+        "task",
+        "unsent_bytes",
+    )
 
     def __init__(self, work: Coroutine[Any, Any, None]) -> None:
         self.task = asyncio.ensure_future(work)
+        self.awaits_request = True
+        self.head_began_at: float | None = None
         self.held_bytes = 0
+        self.idle_since = 0.0
         self.unsent_bytes = 0
 
     def drop(self) -> None:
--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -201,6 +201,45 @@
     run(case())
 
 
+@pytest.mark.parametrize(
+    "first", [b"", b"GET / HTTP/1.1\r\n", render_request("/safe/x")]
+)
+def test_close_connections_that_bring_nothing_more(
+    first: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A connection without a request, or with a part of one, stayed open for good."""
+    monkeypatch.setattr(groups, "NETWORK_DELAY_S", 0.0)
+    limits = LIMITS | {"header_timeout_ms": 200, "idle_timeout_ms": 300}
+
+    async def case() -> None:
+        async with (
+            open_site("p1", limits=limits) as site,
+            open_client(site) as (reader, writer),
+        ):
+            writer.write(first)
+            async with asyncio.timeout(10):
+                await reader.read()
+
+    run(case())
+
+
+def test_keep_a_connection_that_a_caller_may_use_again() -> None:
+    """A caller reuses a connection that was idle for four fifths of the limit."""
+
+    async def case() -> None:
+        limits = LIMITS | {"idle_timeout_ms": 700}
+        async with (
+            open_site("p1", limits=limits) as site,
+            open_client(site) as (reader, writer),
+        ):
+            for _ in range(3):
+                writer.write(render_request("/safe/x"))
+                assert (await read_response(reader)).status == 200
+                await asyncio.sleep(0.56)
+
+    run(case())
+
+
 def test_log_malformed_requests_in_few_lines(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each request that could not be parsed wrote a traceback."""
     lines: list[str] = []
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -24,6 +24,9 @@
         self._group = group
         self.name = name
         self.held_bytes = 0
+        self.idle_since = 0.0
+        self.head_began_at: float | None = None
+        self.awaits_request = True
         self.unsent_bytes = 0
         self.is_dropped = False
         self.ahead_bytes = 0
