Bound the connections of an entry, TLS handshakes included

An entry (the product's own program) bounded each line of a head and their number, so that one connection could hold two megabytes, and neither the sum nor the number of connections. TLS handshakes that never end were held for a minute each. Enough of any of these end it or take its descriptors.

Cause: the same as on the platform; its listeners were aiohttp's.

Now its listeners are the same as on the platform. Bodies count whole. `--max-memory` and `--max-descriptors` state what it has, by default what machine and process allow. Peers keep their WebSockets; callers are offered none.

--- a/src/baobabthread/adapters/connections.py
+++ b/src/baobabthread/adapters/connections.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
+import functools
 import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -13,11 +13,24 @@
 from baobabthread.adapters.callers import render_problem
 from baobabthread.errors import Kind, Problem, Ran, UnavailableError
 from baobabthread.logs import log_event
-from baobabthread.settings import Address
+from baobabthread.serving.connections import BoundedConnection
+from baobabthread.serving.groups import (
+    ClientLimits,
+    ConnectionGroup,
+    ConnectionMemory,
+)
+from baobabthread.serving.listeners import Listener
+from baobabthread.serving.shares import (
+    ListenerName,
+    derive_connections,
+    derive_memory,
+    find_descriptors,
+    find_memory_mb,
+)
+from baobabthread.settings import Address, EntrySettings
 
-IDLE_TIMEOUT_S = 30.0
-MAX_HEADER_BYTES = 16_384
 MAX_HEADERS = 128
+RETRY_AFTER_S = 1.0
 LINGER_S = 2.0
 """How long the rest of a refused body is read, so that its caller sees the answer."""
 MAX_DETAIL = 200
@@ -27,7 +40,7 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(BoundedConnection):
     """Answer what can't be parsed or handled with a problem."""
 
     __slots__ = ()
@@ -62,31 +75,65 @@
         self,
         *,
         handler: Handler,
-        idle_timeout_s: float = IDLE_TIMEOUT_S,
-        max_header_bytes: int = MAX_HEADER_BYTES,
+        group: ConnectionGroup,
+        max_body_bytes: int,
+        may_upgrade: bool = False,
     ) -> None:
+        self.group = group
+        limits = group.find_limits()
         # A caller that sends its head a byte a minute, or nothing at all, would hold
         # a connection for ever, and enough of them use up all descriptors. The bound
         # runs from the accept or the last answer on and isn't renewed by a byte.
         self._limits: dict[str, Any] = {
-            "access_log": None,
-            "keepalive_timeout": idle_timeout_s,
-            "max_line_size": max_header_bytes,
-            "max_field_size": max_header_bytes,
-            "max_headers": MAX_HEADERS,
-            "lingering_time": LINGER_S,
+            "keepalive_timeout_s": limits.idle_timeout_s,
+            "max_line_bytes": limits.max_head_bytes,
+            "max_fields": MAX_HEADERS,
+            "lingering_s": LINGER_S,
+            "decompresses": True,
+            "may_upgrade": may_upgrade,
+            "counted_body_bytes": max_body_bytes,
         }
-        super().__init__(handler)
+        super().__init__(functools.partial(self._handle, handler))
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of one connection."""
-        loop = asyncio.get_running_loop()
-        return CallerConnection(self, loop=loop, **self._limits)
+        return CallerConnection(self, group=self.group, **self._limits)
+
+    async def _handle(
+        self, handler: Handler, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        if not self.group.memory.is_full:
+            return await handler(request)
+        response = render_problem(_explain_no_memory())
+        response.force_close()
+        return response
+
+
+def make_groups(settings: EntrySettings) -> dict[ListenerName, ConnectionGroup]:
+    """Return the groups of the connections of callers and of peers."""
+    limits = ClientLimits(
+        max_head_bytes=settings.max_header_bytes,
+        head_timeout_s=settings.idle_timeout_s,
+        idle_timeout_s=settings.idle_timeout_s,
+    )
+    memory = ConnectionMemory(
+        limit_bytes=derive_memory(settings.max_memory_mb or find_memory_mb())
+    )
+    descriptors = settings.max_descriptors or find_descriptors()
+    return {
+        name: ConnectionGroup(
+            name=name,
+            max_connections=derive_connections(descriptors, name),
+            memory=memory,
+            find_limits=lambda: limits,
+        )
+        for name in (ListenerName.ENTRY_CALLERS, ListenerName.ENTRY_PEERS)
+    }
 
 
 async def serve(
     stack: contextlib.AsyncExitStack,
-    server: web.Server,
+    server: CallerServer,
     address: Address,
     tls: ssl.SSLContext | None,
 ) -> str:
@@ -94,21 +141,29 @@
 
     Raises `UnavailableError` where the address can't be listened at.
     """
-    runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_S)
-    await runner.setup()
-    stack.push_async_callback(runner.cleanup)
-    site = web.TCPSite(
-        runner, address.host, address.port, ssl_context=tls, reuse_address=True
-    )
     try:
-        await site.start()
+        listener = Listener(
+            address=str(address), group=server.group, make_protocol=server, tls=tls
+        )
     except OSError as error:
         raise UnavailableError(
             f"can't listen at {address}: {error.strerror}",
             remedy="choose a free address or stop what listens there",
         ) from None
-    host, port = runner.addresses[0][:2]
-    return str(Address(host, port))
+    stack.push_async_callback(server.shutdown, SHUTDOWN_S)
+    stack.callback(server.pre_shutdown)
+    stack.callback(listener.close)
+    return listener.address
+
+
+def _explain_no_memory() -> Problem:
+    return Problem(
+        kind=Kind.OVERLOADED,
+        detail="the entry holds as many bytes of requests as it may",
+        remedy="repeat the request later, or at another entry",
+        ran=Ran.NO,
+        retry_after_s=RETRY_AFTER_S,
+    )
 
 
 def _explain_malformed(reason: str) -> Problem:
--- a/src/baobabthread/commands/run.py
+++ b/src/baobabthread/commands/run.py
@@ -102,9 +102,7 @@
     ]
     max_header: Annotated[
         int,
-        option(
-            "max-header", "Largest line of a request's head in bytes.", default=16_384
-        ),
+        option("max-header", "Largest head of a request in bytes.", default=16_384),
     ]
     body_timeout: Annotated[
         float,
@@ -118,6 +116,18 @@
             default=30.0,
         ),
     ]
+    max_memory: Annotated[
+        int,
+        option("max-memory", "Memory in MB; 0 for that of the machine.", default=0),
+    ]
+    max_descriptors: Annotated[
+        int,
+        option(
+            "max-descriptors",
+            "Open files and connections; 0 for the limit of the process.",
+            default=0,
+        ),
+    ]
     seed: Annotated[int, option("seed", "Seed of choices; 0 draws one.", default=0)]
 
     def run(self) -> int:
@@ -151,6 +161,8 @@
                 max_header_bytes=self.max_header,
                 body_timeout_s=self.body_timeout,
                 idle_timeout_s=self.idle_timeout,
+                max_memory_mb=self.max_memory,
+                max_descriptors=self.max_descriptors,
                 freshness_bound_s=self.freshness_bound,
                 seed=self.seed,
             )
--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -16,7 +16,7 @@
 from baobabthread.adapters.channels import Channel
 from baobabthread.adapters.codec import PeerCodec
 from baobabthread.adapters.commits import GroupCommit
-from baobabthread.adapters.connections import CallerServer, serve
+from baobabthread.adapters.connections import CallerServer, make_groups, serve
 from baobabthread.adapters.dispatches import Dispatcher
 from baobabthread.adapters.effects import EffectRunner
 from baobabthread.adapters.engines import EngineClient, PlainClient, open_session
@@ -58,6 +58,8 @@
 from baobabthread.errors import UnavailableError
 from baobabthread.logs import log_event
 from baobabthread.ports.roster import Instance, Role
+from baobabthread.serving.groups import run_sweeps
+from baobabthread.serving.shares import ListenerName
 from baobabthread.settings import EntrySettings
 
 TICK_S = 0.05
@@ -166,12 +168,19 @@
         cert = str(settings.tls_cert) if settings.tls_cert else None
         key = str(settings.tls_key) if settings.tls_key else None
         tls = build_server_tls(cert, key)
+        groups = make_groups(settings)
         callers = CallerServer(
             handler=self._handle_caller,
-            idle_timeout_s=settings.idle_timeout_s,
-            max_header_bytes=settings.max_header_bytes,
+            group=groups[ListenerName.ENTRY_CALLERS],
+            max_body_bytes=settings.max_body_bytes,
         )
-        peers = CallerServer(handler=self._handle_peer)
+        peers = CallerServer(
+            handler=self._handle_peer,
+            group=groups[ListenerName.ENTRY_PEERS],
+            max_body_bytes=settings.max_body_bytes,
+            may_upgrade=True,
+        )
+        self._spawn(run_sweeps(list(groups.values())))
         self.address = await serve(self._stack, callers, settings.listen, tls)
         self.peer_address = await serve(self._stack, peers, settings.peer_listen, tls)
 
--- a/src/baobabthread/serving/connections.py
+++ b/src/baobabthread/serving/connections.py
@@ -54,12 +54,16 @@
     __slots__ = (
         "_body",
         "_body_received",
+        "_counted_body_bytes",
+        "_decompresses",
         "_dropped_bytes",
         "_group",
         "_head_bytes",
         "_head_lines",
         "_is_busy",
+        "_is_compressed",
         "_is_refused",
+        "_may_upgrade",
         "_raw_transport",
         "_request_costs",
         "_requests_cost",
@@ -74,14 +78,21 @@
         manager: web.Server,
         *,
         group: ConnectionGroup,
+        keepalive_timeout_s: float = UNUSED_TIMEOUT_S,
+        lingering_s: float = LINGER_TIMEOUT_S,
+        max_line_bytes: int = sys.maxsize,
+        max_fields: int = sys.maxsize,
+        decompresses: bool = False,
+        may_upgrade: bool = False,
+        counted_body_bytes: int = COUNTED_BODY_BYTES,
     ) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(
             manager,
             loop=loop,
             access_log=None,  # type: ignore[arg-type]
-            keepalive_timeout=UNUSED_TIMEOUT_S,
-            lingering_time=LINGER_TIMEOUT_S,
+            keepalive_timeout=keepalive_timeout_s,
+            lingering_time=lingering_s,
             read_bufsize=READ_BUFFER_BYTES,
         )
         # aiohttp bounds lines and the number of fields, but not the whole head.
@@ -89,13 +100,16 @@
             self,
             loop,
             READ_BUFFER_BYTES,
-            max_line_size=sys.maxsize,
-            max_field_size=sys.maxsize,
-            max_headers=sys.maxsize,
+            max_line_size=max_line_bytes,
+            max_field_size=max_line_bytes,
+            max_headers=max_fields,
             payload_exception=RequestPayloadError,
-            auto_decompress=False,
+            auto_decompress=decompresses,
             max_msg_queue_size=MAX_REQUESTS_AHEAD,
         )
+        self._decompresses = decompresses
+        self._may_upgrade = may_upgrade
+        self._counted_body_bytes = counted_body_bytes
         self._max_msg_queue_size = MAX_REQUESTS_AHEAD
         self._msg_queue_resume_size = MAX_REQUESTS_AHEAD // 2
         self._group = group
@@ -110,6 +124,8 @@
         self._body: StreamReader | None = None
         """Body that has not ended yet."""
         self._body_received = 0
+        self._is_compressed = False
+        """Whether the body is decompressed, so that its size says nothing."""
         self._request_costs: deque[int] = deque()
         """Memory for each request without a complete response, the oldest first."""
         self._requests_cost = 0
@@ -204,7 +220,10 @@
 
     def _parse(self, piece: bytes) -> None:
         count = self._request_count
+        was_upgraded = self._upgraded
         super().data_received(piece)
+        if was_upgraded:
+            return
         if self._request_count > count:
             self._record_requests(piece, self._request_count - count)
         elif self._body is not None:
@@ -222,7 +241,7 @@
         self._request_costs.extend([cost // count] * count)
         self._requests_cost += cost // count * count
         message, payload = self._messages[-1]
-        if self._upgraded:
+        if self._upgraded and not self._may_upgrade:
             # What follows the offer of another protocol is ignored.
             self._is_refused = True
             self._message_tail = self._unparsed = b""
@@ -238,6 +257,7 @@
         else:
             self._body = payload
             self._body_received = 0
+            self._is_compressed = self._decompresses and bool(message.compression)
 
     def _record_body(self, piece: bytes) -> None:
         """Count the bytes of a body, and refuse one with too many others."""
@@ -357,13 +377,13 @@
     @property
     def _framing_bytes(self) -> int:
         """Bytes of the present body besides its content, as far as is known."""
-        if self._body is None or self._reading_paused:
+        if self._body is None or self._is_compressed or self._reading_paused:
             return 0
         return max(0, self._body_received - self._body.total_bytes)
 
     @property
     def _body_cost(self) -> int:
-        content = min(COUNTED_BODY_BYTES, self._body_received)
+        content = min(self._counted_body_bytes, self._body_received)
         return content + FRAMING_COST_FACTOR * self._framing_bytes
 
     def _update(self) -> None:
--- a/src/baobabthread/serving/shares.py
+++ b/src/baobabthread/serving/shares.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import enum
+import os
+import resource
 
 FILE_DESCRIPTORS = 200
 """Descriptors that are kept for files."""
 MIN_SOCKETS = 64
+MAX_DESCRIPTORS = 65_536
+"""Descriptors to count with if the process has no limit."""
 MIN_CONNECTIONS = 4
 BYTES_PER_MB = 1_000_000
 MEMORY_FRACTION = 0.25
@@ -14,7 +18,7 @@
 
 
 class ListenerName(enum.StrEnum):
-    """Listeners of an instance on the platform."""
+    """Listeners of an instance on the platform, and of an entry."""
 
     CALLERS = "callers"
     DIRECTORY = "directory"
@@ -22,6 +26,8 @@
     READINESS = "readiness"
     METRICS = "metrics"
     RELAY = "relay"
+    ENTRY_CALLERS = "entry_callers"
+    ENTRY_PEERS = "entry_peers"
 
 
 INSTANCE_LISTENERS = (
@@ -39,6 +45,8 @@
     ListenerName.READINESS: 0.02,
     ListenerName.METRICS: 0.02,
     ListenerName.RELAY: 0.125,
+    ListenerName.ENTRY_CALLERS: 0.5,
+    ListenerName.ENTRY_PEERS: 0.25,
 }
 """Part of the sockets for the connections of each listener. A tunnel takes two sockets;
 the rest is for connections to backend servers, the store and peers."""
@@ -53,3 +61,15 @@
 def derive_memory(memory_mb: int) -> int:
     """Return the memory in bytes that the connections of a process may hold."""
     return int(MEMORY_FRACTION * BYTES_PER_MB * memory_mb)
+
+
+def find_descriptors() -> int:
+    """Return how many descriptors this process may have."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_DESCRIPTORS if limit == resource.RLIM_INFINITY else limit
+
+
+def find_memory_mb() -> int:
+    """Return the memory of this machine in MB."""
+    pages, page_bytes = os.sysconf("SC_PHYS_PAGES"), os.sysconf("SC_PAGE_SIZE")
+    return pages * page_bytes // BYTES_PER_MB
--- a/src/baobabthread/settings.py
+++ b/src/baobabthread/settings.py
@@ -15,6 +15,8 @@
 SHA256_HEX = re.compile(r"[0-9a-f]{64}")
 SECRET = re.compile(r"[\x21-\x7e]{16,}")
 MIN_SECRET_LENGTH = 16
+MAX_MEMORY_MB = 10_000_000
+MAX_DESCRIPTORS = 10_000_000
 MAX_SECONDS = 86_400.0
 
 
@@ -55,6 +57,10 @@
     """Within which a whole body must have come."""
     idle_timeout_s: float = 30.0
     """Within which a connection must bring its next whole request head."""
+    max_memory_mb: int = 0
+    """Memory of the process; 0 for that of the machine."""
+    max_descriptors: int = 0
+    """Descriptors of the process; 0 for as many as the system allows it."""
     freshness_bound_s: float = 3.0
     seed: int = 0
 
@@ -115,6 +121,8 @@
     _check_number("--idle-timeout", settings.idle_timeout_s, 0.1, MAX_SECONDS)
     _check_number("--max-body", settings.max_body_bytes, 1_000, 100_000_000)
     _check_number("--max-header", settings.max_header_bytes, 1_000, 1_000_000)
+    _check_number("--max-memory", settings.max_memory_mb, 0, MAX_MEMORY_MB)
+    _check_number("--max-descriptors", settings.max_descriptors, 0, MAX_DESCRIPTORS)
     return settings
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -215,3 +215,68 @@
     )
     assert code == 2
     assert "--tls-ca" in capsys.readouterr().err
+
+
+CROWD = 120
+FEW_DESCRIPTORS = 264
+"""Leaves 64 sockets, half of them for callers."""
+
+
+async def open_crowd(
+    address: str, data: bytes = b""
+) -> list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    """Open connections on which no more than some bytes are sent."""
+    host, _, port = address.rpartition(":")
+    crowd = [await asyncio.open_connection(host, int(port)) for _ in range(CROWD)]
+    for _, writer in crowd:
+        writer.write(data)
+    return crowd
+
+
+async def wait_closed(
+    crowd: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]], count: int
+) -> None:
+    """Wait until the other side has closed so many connections; then close all."""
+    ends = [asyncio.ensure_future(reader.read()) for reader, _ in crowd]
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            while sum(end.done() for end in ends) < count:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+    finally:
+        for _, writer in crowd:
+            writer.transport.abort()
+        await asyncio.gather(*ends, return_exceptions=True)
+
+
+@pytest.mark.parametrize("tls", [{}, TLS], ids=["plain", "handshake"])
+def test_crowd_of_silent_connections_leaves_room(tls: dict[str, Path]) -> None:
+    """Silent connections, or TLS handshakes without end, took every descriptor."""
+
+    async def case(shell: Shell) -> None:
+        if tls:
+            trust(shell)
+        for address in (shell.entries[0].address, shell.entries[0].peer_address):
+            crowd = await open_crowd(address)
+            answered = await shell.chat()
+            await wait_closed(crowd, CROWD - 32)
+            assert answered.status == 200
+
+    run_case(case, max_descriptors=FEW_DESCRIPTORS, **tls)
+
+
+def test_crowd_of_unfinished_heads_is_bounded() -> None:
+    """Each head may take megabytes in many fields; nothing counted their sum."""
+
+    async def case(shell: Shell) -> None:
+        data = REQUEST + b"X: a\r\n" * 100 + b"Y: " + b"a" * 8_000
+        await wait_closed(await open_crowd(shell.entries[0].address, data), CROWD // 2)
+        assert (await shell.chat()).status == 200
+
+    run_case(case, max_memory_mb=20)
+
+
+def test_head_of_many_large_fields_is_refused() -> None:
+    """Each line kept to its bound, and the head was a hundred times as large."""
+    head = REQUEST + b"".join(b"X%d: %b\r\n" % (n, b"a" * 15_000) for n in range(40))
+    status, problem = read_problem(run_case(lambda shell: send(shell, head)))
+    assert (status, problem["kind"]) == (400, "bad_request")
