--- a/soak/endless.py
+++ b/soak/endless.py
@@ -73,9 +73,16 @@
         for seen in backend.fake.seen[first:]
         if seen.sent_bytes
     ]
+    record_peaks(site)
+
+
+def record_peaks(site: Site) -> None:
+    """Record the most memory that each instance has taken."""
+    peaks = site.history.peak_mb
     for machine in site.machines:
-        peak_mb = max(history.peak_mb.get(machine.index, 0.0), machine.read_peak_mb())
-        history.peak_mb[machine.index] = peak_mb
+        peaks[machine.index] = max(
+            peaks.get(machine.index, 0.0), machine.read_peak_mb()
+        )
 
 
 @PRESSES.register("forget framing")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,7 +16,8 @@
     crowd_service,
     disrupt_instance,
 )
-from soak.endless import BEHAVIOURS, ENDLESS, send_without_end
+from soak.endless import BEHAVIOURS, ENDLESS, record_peaks, send_without_end
+from soak.hostile import SCRIPTS, HostileClient, open_crowd
 from soak.instances import APPLY_S, EVACUATION_S, SERVER_DOMAINS
 from soak.notices import (
     REST,
@@ -44,6 +45,11 @@
 LEAST_REACHING = 1
 """Instances that reach the backend servers while others don't."""
 LONGEST_PARTITION_S = 9.0
+HOSTILE = "hostile clients"
+UNKNOWN_ROUTE = b"GET /unknown/x HTTP/1.1\r\nHost: api.example\r\n\r\n"
+"""Head of the requests of hostile clients, which reach no backend server."""
+HOSTILE_CROWDS = (5, 50, 200)
+"""Sizes of a crowd of hostile clients."""
 LEAVE_S = 2.5
 """How long a backend server that leaves works on."""
 
@@ -110,6 +116,33 @@
         await asyncio.sleep(0.2)
 
 
+# -- clients --
+
+
+@FAULTS.register(HOSTILE)
+async def meet_hostile_clients(site: Site) -> None:
+    """Let clients that ignore the limits press one instance."""
+    machine = site.rng.choice(site.machines)
+    scripts = site.rng.sample(list(SCRIPTS), 2)
+    clients = [
+        HostileClient(
+            address=site.rng.choice((machine.front, machine.directory)),
+            script=site.rng.choice(scripts),
+            head=UNKNOWN_ROUTE,
+            seed=site.rng.randrange(10**6),
+            pause_s=site.rng.choice((0.0, 0.01, 0.1)),
+            keeps_s=site.rng.choice((None, 0.0, 0.5)),
+            resets=site.rng.random() < 0.5,
+        )
+        for _ in range(site.rng.choice(HOSTILE_CROWDS))
+    ]
+    with site.note(HOSTILE, machine.index):
+        async with open_crowd(clients):
+            await asyncio.sleep(_draw_s(site))
+        record_peaks(site)
+        await asyncio.sleep(0.5)
+
+
 # -- the store --
 
 
--- a/src/baobabthread/instance/gauges.py
+++ b/src/baobabthread/instance/gauges.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from baobabthread.instance.clock import now
 from baobabthread.instance.metrics import Metrics
 from baobabthread.instance.peers import PeerLink
@@ -9,6 +11,7 @@
 from baobabthread.instance.servers.relay import RelayServer
 from baobabthread.instance.services import Services
 from baobabthread.routing.replica import StateReplica
+from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
 
 
 def update_gauges(
@@ -20,6 +23,8 @@
     services: Services,
     paths: Paths,
     relay: RelayServer,
+    connections: Iterable[ConnectionGroup],
+    connection_memory: ConnectionMemory,
 ) -> None:
     """Set all gauges to the current state."""
     timestamp = now()
@@ -34,6 +39,9 @@
     metrics.lost_paths.set(len(paths.table.lost))
     metrics.open_tunnels.set(relay.open_tunnels)
     metrics.relayed_connections.set(relay.carried)
+    metrics.connection_bytes.set(connection_memory.held_bytes)
+    for group in connections:
+        metrics.connections.labels(listener=group.name).set(len(group.connections))
     for path, number in paths.sent.items():
         metrics.sent_requests.labels(path=path).set(number)
     for outcome, number in peers.limits.outcomes.items():
--- a/src/baobabthread/instance/metrics.py
+++ b/src/baobabthread/instance/metrics.py
@@ -150,6 +150,17 @@
             ["path"],
             registry=self.registry,
         )
+        self.connections = Gauge(
+            "baobabthread_connections",
+            "Open connections",
+            ["listener"],
+            registry=self.registry,
+        )
+        self.connection_bytes = Gauge(
+            "baobabthread_connection_bytes",
+            "Bytes that clients make the connections of all listeners hold",
+            registry=self.registry,
+        )
         self.open_tunnels = Gauge(
             "baobabthread_open_tunnels",
             "Connections that are carried for other instances",
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -282,6 +282,8 @@
             services=self.services,
             paths=self.paths,
             relay=self.relay,
+            connections=self.connections.values(),
+            connection_memory=self.connection_memory,
         )
         return web.Response(body=self.metrics.render(), content_type="text/plain")
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -126,6 +126,17 @@
     assert outcome.served > outcome.calls / 2
 
 
+def test_bear_clients_that_ignore_the_limits() -> None:
+    """Heads without end took more memory than the machine has, with three processes.
+
+    Callers keep being answered beside such clients, also while instances stop.
+    """
+    plan = Plan(seed=3, seconds=6.0, faults=("hostile clients",) * 3 + ("term",))
+    outcome = asyncio.run(play(plan))
+    assert not outcome.breaches
+    assert outcome.served > outcome.calls / 2
+
+
 def test_stop_requests_that_crash_servers() -> None:
     """Callers ask again and again for what ends each server that begins to run it.
 
