Go on with a connection after a body that nobody reads

Clients that send a body to the directory (or any listener that reads none) and send the rest of it after the response got 431 for their next request, or lost their connection: the end of the request's response made the rest of its body pass for a head.

Also: bytes that arrive once a connection is closing are dropped, not kept; a client whose request is in work and that goes on sending after an offer of another protocol is read no more after 1 MB; an exception in a handler is logged with its traceback, in the bounded lines.

The others were found by reading the diff.

--- a/src/baobabthread/serving/connections.py
+++ b/src/baobabthread/serving/connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import sys
+import traceback
 from collections import deque
 from http import HTTPStatus
 from typing import Any, cast
@@ -44,6 +45,7 @@
 LINGER_TIMEOUT_S = 1.0
 MAX_DROPPED_BYTES = 1_048_576
 """Bytes that are read and ignored after a refusal, so that it reaches the client."""
+MAX_TRACE_CHARACTERS = 2_000
 UNUSED_TIMEOUT_S = 86_400.0
 """The keep-alive timeout of aiohttp; `ConnectionGroup` closes idle connections."""
 
@@ -191,7 +193,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, as far as there is room for it."""
-        if self._is_refused:
+        if self._is_refused or self._close or self._force_close:
             self._drop_data(len(data))
             return
         if data:
@@ -199,7 +201,7 @@
         else:
             # aiohttp resumes parsing: the parser has kept bytes of its own.
             self._parse(data)
-        while self._unparsed and self._may_parse:
+        while self._unparsed and self._may_parse and not self._is_refused:
             size = HEAD_PIECE_BYTES if self._body is None else len(self._unparsed)
             piece = self._unparsed[:size]
             self._unparsed = self._unparsed[size:]
@@ -207,16 +209,18 @@
         self._update()
 
     def _drop_data(self, size: int) -> None:
-        """Ignore some bytes; close the connection if there are too many."""
+        """Ignore some bytes; close the connection once there are too many."""
         self._dropped_bytes += size
-        if self._dropped_bytes > MAX_DROPPED_BYTES and self.awaits_request:
+        if self._dropped_bytes <= MAX_DROPPED_BYTES:
+            return
+        if self.awaits_request:
             self.drop()
+        else:
+            self._pause_transport_reading()
 
     @property
     def _may_parse(self) -> bool:
-        if self._reading_paused or self._force_close or self._close:
-            return False
-        return len(self._messages) < MAX_REQUESTS_AHEAD
+        return not self._reading_paused and len(self._messages) < MAX_REQUESTS_AHEAD
 
     def _parse(self, piece: bytes) -> None:
         count = self._request_count
@@ -289,9 +293,10 @@
             return
         cost = self._body_cost
         self._body = None
-        self._request_costs[-1] += cost
-        self._requests_cost += cost
         self._body_received = 0
+        if self._request_costs:
+            self._request_costs[-1] += cost
+            self._requests_cost += cost
 
     def _refuse(self, status: HTTPStatus) -> None:
         """Respond with an error after the requests before, and read nothing more."""
@@ -336,8 +341,6 @@
         finally:
             if self._request_costs:
                 self._requests_cost -= self._request_costs.popleft()
-            if not self._request_costs:
-                self._body = None
             self._update()
 
     def handle_error(
@@ -352,7 +355,8 @@
             raise ConnectionError("a response has begun")
         phrase = HTTPStatus(status).phrase
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._group.log("request_crashed", error=repr(exc))
+            trace = "".join(traceback.format_exception(exc))[-MAX_TRACE_CHARACTERS:]
+            self._group.log("request_crashed", error=trace)
         else:
             self._group.log("request_malformed", status=status, error=phrase)
         kind = phrase.lower().replace(" ", "_")
--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -171,6 +171,26 @@
     run(case())
 
 
+def test_go_on_after_a_body_that_nobody_reads() -> None:
+    """The rest of a body, sent after its response, must not pass for another head."""
+
+    async def case() -> None:
+        async with open_site("p1", limits=LIMITS) as site:
+            host, _, port = site.settings[0].directory_address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            body = b"a" * 60_000
+            for _ in range(3):
+                writer.write(
+                    b"GET /-/resolve?name=a HTTP/1.1\r\nHost: a\r\n"
+                    b"Content-Length: 60000\r\n\r\n" + body[:1000]
+                )
+                assert (await read_response(reader)).status == 200
+                writer.write(body[1000:])
+            writer.transport.abort()
+
+    run(case())
+
+
 def test_answer_a_malformed_chunk_at_once() -> None:
     """The request was held until the time limit of bodies, a minute later."""
 
