Close only connections whose memory it frees

When requests in work held more than the memory of all connections, every idle connection of every listener was closed though none held a byte, and then every stream with a byte unsent was cut: ordinary callers and readiness lost theirs to a crowd's whole requests.

Now an idle connection goes only if it holds something, and a client is cut off for what it doesn't take from 16 KB on.

Evidence: `test_close_nothing_that_frees_no_memory` fails on, passes now.

--- a/src/baobabthread/serving/groups.py
+++ b/src/baobabthread/serving/groups.py
@@ -20,6 +20,8 @@
 SHED_FRACTION = 0.9
 """Part of the memory limit that is left when connections were closed for it."""
 MIN_SHED_INTERVAL_S = 0.02
+MIN_SHED_UNSENT_BYTES = 16_384
+"""Bytes of responses from which on a client that has not taken them is cut off."""
 SWEEP_INTERVAL_S = 0.5
 MAX_SWEEP_DELAY_S = 1.0
 """Delay of a sweep from which on requests may have arrived that were not read yet."""
@@ -122,6 +124,8 @@
             key=lambda pair: -pair[0].held_bytes,
         )
         for connection, group in by_size:
+            if not connection.held_bytes:
+                break
             yield connection, group.shed
         for group in self._groups:
             for connection in group.list_busy():
@@ -131,7 +135,7 @@
             key=lambda pair: -pair[0].unsent_bytes,
         )
         for connection, group in unread:
-            if not connection.unsent_bytes:
+            if connection.unsent_bytes < MIN_SHED_UNSENT_BYTES:
                 return
             yield connection, group.shed
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -137,6 +137,25 @@
     run(case)
 
 
+def test_close_nothing_that_frees_no_memory() -> None:
+    """Requests in work filled the memory, and all idle connections were closed."""
+
+    def case() -> None:
+        group = make_group()
+        idle = add(group, "idle")
+        slow = add(group, "slow", is_busy=True)
+        slow.unsent_bytes = 100
+        unread = add(group, "unread", is_busy=True)
+        unread.unsent_bytes = 20_000
+        group.memory.resize(unread, 20_100)
+        assert unread.is_dropped
+        group.memory.resize(slow, 30_000)
+        assert not idle.is_dropped
+        assert not slow.is_dropped
+
+    run(case)
+
+
 def test_refuse_requests_when_nothing_can_be_closed() -> None:
     def case() -> None:
         group = make_group()
