Close one connection for each that is accepted at the limit

A listener whose share is taken closed two idle connections for each new one: after the new one was accepted it made room again, though nobody waited.

Now it makes room once in a turn of the loop, when a connection waits.

--- a/src/baobabthread/serving/listeners.py
+++ b/src/baobabthread/serving/listeners.py
@@ -94,10 +94,12 @@
             loop.add_reader(self._socket, self._accept_some)
 
     def _accept_some(self) -> None:
+        if self._group.is_full and self._group.evict_one():
+            # Its descriptor is free in the next turn of the loop.
+            return
         for _ in range(MAX_ACCEPTS):
             is_full = self._group.is_full
-            if is_full and self._group.evict_one():
-                # Its descriptor is free in the next turn of the loop.
+            if is_full and self._group.idle:
                 return
             try:
                 connection, _ = self._socket.accept()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -6,8 +6,11 @@
 from collections.abc import Callable
 
 import pytest
+from aiohttp import web
 
+from baobabthread.serving.connections import BoundedConnection
 from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
+from baobabthread.serving.listeners import Listener
 from baobabthread.serving.shares import (
     INSTANCE_LISTENERS,
     SOCKET_FRACTIONS,
@@ -15,6 +18,7 @@
     derive_connections,
     derive_memory,
 )
+from baobabthread.standins.loopback import own_network
 
 
 class FakeConnection:
@@ -86,6 +90,39 @@
     run(case)
 
 
+async def answer(request: web.BaseRequest) -> web.StreamResponse:
+    """Answer any request."""
+    return web.Response()
+
+
+def test_accept_a_connection_for_one_that_is_closed() -> None:
+    """Each connection that was accepted at the limit cost two others."""
+
+    async def case() -> None:
+        network = own_network()
+        address = f"{network.give_host(1)}:{network.give_port()}"
+        group = make_group(2)
+        server = web.Server(answer)
+        listener = Listener(
+            address=address,
+            group=group,
+            make_protocol=lambda: BoundedConnection(server, group=group),
+        )
+        host, _, port = address.rpartition(":")
+        readers = []
+        for _ in range(5):
+            readers.append(await asyncio.open_connection(host, int(port)))
+            await asyncio.sleep(0.02)
+            assert len(group.connections) == min(2, len(readers))
+        listener.close()
+        for _, writer in readers:
+            writer.transport.abort()
+        await asyncio.sleep(0.02)
+        assert not group.connections
+
+    asyncio.run(case())
+
+
 def test_keep_a_response_that_is_not_taken_yet_if_possible() -> None:
     def case() -> None:
         group = make_group(2)
