Reject a request that is pushed out of a full queue

With 4,096 requests waiting for a service, a more urgent one takes the place of another. Nobody told that one: it was in no queue, so that nothing could start or expire it, and its caller waited until it left.

Now it is rejected at once, as what can't be served is.

Evidence: `test_reject_a_request_that_is_pushed_out_of_a_full_queue` fails with the scheduler before (the queue's part of the change in place), passes now.

--- a/src/baobabthread/instance/scheduler.py
+++ b/src/baobabthread/instance/scheduler.py
@@ -67,6 +67,8 @@
                 context, "overloaded", decision.retry_after_s
             )
             return None
+        if decision.pushed_out is not None:
+            self._resolve(decision.pushed_out, rejected=True)
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._pending[ticket] = future
         self._start_ready(state)
--- a/src/baobabthread/routing/queues.py
+++ b/src/baobabthread/routing/queues.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from baobabthread.core.configuration.configuration import Priority
-from baobabthread.core.limits.fairness import FairQueue, Waiting
+from baobabthread.core.limits.fairness import FairnessSettings, FairQueue, Waiting
 
 URGENT_RANK = 0
 LAST_INTERACTIVE_RANK = 2
@@ -28,6 +28,8 @@
 
     admitted: bool
     retry_after_s: float = 0.0
+    pushed_out: str | None = None
+    """Request that was queued before and has to make room for this one."""
 
 
 class ServiceQueue:
@@ -35,8 +37,8 @@
 
     __slots__ = ("_capacity", "_instances", "_queue", "running")
 
-    def __init__(self) -> None:
-        self._queue = FairQueue()
+    def __init__(self, *, settings: FairnessSettings | None = None) -> None:
+        self._queue = FairQueue(settings=settings)
         self._capacity = 0
         self._instances = 1
         self.running = 0
@@ -64,11 +66,14 @@
             return Admission(
                 admitted=False, retry_after_s=self._find_retry_after(now, jitter)
             )
-        if self._queue.push(waiting, now) is waiting:
-            return Admission(
-                admitted=False, retry_after_s=self._find_retry_after(now, jitter)
-            )
-        return Admission(admitted=True)
+        pushed_out = self._queue.push(waiting, now)
+        if pushed_out is None:
+            return Admission(admitted=True)
+        return Admission(
+            admitted=pushed_out is not waiting,
+            retry_after_s=self._find_retry_after(now, jitter),
+            pushed_out=pushed_out.request_id,
+        )
 
     def pop(self, now: float) -> Waiting | None:
         """Return the next request and count it as running, if one may run."""
--- a/tests/instance/test_scheduler.py
+++ b/tests/instance/test_scheduler.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from baobabthread.core.limits.fairness import FairnessSettings
 from baobabthread.instance.clock import now
 from baobabthread.instance.scheduler import MIN_TIME_LEFT_S, RequestScheduler
 from baobabthread.routing.queues import MIN_RUNNING, ServiceQueue
@@ -22,8 +23,8 @@
 class Harness:
     """A scheduler with one service, and the tasks of its requests."""
 
-    def __init__(self) -> None:
-        self.queue = ServiceQueue()
+    def __init__(self, *, max_waiting: int = 4096) -> None:
+        self.queue = ServiceQueue(settings=FairnessSettings(max_waiting=max_waiting))
         self.state = SimpleNamespace(queue=self.queue)
         self.rejected: list[str] = []
         self.started = 0
@@ -128,6 +129,25 @@
     asyncio.run(case())
 
 
+def test_reject_a_request_that_is_pushed_out_of_a_full_queue() -> None:
+    """It waited until its caller left, as nothing could start it any more."""
+
+    async def case() -> None:
+        harness = Harness(max_waiting=2)
+        for _ in range(MIN_RUNNING):
+            harness.offer()
+        patient = [harness.offer(priority=9) for _ in range(2)]
+        await asyncio.sleep(0)
+        urgent = harness.offer(priority=0)
+        await asyncio.sleep(0.01)
+        assert [task.done() for task in patient] == [False, True]
+        assert not urgent.done()
+        assert harness.rejected == ["waited_too_long"]
+        await harness.finish()
+
+    asyncio.run(case())
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_give_back_each_place_in_any_order_of_events(seed: int) -> None:
     """No place is lost or doubled, whatever starts, ends, expires or leaves."""
