Tests: end the connections of requests that run, not of those that may

It slept 0.15 s after it had begun 40 calls, and took it that requests were running then.

Now it waits until 20 requests run.

--- a/tests/platform/test_observations.py
+++ b/tests/platform/test_observations.py
@@ -138,7 +138,7 @@
             for backend in site.backends:
                 backend.pause_s = 0.3
             calls = [asyncio.ensure_future(site.call("/unsafe/x")) for _ in range(40)]
-            await asyncio.sleep(0.15)
+            await wait_for(lambda: sum(b.running for b in site.backends) >= 20)
             for backend in site.backends:
                 backend.end_connections()
             await asyncio.gather(*calls)
