Settle an instance's own changes when a reader confirms the rest

In use, requests would go on without that server at this instance until any other server's record changes.

Cause: an instance that doesn't read the store compares its servers with those of its reader by digest, and looks into a difference. The digest is 0 while changes of its own wait for a position of the store, and only a read of its own, or a change from a peer, gave them one. Three changes wait like that at an instance whose reader has nothing new to tell: a server that says in a response that it leaves or is cold, and one whose record lapsed and whose grace ended. From then on the instance compared nothing and its settled position, which it tells peers that are stale, stood still.

Evidence: with the instance's own reads held back, all three of the test's instances end like that, each time: waiting changes, digest 0, all at the same position. Ruled out: restoring, eras and the ignored record work as before once the difference is seen.

Why it works: a reader's confirmation says that nothing else changed up to its position, which is what a read of its own says; waiting changes get the position in both cases.

--- a/src/baobabthread/routing/replica.py
+++ b/src/baobabthread/routing/replica.py
@@ -296,7 +296,11 @@
         self._check_outage(read_at, now)
         self.backends_end = max(self.backends_end, end)
         self._backends_read_at = max(self._backends_read_at, read_at)
-        self._update_settled_end()
+        if self._change_log.has_pending:
+            # Without a read of its own, this instance would never settle them.
+            self._stamp_changes()
+        else:
+            self._update_settled_end()
 
     @property
     def backends_changed_at(self) -> BackendsPosition:
--- a/tests/platform/test_restores.py
+++ b/tests/platform/test_restores.py
@@ -7,7 +7,9 @@
 import pytest
 
 from baobabthread.instance.clock import now
+from baobabthread.instance.topicreaders import BackendTopicReader
 from baobabthread.routing.configuration import RolloutState
+from baobabthread.routing.replica import StateReplica
 from tests.platform.fakestore import BACKENDS, OPERATORS, STATUS
 from tests.platform.site import (
     Site,
@@ -283,6 +285,41 @@
     run(case())
 
 
+@pytest.mark.parametrize("index", [0, 1, 2])
+def test_read_ignored_records_again_on_the_word_of_a_reader(
+    monkeypatch: pytest.MonkeyPatch, index: int
+) -> None:
+    """The instance with a server too few hears a reader before it reads the store."""
+
+    async def case() -> None:
+        async with open_site("p1", "p2") as site:
+            await site.add_instances(3)
+            await wait_members(site)
+            replica = site.instances[index].replica
+            site.store.fault = "busy"
+            await asyncio.sleep(2.4)
+            assert replica.record_missing("p2", now() + 60.0)
+            site.store.restore(lost={})
+            rely_on_peers(monkeypatch, replica)
+            site.store.fault = ""
+            await wait_for(lambda: "p2" in replica.backends, 5.0)
+
+    run(case())
+
+
+def rely_on_peers(monkeypatch: pytest.MonkeyPatch, replica: StateReplica) -> None:
+    """Let an instance read the servers' records only where peers can't settle them."""
+    must_read = BackendTopicReader._must_read.fget
+    assert must_read is not None
+
+    def must_settle(reader: BackendTopicReader) -> bool:
+        if reader._replica is not replica:
+            return must_read(reader)
+        return reader._next is None or reader._must_list
+
+    monkeypatch.setattr(BackendTopicReader, "_must_read", property(must_settle))
+
+
 def test_keep_a_configuration_that_the_copy_lacks() -> None:
     """A route was added and a key revoked in seconds that the copy lacks."""
 
--- a/tests/routing/test_replica.py
+++ b/tests/routing/test_replica.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -17,6 +19,7 @@
 from baobabthread.routing.replica import (
     LAPSED_RECORD_GRACE_S,
     MIN_OUTAGE_S,
+    BackendChanges,
     StateReplica,
 )
 from baobabthread.routing.storeoutages import FailedCall
@@ -422,3 +425,38 @@
         end=BackendsPosition(offset=3), requested_at=9.1, now=9.1
     )
     assert replica.digest_backends() == peer.digest_backends() != empty
+
+
+def lapse(replica: StateReplica) -> None:
+    """Remove `b2` after the grace that follows an outage."""
+    refuse_call(replica, 12.0)
+    replica.confirm_backends(end=BackendsPosition(offset=3), read_at=14.0, now=14.0)
+    replica.remove_backend("b2", 14.1)
+    assert replica.digest_backends() == 0
+    assert replica.expire_lapsed(14.0 + LAPSED_RECORD_GRACE_S) == ["b2"]
+
+
+OWN_CHANGES: dict[str, Callable[[StateReplica], object]] = {
+    "leaving server": lambda r: r.record_departure(r.backends["b2"].incarnation),
+    "cold server": lambda r: r.record_warmup(r.backends["b2"], 60.0, 10.0),
+    "lapsed server": lapse,
+}
+
+
+@pytest.mark.parametrize("change", OWN_CHANGES)
+def test_settle_own_changes_when_a_reader_confirms_the_rest(change: str) -> None:
+    """An instance that no longer reads the store finds no server it lacks."""
+    replica = make_replica()
+    for id in ("b1", "b2"):
+        replica.apply_backend(make_backend(id))
+    end = BackendsPosition(offset=3)
+    replica.record_backends_read(end=end, requested_at=9.0, now=9.0)
+    OWN_CHANGES[change](replica)
+    assert replica.digest_backends() == 0
+    end = BackendsPosition(offset=4)
+    replica.confirm_backends(end=end, read_at=20.0, now=20.0)
+    assert replica.digest_backends() != 0
+    assert replica.settled_end == end
+    assert replica.list_backend_changes(
+        BackendsPosition(offset=3), 20.0, limit=9
+    ) != BackendChanges(changed=[], removed=[])
