Carry requests with allowed regions through peers in these regions only

What callers saw: nothing; their data left the regions that route and account allow. An instance that has lost its paths to the servers sent such requests through whatever peer reaches them, so that the body passed through a machine of another region.

Cause: the peer was chosen for the server, by failure domains and what had failed, and an idle connection through a peer was taken for any request. Neither knew the request's regions.

What changed: the regions of a request go with it to the pool of connections. Peers outside them are neither asked nor is an idle connection through one used, which stays for other requests. A lost server that no permitted peer reaches is unavailable for the request, so it goes elsewhere or is rejected at once. If an attempt fails before the loss is known, peers that were not asked may reach the server: it isn't taken for unreachable, which would reject other requests, and a connection without a request looks for the path. The caller's own region, which the rule would allow too, isn't known to the instance.

RelayError and the handshake moved to a module of their own, unchanged.

--- a/src/baobabthread/instance/attempts.py
+++ b/src/baobabthread/instance/attempts.py
@@ -191,7 +191,10 @@
         try:
             # The server may have announced its end or asked for rest since.
             self._connection = await self.link.pool.send(
-                head, request.body, find_obstacle=self.link.find_obstacle
+                head,
+                request.body,
+                allowed_regions=context.allowed_regions,
+                find_obstacle=self.link.find_obstacle,
             )
         except NotSentError as error:
             if not isinstance(error, WithheldError):
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -128,6 +128,7 @@
             me=settings.name,
             ip=settings.ip,
             failure_domain=settings.failure_domain,
+            regions=self._regions,
             find_backend=lambda name: self.backends.find_record(name),
             find_obstacle=lambda name: self.backends.find_obstacle(name),
         )
@@ -186,6 +187,7 @@
         self._connect_quarantine()
         self.backends.on_groups = self.peers.dispatch.set_groups
         self.paths.on_departure = self.peers.departures.learn
+        self.restrictions.list_out_of_reach = self.paths.list_out_of_reach
         self.peers.rests.find_relayed_peers = self._find_relayed_peers
         self.rollouts = RolloutController(
             replica=self.replica,
--- a/src/baobabthread/instance/servers/connections.py
+++ b/src/baobabthread/instance/servers/connections.py
@@ -23,6 +23,7 @@
 from baobabthread.instance.clock import now
 from baobabthread.instance.heldbytes import HeldBytes
 from baobabthread.instance.timeouts import limit_silence
+from baobabthread.routing.regions import AllowedRegions
 
 MAX_FIELD_BYTES = 32_768
 """Limit of the status line and of each header field of a response."""
@@ -324,14 +325,24 @@
 
 
 class Connector(Protocol):
-    """Open the connections of a pool."""
+    """Open the connections of a pool.
 
-    async def open(self, make: Callable[[], Connection]) -> Connection:
+    A request with `allowed_regions` must not pass through a peer outside them.
+    """
+
+    async def open(
+        self, make: Callable[[], Connection], allowed_regions: AllowedRegions
+    ) -> Connection:
         """Return a new connection; raise `NotSentError` if there is none."""
 
     def may_reuse(self, connection: Connection) -> bool:
         """Return whether an idle connection may carry another request."""
 
+    def may_carry(
+        self, connection: Connection, allowed_regions: AllowedRegions
+    ) -> bool:
+        """Return whether a connection stays within the regions of a request."""
+
 
 class DirectConnector:
     """Connect to an address without any alternative."""
@@ -344,7 +355,9 @@
         self._port = int(port)
         self._connect_s = connect_s
 
-    async def open(self, make: Callable[[], Connection]) -> Connection:
+    async def open(
+        self, make: Callable[[], Connection], allowed_regions: AllowedRegions
+    ) -> Connection:
         """Return a new connection; raise `NotSentError` if there is none."""
         loop = asyncio.get_running_loop()
         try:
@@ -364,6 +377,12 @@
         """Return whether an idle connection may carry another request."""
         return True
 
+    def may_carry(
+        self, connection: Connection, allowed_regions: AllowedRegions
+    ) -> bool:
+        """Return whether a connection stays within the regions of a request."""
+        return True
+
 
 class ConnectionPool:
     """Pool of connections to one server, most recently used first."""
@@ -397,6 +416,7 @@
         head: bytes,
         body: bytes,
         *,
+        allowed_regions: AllowedRegions = None,
         find_obstacle: Callable[[], Obstacle | None] = lambda: None,
     ) -> Connection:
         """Send a request and return its connection.
@@ -404,9 +424,9 @@
         Raises `NotSentError` if no connection could be established, and `WithheldError`
         if there is an obstacle when the request could be sent.
         """
-        connection = self._take_idle()
+        connection = self._take_idle(allowed_regions)
         if connection is None:
-            connection = await self._connect()
+            connection = await self._connect(allowed_regions)
         obstacle = find_obstacle()
         if obstacle is not None:
             connection.close_idle()
@@ -447,7 +467,7 @@
     async def probe(self) -> Listening:
         """Check whether the server accepts connections; keep the one established."""
         try:
-            connection = await self._connect()
+            connection = await self._connect(None)
         except NotSentError as error:
             return Listening.NO if error.is_refused else Listening.UNKNOWN
         connection.is_idle = True
@@ -489,20 +509,23 @@
             else:
                 connection.close_idle()
 
-    def _take_idle(self) -> Connection | None:
-        while self._idle:
-            connection = self._idle.pop()
-            if self._may_reuse(connection):
+    def _take_idle(self, allowed_regions: AllowedRegions) -> Connection | None:
+        for index in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[index]
+            if not self._may_reuse(connection):
+                del self._idle[index]
+                connection.close_idle()
+            elif self._connector.may_carry(connection, allowed_regions):
+                del self._idle[index]
                 return connection
-            connection.close_idle()
         return None
 
     def _may_reuse(self, connection: Connection) -> bool:
         return connection.is_usable and self._connector.may_reuse(connection)
 
-    async def _connect(self) -> Connection:
+    async def _connect(self, allowed_regions: AllowedRegions) -> Connection:
         connection = await self._connector.open(
-            lambda: Connection(on_bytes=self._on_bytes)
+            lambda: Connection(on_bytes=self._on_bytes), allowed_regions
         )
         self.opened += 1
         return connection
--- a/src/baobabthread/instance/servers/paths.py
+++ b/src/baobabthread/instance/servers/paths.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 from asyncio.staggered import staggered_race
 from collections.abc import Awaitable, Callable, Collection, Coroutine
@@ -16,16 +17,20 @@
     Obstacle,
     WithheldError,
 )
-from baobabthread.instance.servers.relay import (
-    MAX_HEAD_BYTES,
-    RelayStatus,
-    decode_status,
-    encode_connect,
-)
+from baobabthread.instance.servers.relay import RelayStatus
+from baobabthread.instance.servers.relayhandshake import RelayError, RelayHandshake
 from baobabthread.instance.timeouts import limit_silence
 from baobabthread.logs import log_event
 from baobabthread.routing.configuration import BackendRecord
-from baobabthread.routing.servers.paths import PathLoss, PathTable, Relay, RelayTable
+from baobabthread.routing.regions import AllowedRegions, Regions
+from baobabthread.routing.servers.paths import (
+    MayCarry,
+    PathLoss,
+    PathTable,
+    Relay,
+    RelayTable,
+    carry_anywhere,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 """Timeout for opening a connection, which usually takes a few milliseconds. A lost
@@ -50,46 +55,8 @@
 """Open a connection to a server over any path and keep it for a request."""
 
 
-class RelayError(NotSentError):
-    """Raised if a peer does not carry a connection."""
-
-    def __init__(self, relay: Relay, status: RelayStatus | None, reason: str) -> None:
-        super().__init__(
-            f"not relayed by {relay.name}: {reason}",
-            is_refused=status is RelayStatus.REFUSED,
-        )
-        self.status = status
-
-
-class _Handshake(asyncio.Protocol):
-    """Wait for the reply of a relaying peer."""
-
-    def __init__(self, server: str) -> None:
-        self._server = server
-        self._head = b""
-        self.reply: asyncio.Future[RelayStatus | None] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Ask for the connection."""
-        cast(asyncio.Transport, transport).write(encode_connect(self._server))
-
-    def data_received(self, data: bytes) -> None:
-        """Read the reply, after which the server has sent nothing yet."""
-        self._head += data
-        head, end, rest = self._head.partition(b"\r\n\r\n")
-        if self.reply.done():
-            return
-        if rest or len(head) > MAX_HEAD_BYTES:
-            self.reply.set_result(None)
-        elif end:
-            self.reply.set_result(decode_status(head))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """End without a reply."""
-        if not self.reply.done():
-            self.reply.set_result(None)
+def _ignore() -> None:
+    """Do nothing."""
 
 
 class PathConnector:
@@ -101,14 +68,22 @@
         self._record = record
         self._paths = paths
 
-    async def open(self, make: MakeConnection) -> Connection:
+    async def open(
+        self, make: MakeConnection, allowed_regions: AllowedRegions
+    ) -> Connection:
         """Return a new connection; raise `NotSentError` if there is none."""
-        return await self._paths.open(self._record, make)
+        return await self._paths.open(self._record, make, allowed_regions)
 
     def may_reuse(self, connection: Connection) -> bool:
         """Return whether an idle connection may carry another request."""
         return self._paths.may_reuse(self._record.incarnation, connection)
 
+    def may_carry(
+        self, connection: Connection, allowed_regions: AllowedRegions
+    ) -> bool:
+        """Return whether a connection stays within the regions of a request."""
+        return self._paths.may_carry(connection, allowed_regions)
+
 
 class Paths:
     """Open connections to the backend servers and watch the paths to them."""
@@ -119,10 +94,12 @@
         me: str,
         ip: str,
         failure_domain: str,
+        regions: Regions,
         find_backend: Callable[[str], BackendRecord | None],
         find_obstacle: Callable[[str], Obstacle | None],
     ) -> None:
         self._ip = ip
+        self._regions = regions
         self._find_backend = find_backend
         self._find_obstacle = find_obstacle
         self._checks: dict[str, Probe] = {}
@@ -172,12 +149,43 @@
             return loss is not PathLoss.ALL
         return loss is not None and self.relays.may_use(connection.relay, name, now())
 
+    def may_carry(
+        self, connection: Connection, allowed_regions: AllowedRegions
+    ) -> bool:
+        """Return whether a connection stays within the regions of a request."""
+        if allowed_regions is None or not connection.relay:
+            return True
+        return self.relays.may_carry(
+            connection.relay, self._make_filter(allowed_regions)
+        )
+
+    def list_out_of_reach(self, allowed_regions: AllowedRegions) -> frozenset[str]:
+        """Return the servers that only peers outside the regions of a request reach."""
+        if not self.table.lost or self.relays.has_relay(
+            self._make_filter(allowed_regions)
+        ):
+            return frozenset()
+        return frozenset(self.table.lost)
+
+    def _make_filter(self, allowed_regions: AllowedRegions) -> MayCarry:
+        if allowed_regions is None:
+            return carry_anywhere
+        return functools.partial(self._regions.may_serve, allowed_regions)
+
     def count_sent(self, connection: Connection) -> None:
         """Count a request by the path of its connection."""
         self.sent["relayed" if connection.relay else "direct"] += 1
 
-    async def open(self, record: BackendRecord, make: MakeConnection) -> Connection:
-        """Return a connection to a server over the first path that is established."""
+    async def open(
+        self,
+        record: BackendRecord,
+        make: MakeConnection,
+        allowed_regions: AllowedRegions = None,
+    ) -> Connection:
+        """Return a connection to a server over the first path that is established.
+
+        It leads through no peer outside the allowed regions.
+        """
         made: list[Connection] = []
 
         def make_tracked() -> Connection:
@@ -186,7 +194,7 @@
             return connection
 
         try:
-            return await self._open_first(record, make_tracked)
+            return await self._open_first(record, make_tracked, allowed_regions)
         except asyncio.CancelledError:
             # One may have been established just as its request was cancelled.
             for connection in made:
@@ -194,7 +202,10 @@
             raise
 
     async def _open_first(
-        self, record: BackendRecord, make: MakeConnection
+        self,
+        record: BackendRecord,
+        make: MakeConnection,
+        allowed_regions: AllowedRegions,
     ) -> Connection:
         name = record.incarnation
         if self.table.is_unreachable(name, now()):
@@ -203,7 +214,10 @@
             )
         deadline = now() + CONNECT_TIMEOUT_S
         loss = self.table.find_loss(name)
-        relays = self.relays.choose(name, record.failure_domain, now())
+        may_carry = self._make_filter(allowed_regions)
+        relays = self.relays.choose(
+            name, record.failure_domain, now(), may_carry=may_carry
+        )
         ways = [
             functools.partial(self._open_relayed, relay, name, make, deadline)
             for relay in relays
@@ -214,7 +228,12 @@
         winner, _, errors = await staggered_race(ways, stagger_s)
         if winner is None:
             error = self._explain(errors)
-            self.table.record_unreachable(name, now(), is_refused=error.is_refused)
+            if allowed_regions is None:
+                self.table.record_unreachable(name, now(), is_refused=error.is_refused)
+            else:
+                # Peers that were not asked may reach it.
+                error.is_refused = False
+                self.check(name, functools.partial(self._find_path, record))
             raise error
         connection = cast(Connection, winner)
         if connection.relay and loss is None:
@@ -289,6 +308,12 @@
             # Open connections were silent before: they must not be used any more.
             self.table.record_lost(name, PathLoss.ALL, now())
 
+    async def _find_path(self, record: BackendRecord) -> None:
+        """Open a connection over any path, without a request, and close it."""
+        with contextlib.suppress(NotSentError):
+            connection = await self.open(record, lambda: Connection(on_bytes=_ignore))
+            connection.close_idle()
+
     async def _probe_direct(self, name: str) -> bool:
         """Return whether a direct connection to a server can be established."""
         record = self._find_backend(name)
@@ -336,7 +361,7 @@
             raise RelayError(relay, None, "no time left")
         host, _, port = relay.address.rpartition(":")
         loop = asyncio.get_running_loop()
-        handshake = _Handshake(name)
+        handshake = RelayHandshake(name)
         transport: asyncio.Transport | None = None
         try:
             async with limit_silence(deadline - now()):
--- a/src/baobabthread/instance/servers/restrictions.py
+++ b/src/baobabthread/instance/servers/restrictions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from baobabthread.instance.servers.limits import LimitCoordinator
 from baobabthread.instance.servers.places import PlaceCoordinator
@@ -21,6 +21,10 @@
 NO_BACKENDS: frozenset[str] = frozenset()
 
 
+ListOutOfReach = Callable[[AllowedRegions], frozenset[str]]
+"""Return the servers that only peers outside the regions of a request reach."""
+
+
 class Restrictions:
     """Determine which backend servers an attempt must not use, and why."""
 
@@ -35,6 +39,7 @@
         "_senders",
         "_windows",
         "limits",
+        "list_out_of_reach",
         "places",
         "rests",
     )
@@ -59,6 +64,7 @@
         self._senders = SenderCount()
         self._windows = SendWindows(me=me)
         self._outside_regions: dict[frozenset[str], frozenset[str]] = {}
+        self.list_out_of_reach: ListOutOfReach = lambda allowed_regions: NO_BACKENDS
         self._cold: dict[str, ServiceConfiguration] = {}
         """Incarnations of cold servers, with the service that limits their rate."""
         self._evacuated: frozenset[str] = NO_BACKENDS
@@ -196,7 +202,8 @@
                 for record in self._replica.backends.values()
                 if not self._regions.may_serve(allowed_regions, record.failure_domain)
             )
-        return outside
+        out_of_reach = self.list_out_of_reach(allowed_regions)
+        return outside | out_of_reach if out_of_reach else outside
 
     def _apply_evacuations(self, now: float) -> None:
         evacuated = self._replica.evacuations.domains
--- a/src/baobabthread/routing/servers/paths.py
+++ b/src/baobabthread/routing/servers/paths.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Collection, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 import msgspec
 
@@ -188,6 +188,15 @@
         return due[:limit]
 
 
+MayCarry = Callable[[str], bool]
+"""Return whether the peers in a failure domain may carry a request."""
+
+
+def carry_anywhere(failure_domain: str) -> bool:
+    """Let any peer carry a request."""
+    return True
+
+
 class Relay(msgspec.Struct, frozen=True, kw_only=True):
     """A peer that may carry connections."""
 
@@ -224,15 +233,20 @@
         """Replace the known peers."""
         self._relays = {r.name: r for r in relays if r.name != self._me}
 
-    @property
-    def has_relays(self) -> bool:
-        """Return whether any peer is known."""
-        return bool(self._relays)
+    def has_relay(self, may_carry: MayCarry) -> bool:
+        """Return whether any peer may carry a request."""
+        domains = {relay.failure_domain for relay in self._relays.values()}
+        return any(may_carry(domain) for domain in domains)
 
     def may_use(self, relay: str, server: str, now: float) -> bool:
         """Return whether a peer may carry requests to a server."""
         return relay in self._relays and not self._is_avoided(relay, server, now)
 
+    def may_carry(self, relay: str, may_carry: MayCarry) -> bool:
+        """Return whether a known peer may carry a request."""
+        known = self._relays.get(relay)
+        return known is not None and may_carry(known.failure_domain)
+
     def avoid(
         self, relay: str, now: float, *, server: str = "", is_certain: bool = False
     ) -> None:
@@ -251,14 +265,21 @@
         if is_certain:
             avoidance.backoff.until = avoidance.until
 
-    def choose(self, server: str, failure_domain: str, now: float) -> list[Relay]:
+    def choose(
+        self,
+        server: str,
+        failure_domain: str,
+        now: float,
+        *,
+        may_carry: MayCarry = carry_anywhere,
+    ) -> list[Relay]:
         """Return the peers to ask for a connection to a server, in order.
 
         Peers in the server's failure domain come first, as bytes then cross domains as
         often as on the direct path. Each instance has its own order for each server, so
         that the connections of many instances are spread evenly over the peers.
         """
-        *reaching, partitioned = self._list_tiers(failure_domain)
+        *reaching, partitioned = self._list_tiers(failure_domain, may_carry)
         # Where only one peer reaches the server, its standstill must not cost more
         # than a moment.
         chosen = self._rank(reaching, server, now) or self._rank(
@@ -291,8 +312,10 @@
                 break
         return chosen
 
-    def _list_tiers(self, failure_domain: str) -> Iterator[list[str]]:
-        relays = self._relays.values()
+    def _list_tiers(
+        self, failure_domain: str, may_carry: MayCarry
+    ) -> Iterator[list[str]]:
+        relays = [r for r in self._relays.values() if may_carry(r.failure_domain)]
         reaching = [relay for relay in relays if not relay.is_partitioned]
         for domain in dict.fromkeys((failure_domain, self._failure_domain)):
             yield [r.name for r in reaching if r.failure_domain == domain]
--- a/tests/instance/test_abandoned.py
+++ b/tests/instance/test_abandoned.py
@@ -14,6 +14,7 @@
 from baobabthread.instance.servers.paths import Paths
 from baobabthread.instance.servers.places import PlaceCoordinator
 from baobabthread.routing.configuration import BackendRecord
+from baobabthread.routing.regions import Regions
 from baobabthread.standins.loopback import own_network
 from tests.instance.test_limits import SERVER, Peers, acquire, state
 
@@ -116,6 +117,7 @@
             me="i1",
             ip=host,
             failure_domain="a",
+            regions=Regions(by_domain={}),
             find_backend=lambda name: record,
             find_obstacle=lambda name: None,
         )
