Hold a request briefly whose servers were lost at one moment

What callers saw: a failure domain loses its power while many callers send the same request (one path, query, body, account). The request is rejected at every instance for ten minutes as one that crashes servers, though others run it without harm.

Cause: three crashes with one request at all of them, and no other one at all of them, were taken for proof. For prompt parts that needs two waves, crashes of which one followed a request that was sent after the other; for requests as such nobody asked.

Ten servers, of which five end at one moment under equal requests: in the new test on the code before, streams were held for 600 s (request_held ... crashed=e0,e1,e2,e3,e4 hold_s=600.0) and every later one rejected; calls of plain services were not, as answers that came in time cleared them. It passes now, three of three, and the unit tests with it.

Weighed: asking for two waves before anything is held, as for parts. A request that does crash servers, sent many times at once, would then take servers for as long as it takes to send it on; the hold costs sound callers two seconds. So it is held at once, but as parts are on doubtful evidence: 2 s, then one request at a time, whose answer releases it everywhere and whose crash quarantines it, for twenty minutes as its second time. Reports without the times of their requests, of instances of the code before, show nothing and count as they did.

--- a/src/baobabthread/instance/quarantine.py
+++ b/src/baobabthread/instance/quarantine.py
@@ -361,6 +361,7 @@
             suspect.versions,
             timestamp,
             is_tentative=suspect.is_tentative,
+            is_simultaneous=suspect.is_simultaneous,
             first_crash_at=suspect.first_crash_at,
         )
         log_event(
@@ -373,6 +374,7 @@
             hold_s=entry.left_s,
             only_versions=",".join(suspect.versions),
             is_tentative=suspect.is_tentative,
+            is_simultaneous=suspect.is_simultaneous,
         )
         self._publish(entry)
 
--- a/src/baobabthread/routing/crashes.py
+++ b/src/baobabthread/routing/crashes.py
@@ -133,6 +133,9 @@
     backends: tuple[str, ...]
     is_tentative: bool = False
     """Whether a loss of most servers at once could explain the crashes as well."""
+    is_simultaneous: bool = False
+    """Whether all crashes were at one moment, so that their servers may have been lost
+    together."""
     first_crash_at: float = 0.0
     likely: str = ""
     """Those of the parts that are the likely cause, as they came without the rest too;
@@ -540,7 +543,7 @@
             is_doubtful = found.is_ambiguous or found.is_universal
             is_tentative = is_doubtful or is_burst or not is_proven
         else:
-            is_tentative = found.is_ambiguous
+            is_tentative = found.is_ambiguous or found.is_simultaneous
         parts = filter(is_part, found.features)
         known = self._list_known(list(parts), found.crashes)
         return Suspect(
@@ -549,6 +552,7 @@
             versions=versions,
             backends=tuple(crash.name for crash in found.crashes),
             is_tentative=is_tentative,
+            is_simultaneous=not found.is_relapse and found.is_simultaneous,
             first_crash_at=found.crashes[0].broke_at,
             likely="" if found.is_relapse else found.find_likely(known),
         )
--- a/src/baobabthread/routing/quarantine.py
+++ b/src/baobabthread/routing/quarantine.py
@@ -19,8 +19,8 @@
 """Time of the first quarantine of a request: longer than callers keep retrying, and
 short enough that a repaired service soon serves it again without intervention."""
 TENTATIVE_S = (2.0, 30.0)
-"""Times of the first quarantines of prompt parts on evidence that a simultaneous loss
-of servers could explain as well."""
+"""Times of the first quarantines on evidence that a simultaneous loss of servers could
+explain as well."""
 PROBATION_S = 60.0
 """Time after a quarantine in which one request at a time is let through, until one is
 answered: without it all instances would send such requests at the same moment."""
@@ -172,9 +172,14 @@
         now: float,
         *,
         is_tentative: bool = False,
+        is_simultaneous: bool = False,
         first_crash_at: float | None = None,
     ) -> QuarantineEntry:
-        """Quarantine a request or parts, longer each time, and return the entry."""
+        """Quarantine a request or parts, longer each time, and return the entry.
+
+        The first times are short on tentative evidence against parts, and against a
+        request if its crashes were simultaneous.
+        """
         times = 1 + self._count_previous(fingerprint)
         previous = self._entries.get(fingerprint)
         was_cleared = previous is not None and previous.entry.is_cleared
@@ -184,7 +189,7 @@
             times=times,
             left_s=_find_duration(
                 1 if is_tentative and was_cleared else times,
-                is_tentative=is_tentative and is_part(fingerprint),
+                is_tentative=is_tentative and (is_simultaneous or is_part(fingerprint)),
             ),
             versions=versions,
             is_tentative=is_tentative,
--- a/src/baobabthread/routing/suspects.py
+++ b/src/baobabthread/routing/suspects.py
@@ -177,6 +177,20 @@
         """Time from the first crash to the last one."""
         return self.crashes[-1].broke_at - self.crashes[0].broke_at
 
+    @property
+    def is_simultaneous(self) -> bool:
+        """Return whether none of the crashes followed a request sent after another one.
+
+        Reports that don't tell when their requests were sent don't show it.
+        """
+        is_known = all(
+            any(
+                request.sent_at > -math.inf for request in crash.list_with(self.feature)
+            )
+            for crash in self.crashes
+        )
+        return is_known and self.count_waves() == 1
+
     def count_waves(self) -> int:
         """Return how many crashes followed a request that was sent after the last one.
 
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -395,3 +395,47 @@
             assert not has_quarantined(site, 0)
 
     run(case())
+
+
+SERVED_AGAIN_S = 5.0
+"""Time after a loss of servers from which all requests must be served again."""
+
+
+async def send_alike(site: Site, path: str, until: float) -> None:
+    """Send one request again and again at an instance, a few at a time."""
+    index = 0
+    while time.monotonic() < until:
+        index = (index + 1) % len(site.instances)
+        await asyncio.gather(*(send(site, path, b"hot", index=index) for _ in range(6)))
+
+
+@pytest.mark.parametrize(
+    ("path", "service"),
+    [("/safe/x", "plain"), ("/unsafe/x", "plain"), ("/stream/x", "engine")],
+)
+def test_hold_no_popular_request_for_servers_lost_at_once(
+    path: str, service: str
+) -> None:
+    """A failure domain loses its power while many callers send the same request."""
+
+    async def case() -> None:
+        async with open_restarting_backends(service=service, servers=10) as (
+            site,
+            backends,
+        ):
+            for backend in site.backends:
+                backend.pause_s = 0.5
+            until = time.monotonic() + 1.0 + SERVED_AGAIN_S
+            callers = [
+                asyncio.ensure_future(send_alike(site, path, until)) for _ in range(4)
+            ]
+            await asyncio.sleep(1.0)
+            for backend in site.backends[:5]:
+                backend.crash()
+            await asyncio.gather(*callers)
+            assert len(backends.crashes) == 5
+            responses = [await send(site, path, b"hot", index=n % 3) for n in range(12)]
+            assert {r.status for r in responses if r is not None} == {200}
+            assert None not in responses
+
+    run(case())
--- a/tests/routing/test_suspects.py
+++ b/tests/routing/test_suspects.py
@@ -7,6 +7,7 @@
 
 from baobabthread.routing.crashes import (
     MIN_CRASHES,
+    MIN_CRASHES_IF_AMBIGUOUS,
     MIN_CRASHES_IF_PART_AMBIGUOUS,
     Crash,
     CrashAnalysis,
@@ -18,6 +19,7 @@
     fingerprint_parts,
     join_features,
 )
+from baobabthread.routing.quarantine import TENTATIVE_S, Quarantine
 from baobabthread.routing.table import PromptPart
 
 SENT_S = 0.1
@@ -188,6 +190,41 @@
     assert find(analysis) == []
 
 
+@pytest.mark.parametrize(
+    ("others", "count"), [(["{n}"], MIN_CRASHES), (["b"], MIN_CRASHES_IF_AMBIGUOUS)]
+)
+def test_hold_a_request_briefly_if_its_servers_were_lost_together(
+    others: list[str], count: int
+) -> None:
+    """A failure domain loses power while many callers send the same request."""
+    analysis = CrashAnalysis(count_backends=lambda service, crashed: MANY_SERVERS)
+    for n in range(count):
+        fresh = ["hot", *(other.format(n=n) for other in others)]
+        crash = make_crash(f"e{n}", "a", "a", sent_s=1.0, fresh=fresh, parts=[])
+        analysis.record(crash, 0.01 * n)
+    (suspect,) = find(analysis)
+    assert suspect.is_tentative
+    entry = Quarantine().add(
+        suspect.fingerprint,
+        "engine",
+        (),
+        100.0,
+        is_tentative=suspect.is_tentative,
+        is_simultaneous=suspect.is_simultaneous,
+    )
+    assert entry.left_s == TENTATIVE_S[0]
+
+
+def test_hold_a_request_for_long_that_crashes_one_server_after_the_other() -> None:
+    """Copies that come at once are sent on, and crash further servers."""
+    analysis = CrashAnalysis(count_backends=lambda service, crashed: MANY_SERVERS)
+    for n, sent_s in enumerate([1.0, 1.0, SENT_S]):
+        crash = make_crash(f"e{n}", "a", sent_s=sent_s, fresh=["bad"], parts=[])
+        analysis.record(crash, GAP_S if sent_s == SENT_S else 0.0)
+    (suspect,) = find(analysis)
+    assert (suspect.is_tentative, suspect.is_simultaneous) == (False, False)
+
+
 def test_hold_a_part_tentatively_if_few_servers_are_left() -> None:
     """Nobody is left to answer sound requests with parts that were on all servers."""
     crashes = [make_crash(f"e{n}", "some", f"c{n}") for n in range(MIN_CRASHES)]
