Cut no response that its caller still takes

What callers saw: on a slow link the end of a last response was missing, cut within its length, when the instance or entry that sent it stopped or when the connection counted as idle.

Cause: a response counts as answered once it is written to the connection, of which up to 64 KB may wait in the process. A stopping process ended as soon as all requests were answered. And a connection counts as idle from the same moment: after the idle timeout and 15 s it was reset, whatever its caller had taken meanwhile.

Why it works: before it ends, the process waits for the callers' connections until their bytes are gone, within the time that it has to end. A caller that takes nothing doesn't keep it: an instance ends in its grace period as before, and after 15 s without progress an entry waits no longer. An idle connection with bytes that its caller has not taken is closed once none were taken for a whole further timeout.

Not covered: bytes in the system's buffers when a connection ends with unread requests of its caller, for which the system sends a reset.

--- a/src/baobabthread/entry.py
+++ b/src/baobabthread/entry.py
@@ -169,9 +169,10 @@
         key = str(settings.tls_key) if settings.tls_key else None
         tls = build_server_tls(cert, key)
         groups = make_groups(settings)
+        self.caller_connections = groups[ListenerName.ENTRY_CALLERS]
         callers = CallerServer(
             handler=self._handle_caller,
-            group=groups[ListenerName.ENTRY_CALLERS],
+            group=self.caller_connections,
             max_body_bytes=settings.max_body_bytes,
         )
         peers = CallerServer(
@@ -369,7 +370,9 @@
         log_event("entry_stopped", name=settings.name, open=len(self._get_channels()))
 
     async def _drain(self, limit_s: float) -> None:
+        until = time.monotonic() + limit_s
         await _wait_until(lambda: not self._get_channels(), limit_s)
+        await self.caller_connections.wait_sent(until - time.monotonic())
 
     async def _settle(self, limit_s: float) -> None:
         deadline = time.monotonic() + limit_s
--- a/src/baobabthread/instance/process.py
+++ b/src/baobabthread/instance/process.py
@@ -342,6 +342,7 @@
             self._caller_listener.close()
         await self.forwarder.wait_idle(plan.ends_at - now())
         await self.relay.wait_idle(plan.ends_at - now())
+        await self.connections[ListenerName.CALLERS].wait_sent(plan.ends_at - now())
         self.peers.sessions.hand_over(state.plan for state in self.services)
         log_event(
             "instance_stopped",
--- a/src/baobabthread/serving/groups.py
+++ b/src/baobabthread/serving/groups.py
@@ -25,6 +25,9 @@
 SWEEP_INTERVAL_S = 0.5
 MAX_SWEEP_DELAY_S = 1.0
 """Delay of a sweep from which on requests may have arrived that were not read yet."""
+SENT_POLL_INTERVAL_S = 0.02
+STALL_TIMEOUT_S = 15.0
+"""Time after which a client that takes nothing of its response counts as gone."""
 NETWORK_DELAY_S = 15.0
 """Added to the time limits of clients: a partition may hold up what they have sent."""
 
@@ -161,6 +164,8 @@
         """Connections that hold no whole request, the longest idle first."""
         self.count_shed = 0
         """Connections closed for memory in the present round."""
+        self._overdue: dict[HeldConnection, int] = {}
+        """Bytes that overdue clients had not taken yet when they were looked at."""
         self._limiters: dict[str, LineRateLimiter] = {}
         memory.add_group(self)
 
@@ -179,6 +184,7 @@
         if connection in self.connections:
             del self.connections[connection]
             self.idle.pop(connection, None)
+            self._overdue.pop(connection, None)
             self.memory.resize(connection, 0)
 
     def mark_idle(self, connection: HeldConnection) -> None:
@@ -224,7 +230,33 @@
             if began_at is not None and began_at < head_since:
                 self._close(connection, "head_timeout")
             elif connection.awaits_request and connection.idle_since < idle_since:
-                self._close(connection)
+                self._close_unless_reading(connection)
+
+    def _close_unless_reading(self, connection: HeldConnection) -> None:
+        """Close an overdue connection, unless its client has taken some bytes since."""
+        unsent_bytes = connection.unsent_bytes
+        if unsent_bytes and self._overdue.get(connection) != unsent_bytes:
+            self._overdue[connection] = unsent_bytes
+            del self.idle[connection]
+            self.mark_idle(connection)
+        else:
+            self._close(connection)
+
+    async def wait_sent(self, timeout_s: float) -> None:
+        """Wait until clients have taken their responses, or for `timeout_s` seconds.
+
+        Clients of which none takes anything for `STALL_TIMEOUT_S` are not waited for.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
+        unsent_bytes, progressed_at = -1, 0.0
+        while loop.time() < until:
+            left = sum(each.unsent_bytes for each in self.connections)
+            if left != unsent_bytes:
+                unsent_bytes, progressed_at = left, loop.time()
+            if not left or loop.time() - progressed_at > STALL_TIMEOUT_S:
+                return
+            await asyncio.sleep(SENT_POLL_INTERVAL_S)
 
     def _close(self, connection: HeldConnection, reason: str | None = None) -> None:
         self.idle.pop(connection, None)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import re
+import socket
 from typing import Any
 
 import pytest
 
 from baobabthread.core.backends.backends import Health
+from baobabthread.serving.connections import BoundedConnection
+from baobabthread.serving.groups import HeldConnection
+from baobabthread.standins.answers import Text
+from baobabthread.standins.engine import EngineServer
 from tests.shell import (
     STATUS,
     TEXT,
@@ -311,6 +317,59 @@
     run_case(case, entries=2)
 
 
+def test_leave_after_a_slow_caller_has_its_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The entry has written all answers, but not sent all of one."""
+    long = Text(tokens=["word " * 1000] * 10, good=True, signal=1.0)
+    monkeypatch.setattr(EngineServer, "write", lambda server, ask: long)
+
+    async def case(shell: Shell) -> None:
+        entry = shell.entries[0]
+        group = entry.caller_connections
+        own = socket.socket()
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        own.setblocking(False)
+        host, _, port = entry.address.rpartition(":")
+        await asyncio.get_running_loop().sock_connect(own, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=own, limit=512)
+        await shell.wait_until(lambda: any(map(find_transport, group.connections)))
+        for transport in filter(None, map(find_transport, group.connections)):
+            raw = transport.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        body = (
+            b'{"model":"small-1","max_tokens":10,'
+            b'"messages":[{"role":"user","content":"storm"}]}'
+        )
+        writer.write(
+            b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+            b"Authorization: Bearer KEY-OF-nadia\r\n"
+            b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+        )
+        await shell.wait_until(lambda: any(c.unsent_bytes for c in group.connections))
+        await shell.wait_until(lambda: not entry.open_requests)
+        leaving = asyncio.ensure_future(entry.leave())
+        leaving.add_done_callback(lambda task: [c.drop() for c in [*group.connections]])
+        await asyncio.wait({leaving}, timeout=2.0)
+        head = await reader.readuntil(b"\r\n\r\n")
+        [length] = re.findall(rb"Content-Length: (\d+)", head)
+        received = 0
+        while received < int(length) and (data := await reader.read(2048)):
+            received += len(data)
+            await asyncio.sleep(0.01)
+        assert received == int(length)
+        writer.close()
+        await leaving
+
+    run_case(case)
+
+
+def find_transport(connection: HeldConnection) -> asyncio.Transport | None:
+    """Return the transport of an established connection."""
+    is_established = isinstance(connection, BoundedConnection)
+    return connection._raw_transport if is_established else None
+
+
 def test_health_tells_whether_it_is_configured() -> None:
     async def case(shell: Shell) -> None:
         health = await shell.ask("GET", "/healthz", key="")
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp import web
 
+from baobabthread.serving import groups
 from baobabthread.serving.connections import BoundedConnection
 from baobabthread.serving.groups import ConnectionGroup, ConnectionMemory
 from baobabthread.serving.listeners import Listener
@@ -136,6 +137,45 @@
     run(case)
 
 
+def test_close_no_idle_connection_whose_client_still_reads() -> None:
+    """A response on a slow link takes longer than connections may be idle."""
+
+    def case() -> None:
+        group = make_group()
+        reading, stuck = add(group, "reading"), add(group, "stuck")
+        reading.unsent_bytes = stuck.unsent_bytes = 1000
+        for _ in range(5):
+            for connection in (reading, stuck):
+                connection.idle_since -= 1000.0
+            group.close_overdue()
+            assert not reading.is_dropped
+            reading.unsent_bytes -= 200
+        assert stuck.is_dropped
+        reading.idle_since -= 1000.0
+        group.close_overdue()
+        assert reading.is_dropped
+
+    run(case)
+
+
+def test_wait_for_no_client_that_takes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One client that never reads would hold up the end of the process."""
+    monkeypatch.setattr(groups, "STALL_TIMEOUT_S", 0.2)
+
+    async def case() -> None:
+        group = make_group()
+        reading, stuck = add(group, "reading"), add(group, "stuck")
+        reading.unsent_bytes = stuck.unsent_bytes = 10
+        waiting = asyncio.ensure_future(group.wait_sent(30.0))
+        for left in range(9, -1, -1):
+            await asyncio.sleep(0.05)
+            assert not waiting.done()
+            reading.unsent_bytes = left
+        await asyncio.wait_for(waiting, 5.0)
+
+    asyncio.run(case())
+
+
 def test_take_memory_from_connections_without_a_whole_request_first() -> None:
     """Nothing counted what all connections hold before their requests are whole."""
 
