Take a server for unreachable where all peers could be asked

What callers saw: with allowed regions, a request to a server that had just ended went through connects that fail again and again for up to a second, where one without is sent elsewhere at once.

Evidence: the new test, an instance and its only peer cut off from two servers, failed on the commit before and passes now, with the other tests of relays.

--- a/src/baobabthread/instance/servers/paths.py
+++ b/src/baobabthread/instance/servers/paths.py
@@ -155,13 +155,11 @@
         """Return whether a connection stays within the regions of a request."""
         if allowed_regions is None or not connection.relay:
             return True
-        return self.relays.may_carry(
-            connection.relay, self._make_filter(allowed_regions)
-        )
+        return self.relays.permits(connection.relay, self._make_filter(allowed_regions))
 
     def list_out_of_reach(self, allowed_regions: AllowedRegions) -> frozenset[str]:
         """Return the servers that only peers outside the regions of a request reach."""
-        if not self.table.lost or self.relays.has_relay(
+        if not self.table.lost or self.relays.permits_any(
             self._make_filter(allowed_regions)
         ):
             return frozenset()
@@ -228,7 +226,7 @@
         winner, _, errors = await staggered_race(ways, stagger_s)
         if winner is None:
             error = self._explain(errors)
-            if allowed_regions is None:
+            if self.relays.permits_all(may_carry):
                 self.table.record_unreachable(name, now(), is_refused=error.is_refused)
             else:
                 # Peers that were not asked may reach it.
--- a/src/baobabthread/routing/servers/paths.py
+++ b/src/baobabthread/routing/servers/paths.py
@@ -233,16 +233,22 @@
         """Replace the known peers."""
         self._relays = {r.name: r for r in relays if r.name != self._me}
 
-    def has_relay(self, may_carry: MayCarry) -> bool:
+    def permits_any(self, may_carry: MayCarry) -> bool:
         """Return whether any peer may carry a request."""
-        domains = {relay.failure_domain for relay in self._relays.values()}
-        return any(may_carry(domain) for domain in domains)
+        return any(map(may_carry, self._list_domains()))
+
+    def permits_all(self, may_carry: MayCarry) -> bool:
+        """Return whether all peers may carry a request."""
+        return all(map(may_carry, self._list_domains()))
+
+    def _list_domains(self) -> set[str]:
+        return {relay.failure_domain for relay in self._relays.values()}
 
     def may_use(self, relay: str, server: str, now: float) -> bool:
         """Return whether a peer may carry requests to a server."""
         return relay in self._relays and not self._is_avoided(relay, server, now)
 
-    def may_carry(self, relay: str, may_carry: MayCarry) -> bool:
+    def permits(self, relay: str, may_carry: MayCarry) -> bool:
         """Return whether a known peer may carry a request."""
         known = self._relays.get(relay)
         return known is not None and may_carry(known.failure_domain)
--- a/tests/platform/test_relayhomes.py
+++ b/tests/platform/test_relayhomes.py
@@ -10,6 +10,7 @@
 import pytest
 from soak.partitions import Cut
 
+from baobabthread.instance.clock import now
 from baobabthread.instance.servers.connections import Connection
 from baobabthread.instance.servers.paths import Paths
 from tests.platform.fakecallers import KEY
@@ -123,6 +124,20 @@
     run(case())
 
 
+def test_take_a_server_for_unreachable_where_all_peers_were_asked() -> None:
+    """All peers lie in the regions of the route, and none reaches the servers."""
+
+    async def case() -> None:
+        async with open_regions("b") as site:
+            for index in range(2):
+                site.cut_paths(index, Cut.HANGING)
+            assert (await site.call("/safe/x")).status == 503
+            table = site.instances[0].paths.table
+            assert any(table.is_unreachable(name, now()) for name in table._paths)
+
+    run(case())
+
+
 @pytest.mark.parametrize("cut", list(Cut))
 def test_reject_at_once_what_no_permitted_peer_carries(cut: Cut) -> None:
     """A request that can't be served must not wait for paths that are lost."""
