Cut off clients that take nothing of a response, at each listener

What callers saw: at an entry, clients that ask for streams and don't read them keep their connections, the requests and the engines' places for ever; once they have all connections of the listener, or all places, ordinary callers are refused for good.

Cause: only the callers' port of an instance looked whether a response is read. An entry waits without a limit until there is room in the connection, and a connection with a request in work is never closed for a new one. The instance's other listeners had the same gap.

Evidence: four streams whose callers don't read stay open on the code before (the test waits in vain); a unit test of the connections' group fails there, too. Both pass now.

One whose client has taken nothing for 15 s, the bound of an instance's callers, is closed; the write that waits ends with it, and the request is taken back. What a client takes, or the end of a response, starts the time again. Links of an entry's peers are left out: a peer that stands still is met by its own bounds.

--- a/src/baobabthread/adapters/connections.py
+++ b/src/baobabthread/adapters/connections.py
@@ -126,6 +126,8 @@
             max_connections=derive_connections(descriptors, name),
             memory=memory,
             find_limits=lambda: limits,
+            # A peer that stands still keeps its link.
+            closes_stalled=name is ListenerName.ENTRY_CALLERS,
         )
         for name in (ListenerName.ENTRY_CALLERS, ListenerName.ENTRY_PEERS)
     }
--- a/src/baobabthread/serving/groups.py
+++ b/src/baobabthread/serving/groups.py
@@ -143,6 +143,13 @@
             yield connection, group.shed
 
 
+class _UnreadBytes(msgspec.Struct, frozen=True):
+    """Number of bytes that a client has not taken, and since when it is the same."""
+
+    size: int
+    since: float
+
+
 class ConnectionGroup:
     """Connections of one listener, bounded in number."""
 
@@ -153,8 +160,10 @@
         max_connections: int,
         memory: ConnectionMemory,
         find_limits: Callable[[], ClientLimits] = ClientLimits,
+        closes_stalled: bool = True,
     ) -> None:
         self.name = name
+        self._closes_stalled = closes_stalled
         self.max_connections = max_connections
         self.memory = memory
         self.find_limits = find_limits
@@ -164,8 +173,8 @@
         """Connections that hold no whole request, the longest idle first."""
         self.count_shed = 0
         """Connections closed for memory in the present round."""
-        self._overdue: dict[HeldConnection, int] = {}
-        """Bytes that overdue clients had not taken yet when they were looked at."""
+        self._unread: dict[HeldConnection, _UnreadBytes] = {}
+        """Bytes that clients have not taken, as far as that matters."""
         self._limiters: dict[str, LineRateLimiter] = {}
         memory.add_group(self)
 
@@ -184,13 +193,14 @@
         if connection in self.connections:
             del self.connections[connection]
             self.idle.pop(connection, None)
-            self._overdue.pop(connection, None)
+            self._unread.pop(connection, None)
             self.memory.resize(connection, 0)
 
     def mark_idle(self, connection: HeldConnection) -> None:
         """Record that a connection holds no whole request from now on."""
         connection.idle_since = asyncio.get_running_loop().time()
         self.idle[connection] = None
+        self._unread.pop(connection, None)
 
     def mark_busy(self, connection: HeldConnection) -> None:
         """Record that a connection holds a whole request."""
@@ -220,7 +230,7 @@
         connection.drop()
 
     def close_overdue(self) -> None:
-        """Close connections whose head does not end, or that are idle for too long."""
+        """Close connections whose clients take too long to send or to read."""
         time = asyncio.get_running_loop().time()
         limits = self.find_limits()
         head_since = time - limits.head_timeout_s - NETWORK_DELAY_S
@@ -231,16 +241,31 @@
                 self._close(connection, "head_timeout")
             elif connection.awaits_request and connection.idle_since < idle_since:
                 self._close_unless_reading(connection)
+        if self._closes_stalled:
+            for connection in self.list_busy():
+                self._close_if_stalled(connection, time)
 
     def _close_unless_reading(self, connection: HeldConnection) -> None:
         """Close an overdue connection, unless its client has taken some bytes since."""
-        unsent_bytes = connection.unsent_bytes
-        if unsent_bytes and self._overdue.get(connection) != unsent_bytes:
-            self._overdue[connection] = unsent_bytes
-            del self.idle[connection]
-            self.mark_idle(connection)
-        else:
+        size = connection.unsent_bytes
+        unread = self._unread.get(connection)
+        if not size or (unread is not None and unread.size == size):
             self._close(connection)
+            return
+        del self.idle[connection]
+        self.mark_idle(connection)
+        self._unread[connection] = _UnreadBytes(size, connection.idle_since)
+
+    def _close_if_stalled(self, connection: HeldConnection, time: float) -> None:
+        """Close a connection whose client takes nothing of a response any more."""
+        size = connection.unsent_bytes
+        unread = self._unread.get(connection)
+        if not size:
+            self._unread.pop(connection, None)
+        elif unread is None or unread.size != size:
+            self._unread[connection] = _UnreadBytes(size, time)
+        elif time - unread.since > STALL_TIMEOUT_S:
+            self._close(connection, "unread")
 
     async def wait_sent(self, timeout_s: float) -> None:
         """Wait until clients have taken their responses, or for `timeout_s` seconds.
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -10,6 +10,7 @@
 import pytest
 
 from baobabthread.core.backends.backends import Health
+from baobabthread.serving import groups
 from baobabthread.serving.connections import BoundedConnection
 from baobabthread.serving.groups import HeldConnection
 from baobabthread.standins.answers import Text
@@ -364,6 +365,39 @@
     run_case(case)
 
 
+def test_free_requests_of_callers_that_read_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Streams whose callers never read them held their connections for ever."""
+    monkeypatch.setattr(groups, "STALL_TIMEOUT_S", 0.5)
+    long = Text(tokens=["word " * 20_000] * 100, good=True, signal=1.0)
+    monkeypatch.setattr(EngineServer, "write", lambda server, ask: long)
+
+    async def case(shell: Shell) -> None:
+        entry = shell.entries[0]
+        host, _, port = entry.address.rpartition(":")
+        body = (
+            b'{"model":"small-1","stream":true,"max_tokens":100,'
+            b'"messages":[{"role":"user","content":"storm"}]}'
+        )
+        writers = []
+        for _ in range(4):
+            _, writer = await asyncio.open_connection(host, int(port), limit=512)
+            writer.write(
+                b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
+                b"Authorization: Bearer KEY-OF-nadia\r\n"
+                b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+            )
+            writers.append(writer)
+        await shell.wait_until(lambda: entry.open_requests == 4)
+        await shell.wait_until(lambda: not entry.open_requests)
+        await shell.wait_until(lambda: not entry.caller_connections.list_busy())
+        for writer in writers:
+            writer.close()
+
+    run_case(case)
+
+
 def find_transport(connection: HeldConnection) -> asyncio.Transport | None:
     """Return the transport of an established connection."""
     is_established = isinstance(connection, BoundedConnection)
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -158,6 +158,48 @@
     run(case)
 
 
+def test_cut_off_clients_that_take_nothing_of_a_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Responses that are never read held their connections, and their requests."""
+    monkeypatch.setattr(groups, "STALL_TIMEOUT_S", 0.2)
+
+    async def case() -> None:
+        group = make_group()
+        reading, stuck, working = (
+            add(group, name, is_busy=True) for name in ("reading", "stuck", "working")
+        )
+        reading.unsent_bytes = stuck.unsent_bytes = 10
+        for left in range(9, -1, -1):
+            group.close_overdue()
+            await asyncio.sleep(0.05)
+            reading.unsent_bytes = left
+        group.close_overdue()
+        dropped = [each.is_dropped for each in (reading, stuck, working)]
+        assert dropped == [False, True, False]
+
+    asyncio.run(case())
+
+
+def test_begin_to_count_with_each_response(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The bytes of two responses are as many by chance."""
+    monkeypatch.setattr(groups, "STALL_TIMEOUT_S", 0.2)
+
+    async def case() -> None:
+        group = make_group()
+        connection = add(group, "reading", is_busy=True)
+        for _ in range(4):
+            connection.unsent_bytes = 10
+            group.close_overdue()
+            await asyncio.sleep(0.1)
+            connection.unsent_bytes = 0
+            group.mark_idle(connection)
+            group.mark_busy(connection)
+        assert not connection.is_dropped
+
+    asyncio.run(case())
+
+
 def test_wait_for_no_client_that_takes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     """One client that never reads would hold up the end of the process."""
     monkeypatch.setattr(groups, "STALL_TIMEOUT_S", 0.2)
