Bound an entry's log lines on refused requests

What operators saw: a caller that is refused again and again writes a line each time, as fast as it sends; an instance bounds its lines on rejected requests.

--- a/src/baobabthread/adapters/callers.py
+++ b/src/baobabthread/adapters/callers.py
@@ -13,6 +13,7 @@
 from baobabthread.core.configuration.configuration import Priority
 from baobabthread.core.events import RequestArrived
 from baobabthread.errors import Kind, Problem, Ran, RequestError
+from baobabthread.loglimits import LineRateLimiter
 from baobabthread.logs import log_event
 
 CHAT_PATH = "/v1/chat/completions"
@@ -23,6 +24,8 @@
 MAX_TOKEN_LENGTH = 2_048
 MAX_DEADLINE_S = 86_400.0
 MAX_MESSAGES = 2_000
+REFUSAL_LINES_PER_S = 20.0
+"""Log lines per second for requests that callers must mend, as many as at instances."""
 FAULTS_OF_CALLERS = {
     Kind.BAD_REQUEST,
     Kind.UNAUTHENTICATED,
@@ -80,15 +83,26 @@
     )
 
 
+_refusal_lines = LineRateLimiter(per_s=REFUSAL_LINES_PER_S)
+
+
+def _log_refusal(problem: Problem) -> None:
+    if not _refusal_lines.try_acquire():
+        return
+    suppressed, _refusal_lines.suppressed = _refusal_lines.suppressed, 0
+    log_event(
+        "request_refused",
+        kind=problem.kind,
+        request=problem.request_id,
+        detail=problem.detail,
+        suppressed=suppressed,
+    )
+
+
 def render_problem(problem: Problem) -> web.Response:
     """Turn a problem into an HTTP response."""
     if problem.kind in FAULTS_OF_CALLERS:
-        log_event(
-            "request_refused",
-            kind=problem.kind,
-            request=problem.request_id,
-            detail=problem.detail,
-        )
+        _log_refusal(problem)
     headers = {}
     if problem.retry_after_s is not None:
         headers["Retry-After"] = str(max(1, round(problem.retry_after_s)))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import gzip
 import json
+import re
 import string
 from collections.abc import Coroutine, Iterator
 from typing import Any, TypeVar
@@ -13,6 +14,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from baobabthread.adapters import callers
+from baobabthread.loglimits import LineRateLimiter
 from baobabthread.logs import configure_logs
 from tests.shell import (
     CHAT,
@@ -369,6 +372,27 @@
     assert "\n" not in lines[0]
 
 
+def test_bound_the_lines_on_refused_callers(
+    host: Host, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A caller that is refused again and again wrote a line each time."""
+    limiter = LineRateLimiter(per_s=2.0)
+    monkeypatch.setattr(callers, "_refusal_lines", limiter)
+    configure_logs("info")
+    for _ in range(40):
+        host.run(host.shell.chat(key="KEY-OF-nobody"))
+    lines = [line for line in caplog.messages if "event=request_refused" in line]
+    assert len(lines) < 40
+    counted = sum(count_suppressed(line) for line in lines)
+    assert len(lines) + counted + limiter.suppressed == 40
+
+
+def count_suppressed(line: str) -> int:
+    """Return how many lines a line stands for beside itself."""
+    [count] = re.findall(r"suppressed=(\d+)", line)
+    return int(count)
+
+
 @pytest.mark.parametrize(
     "query",
     [b"caller=%ff%fe", b"caller=\xff", b"failure_domain=%00", b"=&&=", b"caller"],
