Tests: give the test of a refusal's line its own limiter

The limiter of an entry's lines is one for the process, and the entries of all tests in a worker share it: after the drawn requests of the same file, two cases found no line. The check is the same; the limiter that it uses has the rate of the product.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -359,9 +359,13 @@
 def test_refused_caller_is_logged(
     host: Host,
     caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
     options: dict[str, Any],
     kind: str,
 ) -> None:
+    # The process has one limiter, which other tests use up.
+    limiter = LineRateLimiter(per_s=callers.REFUSAL_LINES_PER_S)
+    monkeypatch.setattr(callers, "_refusal_lines", limiter)
     configure_logs("info")
     answer = host.run(host.shell.chat(**options))
     lines = [line for line in caplog.messages if f"kind={kind}" in line]
