Soak: write no older record of a server over a newer one

Cause: in the fault's overlap of "store lost servers" with "crowded service" the store came back empty, the servers wrote that they run two requests at once, and 0.4 s later the fault wrote their lost records, of eight, over that; a server that was leaving ran again, too. Shown by the log of an instance: offsets 2 to 5 of the new era are the new records, 6 and 7 the leaving ones, 8 to 15 the old ones. Instances did as they were told: ten requests at once ran on each server, at all instances, from the first moment.

Mended as "store restored" has it already: only the newest lost record of a key is written again, and none whose key was written since. The check and its bounds are as they were.

--- a/soak/outages.py
+++ b/soak/outages.py
@@ -11,6 +11,7 @@
 from soak.history import Call, History, Kind, now
 from soak.pressing import ENOUGH, PRESSES, Pressed, wait_until
 from soak.promises import PROMISES
+from soak.restores import list_newest, write_missing
 from soak.site import Site
 
 LOST_SERVERS = "store lost servers"
@@ -56,8 +57,9 @@
         await asyncio.sleep(AWAY_S)
         lost = site.store.restore(lost={BACKENDS: len(site.store.topics[BACKENDS])})
         site.store.fault = ""
+        ends = {BACKENDS: len(site.store.topics[BACKENDS])}
         await asyncio.sleep(WRITTEN_AGAIN_S)
-        site.store.write_again(lost)
+        write_missing(site.store, list_newest(lost), ends)
         await asyncio.sleep(SEEN_S)
 
 
--- a/soak/restores.py
+++ b/soak/restores.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Mapping
 
-from tests.platform.fakestore import STATUS, LostRecord
+from tests.platform.fakestore import STATUS, FakeStore, LostRecord
 
 from soak.site import Site
 
@@ -39,13 +39,25 @@
     """Write the newest of each lost record again, unless there is a newer one."""
     ends = {topic: len(records) for topic, records in site.store.topics.items()}
     await asyncio.sleep(site.rng.uniform(0.0, WRITTEN_AGAIN_S))
+    newest = list_newest(lost)
+    site.rng.shuffle(newest)
+    write_missing(site.store, newest, ends)
+
+
+def list_newest(lost: list[LostRecord]) -> list[LostRecord]:
+    """Return the newest of each lost record that is written by its owner again."""
     newest = {(record.topic, record.key): record for record in lost}
-    records = [record for record in newest.values() if record.topic != STATUS]
-    site.rng.shuffle(records)
+    return [record for record in newest.values() if record.topic != STATUS]
+
+
+def write_missing(
+    store: FakeStore, records: list[LostRecord], ends: Mapping[str, int]
+) -> None:
+    """Write records again whose keys were not written since the topics had `ends`."""
     for record in records:
-        written = site.store.topics[record.topic][ends[record.topic] :]
+        written = store.topics[record.topic][ends[record.topic] :]
         if record.key not in (key for key, _ in written):
-            site.store.put(record.topic, record.key, record.value)
+            store.put(record.topic, record.key, record.value)
 
 
 async def change_often(site: Site) -> None:
