Soak: let the counted choice of relays take the regions of a request

Its counter stands in the place of RelayTable.choose and lacked the new argument, so that every connection of an instance under the press ended with a TypeError. Not a fault of the program; both tests pass with the argument passed on, the checks are as they were.

--- a/soak/weakened.py
+++ b/soak/weakened.py
@@ -374,9 +374,14 @@
     ask = paths.RelayTable.choose
 
     def choose(
-        self: paths.RelayTable, server: str, failure_domain: str, now: float
+        self: paths.RelayTable,
+        server: str,
+        failure_domain: str,
+        now: float,
+        *,
+        may_carry: paths.MayCarry = paths.carry_anywhere,
     ) -> list[paths.Relay]:
-        relays = ask(self, server, failure_domain, now)
+        relays = ask(self, server, failure_domain, now, may_carry=may_carry)
         return relays if safeguard.stands(bool(relays)) else []
 
     paths.RelayTable.choose = choose  # type: ignore
